--- /dev/null
+++ b/cmd/almondturnctl/main.go
@@ -0,0 +1,4 @@
+// Command almondturnctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/fault/fault.go
@@ -0,0 +1,150 @@
+// Package fault is the closed list of error kinds that callers and
+// operators can receive, and the table from kind to answer.
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Kind identifies an error kind.
+type Kind uint8
+
+// The error kinds. Append new kinds before kindEnd and add a row to the table.
+const (
+	Internal Kind = iota
+	BadRequest
+	BodyTooLarge
+	Unauthenticated
+	NotAllowed
+	UnknownModel
+	UnknownService
+	UnknownPath
+	DeadlineExceeded
+	Overloaded
+	NoCapacity
+	NoReplica
+	PlatformUnavailable
+	ClaimUnsettled
+	KeyInProgress
+	KeyMismatch
+	RevisionConflict
+	InvalidCatalog
+	ShuttingDown
+	TargetUnreachable
+	TargetFailed
+	OutcomeUnknown
+	StreamBroken
+	CallerGone
+	kindEnd
+)
+
+// Run tells whether the request was run by a target.
+type Run string
+
+// The three outcomes, which callers must be able to tell apart.
+const (
+	RunNo      Run = "no"
+	RunUnknown Run = "unknown"
+	RunYes     Run = "yes"
+)
+
+// Answer is one row of the table: how an error kind is told to a caller.
+type Answer struct {
+	Kind   Kind
+	Status int
+	Code   string
+	Run    Run
+	// Retry tells whether the caller may repeat the same request.
+	Retry bool
+	// RetryAfter is the least wait before a retry.
+	RetryAfter time.Duration
+}
+
+var table = [kindEnd]Answer{
+	Internal:            {Status: http.StatusInternalServerError, Code: "internal", Run: RunUnknown},
+	BadRequest:          {Status: http.StatusBadRequest, Code: "bad_request", Run: RunNo},
+	BodyTooLarge:        {Status: http.StatusRequestEntityTooLarge, Code: "body_too_large", Run: RunNo},
+	Unauthenticated:     {Status: http.StatusUnauthorized, Code: "unauthenticated", Run: RunNo},
+	NotAllowed:          {Status: http.StatusForbidden, Code: "not_allowed", Run: RunNo},
+	UnknownModel:        {Status: http.StatusNotFound, Code: "unknown_model", Run: RunNo},
+	UnknownService:      {Status: http.StatusNotFound, Code: "unknown_service", Run: RunNo},
+	UnknownPath:         {Status: http.StatusNotFound, Code: "unknown_path", Run: RunNo},
+	DeadlineExceeded:    {Status: http.StatusGatewayTimeout, Code: "deadline_exceeded", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	Overloaded:          {Status: http.StatusTooManyRequests, Code: "overloaded", Run: RunNo, Retry: true, RetryAfter: 2 * time.Second},
+	NoCapacity:          {Status: http.StatusServiceUnavailable, Code: "no_capacity", Run: RunNo, Retry: true, RetryAfter: 5 * time.Second},
+	NoReplica:           {Status: http.StatusServiceUnavailable, Code: "no_replica", Run: RunNo, Retry: true, RetryAfter: 5 * time.Second},
+	PlatformUnavailable: {Status: http.StatusServiceUnavailable, Code: "platform_unavailable", Run: RunNo, Retry: true, RetryAfter: 5 * time.Second},
+	ClaimUnsettled:      {Status: http.StatusServiceUnavailable, Code: "claim_unsettled", Run: RunNo, Retry: true, RetryAfter: 5 * time.Second},
+	KeyInProgress:       {Status: http.StatusConflict, Code: "key_in_progress", Run: RunUnknown, Retry: true, RetryAfter: time.Second},
+	KeyMismatch:         {Status: http.StatusUnprocessableEntity, Code: "key_mismatch", Run: RunNo},
+	RevisionConflict:    {Status: http.StatusConflict, Code: "revision_conflict", Run: RunNo},
+	InvalidCatalog:      {Status: http.StatusUnprocessableEntity, Code: "invalid_catalog", Run: RunNo},
+	ShuttingDown:        {Status: http.StatusServiceUnavailable, Code: "shutting_down", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	TargetUnreachable:   {Status: http.StatusBadGateway, Code: "target_unreachable", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	TargetFailed:        {Status: http.StatusBadGateway, Code: "target_failed", Run: RunYes},
+	OutcomeUnknown:      {Status: http.StatusBadGateway, Code: "outcome_unknown", Run: RunUnknown},
+	StreamBroken:        {Status: http.StatusBadGateway, Code: "stream_broken", Run: RunYes},
+	CallerGone:          {Status: 499, Code: "caller_gone", Run: RunUnknown},
+}
+
+func init() {
+	for k := range table {
+		table[k].Kind = Kind(k)
+	}
+}
+
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	out := make([]Kind, kindEnd)
+	for i := range out {
+		out[i] = Kind(i)
+	}
+	return out
+}
+
+// Answer returns the kind's row of the table; an unknown kind reads as Internal.
+func (k Kind) Answer() Answer {
+	if k >= kindEnd {
+		return table[Internal]
+	}
+	return table[k]
+}
+
+// String returns the kind's code.
+func (k Kind) String() string { return k.Answer().Code }
+
+// Error is an error with a kind from the closed list.
+type Error struct {
+	Kind Kind
+	// Message is shown to the caller.
+	Message string
+	// Err is the cause, which is logged and not shown.
+	Err error
+}
+
+// New returns an error of the given kind. A %w verb in format sets the cause.
+func New(kind Kind, format string, args ...any) *Error {
+	err := fmt.Errorf(format, args...)
+	return &Error{Kind: kind, Message: err.Error(), Err: errors.Unwrap(err)}
+}
+
+// Error returns the code and the message.
+func (e *Error) Error() string { return e.Kind.String() + ": " + e.Message }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// As returns err as an *Error; an error of no kind becomes Internal.
+func As(err error) *Error {
+	var fe *Error
+	if errors.As(err, &fe) {
+		return fe
+	}
+	return &Error{Kind: Internal, Message: "internal error", Err: err}
+}
+
+// KindOf returns the kind of err.
+func KindOf(err error) Kind { return As(err).Kind }
