--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -109,6 +109,8 @@
 	Phase       ReplicaPhase `cbor:"2,keyasint" json:"phase"`
 	MemoryBytes int64        `cbor:"3,keyasint" json:"memory_bytes"`
 	Running     int          `cbor:"4,keyasint" json:"running"`
+	// Served counts the requests accepted since the replica was loaded.
+	Served uint64 `cbor:"5,keyasint,omitempty" json:"served"`
 }
 
 // CacheLevel tells where a checkpoint can be read from, nearest first.
