--- /dev/null
+++ b/pkg/standin/relay/relay.go
@@ -0,0 +1,158 @@
+// Package relay is a TCP relay between a client and a server whose
+// connections tests can silence, cut or refuse.
+package relay
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Relay forwards connections from its own address to a server.
+type Relay struct {
+	listener net.Listener
+	server   string
+
+	refuse atomic.Bool
+
+	mu    sync.Mutex // guards conns
+	conns map[*link]struct{}
+}
+
+// link is one forwarded connection.
+type link struct {
+	client, server net.Conn
+	silent         atomic.Bool
+	resume         chan struct{}
+}
+
+// New starts a relay on a loopback port in front of server (host:port).
+func New(server string) (*Relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: l, server: server, conns: map[*link]struct{}{}}
+	go r.accept()
+	return r, nil
+}
+
+// Addr returns the relay's host:port.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.Cut()
+}
+
+// SetRefuse closes new connections at once while on.
+func (r *Relay) SetRefuse(on bool) { r.refuse.Store(on) }
+
+// Silence stops forwarding on all open connections, both ways, without
+// closing them. New connections work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.conns {
+		l.silent.Store(true)
+	}
+}
+
+// Cut closes all open connections.
+func (r *Relay) Cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.conns {
+		l.close()
+	}
+}
+
+// Open returns the number of open connections that are not silent.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for l := range r.conns {
+		if !l.silent.Load() {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		if r.refuse.Load() {
+			_ = c.Close()
+			continue
+		}
+		go r.serve(c)
+	}
+}
+
+func (r *Relay) serve(client net.Conn) {
+	server, err := net.Dial("tcp", r.server)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	l := &link{client: client, server: server, resume: make(chan struct{})}
+	r.mu.Lock()
+	r.conns[l] = struct{}{}
+	r.mu.Unlock()
+	var done sync.WaitGroup
+	done.Go(func() { l.copy(server, client) })
+	done.Go(func() { l.copy(client, server) })
+	done.Wait()
+	l.close()
+	r.mu.Lock()
+	delete(r.conns, l)
+	r.mu.Unlock()
+}
+
+// copyBufferBytes is the size of one read of a relayed connection.
+const copyBufferBytes = 16 << 10
+
+// copy forwards until an end closes. While silent it reads and forwards
+// nothing, and does not pass a close on.
+func (l *link) copy(dst io.Writer, src io.Reader) {
+	buf := make([]byte, copyBufferBytes)
+	for {
+		n, err := src.Read(buf)
+		if l.silent.Load() {
+			<-l.resume
+			return
+		}
+		if n > 0 {
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	if !l.silent.Load() {
+		l.closeConns()
+	}
+}
+
+func (l *link) closeConns() {
+	_ = l.client.Close()
+	_ = l.server.Close()
+}
+
+func (l *link) close() {
+	l.closeConns()
+	select {
+	case <-l.resume:
+	default:
+		close(l.resume)
+	}
+}
