--- /dev/null
+++ b/pkg/config/config.go
@@ -0,0 +1,184 @@
+// Package config reads a node's settings from YAML and checks them.
+package config
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+
+	"almondturn/fleet"
+	"almondturn/pkg/gateway"
+)
+
+// Config are the settings of one node. docs/settings.md lists every option.
+type Config struct {
+	Node       Node            `yaml:"node"`
+	Listen     Listen          `yaml:"listen"`
+	TLS        TLS             `yaml:"tls"`
+	Platform   Platform        `yaml:"platform"`
+	Deployment Deployment      `yaml:"deployment"`
+	Admin      Admin           `yaml:"admin"`
+	Shutdown   Shutdown        `yaml:"shutdown"`
+	Log        Log             `yaml:"log"`
+	Gateway    gateway.Options `yaml:"gateway"`
+}
+
+// Node tells the process who and where it is.
+type Node struct {
+	// ID is unique per entry VM and stays the same across restarts.
+	ID fleet.NodeID `yaml:"id" validate:"required,hostname_rfc1123"`
+	// Zone is the availability zone of the VM.
+	Zone fleet.Zone `yaml:"zone" validate:"required,hostname_rfc1123"`
+	// Secret is shared by all nodes and authenticates the inner listener.
+	Secret string `yaml:"secret" validate:"required_without=SecretFile,omitempty,min=16"`
+	// SecretFile is read for the secret instead.
+	SecretFile string `yaml:"secret_file" validate:"omitempty,filepath"`
+	// Peers are inner addresses of other nodes, for a start while the
+	// key-value service is down.
+	Peers []string `yaml:"peers" validate:"dive,hostname_port"`
+}
+
+// Listen holds the host:port of each listener.
+type Listen struct {
+	Callers   string `yaml:"callers" validate:"required,hostname_port"`
+	Operators string `yaml:"operators" validate:"required,hostname_port"`
+	Inner     string `yaml:"inner" validate:"required,hostname_port"`
+	// Advertise is the inner address that other nodes dial; empty takes Inner.
+	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port"`
+}
+
+// TLS holds the certificates of each listener; an empty pair serves plain text.
+type TLS struct {
+	Callers   KeyPair `yaml:"callers"`
+	Operators KeyPair `yaml:"operators"`
+	Inner     KeyPair `yaml:"inner"`
+	// InnerCA is the file of certificate authorities trusted for peers.
+	InnerCA string `yaml:"inner_ca" validate:"omitempty,filepath"`
+}
+
+// KeyPair names the PEM files of a certificate and its key.
+type KeyPair struct {
+	Cert string `yaml:"cert" validate:"required_with=Key,omitempty,filepath"`
+	Key  string `yaml:"key" validate:"required_with=Cert,omitempty,filepath"`
+}
+
+// Platform tells where the platform's key-value service and VM list are.
+type Platform struct {
+	URL string `yaml:"url" validate:"required,http_url"`
+	// Timeout is the time after which a call is given up.
+	Timeout time.Duration `yaml:"timeout" validate:"min=10ms,max=1m"`
+}
+
+// Deployment holds what is common to all nodes of a deployment.
+type Deployment struct {
+	Name string `yaml:"name" validate:"required"`
+	// Zones are all availability zones of the deployment.
+	Zones []fleet.Zone `yaml:"zones" validate:"min=1,unique,dive,hostname_rfc1123"`
+	// StoreLoadsPerSecond is the rate of loads that the weight store allows.
+	StoreLoadsPerSecond float64 `yaml:"store_loads_per_second" validate:"gt=0"`
+	// StoreFullSpeedLoads is the number of parallel loads at full speed.
+	StoreFullSpeedLoads int `yaml:"store_full_speed_loads" validate:"min=1"`
+	// AdaptersInTransit is the number of adapter loads at full speed.
+	AdaptersInTransit int `yaml:"adapters_in_transit" validate:"min=1"`
+	// IdleWeight is the price of an idle accelerator second against a
+	// second of cold start; higher unloads sooner.
+	IdleWeight float64 `yaml:"idle_weight" validate:"gt=0"`
+	// Targets are known without the VM list.
+	Targets []fleet.Target `yaml:"targets" validate:"dive"`
+}
+
+// Admin are the settings of the operators' listener.
+type Admin struct {
+	// RootTokenSHA256 is the digest, in hex, of the token that may create teams.
+	RootTokenSHA256 string `yaml:"root_token_sha256" validate:"omitempty,len=64,hexadecimal"`
+}
+
+// Shutdown are the settings of a graceful shutdown.
+type Shutdown struct {
+	// Notice is how long the node still accepts callers after readiness
+	// has gone off, for the balancer to notice.
+	Notice time.Duration `yaml:"notice" validate:"min=0,max=5m"`
+	// HandOver bounds the hand-over of targets and waiting requests.
+	HandOver time.Duration `yaml:"hand_over" validate:"min=100ms,max=5m"`
+}
+
+// Log are the settings of the log on standard error.
+type Log struct {
+	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+	// Pretty writes lines for people in place of JSON.
+	Pretty bool `yaml:"pretty"`
+}
+
+// Default returns the settings that hold where a file names none.
+func Default() Config {
+	return Config{
+		Platform:   Platform{Timeout: 2 * time.Second},
+		Deployment: Deployment{StoreLoadsPerSecond: 7, StoreFullSpeedLoads: 4, AdaptersInTransit: 30, IdleWeight: 1},
+		Shutdown:   Shutdown{Notice: 5 * time.Second, HandOver: 10 * time.Second},
+		Log:        Log{Level: "info"},
+		Gateway:    gateway.DefaultOptions(),
+	}
+}
+
+// Load reads, defaults and checks the settings in a file. An error names the
+// file, the line and the field.
+func Load(path string) (*Config, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	defer f.Close()
+	c, err := Read(f)
+	if err != nil {
+		return nil, fmt.Errorf("settings file %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Read reads, defaults and checks settings.
+func Read(r io.Reader) (*Config, error) {
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return nil, err
+	}
+	c := Default()
+	if err := yaml.UnmarshalWithOptions(text, &c, yaml.Strict()); err != nil {
+		return nil, explainYAML(err)
+	}
+	if err := newValidator().Struct(&c); err != nil {
+		return nil, explainFields(text, err)
+	}
+	return &c, c.finish()
+}
+
+// finish checks what spans several fields and resolves references to files.
+func (c *Config) finish() error {
+	found := false
+	for _, z := range c.Deployment.Zones {
+		found = found || z == c.Node.Zone
+	}
+	if !found {
+		return fmt.Errorf("node.zone %q is none of deployment.zones %v", c.Node.Zone, c.Deployment.Zones)
+	}
+	if c.Listen.Advertise == "" {
+		c.Listen.Advertise = c.Listen.Inner
+	}
+	if c.Node.Secret == "" {
+		text, err := os.ReadFile(c.Node.SecretFile)
+		if err != nil {
+			return fmt.Errorf("node.secret_file: %w", err)
+		}
+		c.Node.Secret = string(text)
+	}
+	return nil
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(yamlName)
+	return v
+}
