catalog: parse and check a team's subtree; example settings

Operators' YAML is read strictly and checked as a whole: validator tags, names that stand twice, callers of unknown services, memory that is not plausible, kinds that clash with models or calls. Each problem names file, line, path, what is wrong and what would be right (TestParseNamesWhatIsWrong plants 13 faults). Empty lists are left out of written YAML.

--- /dev/null
+++ b/pkg/catalog/parse_test.go
@@ -0,0 +1,81 @@
+package catalog
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/examples"
+)
+
+func TestExamplesParse(t *testing.T) {
+	for _, dir := range []string{"dev", "derwent", "rodopi"} {
+		files, err := examples.Load(dir)
+		require.NoError(t, err)
+		require.Len(t, files, 2, dir)
+		for _, f := range files {
+			spec, err := ParseTeam(f.Name, f.Data)
+			require.NoError(t, err)
+			again, err := FormatTeam(spec)
+			require.NoError(t, err)
+			spec2, err := ParseTeam(f.Name, again)
+			require.NoError(t, err)
+			assert.Equal(t, spec, spec2, "formatting keeps everything")
+		}
+	}
+}
+
+const validYAML = `team: listings
+callers:
+  - name: dev
+    key_sha256: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa
+    service: listing
+services:
+  - name: listing
+    kind: engine
+    models:
+      - name: small
+        version: "1"
+        memory_bytes: 1024
+        max_replicas: 2
+        adapters:
+          - name: hobart
+            memory_bytes: 64
+            max_replicas: 1
+`
+
+// Each row plants one fault into a valid file; the message must name the
+// line, the path, what is wrong and what would be right.
+func TestParseNamesWhatIsWrong(t *testing.T) {
+	_, err := ParseTeam("x.yaml", []byte(validYAML))
+	require.NoError(t, err)
+	for _, c := range []struct{ old, planted, want string }{
+		{"max_replicas: 2", "max_replica: 2", `x.yaml:13: services[0].models[0].max_replica: unknown field "max_replica"; want`},
+		{"memory_bytes: 1024", "memory_bytes: two", "x.yaml:12: services[0].models[0].memory_bytes:"},
+		{"memory_bytes: 1024", "memory_bytes: 0", "x.yaml:12: services[0].models[0].memory_bytes: value 0 is not valid; want more than 0"},
+		{"memory_bytes: 1024", "memory_bytes: 99999999999999999", "x.yaml:12: services[0].models[0].memory_bytes: memory of 99999999999999999 bytes is not plausible"},
+		{"kind: engine", "kind: gpu", `x.yaml:8: services[0].kind: value "gpu" is not valid; want one of engine, plain`},
+		{"kind: engine", "kind: plain", `services[0].models: plain service "listing" lists 1 models`},
+		{"service: listing", "service: other", `x.yaml:5: callers[0].service: service "other" does not exist in team "listings"`},
+		{strings.Repeat("a", 64), "abc", "x.yaml:4: callers[0].key_sha256: value \"abc\" is not valid; want a SHA-256 digest"},
+		{strings.Repeat("a", 64), strings.Repeat("A", 64), "lower-case"},
+		{"name: hobart", "name: ho+bart", `x.yaml:15: services[0].models[0].adapters[0].name: name "ho+bart" is not valid; want 1 to 128`},
+		{"            max_replicas: 1\n", "            max_replicas: 1\n          - {name: hobart, memory_bytes: 1, max_replicas: 1}\n", `services[0].models[0].adapters[1].name: adapter "hobart" is already declared at services[0].models[0].adapters[0].name`},
+		{"        max_replicas: 2\n", "", ""},
+		{"team: listings", "team: Not/Valid", "x.yaml:1: team: value"},
+		{"team: listings", "team: [", "x.yaml:"},
+	} {
+		planted := strings.Replace(validYAML, c.old, c.planted, 1)
+		require.NotEqual(t, validYAML, planted)
+		_, err := ParseTeam("x.yaml", []byte(planted))
+		if c.want == "" {
+			assert.NoError(t, err)
+			continue
+		}
+		var invalid *InvalidError
+		require.ErrorAs(t, err, &invalid, c.planted)
+		assert.Contains(t, err.Error(), c.want)
+	}
+}
--- a/pkg/catalog/types.go
+++ b/pkg/catalog/types.go
@@ -11,9 +11,9 @@
 	Team fleet.Team `yaml:"team" json:"team" cbor:"1,keyasint" validate:"required,hostname_rfc1123"`
 	// OperatorTokens are SHA-256 digests, in hex, of the tokens that may
 	// read and change this subtree.
-	OperatorTokens []string      `yaml:"operator_tokens" json:"operator_tokens" cbor:"2,keyasint" validate:"dive,len=64,hexadecimal"`
-	Callers        []CallerSpec  `yaml:"callers" json:"callers" cbor:"3,keyasint" validate:"dive"`
-	Services       []ServiceSpec `yaml:"services" json:"services" cbor:"4,keyasint" validate:"dive"`
+	OperatorTokens []string      `yaml:"operator_tokens,omitempty" json:"operator_tokens" cbor:"2,keyasint" validate:"dive,len=64,hexadecimal"`
+	Callers        []CallerSpec  `yaml:"callers,omitempty" json:"callers" cbor:"3,keyasint" validate:"dive"`
+	Services       []ServiceSpec `yaml:"services,omitempty" json:"services" cbor:"4,keyasint" validate:"dive"`
 }
 
 // CallerSpec lets the holder of an API key call one service.
@@ -43,10 +43,10 @@
 	// IdleWeight sets the price of an idle accelerator second against a
 	// second of cold start at the tail; 0 takes the deployment's setting.
 	IdleWeight float64     `yaml:"idle_weight" json:"idle_weight" cbor:"5,keyasint" validate:"min=0"`
-	Models     []ModelSpec `yaml:"models" json:"models" cbor:"6,keyasint" validate:"dive"`
+	Models     []ModelSpec `yaml:"models,omitempty" json:"models" cbor:"6,keyasint" validate:"dive"`
 	// Calls are the rules of a plain service, the first match decides;
 	// a call that matches none is not idempotent.
-	Calls []CallRule `yaml:"calls" json:"calls" cbor:"7,keyasint" validate:"dive"`
+	Calls []CallRule `yaml:"calls,omitempty" json:"calls" cbor:"7,keyasint" validate:"dive"`
 }
 
 // CallRule tells which calls of a plain service may be repeated.
@@ -59,12 +59,12 @@
 // ModelSpec is one version of a model that a service may use.
 type ModelSpec struct {
 	Name        string `yaml:"name" json:"name" cbor:"1,keyasint" validate:"required"`
-	Version     string `yaml:"version" json:"version" cbor:"2,keyasint"`
+	Version     string `yaml:"version,omitempty" json:"version" cbor:"2,keyasint"`
 	MemoryBytes int64  `yaml:"memory_bytes" json:"memory_bytes" cbor:"3,keyasint" validate:"gt=0"`
 	// MaxReplicas is the most replicas that may be loaded at once, over
 	// all zones.
 	MaxReplicas int           `yaml:"max_replicas" json:"max_replicas" cbor:"4,keyasint" validate:"min=0,max=10000"`
-	Adapters    []AdapterSpec `yaml:"adapters" json:"adapters" cbor:"5,keyasint" validate:"dive"`
+	Adapters    []AdapterSpec `yaml:"adapters,omitempty" json:"adapters" cbor:"5,keyasint" validate:"dive"`
 }
 
 // AdapterSpec is an adapter of a model version.
