--- a/wire/messages.go
+++ b/wire/messages.go
@@ -30,6 +30,8 @@
 	TypeBudgetLend
 	TypeLeaving
 	TypeAck
+	TypeRelease
+	TypeReleased
 )
 
 // Message is one typed message between nodes.
@@ -140,6 +142,11 @@
 	Floating []fleet.ReplicaKey `cbor:"3,keyasint,omitempty"`
 	// Incarnation is the engine's start that the floating orders went to.
 	Incarnation string `cbor:"4,keyasint,omitempty"`
+	// Owned is the last epoch in which the sender's process owned the
+	// target; 0 when it never did.
+	Owned fleet.Epoch `cbor:"5,keyasint,omitempty"`
+	// Clean tells that all owners before the sender were settled.
+	Clean bool `cbor:"6,keyasint,omitempty"`
 }
 
 // HandOver gives waiting requests back during a graceful shutdown of a
@@ -258,5 +265,18 @@
 	Cancelled bool `cbor:"3,keyasint,omitempty"`
 }
 
+// Release asks a target owner to release the slot of a replica that is not
+// loaded, because it is wanted on another target.
+type Release struct {
+	Key    fleet.ReplicaKey `cbor:"1,keyasint"`
+	Target fleet.TargetID   `cbor:"2,keyasint"`
+}
+
+// Released answers Release.
+type Released struct {
+	// Done is true when the slot has left the slot record.
+	Done bool `cbor:"1,keyasint"`
+}
+
 // Ack answers messages whose answer carries nothing.
 type Ack struct{}
--- a/wire/types.go
+++ b/wire/types.go
@@ -24,6 +24,8 @@
 	TypeBudgetLend:    func() Message { return new(BudgetLend) },
 	TypeLeaving:       func() Message { return new(Leaving) },
 	TypeAck:           func() Message { return new(Ack) },
+	TypeRelease:       func() Message { return new(Release) },
+	TypeReleased:      func() Message { return new(Released) },
 }
 
 // Type implements Message.
@@ -88,3 +90,9 @@
 
 // Type implements Message.
 func (*Ack) Type() Type { return TypeAck }
+
+// Type implements Message.
+func (*Release) Type() Type { return TypeRelease }
+
+// Type implements Message.
+func (*Released) Type() Type { return TypeReleased }
