--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -30,6 +31,10 @@
 // Handler answers one message type. The answer to a one-way message is dropped.
 type Handler func(ctx context.Context, from fleet.Node, m wire.Message) (wire.Message, error)
 
+// ErrNoHandler tells that a message was not handled because the node has no
+// handler for its type.
+var ErrNoHandler = errors.New("no handler")
+
 // Router maps message types to handlers.
 type Router struct {
 	mu       sync.RWMutex // guards handlers
@@ -54,7 +59,7 @@
 	h := r.handlers[m.Type()]
 	r.mu.RUnlock()
 	if h == nil {
-		return nil, fmt.Errorf("no handler for message type %d", m.Type())
+		return nil, fmt.Errorf("message type %d: %w", m.Type(), ErrNoHandler)
 	}
 	return h(ctx, from, m)
 }
--- /dev/null
+++ b/wire/conn_test.go
@@ -0,0 +1,212 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/fleet"
+)
+
+func testConfig(id string, h Handler) Config {
+	opts := DefaultOptions()
+	opts.HeartbeatInterval = time.Hour
+	opts.SilenceTimeout = 2 * time.Hour
+	return Config{
+		Options: opts,
+		Self:    fleet.Node{ID: fleet.NodeID(id), Zone: "z1", Incarnation: id + "-1", Addr: "127.0.0.1:1"},
+		Secret:  []byte("a shared secret of the fleet"),
+		Handler: h,
+	}
+}
+
+func ack(context.Context, fleet.Node, Message) Message { return nil }
+
+// pair returns both ends of a connection; their loops run until the test ends.
+func pair(t *testing.T, dialer, acceptor Config) (dialed, accepted *Conn) {
+	t.Helper()
+	ch := make(chan *Conn, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := Accept(w, r, acceptor)
+		if err == nil {
+			ch <- c
+		}
+	}))
+	t.Cleanup(srv.Close)
+	d, err := Dial(t.Context(), "ws"+strings.TrimPrefix(srv.URL, "http"), nil, dialer)
+	require.NoError(t, err)
+	a := <-ch
+	for _, c := range []*Conn{d, a} {
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = c.Run() }()
+		t.Cleanup(func() { c.Close(ErrClosed); <-ended })
+	}
+	return d, a
+}
+
+func TestCallsAreConcurrentAndAnswersDoNotCross(t *testing.T) {
+	release := make(chan struct{})
+	echo := func(_ context.Context, _ fleet.Node, m Message) Message {
+		a := m.(*Acquire)
+		if a.RequestID == "slow" {
+			<-release
+		}
+		return &HandOver{RequestIDs: []string{a.RequestID}}
+	}
+	d, _ := pair(t, testConfig("a", ack), testConfig("b", echo))
+	slow := make(chan Message, 1)
+	go func() {
+		m, _ := d.Call(context.Background(), &Acquire{RequestID: "slow"})
+		slow <- m
+	}()
+	m, err := d.Call(t.Context(), &Acquire{RequestID: "fast"})
+	require.NoError(t, err)
+	assert.Equal(t, []string{"fast"}, m.(*HandOver).RequestIDs)
+	close(release)
+	assert.Equal(t, []string{"slow"}, (<-slow).(*HandOver).RequestIDs)
+	assert.Equal(t, fleet.NodeID("b"), d.Peer().ID)
+}
+
+func TestWrongSecretIsRefusedOnBothEnds(t *testing.T) {
+	acceptErr := make(chan error, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := Accept(w, r, testConfig("b", ack))
+		acceptErr <- err
+	}))
+	defer srv.Close()
+	cfg := testConfig("a", ack)
+	cfg.Secret = []byte("another secret altogether")
+	_, err := Dial(t.Context(), "ws"+strings.TrimPrefix(srv.URL, "http"), nil, cfg)
+	require.ErrorIs(t, err, ErrUnauthenticated)
+	require.Error(t, <-acceptErr)
+}
+
+func TestCancelledCallReachesTheHandler(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	wait := func(ctx context.Context, _ fleet.Node, _ Message) Message {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return nil
+	}
+	d, _ := pair(t, testConfig("a", ack), testConfig("b", wait))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-started; cancel() }()
+	_, err := d.Call(ctx, &Acquire{})
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+	require.ErrorIs(t, err, context.Canceled)
+	<-ended
+}
+
+// TestUnwrittenCallIsNotSent holds calls in the queue of a connection whose
+// loops do not run: they were certainly not sent.
+func TestUnwrittenCallIsNotSent(t *testing.T) {
+	cfg := testConfig("a", ack)
+	cfg.Options.SendQueue = 1
+	c := idleConn(t, cfg)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := c.Call(ctx, &Acquire{})
+	require.ErrorIs(t, err, ErrNotSent, "queued and abandoned")
+	_, err = c.Call(t.Context(), &Acquire{})
+	require.ErrorIs(t, err, ErrNotSent, "queue full")
+	assert.False(t, c.Send(&Ack{}))
+	assert.EqualValues(t, 1, c.cfg.Stats.DroppedSends.Load())
+
+	o := <-c.send
+	require.NoError(t, c.writeQueued(o), "an abandoned call is skipped")
+	assert.Zero(t, c.cfg.Stats.SentFrames.Load())
+}
+
+func idleConn(t *testing.T, cfg Config) *Conn {
+	t.Helper()
+	d, _ := pair(t, testConfig("a", ack), testConfig("b", ack))
+	return newConn(d.ws, d.peer, true, cfg)
+}
+
+func TestClosedConnectionLeavesWrittenCallsUnknown(t *testing.T) {
+	started := make(chan struct{})
+	block := func(ctx context.Context, _ fleet.Node, _ Message) Message {
+		close(started)
+		<-ctx.Done()
+		return nil
+	}
+	d, a := pair(t, testConfig("a", ack), testConfig("b", block))
+	go func() { <-started; a.Close(ErrClosed) }()
+	_, err := d.Call(t.Context(), &Acquire{})
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+	<-d.Done()
+	_, err = d.Call(t.Context(), &Acquire{})
+	require.ErrorIs(t, err, ErrNotSent)
+}
+
+func TestUnknownTypeIsRefusedAndTheConnectionLives(t *testing.T) {
+	d, _ := pair(t, testConfig("a", ack), testConfig("b", ack))
+	_, err := d.Call(t.Context(), futureMessage{})
+	var answered *Error
+	require.ErrorAs(t, err, &answered)
+	assert.Equal(t, CodeUnknownType, answered.Code)
+	require.True(t, d.Send(futureMessage{}))
+	m, err := d.Call(t.Context(), &Heartbeat{})
+	require.NoError(t, err)
+	assert.IsType(t, &Ack{}, m)
+}
+
+type futureMessage struct {
+	Field int `cbor:"1,keyasint"`
+}
+
+func (futureMessage) Type() Type { return 60000 }
+
+func TestLateAndDuplicateAnswersAreIgnored(t *testing.T) {
+	c := idleConn(t, testConfig("a", ack))
+	result := make(chan callResult, 1)
+	c.pending[7] = result
+	for range 2 {
+		frame, err := Encode(KindAnswer, 7, 0, &Ack{})
+		require.NoError(t, err)
+		require.NoError(t, c.receive(frame))
+	}
+	assert.Len(t, result, 1)
+	assert.EqualValues(t, 1, c.cfg.Stats.LateAnswers.Load())
+}
+
+func TestSilenceIsFoundAndOwnPauseIsNot(t *testing.T) {
+	cfg := testConfig("a", ack)
+	c := idleConn(t, cfg)
+	c.lastHeard.Store(time.Now().Add(-3 * time.Hour).UnixNano())
+	require.ErrorIs(t, c.tick(time.Now().Add(-time.Hour)), ErrSilent)
+	require.NoError(t, c.tick(time.Now().Add(-3*time.Hour)), "this process was paused itself")
+}
+
+func TestTooManyCallsAreRefused(t *testing.T) {
+	cfg := testConfig("b", func(ctx context.Context, _ fleet.Node, _ Message) Message { <-ctx.Done(); return nil })
+	cfg.Options.ConcurrentCalls = 1
+	d, a := pair(t, testConfig("a", ack), cfg)
+	go func() { _, _ = d.Call(t.Context(), &Acquire{}) }()
+	require.Eventually(t, func() bool { return !a.Idle() }, 5*time.Second, time.Millisecond)
+	_, err := d.Call(t.Context(), &Acquire{})
+	var answered *Error
+	require.ErrorAs(t, err, &answered)
+	assert.Equal(t, CodeOverloaded, answered.Code)
+}
+
+func TestShutdownWritesWhatIsQueued(t *testing.T) {
+	got := make(chan Message, 1)
+	d, a := pair(t, testConfig("a", ack), testConfig("b", func(_ context.Context, _ fleet.Node, m Message) Message {
+		got <- m
+		return nil
+	}))
+	d.Send(&Heartbeat{Leaving: true})
+	d.Shutdown(t.Context())
+	assert.True(t, (<-got).(*Heartbeat).Leaving)
+	<-a.Done()
+	assert.True(t, errors.Is(d.err, ErrClosed))
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -62,6 +62,9 @@
 	MaxRevision uint64 `cbor:"6,keyasint,omitempty"`
 	// CatalogDigest sums up the revisions of all subtrees in force.
 	CatalogDigest uint64 `cbor:"7,keyasint,omitempty"`
+	// Generation counts the operators' acknowledgements that the key-value
+	// service lost data; MaxRevision counts within it.
+	Generation uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // TargetUpdate spreads what the owner of a target knows of it.
--- /dev/null
+++ b/wire/receive.go
@@ -0,0 +1,154 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+func (c *Conn) readLoop() {
+	for {
+		kind, b, err := c.ws.Read(c.ctx)
+		if err != nil {
+			c.Close(fmt.Errorf("read from node %q: %w", c.peer.ID, err))
+			return
+		}
+		c.lastHeard.Store(time.Now().UnixNano())
+		c.cfg.Stats.ReceivedBytes.Add(uint64(len(b)))
+		if kind != websocket.MessageBinary {
+			c.Close(fmt.Errorf("node %q sent a text message", c.peer.ID))
+			return
+		}
+		if err := c.receive(b); err != nil {
+			c.Close(fmt.Errorf("node %q: %w", c.peer.ID, err))
+			return
+		}
+	}
+}
+
+// receive handles one frame. Its error is a breach of the protocol that
+// ends the connection; unknown message types are none.
+func (c *Conn) receive(b []byte) error {
+	e, err := DecodeEnvelope(b)
+	if err != nil {
+		return err
+	}
+	if e.Kind == KindCancel {
+		c.cancelRunning(e.Call)
+		return nil
+	}
+	m, err := e.Message()
+	var unknown *UnknownTypeError
+	if err != nil && !errors.As(err, &unknown) {
+		return err
+	}
+	switch e.Kind {
+	case KindAnswer:
+		c.deliver(e.Call, m, err)
+	case KindCall:
+		c.startCall(e, m, err)
+	case KindOneWay:
+		c.queueOneWay(m)
+	}
+	return nil
+}
+
+// deliver hands an answer to the call that waits for it. Later answers to
+// the same call find no call and are dropped.
+func (c *Conn) deliver(id uint64, m Message, err error) {
+	c.mu.Lock()
+	result, ok := c.pending[id]
+	delete(c.pending, id)
+	c.mu.Unlock()
+	if !ok {
+		c.cfg.Stats.LateAnswers.Add(1)
+		return
+	}
+	if err != nil {
+		result <- callResult{err: fmt.Errorf("answer of node %q: %w: %w", c.peer.ID, ErrOutcomeUnknown, err)}
+		return
+	}
+	if answered, ok := m.(*Error); ok {
+		result <- callResult{err: answered}
+		return
+	}
+	result <- callResult{message: m}
+}
+
+func (c *Conn) startCall(e Envelope, m Message, decodeErr error) {
+	if decodeErr != nil {
+		c.refuse(e.Call, CodeUnknownType, decodeErr.Error())
+		return
+	}
+	select {
+	case c.calls <- struct{}{}:
+	default:
+		c.refuse(e.Call, CodeOverloaded, "too many calls on one connection")
+		return
+	}
+	ctx, cancel := c.callContext(e.TimeoutMillis)
+	c.mu.Lock()
+	c.running[e.Call] = cancel
+	c.mu.Unlock()
+	go func() {
+		defer func() { <-c.calls }()
+		answer := c.cfg.Handler(ctx, c.peer, m)
+		c.cancelRunning(e.Call)
+		if answer == nil {
+			answer = new(Ack)
+		}
+		c.sendAnswer(e.Call, answer)
+	}()
+}
+
+// refuse answers a call that is not handled. It is dropped when the queue is
+// full, so that the reader never blocks; the caller then times out.
+func (c *Conn) refuse(id uint64, code, message string) {
+	frame, err := Encode(KindAnswer, id, 0, &Error{Code: code, Message: message})
+	if err == nil {
+		c.SendEncoded(frame)
+	}
+}
+
+func (c *Conn) callContext(timeoutMillis int64) (context.Context, context.CancelFunc) {
+	if timeoutMillis <= 0 {
+		return context.WithCancel(c.ctx)
+	}
+	return context.WithTimeout(c.ctx, time.Duration(timeoutMillis)*time.Millisecond)
+}
+
+func (c *Conn) cancelRunning(id uint64) {
+	c.mu.Lock()
+	cancel := c.running[id]
+	delete(c.running, id)
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (c *Conn) queueOneWay(m Message) {
+	if m == nil {
+		return
+	}
+	select {
+	case c.oneWay <- m:
+	default:
+		c.cfg.Stats.DroppedReceives.Add(1)
+	}
+}
+
+// oneWayLoop handles one-way messages in the order of their arrival.
+func (c *Conn) oneWayLoop() {
+	for {
+		select {
+		case <-c.done:
+			return
+		case m := <-c.oneWay:
+			c.cfg.Handler(c.ctx, c.peer, m)
+		}
+	}
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -26,6 +26,10 @@
 	TypeAck:           func() Message { return new(Ack) },
 	TypeRelease:       func() Message { return new(Release) },
 	TypeReleased:      func() Message { return new(Released) },
+	TypeRosterFetch:   func() Message { return new(RosterFetch) },
+	TypeRosterUpdate:  func() Message { return new(RosterUpdate) },
+	TypePeerList:      func() Message { return new(PeerList) },
+	TypeAcknowledge:   func() Message { return new(Acknowledge) },
 }
 
 // Type implements Message.
