config: settings of the mesh

Cause: the mesh has its own options. Change: they are a section of the node settings; the secret can come from a file. Conclusion: example settings are checked by a test.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/go-playground/validator/v10"
@@ -12,6 +13,7 @@
 
 	"almondturn/fleet"
 	"almondturn/pkg/gateway"
+	"almondturn/pkg/mesh"
 )
 
 // Config are the settings of one node. docs/settings.md lists every option.
@@ -25,6 +27,7 @@
 	Shutdown   Shutdown        `yaml:"shutdown"`
 	Log        Log             `yaml:"log"`
 	Gateway    gateway.Options `yaml:"gateway"`
+	Mesh       mesh.Options    `yaml:"mesh"`
 }
 
 // Node tells the process who and where it is.
@@ -33,13 +36,8 @@
 	ID fleet.NodeID `yaml:"id" validate:"required,hostname_rfc1123"`
 	// Zone is the availability zone of the VM.
 	Zone fleet.Zone `yaml:"zone" validate:"required,hostname_rfc1123"`
-	// Secret is shared by all nodes and authenticates the inner listener.
-	Secret string `yaml:"secret" validate:"required_without=SecretFile,omitempty,min=16"`
-	// SecretFile is read for the secret instead.
+	// SecretFile is read for mesh.secret, when that is not given.
 	SecretFile string `yaml:"secret_file" validate:"omitempty,filepath"`
-	// Peers are inner addresses of other nodes, for a start while the
-	// key-value service is down.
-	Peers []string `yaml:"peers" validate:"dive,hostname_port"`
 }
 
 // Listen holds the host:port of each listener.
@@ -51,13 +49,11 @@
 	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port"`
 }
 
-// TLS holds the certificates of each listener; an empty pair serves plain text.
+// TLS holds the certificates of the outer listeners; an empty pair serves
+// plain text. The inner listener has its own under mesh.tls.
 type TLS struct {
 	Callers   KeyPair `yaml:"callers"`
 	Operators KeyPair `yaml:"operators"`
-	Inner     KeyPair `yaml:"inner"`
-	// InnerCA is the file of certificate authorities trusted for peers.
-	InnerCA string `yaml:"inner_ca" validate:"omitempty,filepath"`
 }
 
 // KeyPair names the PEM files of a certificate and its key.
@@ -121,6 +117,7 @@
 		Shutdown:   Shutdown{Notice: 5 * time.Second, HandOver: 10 * time.Second},
 		Log:        Log{Level: "info"},
 		Gateway:    gateway.DefaultOptions(),
+		Mesh:       mesh.DefaultOptions(),
 	}
 }
 
@@ -149,13 +146,29 @@
 	if err := yaml.UnmarshalWithOptions(text, &c, yaml.Strict()); err != nil {
 		return nil, explainYAML(err)
 	}
+	if err := c.readSecret(); err != nil {
+		return nil, err
+	}
 	if err := newValidator().Struct(&c); err != nil {
 		return nil, explainFields(text, err)
 	}
 	return &c, c.finish()
 }
 
-// finish checks what spans several fields and resolves references to files.
+// readSecret takes the mesh's secret from its file.
+func (c *Config) readSecret() error {
+	if c.Mesh.Secret != "" || c.Node.SecretFile == "" {
+		return nil
+	}
+	text, err := os.ReadFile(c.Node.SecretFile)
+	if err != nil {
+		return fmt.Errorf("node.secret_file: %w", err)
+	}
+	c.Mesh.Secret = strings.TrimSpace(string(text))
+	return nil
+}
+
+// finish checks what spans several fields.
 func (c *Config) finish() error {
 	found := false
 	for _, z := range c.Deployment.Zones {
@@ -167,13 +180,6 @@
 	if c.Listen.Advertise == "" {
 		c.Listen.Advertise = c.Listen.Inner
 	}
-	if c.Node.Secret == "" {
-		text, err := os.ReadFile(c.Node.SecretFile)
-		if err != nil {
-			return fmt.Errorf("node.secret_file: %w", err)
-		}
-		c.Node.Secret = string(text)
-	}
 	return nil
 }
 
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -12,7 +12,8 @@
 )
 
 const valid = `
-node: {id: n1, zone: a, secret: 0123456789abcdef}
+node: {id: n1, zone: a}
+mesh: {secret: 0123456789abcdef}
 listen:
   callers: 127.0.0.1:8080
   operators: 127.0.0.1:8081
@@ -37,10 +38,10 @@
 		old, new string
 		want     []string
 	}{
-		"unknown field":  {"name: test", "name: test\n  nmae: x", []string{"line 10", "nmae"}},
-		"wrong type":     {"notice: 3s", "notice: [x]", []string{"line 11"}},
+		"unknown field":  {"name: test", "name: test\n  nmae: x", []string{"line 11", "nmae"}},
+		"wrong type":     {"notice: 3s", "notice: [x]", []string{"line 12"}},
 		"bad duration":   {"notice: 3s", "notice: 3 parsecs", []string{"parsecs"}},
-		"bad address":    {"callers: 127.0.0.1:8080", "callers: here", []string{"line 4", "listen.callers", "host:port"}},
+		"bad address":    {"callers: 127.0.0.1:8080", "callers: here", []string{"line 5", "listen.callers", "host:port"}},
 		"missing id":     {"id: n1, ", "", []string{"line 2", "node.id", "must be given"}},
 		"short secret":   {"0123456789abcdef", "short", []string{"secret", "at least 16"}},
 		"zone not there": {"zone: a", "zone: z", []string{"node.zone", "deployment.zones"}},
@@ -72,3 +73,13 @@
 		_, _ = Read(strings.NewReader(text))
 	})
 }
+
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../examples/nodes/*.yaml")
+	require.NoError(t, err)
+	require.Len(t, files, 2)
+	for _, f := range files {
+		_, err := Load(f)
+		assert.NoError(t, err)
+	}
+}
