--- /dev/null
+++ b/pkg/catalog/diff.go
@@ -0,0 +1,125 @@
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Difference is one path at which two subtrees differ. Old or New is empty
+// when the path exists on one side only.
+type Difference struct {
+	Path string `json:"path"`
+	Old  string `json:"old,omitempty"`
+	New  string `json:"new,omitempty"`
+}
+
+// Diff lists the differences between two subtrees by path. Elements are
+// named, so that their order in the file makes no difference. Either may be nil.
+func Diff(before, after *TeamSpec) []Difference {
+	a, b := flatten(before), flatten(after)
+	var out []Difference
+	for path, old := range a {
+		if b[path] != old {
+			out = append(out, Difference{Path: path, Old: old, New: b[path]})
+		}
+	}
+	for path, added := range b {
+		if _, ok := a[path]; !ok {
+			out = append(out, Difference{Path: path, New: added})
+		}
+	}
+	slices.SortFunc(out, func(x, y Difference) int { return strings.Compare(x.Path, y.Path) })
+	return out
+}
+
+// FormatDiff returns the differences as a unified diff of paths, with at
+// most limit paths; 0 shows all.
+func FormatDiff(before, after string, diff []Difference, limit int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "--- %s\n+++ %s\n", before, after)
+	for i, d := range diff {
+		if limit > 0 && i == limit {
+			fmt.Fprintf(&b, "... and %d more paths\n", len(diff)-limit)
+			break
+		}
+		if d.Old != "" {
+			fmt.Fprintf(&b, "-%s: %s\n", d.Path, d.Old)
+		}
+		if d.New != "" {
+			fmt.Fprintf(&b, "+%s: %s\n", d.Path, d.New)
+		}
+	}
+	return b.String()
+}
+
+// flatten maps each path to its value.
+func flatten(t *TeamSpec) map[string]string {
+	out := map[string]string{}
+	if t == nil {
+		return out
+	}
+	out["team"] = string(t.Team)
+	for _, token := range t.OperatorTokens {
+		out["operator_tokens["+token+"]"] = "set"
+	}
+	for _, c := range t.Callers {
+		out["callers["+c.Name+"].key_sha256"] = c.KeyHash
+		out["callers["+c.Name+"].service"] = string(c.Service)
+	}
+	for i := range t.Services {
+		flattenService(out, &t.Services[i])
+	}
+	return out
+}
+
+func flattenService(out map[string]string, svc *ServiceSpec) {
+	at := "services[" + string(svc.Name) + "]"
+	out[at+".kind"] = string(svc.Kind)
+	out[at+".class"] = strconv.Itoa(int(svc.Class))
+	out[at+".share"] = strconv.Itoa(svc.Share)
+	out[at+".idle_weight"] = strconv.FormatFloat(svc.IdleWeight, 'g', -1, 64)
+	for i, c := range svc.Calls {
+		out[fmt.Sprintf("%s.calls[%d]", at, i)] = fmt.Sprintf("%s %s idempotent=%t", c.Method, c.PathPrefix, c.Idempotent)
+	}
+	// Without a version in a request the last declared one is taken, so the
+	// order of versions counts.
+	versions := map[string][]string{}
+	for i := range svc.Models {
+		m := &svc.Models[i]
+		versions[m.Name] = append(versions[m.Name], m.Version)
+		flattenModel(out, at+".models["+modelName(m)+"]", m)
+	}
+	for _, name := range slices.Sorted(maps.Keys(versions)) {
+		if len(versions[name]) > 1 {
+			out[at+".versions["+name+"]"] = strings.Join(versions[name], ", ")
+		}
+	}
+}
+
+func flattenModel(out map[string]string, at string, m *ModelSpec) {
+	out[at+".memory_bytes"] = strconv.FormatInt(m.MemoryBytes, 10)
+	out[at+".max_replicas"] = strconv.Itoa(m.MaxReplicas)
+	for _, a := range m.Adapters {
+		path := at + ".adapters[" + a.Name + "]"
+		out[path+".memory_bytes"] = strconv.FormatInt(a.MemoryBytes, 10)
+		out[path+".max_replicas"] = strconv.Itoa(a.MaxReplicas)
+	}
+}
+
+// Both returns the paths that stand in both lists with different outcomes.
+func Both(theirs, yours []Difference) []string {
+	outcome := make(map[string]string, len(theirs))
+	for _, d := range theirs {
+		outcome[d.Path] = d.New
+	}
+	var out []string
+	for _, d := range yours {
+		if theirNew, ok := outcome[d.Path]; ok && theirNew != d.New {
+			out = append(out, d.Path)
+		}
+	}
+	return out
+}
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -29,66 +31,113 @@
 }
 
 // Snapshot is an immutable, indexed copy of the catalog. All lookups are O(1).
+// Each team has its own index, so that a change rebuilds only that team's.
 type Snapshot struct {
 	// Revisions is the revision in force of each team's subtree.
 	Revisions map[fleet.Team]platform.Revision
 
-	teams    map[fleet.Team]*TeamSpec
-	services map[fleet.Service]serviceEntry
+	teams    map[fleet.Team]*teamIndex
+	services map[fleet.Service]*serviceIndex
 	keys     map[string]Identity
-	replicas map[fleet.ReplicaKey]Replica
 }
 
-type serviceEntry struct {
-	team fleet.Team
-	spec *ServiceSpec
+type teamIndex struct {
+	spec     *TeamSpec
+	services []*serviceIndex
+}
+
+type serviceIndex struct {
+	team     fleet.Team
+	spec     *ServiceSpec
+	replicas map[fleet.ReplicaKey]Replica
 }
 
 // Build indexes the given subtrees, which must have been checked.
 func Build(teams []*TeamSpec, revisions map[fleet.Team]platform.Revision) *Snapshot {
+	indexes := make(map[fleet.Team]*teamIndex, len(teams))
+	for _, t := range teams {
+		indexes[t.Team] = indexTeam(t)
+	}
+	if revisions == nil {
+		revisions = map[fleet.Team]platform.Revision{}
+	}
+	return assemble(indexes, revisions)
+}
+
+// With returns a copy of the snapshot in which one team's subtree is replaced.
+func (s *Snapshot) With(spec *TeamSpec, revision platform.Revision) *Snapshot {
+	indexes := maps.Clone(s.teams)
+	indexes[spec.Team] = indexTeam(spec)
+	revisions := maps.Clone(s.Revisions)
+	revisions[spec.Team] = revision
+	return assemble(indexes, revisions)
+}
+
+// assemble joins the teams' indexes. While a service moves from one team to
+// another, a node may for a moment hold it under both; then the first team
+// by name keeps it, so that every node with the same subtrees agrees.
+func assemble(indexes map[fleet.Team]*teamIndex, revisions map[fleet.Team]platform.Revision) *Snapshot {
 	s := &Snapshot{
 		Revisions: revisions,
-		teams:     map[fleet.Team]*TeamSpec{},
-		services:  map[fleet.Service]serviceEntry{},
+		teams:     indexes,
+		services:  map[fleet.Service]*serviceIndex{},
 		keys:      map[string]Identity{},
-		replicas:  map[fleet.ReplicaKey]Replica{},
 	}
-	for _, t := range teams {
-		s.addTeam(t)
+	for _, team := range slices.Sorted(maps.Keys(indexes)) {
+		s.join(indexes[team])
 	}
 	return s
 }
 
-func (s *Snapshot) addTeam(t *TeamSpec) {
-	s.teams[t.Team] = t
-	for _, c := range t.Callers {
-		s.keys[c.KeyHash] = Identity{Team: t.Team, Caller: c.Name, Service: c.Service}
+func (s *Snapshot) join(t *teamIndex) {
+	for _, svc := range t.services {
+		if _, taken := s.services[svc.spec.Name]; !taken {
+			s.services[svc.spec.Name] = svc
+		}
 	}
-	for i := range t.Services {
-		svc := &t.Services[i]
-		s.services[svc.Name] = serviceEntry{team: t.Team, spec: svc}
-		for _, m := range svc.Models {
-			s.addModel(t.Team, svc, m)
+	for _, c := range t.spec.Callers {
+		if _, taken := s.keys[c.KeyHash]; !taken {
+			s.keys[c.KeyHash] = Identity{Team: t.spec.Team, Caller: c.Name, Service: c.Service}
 		}
 	}
 }
 
-func (s *Snapshot) addModel(team fleet.Team, svc *ServiceSpec, m ModelSpec) {
+func indexTeam(t *TeamSpec) *teamIndex {
+	index := &teamIndex{spec: t, services: make([]*serviceIndex, len(t.Services))}
+	for i := range t.Services {
+		index.services[i] = indexService(t.Team, &t.Services[i])
+	}
+	return index
+}
+
+func indexService(team fleet.Team, svc *ServiceSpec) *serviceIndex {
+	size := len(svc.Models)
+	for i := range svc.Models {
+		size += len(svc.Models[i].Adapters)
+	}
+	index := &serviceIndex{team: team, spec: svc, replicas: make(map[fleet.ReplicaKey]Replica, size)}
+	for i := range svc.Models {
+		index.addModel(&svc.Models[i])
+	}
+	return index
+}
+
+func (x *serviceIndex) addModel(m *ModelSpec) {
 	base := Replica{
-		Key:         fleet.ReplicaKey{Service: svc.Name, Model: m.Name, Version: m.Version},
-		Team:        team,
+		Key:         fleet.ReplicaKey{Service: x.spec.Name, Model: m.Name, Version: m.Version},
+		Team:        x.team,
 		MemoryBytes: m.MemoryBytes,
 		MaxReplicas: m.MaxReplicas,
-		Class:       svc.Class,
-		IdleWeight:  svc.IdleWeight,
+		Class:       x.spec.Class,
+		IdleWeight:  x.spec.IdleWeight,
 	}
-	s.replicas[base.Key] = base
+	x.replicas[base.Key] = base
 	for _, a := range m.Adapters {
 		r := base
 		r.Key.Adapter = a.Name
 		r.MemoryBytes = a.MemoryBytes
 		r.MaxReplicas = a.MaxReplicas
-		s.replicas[r.Key] = r
+		x.replicas[r.Key] = r
 	}
 }
 
@@ -106,8 +155,11 @@
 
 // Team returns one team's subtree.
 func (s *Snapshot) Team(t fleet.Team) (*TeamSpec, bool) {
-	spec, ok := s.teams[t]
-	return spec, ok
+	index, ok := s.teams[t]
+	if !ok {
+		return nil, false
+	}
+	return index.spec, true
 }
 
 // Teams returns the number of teams.
@@ -115,21 +167,30 @@
 
 // Service returns a service and its team.
 func (s *Snapshot) Service(name fleet.Service) (*ServiceSpec, fleet.Team, bool) {
-	e, ok := s.services[name]
-	return e.spec, e.team, ok
+	x, ok := s.services[name]
+	if !ok {
+		return nil, "", false
+	}
+	return x.spec, x.team, true
 }
 
 // Replica returns what the catalog says of a key; false when no service may use it.
 func (s *Snapshot) Replica(k fleet.ReplicaKey) (Replica, bool) {
-	r, ok := s.replicas[k]
+	x, ok := s.services[k.Service]
+	if !ok {
+		return Replica{}, false
+	}
+	r, ok := x.replicas[k]
 	return r, ok
 }
 
 // Replicas calls f for each replica key until f returns false.
 func (s *Snapshot) Replicas(f func(Replica) bool) {
-	for _, r := range s.replicas {
-		if !f(r) {
-			return
+	for _, x := range s.services {
+		for _, r := range x.replicas {
+			if !f(r) {
+				return
+			}
 		}
 	}
 }
@@ -142,20 +203,20 @@
 	if err != nil {
 		return Replica{}, fault.New(fault.UnknownModel, "model %q: want model[@version][+adapter]", field)
 	}
-	if r, ok := s.replicas[key]; ok {
-		return r, nil
-	}
 	svc, ok := s.services[service]
 	if !ok {
 		return Replica{}, fault.New(fault.UnknownService, "service %q does not exist", service)
 	}
+	if r, ok := svc.replicas[key]; ok {
+		return r, nil
+	}
 	if key.Version == "" {
 		for i := len(svc.spec.Models) - 1; i >= 0; i-- {
 			if svc.spec.Models[i].Name != key.Model {
 				continue
 			}
 			key.Version = svc.spec.Models[i].Version
-			if r, ok := s.replicas[key]; ok {
+			if r, ok := svc.replicas[key]; ok {
 				return r, nil
 			}
 		}
@@ -201,8 +262,11 @@
 	if snap := s.current.Load(); snap != nil {
 		return snap
 	}
-	return Build(nil, nil)
+	return empty
 }
 
+// empty is in force until the first subtree has come.
+var empty = Build(nil, nil)
+
 // Swap puts a snapshot in force.
 func (s *Store) Swap(snap *Snapshot) { s.current.Store(snap) }
