--- /dev/null
+++ b/pkg/config/docs_test.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const docPath = "../../docs/settings.md"
+
+// TestSettingsPageListsEveryOption compares docs/settings.md with the types.
+// ALMONDTURN_UPDATE=1 rewrites the page.
+func TestSettingsPageListsEveryOption(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Settings of a node\n\nOne YAML file per node; `almondturn config check FILE` checks it. Unknown fields are refused.\nRegenerate with `ALMONDTURN_UPDATE=1 go test ./pkg/config`.\n\n| option | default | rule | meaning |\n|---|---|---|---|\n")
+	p := page{t: t, out: &b, docs: map[string]map[string]string{}}
+	p.options("", reflect.ValueOf(Default()))
+	if os.Getenv("ALMONDTURN_UPDATE") == "1" {
+		require.NoError(t, os.WriteFile(docPath, []byte(b.String()), 0o600))
+	}
+	got, err := os.ReadFile(docPath)
+	require.NoError(t, err)
+	require.Equal(t, b.String(), string(got))
+}
+
+// page writes one row per option, with the field's doc comment.
+type page struct {
+	t    *testing.T
+	out  *strings.Builder
+	docs map[string]map[string]string // package path to Type.Field to comment
+}
+
+func (p *page) options(prefix string, v reflect.Value) {
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		name := yamlName(f)
+		if name == "-" || !f.IsExported() {
+			continue
+		}
+		require.NotEmpty(p.t, name, "%s.%s has no yaml name", v.Type(), f.Name)
+		value := v.Field(i)
+		if value.Kind() == reflect.Struct {
+			p.options(prefix+name+".", value)
+			continue
+		}
+		doc := p.comment(v.Type(), f.Name)
+		fmt.Fprintf(p.out, "| `%s%s` | %s | %s | %s |\n", prefix, name, defaultText(value), strings.ReplaceAll(f.Tag.Get("validate"), "|", "or"), doc)
+	}
+}
+
+func defaultText(v reflect.Value) string {
+	if v.IsZero() || (v.Kind() == reflect.Slice && v.Len() == 0) {
+		return ""
+	}
+	if d, ok := v.Interface().(time.Duration); ok {
+		return "`" + d.String() + "`"
+	}
+	return fmt.Sprintf("`%v`", v.Interface())
+}
+
+// comment returns the doc comment of a field as one line.
+func (p *page) comment(typ reflect.Type, field string) string {
+	pkg := typ.PkgPath()
+	if p.docs[pkg] == nil {
+		p.docs[pkg] = parseComments(p.t, filepath.Join("../..", strings.TrimPrefix(pkg, "almondturn")))
+	}
+	return p.docs[pkg][typ.Name()+"."+field]
+}
+
+func parseComments(t *testing.T, dir string) map[string]string {
+	t.Helper()
+	out := map[string]string{}
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	require.NoError(t, err)
+	for _, name := range files {
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ParseComments)
+		require.NoError(t, err)
+		ast.Inspect(file, func(n ast.Node) bool {
+			spec, ok := n.(*ast.TypeSpec)
+			if !ok {
+				return true
+			}
+			st, ok := spec.Type.(*ast.StructType)
+			if !ok {
+				return true
+			}
+			var last string
+			for _, f := range st.Fields.List {
+				if f.Doc != nil {
+					last = strings.Join(strings.Fields(f.Doc.Text()), " ")
+				}
+				for _, id := range f.Names {
+					out[spec.Name.Name+"."+id.Name] = last
+				}
+			}
+			return true
+		})
+	}
+	return out
+}
