--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -42,9 +42,12 @@
 
 // Listen holds the host:port of each listener.
 type Listen struct {
-	Callers   string `yaml:"callers" validate:"required,hostname_port"`
+	// Callers is the address of the callers' listener.
+	Callers string `yaml:"callers" validate:"required,hostname_port"`
+	// Operators is the address of the operators' listener.
 	Operators string `yaml:"operators" validate:"required,hostname_port"`
-	Inner     string `yaml:"inner" validate:"required,hostname_port"`
+	// Inner is the address of the listener for other nodes.
+	Inner string `yaml:"inner" validate:"required,hostname_port"`
 	// Advertise is the inner address that other nodes dial; empty takes Inner.
 	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port"`
 }
@@ -58,12 +61,15 @@
 
 // KeyPair names the PEM files of a certificate and its key.
 type KeyPair struct {
+	// Cert is the file of the certificate chain, in PEM.
 	Cert string `yaml:"cert" validate:"required_with=Key,omitempty,filepath"`
-	Key  string `yaml:"key" validate:"required_with=Cert,omitempty,filepath"`
+	// Key is the file of the private key, in PEM.
+	Key string `yaml:"key" validate:"required_with=Cert,omitempty,filepath"`
 }
 
 // Platform tells where the platform's key-value service and VM list are.
 type Platform struct {
+	// URL is the base address of the key-value service and the VM list.
 	URL string `yaml:"url" validate:"required,http_url"`
 	// Timeout is the time after which a call is given up.
 	Timeout time.Duration `yaml:"timeout" validate:"min=10ms,max=1m"`
@@ -71,6 +77,7 @@
 
 // Deployment holds what is common to all nodes of a deployment.
 type Deployment struct {
+	// Name is shown in status and metrics.
 	Name string `yaml:"name" validate:"required"`
 	// Zones are all availability zones of the deployment.
 	Zones []fleet.Zone `yaml:"zones" validate:"min=1,unique,dive,hostname_rfc1123"`
@@ -104,6 +111,7 @@
 
 // Log are the settings of the log on standard error.
 type Log struct {
+	// Level is the lowest level that is written.
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
 	// Pretty writes lines for people in place of JSON.
 	Pretty bool `yaml:"pretty"`
--- a/pkg/config/docs_test.go
+++ b/pkg/config/docs_test.go
@@ -53,6 +53,7 @@
 			continue
 		}
 		doc := p.comment(v.Type(), f.Name)
+		require.NotEmpty(p.t, doc, "%s.%s has no doc comment", v.Type(), f.Name)
 		fmt.Fprintf(p.out, "| `%s%s` | %s | %s | %s |\n", prefix, name, defaultText(value), strings.ReplaceAll(f.Tag.Get("validate"), "|", "or"), doc)
 	}
 }
--- a/pkg/mesh/options.go
+++ b/pkg/mesh/options.go
@@ -40,6 +40,7 @@
 
 // TLSOptions name the files for TLS between nodes; empty means plain TCP.
 type TLSOptions struct {
+	// CertFile and KeyFile are the node's own certificate and key, in PEM.
 	CertFile string `yaml:"cert_file" validate:"required_with=KeyFile"`
 	KeyFile  string `yaml:"key_file" validate:"required_with=CertFile"`
 	// CAFile holds the certificates that peers' certificates must chain to.
