--- /dev/null
+++ b/pkg/dispatch/acquire.go
@@ -0,0 +1,245 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/pkg/event"
+	"almondturn/pkg/fault"
+	"almondturn/wire"
+)
+
+// place is leave to send a request to a target.
+type place struct {
+	target fleet.Target
+	load   *targetLoad
+	// home granted the place and wants to hear of its end; empty for a
+	// place that this node took by itself.
+	home fleet.NodeID
+	cold bool
+}
+
+// congestion remembers the replicas whose home reported a queue.
+type congestion struct {
+	until sync.Map // fleet.ReplicaKey to time.Time
+}
+
+func (c *congestion) set(k fleet.ReplicaKey, until time.Time) { c.until.Store(k, until) }
+
+func (c *congestion) active(k fleet.ReplicaKey, now time.Time) bool {
+	t, ok := c.until.Load(k)
+	if !ok {
+		return false
+	}
+	if now.After(t.(time.Time)) {
+		c.until.Delete(k)
+		return false
+	}
+	return true
+}
+
+// acquire finds a place for the request: at a loaded replica directly while
+// this node keeps within its share, or by a model home's grant.
+func (d *Dispatcher) acquire(ctx context.Context, r *Request, exclude []fleet.TargetID) (place, error) {
+	if p, ok := d.direct(r, exclude); ok {
+		return p, nil
+	}
+	view := d.view()
+	p, err := d.fromHomes(ctx, r, view.Self.Zone, exclude, 0)
+	if err == nil || !otherZoneMayServe(err) {
+		return p, err
+	}
+	for _, zone := range d.otherZones() {
+		p, zerr := d.fromHomes(ctx, r, zone, exclude, 1)
+		if zerr == nil {
+			return p, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return place{}, err
+}
+
+// otherZoneMayServe tells whether a refusal by the own zone leaves hope.
+func otherZoneMayServe(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.NoCapacity, fault.NoReplica, fault.Overloaded, fault.PlatformUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// direct takes a place at a loaded replica without asking the home.
+func (d *Dispatcher) direct(r *Request, exclude []fleet.TargetID) (place, bool) {
+	key := r.Replica.Key
+	now := d.clock.Now()
+	if d.congested.active(key, now) {
+		return place{}, false
+	}
+	view := d.view()
+	c, ok := d.loads.choose(d.dir.Loaded(key), choice{
+		zone:    view.Self.Zone,
+		service: key.Service,
+		exclude: exclude,
+		now:     now,
+		share:   liveIn(view.Live, view.Self.Zone),
+	})
+	if !ok {
+		return place{}, false
+	}
+	load := d.loads.get(c.Target.ID)
+	load.inflight.Add(1)
+	return place{target: c.Target, load: load}, true
+}
+
+func liveIn(nodes []fleet.Node, zone fleet.Zone) int {
+	n := 0
+	for i := range nodes {
+		if nodes[i].Zone == zone {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+// otherZones returns the zones with live nodes, without the own one.
+func (d *Dispatcher) otherZones() []fleet.Zone {
+	view := d.view()
+	var out []fleet.Zone
+	for _, n := range view.Live {
+		if n.Zone != view.Self.Zone && !slices.Contains(out, n.Zone) {
+			out = append(out, n.Zone)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// fromHomes queues the request at the zone's homes of the replica, in the
+// order in which they take each other's place. Only this node sends the
+// request, so that queueing it twice does not run it twice.
+func (d *Dispatcher) fromHomes(ctx context.Context, r *Request, zone fleet.Zone, exclude []fleet.TargetID, hops int) (place, error) {
+	var silent []fleet.NodeID
+	for {
+		home, ok := d.nextHome(zone, r.Replica.Key, silent)
+		if !ok {
+			return place{}, fault.New(fault.NoCapacity, "no node of zone %q could queue the request", zone)
+		}
+		p, err := d.fromHome(ctx, r, home, exclude, hops)
+		if err == nil || ctx.Err() != nil || !homeFailed(err) {
+			return p, err
+		}
+		event.HomeChanged.Log(&d.logger).Err(err).Str("home", string(home)).Str("request", r.ID).Send()
+		silent = append(silent, home)
+	}
+}
+
+func (d *Dispatcher) nextHome(zone fleet.Zone, k fleet.ReplicaKey, silent []fleet.NodeID) (fleet.NodeID, bool) {
+	for _, id := range d.view().Homes(zone, k) {
+		if !slices.Contains(silent, id) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// homeFailed tells whether err means that the home did not decide.
+func homeFailed(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.ShuttingDown, fault.TargetUnreachable, fault.OutcomeUnknown, fault.Internal, fault.CallerGone:
+		return true
+	default:
+		return false
+	}
+}
+
+// fromHome waits at one home until it grants or refuses, asking again after
+// each slice.
+func (d *Dispatcher) fromHome(ctx context.Context, r *Request, home fleet.NodeID, exclude []fleet.TargetID, hops int) (place, error) {
+	key := r.Replica.Key
+	for {
+		ask := &wire.Acquire{
+			RequestID:       r.ID,
+			Key:             key,
+			Team:            r.Identity.Team,
+			Class:           int(r.Class),
+			RemainingMillis: r.Deadline.Sub(d.clock.Now()).Milliseconds(),
+			Exclude:         exclude,
+			Hops:            hops,
+		}
+		grant, err := d.ask(ctx, home, ask)
+		if err != nil {
+			d.net.Send(home, &wire.GrantEnd{RequestID: r.ID, Key: key})
+			return place{}, err
+		}
+		if grant.Queued > 0 {
+			d.congested.set(key, d.clock.Now().Add(d.opts.CongestedFor))
+		}
+		if !grant.Waiting {
+			return d.granted(home, grant), nil
+		}
+		if !slices.Contains(d.view().Homes(zoneOf(d.view().Live, home), key), home) {
+			d.net.Send(home, &wire.GrantEnd{RequestID: r.ID, Key: key})
+			return place{}, fault.New(fault.ShuttingDown, "home %s left", home)
+		}
+	}
+}
+
+func zoneOf(nodes []fleet.Node, id fleet.NodeID) fleet.Zone {
+	for i := range nodes {
+		if nodes[i].ID == id {
+			return nodes[i].Zone
+		}
+	}
+	return ""
+}
+
+func (d *Dispatcher) granted(home fleet.NodeID, g *wire.Grant) place {
+	load := d.loads.get(g.Target.ID)
+	p := place{target: g.Target, load: load, home: home, cold: g.Cold}
+	if home != d.view().Self.ID {
+		load.inflight.Add(1) // the home counts its own node's requests as granted
+	}
+	return p
+}
+
+// ask makes one call to a home, which must answer within the slice.
+func (d *Dispatcher) ask(parent context.Context, home fleet.NodeID, m *wire.Acquire) (*wire.Grant, error) {
+	ctx, cancel := context.WithTimeout(parent, d.opts.AcquireSlice+d.opts.AcquireGrace)
+	defer cancel()
+	answer, err := d.net.Call(ctx, home, m)
+	if err != nil {
+		if parent.Err() == nil && ctx.Err() != nil {
+			return nil, fault.New(fault.TargetUnreachable, "home %s did not answer: %w", home, err)
+		}
+		return nil, err
+	}
+	grant, ok := answer.(*wire.Grant)
+	if !ok {
+		return nil, fault.New(fault.Internal, "home %s answered with message type %d", home, answer.Type())
+	}
+	return grant, nil
+}
+
+// release gives the place back. service is the time that the target took,
+// 0 when it did not complete the request.
+func (d *Dispatcher) release(r *Request, p place, service time.Duration) {
+	self := d.view().Self.ID
+	if p.home != self {
+		p.load.inflight.Add(-1)
+	}
+	if p.home == "" {
+		return
+	}
+	m := &wire.GrantEnd{RequestID: r.ID, Key: r.Replica.Key, ServiceMillis: service.Milliseconds()}
+	if p.home == self {
+		d.home.Release(m)
+		return
+	}
+	d.net.Send(p.home, m)
+}
--- /dev/null
+++ b/pkg/dispatch/dispatcher_test.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondturn/fleet"
+	"almondturn/pkg/fault"
+	"almondturn/pkg/target"
+)
+
+const testTimeout = 10 * time.Second
+
+func TestWarmRequestGoesDirectly(t *testing.T) {
+	m, dir := newMesh(), newFakeDirectory()
+	dir.add(candidate("t1", "a", 4), testKey)
+	n := m.start(t, "n1", "a", testOptions(), dir, &fakeSender{send: answerOK}, nil)
+	var s testSink
+	r := modelRequest(testTimeout)
+	require.NoError(t, n.Do(context.Background(), r, &s))
+	require.Equal(t, r.ID+" by t1", string(s.body))
+	require.Zero(t, n.loader.calls.Load())
+	require.Zero(t, n.loads.get("t1").inflight.Load())
+}
+
+// TestBurstOfColdRequestsLoadsOnce: requests arrive at all nodes at once
+// and wait for one load.
+func TestBurstOfColdRequestsLoadsOnce(t *testing.T) {
+	m, dir := newMesh(), newFakeDirectory()
+	nodes := make([]*testNode, 0, 3)
+	for _, id := range []fleet.NodeID{"n1", "n2", "n3"} {
+		n := m.start(t, id, "a", testOptions(), dir, &fakeSender{send: answerOK}, nil)
+		n.loader.load = func(context.Context, fleet.ReplicaKey) (fleet.TargetID, error) {
+			dir.add(candidate("t1", "a", 4), testKey)
+			return "t1", nil
+		}
+		nodes = append(nodes, n)
+	}
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Go(func() {
+			var s testSink
+			if err := nodes[i%3].Do(context.Background(), modelRequest(testTimeout), &s); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	home, _ := m.homeOf(t, "a")
+	for _, n := range nodes {
+		if n == home {
+			require.EqualValues(t, 1, n.loader.calls.Load())
+		} else {
+			require.Zero(t, n.loader.calls.Load(), "only the home asks for a load")
+		}
+	}
+}
+
+// TestHomeThatFailsIsReplaced: the entry node queues at the next home when
+// a home is dead, or answers nothing.
+func TestHomeThatFailsIsReplaced(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		m, dir := newMesh(), newFakeDirectory()
+		for _, id := range []fleet.NodeID{"n1", "n2", "n3"} {
+			n := m.start(t, id, "a", testOptions(), dir, &fakeSender{send: answerOK}, nil)
+			n.loader.load = func(context.Context, fleet.ReplicaKey) (fleet.TargetID, error) {
+				dir.add(candidate("t1", "a", 4), testKey)
+				return "t1", nil
+			}
+		}
+		home, other := m.homeOf(t, "a")
+		block := make(chan struct{})
+		home.loader.load = func(ctx context.Context, _ fleet.ReplicaKey) (fleet.TargetID, error) {
+			close(block)
+			<-ctx.Done()
+			return "", ctx.Err()
+		}
+		done := make(chan error)
+		go func() { done <- other.Do(context.Background(), modelRequest(testTimeout), &testSink{}) }()
+		<-block // the request waits at the home
+		m.mu.Lock()
+		m.dead[home.self.ID] = !silent
+		m.silent[home.self.ID] = silent
+		m.mu.Unlock()
+		require.NoError(t, <-done)
+	}
+}
+
+func TestDrainMovesWaitingRequests(t *testing.T) {
+	m, dir := newMesh(), newFakeDirectory()
+	for _, id := range []fleet.NodeID{"n1", "n2"} {
+		n := m.start(t, id, "a", testOptions(), dir, &fakeSender{send: answerOK}, nil)
+		n.loader.load = func(context.Context, fleet.ReplicaKey) (fleet.TargetID, error) {
+			dir.add(candidate("t1", "a", 4), testKey)
+			return "t1", nil
+		}
+	}
+	home, other := m.homeOf(t, "a")
+	block := make(chan struct{})
+	home.loader.load = func(ctx context.Context, _ fleet.ReplicaKey) (fleet.TargetID, error) {
+		close(block)
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	done := make(chan error)
+	go func() { done <- other.Do(context.Background(), modelRequest(testTimeout), &testSink{}) }()
+	<-block
+	require.NoError(t, home.Drain(context.Background()))
+	require.NoError(t, <-done)
+}
+
+func TestOtherZoneServesWhenOwnCannot(t *testing.T) {
+	m, dir := newMesh(), newFakeDirectory()
+	own := m.start(t, "n1", "a", testOptions(), dir, &fakeSender{send: answerOK}, nil)
+	far := m.start(t, "n2", "b", testOptions(), dir, &fakeSender{send: answerOK}, nil)
+	far.loader.load = func(context.Context, fleet.ReplicaKey) (fleet.TargetID, error) {
+		dir.add(candidate("t9", "b", 4), testKey)
+		return "t9", nil
+	}
+	var s testSink
+	require.NoError(t, own.Do(context.Background(), modelRequest(testTimeout), &s))
+	require.Contains(t, string(s.body), "by t9")
+}
+
+func TestRefusals(t *testing.T) {
+	m, dir := newMesh(), newFakeDirectory()
+	n := m.start(t, "n1", "a", testOptions(), dir, &fakeSender{send: answerOK}, nil)
+	requireKind(t, fault.NoCapacity, n.Do(context.Background(), modelRequest(testTimeout), &testSink{}))
+	n.loader.load = func(ctx context.Context, _ fleet.ReplicaKey) (fleet.TargetID, error) {
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	requireKind(t, fault.DeadlineExceeded, n.Do(context.Background(), modelRequest(60*time.Millisecond), &testSink{}))
+	r := modelRequest(testTimeout)
+	r.IdempotencyKey = "k"
+	requireKind(t, fault.ClaimUnsettled, n.Do(context.Background(), r, &testSink{}))
+	r = modelRequest(testTimeout)
+	r.Replica.Key, r.Service = fleet.ReplicaKey{}, "desk"
+	requireKind(t, fault.NoReplica, n.Do(context.Background(), r, &testSink{}))
+}
+
+// TestRetriesKeepTheTruth: an attempt that may have run decides the answer,
+// whatever comes after it.
+func TestRetriesKeepTheTruth(t *testing.T) {
+	unknown := &target.SendError{Run: fault.RunUnknown, Err: errors.New("cut")}
+	unreachable := &target.SendError{Run: fault.RunNo, Err: errors.New("refused connection")}
+	busy := &target.SendError{Run: fault.RunNo, Refused: true, Status: 429, Err: errors.New("busy")}
+	for name, c := range map[string]struct {
+		idempotent bool
+		errs       []error
+		want       fault.Kind // Internal stands for success
+		sent       int
+	}{
+		"not run is repeated":            {false, []error{unreachable, nil}, fault.Internal, 2},
+		"unknown is not repeated":        {false, []error{unknown}, fault.OutcomeUnknown, 1},
+		"unknown lookup is repeated":     {true, []error{unknown, nil}, fault.Internal, 2},
+		"unknown then refused":           {true, []error{unknown, busy, busy, busy}, fault.OutcomeUnknown, 4},
+		"unreachable throughout":         {false, []error{unreachable, unreachable, unreachable, unreachable}, fault.TargetUnreachable, 4},
+		"busy throughout":                {true, []error{busy, busy, busy, busy}, fault.Overloaded, 4},
+		"not run, then possibly run":     {false, []error{busy, unknown}, fault.OutcomeUnknown, 2},
+		"unknown error counts as unsure": {false, []error{errors.New("odd")}, fault.OutcomeUnknown, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, dir := newMesh(), newFakeDirectory()
+			for _, id := range []fleet.TargetID{"t1", "t2", "t3", "t4"} {
+				dir.add(candidate(id, "a", 4), testKey)
+			}
+			s := &fakeSender{}
+			s.send = func(ctx context.Context, tg fleet.Target, x *target.Exchange, to target.Receiver) error {
+				if err := c.errs[s.sent.Load()-1]; err != nil {
+					return err
+				}
+				return answerOK(ctx, tg, x, to)
+			}
+			n := m.start(t, "n1", "a", testOptions(), dir, s, nil)
+			r := modelRequest(testTimeout)
+			r.Idempotent = c.idempotent
+			err := n.Do(context.Background(), r, &testSink{})
+			require.EqualValues(t, c.sent, s.sent.Load())
+			if c.want == fault.Internal {
+				require.NoError(t, err)
+				return
+			}
+			requireKind(t, c.want, err)
+		})
+	}
+}
+
+// TestNoRetryStorm: while every target fails, retries stay a small share of
+// the requests, and an outage earns none for later.
+func TestNoRetryStorm(t *testing.T) {
+	m, dir := newMesh(), newFakeDirectory()
+	for _, id := range []fleet.TargetID{"t1", "t2", "t3", "t4"} {
+		dir.add(candidate(id, "a", 1000), testKey)
+	}
+	s := &fakeSender{send: func(context.Context, fleet.Target, *target.Exchange, target.Receiver) error {
+		return &target.SendError{Run: fault.RunNo, Refused: true, Status: 503, Err: errors.New("down")}
+	}}
+	o := testOptions()
+	n := m.start(t, "n1", "a", o, dir, s, nil)
+	const requests = 1000
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			requireKind(t, fault.NoReplica, n.Do(context.Background(), modelRequest(testTimeout), &testSink{}))
+		})
+	}
+	wg.Wait()
+	require.LessOrEqual(t, float64(s.sent.Load()), requests*(1+o.RetryRatio)+o.RetryBurst)
+}
--- /dev/null
+++ b/pkg/dispatch/homeloop.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"almondturn/pkg/event"
+	"almondturn/pkg/fault"
+)
+
+// run serves the queue until it has been idle for long or the home stops.
+func (q *replicaQueue) run() {
+	tick := time.NewTicker(q.home.opts.PumpInterval)
+	defer tick.Stop()
+	fast := true
+	for {
+		select {
+		case <-q.home.ctx.Done():
+			return
+		case <-q.wake:
+		case <-tick.C:
+		}
+		busy, idleFor := q.pump()
+		if idleFor > idleQueueLife && q.home.closeIdle(q) {
+			return
+		}
+		if busy != fast {
+			fast = busy
+			tick.Reset(q.interval(fast))
+		}
+	}
+}
+
+// slowPump is the interval of a queue in which nothing waits.
+const slowPump = time.Second
+
+func (q *replicaQueue) interval(fast bool) time.Duration {
+	if fast {
+		return q.home.opts.PumpInterval
+	}
+	return slowPump
+}
+
+// pump refuses what is overdue, grants free places and starts loads. It
+// tells whether requests wait, and how long the queue has been idle.
+func (q *replicaQueue) pump() (busy bool, idle time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.home.clock.Now()
+	q.expireLocked(now)
+	candidates := q.candidatesLocked(now)
+	q.grantWaitingLocked(candidates, now)
+	if q.fair.size > 0 {
+		q.lastUse = now
+		q.startLoadLocked(now, len(candidates) == 0)
+	}
+	return q.fair.size > 0, now.Sub(q.lastUse)
+}
+
+// grantWaitingLocked gives the free places to the waiting requests in order.
+func (q *replicaQueue) grantWaitingLocked(candidates []Candidate, now time.Time) {
+	var passed []*waiter // requests that may not go to the targets with a place
+	for w := q.fair.pop(); w != nil; w = q.fair.pop() {
+		if q.grantLocked(w, candidates, now) {
+			continue
+		}
+		passed = append(passed, w)
+		if len(w.exclude) == 0 {
+			break
+		}
+	}
+	for i := len(passed) - 1; i >= 0; i-- {
+		q.fair.unpop(passed[i])
+	}
+}
+
+// expireLocked refuses requests that cannot be answered in time any more,
+// and forgets requests and grants whose entry node has gone.
+func (q *replicaQueue) expireLocked(now time.Time) {
+	q.dropLocked(func(w *waiter) bool { return now.Add(q.service.value / 2).After(w.deadline) },
+		fault.New(fault.DeadlineExceeded, "no place became free in time"))
+	grace := q.home.opts.AcquireGrace
+	gone := func(w *waiter) bool { return w.attached == 0 && now.Sub(w.detachedAt) > grace }
+	q.dropLocked(gone, fault.New(fault.CallerGone, "the entry node did not ask again"))
+	for id, w := range q.waiters {
+		if w.grant != nil && gone(w) {
+			delete(q.waiters, id)
+			q.expireGrantLocked(id)
+		}
+	}
+	for id, g := range q.grants {
+		if now.After(g.expires) {
+			q.expireGrantLocked(id)
+		}
+	}
+}
+
+func (q *replicaQueue) expireGrantLocked(id string) {
+	if g := q.grants[id]; g != nil {
+		delete(q.grants, id)
+		g.target.granted.Add(-1)
+	}
+}
+
+// startLoadLocked asks for a first or a further replica when one is wanted
+// and no load is running.
+func (q *replicaQueue) startLoadLocked(now time.Time, first bool) {
+	if q.loading || now.Before(q.scaleOutAfter) && !first {
+		return
+	}
+	if !first && !q.scaleOutPaysLocked(now) {
+		return
+	}
+	q.loading, q.loadingSince = true, now
+	q.home.running.Go(func() { q.loadReplica(first) })
+}
+
+// minScaleOutWait is the shortest wait that a further replica is loaded for.
+const minScaleOutWait = 100 * time.Millisecond
+
+// scaleOutPaysLocked tells whether the requests wait for longer than a load
+// takes.
+func (q *replicaQueue) scaleOutPaysLocked(now time.Time) bool {
+	places := max(1, q.placesOf(q.candidatesLocked(now)))
+	drain := q.service.value * time.Duration(q.fair.size) / time.Duration(places)
+	wait := max(drain, q.fair.oldest(now))
+	load := max(q.load.value, minScaleOutWait)
+	return wait.Seconds() > q.home.opts.ScaleOutWait*load.Seconds()
+}
+
+// loadReplica runs one load, with retries of failures that pass.
+func (q *replicaQueue) loadReplica(first bool) {
+	ctx, cancel := context.WithTimeout(q.home.ctx, q.home.opts.LoadTimeout)
+	defer cancel()
+	var err error
+	for attempt := range q.home.opts.LoadAttempts {
+		if attempt > 0 && !sleep(ctx, jitter(q.home.opts.RetryMaxDelay)) {
+			break
+		}
+		began := q.home.clock.Now()
+		id, lerr := q.home.loader.Load(ctx, q.key, false)
+		err = lerr
+		now := q.home.clock.Now()
+		q.mu.Lock()
+		if err == nil {
+			q.load.add(now.Sub(began))
+			q.loaded[id] = now.Add(q.home.opts.AcquireSlice)
+		}
+		q.mu.Unlock()
+		if err == nil || !passing(err) || !first {
+			break
+		}
+	}
+	q.endLoad(first, err)
+}
+
+// passing tells whether a load that failed with err is worth another try.
+func passing(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.TargetFailed, fault.TargetUnreachable, fault.OutcomeUnknown, fault.Internal:
+		return true
+	default:
+		return false
+	}
+}
+
+// endLoad refuses the waiting requests after a failed first load; a further
+// replica that was refused is asked for again after a pause.
+func (q *replicaQueue) endLoad(first bool, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.loading = false
+	now := q.home.clock.Now()
+	if err != nil {
+		event.LoadFailed.Log(&q.home.logger).Err(err).Stringer("replica", q.key).Bool("first", first).Send()
+		q.scaleOutAfter = now.Add(q.home.opts.ScaleOutPause)
+	}
+	if err != nil && first && len(q.candidatesLocked(now)) == 0 {
+		q.dropLocked(func(*waiter) bool { return true }, loadRefusal(err))
+	}
+	q.kick()
+}
+
+// loadRefusal turns a load's error into the refusal of a request that was
+// not run.
+func loadRefusal(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fault.New(fault.NoCapacity, "the replica did not load in time")
+	}
+	fe := fault.As(err)
+	if fe.Kind.Answer().Run == fault.RunNo && fe.Kind != fault.TargetUnreachable && fe.Kind != fault.ShuttingDown {
+		return fe
+	}
+	return fault.New(fault.NoReplica, "the replica could not be loaded: %w", err)
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -32,6 +32,7 @@
 	TypeAck
 	TypeRelease
 	TypeReleased
+	TypeGrantEnd
 )
 
 // Message is one typed message between nodes.
@@ -112,6 +113,21 @@
 	ValidMillis int64 `cbor:"3,keyasint,omitempty"`
 	// Cold tells that the request waited for a load.
 	Cold bool `cbor:"4,keyasint,omitempty"`
+	// Waiting is set when the request still waits: the sender asks again
+	// with the same request identifier, which keeps its place.
+	Waiting bool `cbor:"5,keyasint,omitempty"`
+	// Queued is the number of requests that wait for the replica.
+	Queued int `cbor:"6,keyasint,omitempty"`
+}
+
+// GrantEnd tells a model home that a granted request has ended, or that a
+// waiting one is given up. It is sent one way.
+type GrantEnd struct {
+	RequestID string           `cbor:"1,keyasint"`
+	Key       fleet.ReplicaKey `cbor:"2,keyasint"`
+	// ServiceMillis is the time that the target took; 0 when it did not
+	// complete the request.
+	ServiceMillis int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Load asks a target owner to get one more replica loaded in its zone, on
@@ -195,6 +211,10 @@
 	// Node is the entry node that will send the request.
 	Node            fleet.NodeID `cbor:"5,keyasint"`
 	RemainingMillis int64        `cbor:"6,keyasint"`
+	// Incarnation is the entry node's process start.
+	Incarnation string `cbor:"7,keyasint,omitempty"`
+	// Idempotent requests may take a dead holder's claim over.
+	Idempotent bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ClaimState tells where a claim stands.
--- a/wire/types.go
+++ b/wire/types.go
@@ -30,6 +30,7 @@
 	TypeRosterUpdate:  func() Message { return new(RosterUpdate) },
 	TypePeerList:      func() Message { return new(PeerList) },
 	TypeAcknowledge:   func() Message { return new(Acknowledge) },
+	TypeGrantEnd:      func() Message { return new(GrantEnd) },
 }
 
 // Type implements Message.
@@ -100,3 +101,6 @@
 
 // Type implements Message.
 func (*Released) Type() Type { return TypeReleased }
+
+// Type implements Message.
+func (*GrantEnd) Type() Type { return TypeGrantEnd }
