membership, directory: rosters by compare-and-swap, live view, target table

Cause: owners, homes and watchers follow from who is a member and alive. Change: membership is a pure state machine (events in, actions out) run by a service: joins, evictions agreed by reachable members, planned leave, lost answers settled by reading, service older than known, VM list polled by few. The directory is a copy-on-write table ordered by epoch and sequence; leaving is the union of list, engine and operator. Found by TestRandomFaults and mended: an evicted node that still hears its evictor joined and was evicted again every 250 ms; a member that joined without hearing the others evicted the majority.

--- /dev/null
+++ b/pkg/directory/apply.go
@@ -0,0 +1,153 @@
+package directory
+
+import (
+	"slices"
+
+	"almondturn/fleet"
+	"almondturn/wire"
+)
+
+// Apply takes an owner's update in, and reports whether it was newer than
+// what is known. An update of an earlier epoch comes from a former owner and
+// is ignored, as is one of the same epoch from another node: an epoch has
+// one owner per target.
+func (d *Directory) Apply(u *wire.TargetUpdate) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entryLocked(u.Target)
+	old := e.state.Load()
+	if !newer(old, u) {
+		return false
+	}
+	next := *old
+	next.Target = u.Target
+	next.Leaving = old.Leaving || u.Target.Leaving
+	if !d.listed[u.Target.ID] {
+		next.Leaving = u.Target.Leaving
+	}
+	state := u.State
+	next.State = &state
+	next.Owner, next.Epoch, next.Sequence = u.Owner, u.Epoch, u.Sequence
+	next.Unreachable = u.Unreachable
+	next.Slots, next.Draining = u.Slots, u.Draining
+	next.updated = d.clock.Now()
+	d.replaceLocked(e, &next)
+	return true
+}
+
+func newer(old *Target, u *wire.TargetUpdate) bool {
+	if u.Epoch != old.Epoch {
+		return u.Epoch > old.Epoch
+	}
+	if old.Owner != "" && u.Owner != old.Owner {
+		return false
+	}
+	return u.Sequence > old.Sequence || old.State == nil
+}
+
+// replaceLocked puts a target's new state in force.
+func (d *Directory) replaceLocked(e *entry, next *Target) {
+	old := e.state.Load()
+	next.LeavingBy = d.leavingByLocked(next, old.LeavingBy)
+	changed := d.reindexLocked(e, old.State, next.State)
+	e.state.Store(next)
+	d.logLeaving(next, old.LeavingBy)
+	if changed || old.LeavingBy != next.LeavingBy || old.Unreachable != next.Unreachable ||
+		old.Owner != next.Owner || !slices.Equal(old.Draining, next.Draining) {
+		d.notifyLocked()
+	}
+}
+
+// leavingByLocked returns the source by which the target is leaving: the
+// former one while it still says so, else any that does.
+func (d *Directory) leavingByLocked(t *Target, former string) string {
+	drain, drained := d.drained[t.ID]
+	says := map[string]bool{
+		SourceList:   t.Leaving,
+		SourceEngine: t.State != nil && t.State.Leaving,
+	}
+	if drained {
+		says[drain.Source] = true
+	}
+	if says[former] {
+		return former
+	}
+	for _, source := range []string{SourceEngine, SourceList} {
+		if says[source] {
+			return source
+		}
+	}
+	if drained {
+		return drain.Source
+	}
+	return ""
+}
+
+// ApplyLeaving takes the news in that a target is leaving or, from an
+// operator, that it is not.
+func (d *Directory) ApplyLeaving(l *wire.Leaving) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.Cancelled {
+		delete(d.drained, l.Target)
+	} else {
+		d.drained[l.Target] = *l
+	}
+	if e := (*d.targets.Load())[l.Target]; e != nil {
+		next := *e.state.Load()
+		d.replaceLocked(e, &next)
+	}
+}
+
+// Drained returns the drains in force, to tell a node that has just connected.
+func (d *Directory) Drained() []wire.Leaving {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]wire.Leaving, 0, len(d.drained))
+	for _, l := range d.drained {
+		out = append(out, l)
+	}
+	return out
+}
+
+// SetTargets takes the targets of the VM list and the settings in. Those that
+// are not among them any more are removed.
+func (d *Directory) SetTargets(targets []fleet.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := make(map[fleet.TargetID]bool, len(targets))
+	for _, t := range targets {
+		listed[t.ID] = true
+		e := d.entryLocked(t)
+		next := *e.state.Load()
+		if next.Target == t && d.listed[t.ID] {
+			continue
+		}
+		next.Target = t
+		d.replaceLocked(e, &next)
+	}
+	for id := range d.listed {
+		if !listed[id] {
+			d.removeLocked(id)
+		}
+	}
+	d.listed = listed
+}
+
+func (d *Directory) removeLocked(id fleet.TargetID) {
+	old := *d.targets.Load()
+	e := old[id]
+	if e == nil {
+		return
+	}
+	d.reindexLocked(e, e.state.Load().State, nil)
+	next := make(map[fleet.TargetID]*entry, len(old))
+	for k, o := range old {
+		if k != id {
+			next[k] = o
+		}
+	}
+	d.targets.Store(&next)
+	delete(d.drained, id)
+	d.notifyLocked()
+}
--- a/pkg/directory/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package directory is the table of targets and replicas that every node keeps.
-package directory
--- /dev/null
+++ b/pkg/membership/sim_test.go
@@ -0,0 +1,277 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/pkg/peer"
+	"almondturn/pkg/platform"
+	"almondturn/pkg/standin/kv"
+	"almondturn/wire"
+)
+
+// simStep is the virtual time between two looks at every node.
+const simStep = 250 * time.Millisecond
+
+// sim runs cores over a network and a service whose faults the test sets.
+// Nothing in it runs by itself: step lets virtual time pass.
+type sim struct {
+	now   time.Time
+	store *kv.Store
+	nodes map[fleet.NodeID]*simNode
+	// cut holds the directed pairs that do not hear each other.
+	cut map[[2]fleet.NodeID]bool
+	// platformCut holds the nodes that do not reach the service.
+	platformCut map[fleet.NodeID]bool
+	writeIDs    map[string]string // zone/epoch to write identifier
+	starts      int
+	steps       int
+	failures    []string
+}
+
+type simNode struct {
+	core     *Core
+	paused   bool
+	inbox    []func(now time.Time) []Action
+	watching bool
+	watched  platform.Revision
+	epoch    fleet.Epoch
+}
+
+func newSim() *sim {
+	s := &sim{
+		now:         time.Unix(1_000_000, 0),
+		nodes:       map[fleet.NodeID]*simNode{},
+		cut:         map[[2]fleet.NodeID]bool{},
+		platformCut: map[fleet.NodeID]bool{},
+		writeIDs:    map[string]string{},
+	}
+	s.store = kv.New(s)
+	return s
+}
+
+// Now implements platform.Clock.
+func (s *sim) Now() time.Time { return s.now }
+
+// start runs a process; a node of that identifier is replaced.
+func (s *sim) start(id fleet.NodeID, zone fleet.Zone) {
+	s.starts++
+	self := fleet.Node{ID: id, Zone: zone, Incarnation: fmt.Sprintf("%s-%d", id, s.starts), Addr: string(id) + ":1"}
+	s.nodes[id] = &simNode{core: NewCore(DefaultOptions(), self, s.now)}
+}
+
+func (s *sim) kill(id fleet.NodeID) { delete(s.nodes, id) }
+
+func (s *sim) ids() []fleet.NodeID {
+	var out []fleet.NodeID
+	for id := range s.nodes {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *sim) partition(a, b []fleet.NodeID) {
+	for _, x := range a {
+		for _, y := range b {
+			s.cut[[2]fleet.NodeID{x, y}] = true
+			s.cut[[2]fleet.NodeID{y, x}] = true
+		}
+	}
+}
+
+func (s *sim) heal() {
+	s.cut = map[[2]fleet.NodeID]bool{}
+	s.platformCut = map[fleet.NodeID]bool{}
+	s.store.SetFaults(kv.Faults{})
+	for _, n := range s.nodes {
+		n.paused = false
+	}
+}
+
+// run lets time pass.
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.step()
+	}
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	s.steps++
+	for _, id := range s.ids() {
+		n := s.nodes[id]
+		if n.paused {
+			continue
+		}
+		inbox := n.inbox
+		n.inbox = nil
+		for _, event := range inbox {
+			s.do(id, event(s.now))
+		}
+		s.watch(id)
+		s.do(id, n.core.Tick(s.now))
+		if s.steps%4 == 0 {
+			hb := n.core.Heartbeat(s.now)
+			s.broadcast(id, "", &hb)
+		}
+		s.check(id)
+	}
+}
+
+// check looks after every step for a broken promise.
+func (s *sim) check(id fleet.NodeID) {
+	n := s.nodes[id]
+	r := n.core.roster
+	if r.Epoch < n.epoch {
+		s.failures = append(s.failures, fmt.Sprintf("%s: epoch fell from %d to %d", id, n.epoch, r.Epoch))
+	}
+	n.epoch = r.Epoch
+	key := fmt.Sprintf("%s/%d", r.Zone, r.Epoch)
+	if known, ok := s.writeIDs[key]; ok && known != r.WriteID {
+		s.failures = append(s.failures, fmt.Sprintf("%s: two rosters at %s: %q and %q", id, key, known, r.WriteID))
+	}
+	s.writeIDs[key] = r.WriteID
+}
+
+func (s *sim) post(to fleet.NodeID, event func(now time.Time) []Action) {
+	if n := s.nodes[to]; n != nil {
+		n.inbox = append(n.inbox, event)
+	}
+}
+
+func (s *sim) send(from, to fleet.NodeID, m wire.Message) {
+	target := s.nodes[to]
+	if target == nil || s.cut[[2]fleet.NodeID{from, to}] {
+		return
+	}
+	core, sender := target.core, s.nodes[from].core.self
+	s.post(to, func(now time.Time) []Action {
+		switch m := m.(type) {
+		case *wire.Heartbeat:
+			return core.Heard(now, sender, *m)
+		case *wire.RosterUpdate:
+			return core.Told(now, m.Rosters)
+		case *wire.PeerList:
+			return core.Named(now, m.Nodes)
+		case *wire.Acknowledge:
+			return core.Acknowledged(now, *m)
+		}
+		return nil
+	})
+}
+
+func (s *sim) broadcast(from fleet.NodeID, zone fleet.Zone, m wire.Message) {
+	for _, id := range s.ids() {
+		if id != from && (zone == "" || s.nodes[id].core.self.Zone == zone) {
+			s.send(from, id, m)
+		}
+	}
+}
+
+func (s *sim) do(id fleet.NodeID, actions []Action) {
+	n := s.nodes[id]
+	for _, a := range actions {
+		switch a := a.(type) {
+		case ReadRosters:
+			rosters, revision, err := s.read(id)
+			s.post(id, func(now time.Time) []Action { return n.core.Read(now, rosters, revision, err) })
+		case WriteRoster:
+			revision, err := s.write(id, a)
+			s.post(id, func(now time.Time) []Action { return n.core.Written(now, revision, err) })
+		case StartWatch:
+			n.watching, n.watched = true, a.After
+		case StopWatch:
+			n.watching = false
+		case FetchRosters:
+			if from := s.nodes[a.From]; from != nil && !from.paused && !s.cut[[2]fleet.NodeID{id, a.From}] {
+				s.send(a.From, id, from.core.Rosters())
+			}
+		case Send:
+			s.send(id, a.To, a.Message)
+		case Broadcast:
+			s.broadcast(id, a.Zone, a.Message)
+		}
+	}
+}
+
+var errCut = fmt.Errorf("cut off: %w", platform.ErrUnavailable)
+
+func (s *sim) read(id fleet.NodeID) ([]wire.Roster, platform.Revision, error) {
+	if s.platformCut[id] {
+		return nil, 0, errCut
+	}
+	entries, revision, err := s.store.List(context.Background(), rosterPrefix)
+	var out []wire.Roster
+	for _, e := range entries {
+		r, decodeErr := decodeRoster(e)
+		err = errors.Join(err, decodeErr)
+		out = append(out, r)
+	}
+	return out, revision, err
+}
+
+func (s *sim) write(id fleet.NodeID, w WriteRoster) (platform.Revision, error) {
+	if s.platformCut[id] {
+		return 0, errCut
+	}
+	value, err := encodeRoster(w.Roster)
+	if err != nil {
+		return 0, err
+	}
+	return s.store.CompareAndSwap(context.Background(), rosterKey(w.Roster.Zone), value, w.Expect, 0)
+}
+
+// watch delivers what has changed since the last step.
+func (s *sim) watch(id fleet.NodeID) {
+	n := s.nodes[id]
+	if !n.watching {
+		return
+	}
+	rosters, revision, err := s.read(id)
+	if err != nil {
+		n.watching = false
+		s.do(id, n.core.WatchEnded(s.now))
+		return
+	}
+	for _, r := range rosters {
+		if r.Revision > uint64(n.watched) {
+			s.do(id, n.core.Watched(s.now, r))
+		}
+	}
+	n.watched = revision
+}
+
+// view returns a node's view.
+func (s *sim) view(id fleet.NodeID) *peer.View { return s.nodes[id].core.View(s.now) }
+
+// settled tells why the nodes of a zone do not agree on a roster of exactly
+// themselves, or returns an empty string.
+func (s *sim) settled(zone fleet.Zone) string {
+	var want []fleet.NodeID
+	for _, id := range s.ids() {
+		if s.nodes[id].core.self.Zone == zone {
+			want = append(want, id)
+		}
+	}
+	var epoch fleet.Epoch
+	for _, id := range want {
+		v := s.view(id)
+		var got []fleet.NodeID
+		for _, m := range v.Roster {
+			got = append(got, m.ID)
+		}
+		if !slices.Equal(got, want) || !v.Member {
+			return fmt.Sprintf("%s: roster %v at epoch %d, member %t, want %v", id, got, v.Epoch, v.Member, want)
+		}
+		if epoch != 0 && v.Epoch != epoch {
+			return fmt.Sprintf("%s: epoch %d, others %d", id, v.Epoch, epoch)
+		}
+		epoch = v.Epoch
+	}
+	return ""
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -51,8 +51,8 @@
 type Heartbeat struct {
 	Epoch    fleet.Epoch `cbor:"1,keyasint"`
 	Sequence uint64      `cbor:"2,keyasint"`
-	// Silent lists the zone members that the sender has not heard from for
-	// longer than the suspicion timeout.
+	// Silent lists the nodes of the sender's zone that it has not heard
+	// from for longer than the suspicion timeout.
 	Silent []fleet.NodeID `cbor:"3,keyasint,omitempty"`
 	// Leaving is set during a graceful shutdown.
 	Leaving bool `cbor:"4,keyasint,omitempty"`
@@ -66,6 +66,9 @@
 	// Generation counts the operators' acknowledgements that the key-value
 	// service lost data; MaxRevision counts within it.
 	Generation uint64 `cbor:"8,keyasint,omitempty"`
+	// PlatformOlder tells that the key-value service came back older than
+	// known in this generation.
+	PlatformOlder bool `cbor:"9,keyasint,omitempty"`
 }
 
 // TargetUpdate spreads what the owner of a target knows of it.
