--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -37,6 +37,9 @@
 	return out
 }
 
+// Weight returns the rendezvous weight of a member for key.
+func Weight(m NodeID, key string) uint64 { return weight(m, key) }
+
 func weight(m NodeID, key string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- /dev/null
+++ b/pkg/owner/publish.go
@@ -0,0 +1,30 @@
+package owner
+
+import (
+	"reflect"
+	"time"
+
+	"almondturn/wire"
+)
+
+// publish broadcasts the target when something changed, and at least once
+// per update interval.
+func (r *runner) publish(now time.Time) {
+	if !r.machine.Owner() || !r.machine.engine.known && !r.machine.env.Gone {
+		return
+	}
+	u := r.machine.Update(now)
+	due := now.Sub(r.publishedAt) >= r.s.opts.UpdateInterval
+	if !due && sameUpdate(u, r.lastUpdate) {
+		return
+	}
+	r.lastUpdate, r.publishedAt = u, now
+	r.s.deps.Network.Send(r.s.deps.Self.ID, &u)
+	r.s.deps.Network.Broadcast("", &u)
+}
+
+func sameUpdate(a, b wire.TargetUpdate) bool {
+	a.Sequence, b.Sequence = 0, 0
+	a.State.Sequence, b.State.Sequence = 0, 0
+	return reflect.DeepEqual(a, b)
+}
--- /dev/null
+++ b/pkg/owner/takeover.go
@@ -0,0 +1,240 @@
+package owner
+
+import (
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/pkg/fault"
+	"almondturn/pkg/target"
+	"almondturn/wire"
+)
+
+// settlement tells whether all orders of former owners are accounted for.
+type settlement struct {
+	done bool
+	// answered are the nodes whose process gave the target up.
+	answered map[fleet.NodeID]bool
+	// notBefore is when orders of dead processes can no longer take effect.
+	notBefore time.Time
+	nextAsk   time.Time
+	asking    map[fleet.NodeID]bool
+	// wanted is the epoch for which a later owner asked; 0 for none.
+	wanted fleet.Epoch
+}
+
+// checkOwnership follows the view: a target is lost at once, and a takeover
+// starts when it is gained or when an epoch was missed.
+func (m *Machine) checkOwnership() {
+	owner := m.env.Owner && m.env.Epoch >= m.givenUp
+	switch {
+	case !owner && m.owner:
+		m.loseOwnership()
+	case owner && !m.owner:
+		m.beginTakeover()
+	case owner && m.env.Epoch == m.epoch+1 && m.env.PreviousOwner == m.self && m.env.PreviousEpoch == m.epoch:
+		m.epoch, m.ownedLast = m.env.Epoch, m.env.Epoch
+		m.orders.sequence = 0
+	case owner && m.env.Epoch != m.epoch:
+		m.loseOwnership()
+		m.beginTakeover()
+	}
+}
+
+func (m *Machine) loseOwnership() {
+	m.owner = false
+	m.do(CancelOrders{})
+	m.failAllWants(fault.NoReplica, "the target has a new owner")
+	for _, op := range m.slots.sortedOps() {
+		m.answerRelease(op, false)
+	}
+	clear(m.slots.ops)
+	clear(m.drains)
+	m.report(ReportLost, fleet.ReplicaKey{}, "")
+}
+
+func (m *Machine) beginTakeover() {
+	m.owner = true
+	m.epoch, m.ownedLast = m.env.Epoch, m.env.Epoch
+	m.stage = stageState
+	m.orders.sequence = 0
+	m.slots = newSlotBook()
+	m.orders.generation++
+	m.engine.forgetAuthority(m.orders.generation)
+	m.settle = settlement{
+		answered:  map[fleet.NodeID]bool{},
+		asking:    map[fleet.NodeID]bool{},
+		notBefore: m.env.Now.Add(m.opts.OrderLifetime),
+	}
+}
+
+func (m *Machine) advanceTakeover() {
+	if m.stage == stageState && (m.engine.fresh || m.env.Gone) {
+		m.stage = stageFence
+	}
+	if m.stage == stageFence && m.env.Gone {
+		m.stage = stageSlots
+	}
+	if m.stage == stageFence && m.engine.known {
+		m.sendSync()
+	}
+	if m.stage == stageSlots && m.slots.listing == 0 && !m.env.Now.Before(m.slots.retryAt) {
+		m.listSlots()
+	}
+}
+
+func (m *Machine) listSlots() {
+	m.slots.listing = m.id()
+	m.do(ListSlots{Op: m.slots.listing})
+}
+
+// followPlatform reads all slots anew once a service that came back older
+// was acknowledged by an operator.
+func (m *Machine) followPlatform() {
+	if m.env.Older {
+		m.sawOlder = true
+		return
+	}
+	if !m.sawOlder || !m.owner {
+		return
+	}
+	m.sawOlder = false
+	m.slots = newSlotBook()
+	m.stage = min(m.stage, stageSlots)
+}
+
+// fenceAccepted continues a takeover once the engine has this epoch.
+func (m *Machine) fenceAccepted() {
+	if m.stage != stageFence {
+		return
+	}
+	if m.slots.listed {
+		m.stage = stageReady
+		return
+	}
+	m.stage = stageSlots
+}
+
+func (m *Machine) slotsListed(ev SlotsListed) {
+	if !m.owner || ev.Op != m.slots.listing {
+		return
+	}
+	m.slots.listing = 0
+	if ev.Err != nil {
+		m.slots.retryAt = m.env.Now.Add(m.opts.RetryInterval)
+		return
+	}
+	m.slots.adopt(ev.Records, m.target)
+	if m.slots.listed {
+		m.slots.relisted = true
+		return
+	}
+	m.slots.listed = true
+	if m.stage == stageSlots {
+		m.stage = stageReady
+	}
+	if len(m.slots.records) == 0 {
+		m.settle.done = true
+	}
+	m.report(ReportTakenOver, fleet.ReplicaKey{}, "")
+}
+
+// advanceSettlement asks the possible former owners until every order of
+// theirs is accounted for.
+func (m *Machine) advanceSettlement() {
+	if m.settle.done {
+		return
+	}
+	if m.hooks.skipSettle || m.allAnswered() {
+		m.settle.done = true
+		m.report(ReportSettled, fleet.ReplicaKey{}, "")
+		return
+	}
+	if m.env.Now.Before(m.settle.nextAsk) {
+		return
+	}
+	m.settle.nextAsk = m.env.Now.Add(m.opts.RetryInterval)
+	for _, n := range m.formerOwners() {
+		if !m.settle.answered[n] && !m.settle.asking[n] {
+			m.settle.asking[n] = true
+			m.do(AskSettle{Node: n, Epoch: m.epoch})
+		}
+	}
+}
+
+func (m *Machine) formerOwners() []fleet.NodeID {
+	nodes := m.env.EntryNodes
+	if m.env.PreviousOwner != "" {
+		nodes = append([]fleet.NodeID{m.env.PreviousOwner}, nodes...)
+	}
+	return nodes
+}
+
+// allAnswered tells that every node that may have owned the target gave it
+// up or has left the VM list. An engine that ignores fencing numbers may
+// still get an order of a process that has died, for the order's lifetime.
+func (m *Machine) allAnswered() bool {
+	if !m.env.EntryKnown {
+		return false
+	}
+	for _, n := range m.env.EntryNodes {
+		if n != m.self && !m.settle.answered[n] {
+			m.settle.notBefore = m.env.Now.Add(m.opts.OrderLifetime)
+			return false
+		}
+	}
+	return m.fencing() || !m.env.Now.Before(m.settle.notBefore)
+}
+
+func (m *Machine) settleAnswered(ev SettleAnswered) {
+	delete(m.settle.asking, ev.Node)
+	if ev.Err != nil || ev.Settled == nil || !m.owner || ev.Settled.Epoch != m.epoch {
+		return
+	}
+	m.settle.answered[ev.Node] = true
+	for _, k := range ev.Settled.Floating {
+		m.orders.addFloating(k, m.slots.memoryOf(m.target, k))
+	}
+	direct := ev.Node == m.env.PreviousOwner && ev.Settled.Owned == m.env.PreviousEpoch && m.env.PreviousEpoch+1 == m.epoch
+	if direct && ev.Settled.Clean && !m.settle.done {
+		m.settle.done = true
+		m.report(ReportSettled, fleet.ReplicaKey{}, "")
+	}
+}
+
+// settleWanted gives the target up to the owner of a later epoch.
+func (m *Machine) settleWanted(ev SettleWanted) {
+	if ev.Epoch <= m.epoch && m.owner {
+		return
+	}
+	m.givenUp = max(m.givenUp, ev.Epoch)
+	m.settle.wanted = max(m.settle.wanted, ev.Epoch)
+	if m.owner && m.env.Epoch < m.givenUp {
+		m.loseOwnership()
+	}
+	if !m.owner {
+		m.do(CancelOrders{})
+	}
+}
+
+// answerSettle answers a later owner once every order's call has returned.
+func (m *Machine) answerSettle() {
+	if m.settle.wanted == 0 || len(m.orders.pending) > 0 {
+		return
+	}
+	if m.owner && m.epoch >= m.settle.wanted {
+		m.settle.wanted = 0
+		return
+	}
+	m.do(AnswerSettle{Settled: wire.Settled{
+		Target:      m.target,
+		Epoch:       m.settle.wanted,
+		Floating:    m.orders.floatingKeys(),
+		Incarnation: m.engine.state.Incarnation,
+		Owned:       m.ownedLast,
+		Clean:       m.settle.done,
+	}})
+	m.settle.wanted = 0
+}
+
+// superseded tells that the engine has accepted a later epoch.
+func (m *Machine) superseded(res target.OrderResult) bool { return res.State.Epoch > m.epoch }
