--- a/wire/types.go
+++ b/wire/types.go
@@ -26,6 +26,11 @@
 	TypeAck:           func() Message { return new(Ack) },
 	TypeRelease:       func() Message { return new(Release) },
 	TypeReleased:      func() Message { return new(Released) },
+	TypeRosterFetch:   func() Message { return new(RosterFetch) },
+	TypeRosterUpdate:  func() Message { return new(RosterUpdate) },
+	TypePeerList:      func() Message { return new(PeerList) },
+	TypeAcknowledge:   func() Message { return new(Acknowledge) },
+	TypeGrantEnd:      func() Message { return new(GrantEnd) },
 }
 
 // Type implements Message.
@@ -96,3 +101,6 @@
 
 // Type implements Message.
 func (*Released) Type() Type { return TypeReleased }
+
+// Type implements Message.
+func (*GrantEnd) Type() Type { return TypeGrantEnd }
