--- a/pkg/target/orders.go
+++ b/pkg/target/orders.go
@@ -77,7 +77,7 @@
 		return fleet.TargetState{}, fmt.Errorf("state of %s: %w", t.ID, err)
 	}
 	var s fleet.TargetState
-	if err := exchange(c.state, req, &s); err != nil {
+	if err := roundTrip(c.state, req, &s); err != nil {
 		return fleet.TargetState{}, fmt.Errorf("state of %s: %w", t.ID, err)
 	}
 	if s.Target != t.ID {
@@ -104,7 +104,7 @@
 	req.GetBody = nil // the library must not send it twice
 	req.Header.Set("Content-Type", "application/json")
 	var res OrderResult
-	if err := exchange(c.order, req, &res); err != nil {
+	if err := roundTrip(c.order, req, &res); err != nil {
 		if !connected.Load() {
 			return OrderResult{}, fmt.Errorf("order %s to %s: %w: %w", o.ID, t.ID, ErrNotSent, err)
 		}
@@ -116,7 +116,7 @@
 	return res, nil
 }
 
-func exchange(client *http.Client, req *http.Request, into any) error {
+func roundTrip(client *http.Client, req *http.Request, into any) error {
 	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Errorf("send: %w", err)
