--- a/wire/messages.go
+++ b/wire/messages.go
@@ -32,7 +32,6 @@
 	TypeAck
 	TypeRelease
 	TypeReleased
-	TypeGrantEnd
 )
 
 // Message is one typed message between nodes.
@@ -120,16 +119,6 @@
 	Queued int `cbor:"6,keyasint,omitempty"`
 }
 
-// GrantEnd tells a model home that a granted request has ended, or that a
-// waiting one is given up. It is sent one way.
-type GrantEnd struct {
-	RequestID string           `cbor:"1,keyasint"`
-	Key       fleet.ReplicaKey `cbor:"2,keyasint"`
-	// ServiceMillis is the time that the target took; 0 when it did not
-	// complete the request.
-	ServiceMillis int64 `cbor:"3,keyasint,omitempty"`
-}
-
 // Load asks a target owner to get one more replica loaded in its zone, on
 // the given target.
 type Load struct {
--- /dev/null
+++ b/wire/requests.go
@@ -0,0 +1,21 @@
+package wire
+
+import "almondturn/fleet"
+
+// Further message types of the request path, numbered from 500.
+const (
+	TypeGrantEnd Type = iota + 500
+)
+
+// GrantEnd tells a model home that a granted request has ended, or that a
+// waiting one is given up. It is sent one way.
+type GrantEnd struct {
+	RequestID string           `cbor:"1,keyasint"`
+	Key       fleet.ReplicaKey `cbor:"2,keyasint"`
+	// ServiceMillis is the time that the target took; 0 when it did not
+	// complete the request.
+	ServiceMillis int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Type implements Message.
+func (*GrantEnd) Type() Type { return TypeGrantEnd }
--- a/wire/types.go
+++ b/wire/types.go
@@ -101,6 +101,3 @@
 
 // Type implements Message.
 func (*Released) Type() Type { return TypeReleased }
-
-// Type implements Message.
-func (*GrantEnd) Type() Type { return TypeGrantEnd }
