dispatch: places of entry nodes that died come back; ends of grants are confirmed

Cause: a lost one-way message or a dead entry node held its places at the home until the requests' deadlines. The stand-in engine repeats the request identifier on refusals, as pkg/target/api.go asks.

--- a/pkg/dispatch/acquire.go
+++ b/pkg/dispatch/acquire.go
@@ -174,7 +174,7 @@
 		}
 		grant, err := d.ask(ctx, home, ask)
 		if err != nil {
-			d.net.Send(home, &wire.GrantEnd{RequestID: r.ID, Key: key})
+			d.endGrant(home, &wire.GrantEnd{RequestID: r.ID, Key: key})
 			return place{}, err
 		}
 		if grant.Queued > 0 {
@@ -184,7 +184,7 @@
 			return d.granted(home, grant), nil
 		}
 		if !slices.Contains(d.view().Homes(zoneOf(d.view().Live, home), key), home) {
-			d.net.Send(home, &wire.GrantEnd{RequestID: r.ID, Key: key})
+			d.endGrant(home, &wire.GrantEnd{RequestID: r.ID, Key: key})
 			return place{}, fault.New(fault.ShuttingDown, "home %s left", home)
 		}
 	}
@@ -236,10 +236,19 @@
 	if p.home == "" {
 		return
 	}
-	m := &wire.GrantEnd{RequestID: r.ID, Key: r.Replica.Key, ServiceMillis: service.Milliseconds()}
-	if p.home == self {
+	d.endGrant(p.home, &wire.GrantEnd{RequestID: r.ID, Key: r.Replica.Key, ServiceMillis: service.Milliseconds()})
+}
+
+// endGrant tells a home in the background. A home that does not hear of it
+// takes the place back at the request's deadline.
+func (d *Dispatcher) endGrant(home fleet.NodeID, m *wire.GrantEnd) {
+	if home == d.view().Self.ID {
 		d.home.Release(m)
 		return
 	}
-	d.net.Send(p.home, m)
+	d.ends.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), d.opts.AcquireGrace)
+		defer cancel()
+		_, _ = d.net.Call(ctx, home, m)
+	})
 }
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -34,6 +34,7 @@
 	teams     sync.Map // fleet.Team to *retryBudget
 	stats     statsTable
 	running   sync.WaitGroup
+	ends      sync.WaitGroup // notices of ended grants
 }
 
 // Deps are what a Dispatcher works with.
@@ -93,8 +94,11 @@
 	}
 }
 
-// Stop ends the home's loops.
-func (d *Dispatcher) Stop() { d.home.Stop() }
+// Stop ends the home's loops. It is called after Drain.
+func (d *Dispatcher) Stop() {
+	d.ends.Wait()
+	d.home.Stop()
+}
 
 // Do serves one request. The error is a *fault.Error: before Start was
 // called it is the answer, and its Run column is true; after Start it tells
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -36,6 +36,7 @@
 // waiter is one request that waits for a place.
 type waiter struct {
 	id       string
+	from     fleet.Node // the entry node
 	flow     flowID
 	deadline time.Time
 	exclude  []fleet.TargetID
@@ -56,6 +57,7 @@
 // grantState is one place that was given away.
 type grantState struct {
 	target  *targetLoad
+	from    fleet.Node
 	expires time.Time
 }
 
@@ -76,8 +78,8 @@
 }
 
 // HandleAcquire implements peer.Handler for wire.Acquire.
-func (h *Home) HandleAcquire(ctx context.Context, _ fleet.Node, m wire.Message) (wire.Message, error) {
-	grant, err := h.Acquire(ctx, m.(*wire.Acquire))
+func (h *Home) HandleAcquire(ctx context.Context, from fleet.Node, m wire.Message) (wire.Message, error) {
+	grant, err := h.Acquire(ctx, from, m.(*wire.Acquire))
 	if err != nil {
 		return nil, err
 	}
@@ -90,14 +92,14 @@
 	return &wire.Ack{}, nil
 }
 
-// Acquire waits for a place for the request, at most AcquireSlice. Errors
-// mean that the request was refused and not run.
-func (h *Home) Acquire(ctx context.Context, a *wire.Acquire) (*wire.Grant, error) {
+// Acquire waits for a place for the request of the entry node, at most
+// AcquireSlice. Errors mean that the request was refused and not run.
+func (h *Home) Acquire(ctx context.Context, from fleet.Node, a *wire.Acquire) (*wire.Grant, error) {
 	q, err := h.queue(a.Key)
 	if err != nil {
 		return nil, err
 	}
-	w, err := q.enter(a)
+	w, err := q.enter(from, a)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/dispatch/homeloop.go
+++ b/pkg/dispatch/homeloop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
 )
@@ -48,7 +49,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.home.clock.Now()
-	q.expireLocked(now)
+	if now.Sub(q.expiredAt) >= q.home.opts.PumpInterval {
+		q.expiredAt = now
+		q.expireLocked(now)
+	}
+	if now.Sub(q.sweptAt) >= q.home.opts.AcquireGrace {
+		q.sweptAt = now
+		q.sweepLocked()
+	}
 	candidates := q.candidatesLocked(now)
 	q.grantWaitingLocked(candidates, now)
 	if q.fair.size > 0 {
@@ -96,6 +104,24 @@
 	}
 }
 
+// sweepLocked gives back the places of entry nodes that have died, and
+// their waiting requests.
+func (q *replicaQueue) sweepLocked() {
+	live := map[fleet.NodeID]string{}
+	view := q.home.view()
+	live[view.Self.ID] = view.Self.Incarnation
+	for i := range view.Live {
+		live[view.Live[i].ID] = view.Live[i].Incarnation
+	}
+	dead := func(n fleet.Node) bool { return live[n.ID] != n.Incarnation }
+	q.dropLocked(func(w *waiter) bool { return dead(w.from) }, fault.New(fault.CallerGone, "the entry node has died"))
+	for id, g := range q.grants {
+		if dead(g.from) {
+			q.expireGrantLocked(id)
+		}
+	}
+}
+
 func (q *replicaQueue) expireGrantLocked(id string) {
 	if g := q.grants[id]; g != nil {
 		delete(q.grants, id)
--- a/pkg/dispatch/homequeue.go
+++ b/pkg/dispatch/homequeue.go
@@ -35,6 +35,9 @@
 	loadingSince time.Time
 	// scaleOutAfter is the earliest time to ask for a further replica.
 	scaleOutAfter time.Time
+	// expiredAt and sweptAt are when overdue requests, and those of entry
+	// nodes that died, were last looked for.
+	expiredAt, sweptAt time.Time
 	// loaded names targets whose load ended but is not in the directory yet.
 	loaded map[fleet.TargetID]time.Time
 }
@@ -61,7 +64,7 @@
 
 // enter returns the request's waiter, a new one or the one it has already.
 // Entering twice does not queue twice.
-func (q *replicaQueue) enter(a *wire.Acquire) (*waiter, error) {
+func (q *replicaQueue) enter(from fleet.Node, a *wire.Acquire) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.closed {
@@ -77,6 +80,7 @@
 	remaining := time.Duration(a.RemainingMillis) * time.Millisecond
 	w = &waiter{
 		id:       a.RequestID,
+		from:     from,
 		flow:     flowID{class: catalog.Class(a.Class), team: a.Team},
 		deadline: now.Add(remaining),
 		since:    now,
@@ -201,7 +205,7 @@
 	}
 	load := q.home.loads.get(c.Target.ID)
 	load.granted.Add(1)
-	q.grants[w.id] = &grantState{target: load, expires: w.deadline.Add(q.home.opts.AcquireGrace)}
+	q.grants[w.id] = &grantState{target: load, from: w.from, expires: w.deadline.Add(q.home.opts.AcquireGrace)}
 	w.grant = &wire.Grant{Target: c.Target, Cold: w.cold}
 	close(w.done)
 	return true
--- a/pkg/standin/engine/serve.go
+++ b/pkg/standin/engine/serve.go
@@ -42,6 +42,7 @@
 }
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
 	body, err := io.ReadAll(r.Body)
 	var req completionRequest
 	if err != nil || json.Unmarshal(body, &req) != nil {
--- a/wire/requests.go
+++ b/wire/requests.go
@@ -8,7 +8,7 @@
 )
 
 // GrantEnd tells a model home that a granted request has ended, or that a
-// waiting one is given up. It is sent one way.
+// waiting one is given up.
 type GrantEnd struct {
 	RequestID string           `cbor:"1,keyasint"`
 	Key       fleet.ReplicaKey `cbor:"2,keyasint"`
