standin/engine: a cut stream has sent the events before the cut

Cause: TestStreamCanBeResumedWithoutRunningTwice failed on every run here: the connection was aborted with the events still buffered. Change: flush before the cut. Test unchanged.

--- a/pkg/standin/engine/serve.go
+++ b/pkg/standin/engine/serve.go
@@ -297,6 +297,7 @@
 		events, ended, changed := e.wait(run, sent)
 		for _, ev := range events {
 			if cut >= 0 && sent-from >= cut {
+				_ = rc.Flush() // the events before the cut have left
 				panic(http.ErrAbortHandler)
 			}
 			sent++
