--- a/wire/messages.go
+++ b/wire/messages.go
@@ -32,7 +32,6 @@
 	TypeAck
 	TypeRelease
 	TypeReleased
-	TypeGrantEnd
 )
 
 // Message is one typed message between nodes.
@@ -51,8 +50,8 @@
 type Heartbeat struct {
 	Epoch    fleet.Epoch `cbor:"1,keyasint"`
 	Sequence uint64      `cbor:"2,keyasint"`
-	// Silent lists the zone members that the sender has not heard from for
-	// longer than the suspicion timeout.
+	// Silent lists the nodes of the sender's zone that it has not heard
+	// from for longer than the suspicion timeout.
 	Silent []fleet.NodeID `cbor:"3,keyasint,omitempty"`
 	// Leaving is set during a graceful shutdown.
 	Leaving bool `cbor:"4,keyasint,omitempty"`
@@ -66,6 +65,9 @@
 	// Generation counts the operators' acknowledgements that the key-value
 	// service lost data; MaxRevision counts within it.
 	Generation uint64 `cbor:"8,keyasint,omitempty"`
+	// PlatformOlder tells that the key-value service came back older than
+	// known in this generation.
+	PlatformOlder bool `cbor:"9,keyasint,omitempty"`
 }
 
 // TargetUpdate spreads what the owner of a target knows of it.
@@ -120,16 +122,6 @@
 	Queued int `cbor:"6,keyasint,omitempty"`
 }
 
-// GrantEnd tells a model home that a granted request has ended, or that a
-// waiting one is given up. It is sent one way.
-type GrantEnd struct {
-	RequestID string           `cbor:"1,keyasint"`
-	Key       fleet.ReplicaKey `cbor:"2,keyasint"`
-	// ServiceMillis is the time that the target took; 0 when it did not
-	// complete the request.
-	ServiceMillis int64 `cbor:"3,keyasint,omitempty"`
-}
-
 // Load asks a target owner to get one more replica loaded in its zone, on
 // the given target.
 type Load struct {
