Whole path: a cold model answers through real nodes

Cause: the parts have to run together before they can be measured. Change: pkg/node wires all parts with fx and runs them from start to graceful shutdown; pkg/trial runs a deployment in one process; almondturn dev; one shared watch per watcher for rosters and catalog (platform.Hub).

--- a/pkg/catalog/head.go
+++ b/pkg/catalog/head.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/platform"
 )
 
 // Keys in the key-value service.
 const (
-	prefixHead  = "catalog/"
+	prefixHead  = platform.SharedPrefix + "catalog/"
 	prefixChunk = "chunk/"
 	prefixName  = "name/"
 )
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -12,22 +12,37 @@
 	"github.com/goccy/go-yaml"
 
 	"almondturn/fleet"
+	"almondturn/pkg/catalog"
+	"almondturn/pkg/claim"
+	"almondturn/pkg/directory"
+	"almondturn/pkg/dispatch"
 	"almondturn/pkg/gateway"
+	"almondturn/pkg/membership"
 	"almondturn/pkg/mesh"
+	"almondturn/pkg/owner"
+	"almondturn/pkg/target"
 )
 
 // Config are the settings of one node. docs/settings.md lists every option.
 type Config struct {
-	Node       Node            `yaml:"node"`
-	Listen     Listen          `yaml:"listen"`
-	TLS        TLS             `yaml:"tls"`
-	Platform   Platform        `yaml:"platform"`
-	Deployment Deployment      `yaml:"deployment"`
-	Admin      Admin           `yaml:"admin"`
-	Shutdown   Shutdown        `yaml:"shutdown"`
-	Log        Log             `yaml:"log"`
-	Gateway    gateway.Options `yaml:"gateway"`
-	Mesh       mesh.Options    `yaml:"mesh"`
+	Node       Node                 `yaml:"node"`
+	Listen     Listen               `yaml:"listen"`
+	TLS        TLS                  `yaml:"tls"`
+	Platform   Platform             `yaml:"platform"`
+	Deployment Deployment           `yaml:"deployment"`
+	Admin      Admin                `yaml:"admin"`
+	Shutdown   Shutdown             `yaml:"shutdown"`
+	Log        Log                  `yaml:"log"`
+	Gateway    gateway.Options      `yaml:"gateway"`
+	Mesh       mesh.Options         `yaml:"mesh"`
+	Membership membership.Options   `yaml:"membership"`
+	Directory  directory.Options    `yaml:"directory"`
+	Catalog    catalog.Options      `yaml:"catalog"`
+	Owner      owner.Options        `yaml:"owner"`
+	Orders     target.OrderOptions  `yaml:"orders"`
+	Target     target.StreamOptions `yaml:"target"`
+	Dispatch   dispatch.Options     `yaml:"dispatch"`
+	Claim      claim.Options        `yaml:"claim"`
 }
 
 // Node tells the process who and where it is.
@@ -126,6 +141,14 @@
 		Log:        Log{Level: "info"},
 		Gateway:    gateway.DefaultOptions(),
 		Mesh:       mesh.DefaultOptions(),
+		Membership: membership.DefaultOptions(),
+		Directory:  directory.DefaultOptions(),
+		Catalog:    catalog.DefaultOptions(),
+		Owner:      owner.DefaultOptions(),
+		Orders:     target.DefaultOrderOptions(),
+		Target:     target.DefaultStreamOptions(),
+		Dispatch:   dispatch.DefaultOptions(),
+		Claim:      claim.DefaultOptions(),
 	}
 }
 
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -1,22 +1,20 @@
-// Package dev runs a whole small deployment in one process for trials:
-// stand-ins and one node per availability zone.
+// Package dev runs a whole small deployment in one process for trials, and
+// prints how to use it.
 package dev
 
 import (
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"time"
 
 	"almondturn/examples"
 	"almondturn/fleet"
-	"almondturn/pkg/catalog"
 	"almondturn/pkg/config"
-	"almondturn/pkg/node"
 	"almondturn/pkg/standin/engine"
 	"almondturn/pkg/standin/site"
 	"almondturn/pkg/standin/weights"
+	"almondturn/pkg/trial"
 )
 
 // Options are the settings of a trial deployment.
@@ -29,81 +27,87 @@
 const (
 	operatorPortOffset = 100
 	enginesPerZone     = 2
-	// stopTimeout bounds the graceful shutdown of the trial deployment.
-	stopTimeout  = time.Minute
-	readyTimeout = 20 * time.Second
+	// nonFencingEvery makes every third engine ignore fencing numbers.
+	nonFencingEvery = 3
+	startTimeout    = 30 * time.Second
 )
 
-var zones = []fleet.Zone{"hobart", "kingston", "sorell"}
-
 // Run starts the deployment, prints how to use it, and stops it gracefully
 // when ctx ends.
 func Run(ctx context.Context, o Options, out io.Writer) error {
-	s, err := site.Start(site.Options{
-		Zones:          zones,
-		EnginesPerZone: enginesPerZone,
-		PlainPerZone:   1,
-		PlainService:   "bookings",
-		Engine:         trialEngine,
-		Store:          weights.Options{LoadsPerSecond: 7, FullSpeedLoads: 4},
-		VMLag:          time.Second,
-	})
+	t, err := trial.Start(ctx, options(o))
 	if err != nil {
 		return err
 	}
-	defer s.Stop()
-	nodes, err := startNodes(ctx, o, s)
-	defer stopNodes(nodes)
-	if err != nil {
+	if err := prepare(ctx, t); err != nil {
+		_ = t.Stop(context.WithoutCancel(ctx))
 		return err
 	}
-	if err := applyExamples(ctx, nodes[0]); err != nil {
+	usage(out, t)
+	<-ctx.Done()
+	_, _ = fmt.Fprintln(out, "stopping: requests in progress finish first")
+	return t.Stop(context.WithoutCancel(ctx))
+}
+
+func options(o Options) trial.Options {
+	built := 0
+	return trial.Options{
+		Site: site.Options{
+			Zones:          []fleet.Zone{"hobart", "kingston", "sorell"},
+			EnginesPerZone: enginesPerZone,
+			PlainPerZone:   1,
+			PlainService:   "bookings",
+			Engine: func(id fleet.TargetID, _ fleet.Zone, _ int) engine.Options {
+				built++
+				opts := engine.DefaultOptions(id)
+				opts.ChecksFencing = built%nonFencingEvery != 0
+				return opts
+			},
+			Store: weights.Options{LoadsPerSecond: 7, FullSpeedLoads: 4},
+			VMLag: time.Second,
+		},
+		NodesPerZone:  1,
+		CallersPort:   o.Port,
+		OperatorsPort: o.Port + operatorPortOffset,
+		Configure:     func(c *config.Config) { c.Log.Pretty = true },
+	}
+}
+
+// prepare applies the example settings and waits until all nodes serve.
+func prepare(ctx context.Context, t *trial.Trial) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	files, err := examples.Dev()
+	if err != nil {
 		return err
 	}
-	if err := awaitServing(ctx, nodes); err != nil {
+	if err := t.Apply(ctx, files); err != nil {
 		return err
 	}
-	printUsage(out, o, s)
-	<-ctx.Done()
-	_, _ = fmt.Fprintln(out, "stopping: requests in progress are finished first")
-	return nil
+	return t.AwaitServing(ctx, len(files))
 }
 
-// trialEngine makes every third engine ignore fencing numbers.
-func trialEngine(id fleet.TargetID, _ fleet.Zone, index int) engine.Options {
-	opts := engine.DefaultOptions(id)
-	opts.ChecksFencing = index%3 != 2
-	return opts
-}
+const usageText = `
+almondturn runs here: one node per zone, stand-ins for everything else.
 
-// nodeConfig returns the settings of the node of one zone.
-func nodeConfig(o Options, s *site.Site, i int) *config.Config {
-	c := config.Default()
-	c.Node = config.Node{ID: fleet.NodeID(fmt.Sprintf("entry-%s", zones[i])), Zone: zones[i]}
-	c.Mesh.Secret = "dev-secret-for-trials-only"
-	c.Listen = config.Listen{Callers: loopback(o.Port + i), Operators: loopback(o.Port + operatorPortOffset + i), Inner: loopback(0)}
-	c.Platform.URL = s.PlatformURL
-	c.Deployment.Name = "dev"
-	c.Deployment.Zones = zones
-	c.Admin.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
-	c.Shutdown.Notice = 0
-	c.Log = config.Log{Level: "warn", Pretty: true}
-	return &c
-}
+A streamed answer from a model that is not loaded yet:
 
-func loopback(port int) string { return net.JoinHostPort("127.0.0.1", fmt.Sprint(port)) }
+  curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -d '{"model":"tea-small@1","stream":true,"messages":[{"role":"user","content":"Which halls dance on Friday?"}]}'
 
-func startNodes(ctx context.Context, o Options, s *site.Site) ([]*node.Node, error) {
-	var nodes []*node.Node
-	for i := range zones {
-		n, err := node.New(nodeConfig(o, s, i))
-		if err != nil {
-			return nodes, err
-		}
-		nodes = append(nodes, n)
-		if err := n.Start(ctx); err != nil {
-			return nodes, err
-		}
+A seat hold, which runs at most once however often it is sent:
+
+  curl http://%[1]s/services/bookings/seats -H 'Authorization: Bearer %[3]s' -H 'Idempotency-Key: seat-1' -d '{"hall":"Kingston","row":2}'
+
+Ctrl-C stops gracefully.
+`
+
+func usage(out io.Writer, t *trial.Trial) {
+	for _, n := range t.Nodes() {
+		_, _ = fmt.Fprintf(out, "node %s: callers http://%s, operators http://%s\n", n.ID(), n.CallersAddr(), n.OperatorsAddr())
+	}
+	for _, g := range t.Site.Targets {
+		_, _ = fmt.Fprintf(out, "target %s (%s): http://%s\n", g.ID, g.Kind, g.Addr)
 	}
-	return nodes, nil
+	_, _ = fmt.Fprintf(out, "platform: %s\n", t.Site.PlatformURL)
+	_, _ = fmt.Fprintf(out, usageText, t.Nodes()[0].CallersAddr(), examples.DevListingKey, examples.DevBookingsKey)
 }
--- a/pkg/membership/calls.go
+++ b/pkg/membership/calls.go
@@ -16,7 +16,7 @@
 )
 
 // rosterPrefix is the part of the key-value service that holds the rosters.
-const rosterPrefix = "roster/"
+const rosterPrefix = platform.SharedPrefix + "roster/"
 
 func rosterKey(zone fleet.Zone) string { return rosterPrefix + string(zone) }
 
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -22,7 +22,6 @@
 	"almondturn/pkg/peer"
 	"almondturn/pkg/platform"
 	"almondturn/pkg/target"
-	"almondturn/wire"
 )
 
 // module provides every part of a node.
@@ -46,11 +45,12 @@
 			newOwner,
 			newLoader,
 			newStreams,
+			newOrders,
 			newClaimWriter,
 			newClaims,
 			newDispatcher,
+			newReadiness,
 			newGateway,
-			newAdmin,
 			newParts,
 		),
 		fx.NopLogger,
@@ -114,6 +114,49 @@
 	return s
 }
 
+func newOrders(c *config.Config) *target.Orders { return target.NewOrders(c.Orders) }
+
+// ownerDeps are the parts that the target owner works with.
+type ownerDeps struct {
+	fx.In
+
+	Self      fleet.Node
+	Clock     platform.Clock
+	Log       zerolog.Logger
+	View      viewFunc
+	Store     *catalog.Store
+	KV        platform.KV
+	VMs       platform.VMLister
+	Members   *membership.Service
+	Network   peer.Network
+	Router    *peer.Router
+	Orders    *target.Orders
+	Directory *directory.Directory
+}
+
+func (d ownerDeps) deps() owner.Deps {
+	return owner.Deps{
+		Self:      d.Self,
+		Clock:     d.Clock,
+		Logger:    d.Log,
+		View:      d.View,
+		Catalog:   d.Store,
+		KV:        d.KV,
+		VMs:       d.VMs,
+		Roster:    d.Members.ReadEpoch,
+		Network:   d.Network,
+		Router:    d.Router,
+		Engines:   d.Orders,
+		Directory: targetReports{directory: d.Directory, members: d.Members},
+	}
+}
+
+func newOwner(c *config.Config, d ownerDeps) *owner.Service { return owner.New(c.Owner, d.deps()) }
+
+func newLoader(c *config.Config, d ownerDeps) owner.Loader {
+	return owner.NewRequester(c.Owner, d.deps())
+}
+
 func newStreams(c *config.Config, clock platform.Clock, log zerolog.Logger) *target.Streams {
 	return target.NewStreams(c.Target, clock, log)
 }
@@ -161,9 +204,3 @@
 func newGateway(c *config.Config, store *catalog.Store, d *dispatch.Dispatcher, state *readiness, log zerolog.Logger) *gateway.Gateway {
 	return gateway.New(c.Gateway, store, d, state.check, log)
 }
-
-// spreadLeaving tells all nodes that a target takes no new work.
-func spreadLeaving(net peer.Network, dir *directory.Directory, l *wire.Leaving) {
-	dir.ApplyLeaving(l)
-	net.Broadcast("", l)
-}
--- /dev/null
+++ b/pkg/trial/wait.go
@@ -0,0 +1,59 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"almondturn/examples"
+	"almondturn/pkg/catalog"
+)
+
+// waitStep is the time between two looks at a condition.
+const waitStep = 20 * time.Millisecond
+
+// Wait returns when cond returns nil, or cond's last error when ctx ends.
+func Wait(ctx context.Context, cond func() error) error {
+	for {
+		err := cond()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ctx.Err(), err)
+		case <-time.After(waitStep):
+		}
+	}
+}
+
+// Apply puts settings of teams in force through the first running node.
+func (t *Trial) Apply(ctx context.Context, files []examples.File) error {
+	nodes := t.Nodes()
+	if len(nodes) == 0 {
+		return fmt.Errorf("no node is running")
+	}
+	for _, f := range files {
+		spec, err := catalog.ParseTeam(f.Name, f.Data)
+		if err != nil {
+			return err
+		}
+		if err := Wait(ctx, func() error { return nodes[0].ApplyTeam(ctx, spec) }); err != nil {
+			return fmt.Errorf("apply %s: %w", f.Name, err)
+		}
+	}
+	return nil
+}
+
+// AwaitServing returns when every running node is ready, has all teams in
+// force, and knows an owner for every engine.
+func (t *Trial) AwaitServing(ctx context.Context, teams int) error {
+	return Wait(ctx, func() error {
+		for _, n := range t.Nodes() {
+			if err := n.Serving(teams, len(t.Site.Targets), len(t.Site.Engines)); err != nil {
+				return fmt.Errorf("node %s: %w", n.ID(), err)
+			}
+		}
+		return nil
+	})
+}
