directory, mesh, membership: interfaces of the node, ordered drains

Cause: a node that missed the cancellation of a drain would have spread the drain again on its next connection; dispatch and owner need adapters. Change: drains carry the time of the decision and the latest holds; a plain service index; dispatch.Directory; ListedTargets and ReadEpoch for owner; several observers of connections. Tests through a TCP relay that loses track of an open connection: replaced by a fresh one, and a call written before has an unknown outcome.

--- a/pkg/directory/apply.go
+++ b/pkg/directory/apply.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"almondturn/fleet"
+	"almondturn/pkg/peer"
 	"almondturn/wire"
 )
 
@@ -31,6 +32,8 @@
 	next.Unreachable = u.Unreachable
 	next.Slots, next.Draining = u.Slots, u.Draining
 	next.updated = d.clock.Now()
+	next.report++
+	delete(d.early, u.Target.ID)
 	d.replaceLocked(e, &next)
 	return true
 }
@@ -51,6 +54,9 @@
 	next.LeavingBy = d.leavingByLocked(next, old.LeavingBy)
 	changed := d.reindexLocked(e, old.State, next.State)
 	e.state.Store(next)
+	if old.Kind != next.Kind || old.Service != next.Service || (next.Kind == fleet.TargetPlain && old.State == nil) {
+		d.reindexPlainLocked()
+	}
 	d.logLeaving(next, old.LeavingBy)
 	if changed || old.LeavingBy != next.LeavingBy || old.Unreachable != next.Unreachable ||
 		old.Owner != next.Owner || !slices.Equal(old.Draining, next.Draining) {
@@ -61,37 +67,40 @@
 // leavingByLocked returns the source by which the target is leaving: the
 // former one while it still says so, else any that does.
 func (d *Directory) leavingByLocked(t *Target, former string) string {
-	drain, drained := d.drained[t.ID]
 	says := map[string]bool{
-		SourceList:   t.Leaving,
-		SourceEngine: t.State != nil && t.State.Leaving,
-	}
-	if drained {
-		says[drain.Source] = true
+		SourceOperator: d.isDrainedLocked(t.ID),
+		SourceEngine:   d.early[t.ID] || (t.State != nil && t.State.Leaving),
+		SourceList:     t.Leaving,
 	}
 	if says[former] {
 		return former
 	}
-	for _, source := range []string{SourceEngine, SourceList} {
+	for _, source := range []string{SourceOperator, SourceEngine, SourceList} {
 		if says[source] {
 			return source
 		}
 	}
-	if drained {
-		return drain.Source
-	}
 	return ""
 }
 
+func (d *Directory) isDrainedLocked(id fleet.TargetID) bool {
+	drain, ok := d.drains[id]
+	return ok && !drain.Cancelled
+}
+
 // ApplyLeaving takes the news in that a target is leaving or, from an
-// operator, that it is not.
+// operator, that it is not. Of an operator's decisions the latest holds; an
+// engine's news holds until its owner's next update.
 func (d *Directory) ApplyLeaving(l *wire.Leaving) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if l.Cancelled {
-		delete(d.drained, l.Target)
-	} else {
-		d.drained[l.Target] = *l
+	switch {
+	case l.Source != SourceOperator:
+		d.early[l.Target] = true
+	case l.DecidedUnixMillis < d.drains[l.Target].DecidedUnixMillis:
+		return
+	default:
+		d.drains[l.Target] = *l
 	}
 	if e := (*d.targets.Load())[l.Target]; e != nil {
 		next := *e.state.Load()
@@ -99,12 +108,30 @@
 	}
 }
 
-// Drained returns the drains in force, to tell a node that has just connected.
-func (d *Directory) Drained() []wire.Leaving {
+// Drain carries out an operator's decision that a target takes no new work,
+// or takes it again, here and on all connected nodes.
+func (d *Directory) Drain(n peer.Network, target fleet.TargetID, cancelled bool) {
+	l := &wire.Leaving{
+		Target: target, Source: SourceOperator, Cancelled: cancelled,
+		DecidedUnixMillis: d.clock.Now().UnixMilli(),
+	}
+	d.ApplyLeaving(l)
+	n.Broadcast("", l)
+}
+
+// Greet tells a node that has just connected of the operators' decisions.
+func (d *Directory) Greet(n peer.Network, to fleet.NodeID) {
+	for _, l := range d.Drains() {
+		n.Send(to, &l)
+	}
+}
+
+// Drains returns the operators' decisions, cancelled ones included.
+func (d *Directory) Drains() []wire.Leaving {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make([]wire.Leaving, 0, len(d.drained))
-	for _, l := range d.drained {
+	out := make([]wire.Leaving, 0, len(d.drains))
+	for _, l := range d.drains {
 		out = append(out, l)
 	}
 	return out
@@ -148,6 +175,8 @@
 		}
 	}
 	d.targets.Store(&next)
-	delete(d.drained, id)
+	d.reindexPlainLocked()
+	delete(d.drains, id)
+	delete(d.early, id)
 	d.notifyLocked()
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -32,9 +32,11 @@
 	// targets and index are copied on write, under mu.
 	targets atomic.Pointer[map[fleet.TargetID]*entry]
 	index   [shards]atomic.Pointer[shard]
+	plain   atomic.Pointer[map[fleet.Service][]*entry]
 
-	mu          sync.Mutex // guards changes and the fields below
-	drained     map[fleet.TargetID]wire.Leaving
+	mu          sync.Mutex                      // guards changes and the fields below
+	drains      map[fleet.TargetID]wire.Leaving // operators' decisions, cancelled ones included
+	early       map[fleet.TargetID]bool         // news of an engine ahead of its owner's update
 	listed      map[fleet.TargetID]bool
 	subscribers []chan struct{}
 }
@@ -61,6 +63,7 @@
 	// leaving; empty while it takes work.
 	LeavingBy string
 	updated   time.Time
+	report    uint64 // numbers the owners' updates
 }
 
 // The sources of the news that a target is leaving.
@@ -82,10 +85,12 @@
 func New(opts Options, router *peer.Router, clock platform.Clock, log zerolog.Logger) *Directory {
 	d := &Directory{
 		opts: opts, clock: clock, log: log,
-		drained: map[fleet.TargetID]wire.Leaving{},
-		listed:  map[fleet.TargetID]bool{},
+		drains: map[fleet.TargetID]wire.Leaving{},
+		early:  map[fleet.TargetID]bool{},
+		listed: map[fleet.TargetID]bool{},
 	}
 	d.targets.Store(&map[fleet.TargetID]*entry{})
+	d.plain.Store(&map[fleet.Service][]*entry{})
 	for i := range d.index {
 		d.index[i].Store(&shard{})
 	}
@@ -190,6 +195,17 @@
 	return e
 }
 
+// reindexPlainLocked lists the targets of each plain service again.
+func (d *Directory) reindexPlainLocked() {
+	next := map[fleet.Service][]*entry{}
+	for _, t := range d.Targets("") {
+		if t.Kind == fleet.TargetPlain {
+			next[t.Service] = append(next[t.Service], (*d.targets.Load())[t.ID])
+		}
+	}
+	d.plain.Store(&next)
+}
+
 // reindexLocked moves the entry in the replica index from the replicas of
 // one state to those of another.
 func (d *Directory) reindexLocked(e *entry, before, after *fleet.TargetState) bool {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -91,7 +91,29 @@
 	require.NoError(t, err)
 	d.Apply(update("t1", 1, 1, key))
 	assert.Empty(t, d.Replicas(key))
-	assert.Len(t, d.Drained(), 1)
+	assert.Len(t, d.Drains(), 1)
+}
+
+// TestLateDrainDoesNotUndoItsCancellation: a node that missed the
+// cancellation greets the others with the drain.
+func TestLateDrainDoesNotUndoItsCancellation(t *testing.T) {
+	d, _, _ := newDirectory()
+	d.Apply(update("t1", 1, 1, key))
+	drain := wire.Leaving{Target: "t1", Source: SourceOperator, DecidedUnixMillis: 10}
+	cancel := wire.Leaving{Target: "t1", Source: SourceOperator, Cancelled: true, DecidedUnixMillis: 20}
+	for _, l := range []wire.Leaving{drain, cancel, drain} {
+		d.ApplyLeaving(&l)
+	}
+	assert.Len(t, d.Replicas(key), 1)
+}
+
+func TestEnginesNewsHoldsUntilTheNextUpdate(t *testing.T) {
+	d, _, _ := newDirectory()
+	d.Apply(update("t1", 1, 1, key))
+	d.ApplyLeaving(&wire.Leaving{Target: "t1", Source: SourceEngine})
+	assert.Empty(t, d.Replicas(key))
+	d.Apply(update("t1", 1, 2, key))
+	assert.Len(t, d.Replicas(key), 1)
 }
 
 func TestUnusableReplicasAreNoCandidates(t *testing.T) {
@@ -114,6 +136,22 @@
 	assert.Empty(t, d.Targets("z2"))
 }
 
+func TestPlainServicesAreFoundByName(t *testing.T) {
+	d, _, _ := newDirectory()
+	d.SetTargets([]fleet.Target{
+		{ID: "p1", Zone: "z1", Kind: fleet.TargetPlain, Service: "desk"},
+		{ID: "p2", Zone: "z1", Kind: fleet.TargetPlain, Service: "desk", Leaving: true},
+		{ID: "t1", Zone: "z1", Kind: fleet.TargetEngine, Service: "desk"},
+	})
+	plain := d.Plain("desk")
+	require.Len(t, plain, 1)
+	assert.Equal(t, fleet.TargetID("p1"), plain[0].Target.ID)
+	_, ok := d.Target("p2")
+	assert.False(t, ok)
+	d.SetTargets(nil)
+	assert.Empty(t, d.Plain("desk"))
+}
+
 func TestSubscribersHearOfReplicasAndNotOfLoad(t *testing.T) {
 	d, _, _ := newDirectory()
 	ch := d.Subscribe()
--- a/pkg/membership/calls.go
+++ b/pkg/membership/calls.go
@@ -38,6 +38,20 @@
 	return r, nil
 }
 
+// ReadEpoch returns the epoch of a zone's roster as the key-value service
+// holds it; 0 when there is none.
+func ReadEpoch(ctx context.Context, kv platform.KV, zone fleet.Zone) (fleet.Epoch, error) {
+	e, err := kv.Get(ctx, rosterKey(zone))
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read the roster of zone %q: %w", zone, err)
+	}
+	r, err := decodeRoster(e)
+	return r.Epoch, err
+}
+
 func (s *Service) readRosters() {
 	ctx, cancel := context.WithTimeout(s.ctx, s.opts.CallTimeout)
 	defer cancel()
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -46,7 +46,7 @@
 	configured := []fleet.Target{{ID: "t2", Zone: "z1", Addr: "10.0.0.2:80"}}
 	svc := New(DefaultOptions(), self, m, router, store, vms, configured, platform.SystemClock{}, zerolog.Nop())
 	m.SetHeartbeat(svc.Heartbeat)
-	m.SetObserver(svc.Observe)
+	m.AddObserver(svc.Observe)
 	mux := http.NewServeMux()
 	mux.Handle(mesh.Path, m.Handler())
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
--- a/pkg/membership/targets.go
+++ b/pkg/membership/targets.go
@@ -39,6 +39,11 @@
 // not be changed.
 func (s *Service) Targets() []fleet.Target { return *s.targets.merged.Load() }
 
+// ListedTargets returns Targets, and false before the first VM list.
+func (s *Service) ListedTargets() ([]fleet.Target, bool) {
+	return s.Targets(), s.targets.list() != nil
+}
+
 // SubscribeTargets returns a channel that receives after each change of Targets.
 func (s *Service) SubscribeTargets() <-chan struct{} {
 	ch := make(chan struct{}, 1)
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -36,7 +36,7 @@
 	scheme string
 
 	heartbeat  atomic.Pointer[heartbeatSource]
-	observer   atomic.Pointer[Observer]
+	observers  []Observer // not changed after Start
 	handshakes chan struct{}
 
 	neighbours atomic.Pointer[neighbourMap] // copied on write under mu
@@ -78,8 +78,8 @@
 	m.heartbeat.Store(&heartbeatSource{next: source, maxAge: m.opts.Connection.HeartbeatInterval / 2, clock: m.clock})
 }
 
-// SetObserver sets who is told of connections; call it before Start.
-func (m *Mesh) SetObserver(o Observer) { m.observer.Store(&o) }
+// AddObserver adds one that is told of connections; call it before Start.
+func (m *Mesh) AddObserver(o Observer) { m.observers = append(m.observers, o) }
 
 // Start begins to dial. Stop ends it.
 func (m *Mesh) Start(context.Context) error {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -17,6 +17,7 @@
 	"almondturn/pkg/fault"
 	"almondturn/pkg/peer"
 	"almondturn/pkg/platform"
+	"almondturn/pkg/standin/relay"
 	"almondturn/wire"
 )
 
@@ -50,7 +51,7 @@
 	}
 	n.Mesh, err = New(opts, n.self, n.router, platform.SystemClock{}, zerolog.Nop())
 	require.NoError(t, err)
-	n.SetObserver(func(node fleet.Node, up bool) { n.up.Store(node.ID, up) })
+	n.AddObserver(func(node fleet.Node, up bool) { n.up.Store(node.ID, up) })
 	mux := http.NewServeMux()
 	mux.Handle(Path, n.Handler())
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
@@ -137,3 +138,53 @@
 	a.waitConnected(t, 1)
 	assert.Equal(t, again.self.Addr, a.Connected()[0].Addr)
 }
+
+// TestSilentConnectionIsReplaced puts a relay between two nodes that loses
+// track of the open connection; new ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	quick := func(o *Options) {
+		o.ProbeAfter = 200 * time.Millisecond
+		o.Connection.SilenceTimeout = time.Minute // the probe, not the timeout, must act
+	}
+	b := startNode(t, "b", "z1", quick)
+	r, err := relay.New(b.self.Addr)
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	a := startNode(t, "a", "z1", quick)
+	for _, n := range []*testNode{a, b} {
+		n.router.Handle(wire.TypeHeartbeat, func(context.Context, fleet.Node, wire.Message) (wire.Message, error) { return nil, nil })
+	}
+	a.SetPeers([]fleet.Node{{ID: "b", Zone: "z1", Addr: r.Addr()}})
+	a.waitConnected(t, 1)
+	before := a.connection("b")
+	r.Silence()
+	// After the connection, a knows b's own address; the fresh one goes there.
+	require.Eventually(t, func() bool { c := a.connection("b"); return c != nil && c != before }, eventually, time.Millisecond)
+	_, err = a.Call(t.Context(), "b", &wire.Heartbeat{})
+	require.NoError(t, err)
+	<-before.Done()
+	up, _ := a.up.Load(fleet.NodeID("b"))
+	assert.Equal(t, true, up, "the node was never seen as gone")
+}
+
+// TestCallOnSilencedConnectionIsUnknown: a call that was written before the
+// connection fell silent has an unknown outcome, never "not sent".
+func TestCallOnSilencedConnectionIsUnknown(t *testing.T) {
+	quick := func(o *Options) { o.ProbeAfter = 200 * time.Millisecond }
+	b := startNode(t, "b", "z1", quick)
+	reached := make(chan struct{})
+	b.router.Handle(wire.TypeAcquire, func(ctx context.Context, _ fleet.Node, _ wire.Message) (wire.Message, error) {
+		close(reached)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	r, err := relay.New(b.self.Addr)
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	a := startNode(t, "a", "z1", quick)
+	a.SetPeers([]fleet.Node{{ID: "b", Zone: "z1", Addr: r.Addr()}})
+	a.waitConnected(t, 1)
+	go func() { <-reached; r.Silence() }()
+	_, err = a.Call(t.Context(), "b", &wire.Acquire{})
+	assert.Equal(t, fault.OutcomeUnknown, fault.KindOf(err))
+}
--- a/pkg/mesh/neighbour.go
+++ b/pkg/mesh/neighbour.go
@@ -186,8 +186,8 @@
 }
 
 func (m *Mesh) observe(node fleet.Node, connected bool) {
-	if o := m.observer.Load(); o != nil {
-		(*o)(node, connected)
+	for _, o := range m.observers {
+		o(node, connected)
 	}
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -278,6 +278,9 @@
 	Source string         `cbor:"2,keyasint"`
 	// Cancelled takes an operator's drain back.
 	Cancelled bool `cbor:"3,keyasint,omitempty"`
+	// DecidedUnixMillis orders the operators' decisions on one target: the
+	// latest one holds.
+	DecidedUnixMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Release asks a target owner to release the slot of a replica that is not
