--- a/wire/messages.go
+++ b/wire/messages.go
@@ -166,9 +166,16 @@
 	RequestIDs []string `cbor:"1,keyasint"`
 }
 
-// CatalogDigest lists the revision in force of each subtree.
+// CatalogDigest lists the revision in force of each subtree. As a question
+// with Sum set it asks a peer to compare; with Teams it asks for the revisions
+// of these only. The answer leaves Revisions out when the sums are equal.
 type CatalogDigest struct {
-	Revisions map[fleet.Team]uint64 `cbor:"1,keyasint"`
+	Revisions map[fleet.Team]uint64 `cbor:"1,keyasint,omitempty"`
+	// Sum sums up the heads in force of all teams.
+	Sum uint64 `cbor:"2,keyasint,omitempty"`
+	// Ready is true once the sender has loaded the catalog.
+	Ready bool         `cbor:"3,keyasint,omitempty"`
+	Teams []fleet.Team `cbor:"4,keyasint,omitempty"`
 }
 
 // CatalogFetch asks for the heads of subtrees and for chunks by digest.
