admin: operators' HTTP interface

Teams' subtrees (read, conditional change with a wait until in force, history, diff, restore), status of nodes and zones, targets, drain and undrain. A repeated change with the same write identifier makes one revision.

--- /dev/null
+++ b/pkg/admin/admin.go
@@ -0,0 +1,151 @@
+// Package admin is the operators' HTTP interface: it reads and changes the
+// teams' subtrees, shows the state of the deployment and drains targets.
+package admin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"almondturn/fleet"
+	"almondturn/pkg/catalog"
+	"almondturn/pkg/fault"
+	"almondturn/pkg/peer"
+)
+
+// Headers of the operators' interface.
+const (
+	// HeaderWriteID makes a repeated change idempotent.
+	HeaderWriteID = "Almondturn-Write-Id"
+	// HeaderAuthor names the person who changes something, for the history.
+	HeaderAuthor = "Almondturn-Author"
+	// HeaderSource tells where an answer comes from: accepted (the key-value
+	// service) or in-force (this node, while the service does not answer).
+	HeaderSource = "Almondturn-Source"
+)
+
+// Options are the settings of the operators' interface.
+type Options struct {
+	// RootTokenSHA256 is the digest, in hex, of the token that may do
+	// everything; empty allows no such token.
+	RootTokenSHA256 string `yaml:"root_token_sha256" validate:"omitempty,len=64,hexadecimal"`
+	// MaxBodyBytes bounds the settings of one team.
+	MaxBodyBytes int64 `yaml:"max_body_bytes" validate:"min=1024"`
+	// ApplyTimeout bounds the time until a change is accepted.
+	ApplyTimeout time.Duration `yaml:"apply_timeout" validate:"min=100ms"`
+	// MaxWait bounds the wait until a change is in force everywhere.
+	MaxWait time.Duration `yaml:"max_wait" validate:"min=0"`
+}
+
+// DefaultOptions returns the settings that hold where a file names none.
+func DefaultOptions() Options {
+	return Options{MaxBodyBytes: 16 << 20, ApplyTimeout: 10 * time.Second, MaxWait: time.Minute}
+}
+
+// Catalog is what the interface needs of the catalog service.
+type Catalog interface {
+	Apply(ctx context.Context, c catalog.Change) (*catalog.Committed, error)
+	Restore(ctx context.Context, team fleet.Team, author string) (*catalog.Committed, error)
+	Repository() *catalog.Repository
+	Snapshot() *catalog.Snapshot
+	Head(team fleet.Team) *catalog.Head
+	InForce(ctx context.Context, teams ...fleet.Team) []catalog.NodeRevisions
+	WaitInForce(ctx context.Context, team fleet.Team, revision uint64) []catalog.NodeRevisions
+	Older() []fleet.Team
+}
+
+// Target is what the node knows of one target.
+type Target struct {
+	Target      fleet.Target       `json:"target"`
+	State       fleet.TargetState  `json:"state"`
+	Owner       fleet.NodeID       `json:"owner"`
+	Unreachable bool               `json:"unreachable"`
+	Slots       []fleet.ReplicaKey `json:"slots"`
+}
+
+// TargetTable lists the targets; nil stands for none.
+type TargetTable interface {
+	Targets() []Target
+}
+
+// Server answers operators.
+type Server struct {
+	opts    Options
+	self    fleet.Node
+	catalog Catalog
+	net     peer.Network
+	view    func() *peer.View
+	targets TargetTable
+	log     zerolog.Logger
+	engine  *gin.Engine
+}
+
+// New returns a server; targets may be nil.
+func New(opts Options, self fleet.Node, c Catalog, net peer.Network, view func() *peer.View, targets TargetTable, log zerolog.Logger) *Server {
+	gin.SetMode(gin.ReleaseMode)
+	s := &Server{opts: opts, self: self, catalog: c, net: net, view: view, targets: targets, log: log, engine: gin.New()}
+	s.engine.HandleMethodNotAllowed = true
+	s.engine.Use(s.identify, gin.CustomRecoveryWithWriter(nil, s.recovered))
+	s.engine.NoRoute(s.handle(noRoute))
+	s.engine.NoMethod(s.handle(noRoute))
+	v1 := s.engine.Group("/admin/v1")
+	v1.GET("/teams", s.handle(s.listTeams))
+	v1.GET("/teams/:team", s.handle(s.getTeam))
+	v1.PUT("/teams/:team", s.handle(s.putTeam))
+	v1.GET("/teams/:team/history", s.handle(s.history))
+	v1.POST("/teams/:team/diff", s.handle(s.diff))
+	v1.POST("/teams/:team/restore", s.handle(s.restore))
+	v1.GET("/status", s.handle(s.status))
+	v1.GET("/targets", s.handle(s.listTargets))
+	v1.POST("/targets/:target/drain", s.handle(s.drain))
+	v1.POST("/targets/:target/undrain", s.handle(s.undrain))
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.engine.ServeHTTP(w, r) }
+
+const contextRequestID = "request_id"
+
+// identify gives each request an identifier.
+func (s *Server) identify(c *gin.Context) {
+	id := uuid.NewString()
+	c.Set(contextRequestID, id)
+	c.Header(fault.HeaderRequestID, id)
+	c.Next()
+}
+
+func (s *Server) recovered(c *gin.Context, cause any) {
+	s.fail(c, fmt.Errorf("handler panicked: %v", cause))
+	c.Abort()
+}
+
+// handle answers with the error that a handler returns, by the table of kinds.
+func (s *Server) handle(h func(*gin.Context) error) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		code := "ok"
+		if err := h(c); err != nil {
+			code = fault.KindOf(err).String()
+			s.fail(c, err)
+		}
+		metrics.GetOrCreateCounter(fmt.Sprintf(`almondturn_admin_requests_total{route=%q,code=%q}`, c.FullPath(), code)).Inc()
+	}
+}
+
+func (s *Server) fail(c *gin.Context, err error) {
+	id := c.GetString(contextRequestID)
+	if fault.KindOf(err) == fault.Internal {
+		s.log.Error().Str("request", id).Err(err).Msg("operator's request failed")
+	}
+	fault.WriteHTTP(c.Writer, id, err)
+}
+
+func noRoute(c *gin.Context) error {
+	return fault.New(fault.UnknownPath, "%s %s does not exist", c.Request.Method, c.Request.URL.Path)
+}
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -270,3 +270,8 @@
 
 // Swap puts a snapshot in force.
 func (s *Store) Swap(snap *Snapshot) { s.current.Store(snap) }
+
+// TeamNames returns the names of all teams in order.
+func (s *Snapshot) TeamNames() []fleet.Team {
+	return slices.Sorted(maps.Keys(s.teams))
+}
