--- a/pkg/catalog/spread_test.go
+++ b/pkg/catalog/spread_test.go
@@ -236,8 +236,15 @@
 	c.store.Restore(backup)
 	outside := newTestRepository(c.store)
 	mustApply(t, outside, withReplicas(team("a", "s"), 7), 1)
-	mustApply(t, outside, withReplicas(team("a", "s"), 8), 2)
+	forked := mustApply(t, outside, withReplicas(team("a", "s"), 8), 2)
 	c.run(30 * time.Second)
+	// A node that started from the service would send it to its peers, too.
+	push := &wire.CatalogParts{Heads: []wire.CatalogHead{{Team: "a", Revision: 3, Value: forked.Value}}, Chunks: dataOf(forked.Chunks)}
+	for _, n := range c.nodes {
+		_, err := n.router.Dispatch(context.Background(), c.nodes[0].node, push)
+		require.NoError(t, err)
+	}
+	require.Equal(t, []fleet.Team{"a"}, c.nodes[0].service.Older())
 	for _, n := range c.nodes {
 		spec, _ := n.service.Snapshot().Team("a")
 		assert.Equal(t, 4, spec.Services[0].Models[0].MaxReplicas, n.node.ID)
