--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -69,9 +69,11 @@
 	Slots       []fleet.ReplicaKey `json:"slots"`
 }
 
-// TargetTable lists the targets; nil stands for none.
+// TargetTable lists and drains the targets.
 type TargetTable interface {
 	Targets() []Target
+	// Drain stops new work on a target on all nodes, or takes that back.
+	Drain(target fleet.TargetID, cancelled bool)
 }
 
 // Server answers operators.
@@ -86,7 +88,7 @@
 	engine  *gin.Engine
 }
 
-// New returns a server; targets may be nil.
+// New returns a server.
 func New(opts Options, self fleet.Node, c Catalog, net peer.Network, view func() *peer.View, targets TargetTable, log zerolog.Logger) *Server {
 	gin.SetMode(gin.ReleaseMode)
 	s := &Server{opts: opts, self: self, catalog: c, net: net, view: view, targets: targets, log: log, engine: gin.New()}
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -31,9 +31,20 @@
 func (n *noPeers) Send(_ fleet.NodeID, m wire.Message)    { n.sent = append(n.sent, m) }
 func (n *noPeers) Broadcast(_ fleet.Zone, m wire.Message) { n.sent = append(n.sent, m) }
 
-type fixedTargets []Target
+// fixedTargets are rows that do not change; drains go to the network.
+type fixedTargets struct {
+	rows []Target
+	net  peer.Network
+	self fleet.NodeID
+}
+
+func (f fixedTargets) Targets() []Target { return f.rows }
 
-func (f fixedTargets) Targets() []Target { return f }
+func (f fixedTargets) Drain(id fleet.TargetID, cancelled bool) {
+	m := &wire.Leaving{Target: id, Source: "operator", Cancelled: cancelled}
+	f.net.Send(f.self, m)
+	f.net.Broadcast("", m)
+}
 
 type fixture struct {
 	t      *testing.T
@@ -55,10 +66,10 @@
 	opts := DefaultOptions()
 	opts.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
 	slots := []fleet.ReplicaKey{{Service: "listing", Model: "tea-small", Version: "1"}, {Service: "other", Model: "m"}}
-	targets := fixedTargets{
+	targets := fixedTargets{net: net, self: self.ID, rows: []Target{
 		{Target: fleet.Target{ID: "t1", Zone: "z1"}, Slots: slots},
 		{Target: fleet.Target{ID: "t2", Zone: "z2"}, Slots: slots},
-	}
+	}}
 	return &fixture{t: t, store: store, net: net, server: New(opts, self, service, net, view, targets, zerolog.Nop())}
 }
 
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -11,12 +11,8 @@
 	"almondturn/pkg/catalog"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
-	"almondturn/wire"
 )
 
-// sourceOperator is the source of news of a drain.
-const sourceOperator = "operator"
-
 // StatusAnswer answers GET /admin/v1/status.
 type StatusAnswer struct {
 	// Node is the node that answers; the rest is as it sees it.
@@ -152,10 +148,6 @@
 		return err
 	}
 	answer := TargetsAnswer{Targets: []Target{}}
-	if s.targets == nil {
-		c.JSON(http.StatusOK, answer)
-		return nil
-	}
 	snap := s.catalog.Snapshot()
 	hidden := func(k fleet.ReplicaKey) bool {
 		_, team, _ := snap.Service(k.Service)
@@ -183,12 +175,10 @@
 		return err
 	}
 	id := fleet.TargetID(c.Param("target"))
-	if s.targets != nil && !slices.ContainsFunc(s.targets.Targets(), func(t Target) bool { return t.Target.ID == id }) {
+	if !slices.ContainsFunc(s.targets.Targets(), func(t Target) bool { return t.Target.ID == id }) {
 		return fault.New(fault.UnknownPath, "target %q does not exist", id)
 	}
-	m := &wire.Leaving{Target: id, Source: sourceOperator, Cancelled: !draining}
-	s.net.Send(s.self.ID, m)
-	s.net.Broadcast("", m)
+	s.targets.Drain(id, !draining)
 	event.AdminDrain.Log(&s.log).Str("target", string(id)).Bool("draining", draining).Str("author", author(c, op)).Send()
 	c.JSON(http.StatusOK, DrainAnswer{Target: id, Draining: draining})
 	return nil
--- a/pkg/admin/teams.go
+++ b/pkg/admin/teams.go
@@ -208,14 +208,12 @@
 			answer.Lagging = append(answer.Lagging, nodeStatus(n, operator{root: true}))
 		}
 	}
-	if s.targets != nil {
-		snap := s.catalog.Snapshot()
-		after, _ := snap.Team(team)
-		services := map[fleet.Service]bool{}
-		serviceNames(services, before)
-		serviceNames(services, after)
-		answer.Surplus = surplus(services, snap, s.targets.Targets())
-	}
+	snap := s.catalog.Snapshot()
+	after, _ := snap.Team(team)
+	services := map[fleet.Service]bool{}
+	serviceNames(services, before)
+	serviceNames(services, after)
+	answer.Surplus = surplus(services, snap, s.targets.Targets())
 	c.Header("ETag", strconv.Quote(strconv.FormatUint(answer.Revision, 10)))
 	c.JSON(http.StatusOK, answer)
 	return nil
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -12,6 +12,7 @@
 	"github.com/goccy/go-yaml"
 
 	"almondturn/fleet"
+	"almondturn/pkg/admin"
 	"almondturn/pkg/catalog"
 	"almondturn/pkg/claim"
 	"almondturn/pkg/directory"
@@ -30,7 +31,7 @@
 	TLS        TLS                  `yaml:"tls"`
 	Platform   Platform             `yaml:"platform"`
 	Deployment Deployment           `yaml:"deployment"`
-	Admin      Admin                `yaml:"admin"`
+	Admin      admin.Options        `yaml:"admin"`
 	Shutdown   Shutdown             `yaml:"shutdown"`
 	Log        Log                  `yaml:"log"`
 	Gateway    gateway.Options      `yaml:"gateway"`
@@ -109,12 +110,6 @@
 	Targets []fleet.Target `yaml:"targets" validate:"dive"`
 }
 
-// Admin are the settings of the operators' listener.
-type Admin struct {
-	// RootTokenSHA256 is the digest, in hex, of the token that may create teams.
-	RootTokenSHA256 string `yaml:"root_token_sha256" validate:"omitempty,len=64,hexadecimal"`
-}
-
 // Shutdown are the settings of a graceful shutdown.
 type Shutdown struct {
 	// Notice is how long the node still accepts callers after readiness
@@ -140,6 +135,7 @@
 		Shutdown:   Shutdown{Notice: 5 * time.Second, HandOver: 10 * time.Second},
 		Log:        Log{Level: "info"},
 		Gateway:    gateway.DefaultOptions(),
+		Admin:      admin.DefaultOptions(),
 		Mesh:       mesh.DefaultOptions(),
 		Membership: membership.DefaultOptions(),
 		Directory:  directory.DefaultOptions(),
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -2,49 +2,38 @@
 
 import (
 	"almondturn/fleet"
+	"almondturn/pkg/admin"
 	"almondturn/pkg/directory"
-	"almondturn/pkg/dispatch"
 	"almondturn/pkg/membership"
+	"almondturn/pkg/peer"
 	"almondturn/pkg/placement"
 )
 
-// routes shows the directory to the dispatcher.
-type routes struct{ *directory.Directory }
+// targetStatus shows the directory to operators.
+type targetStatus struct {
+	directory *directory.Directory
+	network   peer.Network
+}
 
-// Loaded implements dispatch.Directory.
-func (r routes) Loaded(k fleet.ReplicaKey) []dispatch.Candidate {
-	found := r.Replicas(k)
-	out := make([]dispatch.Candidate, 0, len(found))
-	for _, c := range found {
-		out = append(out, candidate(c.Target))
-	}
-	return out
+// Drain implements admin.TargetTable.
+func (s targetStatus) Drain(t fleet.TargetID, cancelled bool) {
+	s.directory.Drain(s.network, t, cancelled)
 }
 
-// Plain implements dispatch.Directory.
-func (r routes) Plain(s fleet.Service) []dispatch.Candidate {
-	var out []dispatch.Candidate
-	for _, t := range r.Targets("") {
-		if t.Kind == fleet.TargetPlain && t.Service == s && t.LeavingBy == "" && !t.Unreachable {
-			out = append(out, candidate(t))
+// Targets implements admin.TargetTable.
+func (s targetStatus) Targets() []admin.Target {
+	var out []admin.Target
+	for _, t := range s.directory.Targets("") {
+		row := admin.Target{Target: t.Target, Owner: t.Owner, Unreachable: t.Unreachable, Slots: t.Slots}
+		row.Target.Leaving = t.LeavingBy != ""
+		if t.State != nil {
+			row.State = *t.State
 		}
+		out = append(out, row)
 	}
 	return out
 }
 
-// Target implements dispatch.Directory.
-func (r routes) Target(id fleet.TargetID) (dispatch.Candidate, bool) {
-	t, ok := r.Lookup(id)
-	if !ok {
-		return dispatch.Candidate{}, false
-	}
-	return candidate(t), true
-}
-
-func candidate(t *directory.Target) dispatch.Candidate {
-	return dispatch.Candidate{Target: t.Target, State: t.State, Report: t.Sequence}
-}
-
 // targetReports shows the directory and the VM list to the target owner.
 type targetReports struct {
 	directory *directory.Directory
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"almondturn/fleet"
+	"almondturn/pkg/admin"
 	"almondturn/pkg/catalog"
 	"almondturn/pkg/claim"
 	"almondturn/pkg/config"
@@ -51,6 +52,7 @@
 			newDispatcher,
 			newReadiness,
 			newGateway,
+			newAdmin,
 			newParts,
 		),
 		fx.NopLogger,
@@ -93,7 +95,7 @@
 func newMembership(c *config.Config, self fleet.Node, m *mesh.Mesh, router *peer.Router, kv platform.KV, vms platform.VMLister, clock platform.Clock, log zerolog.Logger) *membership.Service {
 	s := membership.New(c.Membership, self, m, router, kv, vms, c.Deployment.Targets, clock, log)
 	m.SetHeartbeat(s.Heartbeat)
-	m.SetObserver(s.Observe)
+	m.AddObserver(s.Observe)
 	return s
 }
 
@@ -102,8 +104,14 @@
 
 func newView(s *membership.Service) viewFunc { return s.View }
 
-func newDirectory(c *config.Config, router *peer.Router, clock platform.Clock, log zerolog.Logger) *directory.Directory {
-	return directory.New(c.Directory, router, clock, log)
+func newDirectory(c *config.Config, m *mesh.Mesh, router *peer.Router, clock platform.Clock, log zerolog.Logger) *directory.Directory {
+	d := directory.New(c.Directory, router, clock, log)
+	m.AddObserver(func(n fleet.Node, connected bool) {
+		if connected {
+			d.Greet(m, n.ID)
+		}
+	})
+	return d
 }
 
 func newCatalogStore() *catalog.Store { return &catalog.Store{} }
@@ -190,7 +198,7 @@
 	out := dispatch.New(c.Dispatch, dispatch.Deps{
 		Clock:     d.Clock,
 		Logger:    d.Log,
-		Directory: routes{d.Directory},
+		Directory: d.Directory,
 		Loader:    d.Loader,
 		Network:   d.Network,
 		View:      dispatch.ViewFunc(d.View),
@@ -204,3 +212,7 @@
 func newGateway(c *config.Config, store *catalog.Store, d *dispatch.Dispatcher, state *readiness, log zerolog.Logger) *gateway.Gateway {
 	return gateway.New(c.Gateway, store, d, state.check, log)
 }
+
+func newAdmin(c *config.Config, self fleet.Node, cat *catalog.Service, net peer.Network, view viewFunc, dir *directory.Directory, log zerolog.Logger) *admin.Server {
+	return admin.New(c.Admin, self, cat, net, view, targetStatus{directory: dir, network: net}, log)
+}
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"almondturn/pkg/admin"
 	"almondturn/pkg/catalog"
 	"almondturn/pkg/claim"
 	"almondturn/pkg/directory"
@@ -77,7 +78,7 @@
 		dispatcher: in.Dispatcher,
 		readiness:  in.Readiness,
 		gateway:    in.Gateway.Handler(),
-		admin:      http.NotFoundHandler(),
+		admin:      in.Admin.Handler(),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
