--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -38,6 +38,7 @@
 	// Claims is here so that it is built: it registers handlers only.
 	Claims    *claim.Writer
 	Gateway   *gateway.Gateway
+	Admin     *admin.Server
 	Readiness *readiness
 }
 
