--- a/pkg/standin/relay/relay.go
+++ b/pkg/standin/relay/relay.go
@@ -25,6 +25,7 @@
 	client, server net.Conn
 	silent         atomic.Bool
 	resume         chan struct{}
+	closing        sync.Once
 }
 
 // New starts a relay on a loopback port in front of server (host:port).
@@ -150,9 +151,5 @@
 
 func (l *link) close() {
 	l.closeConns()
-	select {
-	case <-l.resume:
-	default:
-		close(l.resume)
-	}
+	l.closing.Do(func() { close(l.resume) })
 }
