--- a/pkg/directory/apply.go
+++ b/pkg/directory/apply.go
@@ -32,7 +32,7 @@
 	next.Unreachable = u.Unreachable
 	next.Slots, next.Draining = u.Slots, u.Draining
 	next.updated = d.clock.Now()
-	next.report++
+	next.Report++
 	delete(d.early, u.Target.ID)
 	d.replaceLocked(e, &next)
 	return true
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -63,7 +63,8 @@
 	// leaving; empty while it takes work.
 	LeavingBy string
 	updated   time.Time
-	report    uint64 // numbers the owners' updates
+	// Report numbers the owners' updates of this target at this node.
+	Report uint64
 }
 
 // The sources of the news that a target is leaving.
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -46,6 +46,7 @@
 			newOwner,
 			newLoader,
 			newStreams,
+			dispatch.NewTargets,
 			newOrders,
 			newClaimWriter,
 			newClaims,
@@ -183,22 +184,22 @@
 type dispatcherDeps struct {
 	fx.In
 
-	Clock     platform.Clock
-	Log       zerolog.Logger
-	Directory *directory.Directory
-	Loader    owner.Loader
-	Network   peer.Network
-	View      viewFunc
-	Streams   *target.Streams
-	Claims    *claim.Client
-	Router    *peer.Router
+	Clock   platform.Clock
+	Log     zerolog.Logger
+	Routes  *dispatch.Targets
+	Loader  owner.Loader
+	Network peer.Network
+	View    viewFunc
+	Streams *target.Streams
+	Claims  *claim.Client
+	Router  *peer.Router
 }
 
 func newDispatcher(c *config.Config, d dispatcherDeps) *dispatch.Dispatcher {
 	out := dispatch.New(c.Dispatch, dispatch.Deps{
 		Clock:     d.Clock,
 		Logger:    d.Log,
-		Directory: d.Directory,
+		Directory: d.Routes,
 		Loader:    d.Loader,
 		Network:   d.Network,
 		View:      dispatch.ViewFunc(d.View),
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -79,7 +79,7 @@
 		dispatcher: in.Dispatcher,
 		readiness:  in.Readiness,
 		gateway:    in.Gateway.Handler(),
-		admin:      in.Admin.Handler(),
+		admin:      in.Admin,
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
