--- /dev/null
+++ b/pkg/keepalive/keepalive_test.go
@@ -0,0 +1,126 @@
+package keepalive
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"almondturn/fleet"
+)
+
+func model(name string) fleet.ReplicaKey {
+	return fleet.ReplicaKey{Service: "listing", Model: name}
+}
+
+func observed(gaps ...time.Duration) *Histogram {
+	var h Histogram
+	for _, g := range gaps {
+		h.Add(g)
+	}
+	return &h
+}
+
+func TestKeepsThroughShortGapsOnly(t *testing.T) {
+	o := DefaultOptions()
+	cost := Cost{IdleWeight: 0.1, Accelerators: 1, LoadTime: 20 * time.Second, Waiting: 3}
+	short := Decide(observed(30*time.Second, 40*time.Second, 25*time.Second, 6*time.Hour), &Histogram{}, cost, o)
+	assert.GreaterOrEqual(t, short.Keep, 40*time.Second)
+	assert.Less(t, short.Keep, 5*time.Minute)
+	long := Decide(observed(6*time.Hour, 7*time.Hour, 9*time.Hour), &Histogram{}, cost, o)
+	assert.Equal(t, o.MinWindow, long.Keep)
+}
+
+func TestLoadsAheadOfPeriodicCalls(t *testing.T) {
+	o := DefaultOptions()
+	o.LoadAhead = true
+	cost := Cost{IdleWeight: 0.01, Accelerators: 1, LoadTime: 60 * time.Second, Waiting: 4}
+	var h Histogram
+	for range 20 {
+		h.Add(time.Hour)
+	}
+	plan := Decide(&h, &Histogram{}, cost, o)
+	require.Positive(t, plan.LoadAt)
+	assert.Less(t, plan.Keep, plan.LoadAt)
+	assert.Less(t, plan.LoadAt+cost.LoadTime, time.Hour)
+	assert.Greater(t, plan.LoadedUntil, time.Hour)
+}
+
+func TestPlanStaysWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := DefaultOptions()
+		o.LoadAhead = rapid.Bool().Draw(t, "ahead")
+		var own, prior Histogram
+		for _, ms := range rapid.SliceOfN(rapid.Int64Range(0, 4*24*3600*1000), 0, 900).Draw(t, "gaps") {
+			own.Add(time.Duration(ms) * time.Millisecond)
+			prior.Add(time.Duration(ms/2) * time.Millisecond)
+		}
+		cost := Cost{
+			IdleWeight:   rapid.Float64Range(1e-4, 10).Draw(t, "weight"),
+			Accelerators: rapid.Float64Range(0.001, 8).Draw(t, "accelerators"),
+			LoadTime:     time.Duration(rapid.Int64Range(1, 300_000).Draw(t, "load")) * time.Millisecond,
+			Waiting:      rapid.Float64Range(0, 100).Draw(t, "waiting"),
+		}
+		plan := Decide(&own, &prior, cost, o)
+		require.GreaterOrEqual(t, plan.Keep, o.MinWindow)
+		require.LessOrEqual(t, plan.Keep, o.MaxWindow)
+		if plan.LoadAt != 0 {
+			require.Greater(t, plan.LoadAt, plan.Keep)
+			require.Greater(t, plan.LoadedUntil, plan.LoadAt)
+		}
+		dearer := cost
+		dearer.IdleWeight *= 4
+		require.LessOrEqual(t, Decide(&own, &prior, dearer, o).Keep, plan.Keep, "dearer idle time never keeps longer")
+	})
+}
+
+func TestHistogramForgetsOldGaps(t *testing.T) {
+	var h Histogram
+	for range decayAt {
+		h.Add(10 * time.Second)
+	}
+	for range decayAt {
+		h.Add(3 * time.Hour)
+	}
+	assert.Less(t, h.Total(), decayAt+1)
+	assert.Greater(t, h.counts[bucketOf(3*time.Hour)], h.counts[bucketOf(10*time.Second)])
+}
+
+func TestPolicyLearnsAndForgets(t *testing.T) {
+	p := NewPolicy(DefaultOptions())
+	busy, rare := model("busy"), model("rare")
+	for range 30 {
+		p.Observe(busy, 20*time.Second)
+		p.Observe(rare, 8*time.Hour)
+	}
+	p.ObserveLoad(busy, 30*time.Second, 5)
+	now := time.Unix(0, 0)
+	assert.Greater(t, p.Window(busy, now), p.Window(rare, now))
+	p.Retain(func(k fleet.ReplicaKey) bool { return k == busy })
+	assert.Len(t, p.records, 1)
+}
+
+// BenchmarkPlan reports the cost of one decision and the fixed memory of a
+// replica's record.
+func BenchmarkPlan(b *testing.B) {
+	for _, replicas := range []int{200, 2000, 20000} {
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+			p := NewPolicy(DefaultOptions())
+			keys := make([]fleet.ReplicaKey, replicas)
+			for i := range keys {
+				keys[i] = model(fmt.Sprint(i))
+				p.Observe(keys[i], time.Duration(i%4000)*time.Second)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				p.Plan(keys[i%replicas])
+				i++
+			}
+			b.ReportMetric(float64(recordBytes), "B/replica")
+		})
+	}
+}
