--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -89,6 +89,8 @@
 	URL string `yaml:"url" validate:"required,http_url"`
 	// Timeout is the time after which a call is given up.
 	Timeout time.Duration `yaml:"timeout" validate:"min=10ms,max=1m"`
+	// Dial opens connections; nil takes net.Dialer.
+	Dial fleet.DialFunc `yaml:"-"`
 }
 
 // Deployment holds what is common to all nodes of a deployment.
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -38,6 +38,7 @@
 	OutcomeUnknown
 	StreamBroken
 	CallerGone
+	NotReady
 	kindEnd
 )
 
@@ -88,6 +89,7 @@
 	OutcomeUnknown:      {Status: http.StatusBadGateway, Code: "outcome_unknown", Run: RunUnknown},
 	StreamBroken:        {Status: http.StatusBadGateway, Code: "stream_broken", Run: RunYes},
 	CallerGone:          {Status: 499, Code: "caller_gone", Run: RunUnknown},
+	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
 
 func init() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -54,12 +54,14 @@
 	catalog    *catalog.Store
 	dispatcher Dispatcher
 	ready      func() error
+	loaded     func() bool
 	log        zerolog.Logger
 }
 
-// New returns a gateway. ready returns nil while the node takes new callers.
-func New(o Options, cat *catalog.Store, d Dispatcher, ready func() error, log zerolog.Logger) *Gateway {
-	return &Gateway{opts: o, catalog: cat, dispatcher: d, ready: ready, log: log}
+// New returns a gateway. ready returns nil while the node takes new callers;
+// loaded tells whether the settings of all teams have been loaded.
+func New(o Options, cat *catalog.Store, d Dispatcher, ready func() error, loaded func() bool, log zerolog.Logger) *Gateway {
+	return &Gateway{opts: o, catalog: cat, dispatcher: d, ready: ready, loaded: loaded, log: log}
 }
 
 // Handler returns the routes for callers.
@@ -121,7 +123,7 @@
 
 func (g *Gateway) read(c *gin.Context, id string, fill func(*dispatch.Request, *catalog.Snapshot) error) (*dispatch.Request, error) {
 	snap := g.catalog.Load()
-	identity, err := identify(c.Request, snap)
+	identity, err := g.identify(c.Request, snap)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +174,7 @@
 // serveModels lists the models that the caller's service may use.
 func (g *Gateway) serveModels(c *gin.Context) {
 	snap := g.catalog.Load()
-	identity, err := identify(c.Request, snap)
+	identity, err := g.identify(c.Request, snap)
 	if err != nil {
 		g.refuse(c, "", err)
 		return
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	parts []string
 	err   error
 	got   *dispatch.Request
+	empty bool // the settings are not loaded
 }
 
 func (f *fakeDispatcher) Do(_ context.Context, r *dispatch.Request, s dispatch.Sink) error {
@@ -62,7 +63,7 @@
 	t.Helper()
 	o := DefaultOptions()
 	o.MaxBodyBytes = 1024
-	g := New(o, testCatalog(), f, func() error { return nil }, zerolog.Nop())
+	g := New(o, testCatalog(), f, func() error { return nil }, func() bool { return !f.empty }, zerolog.Nop())
 	req := httptest.NewRequestWithContext(t.Context(), c.method, c.path, strings.NewReader(c.body))
 	if c.key != "" {
 		req.Header.Set("Authorization", "Bearer "+c.key)
@@ -140,3 +141,10 @@
 	do(t, f, call{"GET", "/services/bookings/seats", "key-2", "", nil})
 	assert.True(t, f.got.Idempotent)
 }
+
+func TestKeyIsNotJudgedBeforeTheSettingsAreLoaded(t *testing.T) {
+	f := &fakeDispatcher{empty: true}
+	w := do(t, f, call{"POST", "/v1/completions", "new-key", `{"model":"m"}`, nil})
+	assert.Equal(t, fault.NotReady.Answer().Status, w.Code)
+	assert.Contains(t, w.Body.String(), "not_ready")
+}
--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -60,12 +60,17 @@
 	return nil
 }
 
-func identify(req *http.Request, snap *catalog.Snapshot) (catalog.Identity, error) {
+// identify tells whom the API key stands for. A key that is not known is
+// refused as such only by a node that has the settings of all teams.
+func (g *Gateway) identify(req *http.Request, snap *catalog.Snapshot) (catalog.Identity, error) {
 	key, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return catalog.Identity{}, fault.New(fault.Unauthenticated, "the header Authorization: Bearer <API key> is missing")
 	}
 	id, ok := snap.Identify(key)
+	if !ok && !g.loaded() {
+		return catalog.Identity{}, fault.New(fault.NotReady, "this node has not loaded the settings of the teams yet")
+	}
 	if !ok {
 		return catalog.Identity{}, fault.New(fault.Unauthenticated, "the API key is not known")
 	}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -61,7 +62,7 @@
 	}
 	m := &Mesh{
 		opts: opts, self: self, router: router, clock: clock, log: log,
-		client:     &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig}},
+		client:     &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig, DialContext: opts.Dial.Or(&net.Dialer{})}},
 		scheme:     "ws",
 		handshakes: make(chan struct{}, maxHandshakes),
 		wanted:     map[fleet.NodeID]bool{},
--- a/pkg/mesh/options.go
+++ b/pkg/mesh/options.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"almondturn/fleet"
 	"almondturn/wire"
 )
 
@@ -36,6 +37,8 @@
 	// no roster names is not dialled any more.
 	ForgetAfter time.Duration `yaml:"forget_after" validate:"gt=0"`
 	TLS         TLSOptions    `yaml:"tls"`
+	// Dial opens connections; nil takes net.Dialer.
+	Dial fleet.DialFunc `yaml:"-"`
 }
 
 // TLSOptions name the files for TLS between nodes; empty means plain TCP.
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -75,7 +75,7 @@
 func newClock() platform.Clock { return platform.SystemClock{} }
 
 func newPlatform(c *config.Config) *platform.Client {
-	return platform.NewClient(c.Platform.URL, c.Platform.Timeout)
+	return platform.NewClient(c.Platform.URL, c.Platform.Timeout, c.Platform.Dial)
 }
 
 func newKV(client *platform.Client) platform.KV { return platform.NewHub(client) }
@@ -211,7 +211,7 @@
 }
 
 func newGateway(c *config.Config, store *catalog.Store, d *dispatch.Dispatcher, state *readiness, log zerolog.Logger) *gateway.Gateway {
-	return gateway.New(c.Gateway, store, d, state.check, log)
+	return gateway.New(c.Gateway, store, d, state.check, state.catalog, log)
 }
 
 func newAdmin(c *config.Config, self fleet.Node, cat *catalog.Service, net peer.Network, view viewFunc, dir *directory.Directory, log zerolog.Logger) *admin.Server {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -13,6 +13,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"almondturn/fleet"
 )
 
 // ChangeReply answers a compare-and-swap.
@@ -49,14 +51,14 @@
 }
 
 // NewClient returns a client of the service at base, such as
-// http://10.0.0.1:2380, whose calls are given up after timeout.
-func NewClient(base string, timeout time.Duration) *Client {
-	dialer := &net.Dialer{Timeout: timeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+// http://10.0.0.1:2380, whose calls are given up after timeout. dial may be nil.
+func NewClient(base string, timeout time.Duration, dial fleet.DialFunc) *Client {
+	dial = dial.Or(&net.Dialer{Timeout: timeout})
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	return &Client{
 		base:  base,
 		http:  &http.Client{Transport: transport, Timeout: timeout},
-		watch: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, ResponseHeaderTimeout: timeout}},
+		watch: &http.Client{Transport: &http.Transport{DialContext: dial, ResponseHeaderTimeout: timeout}},
 	}
 }
 
--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -19,7 +19,7 @@
 	store := kv.New(platform.SystemClock{})
 	srv := httptest.NewServer(kv.Handler(store, vmlist.New(0)))
 	t.Cleanup(srv.Close)
-	return store, platform.NewClient(srv.URL, 5*time.Second)
+	return store, platform.NewClient(srv.URL, 5*time.Second, nil)
 }
 
 // TestClientKeepsTheContract runs the same calls in process and over HTTP.
--- a/pkg/standin/engine/orders.go
+++ b/pkg/standin/engine/orders.go
@@ -155,6 +155,7 @@
 	if err != nil {
 		r.failed = true
 		delete(e.replicas, r.key)
+		e.record(Record{Kind: RecordLoadFailed, Key: r.key})
 		return
 	}
 	r.phase = fleet.ReplicaLoaded
--- a/pkg/standin/engine/record.go
+++ b/pkg/standin/engine/record.go
@@ -11,14 +11,16 @@
 
 // The kinds of record.
 const (
-	RecordLoad    RecordKind = "load"
-	RecordLoaded  RecordKind = "loaded"
-	RecordUnload  RecordKind = "unload"
-	RecordStale   RecordKind = "stale_order"
-	RecordStart   RecordKind = "request_start"
-	RecordEnd     RecordKind = "request_end"
-	RecordRestart RecordKind = "restart"
-	RecordLeaving RecordKind = "leaving"
+	RecordLoad   RecordKind = "load"
+	RecordLoaded RecordKind = "loaded"
+	// RecordLoadFailed: the load ended and took no memory.
+	RecordLoadFailed RecordKind = "load_failed"
+	RecordUnload     RecordKind = "unload"
+	RecordStale      RecordKind = "stale_order"
+	RecordStart      RecordKind = "request_start"
+	RecordEnd        RecordKind = "request_end"
+	RecordRestart    RecordKind = "restart"
+	RecordLeaving    RecordKind = "leaving"
 )
 
 // Record is one thing that a target did.
--- a/pkg/target/orders.go
+++ b/pkg/target/orders.go
@@ -27,6 +27,8 @@
 	StateTimeout time.Duration `yaml:"state_timeout" validate:"gt=0"`
 	// IdleTimeout closes connections that were not used this long.
 	IdleTimeout time.Duration `yaml:"idle_timeout" validate:"gt=0"`
+	// Dial opens connections; nil takes net.Dialer.
+	Dial fleet.DialFunc `yaml:"-"`
 }
 
 // DefaultOrderOptions returns settings for targets a few milliseconds away.
@@ -56,7 +58,7 @@
 func (o OrderOptions) client(once bool) *http.Client {
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:       dialer.DialContext,
+		DialContext:       o.Dial.Or(dialer),
 		DisableKeepAlives: once,
 		IdleConnTimeout:   o.IdleTimeout,
 	}}
--- a/pkg/target/stream.go
+++ b/pkg/target/stream.go
@@ -35,6 +35,8 @@
 	ContinuationDelay time.Duration `yaml:"continuation_delay" validate:"gt=0"`
 	// CancelTimeout bounds the cancellation of an abandoned request.
 	CancelTimeout time.Duration `yaml:"cancel_timeout" validate:"gt=0"`
+	// Dial opens connections; nil takes net.Dialer.
+	Dial fleet.DialFunc `yaml:"-"`
 }
 
 // DefaultStreamOptions returns the settings for a site with millisecond
--- a/pkg/target/stream_pool.go
+++ b/pkg/target/stream_pool.go
@@ -48,9 +48,10 @@
 			Count:    keepAliveCount,
 		},
 	}
+	dial := opts.Dial.Or(dialer)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
+			c, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -17,6 +18,7 @@
 	"almondturn/pkg/catalog"
 	"almondturn/pkg/config"
 	"almondturn/pkg/node"
+	"almondturn/pkg/standin/fabric"
 	"almondturn/pkg/standin/site"
 )
 
@@ -39,7 +41,10 @@
 // Trial is a running deployment.
 type Trial struct {
 	Site *site.Site
-	opts Options
+	// Fabric cuts hosts off from each other. The nodes and targets of a
+	// zone are one host, named like the zone; the platform is "platform".
+	Fabric *fabric.Fabric
+	opts   Options
 
 	mu      sync.Mutex // guards nodes and configs
 	nodes   map[fleet.NodeID]*node.Node
@@ -53,7 +58,8 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Trial{Site: s, opts: o, nodes: map[fleet.NodeID]*node.Node{}, configs: map[fleet.NodeID]*config.Config{}}
+	t := &Trial{Site: s, Fabric: fabric.New(), opts: o, nodes: map[fleet.NodeID]*node.Node{}, configs: map[fleet.NodeID]*config.Config{}}
+	t.nameHosts()
 	index := 0
 	for _, zone := range o.Site.Zones {
 		for i := range o.NodesPerZone {
@@ -120,6 +126,7 @@
 	defer t.mu.Unlock()
 	t.nodes[id] = n
 	t.configs[id].Listen = n.Listen()
+	t.Fabric.Name(n.Listen().Advertise, string(c.Node.Zone))
 	return nil
 }
 
@@ -159,12 +166,35 @@
 	c.Admin.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
 	c.Shutdown.Notice = 0
 	c.Log.Level = "warn"
+	dial := t.Fabric.Dialer(string(zone))
+	c.Platform.Dial, c.Mesh.Dial, c.Orders.Dial, c.Target.Dial = dial, dial, dial, dial
 	if t.opts.Configure != nil {
 		t.opts.Configure(&c)
 	}
 	return &c
 }
 
+// platformHost is the platform's name in the fabric.
+const platformHost = "platform"
+
+// nameHosts tells the fabric which addresses belong together.
+func (t *Trial) nameHosts() {
+	t.Fabric.Name(strings.TrimPrefix(t.Site.PlatformURL, "http://"), platformHost)
+	for _, g := range t.Site.Targets {
+		t.Fabric.Name(g.Addr, string(g.Zone))
+	}
+}
+
+// CutZone cuts a zone off from the other zones and from the platform.
+func (t *Trial) CutZone(zone fleet.Zone) {
+	t.Fabric.Cut(string(zone), platformHost)
+	for _, other := range t.opts.Site.Zones {
+		if other != zone {
+			t.Fabric.Cut(string(zone), string(other))
+		}
+	}
+}
+
 // loopback returns an address at the first port plus index; 0 is any port.
 func loopback(first, index int) string {
 	port := 0
