--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,7 +28,8 @@
 type Node struct {
 	ID   NodeID `cbor:"1,keyasint" json:"id"`
 	Zone Zone   `cbor:"2,keyasint" json:"zone"`
-	// Incarnation is unique per process start.
+	// Incarnation is unique per process start. Those of one node are in the
+	// order of its starts, as UUIDs of version 7 are.
 	Incarnation string `cbor:"3,keyasint" json:"incarnation"`
 	// Addr is the host:port of the inner listener.
 	Addr string `cbor:"4,keyasint" json:"addr"`
--- a/pkg/membership/calls.go
+++ b/pkg/membership/calls.go
@@ -154,9 +154,15 @@
 	}
 }
 
+// ErrNotOlder tells that there is no loss of data to acknowledge.
+var ErrNotOlder = errors.New("the key-value service is not older than known")
+
 // Acknowledge accepts that the key-value service has lost data: its present
 // state is followed again, on all nodes.
 func (s *Service) Acknowledge(ctx context.Context) error {
+	if !s.View().PlatformOlder {
+		return ErrNotOlder
+	}
 	_, revision, err := s.kv.List(ctx, rosterPrefix)
 	if err != nil {
 		return fmt.Errorf("read the service's revision: %w", err)
--- a/pkg/membership/core.go
+++ b/pkg/membership/core.go
@@ -30,7 +30,7 @@
 	service  serviceState
 
 	leaving    bool
-	superseded bool // another process has this node's identifier
+	superseded bool // a later process has this node's identifier
 	wasMember  bool
 	evictions  int       // times that this node was removed while running
 	joinAlone  time.Time // when it may join although it hears too few
@@ -241,7 +241,7 @@
 	switch {
 	case i >= 0 && c.roster.Members[i] == c.self:
 		c.wasMember = true
-	case i >= 0 && c.wasMember:
+	case i >= 0 && c.wasMember && c.roster.Members[i].Incarnation > c.self.Incarnation:
 		c.superseded = true
 	case i < 0 && c.wasMember && !c.leaving:
 		c.evictions++
--- a/pkg/membership/platform.go
+++ b/pkg/membership/platform.go
@@ -65,7 +65,18 @@
 		return nil, false
 	}
 	s.older = true
-	return []Action{ServiceOlder{Known: s.readFloor.revision, Read: revision}}, false
+	return []Action{ServiceOlder{Known: s.readFloor.revision, Read: revision}, SendHeartbeats{}}, false
+}
+
+// FoundOlder raises the alarm for another package, whose call returned a
+// lower revision than was known in that generation when the call began.
+func (c *Core) FoundOlder(now time.Time, generation, known, read uint64) []Action {
+	s := &c.service
+	if s.older || generation != s.generation {
+		return nil
+	}
+	s.older = true
+	return append([]Action{ServiceOlder{Known: known, Read: read}, SendHeartbeats{}}, c.decide(now)...)
 }
 
 // noteBehind prepares the rewrite of a record that, after an
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -221,15 +221,6 @@
 	}
 }
 
-// ReportService tells the outcome of another package's call to the
-// key-value service, with the revision it returned, if any.
-func (s *Service) ReportService(up bool, revision platform.Revision) {
-	s.apply(func(now time.Time) []Action {
-		s.core.ReportService(now, up, revision)
-		return nil
-	})
-}
-
 // Rank returns this node's place among the live nodes of its zone for a
 // duty that only the first few carry out.
 func (s *Service) Rank(duty string) int {
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -73,7 +73,8 @@
 	return m, nil
 }
 
-// SetHeartbeat sets the source of the heartbeats; call it before Start.
+// SetHeartbeat sets the source of the heartbeats; call it before Start. A nil
+// heartbeat is not sent.
 func (m *Mesh) SetHeartbeat(source func() *wire.Heartbeat) {
 	m.heartbeat.Store(&heartbeatSource{next: source, maxAge: m.opts.Connection.HeartbeatInterval / 2, clock: m.clock})
 }
@@ -281,7 +282,11 @@
 	if h.cached != nil && now.Sub(h.encoded) < h.maxAge {
 		return h.cached
 	}
-	frame, err := wire.Encode(wire.KindOneWay, 0, 0, h.next())
+	hb := h.next()
+	if hb == nil {
+		return nil
+	}
+	frame, err := wire.Encode(wire.KindOneWay, 0, 0, hb)
 	if err != nil {
 		return emptyHeartbeat
 	}
