--- a/cmd/almondturnctl/main.go
+++ b/cmd/almondturnctl/main.go
@@ -1,4 +1,18 @@
 // Command almondturnctl is the operators' command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"almondturn/pkg/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args[1:], ctl.Env{Stdout: os.Stdout, Stderr: os.Stderr})
+	stop()
+	os.Exit(code)
+}
