--- a/pkg/admin/teams.go
+++ b/pkg/admin/teams.go
@@ -18,7 +18,11 @@
 	"almondturn/pkg/fault"
 )
 
-const contentTypeYAML = "application/yaml"
+// The content types of a team's settings.
+const (
+	contentTypeYAML = "application/yaml"
+	contentTypeJSON = "application/json"
+)
 
 // TeamList answers GET /admin/v1/teams.
 type TeamList struct {
@@ -124,7 +128,7 @@
 
 func writeTeam(c *gin.Context, spec *catalog.TeamSpec, revision uint64) error {
 	c.Header("ETag", strconv.Quote(strconv.FormatUint(revision, 10)))
-	if strings.Contains(c.GetHeader("Accept"), "application/json") {
+	if strings.Contains(c.GetHeader("Accept"), contentTypeJSON) {
 		c.JSON(http.StatusOK, spec)
 		return nil
 	}
@@ -150,7 +154,7 @@
 	if file == "" {
 		file = string(team) + ".yaml"
 	}
-	spec, err := catalog.ParseTeam(file, body)
+	spec, err := parseTeam(c, file, body)
 	if err != nil {
 		var invalid *catalog.InvalidError
 		if errors.As(err, &invalid) {
@@ -164,6 +168,14 @@
 	return spec, nil
 }
 
+// parseTeam reads JSON when the request says so, else YAML.
+func parseTeam(c *gin.Context, file string, body []byte) (*catalog.TeamSpec, error) {
+	if strings.HasPrefix(c.ContentType(), contentTypeJSON) {
+		return catalog.ParseTeamJSON(body)
+	}
+	return catalog.ParseTeam(file, body)
+}
+
 func (s *Server) putTeam(c *gin.Context) error {
 	op, team, err := s.authorize(c)
 	if err != nil {
--- a/pkg/catalog/parse.go
+++ b/pkg/catalog/parse.go
@@ -66,8 +66,7 @@
 	return fault.New(fault.InvalidCatalog, "%s", e.Error())
 }
 
-// ParseTeam reads one team's subtree from YAML (or JSON, which is a subset)
-// and checks it as a whole. The error is an *InvalidError.
+// ParseTeam reads one team's subtree from YAML and checks it as a whole. The error is an *InvalidError.
 func ParseTeam(file string, data []byte) (*TeamSpec, error) {
 	spec := new(TeamSpec)
 	if err := yaml.UnmarshalWithOptions(data, spec, yaml.Strict()); err != nil {
--- a/pkg/catalog/parse_test.go
+++ b/pkg/catalog/parse_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -79,3 +80,22 @@
 		assert.Contains(t, err.Error(), c.want)
 	}
 }
+
+func TestParseJSON(t *testing.T) {
+	spec, err := ParseTeam("x.yaml", []byte(validYAML))
+	require.NoError(t, err)
+	text, err := json.Marshal(spec)
+	require.NoError(t, err)
+	again, err := ParseTeamJSON(text)
+	require.NoError(t, err)
+	assert.Equal(t, Diff(spec, nil), Diff(again, nil))
+	for planted, want := range map[string]string{
+		strings.Replace(string(text), `"max_replicas":2`, `"max_replica":2`, 1):    `unknown field "max_replica"`,
+		strings.Replace(string(text), `"max_replicas":2`, `"max_replicas":"2"`, 1): "want a value of type integer",
+		strings.Replace(string(text), `"max_replicas":2`, `"max_replicas":-2`, 1):  "services[0].models[0].max_replicas: value -2 is not valid; want at least 0",
+		string(text) + "{}": "goes on after",
+	} {
+		_, err := ParseTeamJSON([]byte(planted))
+		require.ErrorContains(t, err, want)
+	}
+}
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -25,6 +25,8 @@
 	outputJSON = "json"
 )
 
+const contentTypeJSON = "application/json"
+
 const apiRoot = "/admin/v1"
 
 // revisionLatest takes the accepted revision as the base of a change.
@@ -91,7 +93,11 @@
 	if cmd.WriteID == "" {
 		cmd.WriteID = uuid.NewString()
 	}
-	query := url.Values{"file": {cmd.File}}
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return &usageError{err}
+	}
+	query := url.Values{}
 	if cmd.Wait {
 		query.Set("wait", cmd.WaitTime.String())
 		r.client.http.Timeout += cmd.WaitTime
@@ -99,8 +105,8 @@
 	answer, err := r.client.do(ctx, request{
 		method: http.MethodPut,
 		path:   teamPath(string(spec.Team)) + "?" + query.Encode(),
-		body:   text,
-		header: map[string]string{"If-Match": base, admin.HeaderWriteID: cmd.WriteID},
+		body:   body,
+		header: map[string]string{"Content-Type": contentTypeJSON, "If-Match": base, admin.HeaderWriteID: cmd.WriteID},
 	})
 	if err != nil {
 		return unknownOutcome(err, cmd.WriteID)
@@ -175,7 +181,7 @@
 	}
 	req := request{method: http.MethodGet, path: path}
 	if r.args.Output == outputJSON {
-		req.header = map[string]string{"Accept": "application/json"}
+		req.header = map[string]string{"Accept": contentTypeJSON}
 	}
 	answer, err := r.client.do(ctx, req)
 	if err != nil {
@@ -192,13 +198,22 @@
 }
 
 func (r *runner) diff(ctx context.Context, cmd *diffCmd) error {
-	text, spec, err := readFile(cmd.File)
+	_, spec, err := readFile(cmd.File)
 	if err != nil {
 		return err
 	}
-	req := request{method: http.MethodPost, path: teamPath(string(spec.Team)) + "/diff?file=" + url.QueryEscape(cmd.File), body: text}
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return &usageError{err}
+	}
+	req := request{
+		method: http.MethodPost,
+		path:   teamPath(string(spec.Team)) + "/diff",
+		body:   body,
+		header: map[string]string{"Content-Type": contentTypeJSON},
+	}
 	if r.args.Output == outputText {
-		req.header = map[string]string{"Accept": "text/plain"}
+		req.header["Accept"] = "text/plain"
 	}
 	answer, err := r.client.do(ctx, req)
 	if err != nil {
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -35,6 +35,15 @@
 	out, errOut bytes.Buffer
 }
 
+// oneTarget is a table with the target t1.
+type oneTarget struct{}
+
+func (oneTarget) Targets() []admin.Target {
+	return []admin.Target{{Target: fleet.Target{ID: "t1", Zone: "z1", Kind: fleet.TargetEngine}}}
+}
+
+func (oneTarget) Drain(fleet.TargetID, bool) {}
+
 func newFixture(t *testing.T) *fixture {
 	self := fleet.Node{ID: "n1", Zone: "z1"}
 	f := &fixture{t: t, store: kv.New(platform.SystemClock{}), live: []fleet.Node{self}}
@@ -42,7 +51,7 @@
 	service := catalog.New(catalog.DefaultOptions(), self, f.store, peertest.Alone{}, peer.NewRouter(), view, platform.SystemClock{}, zerolog.Nop(), &catalog.Store{})
 	opts := admin.DefaultOptions()
 	opts.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
-	server := admin.New(opts, self, service, peertest.Alone{}, view, nil, zerolog.Nop())
+	server := admin.New(opts, self, service, peertest.Alone{}, view, oneTarget{}, zerolog.Nop())
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if f.loseAnswers > 0 {
 			f.loseAnswers--
