claim: refusals give the key back before they are told; leaving holders are not dead

Cause: a rolling restart under load told callers outcome_unknown and key_in_progress for requests that had been refused as not run: the claim was given back after the answer, a node out of sight counted as dead at once, and writers answered from tables that others had changed.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -36,6 +36,9 @@
 	AskTimeout time.Duration `yaml:"ask_timeout" validate:"gt=0"`
 	// AskAttempts bounds the writers asked for one claim.
 	AskAttempts int `yaml:"ask_attempts" validate:"gt=0"`
+	// DeadAfter is how long a holder's node is out of sight before its
+	// claims count as a dead holder's; a node that has restarted is dead at once.
+	DeadAfter time.Duration `yaml:"dead_after" validate:"gt=0"`
 	// OutcomeTimeout is how long the recording of an outcome is tried.
 	OutcomeTimeout time.Duration `yaml:"outcome_timeout" validate:"gt=0"`
 }
@@ -50,6 +53,7 @@
 		OutcomeDelay:   20 * time.Millisecond,
 		AskTimeout:     2 * time.Second,
 		AskAttempts:    3,
+		DeadAfter:      10 * time.Second,
 		OutcomeTimeout: time.Minute,
 	}
 }
--- a/pkg/claim/client.go
+++ b/pkg/claim/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rs/zerolog"
@@ -77,7 +78,9 @@
 	}
 	// The claim may have been written all the same: give it back, since
 	// the request is not sent.
-	c.Finish(r, wire.Outcome{Run: string(fault.RunNo)})
+	c.background.Go(func() {
+		c.finish(&wire.ClaimOutcome{Key: key, RequestID: r.RequestID, Outcome: wire.Outcome{Run: string(fault.RunNo)}})
+	})
 	if cause != nil {
 		return nil, fault.New(fault.ClaimUnsettled, "the idempotency key could not be settled: %w", cause)
 	}
@@ -113,24 +116,41 @@
 	}
 }
 
-// Finish records what became of a request that Begin let pass, in the
-// background. An outcome that was not run gives the claim back.
+// Finish records what became of a request that Begin let pass. The claim of
+// a request that was not run is given back before Finish returns, so that
+// the caller may repeat the request at once, unless this takes longer than
+// AskTimeout; anything else is recorded in the background.
 func (c *Client) Finish(r Request, o wire.Outcome) {
-	m := &wire.ClaimOutcome{Key: r.KeyDigest(), RequestID: r.RequestID, Outcome: o}
+	done := make(chan struct{})
 	c.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), c.opts.OutcomeTimeout)
-		defer cancel()
-		attempt := 0
-		_, err := backoff.Retry(ctx, func() (struct{}, error) {
-			writers := c.writers(m.Key)
-			writer := writers[attempt%len(writers)]
-			attempt++
-			return struct{}{}, c.record(ctx, writer, m)
-		}, backoff.WithMaxElapsedTime(c.opts.OutcomeTimeout))
-		if err != nil {
-			event.ClaimOutcomeLost.Log(&c.logger).Err(err).Str("request", r.RequestID).Send()
-		}
+		defer close(done)
+		c.finish(&wire.ClaimOutcome{Key: r.KeyDigest(), RequestID: r.RequestID, Outcome: o})
 	})
+	if o.Run != string(fault.RunNo) {
+		return
+	}
+	wait := time.NewTimer(c.opts.AskTimeout)
+	defer wait.Stop()
+	select {
+	case <-done:
+	case <-wait.C:
+	}
+}
+
+// finish records the outcome with the writers in turn.
+func (c *Client) finish(m *wire.ClaimOutcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.opts.OutcomeTimeout)
+	defer cancel()
+	attempt := 0
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		writers := c.writers(m.Key)
+		writer := writers[attempt%len(writers)]
+		attempt++
+		return struct{}{}, c.record(ctx, writer, m)
+	}, backoff.WithMaxElapsedTime(c.opts.OutcomeTimeout))
+	if err != nil {
+		event.ClaimOutcomeLost.Log(&c.logger).Err(err).Str("request", m.RequestID).Send()
+	}
 }
 
 func (c *Client) record(ctx context.Context, writer fleet.NodeID, m *wire.ClaimOutcome) error {
--- a/pkg/claim/writer.go
+++ b/pkg/claim/writer.go
@@ -38,13 +38,23 @@
 	kv     platform.KV
 	view   ViewFunc
 
-	mu     sync.Mutex // guards ranges
+	mu     sync.Mutex // guards all below
 	ranges map[string]*rangeWriter
+	// missing is since when holders of claims have been out of sight.
+	missing map[process]time.Time
 }
 
 // NewWriter returns a writer that has read nothing yet.
 func NewWriter(opts Options, clock platform.Clock, logger zerolog.Logger, kv platform.KV, view ViewFunc) *Writer {
-	return &Writer{opts: opts, clock: clock, logger: logger, kv: kv, view: view, ranges: map[string]*rangeWriter{}}
+	return &Writer{
+		opts:    opts,
+		clock:   clock,
+		logger:  logger,
+		kv:      kv,
+		view:    view,
+		ranges:  map[string]*rangeWriter{},
+		missing: map[process]time.Time{},
+	}
 }
 
 // Register sets the handlers of the claims' messages.
@@ -104,18 +114,42 @@
 	return r
 }
 
-// alive tells whether the process runs still, as far as this node knows.
+// process is one start of a node.
+type process struct {
+	node        fleet.NodeID
+	incarnation string
+}
+
+// alive tells whether the process may run still. A node that is leaving or
+// has just been connected is out of sight for a while.
 func (w *Writer) alive(node fleet.NodeID, incarnation string) bool {
 	view := w.view()
-	if view.Self.ID == node {
-		return view.Self.Incarnation == incarnation
-	}
-	for i := range view.Live {
-		if view.Live[i].ID == node {
-			return view.Live[i].Incarnation == incarnation
+	p := process{node: node, incarnation: incarnation}
+	for _, n := range append([]fleet.Node{view.Self}, view.Live...) {
+		if n.ID == node {
+			w.sighted(p)
+			return n.Incarnation == incarnation
 		}
 	}
-	return false
+	return w.missingFor(p) <= w.opts.DeadAfter
+}
+
+// missingFor returns how long the process has been out of sight.
+func (w *Writer) missingFor(p process) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	if since, ok := w.missing[p]; ok {
+		return now.Sub(since)
+	}
+	w.missing[p] = now
+	return 0
+}
+
+func (w *Writer) sighted(p process) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.missing, p)
 }
 
 // operation is one change or question that waits for its group commit.
@@ -228,10 +262,18 @@
 		if r.writer.view().PlatformOlder {
 			return errors.New("the key-value service is older than before")
 		}
+		cached := r.table != nil
 		if last = r.read(); last != nil {
 			continue
 		}
 		next, changed := r.apply(group)
+		if cached && needsFreshTable(group) {
+			r.table = nil
+			if last = r.read(); last != nil {
+				continue
+			}
+			next, changed = r.apply(group)
+		}
 		if !changed && !r.unsure {
 			return nil
 		}
@@ -242,6 +284,27 @@
 	return last
 }
 
+// needsFreshTable tells whether a result may be wrong because another node
+// has changed the range since it was read. A grant is checked by its write,
+// and a recorded outcome does not change.
+func needsFreshTable(group []*operation) bool {
+	for _, op := range group {
+		if op.claim == nil {
+			continue
+		}
+		switch op.result.State {
+		case wire.ClaimInProgress, wire.ClaimMismatch, wire.ClaimUnsettled:
+			return true
+		case wire.ClaimFinished:
+			if op.result.Outcome.Run != string(fault.RunYes) {
+				return true
+			}
+		case wire.ClaimGranted:
+		}
+	}
+	return false
+}
+
 // maxTableAge is how long a table is used without reading it again: other
 // nodes may write the range as well.
 const maxTableAge = time.Second
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -123,7 +123,7 @@
 	snap := g.catalog.Load()
 	identity, err := identify(c.Request, snap)
 	if err != nil {
-		return nil, err
+		return nil, g.whileStarting(err)
 	}
 	r := &dispatch.Request{
 		ID:             id,
@@ -145,6 +145,15 @@
 	return r, classify(r, snap, c.Request)
 }
 
+// whileStarting replaces a refusal by a node that does not know the settings
+// yet: the caller may try another node.
+func (g *Gateway) whileStarting(err error) error {
+	if cause := g.ready(); cause != nil {
+		return fault.New(fault.PlatformUnavailable, "this node is not ready: %w", cause)
+	}
+	return err
+}
+
 func (g *Gateway) refuse(c *gin.Context, id string, err error) {
 	countAnswer(fault.KindOf(err).String())
 	fault.WriteHTTP(c.Writer, id, err)
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -35,6 +35,7 @@
 	Orders     *target.Orders
 	Streams    *target.Streams
 	Dispatcher *dispatch.Dispatcher
+	Outcomes   *claim.Client
 	// Claims is here so that it is built: it registers handlers only.
 	Claims    *claim.Writer
 	Gateway   *gateway.Gateway
@@ -53,6 +54,7 @@
 	orders     *target.Orders
 	streams    *target.Streams
 	dispatcher *dispatch.Dispatcher
+	outcomes   *claim.Client
 	readiness  *readiness
 
 	gateway http.Handler
@@ -77,6 +79,7 @@
 		orders:     in.Orders,
 		streams:    in.Streams,
 		dispatcher: in.Dispatcher,
+		outcomes:   in.Outcomes,
 		readiness:  in.Readiness,
 		gateway:    in.Gateway.Handler(),
 		admin:      in.Admin,
@@ -125,9 +128,10 @@
 
 // stop ends the parts after the last request.
 func (p *parts) stop(ctx context.Context) error {
+	errs := []error{p.outcomes.Close(ctx)}
 	p.cancel()
 	p.loops.Wait()
-	errs := []error{p.members.Stop(ctx), p.mesh.Stop(ctx)}
+	errs = append(errs, p.members.Stop(ctx), p.mesh.Stop(ctx))
 	p.streams.Close()
 	p.orders.Close()
 	p.inner.abort()
