--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -160,7 +160,15 @@
 	}
 }
 
-func newOwner(c *config.Config, d ownerDeps) *owner.Service { return owner.New(c.Owner, d.deps()) }
+func newOwner(c *config.Config, m *mesh.Mesh, d ownerDeps) *owner.Service {
+	s := owner.New(c.Owner, d.deps())
+	m.AddObserver(func(n fleet.Node, connected bool) {
+		if connected {
+			s.Greet(n.ID)
+		}
+	})
+	return s
+}
 
 func newLoader(c *config.Config, d ownerDeps) owner.Loader {
 	return owner.NewRequester(c.Owner, d.deps())
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -18,14 +18,22 @@
 	return err
 }
 
-// Serving returns nil when the node is ready, has this many teams in force,
-// knows this many targets, and an owner's report of this many engines.
-func (n *Node) Serving(teams, targets, engines int) error {
+// Expected is what a node of a whole deployment should know.
+type Expected struct {
+	Nodes, Teams, Targets, Engines int
+}
+
+// Serving returns nil when the node is ready, hears all nodes, has all teams
+// in force, knows all targets, and has an owner's report of all engines.
+func (n *Node) Serving(e Expected) error {
 	if err := n.Ready(); err != nil {
 		return err
 	}
-	if have := n.parts.catalog.Snapshot().Teams(); have != teams {
-		return fmt.Errorf("%d of %d teams are in force", have, teams)
+	if live := len(n.parts.members.View().Live); live != e.Nodes {
+		return fmt.Errorf("%d of %d nodes are live", live, e.Nodes)
+	}
+	if have := n.parts.catalog.Snapshot().Teams(); have != e.Teams {
+		return fmt.Errorf("%d of %d teams are in force", have, e.Teams)
 	}
 	known, reported := 0, 0
 	for _, t := range n.parts.directory.Targets("") {
@@ -34,8 +42,8 @@
 			reported++
 		}
 	}
-	if known < targets || reported < engines {
-		return fmt.Errorf("%d of %d targets known, %d of %d engines reported", known, targets, reported, engines)
+	if known < e.Targets || reported < e.Engines {
+		return fmt.Errorf("%d of %d targets known, %d of %d engines reported", known, e.Targets, reported, e.Engines)
 	}
 	return nil
 }
--- a/pkg/owner/publish.go
+++ b/pkg/owner/publish.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"time"
 
+	"almondturn/fleet"
 	"almondturn/wire"
 )
 
@@ -11,6 +12,7 @@
 // per update interval.
 func (r *runner) publish(now time.Time) {
 	if !r.machine.Owner() || !r.machine.engine.known && !r.machine.env.Gone {
+		r.published.Store(nil)
 		return
 	}
 	u := r.machine.Update(now)
@@ -21,6 +23,17 @@
 	r.lastUpdate, r.publishedAt = u, now
 	r.s.deps.Network.Send(r.s.deps.Self.ID, &u)
 	r.s.deps.Network.Broadcast("", &u)
+	r.published.Store(&u)
+}
+
+// Greet tells a node that has just connected of the targets owned here, so
+// that it need not wait for the next broadcast.
+func (s *Service) Greet(to fleet.NodeID) {
+	for _, r := range s.all() {
+		if u := r.published.Load(); u != nil {
+			s.deps.Network.Send(to, u)
+		}
+	}
 }
 
 func sameUpdate(a, b wire.TargetUpdate) bool {
--- a/pkg/owner/runner.go
+++ b/pkg/owner/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondturn/fleet"
@@ -32,6 +33,8 @@
 
 	lastUpdate  wire.TargetUpdate
 	publishedAt time.Time
+	// published is the last broadcast, for nodes that connect later.
+	published atomic.Pointer[wire.TargetUpdate]
 }
 
 // runnerStatus is what others may know of the machine.
--- a/pkg/trial/wait.go
+++ b/pkg/trial/wait.go
@@ -7,6 +7,7 @@
 
 	"almondturn/examples"
 	"almondturn/pkg/catalog"
+	"almondturn/pkg/node"
 )
 
 // waitStep is the time between two looks at a condition.
@@ -45,12 +46,14 @@
 	return nil
 }
 
-// AwaitServing returns when every running node is ready, has all teams in
-// force, and knows an owner for every engine.
+// AwaitServing returns when every running node is ready, hears all others, has
+// all teams in force, and has an owner's report of every engine.
 func (t *Trial) AwaitServing(ctx context.Context, teams int) error {
 	return Wait(ctx, func() error {
-		for _, n := range t.Nodes() {
-			if err := n.Serving(teams, len(t.Site.Targets), len(t.Site.Engines)); err != nil {
+		nodes := t.Nodes()
+		want := node.Expected{Nodes: len(nodes), Teams: teams, Targets: len(t.Site.Targets), Engines: len(t.Site.Engines)}
+		for _, n := range nodes {
+			if err := n.Serving(want); err != nil {
 				return fmt.Errorf("node %s: %w", n.ID(), err)
 			}
 		}
--- a/scenarios/deployment_test.go
+++ b/scenarios/deployment_test.go
@@ -1,8 +1,10 @@
 package scenarios
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -102,7 +104,7 @@
 }
 
 func configure(c *config.Config, s shape) {
-	c.Log.Level = "error"
+	c.Log.Level = cmp.Or(os.Getenv("SCENARIO_LOG"), "error")
 	if s.keepAlive > 0 {
 		c.Owner.KeepAlive = s.keepAlive
 	}
