mesh: the accepting end retires its silent connections too

Cause: one run of the mesh tests took 62 s: when the peer noticed a silence first and dialled, this end kept its old connection, and the call on it, until the silence timeout. Change: a fresh connection from either end retires all silent ones; a later silent one beside a fresh one is retired at the next look.

--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -188,3 +188,29 @@
 	_, err = a.Call(t.Context(), "b", &wire.Acquire{})
 	assert.Equal(t, fault.OutcomeUnknown, fault.KindOf(err))
 }
+
+// TestAcceptorRetiresItsSilentConnection: only the other end notices the
+// silence and dials. The call on the old connection must not wait for the
+// silence timeout, a minute here.
+func TestAcceptorRetiresItsSilentConnection(t *testing.T) {
+	b := startNode(t, "b", "z1", func(o *Options) { o.ProbeAfter = 200 * time.Millisecond })
+	started := make(chan struct{}, 1)
+	b.router.Handle(wire.TypeAcquire, func(ctx context.Context, _ fleet.Node, _ wire.Message) (wire.Message, error) {
+		started <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	r, err := relay.New(b.self.Addr)
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	a := startNode(t, "a", "z1", func(o *Options) {
+		o.ProbeAfter = 200 * time.Millisecond
+		o.Connection.HeartbeatInterval = time.Hour // sends none, and does not look at its neighbours
+		o.Connection.SilenceTimeout = 2 * time.Hour
+	})
+	a.SetPeers([]fleet.Node{{ID: "b", Zone: "z1", Addr: r.Addr()}})
+	a.waitConnected(t, 1)
+	go func() { <-started; r.Silence() }()
+	_, err = a.Call(t.Context(), "b", &wire.Acquire{})
+	assert.Equal(t, fault.OutcomeUnknown, fault.KindOf(err))
+}
--- a/pkg/mesh/neighbour.go
+++ b/pkg/mesh/neighbour.go
@@ -137,8 +137,8 @@
 }
 
 // add registers the connection and starts to serve it. Connections to an
-// earlier incarnation are closed, and silent ones when this end dialled the
-// fresh one.
+// earlier incarnation are closed, and silent ones: the fresh one shows that
+// the node can be reached.
 func (m *Mesh) add(n *neighbour, c *wire.Conn) (first, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -154,9 +154,8 @@
 		case old.Peer().Incarnation != c.Peer().Incarnation:
 			old.Close(errRestarted)
 			first = true
-		case c.Dialed() && old.SilentFor() > m.opts.ProbeAfter:
-			event.MeshReplaced.Log(&m.log).Str("node", string(n.id)).Send()
-			old.Close(errReplaced)
+		case m.silent(old.Conn):
+			m.replace(n, old.Conn)
 		}
 	}
 	n.conns = append(n.conns, &held{Conn: c, since: m.clock.Now()})
@@ -246,19 +245,28 @@
 	}
 }
 
-// retireDuplicates ends the connections that this end dialled besides a
-// canonical one, once no call uses them.
+func (m *Mesh) replace(n *neighbour, c *wire.Conn) {
+	event.MeshReplaced.Log(&m.log).Str("node", string(n.id)).Send()
+	c.Close(errReplaced)
+}
+
+// retireDuplicates ends silent connections besides one that is not, and
+// those that this end dialled besides a canonical one, once no call uses them.
 func (m *Mesh) retireDuplicates(ctx context.Context, n *neighbour) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m.choose(n)
 	best := n.best.Load()
-	if best == nil || !m.canonical(best) || m.silent(best) {
+	if best == nil || m.silent(best) {
 		return
 	}
 	for _, c := range n.conns {
+		if c.Conn != best && m.silent(c.Conn) {
+			m.replace(n, c.Conn)
+			continue
+		}
 		old := m.clock.Now().Sub(c.since) > 2*m.opts.Connection.HeartbeatInterval
-		if c.Conn != best && c.Dialed() && old && c.Idle() {
+		if c.Conn != best && m.canonical(best) && c.Dialed() && old && c.Idle() {
 			m.wg.Go(func() { c.Shutdown(ctx) })
 		}
 	}
