node, admin, ctl: guarded key-value service and its acknowledgement

Cause: the guard was not in the daemon, and operators had no way to accept that the service lost data.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -86,6 +86,8 @@
 	targets TargetTable
 	log     zerolog.Logger
 	engine  *gin.Engine
+
+	acknowledger Acknowledger
 }
 
 // New returns a server.
@@ -107,6 +109,7 @@
 	v1.GET("/targets", s.handle(s.listTargets))
 	v1.POST("/targets/:target/drain", s.handle(s.drain))
 	v1.POST("/targets/:target/undrain", s.handle(s.undrain))
+	v1.POST("/platform/acknowledge", s.handle(s.acknowledge))
 	return s
 }
 
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -62,6 +62,8 @@
 		return r.setDrain(ctx, a.Drain.Target, "drain")
 	case a.Undrain != nil:
 		return r.setDrain(ctx, a.Undrain.Target, "undrain")
+	case a.Acknowledge != nil:
+		return r.acknowledge(ctx)
 	}
 	return &usageError{errors.New("this program was built without the subcommand bench")}
 }
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -126,6 +126,7 @@
 	assert.Contains(t, f.out.String(), "listings=4")
 	require.Equal(t, ExitOK, f.run("targets"))
 	require.Equal(t, ExitOK, f.run("drain", "t1"))
+	require.Equal(t, ExitRefused, f.run("acknowledge"), "there is nothing to acknowledge here")
 }
 
 func TestExitCodes(t *testing.T) {
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -54,7 +54,7 @@
 		RetryInterval:    time.Second,
 		CallTimeout:      2 * time.Second,
 		PollInterval:     10 * time.Second,
-		Watchers:         1,
+		Watchers:         2,
 		ForgetAfter:      10 * time.Minute,
 		VMPollers:        2,
 		VMPollInterval:   5 * time.Second,
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -33,6 +33,7 @@
 			newLogger,
 			newClock,
 			newPlatform,
+			newRawKV,
 			newKV,
 			newVMLister,
 			peer.NewRouter,
@@ -78,13 +79,19 @@
 	return platform.NewClient(c.Platform.URL, c.Platform.Timeout, c.Platform.Dial)
 }
 
-func newKV(client *platform.Client) platform.KV { return platform.NewHub(client) }
+// rawKV is the key-value service without the check for lost data.
+type rawKV struct{ platform.KV }
+
+func newRawKV(client *platform.Client) rawKV { return rawKV{platform.NewHub(client)} }
+
+// newKV returns the key-value service as all parts but membership use it.
+func newKV(raw rawKV, members *membership.Service) platform.KV { return members.Guard(raw.KV) }
 
 func newVMLister(client *platform.Client) platform.VMLister { return client }
 
 // newSelf describes this process; advertise is its inner host:port.
 func newSelf(c *config.Config, advertise string) fleet.Node {
-	return fleet.Node{ID: c.Node.ID, Zone: c.Node.Zone, Incarnation: uuid.NewString(), Addr: advertise}
+	return fleet.Node{ID: c.Node.ID, Zone: c.Node.Zone, Incarnation: uuid.Must(uuid.NewV7()).String(), Addr: advertise}
 }
 
 func newMesh(c *config.Config, self fleet.Node, router *peer.Router, clock platform.Clock, log zerolog.Logger) (*mesh.Mesh, error) {
@@ -93,8 +100,8 @@
 
 func newNetwork(m *mesh.Mesh) peer.Network { return m }
 
-func newMembership(c *config.Config, self fleet.Node, m *mesh.Mesh, router *peer.Router, kv platform.KV, vms platform.VMLister, clock platform.Clock, log zerolog.Logger) *membership.Service {
-	s := membership.New(c.Membership, self, m, router, kv, vms, c.Deployment.Targets, clock, log)
+func newMembership(c *config.Config, self fleet.Node, m *mesh.Mesh, router *peer.Router, kv rawKV, vms platform.VMLister, clock platform.Clock, log zerolog.Logger) *membership.Service {
+	s := membership.New(c.Membership, self, m, router, kv.KV, vms, c.Deployment.Targets, clock, log)
 	m.SetHeartbeat(s.Heartbeat)
 	m.AddObserver(s.Observe)
 	return s
@@ -214,6 +221,8 @@
 	return gateway.New(c.Gateway, store, d, state.check, state.catalog, log)
 }
 
-func newAdmin(c *config.Config, self fleet.Node, cat *catalog.Service, net peer.Network, view viewFunc, dir *directory.Directory, log zerolog.Logger) *admin.Server {
-	return admin.New(c.Admin, self, cat, net, view, targetStatus{directory: dir, network: net}, log)
+func newAdmin(c *config.Config, self fleet.Node, cat *catalog.Service, net peer.Network, view viewFunc, members *membership.Service, dir *directory.Directory, log zerolog.Logger) *admin.Server {
+	a := admin.New(c.Admin, self, cat, net, view, targetStatus{directory: dir, network: net}, log)
+	a.SetAcknowledger(members)
+	return a
 }
