admin, ctl: nodes of cut-off zones are named; acknowledge

Cause: a wait looked at live nodes only, so a change made while a zone was cut off was told as in force everywhere; and nobody could acknowledge a key-value service that came back older. The root token may POST /admin/v1/platform/acknowledge (almondturnctl acknowledge). Applying a new team that exists already says so and shows the difference only.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -76,6 +76,14 @@
 	Drain(target fleet.TargetID, cancelled bool)
 }
 
+// Members tells of the nodes of the deployment.
+type Members interface {
+	// Members are the nodes of all rosters, reachable or not.
+	Members() []fleet.Node
+	// Acknowledge accepts that the key-value service came back older.
+	Acknowledge(ctx context.Context) error
+}
+
 // Server answers operators.
 type Server struct {
 	opts    Options
@@ -84,14 +92,15 @@
 	net     peer.Network
 	view    func() *peer.View
 	targets TargetTable
+	members Members
 	log     zerolog.Logger
 	engine  *gin.Engine
 }
 
 // New returns a server.
-func New(opts Options, self fleet.Node, c Catalog, net peer.Network, view func() *peer.View, targets TargetTable, log zerolog.Logger) *Server {
+func New(opts Options, self fleet.Node, c Catalog, net peer.Network, view func() *peer.View, targets TargetTable, members Members, log zerolog.Logger) *Server {
 	gin.SetMode(gin.ReleaseMode)
-	s := &Server{opts: opts, self: self, catalog: c, net: net, view: view, targets: targets, log: log, engine: gin.New()}
+	s := &Server{opts: opts, self: self, catalog: c, net: net, view: view, targets: targets, members: members, log: log, engine: gin.New()}
 	s.engine.HandleMethodNotAllowed = true
 	s.engine.Use(s.identify, gin.CustomRecoveryWithWriter(nil, s.recovered))
 	s.engine.NoRoute(s.handle(noRoute))
@@ -104,6 +113,7 @@
 	v1.POST("/teams/:team/diff", s.handle(s.diff))
 	v1.POST("/teams/:team/restore", s.handle(s.restore))
 	v1.GET("/status", s.handle(s.status))
+	v1.POST("/platform/acknowledge", s.handle(s.acknowledge))
 	v1.GET("/targets", s.handle(s.listTargets))
 	v1.POST("/targets/:target/drain", s.handle(s.drain))
 	v1.POST("/targets/:target/undrain", s.handle(s.undrain))
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -47,10 +47,23 @@
 }
 
 type fixture struct {
-	t      *testing.T
-	store  *kv.Store
-	net    *noPeers
-	server *Server
+	t       *testing.T
+	store   *kv.Store
+	net     *noPeers
+	members *rosters
+	server  *Server
+}
+
+// rosters are the members of three nodes, one of which is not live.
+type rosters struct{ acknowledged int }
+
+func (*rosters) Members() []fleet.Node {
+	return []fleet.Node{{ID: "n1", Zone: "z1"}, {ID: "n2", Zone: "z2"}, {ID: "n3", Zone: "z3"}}
+}
+
+func (r *rosters) Acknowledge(context.Context) error {
+	r.acknowledged++
+	return nil
 }
 
 // newFixture has one node and a second that is live but does not answer.
@@ -70,7 +83,9 @@
 		{Target: fleet.Target{ID: "t1", Zone: "z1"}, Slots: slots},
 		{Target: fleet.Target{ID: "t2", Zone: "z2"}, Slots: slots},
 	}}
-	return &fixture{t: t, store: store, net: net, server: New(opts, self, service, net, view, targets, zerolog.Nop())}
+	f := &fixture{t: t, store: store, net: net, members: &rosters{}}
+	f.server = New(opts, self, service, net, view, targets, f.members, zerolog.Nop())
+	return f
 }
 
 type answer struct {
@@ -159,6 +174,7 @@
 	assert.False(t, put.InForce)
 	require.Len(t, put.Lagging, 1)
 	assert.Equal(t, fleet.NodeID("n2"), put.Lagging[0].Node)
+	assert.Equal(t, []NodeStatus{{Node: "n3", Zone: "z3"}}, put.Unreachable, "a zone that is cut off is named")
 	assert.Equal(t, []Surplus{
 		{Replica: "listing/tea-small@1", Zone: "z1", Held: 1, Total: 2, Limit: 1},
 		{Replica: "listing/tea-small@1", Zone: "z2", Held: 1, Total: 2, Limit: 1},
@@ -215,9 +231,12 @@
 	f.create()
 	var status StatusAnswer
 	require.NoError(t, json.Unmarshal(f.do("GET", "/admin/v1/status", examples.DevRootToken, "").Body.Bytes(), &status))
-	assert.Equal(t, []ZoneStatus{{Zone: "z1", Nodes: 1, Reached: 1}, {Zone: "z2", Nodes: 1}}, status.Zones)
+	assert.Equal(t, []ZoneStatus{{Zone: "z1", Nodes: 1, Reached: 1}, {Zone: "z2", Nodes: 1}, {Zone: "z3", Nodes: 1}}, status.Zones)
 	assert.True(t, status.PlatformUp)
 	assert.EqualValues(t, 1, status.Nodes[0].Revisions["listings"])
+	assert.Equal(t, "not_allowed", f.do("POST", "/admin/v1/platform/acknowledge", examples.DevListingsToken, "").code())
+	require.Equal(t, http.StatusOK, f.do("POST", "/admin/v1/platform/acknowledge", examples.DevRootToken, "").Code)
+	assert.Equal(t, 1, f.members.acknowledged)
 	f.net.sent = nil
 	require.Equal(t, http.StatusOK, f.do("POST", "/admin/v1/targets/t1/drain", examples.DevRootToken, "").Code)
 	require.Equal(t, http.StatusOK, f.do("POST", "/admin/v1/targets/t1/undrain", examples.DevRootToken, "").Code)
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -61,6 +62,11 @@
 	Draining bool `json:"draining"`
 }
 
+// AcknowledgeAnswer answers an acknowledgement.
+type AcknowledgeAnswer struct {
+	Acknowledged bool `json:"acknowledged"`
+}
+
 // nodeStatus shows only the revisions that the operator may see.
 func nodeStatus(n catalog.NodeRevisions, op operator) NodeStatus {
 	out := NodeStatus{Node: n.Node.ID, Zone: n.Node.Zone, Reached: n.Reached, Ready: n.Ready, Revisions: map[fleet.Team]uint64{}}
@@ -94,11 +100,47 @@
 	for _, n := range nodes {
 		answer.Nodes = append(answer.Nodes, nodeStatus(n, op))
 	}
+	answer.Nodes = append(answer.Nodes, s.unreachable()...)
+	slices.SortStableFunc(answer.Nodes, func(a, b NodeStatus) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Node, b.Node))
+	})
 	answer.Zones = zoneStatuses(answer.Nodes)
 	c.JSON(http.StatusOK, answer)
 	return nil
 }
 
+// unreachable lists the members of all zones that are not live.
+func (s *Server) unreachable() []NodeStatus {
+	live := map[fleet.NodeID]bool{s.self.ID: true}
+	for _, n := range s.view().Live {
+		live[n.ID] = true
+	}
+	var out []NodeStatus
+	for _, n := range s.members.Members() {
+		if !live[n.ID] {
+			out = append(out, NodeStatus{Node: n.ID, Zone: n.Zone})
+		}
+	}
+	return out
+}
+
+// acknowledge accepts a key-value service that came back older, for rosters
+// and replica slots; the settings of teams have restore.
+func (s *Server) acknowledge(c *gin.Context) error {
+	op, err := s.authorizeRoot(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), s.opts.ApplyTimeout)
+	defer cancel()
+	if err := s.members.Acknowledge(ctx); err != nil {
+		return fault.New(fault.PlatformUnavailable, "the key-value service does not answer: %w", err)
+	}
+	event.AdminAcknowledged.Log(&s.log).Str("author", author(c, op)).Send()
+	c.JSON(http.StatusOK, AcknowledgeAnswer{Acknowledged: true})
+	return nil
+}
+
 // agree tells whether all reached nodes have the same revisions in force.
 func agree(nodes []catalog.NodeRevisions) bool {
 	var first map[fleet.Team]uint64
--- a/pkg/admin/teams.go
+++ b/pkg/admin/teams.go
@@ -45,8 +45,11 @@
 	// InForce is true when every live node has the revision in force; it is
 	// false, too, when the request did not ask to wait.
 	InForce bool `json:"in_force"`
-	// Lagging are the nodes that have it not yet.
+	// Lagging are the live nodes that have it not yet.
 	Lagging []NodeStatus `json:"lagging,omitempty"`
+	// Unreachable are the members that are not live, such as those of a zone
+	// that is cut off; they take the revision when they are back.
+	Unreachable []NodeStatus `json:"unreachable,omitempty"`
 	// Surplus are the places that hold more replicas than now allowed.
 	Surplus []Surplus `json:"surplus,omitempty"`
 }
@@ -219,6 +222,7 @@
 		for _, n := range lagging {
 			answer.Lagging = append(answer.Lagging, nodeStatus(n, operator{root: true}))
 		}
+		answer.Unreachable = s.unreachable()
 	}
 	snap := s.catalog.Snapshot()
 	after, _ := snap.Team(team)
--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -63,6 +63,10 @@
 func (e *ConflictError) Error() string {
 	msg := fmt.Sprintf("team %q is at revision %d (by %s), your change is based on revision %d; read it again and repeat your edit\n", e.Team, e.Current, e.Author, e.Expected)
 	base := fmt.Sprintf("revision %d", e.Expected)
+	if e.Theirs == nil && e.Expected == 0 {
+		msg = fmt.Sprintf("team %q exists already, at revision %d (by %s); your file against it:\n", e.Team, e.Current, e.Author)
+		return msg + FormatDiff(fmt.Sprintf("revision %d", e.Current), "yours", e.Yours, maxConflictPaths)
+	}
 	if e.Theirs == nil {
 		msg += fmt.Sprintf("revision %d is no longer kept; your file against revision %d:\n", e.Expected, e.Current)
 		return msg + FormatDiff(fmt.Sprintf("revision %d", e.Current), "yours", e.Yours, maxConflictPaths)
@@ -328,12 +332,9 @@
 		current = nil
 	}
 	base, err := w.r.readPast(ctx, now, w.c.Expect)
-	switch {
-	case w.c.Expect == 0:
-		c.Theirs, c.Yours = Diff(nil, current), Diff(nil, w.c.Spec)
-	case err == nil:
+	if err == nil {
 		c.Theirs, c.Yours = Diff(base, current), Diff(base, w.c.Spec)
-	default:
+	} else {
 		c.Yours = Diff(current, w.c.Spec)
 	}
 	return &fault.Error{Kind: fault.RevisionConflict, Message: c.Error(), Err: c}
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -54,6 +54,8 @@
 		return r.history(ctx, a.History.Team)
 	case a.Restore != nil:
 		return r.restore(ctx, a.Restore.Team)
+	case a.Acknowledge != nil:
+		return r.acknowledge(ctx)
 	case a.Status != nil:
 		return r.status(ctx)
 	case a.Targets != nil:
@@ -234,6 +236,18 @@
 	return err
 }
 
+func (r *runner) acknowledge(ctx context.Context) error {
+	answer, err := r.client.do(ctx, request{method: http.MethodPost, path: apiRoot + "/platform/acknowledge"})
+	if err != nil {
+		return err
+	}
+	if r.args.Output == outputJSON {
+		return r.print(answer.body)
+	}
+	_, err = fmt.Fprintln(r.env.Stdout, "acknowledged: the key-value service's present state is followed again")
+	return err
+}
+
 func (r *runner) print(body []byte) error {
 	if len(body) > 0 && body[len(body)-1] != '\n' {
 		body = append(body, '\n')
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -29,7 +29,10 @@
 	t     *testing.T
 	store *kv.Store
 	live  []fleet.Node
-	url   string
+	// members are those of the rosters.
+	members      []fleet.Node
+	acknowledged bool
+	url          string
 	// loseAnswers lets the node handle that many requests and answer none.
 	loseAnswers int
 	out, errOut bytes.Buffer
@@ -51,7 +54,7 @@
 	service := catalog.New(catalog.DefaultOptions(), self, f.store, peertest.Alone{}, peer.NewRouter(), view, platform.SystemClock{}, zerolog.Nop(), &catalog.Store{})
 	opts := admin.DefaultOptions()
 	opts.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
-	server := admin.New(opts, self, service, peertest.Alone{}, view, oneTarget{}, zerolog.Nop())
+	server := admin.New(opts, self, service, peertest.Alone{}, view, oneTarget{}, f, zerolog.Nop())
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if f.loseAnswers > 0 {
 			f.loseAnswers--
@@ -65,6 +68,15 @@
 	return f
 }
 
+// Members implements admin.Members.
+func (f *fixture) Members() []fleet.Node { return f.members }
+
+// Acknowledge implements admin.Members.
+func (f *fixture) Acknowledge(context.Context) error {
+	f.acknowledged = true
+	return nil
+}
+
 func (f *fixture) run(argv ...string) int {
 	f.out.Reset()
 	f.errOut.Reset()
@@ -144,7 +156,14 @@
 	assert.Equal(t, ExitRefused, f.run("status", "--token", "wrong"))
 	f.live = append(f.live, fleet.Node{ID: "n2", Zone: "z2"})
 	assert.Equal(t, ExitNotInForce, f.run("apply", "-f", file, "--wait", "--wait-timeout", "1ms"))
+	assert.Contains(t, f.out.String(), "not yet on node n2 in zone z2: no answer")
+	f.live, f.members = f.live[:1], f.live
+	assert.Equal(t, ExitNotInForce, f.run("apply", "-f", file, "--wait", "--revision", "1"), "a zone that is cut off")
 	assert.Contains(t, f.out.String(), "not yet on node n2 in zone z2: not reachable")
+	assert.Equal(t, ExitOK, f.run("acknowledge"))
+	assert.True(t, f.acknowledged)
+	assert.Equal(t, ExitConflict, f.run("apply", "-f", file))
+	assert.Contains(t, f.errOut.String(), "exists already, at revision 1")
 	f.store.SetFaults(kv.Faults{Down: true})
 	f.replaceIn(file, "max_replicas: 2", "max_replicas: 1")
 	assert.Equal(t, ExitUnreachable, f.run("apply", "-f", file, "--revision", "1"))
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -24,7 +24,7 @@
 	} else {
 		r.writePut(put)
 	}
-	if waited && !put.InForce {
+	if waited && (!put.InForce || len(put.Unreachable) > 0) {
 		return fmt.Errorf("team %q at revision %d: %w", put.Team, put.Revision, errNotInForce)
 	}
 	return nil
@@ -40,12 +40,15 @@
 	}
 	fmt.Fprintf(r.env.Stdout, "team %s: revision %d %s\n", put.Team, put.Revision, state)
 	for _, n := range put.Lagging {
-		why := "not reachable"
+		why := "no answer"
 		if n.Reached {
 			why = fmt.Sprintf("has revision %d", n.Revisions[put.Team])
 		}
 		fmt.Fprintf(r.env.Stdout, "  not yet on node %s in zone %s: %s\n", n.Node, n.Zone, why)
 	}
+	for _, n := range put.Unreachable {
+		fmt.Fprintf(r.env.Stdout, "  not yet on node %s in zone %s: not reachable\n", n.Node, n.Zone)
+	}
 	for _, s := range put.Surplus {
 		fmt.Fprintf(r.env.Stdout, "  zone %s still holds %d of %d replicas of %s; the limit is %d\n", s.Zone, s.Held, s.Total, s.Replica, s.Limit)
 	}
--- a/pkg/event/catalog.go
+++ b/pkg/event/catalog.go
@@ -15,4 +15,5 @@
 	CatalogRefused       = register(311, "catalog_refused", zerolog.WarnLevel, "A change of a team's subtree was refused; the fields tell why.")
 	AdminDenied          = register(320, "admin_denied", zerolog.WarnLevel, "A request to the operators' listener had no valid token, or one of another team.")
 	AdminDrain           = register(321, "admin_drain", zerolog.InfoLevel, "An operator drained a target or took a drain back.")
+	AdminAcknowledged    = register(322, "admin_acknowledged", zerolog.WarnLevel, "An operator acknowledged that the key-value service came back older; its present state is followed again.")
 )
--- a/pkg/membership/read.go
+++ b/pkg/membership/read.go
@@ -28,3 +28,14 @@
 	}
 	return r.Epoch, nil
 }
+
+// Members returns the members of all zones' rosters, live or not.
+func (s *Service) Members() []fleet.Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []fleet.Node
+	for _, r := range s.core.Rosters().Rosters {
+		out = append(out, r.Members...)
+	}
+	return out
+}
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -214,6 +214,6 @@
 	return gateway.New(c.Gateway, store, d, state.check, state.catalog, log)
 }
 
-func newAdmin(c *config.Config, self fleet.Node, cat *catalog.Service, net peer.Network, view viewFunc, dir *directory.Directory, log zerolog.Logger) *admin.Server {
-	return admin.New(c.Admin, self, cat, net, view, targetStatus{directory: dir, network: net}, log)
+func newAdmin(c *config.Config, self fleet.Node, cat *catalog.Service, net peer.Network, view viewFunc, dir *directory.Directory, members *membership.Service, log zerolog.Logger) *admin.Server {
+	return admin.New(c.Admin, self, cat, net, view, targetStatus{directory: dir, network: net}, members, log)
 }
