catalog: renew a shared watch that missed a change; fix a race of fetches

Cause: two heads in one message shared their map of chunks, and their fetches wrote it at the same time. Found by TestRandomFaults/1 under -race once odd seeds sent heads without chunks. Also, a watch that misses changes but stays open shares its connection (platform.Hub), so that closing one subscriber renewed nothing. Change: each fetch has a map of its own; Hub.ResetWatches renews the connection. Random faults now include loss in one direction between two nodes and chunk-by-chunk fetches; a slow service is shown not to hold up peers and not to raise the older-service alarm.

--- a/pkg/catalog/cluster_test.go
+++ b/pkg/catalog/cluster_test.go
@@ -94,14 +94,16 @@
 	nodes []*testNode
 	opts  Options
 
-	mu    sync.Mutex // guards cut and bytes
-	cut   map[[2]fleet.Zone]bool
+	mu  sync.Mutex // guards all below
+	cut map[[2]fleet.Zone]bool
+	// lost are the directions in which one node's messages to another vanish.
+	lost  map[[2]fleet.NodeID]bool
 	bytes int
 }
 
 func newCluster(t testing.TB, zones, perZone int) *cluster {
 	clock := &fakeClock{now: time.Unix(1_700_000_000, 0)}
-	c := &cluster{t: t, clock: clock, store: kv.New(clock), opts: testOptions(), cut: map[[2]fleet.Zone]bool{}}
+	c := &cluster{t: t, clock: clock, store: kv.New(clock), opts: testOptions(), cut: map[[2]fleet.Zone]bool{}, lost: map[[2]fleet.NodeID]bool{}}
 	for i := range zones * perZone {
 		zone := fleet.Zone(fmt.Sprintf("z%d", i%zones))
 		c.nodes = append(c.nodes, &testNode{node: fleet.Node{ID: fleet.NodeID(fmt.Sprintf("n%02d", i)), Zone: zone}})
@@ -132,9 +134,22 @@
 	c.cut[[2]fleet.Zone{b, a}] = cut
 }
 
+func (c *cluster) loseOneWay(from, to fleet.NodeID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost[[2]fleet.NodeID{from, to}] = true
+}
+
+func (c *cluster) isLost(from, to fleet.NodeID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost[[2]fleet.NodeID{from, to}]
+}
+
 func (c *cluster) healAll() {
 	c.mu.Lock()
 	c.cut = map[[2]fleet.Zone]bool{}
+	c.lost = map[[2]fleet.NodeID]bool{}
 	c.mu.Unlock()
 	c.store.SetFaults(kv.Faults{})
 }
@@ -256,11 +271,18 @@
 		return nil, fault.New(fault.TargetUnreachable, "node %q is cut off", to)
 	}
 	n.count(m)
+	if n.c.isLost(n.self.node.ID, to) {
+		return nil, fault.New(fault.OutcomeUnknown, "message to node %q was lost", to)
+	}
 	answer, err := other.router.Dispatch(ctx, n.self.node, m)
-	if err == nil {
-		n.count(answer)
+	if err != nil {
+		return nil, err
+	}
+	n.count(answer)
+	if n.c.isLost(to, n.self.node.ID) {
+		return nil, fault.New(fault.OutcomeUnknown, "answer of node %q was lost", to)
 	}
-	return answer, err
+	return answer, nil
 }
 
 func (n *testNetwork) Send(to fleet.NodeID, m wire.Message) {
--- a/pkg/catalog/exchange.go
+++ b/pkg/catalog/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -178,9 +179,10 @@
 
 // fetch completes a candidate from the peer that told of it.
 func (s *Service) fetch(ctx context.Context, team fleet.Team, c *candidate) error {
-	if c.chunks == nil {
-		c.chunks = map[Digest][]byte{}
-	}
+	// The heads of one message share their map of chunks.
+	own := map[Digest][]byte{}
+	maps.Copy(own, c.chunks)
+	c.chunks = own
 	if c.head == nil {
 		if err := s.fetchHead(ctx, team, c); err != nil {
 			return err
--- a/pkg/catalog/spread_test.go
+++ b/pkg/catalog/spread_test.go
@@ -77,6 +77,54 @@
 	c.settle(c.opts.PollInterval*2 + c.opts.ExchangeInterval)
 }
 
+// A watch that shares its connection missed a change: the poll that finds it
+// renews the connection, and the next change comes by the watch again.
+func TestSharedWatchIsRenewedAfterMiss(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	n := c.nodes[0]
+	hub := platform.NewHub(c.store)
+	n.service.kv = hub
+	_, err := hub.Watch(context.Background(), platform.SharedPrefix+"other/", 0)
+	require.NoError(t, err)
+	n.service.StepPlatform(context.Background())
+	c.store.SetFaults(kv.Faults{SilentWatches: true})
+	mustApply(t, newTestRepository(c.store), team("a", "s"), 0)
+	c.store.SetFaults(kv.Faults{})
+	c.run(6 * time.Second)
+	require.EqualValues(t, 1, n.service.Head("a").Revision)
+	mustApply(t, newTestRepository(c.store), withReplicas(team("a", "s"), 2), 1)
+	n.service.watchEvent(context.Background(), <-n.service.platform.events, true)
+	assert.EqualValues(t, 2, n.service.Head("a").Revision)
+}
+
+// slowKV answers lists only once released.
+type slowKV struct {
+	platform.KV
+	listing, release chan struct{}
+}
+
+func (s *slowKV) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	close(s.listing)
+	<-s.release
+	return s.KV.List(ctx, prefix)
+}
+
+func TestSlowServiceDoesNotHoldUpPeers(t *testing.T) {
+	c := started(t)
+	n := c.nodes[8]
+	slow := &slowKV{KV: c.store, listing: make(chan struct{}), release: make(chan struct{})}
+	n.service.kv = slow
+	n.service.platform.nextDue = c.clock.Now()
+	var stuck sync.WaitGroup
+	stuck.Go(func() { n.service.pollHeads(context.Background()) })
+	<-slow.listing
+	c.mustApply(0, team("a", "s"), 0)
+	assert.EqualValues(t, 1, n.service.Head("a").Revision)
+	close(slow.release)
+	stuck.Wait()
+	assert.Empty(t, n.service.Older(), "a list that was asked for before the change is no alarm")
+}
+
 func TestWatchThatRepeatsChangesNothing(t *testing.T) {
 	c := started(t)
 	c.mustApply(0, team("a", "s"), 0)
@@ -262,9 +310,15 @@
 func randomFaults(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 6))
 	c := started(t)
+	if seed%2 == 1 {
+		// Heads travel without chunks, which are fetched one at a time.
+		for _, n := range c.nodes {
+			n.service.opts.MaxPushBytes, n.service.opts.MaxAnswerBytes = 0, 1
+		}
+	}
 	zones := []fleet.Zone{"z0", "z1", "z2", "platform"}
 	for range 60 {
-		switch rng.IntN(9) {
+		switch rng.IntN(10) {
 		case 0:
 			c.setCut(zones[rng.IntN(3)], zones[rng.IntN(4)], true)
 		case 1:
@@ -275,6 +329,9 @@
 			c.store.SetFaults(kv.Faults{SilentWatches: true, LoseAnswers: rng.IntN(4)})
 		case 4:
 			c.restart(rng.IntN(len(c.nodes)))
+		case 5:
+			from, to := c.nodes[rng.IntN(9)], c.nodes[rng.IntN(9)]
+			c.loseOneWay(from.node.ID, to.node.ID)
 		default:
 			name := []string{"a", "b"}[rng.IntN(2)]
 			i := rng.IntN(len(c.nodes))
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -110,12 +110,24 @@
 	if missed && s.platform.events != nil {
 		watchMisses.Inc()
 		event.CatalogWatchMissed.Log(&s.log).Send()
-		s.closeWatch()
+		s.resetWatch()
 	}
 	s.openWatch(ctx, revision)
 	return true
 }
 
+// watchResetter is a KV whose watches share a connection.
+type watchResetter interface{ ResetWatches() }
+
+// resetWatch closes a watch that missed a change, and the connection that it
+// shares with others.
+func (s *Service) resetWatch() {
+	s.closeWatch()
+	if shared, ok := s.kv.(watchResetter); ok {
+		shared.ResetWatches()
+	}
+}
+
 func (s *Service) headsInForce() map[fleet.Team]*Head {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/platform/hub.go
+++ b/pkg/platform/hub.go
@@ -70,6 +70,16 @@
 	return w.ch, nil
 }
 
+// ResetWatches ends the shared watch and with it all watches below
+// SharedPrefix, after one of them was found to have missed a change.
+func (h *Hub) ResetWatches() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for w := range h.watchers {
+		h.dropLocked(w)
+	}
+}
+
 // openLocked opens the shared watch.
 func (h *Hub) openLocked(after Revision) error {
 	ctx, cancel := context.WithCancel(context.Background())
