--- a/pkg/owner/engineview.go
+++ b/pkg/owner/engineview.go
@@ -103,6 +103,7 @@
 			delete(m.orders.holds, k)
 		}
 	}
+	m.observePending(p.order.Sequence)
 	m.resolveFloating(s.Incarnation, p.generation)
 	if s.ChecksFencing {
 		m.orders.clearFloating(p.order.Epoch, p.order.Sequence)
@@ -110,6 +111,19 @@
 	m.fenceAccepted()
 }
 
+// observePending notes the loads sent before the fence order whose replica
+// the engine now has, where no other order can have loaded it.
+func (m *Machine) observePending(sequence uint64) {
+	for _, p := range m.orders.pending {
+		k := p.order.Key
+		_, present := m.engine.replicas[k]
+		only := m.settle.done && m.orders.floating[k] == nil
+		if p.order.Kind == target.OrderLoad && p.order.Epoch == m.epoch && p.order.Sequence < sequence && present && only {
+			p.observed = true
+		}
+	}
+}
+
 // resolveFloating forgets loads of unknown outcome whose effect is now
 // certain: the engine they went to has ended, or the replica is there and
 // no other order can have loaded it.
--- a/pkg/owner/events.go
+++ b/pkg/owner/events.go
@@ -127,6 +127,10 @@
 type StoredRecord struct {
 	Record   placement.Record
 	Revision platform.Revision
+	// catalog is the catalog revision that was in force when the read began.
+	catalog uint64
+	// peak is the highest limit by version in force here since then.
+	peak map[string]int
 }
 
 // Actions.
--- a/pkg/owner/orders.go
+++ b/pkg/owner/orders.go
@@ -18,6 +18,9 @@
 	budget wire.BudgetKind
 	// generation is that of the order book when the order was sent.
 	generation uint64
+	// observed is set once a current state shows the effect of a load: it
+	// cannot take effect a second time.
+	observed bool
 }
 
 // floatingLoad is a load of unknown outcome, which may still take effect.
@@ -225,7 +228,7 @@
 func (m *Machine) loadUnknown(p *pendingOrder) {
 	k := p.order.Key
 	m.report(ReportOrderUnknown, k, "")
-	if !m.hooks.forgetFloating {
+	if !m.hooks.forgetFloating && !p.observed {
 		m.orders.addFloating(k, p.memoryBytes)
 		f := m.orders.floating[k]
 		f.epoch, f.sequence = p.order.Epoch, p.order.Sequence
--- a/pkg/owner/release.go
+++ b/pkg/owner/release.go
@@ -138,10 +138,32 @@
 	op.asked = true
 }
 
+// followLimits notes the limits in force and tells whether some record was
+// read before the team's latest catalog revision came into force.
+func (m *Machine) followLimits() bool {
+	outdated := false
+	for _, group := range slices.Sorted(maps.Keys(m.slots.records)) {
+		k, err := placement.ParseGroup(group)
+		if err != nil {
+			continue
+		}
+		l := m.limits(k, m.slots.records[group].Record)
+		m.slots.notePeak(group, l)
+		outdated = outdated || l.Revision > m.slots.records[group].catalog
+	}
+	return outdated
+}
+
 // advanceRelist reads the slots once more when the former owners are
-// settled: what they bound after this owner's first read is found then.
+// settled: what they bound after this owner's first read is found then. It
+// also reads them after a change of the catalog: slots may have been bound
+// under limits that have been lowered since.
 func (m *Machine) advanceRelist() {
-	if !m.settle.done || m.slots.relisted || m.slots.listing != 0 || !m.env.Platform || m.env.Now.Before(m.slots.retryAt) {
+	outdated := m.followLimits()
+	if !outdated && (!m.settle.done || m.slots.relisted) {
+		return
+	}
+	if m.slots.listing != 0 || !m.env.Platform || m.env.Now.Before(m.slots.retryAt) {
 		return
 	}
 	m.listSlots()
--- a/pkg/owner/slotbook.go
+++ b/pkg/owner/slotbook.go
@@ -20,8 +20,13 @@
 	// missing tells which replicas had no slot at that time.
 	missing   map[fleet.ReplicaKey]bool
 	surplusAt map[fleet.ReplicaKey]time.Time
+	// unverified are the replicas whose slot was bound without a later look
+	// at the roster: a new owner may not have seen the slot.
+	unverified map[fleet.ReplicaKey]bool
 	// listing is the identifier of the list call under way; 0 for none.
 	listing uint64
+	// listedUnder are the catalog revisions in force when it began.
+	listedUnder map[fleet.Team]uint64
 	// listed and relisted are set once the records were read after the
 	// takeover and after the settlement of former owners.
 	listed   bool
@@ -31,19 +36,28 @@
 
 func newSlotBook() slotBook {
 	return slotBook{
-		records:   map[string]StoredRecord{},
-		ops:       map[string]*slotOp{},
-		checkedAt: map[string]time.Time{},
-		missing:   map[fleet.ReplicaKey]bool{},
-		surplusAt: map[fleet.ReplicaKey]time.Time{},
+		records:    map[string]StoredRecord{},
+		ops:        map[string]*slotOp{},
+		checkedAt:  map[string]time.Time{},
+		missing:    map[fleet.ReplicaKey]bool{},
+		surplusAt:  map[fleet.ReplicaKey]time.Time{},
+		unverified: map[fleet.ReplicaKey]bool{},
 	}
 }
 
-// adopt takes the records that name the target.
-func (b *slotBook) adopt(records map[string]StoredRecord, id fleet.TargetID) {
-	for group, stored := range records {
-		b.store(group, stored, id)
+// notePeak keeps the highest limits seen while the record was held.
+func (b *slotBook) notePeak(group string, l placement.Limits) {
+	stored := b.records[group]
+	for v, n := range l.Max {
+		if n <= stored.peak[v] {
+			continue
+		}
+		if stored.peak == nil {
+			stored.peak = map[string]int{}
+		}
+		stored.peak[v] = n
 	}
+	b.records[group] = stored
 }
 
 // store keeps a record that was read or written; one that no longer names
@@ -56,6 +70,9 @@
 	}
 	for _, s := range stored.Record.Slots {
 		if s.Target == id {
+			if have.peak != nil && stored.Record.LimitRevision < stored.catalog {
+				stored.peak = have.peak
+			}
 			b.records[group] = stored
 			return true
 		}
--- a/pkg/owner/slotop.go
+++ b/pkg/owner/slotop.go
@@ -57,6 +57,8 @@
 	// since is the order book's generation when the unload step began.
 	since uint64
 	asked bool
+	// catalog is the catalog revision in force when the call began.
+	catalog uint64
 }
 
 // startOp begins an operation; only one runs per slot record.
@@ -82,7 +84,12 @@
 }
 
 func (m *Machine) limits(k fleet.ReplicaKey, r placement.Record) placement.Limits {
-	return placement.LimitsOf(m.env.Catalog, k, r.Team)
+	l := placement.LimitsOf(m.env.Catalog, k, r.Team)
+	l.Peak = m.slots.records[placement.Group(k)].peak
+	if m.hooks.bindWithoutLimit {
+		l.Max[k.Version]++
+	}
+	return l
 }
 
 func (m *Machine) advanceSlotOps() {
@@ -106,6 +113,7 @@
 		return
 	}
 	op.calling = true
+	op.catalog = m.limits(op.key, m.slots.records[op.group].Record).Revision
 	if op.step == stepRoster {
 		m.do(ReadRoster{Op: op.id})
 		return
@@ -135,6 +143,7 @@
 		m.opUnavailable(op)
 		return
 	}
+	ev.Stored.catalog = op.catalog
 	if !m.slots.store(op.group, ev.Stored, m.target) {
 		m.opUnavailable(op) // the service is older than what was read before
 		return
@@ -157,9 +166,6 @@
 	}
 	slot := placement.Slot{Target: m.target, Zone: m.env.Target.Zone, Version: op.key.Version, MemoryBytes: r.MemoryBytes}
 	limits := m.limits(op.key, stored.Record)
-	if m.hooks.bindWithoutLimit {
-		limits.Max[op.key.Version] += len(stored.Record.Slots) + 1
-	}
 	next, err := stored.Record.Bind(slot, limits)
 	if err != nil {
 		m.endOp(op, fault.NoCapacity, err.Error())
@@ -169,6 +175,9 @@
 		m.bindWritten(op)
 		return
 	}
+	if !m.fencing() && !m.hooks.skipRosterRead {
+		m.slots.unverified[op.key] = true
+	}
 	m.write(op, next, stored.Revision)
 }
 
@@ -202,6 +211,7 @@
 	next.Write = fmt.Sprintf("%s/%d", op.mark, m.id())
 	op.next = next
 	op.calling = true
+	op.catalog = m.limits(op.key, next).Revision
 	m.do(SwapRecord{Op: op.id, Group: op.group, Record: next, Expect: expect})
 }
 
@@ -216,7 +226,7 @@
 	case ev.Err != nil:
 		m.opUnavailable(op)
 	default:
-		m.slots.store(op.group, StoredRecord{Record: op.next, Revision: ev.Revision}, m.target)
+		m.slots.store(op.group, StoredRecord{Record: op.next, Revision: ev.Revision, catalog: op.catalog}, m.target)
 		m.written(op)
 	}
 }
@@ -260,8 +270,14 @@
 		m.opUnavailable(op)
 		return
 	}
-	if ev.Epoch != m.epoch {
-		m.endOp(op, fault.NoReplica, "the zone's roster has changed")
+	if ev.Epoch > m.epoch {
+		// Another node may own the target; the view will tell.
+		m.givenUp = ev.Epoch
+		m.checkOwnership()
+		return
+	}
+	if ev.Epoch < m.epoch {
+		m.opUnavailable(op) // the service is older than the view
 		return
 	}
 	m.rostered(op)
@@ -269,6 +285,7 @@
 
 func (m *Machine) rostered(op *slotOp) {
 	if op.kind == opBind {
+		delete(m.slots.unverified, op.key)
 		m.endOp(op, 0, "")
 		return
 	}
--- a/pkg/owner/takeover.go
+++ b/pkg/owner/takeover.go
@@ -82,8 +82,20 @@
 	}
 }
 
+// adoptRecords takes the records that a list call returned.
+func (m *Machine) adoptRecords(records map[string]StoredRecord) {
+	for group, stored := range records {
+		stored.catalog = m.slots.listedUnder[stored.Record.Team]
+		m.slots.store(group, stored, m.target)
+	}
+}
+
 func (m *Machine) listSlots() {
 	m.slots.listing = m.id()
+	m.slots.listedUnder = map[fleet.Team]uint64{}
+	for team, revision := range m.env.Catalog.Revisions {
+		m.slots.listedUnder[team] = uint64(revision)
+	}
 	m.do(ListSlots{Op: m.slots.listing})
 }
 
@@ -123,7 +135,7 @@
 		m.slots.retryAt = m.env.Now.Add(m.opts.RetryInterval)
 		return
 	}
-	m.slots.adopt(ev.Records, m.target)
+	m.adoptRecords(ev.Records)
 	if m.slots.listed {
 		m.slots.relisted = true
 		return
--- a/pkg/owner/want.go
+++ b/pkg/owner/want.go
@@ -248,9 +248,18 @@
 	if m.slots.ops[group] != nil {
 		return false
 	}
-	record := m.slots.records[group].Record
-	if record.MayLoad(m.target, k.Version, r.MemoryBytes, m.limits(k, record)) {
-		return true
+	stored := m.slots.records[group]
+	limits := m.limits(k, stored.Record)
+	usable := stored.Record.MayLoad(m.target, k.Version, r.MemoryBytes, limits)
+	if usable && !m.slots.unverified[k] {
+		if limits.Revision <= stored.catalog {
+			return true
+		}
+		if m.env.Platform {
+			return false // the records are being read again
+		}
+		m.failWant(k, fault.PlatformUnavailable, "the limits changed and the slots cannot be read")
+		return false
 	}
 	if w.bound {
 		m.failWant(k, fault.NoCapacity, "surplus replicas are still being released")
--- a/pkg/placement/limits.go
+++ b/pkg/placement/limits.go
@@ -16,6 +16,9 @@
 	Revision uint64
 	// Max is the limit by version; versions that are not declared have none.
 	Max map[string]int
+	// Peak is the highest limit by version that the node had in force since
+	// it last read the record; another node may have bound slots under it.
+	Peak map[string]int
 }
 
 // Total returns the sum over all versions.
@@ -59,9 +62,11 @@
 
 // lowered tells whether some version's limit is below the record's.
 func (l Limits) lowered(r Record) bool {
-	for v, n := range r.Limits {
-		if l.Max[v] < n {
-			return true
+	for _, higher := range []map[string]int{r.Limits, l.Peak} {
+		for v, n := range higher {
+			if l.Max[v] < n {
+				return true
+			}
 		}
 	}
 	return false
@@ -73,7 +78,7 @@
 // NeedsStamp tells that a limit was lowered and the record does not say so
 // yet; until it does, an owner with an older catalog could still bind.
 func (l Limits) NeedsStamp(r Record) bool {
-	return !l.Stale(r) && l.lowered(r)
+	return l.Revision > r.LimitRevision && l.lowered(r)
 }
 
 // effective returns the limit that a version's slots are held to: the
