--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -5,26 +5,45 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 
 	"almondturn/fleet"
+	"almondturn/pkg/admin"
+	"almondturn/pkg/catalog"
+	"almondturn/pkg/claim"
+	"almondturn/pkg/directory"
+	"almondturn/pkg/dispatch"
 	"almondturn/pkg/gateway"
+	"almondturn/pkg/membership"
+	"almondturn/pkg/mesh"
+	"almondturn/pkg/owner"
+	"almondturn/pkg/target"
 )
 
 // Config are the settings of one node. docs/settings.md lists every option.
 type Config struct {
-	Node       Node            `yaml:"node"`
-	Listen     Listen          `yaml:"listen"`
-	TLS        TLS             `yaml:"tls"`
-	Platform   Platform        `yaml:"platform"`
-	Deployment Deployment      `yaml:"deployment"`
-	Admin      Admin           `yaml:"admin"`
-	Shutdown   Shutdown        `yaml:"shutdown"`
-	Log        Log             `yaml:"log"`
-	Gateway    gateway.Options `yaml:"gateway"`
+	Node       Node                 `yaml:"node"`
+	Listen     Listen               `yaml:"listen"`
+	TLS        TLS                  `yaml:"tls"`
+	Platform   Platform             `yaml:"platform"`
+	Deployment Deployment           `yaml:"deployment"`
+	Admin      admin.Options        `yaml:"admin"`
+	Shutdown   Shutdown             `yaml:"shutdown"`
+	Log        Log                  `yaml:"log"`
+	Gateway    gateway.Options      `yaml:"gateway"`
+	Mesh       mesh.Options         `yaml:"mesh"`
+	Membership membership.Options   `yaml:"membership"`
+	Directory  directory.Options    `yaml:"directory"`
+	Catalog    catalog.Options      `yaml:"catalog"`
+	Owner      owner.Options        `yaml:"owner"`
+	Orders     target.OrderOptions  `yaml:"orders"`
+	Target     target.StreamOptions `yaml:"target"`
+	Dispatch   dispatch.Options     `yaml:"dispatch"`
+	Claim      claim.Options        `yaml:"claim"`
 }
 
 // Node tells the process who and where it is.
@@ -33,48 +52,50 @@
 	ID fleet.NodeID `yaml:"id" validate:"required,hostname_rfc1123"`
 	// Zone is the availability zone of the VM.
 	Zone fleet.Zone `yaml:"zone" validate:"required,hostname_rfc1123"`
-	// Secret is shared by all nodes and authenticates the inner listener.
-	Secret string `yaml:"secret" validate:"required_without=SecretFile,omitempty,min=16"`
-	// SecretFile is read for the secret instead.
+	// SecretFile is read for mesh.secret, when that is not given.
 	SecretFile string `yaml:"secret_file" validate:"omitempty,filepath"`
-	// Peers are inner addresses of other nodes, for a start while the
-	// key-value service is down.
-	Peers []string `yaml:"peers" validate:"dive,hostname_port"`
 }
 
 // Listen holds the host:port of each listener.
 type Listen struct {
-	Callers   string `yaml:"callers" validate:"required,hostname_port"`
+	// Callers is the address of the callers' listener.
+	Callers string `yaml:"callers" validate:"required,hostname_port"`
+	// Operators is the address of the operators' listener.
 	Operators string `yaml:"operators" validate:"required,hostname_port"`
-	Inner     string `yaml:"inner" validate:"required,hostname_port"`
+	// Inner is the address of the listener for other nodes.
+	Inner string `yaml:"inner" validate:"required,hostname_port"`
 	// Advertise is the inner address that other nodes dial; empty takes Inner.
 	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port"`
 }
 
-// TLS holds the certificates of each listener; an empty pair serves plain text.
+// TLS holds the certificates of the outer listeners; an empty pair serves
+// plain text. The inner listener has its own under mesh.tls.
 type TLS struct {
 	Callers   KeyPair `yaml:"callers"`
 	Operators KeyPair `yaml:"operators"`
-	Inner     KeyPair `yaml:"inner"`
-	// InnerCA is the file of certificate authorities trusted for peers.
-	InnerCA string `yaml:"inner_ca" validate:"omitempty,filepath"`
 }
 
 // KeyPair names the PEM files of a certificate and its key.
 type KeyPair struct {
+	// Cert is the file of the certificate chain, in PEM.
 	Cert string `yaml:"cert" validate:"required_with=Key,omitempty,filepath"`
-	Key  string `yaml:"key" validate:"required_with=Cert,omitempty,filepath"`
+	// Key is the file of the private key, in PEM.
+	Key string `yaml:"key" validate:"required_with=Cert,omitempty,filepath"`
 }
 
 // Platform tells where the platform's key-value service and VM list are.
 type Platform struct {
+	// URL is the base address of the key-value service and the VM list.
 	URL string `yaml:"url" validate:"required,http_url"`
 	// Timeout is the time after which a call is given up.
 	Timeout time.Duration `yaml:"timeout" validate:"min=10ms,max=1m"`
+	// Dial opens connections; nil takes net.Dialer.
+	Dial fleet.DialFunc `yaml:"-"`
 }
 
 // Deployment holds what is common to all nodes of a deployment.
 type Deployment struct {
+	// Name is shown in status and metrics.
 	Name string `yaml:"name" validate:"required"`
 	// Zones are all availability zones of the deployment.
 	Zones []fleet.Zone `yaml:"zones" validate:"min=1,unique,dive,hostname_rfc1123"`
@@ -91,12 +112,6 @@
 	Targets []fleet.Target `yaml:"targets" validate:"dive"`
 }
 
-// Admin are the settings of the operators' listener.
-type Admin struct {
-	// RootTokenSHA256 is the digest, in hex, of the token that may create teams.
-	RootTokenSHA256 string `yaml:"root_token_sha256" validate:"omitempty,len=64,hexadecimal"`
-}
-
 // Shutdown are the settings of a graceful shutdown.
 type Shutdown struct {
 	// Notice is how long the node still accepts callers after readiness
@@ -108,6 +123,7 @@
 
 // Log are the settings of the log on standard error.
 type Log struct {
+	// Level is the lowest level that is written.
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
 	// Pretty writes lines for people in place of JSON.
 	Pretty bool `yaml:"pretty"`
@@ -121,6 +137,16 @@
 		Shutdown:   Shutdown{Notice: 5 * time.Second, HandOver: 10 * time.Second},
 		Log:        Log{Level: "info"},
 		Gateway:    gateway.DefaultOptions(),
+		Admin:      admin.DefaultOptions(),
+		Mesh:       mesh.DefaultOptions(),
+		Membership: membership.DefaultOptions(),
+		Directory:  directory.DefaultOptions(),
+		Catalog:    catalog.DefaultOptions(),
+		Owner:      owner.DefaultOptions(),
+		Orders:     target.DefaultOrderOptions(),
+		Target:     target.DefaultStreamOptions(),
+		Dispatch:   dispatch.DefaultOptions(),
+		Claim:      claim.DefaultOptions(),
 	}
 }
 
@@ -149,13 +175,29 @@
 	if err := yaml.UnmarshalWithOptions(text, &c, yaml.Strict()); err != nil {
 		return nil, explainYAML(err)
 	}
+	if err := c.readSecret(); err != nil {
+		return nil, err
+	}
 	if err := newValidator().Struct(&c); err != nil {
 		return nil, explainFields(text, err)
 	}
 	return &c, c.finish()
 }
 
-// finish checks what spans several fields and resolves references to files.
+// readSecret takes the mesh's secret from its file.
+func (c *Config) readSecret() error {
+	if c.Mesh.Secret != "" || c.Node.SecretFile == "" {
+		return nil
+	}
+	text, err := os.ReadFile(c.Node.SecretFile)
+	if err != nil {
+		return fmt.Errorf("node.secret_file: %w", err)
+	}
+	c.Mesh.Secret = strings.TrimSpace(string(text))
+	return nil
+}
+
+// finish checks what spans several fields.
 func (c *Config) finish() error {
 	found := false
 	for _, z := range c.Deployment.Zones {
@@ -167,13 +209,6 @@
 	if c.Listen.Advertise == "" {
 		c.Listen.Advertise = c.Listen.Inner
 	}
-	if c.Node.Secret == "" {
-		text, err := os.ReadFile(c.Node.SecretFile)
-		if err != nil {
-			return fmt.Errorf("node.secret_file: %w", err)
-		}
-		c.Node.Secret = string(text)
-	}
 	return nil
 }
 
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -36,7 +37,7 @@
 	scheme string
 
 	heartbeat  atomic.Pointer[heartbeatSource]
-	observer   atomic.Pointer[Observer]
+	observers  []Observer // not changed after Start
 	handshakes chan struct{}
 
 	neighbours atomic.Pointer[neighbourMap] // copied on write under mu
@@ -61,7 +62,7 @@
 	}
 	m := &Mesh{
 		opts: opts, self: self, router: router, clock: clock, log: log,
-		client:     &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig}},
+		client:     &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig, DialContext: opts.Dial.Or(&net.Dialer{})}},
 		scheme:     "ws",
 		handshakes: make(chan struct{}, maxHandshakes),
 		wanted:     map[fleet.NodeID]bool{},
@@ -73,13 +74,14 @@
 	return m, nil
 }
 
-// SetHeartbeat sets the source of the heartbeats; call it before Start.
+// SetHeartbeat sets the source of the heartbeats; call it before Start. A nil
+// heartbeat is not sent.
 func (m *Mesh) SetHeartbeat(source func() *wire.Heartbeat) {
 	m.heartbeat.Store(&heartbeatSource{next: source, maxAge: m.opts.Connection.HeartbeatInterval / 2, clock: m.clock})
 }
 
-// SetObserver sets who is told of connections; call it before Start.
-func (m *Mesh) SetObserver(o Observer) { m.observer.Store(&o) }
+// AddObserver adds one that is told of connections; call it before Start.
+func (m *Mesh) AddObserver(o Observer) { m.observers = append(m.observers, o) }
 
 // Start begins to dial. Stop ends it.
 func (m *Mesh) Start(context.Context) error {
@@ -281,7 +283,11 @@
 	if h.cached != nil && now.Sub(h.encoded) < h.maxAge {
 		return h.cached
 	}
-	frame, err := wire.Encode(wire.KindOneWay, 0, 0, h.next())
+	hb := h.next()
+	if hb == nil {
+		return nil
+	}
+	frame, err := wire.Encode(wire.KindOneWay, 0, 0, hb)
 	if err != nil {
 		return emptyHeartbeat
 	}
--- a/pkg/mesh/options.go
+++ b/pkg/mesh/options.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"almondturn/fleet"
 	"almondturn/wire"
 )
 
@@ -36,10 +37,13 @@
 	// no roster names is not dialled any more.
 	ForgetAfter time.Duration `yaml:"forget_after" validate:"gt=0"`
 	TLS         TLSOptions    `yaml:"tls"`
+	// Dial opens connections; nil takes net.Dialer.
+	Dial fleet.DialFunc `yaml:"-"`
 }
 
 // TLSOptions name the files for TLS between nodes; empty means plain TCP.
 type TLSOptions struct {
+	// CertFile and KeyFile are the node's own certificate and key, in PEM.
 	CertFile string `yaml:"cert_file" validate:"required_with=KeyFile"`
 	KeyFile  string `yaml:"key_file" validate:"required_with=CertFile"`
 	// CAFile holds the certificates that peers' certificates must chain to.
--- a/pkg/standin/engine/serve.go
+++ b/pkg/standin/engine/serve.go
@@ -42,6 +42,7 @@
 }
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
 	body, err := io.ReadAll(r.Body)
 	var req completionRequest
 	if err != nil || json.Unmarshal(body, &req) != nil {
@@ -296,6 +297,7 @@
 		events, ended, changed := e.wait(run, sent)
 		for _, ev := range events {
 			if cut >= 0 && sent-from >= cut {
+				_ = rc.Flush() // the events before the cut have left
 				panic(http.ErrAbortHandler)
 			}
 			sent++
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -32,7 +32,6 @@
 	TypeAck
 	TypeRelease
 	TypeReleased
-	TypeGrantEnd
 )
 
 // Message is one typed message between nodes.
@@ -51,8 +50,8 @@
 type Heartbeat struct {
 	Epoch    fleet.Epoch `cbor:"1,keyasint"`
 	Sequence uint64      `cbor:"2,keyasint"`
-	// Silent lists the zone members that the sender has not heard from for
-	// longer than the suspicion timeout.
+	// Silent lists the nodes of the sender's zone that it has not heard
+	// from for longer than the suspicion timeout.
 	Silent []fleet.NodeID `cbor:"3,keyasint,omitempty"`
 	// Leaving is set during a graceful shutdown.
 	Leaving bool `cbor:"4,keyasint,omitempty"`
@@ -66,6 +65,9 @@
 	// Generation counts the operators' acknowledgements that the key-value
 	// service lost data; MaxRevision counts within it.
 	Generation uint64 `cbor:"8,keyasint,omitempty"`
+	// PlatformOlder tells that the key-value service came back older than
+	// known in this generation.
+	PlatformOlder bool `cbor:"9,keyasint,omitempty"`
 }
 
 // TargetUpdate spreads what the owner of a target knows of it.
@@ -120,16 +122,6 @@
 	Queued int `cbor:"6,keyasint,omitempty"`
 }
 
-// GrantEnd tells a model home that a granted request has ended, or that a
-// waiting one is given up. It is sent one way.
-type GrantEnd struct {
-	RequestID string           `cbor:"1,keyasint"`
-	Key       fleet.ReplicaKey `cbor:"2,keyasint"`
-	// ServiceMillis is the time that the target took; 0 when it did not
-	// complete the request.
-	ServiceMillis int64 `cbor:"3,keyasint,omitempty"`
-}
-
 // Load asks a target owner to get one more replica loaded in its zone, on
 // the given target.
 type Load struct {
@@ -174,9 +166,16 @@
 	RequestIDs []string `cbor:"1,keyasint"`
 }
 
-// CatalogDigest lists the revision in force of each subtree.
+// CatalogDigest lists the revision in force of each subtree. As a question
+// with Sum set it asks a peer to compare; with Teams it asks for the revisions
+// of these only. The answer leaves Revisions out when the sums are equal.
 type CatalogDigest struct {
-	Revisions map[fleet.Team]uint64 `cbor:"1,keyasint"`
+	Revisions map[fleet.Team]uint64 `cbor:"1,keyasint,omitempty"`
+	// Sum sums up the heads in force of all teams.
+	Sum uint64 `cbor:"2,keyasint,omitempty"`
+	// Ready is true once the sender has loaded the catalog.
+	Ready bool         `cbor:"3,keyasint,omitempty"`
+	Teams []fleet.Team `cbor:"4,keyasint,omitempty"`
 }
 
 // CatalogFetch asks for the heads of subtrees and for chunks by digest.
@@ -286,6 +285,9 @@
 	Source string         `cbor:"2,keyasint"`
 	// Cancelled takes an operator's drain back.
 	Cancelled bool `cbor:"3,keyasint,omitempty"`
+	// DecidedUnixMillis orders the operators' decisions on one target: the
+	// latest one holds.
+	DecidedUnixMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Release asks a target owner to release the slot of a replica that is not
