--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -38,7 +38,7 @@
 		old, new string
 		want     []string
 	}{
-		"unknown field":  {"name: test", "name: test\n  nmae: x", []string{"line 11", "nmae"}},
+		"unknown field":  {"name: test", "name: test\n  label: x", []string{"line 11", "label"}},
 		"wrong type":     {"notice: 3s", "notice: [x]", []string{"line 12"}},
 		"bad duration":   {"notice: 3s", "notice: 3 parsecs", []string{"parsecs"}},
 		"bad address":    {"callers: 127.0.0.1:8080", "callers: here", []string{"line 5", "listen.callers", "host:port"}},
