--- a/pkg/owner/schedule_test.go
+++ b/pkg/owner/schedule_test.go
@@ -249,15 +249,15 @@
 
 func (w *sim) heal() {
 	w.kvDown = false
+	for _, n := range w.nodes {
+		n.cut, n.paused = false, false
+		n.catalog = len(w.catalogs) - 1
+	}
 	for _, e := range w.engines {
 		e.gone, e.leaving = false, false
 		e.reset()
 		w.endLoads(e)
 	}
-	for _, n := range w.nodes {
-		n.cut, n.paused = false, false
-		n.catalog = len(w.catalogs) - 1
-	}
 	w.late = nil
 	const rounds = 400
 	for round := range rounds {
--- a/pkg/owner/sim_test.go
+++ b/pkg/owner/sim_test.go
@@ -39,6 +39,7 @@
 	deaths   map[string]time.Time
 	// caps[step] are the highest limits by record that some node held then.
 	caps      []map[string]int
+	capsFor   [2]int // the catalogs that the last of them is made of
 	violation string
 	loads     int
 	answered  map[string]int
@@ -342,6 +343,11 @@
 	for _, n := range w.nodes {
 		first, last = min(first, n.catalog), max(last, n.catalog)
 	}
+	if n := len(w.caps); n > 0 && w.capsFor == [2]int{first, last} {
+		w.caps = append(w.caps, w.caps[n-1])
+		return
+	}
+	w.capsFor = [2]int{first, last}
 	c := map[string]int{}
 	for _, snap := range w.catalogs[first : last+1] {
 		for _, k := range simKeys {
--- a/pkg/owner/takeover.go
+++ b/pkg/owner/takeover.go
@@ -166,7 +166,7 @@
 	}
 	m.settle.nextAsk = m.env.Now.Add(m.opts.RetryInterval)
 	for _, n := range m.formerOwners() {
-		if !m.settle.answered[n] && !m.settle.asking[n] {
+		if n != m.self && !m.settle.answered[n] && !m.settle.asking[n] {
 			m.settle.asking[n] = true
 			m.do(AskSettle{Node: n, Epoch: m.epoch})
 		}
@@ -204,6 +204,7 @@
 	}
 	m.settle.answered[ev.Node] = true
 	for _, k := range ev.Settled.Floating {
+		m.orders.syncWanted = true
 		m.orders.addFloating(k, m.slots.memoryOf(m.target, k))
 	}
 	direct := ev.Node == m.env.PreviousOwner && ev.Settled.Owned == m.env.PreviousEpoch && m.env.PreviousEpoch+1 == m.epoch
