--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -236,6 +236,18 @@
 	return err
 }
 
+func (r *runner) acknowledge(ctx context.Context) error {
+	answer, err := r.client.do(ctx, request{method: http.MethodPost, path: apiRoot + "/platform/acknowledge"})
+	if err != nil {
+		return err
+	}
+	if r.args.Output == outputJSON {
+		return r.print(answer.body)
+	}
+	_, err = fmt.Fprintln(r.env.Stdout, "acknowledged: the key-value service's present state is followed again")
+	return err
+}
+
 func (r *runner) print(body []byte) error {
 	if len(body) > 0 && body[len(body)-1] != '\n' {
 		body = append(body, '\n')
--- a/pkg/membership/guard.go
+++ b/pkg/membership/guard.go
@@ -97,3 +97,11 @@
 		return s.core.FoundOlder(now, f.generation, f.revision, uint64(revision))
 	})
 }
+
+// ResetWatches ends the watches that share one call, after one of them was
+// found to have missed a change.
+func (g *Guard) ResetWatches() {
+	if shared, ok := g.KV.(interface{ ResetWatches() }); ok {
+		shared.ResetWatches()
+	}
+}
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -167,15 +167,7 @@
 	}
 }
 
-func newOwner(c *config.Config, m *mesh.Mesh, d ownerDeps) *owner.Service {
-	s := owner.New(c.Owner, d.deps())
-	m.AddObserver(func(n fleet.Node, connected bool) {
-		if connected {
-			s.Greet(n.ID)
-		}
-	})
-	return s
-}
+func newOwner(c *config.Config, d ownerDeps) *owner.Service { return owner.New(c.Owner, d.deps()) }
 
 func newLoader(c *config.Config, d ownerDeps) owner.Loader {
 	return owner.NewRequester(c.Owner, d.deps())
@@ -229,8 +221,6 @@
 	return gateway.New(c.Gateway, store, d, state.check, state.catalog, log)
 }
 
-func newAdmin(c *config.Config, self fleet.Node, cat *catalog.Service, net peer.Network, view viewFunc, members *membership.Service, dir *directory.Directory, log zerolog.Logger) *admin.Server {
-	a := admin.New(c.Admin, self, cat, net, view, targetStatus{directory: dir, network: net}, log)
-	a.SetAcknowledger(members)
-	return a
+func newAdmin(c *config.Config, self fleet.Node, cat *catalog.Service, net peer.Network, view viewFunc, dir *directory.Directory, members *membership.Service, log zerolog.Logger) *admin.Server {
+	return admin.New(c.Admin, self, cat, net, view, targetStatus{directory: dir, network: net}, members, log)
 }
