owner: load budgets shared by zones and lent; keep-alive policy wired

The holder of a zone's share is a live node found by hashing; demand goes before prefetch, idle permits of other zones are borrowed. A drain by an operator now also releases the target's slots.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -18,6 +18,7 @@
 	"almondturn/pkg/directory"
 	"almondturn/pkg/dispatch"
 	"almondturn/pkg/gateway"
+	"almondturn/pkg/keepalive"
 	"almondturn/pkg/membership"
 	"almondturn/pkg/mesh"
 	"almondturn/pkg/owner"
@@ -133,7 +134,7 @@
 func Default() Config {
 	return Config{
 		Platform:   Platform{Timeout: 2 * time.Second},
-		Deployment: Deployment{StoreLoadsPerSecond: 7, StoreFullSpeedLoads: 4, AdaptersInTransit: 30, IdleWeight: 1},
+		Deployment: Deployment{StoreLoadsPerSecond: 7, StoreFullSpeedLoads: 4, AdaptersInTransit: 30, IdleWeight: keepalive.DefaultOptions().IdleWeight},
 		Shutdown:   Shutdown{Notice: 5 * time.Second, HandOver: 10 * time.Second},
 		Log:        Log{Level: "info"},
 		Gateway:    gateway.DefaultOptions(),
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -1,9 +1,14 @@
 package node
 
 import (
+	"slices"
+	"time"
+
 	"almondturn/fleet"
 	"almondturn/pkg/admin"
+	"almondturn/pkg/catalog"
 	"almondturn/pkg/directory"
+	"almondturn/pkg/keepalive"
 	"almondturn/pkg/membership"
 	"almondturn/pkg/peer"
 	"almondturn/pkg/placement"
@@ -34,6 +39,20 @@
 	return out
 }
 
+// keepAlive is the keep-alive policy with the idle weights of the catalog.
+type keepAlive struct {
+	*keepalive.Policy
+	catalog *catalog.Store
+}
+
+// Window implements owner.KeepAlive.
+func (k keepAlive) Window(key fleet.ReplicaKey, now time.Time) time.Duration {
+	if r, ok := k.catalog.Load().Replica(key); ok && r.IdleWeight != 0 {
+		k.Declare(key, 0, r.IdleWeight)
+	}
+	return k.Policy.Window(key, now)
+}
+
 // targetReports shows the directory and the VM list to the target owner.
 type targetReports struct {
 	directory *directory.Directory
@@ -42,7 +61,12 @@
 
 // Targets implements owner.Directory.
 func (r targetReports) Targets() ([]fleet.Target, bool) {
-	all := r.members.Targets()
+	all := slices.Clone(r.members.Targets())
+	for i := range all {
+		if t, ok := r.directory.Lookup(all[i].ID); ok && t.LeavingBy != "" {
+			all[i].Leaving = true // an operator or the engine said so
+		}
+	}
 	return all, r.members.TargetsKnown()
 }
 
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -17,6 +17,7 @@
 	"almondturn/pkg/directory"
 	"almondturn/pkg/dispatch"
 	"almondturn/pkg/gateway"
+	"almondturn/pkg/keepalive"
 	"almondturn/pkg/membership"
 	"almondturn/pkg/mesh"
 	"almondturn/pkg/owner"
@@ -167,7 +168,18 @@
 	}
 }
 
-func newOwner(c *config.Config, d ownerDeps) *owner.Service { return owner.New(c.Owner, d.deps()) }
+func newOwner(c *config.Config, d ownerDeps) *owner.Service {
+	opts := c.Owner
+	opts.Budget.Zones = c.Deployment.Zones
+	opts.Budget.LoadsPerSecond = c.Deployment.StoreLoadsPerSecond
+	opts.Budget.ConcurrentLoads = c.Deployment.StoreFullSpeedLoads
+	opts.Budget.ConcurrentAdapters = c.Deployment.AdaptersInTransit
+	deps := d.deps()
+	policy := keepalive.DefaultOptions()
+	policy.IdleWeight = c.Deployment.IdleWeight
+	deps.KeepAlive = keepAlive{Policy: keepalive.NewPolicy(policy), catalog: d.Store}
+	return owner.New(opts, deps)
+}
 
 func newLoader(c *config.Config, d ownerDeps) owner.Loader {
 	return owner.NewRequester(c.Owner, d.deps())
--- a/pkg/owner/drain.go
+++ b/pkg/owner/drain.go
@@ -112,9 +112,10 @@
 // advanceIdle starts to unload replicas whose keep-alive window is over, and
 // those that no slot allows.
 func (m *Machine) advanceIdle() {
-	if !m.engine.current {
+	if !m.engine.current || m.env.Now.Before(m.idleAt) {
 		return
 	}
+	m.idleAt = m.env.Now.Add(m.opts.PollInterval)
 	for _, k := range sortedKeys(m.engine.replicas) {
 		r := m.engine.replicas[k]
 		if m.drains[k] != nil || m.wants[k] != nil || r.Phase != fleet.ReplicaLoaded {
--- a/pkg/owner/machine.go
+++ b/pkg/owner/machine.go
@@ -52,7 +52,9 @@
 	drains  map[fleet.ReplicaKey]*drain
 	usage   map[fleet.ReplicaKey]*usage
 	updates uint64
-	lastID  uint64
+	// idleAt is when idle replicas are looked at next.
+	idleAt time.Time
+	lastID uint64
 }
 
 // hooks leave out steps of the protocol; tests use them to show that the
--- a/pkg/owner/options.go
+++ b/pkg/owner/options.go
@@ -74,6 +74,9 @@
 	Window(key fleet.ReplicaKey, now time.Time) time.Duration
 	// Observe tells the policy of a gap between two requests.
 	Observe(key fleet.ReplicaKey, idleGap time.Duration)
+	// ObserveLoad tells the policy how long a load took and how many
+	// waited for it.
+	ObserveLoad(key fleet.ReplicaKey, loadTime time.Duration, waiting int)
 }
 
 // FixedKeepAlive is a KeepAlive with one window for all replicas.
@@ -84,3 +87,6 @@
 
 // Observe implements KeepAlive.
 func (FixedKeepAlive) Observe(fleet.ReplicaKey, time.Duration) {}
+
+// ObserveLoad implements KeepAlive.
+func (FixedKeepAlive) ObserveLoad(fleet.ReplicaKey, time.Duration, int) {}
--- a/pkg/owner/orders.go
+++ b/pkg/owner/orders.go
@@ -16,6 +16,7 @@
 	memoryBytes int64
 	// budget is the budget that the load holds a permit of; empty for none.
 	budget wire.BudgetKind
+	sentAt time.Time
 	// generation is that of the order book when the order was sent.
 	generation uint64
 	// observed is set once a current state shows the effect of a load: it
@@ -125,7 +126,7 @@
 	if f := m.orders.floating[k]; f != nil && kind == target.OrderLoad {
 		f.ambiguous = true
 	}
-	m.orders.pending[o.ID] = &pendingOrder{order: o, memoryBytes: memoryBytes, budget: budget, generation: m.orders.generation}
+	m.orders.pending[o.ID] = &pendingOrder{order: o, memoryBytes: memoryBytes, budget: budget, sentAt: m.env.Now, generation: m.orders.generation}
 	timeout := m.opts.ShortOrderTimeout
 	if kind == target.OrderLoad {
 		timeout = m.opts.LoadTimeout
@@ -243,6 +244,11 @@
 	state := fleet.ReplicaState{Key: k, Phase: fleet.ReplicaLoaded, MemoryBytes: p.memoryBytes}
 	m.orders.holds[k] = hold{state: state, generation: m.orders.generation}
 	m.touch(k)
+	waiting := 0
+	if w := m.wants[k]; w != nil && !w.prefetch {
+		waiting = 1
+	}
+	m.keep.ObserveLoad(k, m.env.Now.Sub(p.sentAt), waiting)
 	m.report(ReportLoaded, k, "")
 }
 
--- a/pkg/owner/runner.go
+++ b/pkg/owner/runner.go
@@ -29,6 +29,7 @@
 	loads    map[fleet.ReplicaKey][]chan *fault.Error
 	releases map[fleet.ReplicaKey][]chan bool
 	settles  []chan wire.Settled
+	permits  map[wire.BudgetKind][]permit
 	status   runnerStatus
 
 	lastUpdate  wire.TargetUpdate
@@ -53,6 +54,7 @@
 		cancels:  map[string]context.CancelFunc{},
 		loads:    map[fleet.ReplicaKey][]chan *fault.Error{},
 		releases: map[fleet.ReplicaKey][]chan bool{},
+		permits:  map[wire.BudgetKind][]permit{},
 	}
 }
 
@@ -124,9 +126,9 @@
 	case AskSettle:
 		r.s.spawn(func(ctx context.Context) { r.post(r.askSettle(ctx, a)) })
 	case AskBudget:
-		r.s.askBudget(a, func() { r.post(BudgetGranted{Key: a.Key, Budget: a.Budget}) })
+		r.s.askBudget(r, a)
 	case ReturnBudget:
-		r.s.returnBudget(a)
+		r.s.returnBudget(r, a)
 	case ListSlots, ReadRecord, SwapRecord, ReadRoster:
 		r.executeKV(a)
 	default:
--- a/pkg/owner/service.go
+++ b/pkg/owner/service.go
@@ -33,6 +33,8 @@
 	opts  Options
 	deps  Deps
 	slots *slotReader
+	// holders hand out this zone's share of the budgets when this node is asked.
+	holders map[wire.BudgetKind]*holder
 
 	mu       sync.Mutex // guards all below
 	runners  map[fleet.TargetID]*runner
@@ -76,12 +78,14 @@
 		runners: map[fleet.TargetID]*runner{},
 		entries: entryList{seen: map[fleet.NodeID]bool{}},
 		missing: map[fleet.TargetID]time.Time{},
+		holders: newHolders(opts.Budget, deps.Self, deps.Clock.Now()),
 		known:   map[fleet.TargetID]fleet.Target{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	deps.Router.Handle(wire.TypeLoad, s.handleLoad)
 	deps.Router.Handle(wire.TypeRelease, s.handleRelease)
 	deps.Router.Handle(wire.TypeSettle, s.handleSettle)
+	deps.Router.Handle(wire.TypeBudgetBorrow, s.handleBorrow)
 	return s
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -266,10 +266,19 @@
 	BudgetAdapters   BudgetKind = "adapters"
 )
 
-// BudgetBorrow asks another zone's budget holder for load permits.
+// BudgetBorrow asks a budget holder, of the own or another zone, for load
+// permits.
 type BudgetBorrow struct {
 	Budget BudgetKind `cbor:"1,keyasint"`
 	Wanted int        `cbor:"2,keyasint"`
+	// Permit names the permit that is asked for or given back.
+	Permit string `cbor:"3,keyasint,omitempty"`
+	// Prefetch permits come after those that requests wait for.
+	Prefetch bool `cbor:"4,keyasint,omitempty"`
+	// Return gives the permit back.
+	Return bool `cbor:"5,keyasint,omitempty"`
+	// Lend is set between holders: an idle permit is given at once, or none.
+	Lend bool `cbor:"6,keyasint,omitempty"`
 }
 
 // BudgetLend answers BudgetBorrow; the permits lapse after ValidMillis.
