--- a/pkg/standin/site/site.go
+++ b/pkg/standin/site/site.go
@@ -141,6 +141,15 @@
 	return nil
 }
 
+// AddEngine starts an engine that belongs to no zone and is on no list, and
+// returns its host:port.
+func (s *Site) AddEngine(o engine.Options) (string, *engine.Engine, error) {
+	e := engine.New(o, s.Weights, nil)
+	s.Engines[o.Target] = e
+	addr, err := s.serve(string(o.Target), e.Handler())
+	return addr, e, err
+}
+
 // serve opens a loopback listener, behind a relay where wanted, and returns
 // the address to dial.
 func (s *Site) serve(name string, h http.Handler) (string, error) {
