directory: unchanged targets cost a short report, missed updates are fetched

Change: owners repeat to their own directory only; each directory names its targets' last updates every 2 s, and a node that lacks one fetches it.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -28,6 +28,8 @@
 	opts  Options
 	clock platform.Clock
 	log   zerolog.Logger
+	// missed carries the updates to fetch from their owners.
+	missed chan missedUpdates
 
 	// targets and index are copied on write, under mu.
 	targets atomic.Pointer[map[fleet.TargetID]*entry]
@@ -88,6 +90,7 @@
 		opts: opts, clock: clock, log: log,
 		drains: map[fleet.TargetID]wire.Leaving{},
 		early:  map[fleet.TargetID]bool{},
+		missed: make(chan missedUpdates, missedQueue),
 		listed: map[fleet.TargetID]bool{},
 	}
 	d.targets.Store(&map[fleet.TargetID]*entry{})
@@ -99,6 +102,13 @@
 		d.Apply(m.(*wire.TargetUpdate))
 		return nil, nil
 	})
+	router.Handle(wire.TypeTargetFetch, func(_ context.Context, _ fleet.Node, m wire.Message) (wire.Message, error) {
+		return d.updates(m.(*wire.TargetFetch).Targets), nil
+	})
+	router.Handle(wire.TypeTargetRefresh, func(_ context.Context, from fleet.Node, m wire.Message) (wire.Message, error) {
+		d.refresh(from.ID, m.(*wire.TargetRefresh))
+		return nil, nil
+	})
 	router.Handle(wire.TypeLeaving, func(_ context.Context, _ fleet.Node, m wire.Message) (wire.Message, error) {
 		d.ApplyLeaving(m.(*wire.Leaving))
 		return nil, nil
--- a/pkg/directory/options.go
+++ b/pkg/directory/options.go
@@ -7,9 +7,18 @@
 	// StaleAfter is the age of a target's last update from which on its
 	// entries are marked stale.
 	StaleAfter time.Duration `yaml:"stale_after" validate:"gt=0"`
+	// RefreshInterval is the time between two reports of an owner that its
+	// targets are unchanged, by which others find the updates they missed.
+	RefreshInterval time.Duration `yaml:"refresh_interval" validate:"gt=0,ltfield=StaleAfter"`
+	// FetchTimeout bounds a call for missed updates.
+	FetchTimeout time.Duration `yaml:"fetch_timeout" validate:"gt=0"`
 }
 
 // DefaultOptions returns the settings of a node.
 func DefaultOptions() Options {
-	return Options{StaleAfter: 15 * time.Second}
+	return Options{
+		StaleAfter:      15 * time.Second,
+		RefreshInterval: 2 * time.Second,
+		FetchTimeout:    2 * time.Second,
+	}
 }
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"almondturn/fleet"
 	"almondturn/pkg/admin"
 	"almondturn/pkg/catalog"
 	"almondturn/pkg/claim"
@@ -26,6 +27,7 @@
 type partsIn struct {
 	fx.In
 
+	Self       fleet.Node
 	Log        zerolog.Logger
 	Mesh       *mesh.Mesh
 	Members    *membership.Service
@@ -45,6 +47,7 @@
 
 // parts starts and stops what runs in a node.
 type parts struct {
+	self       fleet.Node
 	log        zerolog.Logger
 	mesh       *mesh.Mesh
 	members    *membership.Service
@@ -70,6 +73,7 @@
 
 func newParts(in partsIn) *parts {
 	p := &parts{
+		self:       in.Self,
 		log:        in.Log,
 		mesh:       in.Mesh,
 		members:    in.Members,
@@ -109,6 +113,7 @@
 		return err
 	}
 	p.loops.Go(func() { p.followTargets(p.ctx) })
+	p.loops.Go(func() { p.directory.Run(p.ctx, p.self.ID, p.mesh) })
 	p.loops.Go(func() { _ = p.catalog.Run(p.ctx) })
 	return p.owner.Start(ctx)
 }
--- a/pkg/owner/publish.go
+++ b/pkg/owner/publish.go
@@ -8,16 +8,20 @@
 	"almondturn/wire"
 )
 
-// publish broadcasts the target when something changed, and at least once
-// per update interval.
+// publish broadcasts the target when something changed. At least once per
+// update interval it tells the own directory that the last update holds; the
+// directory tells the other nodes.
 func (r *runner) publish(now time.Time) {
 	if !r.machine.Owner() || !r.machine.engine.known && !r.machine.env.Gone {
 		r.published.Store(nil)
 		return
 	}
 	u := r.machine.Update(now)
-	due := now.Sub(r.publishedAt) >= r.s.opts.UpdateInterval
-	if !due && sameUpdate(u, r.lastUpdate) {
+	if sameUpdate(u, r.lastUpdate) {
+		if now.Sub(r.publishedAt) >= r.s.opts.UpdateInterval {
+			r.publishedAt = now
+			r.refresh()
+		}
 		return
 	}
 	r.lastUpdate, r.publishedAt = u, now
@@ -36,6 +40,11 @@
 	}
 }
 
+func (r *runner) refresh() {
+	last := wire.TargetReport{Target: r.lastUpdate.Target.ID, Epoch: r.lastUpdate.Epoch, Sequence: r.lastUpdate.Sequence}
+	r.s.deps.Network.Send(r.s.deps.Self.ID, &wire.TargetRefresh{Reports: []wire.TargetReport{last}})
+}
+
 func sameUpdate(a, b wire.TargetUpdate) bool {
 	a.Sequence, b.Sequence = 0, 0
 	a.State.Sequence, b.State.Sequence = 0, 0
--- a/pkg/standin/kv/kv.go
+++ b/pkg/standin/kv/kv.go
@@ -93,6 +93,13 @@
 	return out
 }
 
+// Watches returns the number of watches that wait for events.
+func (s *Store) Watches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.watchers)
+}
+
 // Snapshot is a copy of the state, for Restore.
 type Snapshot struct {
 	entries  map[string]platform.Entry
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -8,6 +8,9 @@
 	TypeRosterUpdate
 	TypePeerList
 	TypeAcknowledge
+	TypeTargetRefresh
+	TypeTargetFetch
+	TypeTargetUpdates
 )
 
 // Roster is the record of one availability zone in the key-value service:
@@ -46,6 +49,38 @@
 	Revision   uint64 `cbor:"2,keyasint"`
 }
 
+// TargetReport names the last update that an owner has broadcast of a target.
+type TargetReport struct {
+	Target   fleet.TargetID `cbor:"1,keyasint"`
+	Epoch    fleet.Epoch    `cbor:"2,keyasint"`
+	Sequence uint64         `cbor:"3,keyasint"`
+}
+
+// TargetRefresh tells regularly that the sender still reports on its targets
+// and that the named updates are its last ones.
+type TargetRefresh struct {
+	Reports []TargetReport `cbor:"1,keyasint"`
+}
+
+// TargetFetch asks an owner for updates that the sender has missed.
+type TargetFetch struct {
+	Targets []fleet.TargetID `cbor:"1,keyasint"`
+}
+
+// TargetUpdates answers TargetFetch.
+type TargetUpdates struct {
+	Updates []TargetUpdate `cbor:"1,keyasint"`
+}
+
+// Type implements Message.
+func (*TargetRefresh) Type() Type { return TypeTargetRefresh }
+
+// Type implements Message.
+func (*TargetFetch) Type() Type { return TypeTargetFetch }
+
+// Type implements Message.
+func (*TargetUpdates) Type() Type { return TypeTargetUpdates }
+
 // Type implements Message.
 func (*RosterFetch) Type() Type { return TypeRosterFetch }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -30,6 +30,9 @@
 	TypeRosterUpdate:  func() Message { return new(RosterUpdate) },
 	TypePeerList:      func() Message { return new(PeerList) },
 	TypeAcknowledge:   func() Message { return new(Acknowledge) },
+	TypeTargetRefresh: func() Message { return new(TargetRefresh) },
+	TypeTargetFetch:   func() Message { return new(TargetFetch) },
+	TypeTargetUpdates: func() Message { return new(TargetUpdates) },
 	TypeGrantEnd:      func() Message { return new(GrantEnd) },
 }
 
