scenarios: settings during a cut and with an older service

Found and mended: a node that dropped out of the view during the wait was listed twice; status could not tell a member that is not live from one that did not answer.

--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -46,6 +46,8 @@
 type NodeStatus struct {
 	Node fleet.NodeID `json:"node"`
 	Zone fleet.Zone   `json:"zone"`
+	// Live is false for a member that has not been heard of lately.
+	Live bool `json:"live"`
 	// Reached is false when the node did not answer in time.
 	Reached   bool                  `json:"reached"`
 	Ready     bool                  `json:"ready"`
@@ -71,7 +73,7 @@
 
 // nodeStatus shows only the revisions that the operator may see.
 func nodeStatus(n catalog.NodeRevisions, op operator) NodeStatus {
-	out := NodeStatus{Node: n.Node.ID, Zone: n.Node.Zone, Reached: n.Reached, Ready: n.Ready, Revisions: map[fleet.Team]uint64{}}
+	out := NodeStatus{Node: n.Node.ID, Zone: n.Node.Zone, Live: true, Reached: n.Reached, Ready: n.Ready, Revisions: map[fleet.Team]uint64{}}
 	for team, revision := range n.Revisions {
 		if op.may(team) {
 			out.Revisions[team] = revision
@@ -102,7 +104,7 @@
 	for _, n := range nodes {
 		answer.Nodes = append(answer.Nodes, nodeStatus(n, op))
 	}
-	answer.Nodes = append(answer.Nodes, s.unreachable()...)
+	answer.Nodes = append(answer.Nodes, s.unreachable(answer.Nodes)...)
 	slices.SortStableFunc(answer.Nodes, func(a, b NodeStatus) int {
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Node, b.Node))
 	})
@@ -111,9 +113,13 @@
 	return nil
 }
 
-// unreachable lists the members of all zones that are not live.
-func (s *Server) unreachable() []NodeStatus {
+// unreachable lists the members of all zones that are neither live nor in
+// listed, which was taken from an earlier view.
+func (s *Server) unreachable(listed []NodeStatus) []NodeStatus {
 	live := map[fleet.NodeID]bool{s.self.ID: true}
+	for _, n := range listed {
+		live[n.Node] = true
+	}
 	for _, n := range s.view().Live {
 		live[n.ID] = true
 	}
--- a/pkg/admin/teams.go
+++ b/pkg/admin/teams.go
@@ -222,7 +222,7 @@
 		for _, n := range lagging {
 			answer.Lagging = append(answer.Lagging, nodeStatus(n, operator{root: true}))
 		}
-		answer.Unreachable = s.unreachable()
+		answer.Unreachable = s.unreachable(answer.Lagging)
 	}
 	snap := s.catalog.Snapshot()
 	after, _ := snap.Team(team)
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -125,6 +125,8 @@
 
 func nodeState(n admin.NodeStatus) string {
 	switch {
+	case !n.Live:
+		return "not reachable"
 	case !n.Reached:
 		return "no answer"
 	case n.Ready:
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -34,6 +34,10 @@
 			"leave":    cmdLeave,
 			"await":    cmdAwait,
 			"verdict":  cmdVerdict,
+
+			"ctl":       cmdCtl,
+			"ctl-until": cmdCtlUntil,
+			"sub":       cmdSub,
 		},
 		Setup: func(e *testscript.Env) error {
 			s := &state{pending: map[string]chan []*call{}}
