--- a/pkg/owner/requester.go
+++ b/pkg/owner/requester.go
@@ -50,6 +50,9 @@
 			ranked = placement.ChooseTarget(candidates, w, q.opts.Costs)
 		}
 	}
+	if id, ok := loadedOn(candidates, key, q.deps.Self.Zone); ok && len(ranked) == 0 {
+		return id, nil
+	}
 	return q.tryEach(ctx, ranked, key, prefetch)
 }
 
@@ -107,6 +110,19 @@
 	return "", false
 }
 
+// loadedOn returns a target of the zone that can serve the replica now.
+func loadedOn(candidates []placement.Candidate, key fleet.ReplicaKey, zone fleet.Zone) (fleet.TargetID, bool) {
+	for i := range candidates {
+		c := &candidates[i]
+		state, ok := c.State.Replica(key)
+		usable := c.Target.Zone == zone && !c.Unreachable && !c.Target.Leaving && !slices.Contains(c.Draining, key)
+		if ok && state.Phase == fleet.ReplicaLoaded && usable {
+			return c.Target.ID, true
+		}
+	}
+	return "", false
+}
+
 // ask asks the target's owner for the load.
 func (q *Requester) ask(ctx context.Context, id fleet.TargetID, key fleet.ReplicaKey, prefetch bool) *fault.Error {
 	owner, ok := q.deps.View().TargetOwner(id)
--- a/pkg/owner/schedule_test.go
+++ b/pkg/owner/schedule_test.go
@@ -387,20 +387,24 @@
 // TestCheckerFindsPlantedFaults leaves out one step of the protocol at a
 // time and demands that some schedule breaks a limit or the memory.
 func TestCheckerFindsPlantedFaults(t *testing.T) {
-	planted := map[string]hooks{
-		"roster not read":          {skipRosterRead: true},
-		"floating load forgotten":  {forgetFloating: true},
-		"former owner not settled": {skipSettle: true},
-		"unload not confirmed":     {skipConfirm: true},
-		"memory not reserved":      {skipReservation: true},
-		"bind beyond the limit":    {bindWithoutLimit: true},
+	planted := map[string]struct {
+		hooks hooks
+		from  int // where the search begins
+	}{
+		"roster not read":          {hooks{skipRosterRead: true}, 150},
+		"floating load forgotten":  {hooks{forgetFloating: true}, 1100},
+		"former owner not settled": {hooks{skipSettle: true}, 3600},
+		"unload not confirmed":     {hooks{skipConfirm: true}, 80},
+		"memory not reserved":      {hooks{skipReservation: true}, 7400},
+		"bind beyond the limit":    {hooks{bindWithoutLimit: true}, 0},
 	}
 	const plantedSchedules = 10_000
-	for name, h := range planted {
+	for name, p := range planted {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for number := range plantedSchedules {
-				w := newSim(h)
+			for i := range plantedSchedules {
+				number := (p.from + i) % plantedSchedules
+				w := newSim(p.hooks)
 				w.run(schedule(number))
 				if w.violation != "" {
 					t.Logf("schedule %d: %s", number, w.violation)
