--- a/pkg/owner/options.go
+++ b/pkg/owner/options.go
@@ -57,7 +57,7 @@
 		ShortOrderTimeout:   5 * time.Second,
 		WantTimeout:         time.Minute,
 		ObserveTime:         2 * time.Second,
-		OrderLifetime:       2 * time.Minute,
+		OrderLifetime:       30 * time.Second,
 		RetryInterval:       250 * time.Millisecond,
 		DrainDelay:          100 * time.Millisecond,
 		SurplusGrace:        time.Second,
