--- a/pkg/standin/weights/weights.go
+++ b/pkg/standin/weights/weights.go
@@ -62,13 +62,14 @@
 	s.enter()
 	defer s.leave()
 	for remaining := d; remaining > 0; {
-		step := min(progressStep, remaining)
+		stretch := s.stretch()
+		began := time.Now()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(time.Duration(float64(step) * s.stretch())):
+		case <-time.After(time.Duration(float64(min(progressStep, remaining)) * stretch)):
 		}
-		remaining -= step
+		remaining -= time.Duration(float64(time.Since(began)) / stretch)
 	}
 	return nil
 }
