--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -77,7 +77,7 @@
 // cmdCall sends requests to a model and waits for their ends.
 func cmdCall(ts *testscript.TestScript, _ bool, args []string) {
 	words, opts := options(args)
-	require(ts, len(words) == 1 && opts["model"] != "", callUsage)
+	mustUse(ts, len(words) == 1 && opts["model"] != "", callUsage)
 	d := get(ts).d
 	calls := prepare(ts, d, opts)
 	send(d, calls)
@@ -87,7 +87,7 @@
 // cmdBook sends calls to the plain service.
 func cmdBook(ts *testscript.TestScript, _ bool, args []string) {
 	words, opts := options(args)
-	require(ts, len(words) == 1 && opts["model"] == "", callUsage)
+	mustUse(ts, len(words) == 1 && opts["model"] == "", callUsage)
 	d := get(ts).d
 	calls := prepare(ts, d, opts)
 	send(d, calls)
@@ -97,7 +97,7 @@
 // cmdBegin sends requests in the background under a name.
 func cmdBegin(ts *testscript.TestScript, _ bool, args []string) {
 	words, opts := options(args)
-	require(ts, len(words) == 1, "begin NAME "+callUsage)
+	mustUse(ts, len(words) == 1, "begin NAME "+callUsage)
 	s := get(ts)
 	calls := prepare(ts, s.d, opts)
 	done := make(chan []*call, 1)
@@ -110,17 +110,17 @@
 
 // cmdFinish waits for requests of begin: finish NAME CODE[|CODE]
 func cmdFinish(ts *testscript.TestScript, _ bool, args []string) {
-	require(ts, len(args) == 2, "finish NAME CODE[|CODE]")
+	mustUse(ts, len(args) == 2, "finish NAME CODE[|CODE]")
 	s := get(ts)
 	done := s.pending[args[0]]
-	require(ts, done != nil, "finish NAME of a begin")
+	mustUse(ts, done != nil, "finish NAME of a begin")
 	delete(s.pending, args[0])
 	expect(ts, <-done, args[1])
 }
 
 // cmdNode: node kill|stop|start ID...
 func cmdNode(ts *testscript.TestScript, _ bool, args []string) {
-	require(ts, len(args) >= 2, "node kill|stop|start ID...")
+	mustUse(ts, len(args) >= 2, "node kill|stop|start ID...")
 	d := get(ts).d
 	ctx, cancel := bounded()
 	defer cancel()
@@ -141,7 +141,7 @@
 // cmdPlatform: platform up|down|silent|remember|older [lose=N] [delay=D]
 func cmdPlatform(ts *testscript.TestScript, _ bool, args []string) {
 	words, opts := options(args)
-	require(ts, len(words) == 1, "platform up|down|silent|remember|older [lose=N] [delay=D]")
+	mustUse(ts, len(words) == 1, "platform up|down|silent|remember|older [lose=N] [delay=D]")
 	d := get(ts).d
 	f := kv.Faults{LoseAnswers: number(ts, opts, "lose", 0), Delay: duration(ts, opts, "delay", 0)}
 	switch words[0] {
@@ -163,7 +163,7 @@
 // cmdEngine: engine restart|well|leave|faults ID|all [name=value]...
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
 	words, opts := options(args)
-	require(ts, len(words) == 2, "engine restart|well|leave|faults ID|all [cut=N] [after=N] [lose=N] [fail=N] [crossed=N] [silent=1] [stall=1] [delay=D]")
+	mustUse(ts, len(words) == 2, "engine restart|well|leave|faults ID|all [cut=N] [after=N] [lose=N] [fail=N] [crossed=N] [silent=1] [stall=1] [delay=D]")
 	for id, e := range get(ts).d.Site.Engines {
 		if words[1] != "all" && words[1] != string(id) {
 			continue
@@ -195,7 +195,7 @@
 // cmdPlain: plain faults ID|all [lose=N] [fail=N] [silent=1] [delay=D]
 func cmdPlain(ts *testscript.TestScript, _ bool, args []string) {
 	words, opts := options(args)
-	require(ts, len(words) == 2 && words[0] == "faults", "plain faults ID|all [lose=N] [fail=N] [silent=1] [delay=D]")
+	mustUse(ts, len(words) == 2 && words[0] == "faults", "plain faults ID|all [lose=N] [fail=N] [silent=1] [delay=D]")
 	for id, p := range get(ts).d.Site.Plains {
 		if words[1] == "all" || words[1] == string(id) {
 			p.SetFaults(plain.Faults{
@@ -210,10 +210,10 @@
 
 // cmdRelay: relay silence|cut|refuse|accept NAME...; names are targets and "platform"
 func cmdRelay(ts *testscript.TestScript, _ bool, args []string) {
-	require(ts, len(args) >= 2, "relay silence|cut|refuse|accept NAME...")
+	mustUse(ts, len(args) >= 2, "relay silence|cut|refuse|accept NAME...")
 	for _, name := range args[1:] {
 		r, ok := get(ts).d.Site.Relay(name)
-		require(ts, ok, "relay: a target or platform")
+		mustUse(ts, ok, "relay: a target or platform")
 		switch args[0] {
 		case "silence":
 			r.Silence()
@@ -233,7 +233,7 @@
 // cmdLimit: limit MODEL N changes the model's replica limit.
 func cmdLimit(ts *testscript.TestScript, _ bool, args []string) {
 	_, opts := options(args)
-	require(ts, len(args) == 2 && opts["n"] != "", "limit MODEL n=N")
+	mustUse(ts, len(args) == 2 && opts["n"] != "", "limit MODEL n=N")
 	ctx, cancel := bounded()
 	defer cancel()
 	ts.Check(get(ts).d.setLimit(ctx, args[0], number(ts, opts, "n", 0)))
@@ -241,7 +241,7 @@
 
 // cmdLeave: leave TARGET marks the VM as leaving in the VM list.
 func cmdLeave(ts *testscript.TestScript, _ bool, args []string) {
-	require(ts, len(args) == 1, "leave TARGET")
+	mustUse(ts, len(args) == 1, "leave TARGET")
 	s := get(ts).d.Site
 	for _, t := range s.Targets {
 		if string(t.ID) == args[0] {
@@ -253,7 +253,7 @@
 // cmdAwait: await serving | await loaded MODEL n=N | await started n=N
 func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
 	words, opts := options(args)
-	require(ts, len(words) >= 1, "await serving|loaded MODEL n=N|running n=N")
+	mustUse(ts, len(words) >= 1, "await serving|loaded MODEL n=N|running n=N")
 	d := get(ts).d
 	ctx, cancel := bounded()
 	defer cancel()
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -105,7 +105,8 @@
 	return d
 }
 
-func require(ts *testscript.TestScript, ok bool, usage string) {
+// mustUse fails with the usage unless ok.
+func mustUse(ts *testscript.TestScript, ok bool, usage string) {
 	if !ok {
 		ts.Fatalf("usage: %s", usage)
 	}
--- a/scenarios/settings_test.go
+++ b/scenarios/settings_test.go
@@ -46,7 +46,7 @@
 // cmdCtl: ctl NODE EXIT ARGS... runs almondturnctl and wants the exit code.
 // Its output is matched by stdout.
 func cmdCtl(ts *testscript.TestScript, _ bool, args []string) {
-	require(ts, len(args) >= 3, "ctl NODE EXIT ARGS...")
+	mustUse(ts, len(args) >= 3, "ctl NODE EXIT ARGS...")
 	want, err := strconv.Atoi(args[1])
 	ts.Check(err)
 	code, out := runCtl(ts, args[0], args[2:])
@@ -59,7 +59,7 @@
 
 // cmdCtlUntil: ctl-until NODE REGEXP ARGS... repeats until the output matches.
 func cmdCtlUntil(ts *testscript.TestScript, _ bool, args []string) {
-	require(ts, len(args) >= 3, "ctl-until NODE REGEXP ARGS...")
+	mustUse(ts, len(args) >= 3, "ctl-until NODE REGEXP ARGS...")
 	want, err := regexp.Compile("(?s)" + args[1])
 	ts.Check(err)
 	ctx, cancel := context.WithTimeout(context.Background(), limitForAll)
@@ -75,7 +75,7 @@
 
 // cmdSub: sub FILE OLD NEW edits a file.
 func cmdSub(ts *testscript.TestScript, _ bool, args []string) {
-	require(ts, len(args) == 3, "sub FILE OLD NEW")
+	mustUse(ts, len(args) == 3, "sub FILE OLD NEW")
 	text := ts.ReadFile(args[0])
 	if !strings.Contains(text, args[1]) {
 		ts.Fatalf("%s does not contain %q", args[0], args[1])
