observer: states of engines whose owner is gone while the roster stands

Cause: with all nodes of a zone replaced during an outage of the key-value service nobody in the roster lived, nobody reported the zone's engines, and loaded models were not served (scenario all-replaced). Change: one live node per such engine reads its state and spreads it, marked as observed. The directory takes it once the owner has not reported for 5 s, and any report of an owner that is not a former one replaces it. New nodes are greeted with owners' reports, observations, drains and the VM list, the latter across zones too.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -21,6 +21,7 @@
 	"almondturn/pkg/keepalive"
 	"almondturn/pkg/membership"
 	"almondturn/pkg/mesh"
+	"almondturn/pkg/observer"
 	"almondturn/pkg/owner"
 	"almondturn/pkg/target"
 )
@@ -39,6 +40,7 @@
 	Mesh       mesh.Options         `yaml:"mesh"`
 	Membership membership.Options   `yaml:"membership"`
 	Directory  directory.Options    `yaml:"directory"`
+	Observer   observer.Options     `yaml:"observer"`
 	Catalog    catalog.Options      `yaml:"catalog"`
 	Owner      owner.Options        `yaml:"owner"`
 	Orders     target.OrderOptions  `yaml:"orders"`
@@ -142,6 +144,7 @@
 		Mesh:       mesh.DefaultOptions(),
 		Membership: membership.DefaultOptions(),
 		Directory:  directory.DefaultOptions(),
+		Observer:   observer.DefaultOptions(),
 		Catalog:    catalog.DefaultOptions(),
 		Owner:      owner.DefaultOptions(),
 		Orders:     target.DefaultOrderOptions(),
--- a/pkg/directory/apply.go
+++ b/pkg/directory/apply.go
@@ -17,7 +17,7 @@
 	defer d.mu.Unlock()
 	e := d.entryLocked(u.Target)
 	old := e.state.Load()
-	if !newer(old, u) {
+	if !d.accepts(old, u) {
 		return false
 	}
 	next := *old
@@ -31,6 +31,11 @@
 	next.Owner, next.Epoch, next.Sequence = u.Owner, u.Epoch, u.Sequence
 	next.Unreachable = u.Unreachable
 	next.Slots, next.Draining = u.Slots, u.Draining
+	next.Observed = u.Observed
+	if u.Observed {
+		next.Epoch = old.Epoch
+		next.Slots, next.Draining = old.Slots, old.Draining
+	}
 	next.updated = d.clock.Now()
 	next.Report++
 	delete(d.early, u.Target.ID)
@@ -38,6 +43,23 @@
 	return true
 }
 
+// accepts tells whether an update replaces what is known. Another node's
+// observation does so once the owner has not reported for long; any report
+// of an owner replaces an observation, unless the owner is a former one.
+func (d *Directory) accepts(old *Target, u *wire.TargetUpdate) bool {
+	switch {
+	case old.State == nil && u.Epoch >= old.Epoch:
+		return true
+	case u.Observed && old.Observed:
+		return u.Sequence > old.Sequence
+	case u.Observed:
+		return d.clock.Now().Sub(old.updated) > d.opts.ObserveAfter
+	case old.Observed:
+		return u.Epoch >= old.Epoch
+	}
+	return newer(old, u)
+}
+
 func newer(old *Target, u *wire.TargetUpdate) bool {
 	if u.Epoch != old.Epoch {
 		return u.Epoch > old.Epoch
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -59,8 +59,10 @@
 	Epoch       fleet.Epoch
 	Sequence    uint64
 	Unreachable bool
-	Slots       []fleet.ReplicaKey
-	Draining    []fleet.ReplicaKey
+	// Observed is set when the report is not an owner's.
+	Observed bool
+	Slots    []fleet.ReplicaKey
+	Draining []fleet.ReplicaKey
 	// LeavingBy names the first source that said that the target is
 	// leaving; empty while it takes work.
 	LeavingBy string
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -152,6 +152,25 @@
 	assert.Empty(t, d.Plain("desk"))
 }
 
+func TestObservationFillsInForAnOwnerThatIsGone(t *testing.T) {
+	d, _, clock := newDirectory()
+	observe := func(sequence uint64, keys ...fleet.ReplicaKey) bool {
+		u := update("t1", 9, sequence, keys...)
+		u.Owner, u.Observed = "", true
+		return d.Apply(u)
+	}
+	d.Apply(update("t1", 2, 5))
+	assert.False(t, observe(1000, key), "the owner has just reported")
+	clock.now = clock.now.Add(6 * time.Second)
+	assert.True(t, observe(1000, key))
+	assert.Len(t, d.Replicas(key), 1)
+	assert.False(t, observe(999), "late")
+	assert.False(t, d.Apply(update("t1", 1, 99)), "a former owner")
+	assert.True(t, d.isMissedLocked(wire.TargetReport{Target: "t1", Epoch: 2, Sequence: 5}))
+	assert.True(t, d.Apply(update("t1", 2, 6)), "the owner is back in the same epoch")
+	assert.Empty(t, d.Replicas(key))
+}
+
 func TestSubscribersHearOfReplicasAndNotOfLoad(t *testing.T) {
 	d, _, _ := newDirectory()
 	ch := d.Subscribe()
--- a/pkg/directory/refresh.go
+++ b/pkg/directory/refresh.go
@@ -77,6 +77,9 @@
 		return true
 	}
 	old := e.state.Load()
+	if old.Observed {
+		return r.Epoch >= old.Epoch
+	}
 	if old.State != nil && old.Epoch == r.Epoch && old.Sequence == r.Sequence {
 		next := *old
 		next.updated = d.clock.Now()
@@ -108,7 +111,7 @@
 	out := &wire.TargetUpdates{}
 	for _, id := range ids {
 		t, ok := d.Lookup(id)
-		if !ok || t.State == nil {
+		if !ok || t.State == nil || t.Observed {
 			continue
 		}
 		out.Updates = append(out.Updates, wire.TargetUpdate{
--- a/pkg/event/membership.go
+++ b/pkg/event/membership.go
@@ -21,5 +21,6 @@
 	PlatformAccepted = register(233, "platform_older_acknowledged", zerolog.WarnLevel, "An operator acknowledged that the key-value service lost data; its state is followed again.")
 	VMListFailed     = register(240, "vm_list_failed", zerolog.WarnLevel, "The platform's list of VMs could not be read; the last one stays in force.")
 	TargetLeaving    = register(250, "target_leaving", zerolog.InfoLevel, "A target takes no new work; the field source tells who said so first.")
+	TargetObserved   = register(252, "target_observed", zerolog.WarnLevel, "The target's owner is gone and the roster cannot change: this node reads the target's state, so that what is loaded stays in use. Nothing is loaded or unloaded there until the roster changes.")
 	TargetReturned   = register(251, "target_returned", zerolog.InfoLevel, "An operator took the drain of a target back.")
 )
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -216,7 +216,7 @@
 		return
 	}
 	s.apply(func(now time.Time) []Action { return s.core.Connected(now, node) })
-	if list := s.targets.list(); list != nil && node.Zone == s.self.Zone {
+	if list := s.targets.list(); list != nil {
 		s.network.Send(node.ID, list)
 	}
 }
--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -20,6 +20,7 @@
 	"almondturn/pkg/keepalive"
 	"almondturn/pkg/membership"
 	"almondturn/pkg/mesh"
+	"almondturn/pkg/observer"
 	"almondturn/pkg/owner"
 	"almondturn/pkg/peer"
 	"almondturn/pkg/platform"
@@ -46,6 +47,7 @@
 			newCatalogStore,
 			newCatalog,
 			newOwner,
+			newObserver,
 			newLoader,
 			newStreams,
 			dispatch.NewTargets,
@@ -113,14 +115,8 @@
 
 func newView(s *membership.Service) viewFunc { return s.View }
 
-func newDirectory(c *config.Config, m *mesh.Mesh, router *peer.Router, clock platform.Clock, log zerolog.Logger) *directory.Directory {
-	d := directory.New(c.Directory, router, clock, log)
-	m.AddObserver(func(n fleet.Node, connected bool) {
-		if connected {
-			d.Greet(m, n.ID)
-		}
-	})
-	return d
+func newDirectory(c *config.Config, router *peer.Router, clock platform.Clock, log zerolog.Logger) *directory.Directory {
+	return directory.New(c.Directory, router, clock, log)
 }
 
 func newCatalogStore() *catalog.Store { return &catalog.Store{} }
@@ -181,6 +177,18 @@
 	return owner.New(opts, deps)
 }
 
+func newObserver(c *config.Config, d ownerDeps) *observer.Observer {
+	return observer.New(c.Observer, observer.Deps{
+		Self:    d.Self.ID,
+		Clock:   d.Clock,
+		Logger:  d.Log,
+		View:    d.View,
+		Targets: d.Members.Targets,
+		Engines: d.Orders,
+		Network: d.Network,
+	})
+}
+
 func newLoader(c *config.Config, d ownerDeps) owner.Loader {
 	return owner.NewRequester(c.Owner, d.deps())
 }
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -19,6 +19,7 @@
 	"almondturn/pkg/gateway"
 	"almondturn/pkg/membership"
 	"almondturn/pkg/mesh"
+	"almondturn/pkg/observer"
 	"almondturn/pkg/owner"
 	"almondturn/pkg/target"
 )
@@ -34,6 +35,7 @@
 	Directory  *directory.Directory
 	Catalog    *catalog.Service
 	Owner      *owner.Service
+	Observer   *observer.Observer
 	Orders     *target.Orders
 	Streams    *target.Streams
 	Dispatcher *dispatch.Dispatcher
@@ -54,6 +56,7 @@
 	directory  *directory.Directory
 	catalog    *catalog.Service
 	owner      *owner.Service
+	observer   *observer.Observer
 	orders     *target.Orders
 	streams    *target.Streams
 	dispatcher *dispatch.Dispatcher
@@ -80,6 +83,7 @@
 		directory:  in.Directory,
 		catalog:    in.Catalog,
 		owner:      in.Owner,
+		observer:   in.Observer,
 		orders:     in.Orders,
 		streams:    in.Streams,
 		dispatcher: in.Dispatcher,
@@ -106,6 +110,7 @@
 }
 
 func (p *parts) start(ctx context.Context) error {
+	p.mesh.AddObserver(p.greet)
 	if err := p.mesh.Start(ctx); err != nil {
 		return err
 	}
@@ -113,11 +118,22 @@
 		return err
 	}
 	p.loops.Go(func() { p.followTargets(p.ctx) })
+	p.loops.Go(func() { p.observer.Run(p.ctx) })
 	p.loops.Go(func() { p.directory.Run(p.ctx, p.self.ID, p.mesh) })
 	p.loops.Go(func() { _ = p.catalog.Run(p.ctx) })
 	return p.owner.Start(ctx)
 }
 
+// greet tells a node that has just connected what it cannot know yet.
+func (p *parts) greet(n fleet.Node, connected bool) {
+	if !connected {
+		return
+	}
+	p.directory.Greet(p.mesh, n.ID)
+	p.owner.Greet(n.ID)
+	p.observer.Greet(n.ID)
+}
+
 // followTargets keeps the directory's list of targets up to date.
 func (p *parts) followTargets(ctx context.Context) {
 	changed := p.members.SubscribeTargets()
--- a/pkg/owner/publish.go
+++ b/pkg/owner/publish.go
@@ -17,7 +17,7 @@
 		return
 	}
 	u := r.machine.Update(now)
-	if sameUpdate(u, r.lastUpdate) {
+	if r.published.Load() != nil && sameUpdate(u, r.lastUpdate) {
 		if now.Sub(r.publishedAt) >= r.s.opts.UpdateInterval {
 			r.publishedAt = now
 			r.refresh()
--- a/pkg/standin/kv/kv.go
+++ b/pkg/standin/kv/kv.go
@@ -93,6 +93,13 @@
 	return out
 }
 
+// Down tells whether every call is refused.
+func (s *Store) Down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Down
+}
+
 // Watches returns the number of watches that wait for events.
 func (s *Store) Watches() int {
 	s.mu.Lock()
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -84,6 +84,9 @@
 	Slots []fleet.ReplicaKey `cbor:"7,keyasint,omitempty"`
 	// Draining are replicas that must get no new requests.
 	Draining []fleet.ReplicaKey `cbor:"8,keyasint,omitempty"`
+	// Observed marks the report of a node that does not own the target; its
+	// sequence is the time in Unix milliseconds, and Owner is empty.
+	Observed bool `cbor:"10,keyasint,omitempty"`
 }
 
 // TargetList spreads the VM list from the few nodes that poll it.
