catalog: a starting node accepts no change

Cause: a node that had heard only of a service that came back older would have accepted a change on top of it, against what peers have in force. Change: Apply refuses until the node is ready. Test: TestStartingNodeAcceptsNothing; without the check the change is accepted and the test is red.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -78,7 +78,10 @@
 	view := func() *peer.View {
 		return &peer.View{Self: self, Live: []fleet.Node{self, silent}, PlatformUp: true}
 	}
-	service := catalog.New(catalog.DefaultOptions(), self, store, net, peer.NewRouter(), view, platform.SystemClock{}, zerolog.Nop(), &catalog.Store{})
+	settings := catalog.DefaultOptions()
+	settings.StartupWait = 0
+	service := catalog.New(settings, self, store, net, peer.NewRouter(), view, platform.SystemClock{}, zerolog.Nop(), &catalog.Store{})
+	service.StepPlatform(context.Background())
 	opts := DefaultOptions()
 	opts.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
 	slots := []fleet.ReplicaKey{{Service: "listing", Model: "tea-small", Version: "1"}, {Service: "other", Model: "m"}}
@@ -234,7 +237,7 @@
 	f.create()
 	var status StatusAnswer
 	require.NoError(t, json.Unmarshal(f.do("GET", "/admin/v1/status", examples.DevRootToken, "").Body.Bytes(), &status))
-	assert.Equal(t, []ZoneStatus{{Zone: "z1", Nodes: 1, Reached: 1}, {Zone: "z2", Nodes: 1}, {Zone: "z3", Nodes: 1}}, status.Zones)
+	assert.Equal(t, []ZoneStatus{{Zone: "z1", Nodes: 1, Reached: 1, Ready: 1}, {Zone: "z2", Nodes: 1}, {Zone: "z3", Nodes: 1}}, status.Zones)
 	assert.True(t, status.PlatformUp)
 	assert.EqualValues(t, 1, status.Nodes[0].Revisions["listings"])
 	assert.Equal(t, "not_allowed", f.do("POST", "/admin/v1/platform/acknowledge", examples.DevListingsToken, "").code())
--- /dev/null
+++ b/pkg/catalog/conflict.go
@@ -0,0 +1,60 @@
+package catalog
+
+import (
+	"context"
+	"fmt"
+
+	"almondturn/fleet"
+	"almondturn/pkg/fault"
+)
+
+// ConflictError tells that another change was accepted since the operator
+// read the subtree.
+type ConflictError struct {
+	Team fleet.Team
+	// Expected is the revision that the operator read, Current the accepted one.
+	Expected, Current uint64
+	Author            string
+	// Theirs is what was changed since Expected; nil when that revision is
+	// no longer kept. Yours is what the operator's file changes.
+	Theirs, Yours []Difference
+}
+
+// maxConflictPaths bounds the paths of each side in a conflict's message.
+const maxConflictPaths = 50
+
+// Error shows both sides.
+func (e *ConflictError) Error() string {
+	msg := fmt.Sprintf("team %q is at revision %d (by %s), your change is based on revision %d; read it again and repeat your edit\n", e.Team, e.Current, e.Author, e.Expected)
+	base := fmt.Sprintf("revision %d", e.Expected)
+	if e.Theirs == nil && e.Expected == 0 {
+		msg = fmt.Sprintf("team %q exists already, at revision %d (by %s); your file against it:\n", e.Team, e.Current, e.Author)
+		return msg + FormatDiff(fmt.Sprintf("revision %d", e.Current), "yours", e.Yours, maxConflictPaths)
+	}
+	if e.Theirs == nil {
+		msg += fmt.Sprintf("revision %d is no longer kept; your file against revision %d:\n", e.Expected, e.Current)
+		return msg + FormatDiff(fmt.Sprintf("revision %d", e.Current), "yours", e.Yours, maxConflictPaths)
+	}
+	msg += FormatDiff(base, fmt.Sprintf("revision %d (accepted)", e.Current), e.Theirs, maxConflictPaths)
+	msg += FormatDiff(base, "yours", e.Yours, maxConflictPaths)
+	for _, path := range Both(e.Theirs, e.Yours) {
+		msg += "changed on both sides: " + path + "\n"
+	}
+	return msg
+}
+
+// conflict shows what others changed and what this change wanted.
+func (w *write) conflict(ctx context.Context, now *Head) error {
+	c := &ConflictError{Team: w.c.Spec.Team, Expected: w.c.Expect, Current: now.Revision, Author: now.Author}
+	current, err := w.r.readPast(ctx, now, now.Revision)
+	if err != nil {
+		current = nil
+	}
+	base, err := w.r.readPast(ctx, now, w.c.Expect)
+	if err == nil {
+		c.Theirs, c.Yours = Diff(base, current), Diff(base, w.c.Spec)
+	} else {
+		c.Yours = Diff(current, w.c.Spec)
+	}
+	return &fault.Error{Kind: fault.RevisionConflict, Message: c.Error(), Err: c}
+}
--- a/pkg/catalog/service.go
+++ b/pkg/catalog/service.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"almondturn/fleet"
+	"almondturn/pkg/fault"
 	"almondturn/pkg/peer"
 	"almondturn/pkg/platform"
 	"almondturn/wire"
@@ -187,8 +188,12 @@
 }
 
 // Apply makes a change through this node, puts it in force here and sends it
-// to the peers.
+// to the peers. A node that is not ready refuses: it does not know yet whether
+// the key-value service is older than what peers have in force.
 func (s *Service) Apply(ctx context.Context, c Change) (*Committed, error) {
+	if !s.ready.Load() {
+		return nil, fault.New(fault.PlatformUnavailable, "this node is starting and has not loaded the settings yet; use another one")
+	}
 	c.InForce = s.Head(c.Spec.Team)
 	done, err := s.repo.Apply(ctx, c)
 	if err != nil {
--- a/pkg/catalog/spread_test.go
+++ b/pkg/catalog/spread_test.go
@@ -242,6 +242,24 @@
 	assert.True(t, c.nodes[1].service.Ready())
 }
 
+// A node that has just started meets an older service before it has heard of
+// its peers: a change through it would be accepted and revert what is in force.
+func TestStartingNodeAcceptsNothing(t *testing.T) {
+	c := started(t)
+	c.mustApply(0, team("a", "s"), 0)
+	backup := c.store.Snapshot()
+	c.mustApply(0, withReplicas(team("a", "s"), 4), 1)
+	c.store.Restore(backup)
+	c.restart(3)
+	c.nodes[3].service.StepPlatform(context.Background())
+	require.EqualValues(t, 1, c.nodes[3].service.Head("a").Revision, "it has only heard of the service")
+	_, err := c.apply(3, withReplicas(team("a", "s"), 9), 1)
+	require.Equal(t, fault.PlatformUnavailable, fault.KindOf(err))
+	c.run(4 * time.Second)
+	require.True(t, c.nodes[3].service.Ready())
+	require.EqualValues(t, 2, c.nodes[3].service.Head("a").Revision)
+}
+
 func TestOlderServiceIsNotFollowed(t *testing.T) {
 	c := started(t)
 	c.mustApply(0, team("a", "s"), 0)
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -54,7 +54,10 @@
 	self := fleet.Node{ID: "n1", Zone: "z1"}
 	f := &fixture{t: t, store: kv.New(platform.SystemClock{}), live: []fleet.Node{self}}
 	view := func() *peer.View { return &peer.View{Self: self, Live: f.live, PlatformUp: true} }
-	service := catalog.New(catalog.DefaultOptions(), self, f.store, peertest.Alone{}, peer.NewRouter(), view, platform.SystemClock{}, zerolog.Nop(), &catalog.Store{})
+	settings := catalog.DefaultOptions()
+	settings.StartupWait = 0
+	service := catalog.New(settings, self, f.store, peertest.Alone{}, peer.NewRouter(), view, platform.SystemClock{}, zerolog.Nop(), &catalog.Store{})
+	service.StepPlatform(context.Background())
 	opts := admin.DefaultOptions()
 	opts.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
 	server := admin.New(opts, self, service, peertest.Alone{}, view, oneTarget{}, f, zerolog.Nop())
