owner: a takeover ends with a look at the roster; loads in other zones

Change: the roster is read after the slots, and a later epoch ends the takeover. Reads are shared by all targets of a node. Also: when no target of the zone can load, one of another zone is used; before, bursts from three zones for a replica with one slot were refused.

--- a/pkg/owner/loader.go
+++ b/pkg/owner/loader.go
@@ -8,7 +8,7 @@
 	"almondturn/fleet"
 )
 
-// Loader gets one more replica loaded in this node's zone.
+// Loader gets one more replica loaded, in this node's zone if possible.
 type Loader interface {
 	// Load returns the target on which the replica is loaded now. prefetch
 	// marks a load that no request waits for. The error is of kind
--- a/pkg/owner/machine.go
+++ b/pkg/owner/machine.go
@@ -18,6 +18,9 @@
 	stageFence
 	// stageSlots waits for the slot records, read after the fence.
 	stageSlots
+	// stageRoster waits for the roster, read after the slots: a process
+	// that starts with an old view must not own the target.
+	stageRoster
 	// stageReady gives orders.
 	stageReady
 )
--- a/pkg/owner/orders.go
+++ b/pkg/owner/orders.go
@@ -196,8 +196,7 @@
 // owns the target, or this owner's number or incarnation was old.
 func (m *Machine) orderStale(res target.OrderResult) {
 	if m.superseded(res) {
-		m.givenUp = res.State.Epoch
-		m.loseOwnership()
+		m.supersede(res.State.Epoch)
 		return
 	}
 	if res.State.Epoch == m.epoch {
--- a/pkg/owner/requester.go
+++ b/pkg/owner/requester.go
@@ -29,46 +29,115 @@
 
 // Load implements Loader. Another target is tried after any failure: a
 // replica whose outcome is unknown keeps its slot and its memory there, so
-// that the limit holds whatever becomes of it.
+// that the limit holds whatever becomes of it. When no target of the zone
+// can load, one of another zone is used; that is cheaper than moving a slot,
+// and all zones that want the replica at once meet in one load.
 func (q *Requester) Load(ctx context.Context, key fleet.ReplicaKey, prefetch bool) (fleet.TargetID, error) {
 	r, ok := q.deps.Catalog.Load().Replica(key)
 	if !ok {
 		return "", fault.New(fault.UnknownModel, "replica %s is not declared", key)
 	}
-	candidates := q.deps.Directory.Candidates("")
-	if id, ok := loadingOn(candidates, key, q.deps.Self.Zone); ok {
-		if err := q.ask(ctx, id, key, prefetch); err == nil {
-			return id, nil
-		}
-	}
+	l := &loading{q: q, replica: r, prefetch: prefetch, candidates: q.deps.Directory.Candidates("")}
+	zone := q.deps.Self.Zone
 	view := q.deps.View()
-	w := q.wanted(view, candidates, r)
-	ranked := placement.ChooseTarget(candidates, w, q.opts.Costs)
-	if len(ranked) == 0 && w.BoundOnly && view.PlatformUp {
-		if q.freeSlot(ctx, candidates, key) {
-			w.BoundOnly = false
-			ranked = placement.ChooseTarget(candidates, w, q.opts.Costs)
+	w := q.wanted(view, l.candidates, r)
+	steps := []func() bool{
+		func() bool { return l.join(ctx, zone) },
+		func() bool { return l.tryRanked(ctx, w) },
+		func() bool { return l.use(zone) },
+		func() bool { return l.join(ctx, anyZone) },
+		func() bool { return l.use(anyZone) },
+		func() bool { return l.tryElsewhere(ctx, w) },
+		func() bool { return w.BoundOnly && view.PlatformUp && l.moveSlot(ctx, w) },
+	}
+	for _, step := range steps {
+		if step() {
+			return l.target, nil
+		}
+		if ctx.Err() != nil {
+			return "", fault.New(fault.DeadlineExceeded, "load of %s: %w", key, ctx.Err())
 		}
 	}
-	if id, ok := loadedOn(candidates, key, q.deps.Self.Zone); ok && len(ranked) == 0 {
-		return id, nil
+	if l.last == nil {
+		return "", fault.New(fault.NoCapacity, "no target can load %s", key)
+	}
+	return "", l.last
+}
+
+// anyZone stands for all zones.
+const anyZone fleet.Zone = ""
+
+// loading is one load and what was tried for it.
+type loading struct {
+	q          *Requester
+	replica    catalog.Replica
+	prefetch   bool
+	candidates []placement.Candidate
+	// target is where the replica is loaded in the end.
+	target fleet.TargetID
+	// tried are the targets that could not load; last is why.
+	tried []fleet.TargetID
+	last  *fault.Error
+}
+
+// join waits for a load of the replica that is under way.
+func (l *loading) join(ctx context.Context, zone fleet.Zone) bool {
+	id, ok := l.find(zone, fleet.ReplicaLoading)
+	return ok && l.ask(ctx, id)
+}
+
+// use takes a replica that is loaded already.
+func (l *loading) use(zone fleet.Zone) bool {
+	id, ok := l.find(zone, fleet.ReplicaLoaded)
+	if ok {
+		l.target = id
+	}
+	return ok
+}
+
+// find returns a target on which the replica is in the given phase.
+func (l *loading) find(zone fleet.Zone, phase fleet.ReplicaPhase) (fleet.TargetID, bool) {
+	key := l.replica.Key
+	for i := range l.candidates {
+		c := &l.candidates[i]
+		state, ok := c.State.Replica(key)
+		usable := !c.Unreachable && !c.Target.Leaving && !slices.Contains(c.Draining, key) && !slices.Contains(l.tried, c.Target.ID)
+		if ok && state.Phase == phase && usable && (zone == anyZone || c.Target.Zone == zone) {
+			return c.Target.ID, true
+		}
 	}
-	return q.tryEach(ctx, ranked, key, prefetch)
+	return "", false
 }
 
-func (q *Requester) tryEach(ctx context.Context, ranked []fleet.TargetID, key fleet.ReplicaKey, prefetch bool) (fleet.TargetID, error) {
-	last := fault.New(fault.NoCapacity, "no target of zone %s can load %s", q.deps.Self.Zone, key)
+// tryRanked tries the best targets in turn.
+func (l *loading) tryRanked(ctx context.Context, w placement.Wanted) bool {
+	w.Exclude = l.tried
+	ranked := placement.ChooseTarget(l.candidates, w, l.q.opts.Costs)
 	for _, id := range ranked[:min(len(ranked), maxLoadTargets)] {
-		err := q.ask(ctx, id, key, prefetch)
-		if err == nil {
-			return id, nil
+		if l.ask(ctx, id) {
+			return true
 		}
 		if ctx.Err() != nil {
-			return "", fault.New(fault.DeadlineExceeded, "load of %s: %w", key, ctx.Err())
+			return false
 		}
-		last = err
 	}
-	return "", last
+	return false
+}
+
+// tryElsewhere tries the targets of all zones.
+func (l *loading) tryElsewhere(ctx context.Context, w placement.Wanted) bool {
+	w.Zone = anyZone
+	return l.tryRanked(ctx, w)
+}
+
+// moveSlot frees a slot that no replica uses and loads on a target of the
+// zone that had none.
+func (l *loading) moveSlot(ctx context.Context, w placement.Wanted) bool {
+	if !l.freeSlot(ctx) {
+		return false
+	}
+	w.BoundOnly = false
+	return l.tryRanked(ctx, w)
 }
 
 // wanted describes the load. Where the limit is used up only targets with a
@@ -98,38 +167,26 @@
 	return n
 }
 
-// loadingOn returns a target of the zone on which the replica is loading.
-func loadingOn(candidates []placement.Candidate, key fleet.ReplicaKey, zone fleet.Zone) (fleet.TargetID, bool) {
-	for i := range candidates {
-		c := &candidates[i]
-		state, ok := c.State.Replica(key)
-		if ok && state.Phase == fleet.ReplicaLoading && c.Target.Zone == zone && !c.Unreachable {
-			return c.Target.ID, true
-		}
-	}
-	return "", false
-}
-
-// loadedOn returns a target of the zone that can serve the replica now.
-func loadedOn(candidates []placement.Candidate, key fleet.ReplicaKey, zone fleet.Zone) (fleet.TargetID, bool) {
-	for i := range candidates {
-		c := &candidates[i]
-		state, ok := c.State.Replica(key)
-		usable := c.Target.Zone == zone && !c.Unreachable && !c.Target.Leaving && !slices.Contains(c.Draining, key)
-		if ok && state.Phase == fleet.ReplicaLoaded && usable {
-			return c.Target.ID, true
-		}
-	}
-	return "", false
+// ask asks the target's owner for the load. Owners of other zones are known
+// from their reports.
+func (l *loading) ask(ctx context.Context, id fleet.TargetID) bool {
+	err := l.request(ctx, id)
+	if err == nil {
+		l.target = id
+		return true
+	}
+	l.last = err
+	l.tried = append(l.tried, id)
+	return false
 }
 
-// ask asks the target's owner for the load.
-func (q *Requester) ask(ctx context.Context, id fleet.TargetID, key fleet.ReplicaKey, prefetch bool) *fault.Error {
-	owner, ok := q.deps.View().TargetOwner(id)
+func (l *loading) request(ctx context.Context, id fleet.TargetID) *fault.Error {
+	key := l.replica.Key
+	owner, ok := l.ownerOf(id)
 	if !ok {
 		return fault.New(fault.NoReplica, "target %s has no owner", id)
 	}
-	answer, err := q.deps.Network.Call(ctx, owner, &wire.Load{Key: key, Target: id, Prefetch: prefetch})
+	answer, err := l.q.deps.Network.Call(ctx, owner, &wire.Load{Key: key, Target: id, Prefetch: l.prefetch})
 	if err != nil {
 		return fault.New(fault.NoReplica, "load of %s on %s: %w", key, id, err)
 	}
@@ -143,6 +200,16 @@
 	return fault.New(kindOf(res.Code), "%s", res.Message)
 }
 
+func (l *loading) ownerOf(id fleet.TargetID) (fleet.NodeID, bool) {
+	for i := range l.candidates {
+		c := &l.candidates[i]
+		if c.Target.ID == id && c.Target.Zone != l.q.deps.Self.Zone {
+			return c.Owner, c.Owner != ""
+		}
+	}
+	return l.q.deps.View().TargetOwner(id)
+}
+
 func kindOf(code string) fault.Kind {
 	for _, k := range fault.Kinds() {
 		if k.String() == code {
@@ -154,14 +221,15 @@
 
 // freeSlot asks the owners of targets that hold a slot without a loaded
 // replica to release it.
-func (q *Requester) freeSlot(ctx context.Context, candidates []placement.Candidate, key fleet.ReplicaKey) bool {
-	for i := range candidates {
-		c := &candidates[i]
+func (l *loading) freeSlot(ctx context.Context) bool {
+	key := l.replica.Key
+	for i := range l.candidates {
+		c := &l.candidates[i]
 		_, present := c.State.Replica(key)
 		if present || !slices.Contains(c.Slots, key) || c.Owner == "" {
 			continue
 		}
-		answer, err := q.deps.Network.Call(ctx, c.Owner, &wire.Release{Key: key, Target: c.Target.ID})
+		answer, err := l.q.deps.Network.Call(ctx, c.Owner, &wire.Release{Key: key, Target: c.Target.ID})
 		if err != nil {
 			continue
 		}
--- a/pkg/owner/runner.go
+++ b/pkg/owner/runner.go
@@ -149,7 +149,7 @@
 			revision, err := r.s.slots.swap(ctx, a.Group, a.Record, a.Expect)
 			r.post(RecordSwapped{Op: a.Op, Revision: revision, Err: err})
 		case ReadRoster:
-			epoch, err := r.s.deps.Roster(ctx, r.s.deps.Self.Zone)
+			epoch, err := r.s.roster.get(ctx)
 			r.post(RosterRead{Op: a.Op, Epoch: epoch, Err: err})
 		}
 	})
--- a/pkg/owner/service.go
+++ b/pkg/owner/service.go
@@ -33,6 +33,8 @@
 	opts  Options
 	deps  Deps
 	slots *slotReader
+	// roster reads the epoch of the zone's roster.
+	roster *batch[fleet.Epoch]
 	// holders hand out this zone's share of the budgets when this node is asked.
 	holders map[wire.BudgetKind]*holder
 
@@ -81,6 +83,7 @@
 		holders: newHolders(opts.Budget, deps.Self, deps.Clock.Now()),
 		known:   map[fleet.TargetID]fleet.Target{},
 	}
+	s.roster = newBatch(func(ctx context.Context) (fleet.Epoch, error) { return deps.Roster(ctx, deps.Self.Zone) })
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	deps.Router.Handle(wire.TypeLoad, s.handleLoad)
 	deps.Router.Handle(wire.TypeRelease, s.handleRelease)
--- a/pkg/owner/sim_test.go
+++ b/pkg/owner/sim_test.go
@@ -243,7 +243,7 @@
 }
 
 func (w *sim) listSlots(id fleet.TargetID) (map[string]StoredRecord, error) {
-	all, err := w.slots.readAll()
+	all, err := w.slots.readAll(context.Background())
 	out := map[string]StoredRecord{}
 	for group, stored := range all {
 		for _, s := range stored.Record.Slots {
--- a/pkg/owner/slotbook.go
+++ b/pkg/owner/slotbook.go
@@ -31,6 +31,10 @@
 	// takeover and after the settlement of former owners.
 	listed   bool
 	relisted bool
+	// rosterCall is the roster read that ends the takeover; 0 for none.
+	rosterCall uint64
+	// rostered is set once the roster was read after the first list.
+	rostered bool
 	retryAt  time.Time
 }
 
--- a/pkg/owner/slotop.go
+++ b/pkg/owner/slotop.go
@@ -262,6 +262,10 @@
 }
 
 func (m *Machine) rosterRead(ev RosterRead) {
+	if ev.Op == m.slots.rosterCall && m.owner {
+		m.takeoverRoster(ev)
+		return
+	}
 	op := m.opByID(ev.Op)
 	if op == nil {
 		return
@@ -271,9 +275,7 @@
 		return
 	}
 	if ev.Epoch > m.epoch {
-		// Another node may own the target; the view will tell.
-		m.givenUp = ev.Epoch
-		m.checkOwnership()
+		m.supersede(ev.Epoch) // another node may own the target
 		return
 	}
 	if ev.Epoch < m.epoch {
--- a/pkg/owner/slotreader.go
+++ b/pkg/owner/slotreader.go
@@ -4,41 +4,27 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 
 	"almondturn/fleet"
 	"almondturn/pkg/placement"
 	"almondturn/pkg/platform"
 )
 
-// slotReader reads and writes slot records. One list call serves all
-// targets that asked before it began.
+// slotReader reads and writes slot records.
 type slotReader struct {
-	kv platform.KV
-
-	mu      sync.Mutex // guards all below
-	running bool
-	next    *slotList
+	kv    platform.KV
+	lists *batch[map[string]StoredRecord]
 }
 
-// slotList is one list call.
-type slotList struct {
-	done    chan struct{}
-	records map[string]StoredRecord
-	err     error
+func newSlotReader(kv platform.KV) *slotReader {
+	s := &slotReader{kv: kv}
+	s.lists = newBatch(s.readAll)
+	return s
 }
 
-func newSlotReader(kv platform.KV) *slotReader { return &slotReader{kv: kv} }
-
 // all returns all records, read after the call.
 func (s *slotReader) all(ctx context.Context) (map[string]StoredRecord, error) {
-	l := s.join()
-	select {
-	case <-l.done:
-		return l.records, l.err
-	case <-ctx.Done():
-		return nil, fmt.Errorf("list slots: %w", ctx.Err())
-	}
+	return s.lists.get(ctx)
 }
 
 // list returns the records that name the target, read after the call.
@@ -58,41 +44,7 @@
 	return out, nil
 }
 
-// join returns the next list call that has not begun.
-func (s *slotReader) join() *slotList {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.next == nil {
-		s.next = &slotList{done: make(chan struct{})}
-	}
-	l := s.next
-	if !s.running {
-		s.running = true
-		go s.drain()
-	}
-	return l
-}
-
-// drain runs list calls until nobody waits for one.
-func (s *slotReader) drain() {
-	for {
-		s.mu.Lock()
-		l := s.next
-		s.next = nil
-		if l == nil {
-			s.running = false
-			s.mu.Unlock()
-			return
-		}
-		s.mu.Unlock()
-		l.records, l.err = s.readAll()
-		close(l.done)
-	}
-}
-
-func (s *slotReader) readAll() (map[string]StoredRecord, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
+func (s *slotReader) readAll(ctx context.Context) (map[string]StoredRecord, error) {
 	entries, _, err := s.kv.List(ctx, placement.SlotPrefix)
 	if err != nil {
 		return nil, fmt.Errorf("list slots: %w", err)
--- a/pkg/owner/takeover.go
+++ b/pkg/owner/takeover.go
@@ -80,6 +80,10 @@
 	if m.stage == stageSlots && m.slots.listing == 0 && !m.env.Now.Before(m.slots.retryAt) {
 		m.listSlots()
 	}
+	if m.stage == stageRoster && m.slots.rosterCall == 0 && !m.env.Now.Before(m.slots.retryAt) {
+		m.slots.rosterCall = m.id()
+		m.do(ReadRoster{Op: m.slots.rosterCall})
+	}
 }
 
 // adoptRecords takes the records that a list call returned.
@@ -119,11 +123,14 @@
 	if m.stage != stageFence {
 		return
 	}
-	if m.slots.listed {
+	switch {
+	case !m.slots.listed:
+		m.stage = stageSlots
+	case !m.slots.rostered:
+		m.stage = stageRoster
+	default:
 		m.stage = stageReady
-		return
 	}
-	m.stage = stageSlots
 }
 
 func (m *Machine) slotsListed(ev SlotsListed) {
@@ -141,13 +148,36 @@
 		return
 	}
 	m.slots.listed = true
-	if m.stage == stageSlots {
-		m.stage = stageReady
-	}
 	if len(m.slots.records) == 0 {
 		m.settle.done = true
 	}
-	m.report(ReportTakenOver, fleet.ReplicaKey{}, "")
+	if m.stage == stageSlots {
+		m.stage = stageRoster
+	}
+}
+
+// takeoverRoster ends a takeover when the roster read after the slots still
+// has this epoch.
+func (m *Machine) takeoverRoster(ev RosterRead) {
+	m.slots.rosterCall = 0
+	switch {
+	case ev.Err != nil, ev.Epoch < m.epoch:
+		m.slots.retryAt = m.env.Now.Add(m.opts.RetryInterval)
+	case ev.Epoch > m.epoch:
+		m.supersede(ev.Epoch)
+	default:
+		m.slots.rostered = true
+		if m.stage == stageRoster {
+			m.stage = stageReady
+			m.report(ReportTakenOver, fleet.ReplicaKey{}, "")
+		}
+	}
+}
+
+// supersede gives the target up until the view has the later epoch.
+func (m *Machine) supersede(epoch fleet.Epoch) {
+	m.givenUp = max(m.givenUp, epoch)
+	m.checkOwnership()
 }
 
 // advanceSettlement asks the possible former owners until every order of
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -26,7 +26,8 @@
 	MemoryBytes int64
 	// BaseMemoryBytes is the size of an adapter's base model.
 	BaseMemoryBytes int64
-	Zone            fleet.Zone
+	// Zone is where the target has to be; empty for any zone.
+	Zone fleet.Zone
 	// BoundOnly leaves only targets that hold a slot already: the limit is
 	// used up, or the key-value service cannot be reached.
 	BoundOnly bool
@@ -100,7 +101,9 @@
 
 func usable(t *Candidate, w Wanted) bool {
 	switch {
-	case t.Target.Kind == fleet.TargetPlain, t.Target.Zone != w.Zone:
+	case t.Target.Kind == fleet.TargetPlain:
+		return false
+	case w.Zone != "" && t.Target.Zone != w.Zone:
 		return false
 	case t.Unreachable, t.Target.Leaving, t.State.Leaving:
 		return false
