--- a/pkg/check/calls.go
+++ b/pkg/check/calls.go
@@ -36,7 +36,7 @@
 			if r.Events >= x.events {
 				x.events, x.whole = r.Events, r.Outcome == OutcomeComplete
 			}
-		case engine.RecordLoad, engine.RecordLoaded, engine.RecordUnload, engine.RecordStale, engine.RecordRestart, engine.RecordLeaving:
+		case engine.RecordLoad, engine.RecordLoaded, engine.RecordLoadFailed, engine.RecordUnload, engine.RecordStale, engine.RecordRestart, engine.RecordLeaving:
 		}
 	}
 	return out
@@ -87,6 +87,9 @@
 	if c.Complete && !c.Replayed && x.whole && c.Events > 0 && c.Events != x.events {
 		out = append(out, violation(RuleWhole, c.Ended, "request %s got %d of %d events", c.ID, c.Events, x.events))
 	}
+	if c.Complete && !c.Replayed && c.Expected > 0 && c.Events != c.Expected {
+		out = append(out, violation(RuleWhole, c.Ended, "request %s got %d of %d events asked for", c.ID, c.Events, c.Expected))
+	}
 	for i, id := range c.EventIDs {
 		if id != int64(i+1) {
 			out = append(out, violation(RuleWhole, c.Ended, "request %s: event %d has the number %d", c.ID, i+1, id))
--- a/pkg/check/check.go
+++ b/pkg/check/check.go
@@ -100,7 +100,7 @@
 			if leaving && r.At.Sub(since) > b.Leaving {
 				out = append(out, violation(RuleLeaving, r.At, "target %s got a %s %s after it announced its leaving", r.Target, r.Kind, r.At.Sub(since)))
 			}
-		case engine.RecordLoaded, engine.RecordUnload, engine.RecordStale, engine.RecordEnd:
+		case engine.RecordLoaded, engine.RecordUnload, engine.RecordStale, engine.RecordEnd, engine.RecordLoadFailed:
 		}
 	}
 	return out
--- a/pkg/check/check_test.go
+++ b/pkg/check/check_test.go
@@ -88,13 +88,14 @@
 		"untruthful not run": {RuleNotRun, func(r *Run) {
 			r.Calls[0].Status, r.Calls[0].Run, r.Calls[0].Code = 429, fault.RunNo, "overloaded"
 		}},
-		"answer of nobody": {RuleRan, func(r *Run) { r.Calls = append(r.Calls, answered("never")) }},
-		"crossed answer":   {RuleOwn, func(r *Run) { r.Calls[0].AnswerIDs = []string{"b"} }},
-		"missing event":    {RuleWhole, func(r *Run) { r.Calls[0].Events, r.Calls[0].EventIDs = 2, []int64{1, 2} }},
-		"repeated event":   {RuleWhole, func(r *Run) { r.Calls[0].EventIDs = []int64{1, 2, 2} }},
-		"silent end":       {RuleWhole, func(r *Run) { r.Calls[0].Complete = false }},
-		"past deadline":    {RuleDeadline, func(r *Run) { r.Calls[0].First = at(16.5) }},
-		"dropped":          {RuleAnswered, func(r *Run) { r.Calls = append(r.Calls, Call{ID: "z", Sent: at(1), Ended: at(2)}) }},
+		"answer of nobody":         {RuleRan, func(r *Run) { r.Calls = append(r.Calls, answered("never")) }},
+		"crossed answer":           {RuleOwn, func(r *Run) { r.Calls[0].AnswerIDs = []string{"b"} }},
+		"missing event":            {RuleWhole, func(r *Run) { r.Calls[0].Events, r.Calls[0].EventIDs = 2, []int64{1, 2} }},
+		"answer cut by the target": {RuleWhole, func(r *Run) { r.Calls[0].Expected = 4 }},
+		"repeated event":           {RuleWhole, func(r *Run) { r.Calls[0].EventIDs = []int64{1, 2, 2} }},
+		"silent end":               {RuleWhole, func(r *Run) { r.Calls[0].Complete = false }},
+		"past deadline":            {RuleDeadline, func(r *Run) { r.Calls[0].First = at(16.5) }},
+		"dropped":                  {RuleAnswered, func(r *Run) { r.Calls = append(r.Calls, Call{ID: "z", Sent: at(1), Ended: at(2)}) }},
 		"new work on a leaving target": {RuleLeaving, func(r *Run) {
 			r.Targets = append(r.Targets, rec(42.5, "t2", engine.RecordStart))
 		}},
@@ -116,6 +117,20 @@
 	}
 }
 
+// TestBaseModelTakesAdaptersAlong unloads a base model: its adapters are gone.
+func TestBaseModelTakesAdaptersAlong(t *testing.T) {
+	adapter := tea
+	adapter.Adapter = "hobart"
+	load := rec(1.5, "t1", engine.RecordLoad)
+	load.Key = adapter
+	again := rec(22, "t2", engine.RecordLoad)
+	again.Key = adapter
+	run := clean()
+	run.Targets = append(run.Targets, load, again)
+	run.Limits = append(run.Limits, LimitChange{At: at(0), Key: adapter, Max: 1})
+	require.Empty(t, Judge(run, DefaultBounds()))
+}
+
 func TestPlannedStopCutsNothingOff(t *testing.T) {
 	through := func(Call) fleet.NodeID { return "n1" }
 	stops := []Stop{{At: at(11), Node: "n1"}}
--- a/pkg/check/placement.go
+++ b/pkg/check/placement.go
@@ -69,8 +69,8 @@
 	switch r.Kind {
 	case engine.RecordLoad:
 		j.load(r)
-	case engine.RecordUnload:
-		j.drop(r.Target, r.Key)
+	case engine.RecordUnload, engine.RecordLoadFailed:
+		j.dropWithAdapters(r.Target, r.Key)
 	case engine.RecordRestart:
 		for k := range j.held[r.Target] {
 			j.drop(r.Target, k)
@@ -106,6 +106,15 @@
 	return ok && j.counts[r.Key] <= before
 }
 
+// dropWithAdapters ends a replica, and with a base model its adapters.
+func (j *placementJudge) dropWithAdapters(t fleet.TargetID, k fleet.ReplicaKey) {
+	for held := range j.held[t] {
+		if held == k || (k.Adapter == "" && held.Base() == k) {
+			j.drop(t, held)
+		}
+	}
+}
+
 func (j *placementJudge) drop(t fleet.TargetID, k fleet.ReplicaKey) {
 	if j.held[t][k] {
 		delete(j.held[t], k)
--- a/pkg/check/record.go
+++ b/pkg/check/record.go
@@ -46,7 +46,10 @@
 	Replayed bool `json:"replayed,omitempty"`
 	// Events counts the events of a stream with the one that ends it;
 	// EventIDs holds the numbers of those that carry one.
-	Events   int     `json:"events,omitempty"`
+	Events int `json:"events,omitempty"`
+	// Expected is the number of events that the request asked for, 0 when
+	// it is not known.
+	Expected int     `json:"expected,omitempty"`
 	EventIDs []int64 `json:"event_ids,omitempty"`
 	// AnswerIDs are the request identifiers found within the answer.
 	AnswerIDs []string `json:"answer_ids,omitempty"`
