target, dispatch: slow callers and slow targets are not silent connections

Cause: a caller that took its time made the silence watch resume its stream over and over; a slow target was given up after a few silent attempts; requests were granted places too late to end by their deadline. Change: only time spent waiting for the target counts as silence; the last attempt waits on; a home refuses waiting requests whose remaining time is below the usual service time.

--- a/pkg/dispatch/homeloop.go
+++ b/pkg/dispatch/homeloop.go
@@ -86,7 +86,7 @@
 // expireLocked refuses requests that cannot be answered in time any more,
 // and forgets requests and grants whose entry node has gone.
 func (q *replicaQueue) expireLocked(now time.Time) {
-	q.dropLocked(func(w *waiter) bool { return now.Add(q.service.value / 2).After(w.deadline) },
+	q.dropLocked(func(w *waiter) bool { return now.Add(q.service.value).After(w.deadline) },
 		fault.New(fault.DeadlineExceeded, "no place became free in time"))
 	grace := q.home.opts.AcquireGrace
 	gone := func(w *waiter) bool { return w.attached == 0 && now.Sub(w.detachedAt) > grace }
--- a/pkg/target/stream_exchange.go
+++ b/pkg/target/stream_exchange.go
@@ -60,8 +60,9 @@
 }
 
 func (e *exchange) do(ctx context.Context) error {
-	e.continuable.Store(e.spec.Idempotent)
 	for {
+		// The last attempt is not given up for silence: the target may be slow.
+		e.continuable.Store((e.spec.Idempotent && !e.started || e.resumable()) && e.continuations < e.streams.opts.MaxContinuations)
 		progress := e.bytes
 		err := e.attempt(ctx)
 		if err == nil {
--- a/pkg/target/stream_silence.go
+++ b/pkg/target/stream_silence.go
@@ -20,6 +20,8 @@
 	last    atomic.Int64
 	start   time.Time
 	stopped atomic.Bool
+	// reading is false while the receiver is slow to take what has arrived.
+	reading atomic.Bool
 	timer   *time.Timer
 	// continuable is false while the attempt cannot be continued on another
 	// connection; it then waits on.
@@ -37,11 +39,12 @@
 
 		continuable: &e.continuable,
 	}
+	w.reading.Store(true)
 	w.timer = time.AfterFunc(w.limit, w.check)
 	return w
 }
 
-// heard records that a byte arrived.
+// heard records that a byte arrived, or that waiting for one begins.
 func (w *silenceWatch) heard() { w.last.Store(int64(time.Since(w.start))) }
 
 func (w *silenceWatch) stop() {
@@ -54,12 +57,16 @@
 	if w.stopped.Load() {
 		return
 	}
+	if !w.reading.Load() {
+		w.timer.Reset(w.limit)
+		return
+	}
 	before := w.last.Load()
 	if left := w.limit - (time.Since(w.start) - time.Duration(before)); left > 0 {
 		w.timer.Reset(left)
 		return
 	}
-	if w.pool.probe() && w.last.Load() == before {
+	if w.pool.probe() && w.reading.Load() && w.last.Load() == before {
 		w.pool.retire(w.gen)
 		if w.continuable.Load() {
 			w.cancel(errSilent)
@@ -69,7 +76,8 @@
 	w.timer.Reset(w.limit)
 }
 
-// watchedBody reports each read to the watch.
+// watchedBody reports each read to the watch. Time between two reads is the
+// receiver's and not silence.
 type watchedBody struct {
 	in    io.Reader
 	watch *silenceWatch
@@ -77,10 +85,11 @@
 
 // Read implements io.Reader.
 func (b *watchedBody) Read(p []byte) (int, error) {
+	b.watch.heard()
+	b.watch.reading.Store(true)
 	n, err := b.in.Read(p)
-	if n > 0 {
-		b.watch.heard()
-	}
+	b.watch.reading.Store(false)
+	b.watch.heard()
 	return n, err
 }
 
--- a/pkg/target/stream_test.go
+++ b/pkg/target/stream_test.go
@@ -300,6 +300,52 @@
 	require.EqualValues(t, 1, calls.Load())
 }
 
+// TestSlowCallerIsNotSilence: a receiver that takes its time does not make
+// the connection suspect.
+func TestSlowCallerIsNotSilence(t *testing.T) {
+	var probes, calls atomic.Int32
+	target := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == PathState {
+			probes.Add(1)
+			return
+		}
+		calls.Add(1)
+		events(w, r, 4, 4)
+	})
+	o := testOptions()
+	got := collector{onData: func() { time.Sleep(4 * o.SilenceTimeout) }}
+	require.NoError(t, newClient(t, o).Do(context.Background(), target, streamRequest(), &got))
+	require.Zero(t, probes.Load())
+	require.EqualValues(t, 1, calls.Load())
+}
+
+// TestSlowTargetIsWaitedFor: a target that is silent for long on every
+// connection is slow, and the last attempt waits for it.
+func TestSlowTargetIsWaitedFor(t *testing.T) {
+	var calls atomic.Int32
+	o := testOptions()
+	o.MaxContinuations = 1
+	probed := make(chan struct{}, 100)
+	target := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == PathState {
+			probed <- struct{}{}
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // so that the server notices the end of the connection
+		if calls.Add(1) == 1 {
+			<-r.Context().Done()
+			return
+		}
+		for range 4 {
+			<-probed // it stays silent through several probes
+		}
+		events(w, r, 4, 4)
+	})
+	var got collector
+	require.NoError(t, newClient(t, o).Do(context.Background(), target, streamRequest(), &got))
+	require.EqualValues(t, 2, calls.Load())
+}
+
 func TestCallerGoneCancelsAtEngine(t *testing.T) {
 	cancelled := make(chan string, 1)
 	target := serve(t, func(w http.ResponseWriter, r *http.Request) {
