dispatch: refusals as not loaded, waiting for a place, congestion told to the zone

Cause: after an engine restart the directory said loaded for up to a poll, both targets answered 409 and callers got no_replica at once although their deadlines were far; near capacity other nodes' direct requests took each freed place, so that waiting requests got theirs only with the next load; an adapter request loaded the base in its own zone though another had it.

--- a/pkg/dispatch/acquire.go
+++ b/pkg/dispatch/acquire.go
@@ -41,27 +41,94 @@
 	return true
 }
 
+// handleCongested takes a home's word that requests wait for a replica.
+func (d *Dispatcher) handleCongested(_ context.Context, _ fleet.Node, m wire.Message) (wire.Message, error) {
+	c := m.(*wire.Congested)
+	valid := min(time.Duration(c.ValidMillis)*time.Millisecond, d.opts.CongestedFor)
+	d.congested.set(c.Key, d.clock.Now().Add(valid))
+	return &wire.Ack{}, nil
+}
+
 // acquire finds a place for the request: at a loaded replica directly while
-// this node keeps within its share, or by a model home's grant.
-func (d *Dispatcher) acquire(ctx context.Context, r *Request, exclude []fleet.TargetID) (place, error) {
-	if p, ok := d.direct(r, exclude); ok {
-		return p, nil
+// this node keeps within its share, or by a model home's grant. When no
+// zone has one it asks again until the deadline, unless the replica may not
+// be loaded at all.
+func (d *Dispatcher) acquire(ctx context.Context, r *Request, not exclusion) (place, error) {
+	for {
+		if p, ok := d.direct(r, not.exclude); ok {
+			return p, nil
+		}
+		p, err := d.fromZones(ctx, r, not)
+		if err == nil || !placeMayCome(r, err) || !sleep(ctx, jitter(d.opts.PlacePause)) {
+			return p, err
+		}
 	}
-	view := d.view()
-	p, err := d.fromHomes(ctx, r, view.Self.Zone, exclude, 0)
-	if err == nil || !otherZoneMayServe(err) {
-		return p, err
+}
+
+// placeMayCome tells whether a place may come before the deadline although
+// all zones have refused one.
+func placeMayCome(r *Request, err error) bool {
+	if r.Replica.MaxReplicas <= 0 {
+		return false
+	}
+	switch fault.KindOf(err) {
+	case fault.NoCapacity, fault.NoReplica, fault.PlatformUnavailable:
+		return true
+	default:
+		return false
 	}
-	for _, zone := range d.otherZones() {
-		p, zerr := d.fromHomes(ctx, r, zone, exclude, 1)
-		if zerr == nil {
+}
+
+// fromZones asks the homes of one zone after another. The error is the
+// first zone's.
+func (d *Dispatcher) fromZones(ctx context.Context, r *Request, not exclusion) (place, error) {
+	own := d.view().Self.Zone
+	var first error
+	for _, zone := range d.zonesFor(r.Replica.Key) {
+		hops := 1
+		if zone == own {
+			hops = 0
+		}
+		p, err := d.fromHomes(ctx, r, zone, not, hops)
+		if err == nil {
 			return p, nil
 		}
-		if ctx.Err() != nil {
+		if first == nil {
+			first = err
+		}
+		if ctx.Err() != nil || !otherZoneMayServe(err) {
 			break
 		}
 	}
-	return place{}, err
+	return place{}, first
+}
+
+// zonesFor returns the zones in the order in which they are asked: the own
+// zone first, unless only others have an adapter's base model loaded, which
+// is the longer load.
+func (d *Dispatcher) zonesFor(k fleet.ReplicaKey) []fleet.Zone {
+	own := d.view().Self.Zone
+	zones := append([]fleet.Zone{own}, d.otherZones()...)
+	if k.Adapter == "" {
+		return zones
+	}
+	base := map[fleet.Zone]bool{}
+	for _, c := range d.dir.Loaded(k.Base()) {
+		base[c.Target.Zone] = true
+	}
+	if base[own] || len(base) == 0 {
+		return zones
+	}
+	slices.SortStableFunc(zones, func(a, b fleet.Zone) int {
+		if base[a] == base[b] {
+			return 0
+		}
+		if base[a] {
+			return -1
+		}
+		return 1
+	})
+	return zones
 }
 
 // otherZoneMayServe tells whether a refusal by the own zone leaves hope.
@@ -85,6 +152,7 @@
 	c, ok := d.loads.choose(d.dir.Loaded(key), choice{
 		zone:    view.Self.Zone,
 		service: key.Service,
+		replica: key,
 		exclude: exclude,
 		now:     now,
 		share:   liveIn(view.Live, view.Self.Zone),
@@ -123,14 +191,14 @@
 // fromHomes queues the request at the zone's homes of the replica, in the
 // order in which they take each other's place. Only this node sends the
 // request, so that queueing it twice does not run it twice.
-func (d *Dispatcher) fromHomes(ctx context.Context, r *Request, zone fleet.Zone, exclude []fleet.TargetID, hops int) (place, error) {
+func (d *Dispatcher) fromHomes(ctx context.Context, r *Request, zone fleet.Zone, not exclusion, hops int) (place, error) {
 	var silent []fleet.NodeID
 	for {
 		home, ok := d.nextHome(zone, r.Replica.Key, silent)
 		if !ok {
 			return place{}, fault.New(fault.NoCapacity, "no node of zone %q could queue the request", zone)
 		}
-		p, err := d.fromHome(ctx, r, home, exclude, hops)
+		p, err := d.fromHome(ctx, r, home, not, hops)
 		if err == nil || ctx.Err() != nil || !homeFailed(err) {
 			return p, err
 		}
@@ -160,7 +228,7 @@
 
 // fromHome waits at one home until it grants or refuses, asking again after
 // each slice.
-func (d *Dispatcher) fromHome(ctx context.Context, r *Request, home fleet.NodeID, exclude []fleet.TargetID, hops int) (place, error) {
+func (d *Dispatcher) fromHome(ctx context.Context, r *Request, home fleet.NodeID, not exclusion, hops int) (place, error) {
 	key := r.Replica.Key
 	for {
 		ask := &wire.Acquire{
@@ -169,7 +237,8 @@
 			Team:            r.Identity.Team,
 			Class:           int(r.Class),
 			RemainingMillis: r.Deadline.Sub(d.clock.Now()).Milliseconds(),
-			Exclude:         exclude,
+			Exclude:         not.exclude,
+			NotLoaded:       not.notLoaded,
 			Hops:            hops,
 		}
 		grant, err := d.ask(ctx, home, ask)
--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"almondturn/fleet"
 	"almondturn/pkg/event"
@@ -32,6 +33,7 @@
 		return nil
 	}
 	d.release(r, p, 0)
+	d.noteNotLoaded(r, p, err, now)
 	var se *target.SendError
 	unreachable := errors.As(err, &se) && se.Run == fault.RunNo && !se.Refused && !se.CallerGone
 	if unreachable && ctx.Err() == nil && !errors.Is(err, target.ErrInvalid) {
@@ -40,6 +42,18 @@
 	return err
 }
 
+// noteNotLoaded discards the target's report on the replica after a refusal
+// as not loaded.
+func (d *Dispatcher) noteNotLoaded(r *Request, p place, err error, now time.Time) {
+	var se *target.SendError
+	if !errors.As(err, &se) || !isNotLoaded(se) {
+		return
+	}
+	if c, ok := d.dir.Target(p.target.ID); ok {
+		d.loads.stale.mark(staleKey{p.target.ID, r.Replica.Key}, c.Report, now.Add(d.opts.StaleFor))
+	}
+}
+
 // spendRetry takes a retry from the budgets of the team and of the target.
 func (d *Dispatcher) spendRetry(team *retryBudget, p place, r *Request) bool {
 	if team.spend() {
@@ -55,7 +69,7 @@
 // trail is what is known of a request's attempts.
 type trail struct {
 	attempts int
-	exclude  []fleet.TargetID
+	exclusion
 	// doubt is the first attempt's error that leaves open whether the
 	// request was run; it decides the answer whatever comes after.
 	doubt *target.SendError
@@ -64,22 +78,41 @@
 	started bool
 }
 
-// add records a failed attempt; false when it ends the request.
+// exclusion is the targets that a request does not go to again at once.
+type exclusion struct {
+	// exclude lists targets that failed, notLoaded those that refused
+	// because the replica is not loaded.
+	exclude, notLoaded []fleet.TargetID
+}
+
+// add records a failed attempt; false when it ends the request. A refusal
+// because the replica is not loaded costs the target nothing and does not
+// count as an attempt.
 func (t *trail) add(id fleet.TargetID, err error, started bool) bool {
-	t.attempts++
-	t.exclude = append(t.exclude, id)
 	t.started = started
 	var se *target.SendError
 	if !errors.As(err, &se) {
 		se = &target.SendError{Run: fault.RunUnknown, Err: err}
 	}
 	t.last = se
+	if isNotLoaded(se) {
+		t.notLoaded = append(t.notLoaded, id)
+		return true
+	}
+	t.attempts++
+	t.exclude = append(t.exclude, id)
 	if se.Run != fault.RunNo && t.doubt == nil {
 		t.doubt = se
 	}
 	return !started && !se.CallerGone && !errors.Is(err, target.ErrInvalid)
 }
 
+// isNotLoaded tells whether the target refused because the replica is not
+// loaded there.
+func isNotLoaded(se *target.SendError) bool {
+	return se.Refused && se.Run == fault.RunNo && se.Status == http.StatusConflict
+}
+
 // mayRetry tells whether another attempt is safe and in time.
 func (t *trail) mayRetry(ctx context.Context, r *Request, maxAttempts int) bool {
 	if ctx.Err() != nil || t.attempts >= maxAttempts {
@@ -101,10 +134,10 @@
 		return fault.New(fault.OutcomeUnknown, "the target may have run the request: %w", t.doubt)
 	case gone:
 		return fault.New(fault.CallerGone, "the caller has gone before the request was sent")
-	case ctx.Err() != nil || r.Deadline.IsZero():
-		return fault.New(fault.DeadlineExceeded, "the deadline passed before the request was run")
 	case refusal != nil && fault.KindOf(refusal).Answer().Run == fault.RunNo:
 		return refusal
+	case ctx.Err() != nil || r.Deadline.IsZero():
+		return fault.New(fault.DeadlineExceeded, "the deadline passed before the request was run")
 	case refusal != nil:
 		// No attempt has reached a target, whatever the refusal's kind says.
 		return fault.New(fault.NoCapacity, "no place for the request: %w", refusal)
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -10,6 +10,8 @@
 type choice struct {
 	zone    fleet.Zone
 	service fleet.Service
+	// replica is what must be loaded; zero for plain services.
+	replica fleet.ReplicaKey
 	exclude []fleet.TargetID
 	now     time.Time
 	// share bounds this node's own requests at one target; 0 for none.
@@ -41,7 +43,7 @@
 // there is no place.
 func (l *loadTable) score(cand *Candidate, c choice) (float64, bool) {
 	load := l.get(cand.Target.ID)
-	if load.isEjected(c.now) {
+	if load.isEjected(c.now) || l.stale.active(staleKey{cand.Target.ID, c.replica}, cand.Report, c.now) {
 		return 0, false
 	}
 	places := l.opts.places(cand, c.service)
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -62,7 +62,7 @@
 		view:   deps.View,
 		sender: deps.Sender,
 		claims: deps.Claims,
-		home:   newHome(opts, deps.Clock, deps.Logger, deps.Directory, deps.Loader, deps.View, loads),
+		home:   newHome(opts, deps, loads),
 		loads:  loads,
 	}
 }
@@ -74,6 +74,7 @@
 func (d *Dispatcher) Register(r *peer.Router) {
 	r.Handle(wire.TypeAcquire, d.home.HandleAcquire)
 	r.Handle(wire.TypeGrantEnd, d.home.HandleGrantEnd)
+	r.Handle(wire.TypeCongested, d.handleCongested)
 }
 
 // Drain begins a graceful shutdown: waiting requests of the own home go
@@ -128,7 +129,7 @@
 	var wait *backoff.ExponentialBackOff
 	var t trail
 	for {
-		p, err := d.place(ctx, r, t.exclude)
+		p, err := d.place(ctx, r, t.exclusion)
 		if err != nil {
 			return t.end(ctx, r, err)
 		}
@@ -144,18 +145,18 @@
 			wait = backoff.NewExponentialBackOff()
 			wait.InitialInterval, wait.MaxInterval = d.opts.RetryDelay, d.opts.RetryMaxDelay
 		}
-		if !d.spendRetry(team, p, r) || !sleep(ctx, wait.NextBackOff()) {
+		if !isNotLoaded(t.last) && !d.spendRetry(team, p, r) || !sleep(ctx, wait.NextBackOff()) {
 			return t.end(ctx, r, nil)
 		}
 	}
 }
 
 // place returns a place for the request.
-func (d *Dispatcher) place(ctx context.Context, r *Request, exclude []fleet.TargetID) (place, error) {
+func (d *Dispatcher) place(ctx context.Context, r *Request, not exclusion) (place, error) {
 	if r.Replica.Key.Model == "" {
-		return d.plainPlace(r, exclude)
+		return d.plainPlace(r, not.exclude)
 	}
-	return d.acquire(ctx, r, exclude)
+	return d.acquire(ctx, r, not)
 }
 
 // plainPlace chooses a target of a plain service.
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -10,6 +10,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/peer"
 	"almondturn/pkg/platform"
 	"almondturn/wire"
 )
@@ -22,6 +23,7 @@
 	logger zerolog.Logger
 	dir    Directory
 	loader Loader
+	net    peer.Network
 	view   ViewFunc
 	loads  *loadTable
 
@@ -61,15 +63,16 @@
 	expires time.Time
 }
 
-func newHome(opts Options, clock platform.Clock, logger zerolog.Logger, dir Directory, loader Loader, view ViewFunc, loads *loadTable) *Home {
+func newHome(opts Options, deps Deps, loads *loadTable) *Home {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Home{
 		opts:   opts,
-		clock:  clock,
-		logger: logger,
-		dir:    dir,
-		loader: loader,
-		view:   view,
+		clock:  deps.Clock,
+		logger: deps.Logger,
+		dir:    deps.Directory,
+		loader: deps.Loader,
+		net:    deps.Network,
+		view:   deps.View,
 		loads:  loads,
 		queues: map[fleet.ReplicaKey]*replicaQueue{},
 		ctx:    ctx,
--- a/pkg/dispatch/homeloop.go
+++ b/pkg/dispatch/homeloop.go
@@ -8,6 +8,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
+	"almondturn/wire"
 )
 
 // run serves the queue until it has been idle for long or the home stops.
@@ -61,11 +62,25 @@
 	q.grantWaitingLocked(candidates, now)
 	if q.fair.size > 0 {
 		q.lastUse = now
+		q.tellCongestedLocked(now, len(candidates))
 		q.startLoadLocked(now, len(candidates) == 0)
 	}
 	return q.fair.size > 0, now.Sub(q.lastUse)
 }
 
+// tellCongestedLocked asks the zone's nodes to leave the loaded replicas'
+// places to the requests that wait here. It repeats this at half of the
+// time that it holds.
+func (q *replicaQueue) tellCongestedLocked(now time.Time, loaded int) {
+	valid := q.home.opts.CongestedFor
+	if loaded == 0 || now.Sub(q.toldAt) < valid/2 {
+		return
+	}
+	q.toldAt = now
+	view := q.home.view()
+	q.home.net.Broadcast(view.Self.Zone, &wire.Congested{Key: q.key, ValidMillis: valid.Milliseconds()})
+}
+
 // grantWaitingLocked gives the free places to the waiting requests in order.
 func (q *replicaQueue) grantWaitingLocked(candidates []Candidate, now time.Time) {
 	var passed []*waiter // requests that may not go to the targets with a place
@@ -171,6 +186,7 @@
 		q.mu.Lock()
 		if err == nil {
 			q.load.add(now.Sub(began))
+			q.home.loads.stale.clear(staleKey{id, q.key})
 			q.loaded[id] = now.Add(q.home.opts.AcquireSlice)
 		}
 		q.mu.Unlock()
--- a/pkg/dispatch/homequeue.go
+++ b/pkg/dispatch/homequeue.go
@@ -38,6 +38,8 @@
 	// expiredAt and sweptAt are when overdue requests, and those of entry
 	// nodes that died, were last looked for.
 	expiredAt, sweptAt time.Time
+	// toldAt is when the zone was last told that requests wait.
+	toldAt time.Time
 	// loaded names targets whose load ended but is not in the directory yet.
 	loaded map[fleet.TargetID]time.Time
 }
@@ -88,6 +90,7 @@
 		attached: 1,
 		done:     make(chan struct{}),
 	}
+	q.discardLocked(a.NotLoaded, now)
 	candidates := q.candidatesLocked(now)
 	if len(q.waiters) == 0 && q.grantLocked(w, candidates, now) {
 		q.waiters[w.id] = w
@@ -169,13 +172,24 @@
 	q.kick()
 }
 
+// discardLocked takes the word of entry nodes that targets have refused the
+// replica as not loaded.
+func (q *replicaQueue) discardLocked(refused []fleet.TargetID, now time.Time) {
+	for _, id := range refused {
+		delete(q.loaded, id)
+		if c, ok := q.home.dir.Target(id); ok {
+			q.home.loads.stale.mark(staleKey{id, q.key}, c.Report, now.Add(q.home.opts.StaleFor))
+		}
+	}
+}
+
 // candidatesLocked returns the loaded targets of the own zone.
 func (q *replicaQueue) candidatesLocked(now time.Time) []Candidate {
 	zone := q.home.view().Self.Zone
 	all := q.home.dir.Loaded(q.key)
 	own := make([]Candidate, 0, len(all)+len(q.loaded))
 	for _, c := range all {
-		if c.Target.Zone == zone {
+		if c.Target.Zone == zone && !q.home.loads.stale.active(staleKey{c.Target.ID, q.key}, c.Report, now) {
 			own = append(own, c)
 			delete(q.loaded, c.Target.ID)
 		}
@@ -193,7 +207,7 @@
 
 // grantLocked gives the waiter a place if there is one.
 func (q *replicaQueue) grantLocked(w *waiter, candidates []Candidate, now time.Time) bool {
-	ch := choice{zone: q.home.view().Self.Zone, service: q.key.Service, exclude: w.exclude, now: now}
+	ch := choice{zone: q.home.view().Self.Zone, service: q.key.Service, replica: q.key, exclude: w.exclude, now: now}
 	c, ok := q.home.loads.choose(candidates, ch)
 	if !ok && len(w.exclude) > 0 && q.allExcluded(w, candidates) {
 		// Only targets that failed this request before hold the replica.
--- a/pkg/dispatch/loadtable.go
+++ b/pkg/dispatch/loadtable.go
@@ -28,6 +28,7 @@
 type loadTable struct {
 	opts    Options
 	targets sync.Map // fleet.TargetID to *targetLoad
+	stale   staleTable
 }
 
 func (l *loadTable) get(id fleet.TargetID) *targetLoad {
--- a/pkg/dispatch/options.go
+++ b/pkg/dispatch/options.go
@@ -38,6 +38,12 @@
 	CongestedFor time.Duration `yaml:"congested_for" validate:"gt=0"`
 	// EjectFor is how long a target that could not be reached is avoided.
 	EjectFor time.Duration `yaml:"eject_for" validate:"gt=0"`
+	// StaleFor is the longest time for which a target's refusal of a replica
+	// as not loaded counts more than its reports.
+	StaleFor time.Duration `yaml:"stale_for" validate:"gt=0"`
+	// PlacePause is the mean wait before a request that no zone has a place
+	// for asks again; it does so until its deadline.
+	PlacePause time.Duration `yaml:"place_pause" validate:"gt=0"`
 	// MaxAttempts bounds the targets that one request is sent to.
 	MaxAttempts int `yaml:"max_attempts" validate:"gt=0"`
 	// RetryRatio is the number of retries earned by each request, per team
@@ -70,6 +76,8 @@
 		PumpInterval:      10 * time.Millisecond,
 		CongestedFor:      250 * time.Millisecond,
 		EjectFor:          time.Second,
+		StaleFor:          2 * time.Second,
+		PlacePause:        250 * time.Millisecond,
 		MaxAttempts:       4,
 		RetryRatio:        0.2,
 		RetryBurst:        20,
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -107,6 +107,9 @@
 	Exclude []fleet.TargetID `cbor:"6,keyasint,omitempty"`
 	// Hops counts the zones that passed the request on.
 	Hops int `cbor:"7,keyasint,omitempty"`
+	// NotLoaded lists targets that refused this request because the replica
+	// is not loaded there, against what they had reported.
+	NotLoaded []fleet.TargetID `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant is leave to send the request to one target.
--- a/wire/requests.go
+++ b/wire/requests.go
@@ -5,6 +5,7 @@
 // Further message types of the request path, numbered from 500.
 const (
 	TypeGrantEnd Type = iota + 500
+	TypeCongested
 )
 
 // GrantEnd tells a model home that a granted request has ended, or that a
@@ -19,3 +20,15 @@
 
 // Type implements Message.
 func (*GrantEnd) Type() Type { return TypeGrantEnd }
+
+// Congested is sent by a model home to the nodes of its zone while requests
+// wait for a replica: they ask the home for each place, so that those that
+// wait go first.
+type Congested struct {
+	Key fleet.ReplicaKey `cbor:"1,keyasint"`
+	// ValidMillis is how long it holds unless it is sent again.
+	ValidMillis int64 `cbor:"2,keyasint"`
+}
+
+// Type implements Message.
+func (*Congested) Type() Type { return TypeCongested }
--- a/wire/types.go
+++ b/wire/types.go
@@ -34,6 +34,7 @@
 	TypeTargetFetch:   func() Message { return new(TargetFetch) },
 	TypeTargetUpdates: func() Message { return new(TargetUpdates) },
 	TypeGrantEnd:      func() Message { return new(GrantEnd) },
+	TypeCongested:     func() Message { return new(Congested) },
 }
 
 // Type implements Message.
