--- a/pkg/admin/teams.go
+++ b/pkg/admin/teams.go
@@ -45,6 +45,9 @@
 	// InForce is true when every live node has the revision in force; it is
 	// false, too, when the request did not ask to wait.
 	InForce bool `json:"in_force"`
+	// WaitedMillis is the time from accepted until that was so, or until the
+	// wait ended.
+	WaitedMillis float64 `json:"waited_ms"`
 	// Lagging are the live nodes that have it not yet.
 	Lagging []NodeStatus `json:"lagging,omitempty"`
 	// Unreachable are the members that are not live, such as those of a zone
@@ -217,7 +220,9 @@
 	if wait > 0 {
 		ctx, cancel := context.WithTimeout(c.Request.Context(), wait)
 		defer cancel()
+		accepted := time.Now()
 		lagging := s.catalog.WaitInForce(ctx, team, done.Head.Revision)
+		answer.WaitedMillis = float64(time.Since(accepted).Microseconds()) / 1000
 		answer.InForce = len(lagging) == 0
 		for _, n := range lagging {
 			answer.Lagging = append(answer.Lagging, nodeStatus(n, operator{root: true}))
@@ -268,8 +273,8 @@
 	ctx, cancel := context.WithTimeout(c.Request.Context(), s.opts.ApplyTimeout)
 	defer cancel()
 	head := s.catalog.Head(team)
-	spec, stored, err := s.catalog.Repository().Read(ctx, team)
-	if err == nil && spec != nil && (head == nil || stored.Revision >= head.Revision) {
+	stored, err := s.catalog.Repository().Head(ctx, team)
+	if err == nil && stored.Revision > 0 && (head == nil || stored.Revision >= head.Revision) {
 		head = stored
 	}
 	if head == nil {
--- a/pkg/catalog/repository.go
+++ b/pkg/catalog/repository.go
@@ -60,6 +60,13 @@
 	return storedHead{Head: *h, entry: e}, nil
 }
 
+// Head returns the head of the last accepted subtree; its revision is 0 when
+// the team does not exist.
+func (r *Repository) Head(ctx context.Context, team fleet.Team) (*Head, error) {
+	h, err := r.readHead(ctx, team)
+	return &h.Head, err
+}
+
 // Read returns the last accepted subtree of a team; nil when it does not exist.
 func (r *Repository) Read(ctx context.Context, team fleet.Team) (*TeamSpec, *Head, error) {
 	h, err := r.readHead(ctx, team)
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -148,7 +148,7 @@
 }
 
 func (r *runner) latest(ctx context.Context, team string) (string, error) {
-	answer, err := r.client.do(ctx, request{method: http.MethodGet, path: teamPath(team)})
+	answer, err := r.client.do(ctx, request{method: http.MethodGet, path: teamPath(team) + "/history"})
 	var answered *answerError
 	if errors.As(err, &answered) && answered.body.Code == fault.UnknownPath.String() {
 		return "0", nil
@@ -156,7 +156,14 @@
 	if err != nil {
 		return "", err
 	}
-	return strings.Trim(answer.header.Get("ETag"), `"`), nil
+	var history admin.HistoryAnswer
+	if err := json.Unmarshal(answer.body, &history); err != nil {
+		return "", fmt.Errorf("answer of the node: %w", err)
+	}
+	if len(history.Revisions) == 0 {
+		return "", errors.New("answer of the node: the history is empty")
+	}
+	return strconv.FormatUint(history.Revisions[0].Revision, 10), nil
 }
 
 // updateHeader notes the new revision in a file that get had printed, so that
