ctl: own certificate authority; catalog: leak check, histogram by team

almondturnctl --ca trusts an operators' listener with a certificate of the site's own authority. almondturn_admin_in_force_seconds{team} is the time from accepted to in force of changes that waited.

--- a/pkg/admin/teams.go
+++ b/pkg/admin/teams.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
 
 	"almondturn/fleet"
@@ -224,6 +225,9 @@
 		lagging := s.catalog.WaitInForce(ctx, team, done.Head.Revision)
 		answer.WaitedMillis = float64(time.Since(accepted).Microseconds()) / 1000
 		answer.InForce = len(lagging) == 0
+		if answer.InForce {
+			metrics.GetOrCreateHistogram(fmt.Sprintf(`almondturn_admin_in_force_seconds{team=%q}`, string(team))).UpdateDuration(accepted)
+		}
 		for _, n := range lagging {
 			answer.Lagging = append(answer.Lagging, nodeStatus(n, operator{root: true}))
 		}
--- a/pkg/catalog/readiness.go
+++ b/pkg/catalog/readiness.go
@@ -36,20 +36,17 @@
 // heard of for StartupWait. Peers come first because the service may have
 // come back older than what they hold.
 func (s *Service) settleReadiness(view *peer.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.ready.Load() {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	waited := s.clock.Now().Sub(s.start) >= s.opts.StartupWait
 	if !s.peerSynced && (!s.listed || !waited) {
 		return
 	}
 	s.ready.Store(true)
-	if !s.readyLogged {
-		s.readyLogged = true
-		event.CatalogReady.Log(&s.log).Int("teams", len(s.teams)).Bool("from_peers", s.peerSynced).Int("live_nodes", len(view.Live)).Send()
-	}
+	event.CatalogReady.Log(&s.log).Int("teams", len(s.teams)).Bool("from_peers", s.peerSynced).Int("live_nodes", len(view.Live)).Send()
 }
 
 // NodeRevisions is what one node answers about the revisions in force on it.
--- a/pkg/catalog/service.go
+++ b/pkg/catalog/service.go
@@ -42,10 +42,9 @@
 	pending map[fleet.Team]candidate
 	// older holds the teams whose subtree in the key-value service is older
 	// than the one in force, or does not descend from it.
-	older       map[fleet.Team]bool
-	listed      bool
-	peerSynced  bool
-	readyLogged bool
+	older      map[fleet.Team]bool
+	listed     bool
+	peerSynced bool
 
 	ready    atomic.Bool
 	wake     chan struct{}
--- a/pkg/catalog/spread_test.go
+++ b/pkg/catalog/spread_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
 	"almondturn/fleet"
 	"almondturn/pkg/fault"
@@ -109,6 +110,20 @@
 	return s.KV.List(ctx, prefix)
 }
 
+func TestRunEndsWithItsContext(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	c := newCluster(t, 1, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, n := range c.nodes {
+		running.Go(func() { assert.NoError(t, n.service.Run(ctx)) })
+	}
+	require.Eventually(t, func() bool { return c.store.Calls()["watch"] == 2 }, time.Minute, time.Millisecond, "both watch")
+	cancel()
+	running.Wait()
+	goleak.VerifyNone(t, before)
+}
+
 func TestSlowServiceDoesNotHoldUpPeers(t *testing.T) {
 	c := started(t)
 	n := c.nodes[8]
--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -3,13 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
-	"time"
 
 	"almondturn/pkg/admin"
 	"almondturn/pkg/fault"
@@ -23,8 +25,24 @@
 	http    *http.Client
 }
 
-func newClient(servers []string, token, author string, timeout time.Duration) *client {
-	return &client{servers: servers, token: token, author: author, http: &http.Client{Timeout: timeout}}
+func newClient(a *args, token string) (*client, error) {
+	c := &client{servers: a.Server, token: token, author: a.Author, http: &http.Client{Timeout: a.Timeout}}
+	if a.CA == "" {
+		return c, nil
+	}
+	pem, err := os.ReadFile(a.CA)
+	if err != nil {
+		return nil, fmt.Errorf("--ca: %w", err)
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("--ca: %s holds no PEM certificate", a.CA)
+	}
+	c.http.Transport = &http.Transport{
+		Proxy:           http.ProxyFromEnvironment,
+		TLSClientConfig: &tls.Config{RootCAs: authorities, MinVersion: tls.VersionTLS12},
+	}
+	return c, nil
 }
 
 // request is one call. All calls may be repeated on another node: reads by
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -58,6 +58,7 @@
 	Server    []string      `arg:"--server,separate,env:ALMONDTURN_SERVER" help:"URL of a node's operators' listener; repeat it to try the next one"`
 	Token     string        `arg:"--token,env:ALMONDTURN_TOKEN" help:"operator token"`
 	TokenFile string        `arg:"--token-file" help:"file that holds the operator token"`
+	CA        string        `arg:"--ca,env:ALMONDTURN_CA" help:"PEM file of the authorities that sign the nodes' certificates, in place of the system's"`
 	Output    string        `arg:"--output" default:"text" help:"text or json"`
 	Author    string        `arg:"--author,env:USER" help:"name shown in the history"`
 	Timeout   time.Duration `arg:"--timeout" default:"15s" help:"wait for an answer of one node"`
@@ -148,7 +149,11 @@
 	if len(a.Server) == 0 {
 		a.Server = []string{defaultServer}
 	}
-	r := &runner{env: env, args: &a, client: newClient(a.Server, token, a.Author, a.Timeout)}
+	client, err := newClient(&a, token)
+	if err != nil {
+		return usage(env, err)
+	}
+	r := &runner{env: env, args: &a, client: client}
 	return r.exit(r.run(ctx))
 }
 
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/pem"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -35,6 +36,8 @@
 	// older tells that the key-value service came back older.
 	older, acknowledged bool
 	url                 string
+	// handler is the node's.
+	handler http.Handler
 	// loseAnswers lets the node handle that many requests and answer none.
 	loseAnswers int
 	out, errOut bytes.Buffer
@@ -61,14 +64,15 @@
 	opts := admin.DefaultOptions()
 	opts.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
 	server := admin.New(opts, self, service, peertest.Alone{}, view, oneTarget{}, f, zerolog.Nop())
-	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	f.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if f.loseAnswers > 0 {
 			f.loseAnswers--
 			server.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
 		server.ServeHTTP(w, r)
-	}))
+	})
+	node := httptest.NewServer(f.handler)
 	t.Cleanup(node.Close)
 	f.url = node.URL
 	return f
@@ -209,6 +213,17 @@
 	require.Equal(t, ExitOK, code, f.errOut.String())
 }
 
+func TestCertificateAuthority(t *testing.T) {
+	f := newFixture(t)
+	secure := httptest.NewTLSServer(f.handler)
+	t.Cleanup(secure.Close)
+	ca := f.write("ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw})))
+	f.url = secure.URL
+	assert.Equal(t, ExitUnreachable, f.run("status"), "an unknown authority is not trusted")
+	assert.Equal(t, ExitOK, f.run("status", "--ca", ca), f.errOut.String())
+	assert.Equal(t, ExitUsage, f.run("status", "--ca", f.devFile()))
+}
+
 func TestBenchHook(t *testing.T) {
 	var got []string
 	code := Run(context.Background(), []string{"bench", "--rate", "3"}, Env{Bench: func(_ context.Context, args []string, _, _ io.Writer) int {
