--- a/pkg/owner/requester.go
+++ b/pkg/owner/requester.go
@@ -41,14 +41,16 @@
 	zone := q.deps.Self.Zone
 	view := q.deps.View()
 	w := q.wanted(view, l.candidates, r)
+	movable := w.BoundOnly && view.PlatformUp && !view.PlatformOlder && !l.present()
 	steps := []func() bool{
 		func() bool { return l.join(ctx, zone, fleet.ReplicaLoading) },
+		func() bool { return movable && placement.Crowded(l.candidates, w) && l.moveSlot(ctx, w) },
 		func() bool { return l.tryRanked(ctx, w) },
 		func() bool { return l.join(ctx, zone, fleet.ReplicaLoaded) },
 		func() bool { return l.join(ctx, anyZone, fleet.ReplicaLoading) },
 		func() bool { return l.join(ctx, anyZone, fleet.ReplicaLoaded) },
 		func() bool { return l.tryElsewhere(ctx, w) },
-		func() bool { return w.BoundOnly && view.PlatformUp && l.moveSlot(ctx, w) },
+		func() bool { return movable && l.moveSlot(ctx, w) },
 	}
 	for _, step := range steps {
 		if step() {
@@ -80,6 +82,13 @@
 	last  *fault.Error
 }
 
+// present tells that the replica is loaded or loading somewhere.
+func (l *loading) present() bool {
+	_, loading := l.find(anyZone, fleet.ReplicaLoading)
+	_, loaded := l.find(anyZone, fleet.ReplicaLoaded)
+	return loading || loaded
+}
+
 // join asks for the replica where it is loading or loaded already. The
 // owner knows whether it still is.
 func (l *loading) join(ctx context.Context, zone fleet.Zone, phase fleet.ReplicaPhase) bool {
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -99,6 +99,34 @@
 	return out
 }
 
+// Crowded tells that every target that holds a slot of the replica would
+// have to unload another replica first, while one without a slot would not:
+// then moving the slot is quicker, and costs no other replica its place.
+func Crowded(candidates []Candidate, w Wanted) bool {
+	w.BoundOnly, w.BaseBoundOnly = false, false
+	roomElsewhere := false
+	for i := range candidates {
+		t := &candidates[i]
+		if !usable(t, w) || !fits(t, w) {
+			continue
+		}
+		if slices.Contains(t.Slots, w.Key) {
+			return false
+		}
+		roomElsewhere = true
+	}
+	return roomElsewhere
+}
+
+// fits tells that the replica can be loaded without unloading another.
+func fits(t *Candidate, w Wanted) bool {
+	if _, ok := t.State.Replica(w.Key.Base()); w.Key.Adapter != "" && !ok {
+		return false
+	}
+	free, _ := memoryOf(t)
+	return w.MemoryBytes <= free
+}
+
 func usable(t *Candidate, w Wanted) bool {
 	switch {
 	case t.Target.Kind == fleet.TargetPlain:
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -134,6 +134,9 @@
 	assert.Equal(t, []fleet.TargetID{"memory", "disk", "remote"}, ChooseTarget(all, w, DefaultCosts()))
 	w.BoundOnly = true
 	assert.Equal(t, []fleet.TargetID{"remote"}, ChooseTarget(all, w, DefaultCosts()))
+	assert.False(t, Crowded(all, w))
+	full.Slots = []fleet.ReplicaKey{key}
+	assert.True(t, Crowded([]Candidate{full, memory}, w), "the slot moves rather than another replica")
 }
 
 func TestBudgetServesDemandFirstAndLapses(t *testing.T) {
