--- a/pkg/owner/handlers.go
+++ b/pkg/owner/handlers.go
@@ -20,6 +20,7 @@
 	if r == nil {
 		return loadResult(fault.New(fault.NoReplica, "this node does not own target %s", req.Target)), nil
 	}
+	began := s.deps.Clock.Now()
 	ch := make(chan *fault.Error, 1)
 	r.mu.Lock()
 	r.loads[req.Key] = append(r.loads[req.Key], ch)
@@ -29,6 +30,7 @@
 	}
 	select {
 	case err := <-ch:
+		observeLoad(err, s.deps.Clock.Now().Sub(began))
 		return loadResult(err), nil
 	case <-ctx.Done():
 		return nil, fmt.Errorf("load %s on %s: %w", req.Key, req.Target, ctx.Err())
--- a/pkg/owner/metrics.go
+++ b/pkg/owner/metrics.go
@@ -1,7 +1,11 @@
 package owner
 
 import (
+	"time"
+
 	"github.com/VictoriaMetrics/metrics"
+
+	"almondturn/pkg/fault"
 )
 
 var reportCounters = func() map[ReportKind]*metrics.Counter {
@@ -12,4 +16,13 @@
 	return out
 }()
 
+// observeLoad records how long a load request waited for its answer.
+func observeLoad(err *fault.Error, took time.Duration) {
+	outcome := "loaded"
+	if err != nil {
+		outcome = err.Kind.String()
+	}
+	metrics.GetOrCreateHistogram(`almondturn_owner_load_seconds{outcome="` + outcome + `"}`).Update(took.Seconds())
+}
+
 func countReport(kind ReportKind) { reportCounters[kind].Inc() }
