owner: a change of owner is told as passing, so that waiting requests are kept

Before, a cold request whose target changed owners, or whose owner was stopping, was refused as no_replica or no_capacity; the model home does not ask again after these.

--- a/pkg/owner/handlers.go
+++ b/pkg/owner/handlers.go
@@ -18,7 +18,7 @@
 	}
 	r := s.existing(req.Target)
 	if r == nil {
-		return loadResult(fault.New(fault.NoReplica, "this node does not own target %s", req.Target)), nil
+		return loadResult(fault.New(fault.TargetUnreachable, "this node does not own target %s", req.Target)), nil
 	}
 	began := s.deps.Clock.Now()
 	ch := make(chan *fault.Error, 1)
--- a/pkg/owner/requester.go
+++ b/pkg/owner/requester.go
@@ -185,11 +185,11 @@
 	key := l.replica.Key
 	owner, ok := l.ownerOf(id)
 	if !ok {
-		return fault.New(fault.NoReplica, "target %s has no owner", id)
+		return fault.New(fault.TargetUnreachable, "target %s has no owner", id)
 	}
 	answer, err := l.q.deps.Network.Call(ctx, owner, &wire.Load{Key: key, Target: id, Prefetch: l.prefetch})
 	if err != nil {
-		return fault.New(fault.NoReplica, "load of %s on %s: %w", key, id, err)
+		return fault.New(fault.TargetUnreachable, "load of %s on %s: %w", key, id, err)
 	}
 	res, ok := answer.(*wire.LoadResult)
 	if !ok {
--- a/pkg/owner/takeover.go
+++ b/pkg/owner/takeover.go
@@ -43,7 +43,7 @@
 func (m *Machine) loseOwnership() {
 	m.owner = false
 	m.do(CancelOrders{})
-	m.failAllWants(fault.NoReplica, "the target has a new owner")
+	m.failAllWants(fault.TargetUnreachable, "the target has a new owner")
 	for _, op := range m.slots.sortedOps() {
 		m.answerRelease(op, false)
 	}
--- a/pkg/owner/want.go
+++ b/pkg/owner/want.go
@@ -41,7 +41,7 @@
 
 func (m *Machine) loadWanted(ev LoadWanted) {
 	if !m.owner {
-		m.do(AnswerLoad{Key: ev.Key, Err: fault.New(fault.NoReplica, "this node does not own the target")})
+		m.do(AnswerLoad{Key: ev.Key, Err: fault.New(fault.TargetUnreachable, "this node does not own the target")})
 		return
 	}
 	m.addWant(ev.Key, ev.Prefetch, m.env.Now.Add(m.opts.WantTimeout))
@@ -152,7 +152,7 @@
 	}
 	r, declared := m.env.Catalog.Replica(k)
 	switch {
-	case m.leaving(), m.env.Stopping:
+	case m.leaving():
 		m.failWant(k, fault.NoCapacity, "the target is leaving")
 		return
 	case !declared:
