--- a/pkg/owner/requester.go
+++ b/pkg/owner/requester.go
@@ -41,14 +41,16 @@
 	zone := q.deps.Self.Zone
 	view := q.deps.View()
 	w := q.wanted(view, l.candidates, r)
+	movable := w.BoundOnly && view.PlatformUp && !view.PlatformOlder && !l.present()
 	steps := []func() bool{
-		func() bool { return l.join(ctx, zone) },
+		func() bool { return l.join(ctx, zone, fleet.ReplicaLoading) },
+		func() bool { return movable && placement.Crowded(l.candidates, w) && l.moveSlot(ctx, w) },
 		func() bool { return l.tryRanked(ctx, w) },
-		func() bool { return l.use(zone) },
-		func() bool { return l.join(ctx, anyZone) },
-		func() bool { return l.use(anyZone) },
+		func() bool { return l.join(ctx, zone, fleet.ReplicaLoaded) },
+		func() bool { return l.join(ctx, anyZone, fleet.ReplicaLoading) },
+		func() bool { return l.join(ctx, anyZone, fleet.ReplicaLoaded) },
 		func() bool { return l.tryElsewhere(ctx, w) },
-		func() bool { return w.BoundOnly && view.PlatformUp && l.moveSlot(ctx, w) },
+		func() bool { return movable && l.moveSlot(ctx, w) },
 	}
 	for _, step := range steps {
 		if step() {
@@ -80,19 +82,18 @@
 	last  *fault.Error
 }
 
-// join waits for a load of the replica that is under way.
-func (l *loading) join(ctx context.Context, zone fleet.Zone) bool {
-	id, ok := l.find(zone, fleet.ReplicaLoading)
-	return ok && l.ask(ctx, id)
+// present tells that the replica is loaded or loading somewhere.
+func (l *loading) present() bool {
+	_, loading := l.find(anyZone, fleet.ReplicaLoading)
+	_, loaded := l.find(anyZone, fleet.ReplicaLoaded)
+	return loading || loaded
 }
 
-// use takes a replica that is loaded already.
-func (l *loading) use(zone fleet.Zone) bool {
-	id, ok := l.find(zone, fleet.ReplicaLoaded)
-	if ok {
-		l.target = id
-	}
-	return ok
+// join asks for the replica where it is loading or loaded already. The
+// owner knows whether it still is.
+func (l *loading) join(ctx context.Context, zone fleet.Zone, phase fleet.ReplicaPhase) bool {
+	id, ok := l.find(zone, phase)
+	return ok && l.ask(ctx, id)
 }
 
 // find returns a target on which the replica is in the given phase.
@@ -184,11 +185,11 @@
 	key := l.replica.Key
 	owner, ok := l.ownerOf(id)
 	if !ok {
-		return fault.New(fault.NoReplica, "target %s has no owner", id)
+		return fault.New(fault.TargetUnreachable, "target %s has no owner", id)
 	}
 	answer, err := l.q.deps.Network.Call(ctx, owner, &wire.Load{Key: key, Target: id, Prefetch: l.prefetch})
 	if err != nil {
-		return fault.New(fault.NoReplica, "load of %s on %s: %w", key, id, err)
+		return fault.New(fault.TargetUnreachable, "load of %s on %s: %w", key, id, err)
 	}
 	res, ok := answer.(*wire.LoadResult)
 	if !ok {
