dispatch: loaded replicas of other zones before a load; scale-out to other zones

Cause: entry nodes of zones without the replica had it loaded there and waited for the load although a place elsewhere came each 40 ms; with that mended, a home whose zone has one engine got the loaded target back as its further replica and never scaled out. Change: zones with the replica loaded are asked first; a load that brings nothing new asks the home of a zone without the replica (ScaleOut); up to a quarter of a target's places may wait at the target, which covers the way of a grant; a further replica is wanted after a quarter of the load time.

--- a/pkg/dispatch/acquire.go
+++ b/pkg/dispatch/acquire.go
@@ -103,31 +103,25 @@
 	return place{}, first
 }
 
-// zonesFor returns the zones in the order in which they are asked: the own
-// zone first, unless only others have an adapter's base model loaded, which
-// is the longer load.
+// zonesFor returns the zones in the order in which they are asked: those
+// with the replica loaded, for adapters then those with the base model
+// loaded, then the others; each time the own zone first. A place at a
+// loaded replica comes sooner than a load.
 func (d *Dispatcher) zonesFor(k fleet.ReplicaKey) []fleet.Zone {
-	own := d.view().Self.Zone
-	zones := append([]fleet.Zone{own}, d.otherZones()...)
-	if k.Adapter == "" {
-		return zones
-	}
-	base := map[fleet.Zone]bool{}
-	for _, c := range d.dir.Loaded(k.Base()) {
-		base[c.Target.Zone] = true
-	}
-	if base[own] || len(base) == 0 {
-		return zones
-	}
-	slices.SortStableFunc(zones, func(a, b fleet.Zone) int {
-		if base[a] == base[b] {
-			return 0
+	zones := append([]fleet.Zone{d.view().Self.Zone}, d.otherZones()...)
+	rank := map[fleet.Zone]int{}
+	if k.Adapter != "" {
+		for _, c := range d.dir.Loaded(k.Base()) {
+			rank[c.Target.Zone] = 1
 		}
-		if base[a] {
-			return -1
+	}
+	now := d.clock.Now()
+	for _, c := range d.dir.Loaded(k) {
+		if !d.loads.stale.active(staleKey{c.Target.ID, k}, c.Report, now) {
+			rank[c.Target.Zone] = 2
 		}
-		return 1
-	})
+	}
+	slices.SortStableFunc(zones, func(a, b fleet.Zone) int { return rank[b] - rank[a] })
 	return zones
 }
 
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -75,6 +75,7 @@
 	r.Handle(wire.TypeAcquire, d.home.HandleAcquire)
 	r.Handle(wire.TypeGrantEnd, d.home.HandleGrantEnd)
 	r.Handle(wire.TypeCongested, d.handleCongested)
+	r.Handle(wire.TypeScaleOut, d.home.HandleScaleOut)
 }
 
 // Drain begins a graceful shutdown: waiting requests of the own home go
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -13,6 +13,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/target"
+	"almondturn/wire"
 )
 
 const testTimeout = 10 * time.Second
@@ -317,3 +318,46 @@
 	_, ok := other.direct(modelRequest(testTimeout), nil)
 	require.False(t, ok)
 }
+
+// TestLoadedReplicaElsewhereComesBeforeALoad: the only replica is in
+// another zone and busy; the request waits for its place there.
+func TestLoadedReplicaElsewhereComesBeforeALoad(t *testing.T) {
+	m, dir := newMesh(), newFakeDirectory()
+	o := testOptions()
+	o.TargetQueue = 0
+	own := m.start(t, "n1", "a", o, dir, &fakeSender{send: answerOK}, nil)
+	far := m.start(t, "n2", "b", o, dir, &fakeSender{send: answerOK}, nil)
+	dir.add(candidate("t9", "b", 1), testKey)
+	_, err := far.home.Acquire(context.Background(), far.self, acquire("held", time.Minute))
+	require.NoError(t, err)
+	own.loads.get("t9").inflight.Add(1) // as the target's report will say
+	done := make(chan error)
+	go func() { done <- own.Do(context.Background(), modelRequest(testTimeout), &testSink{}) }()
+	require.Eventually(t, func() bool { return far.home.Waiting() == 1 }, testTimeout, time.Millisecond)
+	far.home.Release(&wire.GrantEnd{RequestID: "held", Key: testKey})
+	require.NoError(t, <-done)
+	require.Zero(t, own.loader.calls.Load())
+}
+
+// TestScaleOutGoesToAnotherZone: the own zone has no room for a further
+// replica, its loader answers with the one that is there.
+func TestScaleOutGoesToAnotherZone(t *testing.T) {
+	m, dir := newMesh(), newFakeDirectory()
+	o := testOptions()
+	o.TargetQueue = 0
+	dir.add(candidate("t1", "a", 1), testKey)
+	own := m.start(t, "n1", "a", o, dir, &fakeSender{send: answerOK}, nil)
+	far := m.start(t, "n2", "b", o, dir, &fakeSender{send: answerOK}, nil)
+	own.loader.load = func(context.Context, fleet.ReplicaKey) (fleet.TargetID, error) { return "t1", nil }
+	far.loader.load = func(context.Context, fleet.ReplicaKey) (fleet.TargetID, error) {
+		dir.add(candidate("t9", "b", 1), testKey)
+		return "t9", nil
+	}
+	_, err := own.home.Acquire(context.Background(), own.self, acquire("held", time.Minute))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		_, err := own.home.Acquire(context.Background(), own.self, acquire("waits", time.Minute))
+		require.NoError(t, err)
+		return far.loader.calls.Load() == 1
+	}, testTimeout, time.Millisecond)
+}
--- a/pkg/dispatch/homeloop.go
+++ b/pkg/dispatch/homeloop.go
@@ -68,17 +68,37 @@
 	return q.fair.size > 0, now.Sub(q.lastUse)
 }
 
-// tellCongestedLocked asks the zone's nodes to leave the loaded replicas'
-// places to the requests that wait here. It repeats this at half of the
-// time that it holds.
+// tellCongestedLocked asks the nodes that use this zone's replicas to leave
+// their places to the requests that wait here. It repeats this at half of
+// the time that it holds.
 func (q *replicaQueue) tellCongestedLocked(now time.Time, loaded int) {
 	valid := q.home.opts.CongestedFor
 	if loaded == 0 || now.Sub(q.toldAt) < valid/2 {
 		return
 	}
 	q.toldAt = now
+	m := &wire.Congested{Key: q.key, ValidMillis: valid.Milliseconds()}
+	for _, zone := range q.usersLocked() {
+		q.home.net.Broadcast(zone, m)
+	}
+}
+
+// usersLocked returns the own zone and the zones that have no replica of
+// their own.
+func (q *replicaQueue) usersLocked() []fleet.Zone {
 	view := q.home.view()
-	q.home.net.Broadcast(view.Self.Zone, &wire.Congested{Key: q.key, ValidMillis: valid.Milliseconds()})
+	served := map[fleet.Zone]bool{view.Self.Zone: true}
+	for _, c := range q.home.dir.Loaded(q.key) {
+		served[c.Target.Zone] = true
+	}
+	users := []fleet.Zone{view.Self.Zone}
+	for i := range view.Live {
+		if zone := view.Live[i].Zone; !served[zone] {
+			served[zone] = true
+			users = append(users, zone)
+		}
+	}
+	return users
 }
 
 // grantWaitingLocked gives the free places to the waiting requests in order.
@@ -157,46 +177,60 @@
 	q.home.running.Go(func() { q.loadReplica(first) })
 }
 
-// minScaleOutWait is the shortest wait that a further replica is loaded for.
-const minScaleOutWait = 100 * time.Millisecond
-
-// scaleOutPaysLocked tells whether the requests wait for longer than a load
-// takes.
-func (q *replicaQueue) scaleOutPaysLocked(now time.Time) bool {
-	places := max(1, q.placesOf(q.candidatesLocked(now)))
-	drain := q.service.value * time.Duration(q.fair.size) / time.Duration(places)
-	wait := max(drain, q.fair.oldest(now))
-	load := max(q.load.value, minScaleOutWait)
-	return wait.Seconds() > q.home.opts.ScaleOutWait*load.Seconds()
-}
-
 // loadReplica runs one load, with retries of failures that pass.
 func (q *replicaQueue) loadReplica(first bool) {
 	ctx, cancel := context.WithTimeout(q.home.ctx, q.home.opts.LoadTimeout)
 	defer cancel()
+	known := q.knownTargets()
 	var err error
 	for attempt := range q.home.opts.LoadAttempts {
 		if attempt > 0 && !sleep(ctx, jitter(q.home.opts.RetryMaxDelay)) {
 			break
 		}
-		began := q.home.clock.Now()
-		id, lerr := q.home.loader.Load(ctx, q.key, false)
-		err = lerr
-		now := q.home.clock.Now()
-		q.mu.Lock()
-		if err == nil {
-			q.load.add(now.Sub(began))
-			q.home.loads.stale.clear(staleKey{id, q.key})
-			q.loaded[id] = now.Add(q.home.opts.AcquireSlice)
-		}
-		q.mu.Unlock()
+		err = q.loadOnce(ctx, known)
 		if err == nil || !passing(err) || !first {
 			break
 		}
 	}
+	if err != nil && !first {
+		q.scaleOutElsewhere(ctx)
+	}
 	q.endLoad(first, err)
 }
 
+// knownTargets returns the targets of the zone that have the replica loaded.
+func (q *replicaQueue) knownTargets() map[fleet.TargetID]bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	known := map[fleet.TargetID]bool{}
+	for _, c := range q.candidatesLocked(q.home.clock.Now()) {
+		known[c.Target.ID] = true
+	}
+	return known
+}
+
+// errNoGain tells that the zone has no room for a further replica.
+var errNoGain = fault.New(fault.NoCapacity, "the zone has no room for a further replica")
+
+// loadOnce loads the replica on a target that is not among the known ones.
+func (q *replicaQueue) loadOnce(ctx context.Context, known map[fleet.TargetID]bool) error {
+	began := q.home.clock.Now()
+	id, err := q.home.loader.Load(ctx, q.key, false)
+	if err != nil {
+		return err
+	}
+	if known[id] {
+		return errNoGain
+	}
+	now := q.home.clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.load.add(now.Sub(began))
+	q.home.loads.stale.clear(staleKey{id, q.key})
+	q.loaded[id] = now.Add(q.home.opts.AcquireSlice)
+	return nil
+}
+
 // passing tells whether a load that failed with err is worth another try.
 func passing(err error) bool {
 	switch fault.KindOf(err) {
--- a/pkg/dispatch/loadtable.go
+++ b/pkg/dispatch/loadtable.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,16 +79,21 @@
 func (o *Options) places(c *Candidate, service fleet.Service) int {
 	limit := o.maxRunning(c)
 	if c.State == nil {
-		return limit + o.TargetQueue
+		return limit + o.targetQueue(limit)
 	}
 	running, services := runningByOthers(c.State, service)
 	if services == 0 {
-		return limit + o.TargetQueue
+		return limit + o.targetQueue(limit)
 	}
 	share := max(1, limit/(services+1))
 	return max(share, limit-running-services)
 }
 
+// targetQueue returns how many requests may wait at a target.
+func (o *Options) targetQueue(maxRunning int) int {
+	return int(math.Ceil(o.TargetQueue * float64(maxRunning)))
+}
+
 // runningByOthers returns the requests of other services and how many other
 // services have any.
 func runningByOthers(s *fleet.TargetState, service fleet.Service) (running, services int) {
--- a/pkg/dispatch/options.go
+++ b/pkg/dispatch/options.go
@@ -13,9 +13,10 @@
 	AcquireGrace time.Duration `yaml:"acquire_grace" validate:"gt=0"`
 	// QueueLimit bounds the requests that wait for one replica at its home.
 	QueueLimit int `yaml:"queue_limit" validate:"gt=0"`
-	// TargetQueue is the number of requests sent to a target beyond the
-	// number that it runs at once.
-	TargetQueue int `yaml:"target_queue" validate:"gte=0"`
+	// TargetQueue is the number of requests sent to a target beyond those
+	// that it runs at once, as a share of these; it covers the time that a
+	// freed place takes to reach the next request.
+	TargetQueue float64 `yaml:"target_queue" validate:"gte=0,lte=4"`
 	// DefaultMaxRunning stands for an engine that does not report how many
 	// requests it runs at once.
 	DefaultMaxRunning int `yaml:"default_max_running" validate:"gt=0"`
@@ -66,10 +67,10 @@
 		AcquireSlice:      5 * time.Second,
 		AcquireGrace:      time.Second,
 		QueueLimit:        2000,
-		TargetQueue:       1,
+		TargetQueue:       0.25,
 		DefaultMaxRunning: 4,
 		PlainMaxRunning:   64,
-		ScaleOutWait:      1,
+		ScaleOutWait:      0.25,
 		ScaleOutPause:     5 * time.Second,
 		LoadTimeout:       2 * time.Minute,
 		LoadAttempts:      3,
--- a/wire/requests.go
+++ b/wire/requests.go
@@ -6,6 +6,7 @@
 const (
 	TypeGrantEnd Type = iota + 500
 	TypeCongested
+	TypeScaleOut
 )
 
 // GrantEnd tells a model home that a granted request has ended, or that a
@@ -32,3 +33,13 @@
 
 // Type implements Message.
 func (*Congested) Type() Type { return TypeCongested }
+
+// ScaleOut asks a model home of another zone for a replica there, because
+// the sender's zone has no room for one more. The load goes on after the
+// answer.
+type ScaleOut struct {
+	Key fleet.ReplicaKey `cbor:"1,keyasint"`
+}
+
+// Type implements Message.
+func (*ScaleOut) Type() Type { return TypeScaleOut }
--- a/wire/types.go
+++ b/wire/types.go
@@ -35,6 +35,7 @@
 	TypeTargetUpdates: func() Message { return new(TargetUpdates) },
 	TypeGrantEnd:      func() Message { return new(GrantEnd) },
 	TypeCongested:     func() Message { return new(Congested) },
+	TypeScaleOut:      func() Message { return new(ScaleOut) },
 }
 
 // Type implements Message.
