--- a/spec/placement.pml
+++ b/spec/placement.pml
@@ -161,7 +161,7 @@
 
 /* Mutants of the hand-over between owners. */
 #ifdef FORGET_AMBIGUOUS
-#define HAND_OVER(n, k) skip
+#define HAND_OVER(n, k) ambiguous[AT(n, k)] = 0
 #else
 #define HAND_OVER(n, k) ambiguous[AT(n, k)] = 1
 #endif
