--- a/scenarios/callers_test.go
+++ b/scenarios/callers_test.go
@@ -15,7 +15,6 @@
 	"almondturn/examples"
 	"almondturn/fleet"
 	"almondturn/pkg/fault"
-	"almondturn/pkg/trial"
 )
 
 // call is one request and what its caller was told.
@@ -42,15 +41,16 @@
 
 // callers sends requests through nodes and keeps their log.
 type callers struct {
-	trial *trial.Trial
-	http  *http.Client
+	// addr returns the callers' address of a node; empty while it is down.
+	addr func(fleet.NodeID) string
+	http *http.Client
 
 	mu  sync.Mutex // guards log
 	log []*call
 }
 
-func newCallers(t *trial.Trial) *callers {
-	return &callers{trial: t, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+func newCallers(addr func(fleet.NodeID) string) *callers {
+	return &callers{addr: addr, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 func (c *callers) calls() []*call {
@@ -63,8 +63,8 @@
 func (c *callers) do(ctx context.Context, k *call) {
 	k.deadline = time.Now().Add(k.timeout)
 	k.code = "connection"
-	if n := c.trial.Node(k.node); n != nil {
-		c.exchange(ctx, n.CallersAddr(), k)
+	if addr := c.addr(k.node); addr != "" {
+		c.exchange(ctx, addr, k)
 	}
 	k.ended = time.Now()
 	c.mu.Lock()
--- a/scenarios/deployment_test.go
+++ b/scenarios/deployment_test.go
@@ -89,7 +89,12 @@
 		return nil, err
 	}
 	d.Trial = t
-	d.callers = newCallers(t)
+	d.callers = newCallers(func(id fleet.NodeID) string {
+		if n := t.Node(id); n != nil {
+			return n.CallersAddr()
+		}
+		return ""
+	})
 	return d, nil
 }
 
