catalog: forks at the same revision are seen

Cause: two sides of a partition, one of them replaced as a whole and writing to a service that came back older, can end with the same revision of different settings; comparison found nothing newer and status told that the nodes agree. Change: peers whose sums differ at equal revisions compare heads and raise event 307 once; status compares sums.

--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -28,7 +28,7 @@
 	// OlderTeams are the teams whose subtree there is older.
 	PlatformOlder bool         `json:"platform_older"`
 	OlderTeams    []fleet.Team `json:"older_teams,omitempty"`
-	// InAgreement is true when all reached nodes have the same revisions.
+	// InAgreement is true when all reached nodes have the same settings in force.
 	InAgreement bool         `json:"in_agreement"`
 	Zones       []ZoneStatus `json:"zones"`
 	Nodes       []NodeStatus `json:"nodes"`
@@ -153,26 +153,10 @@
 	return nil
 }
 
-// agree tells whether all reached nodes have the same revisions in force.
+// agree tells whether all reached nodes have the same settings in force.
 func agree(nodes []catalog.NodeRevisions) bool {
-	var first map[fleet.Team]uint64
-	for _, n := range nodes {
-		if !n.Reached {
-			continue
-		}
-		if first == nil {
-			first = n.Revisions
-		}
-		if len(first) != len(n.Revisions) {
-			return false
-		}
-		for team, revision := range n.Revisions {
-			if first[team] != revision {
-				return false
-			}
-		}
-	}
-	return true
+	reached := slices.DeleteFunc(slices.Clone(nodes), func(n catalog.NodeRevisions) bool { return !n.Reached })
+	return !slices.ContainsFunc(reached, func(n catalog.NodeRevisions) bool { return n.Sum != reached[0].Sum })
 }
 
 // zoneStatuses sums nodes up, which are sorted by zone.
--- a/pkg/catalog/exchange.go
+++ b/pkg/catalog/exchange.go
@@ -110,6 +110,9 @@
 	if theirs.Sum != mine.Sum {
 		s.wantNewer(to, theirs.Revisions)
 		s.tellNewer(to, theirs.Revisions)
+		if s.sameRevisions(theirs.Revisions) {
+			s.findForks(callCtx, to)
+		}
 	}
 	return theirs
 }
--- a/pkg/catalog/readiness.go
+++ b/pkg/catalog/readiness.go
@@ -56,6 +56,8 @@
 	Reached   bool
 	Ready     bool
 	Revisions map[fleet.Team]uint64
+	// Sum is the sum of the heads in force; equal catalogs have equal sums.
+	Sum uint64
 }
 
 // InForce asks all live nodes which revisions of the given teams are in force
@@ -93,7 +95,7 @@
 	if n.ID == s.self.ID {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return NodeRevisions{Node: n, Reached: true, Ready: s.ready.Load(), Revisions: s.revisionsLocked()}
+		return NodeRevisions{Node: n, Reached: true, Ready: s.ready.Load(), Revisions: s.revisionsLocked(), Sum: s.sumLocked()}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, s.opts.PeerTimeout)
 	defer cancel()
@@ -102,7 +104,7 @@
 	if err != nil || !ok {
 		return NodeRevisions{Node: n}
 	}
-	return NodeRevisions{Node: n, Reached: true, Ready: digest.Ready, Revisions: digest.Revisions}
+	return NodeRevisions{Node: n, Reached: true, Ready: digest.Ready, Revisions: digest.Revisions, Sum: digest.Sum}
 }
 
 // waitProbeInterval is the pause between two questions while waiting.
--- a/pkg/catalog/service.go
+++ b/pkg/catalog/service.go
@@ -42,7 +42,10 @@
 	pending map[fleet.Team]candidate
 	// older holds the teams whose subtree in the key-value service is older
 	// than the one in force, or does not descend from it.
-	older      map[fleet.Team]bool
+	older map[fleet.Team]bool
+	// forks holds the write of a peer's subtree that does not descend from
+	// the one in force here.
+	forks      map[fleet.Team]string
 	listed     bool
 	peerSynced bool
 
@@ -68,6 +71,7 @@
 		chunks:  map[Digest][]byte{},
 		pending: map[fleet.Team]candidate{},
 		older:   map[fleet.Team]bool{},
+		forks:   map[fleet.Team]string{},
 		wake:    make(chan struct{}, 1),
 	}
 	s.repo = NewRepository(opts, kv, clock, s)
--- a/pkg/event/catalog.go
+++ b/pkg/event/catalog.go
@@ -11,6 +11,7 @@
 	CatalogUnreadable    = register(304, "catalog_unreadable", zerolog.ErrorLevel, "A subtree could not be decoded or lacks a part; the former revision stays in force.")
 	CatalogWatchEnded    = register(305, "catalog_watch_ended", zerolog.WarnLevel, "The watch of the key-value service ended; it is opened again after a list.")
 	CatalogWatchMissed   = register(306, "catalog_watch_missed", zerolog.WarnLevel, "A list found a change that the watch had not told; the watch is opened again.")
+	CatalogPeerForked    = register(307, "catalog_peer_forked", zerolog.ErrorLevel, "Another node has a subtree in force that does not descend from this node's, after the key-value service lost changes. Compare both with `almondturnctl get`, run `almondturnctl restore TEAM` at a node that has the right one, then restart the nodes that have the other.")
 	CatalogAccepted      = register(310, "catalog_accepted", zerolog.InfoLevel, "A change of a team's subtree was accepted through this node.")
 	CatalogRefused       = register(311, "catalog_refused", zerolog.WarnLevel, "A change of a team's subtree was refused; the fields tell why.")
 	AdminDenied          = register(320, "admin_denied", zerolog.WarnLevel, "A request to the operators' listener had no valid token, or one of another team.")
