Request path: leaving nodes keep waiting, keys of unsent requests are free, stuck callers end

Cause, found by reading: a home dropped the waiting requests and places of a node that was leaving, which is out of the view; a caller that left before anything was sent burnt its idempotency key; a caller that reads nothing held its request beyond the deadline; a target's own refusal was told as run. Change: open calls show that an entry node lives, places come back after NodeDeadAfter or a restart; such outcomes give the key back; the answer's connection has a write deadline one second after the request's; X-Run: no of a target is passed on; plain targets that could not be reached are tried when no other is left. Conclusion: a test for each but the last two.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -66,6 +66,9 @@
 	return false
 }
 
+// errNotSent tells that no target can have run the request.
+var errNotSent = errors.New("the request was not sent")
+
 // trail is what is known of a request's attempts.
 type trail struct {
 	attempts int
@@ -133,7 +136,7 @@
 	case t.doubt != nil:
 		return fault.New(fault.OutcomeUnknown, "the target may have run the request: %w", t.doubt)
 	case gone:
-		return fault.New(fault.CallerGone, "the caller has gone before the request was sent")
+		return fault.New(fault.CallerGone, "the caller has gone: %w", errNotSent)
 	case refusal != nil && fault.KindOf(refusal).Answer().Run == fault.RunNo:
 		return refusal
 	case ctx.Err() != nil || r.Deadline.IsZero():
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -13,6 +13,8 @@
 	// replica is what must be loaded; zero for plain services.
 	replica fleet.ReplicaKey
 	exclude []fleet.TargetID
+	// ejected lets targets be chosen that could not be reached just before.
+	ejected bool
 	now     time.Time
 	// share bounds this node's own requests at one target; 0 for none.
 	share int
@@ -43,7 +45,7 @@
 // there is no place.
 func (l *loadTable) score(cand *Candidate, c choice) (float64, bool) {
 	load := l.get(cand.Target.ID)
-	if load.isEjected(c.now) || l.stale.active(staleKey{cand.Target.ID, c.replica}, cand.Report, c.now) {
+	if load.isEjected(c.now) && !c.ejected || l.stale.active(staleKey{cand.Target.ID, c.replica}, cand.Report, c.now) {
 		return 0, false
 	}
 	places := l.opts.places(cand, c.service)
--- a/pkg/dispatch/claimed.go
+++ b/pkg/dispatch/claimed.go
@@ -99,8 +99,7 @@
 			Truncated:   a.truncated,
 		}
 	}
-	var fe *fault.Error
-	if errors.As(err, &fe) && fe.Kind.Answer().Run == fault.RunNo {
+	if fault.KindOf(err).Answer().Run == fault.RunNo || errors.Is(err, errNotSent) {
 		return wire.Outcome{Run: string(fault.RunNo)}
 	}
 	if a.started {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -169,11 +169,11 @@
 	ch := choice{zone: d.view().Self.Zone, service: r.Service, exclude: exclude, now: d.clock.Now()}
 	c, ok := d.loads.choose(candidates, ch)
 	if !ok {
-		ch.exclude = nil
+		ch.exclude, ch.ejected = nil, true
 		c, ok = d.loads.choose(candidates, ch)
 	}
 	if !ok {
-		return place{}, fault.New(fault.Overloaded, "all targets of the service %q are busy or out of reach", r.Service)
+		return place{}, fault.New(fault.Overloaded, "all targets of the service %q are busy", r.Service)
 	}
 	load := d.loads.get(c.Target.ID)
 	load.inflight.Add(1)
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -60,6 +60,7 @@
 type grantState struct {
 	target  *targetLoad
 	from    fleet.Node
+	seenAt  time.Time // when the entry node was last in sight
 	expires time.Time
 }
 
--- a/pkg/dispatch/home_test.go
+++ b/pkg/dispatch/home_test.go
@@ -104,8 +104,24 @@
 	require.EqualValues(t, "t1", g.Target.ID)
 }
 
+// TestLeavingNodeKeepsWaiting: a node that is out of sight because it is
+// leaving still waits for its callers' requests.
+func TestLeavingNodeKeepsWaiting(t *testing.T) {
+	h, _ := busyHome(t)
+	leaving := fleet.Node{ID: "n9", Zone: "a", Incarnation: "old"}
+	for range 5 { // longer than the sweep's interval
+		g, err := h.Acquire(context.Background(), leaving, acquire("r1", time.Minute))
+		require.NoError(t, err)
+		require.True(t, g.Waiting)
+	}
+	h.Release(&wire.GrantEnd{RequestID: "held", Key: testKey})
+	g, err := h.Acquire(context.Background(), leaving, acquire("r1", time.Minute))
+	require.NoError(t, err)
+	require.False(t, g.Waiting)
+}
+
 // TestPlacesOfDeadNodesComeBack: the places of an entry node that died are
-// given to others, and its waiting requests are dropped.
+// given to others.
 func TestPlacesOfDeadNodesComeBack(t *testing.T) {
 	h, self := busyHome(t)
 	h.Release(&wire.GrantEnd{RequestID: "held", Key: testKey})
--- a/pkg/dispatch/homeloop.go
+++ b/pkg/dispatch/homeloop.go
@@ -56,7 +56,7 @@
 	}
 	if now.Sub(q.sweptAt) >= q.home.opts.AcquireGrace {
 		q.sweptAt = now
-		q.sweepLocked()
+		q.sweepLocked(now)
 	}
 	candidates := q.candidatesLocked(now)
 	q.grantWaitingLocked(candidates, now)
@@ -139,19 +139,22 @@
 	}
 }
 
-// sweepLocked gives back the places of entry nodes that have died, and
-// their waiting requests.
-func (q *replicaQueue) sweepLocked() {
+// sweepLocked gives back the places of entry nodes that have restarted, or
+// have been out of sight for NodeDeadAfter. A node that is leaving is out of
+// sight and may still send.
+func (q *replicaQueue) sweepLocked(now time.Time) {
 	live := map[fleet.NodeID]string{}
 	view := q.home.view()
 	live[view.Self.ID] = view.Self.Incarnation
 	for i := range view.Live {
 		live[view.Live[i].ID] = view.Live[i].Incarnation
 	}
-	dead := func(n fleet.Node) bool { return live[n.ID] != n.Incarnation }
-	q.dropLocked(func(w *waiter) bool { return dead(w.from) }, fault.New(fault.CallerGone, "the entry node has died"))
 	for id, g := range q.grants {
-		if dead(g.from) {
+		incarnation, seen := live[g.from.ID]
+		if seen {
+			g.seenAt = now
+		}
+		if seen && incarnation != g.from.Incarnation || now.Sub(g.seenAt) > q.home.opts.NodeDeadAfter {
 			q.expireGrantLocked(id)
 		}
 	}
--- a/pkg/dispatch/homequeue.go
+++ b/pkg/dispatch/homequeue.go
@@ -35,7 +35,7 @@
 	loadingSince time.Time
 	// scaleOutAfter is the earliest time to ask for a further replica.
 	scaleOutAfter time.Time
-	// expiredAt and sweptAt are when overdue requests, and those of entry
+	// expiredAt and sweptAt are when overdue requests, and places of entry
 	// nodes that died, were last looked for.
 	expiredAt, sweptAt time.Time
 	// toldAt is when the zone was last told that requests wait.
@@ -219,7 +219,7 @@
 	}
 	load := q.home.loads.get(c.Target.ID)
 	load.granted.Add(1)
-	q.grants[w.id] = &grantState{target: load, from: w.from, expires: w.deadline.Add(q.home.opts.AcquireGrace)}
+	q.grants[w.id] = &grantState{target: load, from: w.from, seenAt: now, expires: w.deadline.Add(q.home.opts.AcquireGrace)}
 	w.grant = &wire.Grant{Target: c.Target, Cold: w.cold}
 	close(w.done)
 	return true
--- a/pkg/dispatch/options.go
+++ b/pkg/dispatch/options.go
@@ -11,6 +11,9 @@
 	// whose entry node has not asked again, and how long an entry node
 	// waits for an overdue answer before it turns to the next home.
 	AcquireGrace time.Duration `yaml:"acquire_grace" validate:"gt=0"`
+	// NodeDeadAfter is how long an entry node is out of sight before its
+	// places are given to others.
+	NodeDeadAfter time.Duration `yaml:"node_dead_after" validate:"gt=0"`
 	// QueueLimit bounds the requests that wait for one replica at its home.
 	QueueLimit int `yaml:"queue_limit" validate:"gt=0"`
 	// TargetQueue is the number of requests sent to a target beyond those
@@ -66,6 +69,7 @@
 	return Options{
 		AcquireSlice:      5 * time.Second,
 		AcquireGrace:      time.Second,
+		NodeDeadAfter:     10 * time.Second,
 		QueueLimit:        2000,
 		TargetQueue:       0.25,
 		DefaultMaxRunning: 4,
--- a/pkg/dispatch/truth_test.go
+++ b/pkg/dispatch/truth_test.go
@@ -320,3 +320,23 @@
 	}, testTimeout, deadAfter/2)
 	require.Zero(t, s.desk.Booked())
 }
+
+// TestCallerThatLeavesBeforeSendingFreesItsKey: nothing was sent, so that
+// the same key may be used again.
+func TestCallerThatLeavesBeforeSendingFreesItsKey(t *testing.T) {
+	s := newSite(t, "a")
+	gone, cancel := context.WithCancel(context.Background())
+	r := completionRequest(false)
+	r.Replica.Key.Model, r.IdempotencyKey = "cold", "k1"
+	s.nodes[0].loader.load = func(ctx context.Context, _ fleet.ReplicaKey) (fleet.TargetID, error) {
+		cancel()
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	requireKind(t, fault.CallerGone, s.nodes[0].Do(gone, r, &testSink{}))
+	again := claimRequest(r)
+	again.RequestID = "another"
+	outcome, err := s.nodes[0].claims.Begin(context.Background(), again)
+	require.NoError(t, err)
+	require.Nil(t, outcome)
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,6 +48,10 @@
 	headerIdempotencyKey = "Idempotency-Key"
 )
 
+// writeGrace is the time after its deadline that an answer, or the error
+// that ends it, may take to reach the caller.
+const writeGrace = time.Second
+
 // Gateway holds the handlers of the callers' listener.
 type Gateway struct {
 	opts       Options
@@ -113,6 +117,10 @@
 	}
 	ctx, cancel := context.WithDeadline(c.Request.Context(), r.Deadline)
 	defer cancel()
+	// A caller that takes nothing ends with its deadline too.
+	conn := http.NewResponseController(c.Writer)
+	_ = conn.SetWriteDeadline(r.Deadline.Add(writeGrace))
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
 	s := &sink{w: c.Writer, id: id, stream: r.Stream}
 	if err := g.dispatcher.Do(ctx, r, s); err != nil {
 		g.fail(c, r, s, err)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 
@@ -151,3 +154,32 @@
 	assert.Equal(t, fault.NotReady.Answer().Status, w.Code)
 	assert.Contains(t, w.Body.String(), "not_ready")
 }
+
+// endlessDispatcher writes until the caller cannot be written to.
+type endlessDispatcher struct{ ended chan error }
+
+func (d *endlessDispatcher) Do(_ context.Context, _ *dispatch.Request, s dispatch.Sink) error {
+	s.Start(http.StatusOK, http.Header{})
+	chunk := make([]byte, 1<<20)
+	for {
+		if err := s.Write(chunk); err != nil {
+			d.ended <- err
+			return err
+		}
+	}
+}
+
+// TestCallerThatTakesNothingEndsWithItsDeadline: the caller keeps its
+// connection open and reads nothing.
+func TestCallerThatTakesNothingEndsWithItsDeadline(t *testing.T) {
+	d := &endlessDispatcher{ended: make(chan error, 1)}
+	g := New(DefaultOptions(), testCatalog(), d, func() error { return nil }, func() bool { return true }, zerolog.Nop())
+	srv := httptest.NewServer(g.Handler())
+	defer srv.Close()
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /services/bookings/seats HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-2\r\nAlmondturn-Timeout-Ms: 50\r\n\r\n")
+	require.NoError(t, err)
+	require.ErrorIs(t, <-d.ended, os.ErrDeadlineExceeded)
+}
--- a/pkg/gateway/sink.go
+++ b/pkg/gateway/sink.go
@@ -33,7 +33,11 @@
 		out.Del(name)
 	}
 	out.Set(fault.HeaderRequestID, s.id)
-	out.Set(fault.HeaderRun, string(fault.RunYes))
+	run := fault.RunYes
+	if header.Get(target.HeaderRun) == string(fault.RunNo) {
+		run = fault.RunNo // the target's own refusal
+	}
+	out.Set(fault.HeaderRun, string(run))
 	s.started = true
 	s.w.WriteHeader(status)
 }
