--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -39,7 +40,7 @@
 	// handler is the node's.
 	handler http.Handler
 	// loseAnswers lets the node handle that many requests and answer none.
-	loseAnswers int
+	loseAnswers atomic.Int32
 	out, errOut bytes.Buffer
 	backup      kv.Snapshot
 }
@@ -65,8 +66,7 @@
 	opts.RootTokenSHA256 = catalog.HashKey(examples.DevRootToken)
 	server := admin.New(opts, self, service, peertest.Alone{}, view, oneTarget{}, f, zerolog.Nop())
 	f.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if f.loseAnswers > 0 {
-			f.loseAnswers--
+		if f.loseAnswers.Add(-1) >= 0 {
 			server.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
@@ -191,12 +191,12 @@
 // it by the write identifier, without a second revision.
 func TestLostAnswerIsSettledByNextServer(t *testing.T) {
 	f := newFixture(t)
-	f.loseAnswers = 1
+	f.loseAnswers.Store(1)
 	require.Equal(t, ExitOK, f.run("apply", "-f", f.devFile(), "--server", f.url), f.errOut.String())
 	assert.Contains(t, f.out.String(), "revision 1")
 	file := f.devFile()
 	f.replaceIn(file, "max_replicas: 2", "max_replicas: 1")
-	f.loseAnswers = 2
+	f.loseAnswers.Store(2)
 	require.Equal(t, ExitUnreachable, f.run("apply", "-f", file, "--revision", "1", "--write-id", "w2", "--server", f.url))
 	assert.Contains(t, f.errOut.String(), "--write-id w2")
 	require.Equal(t, ExitOK, f.run("apply", "-f", file, "--revision", "1", "--write-id", "w2"))
