--- a/pkg/owner/machine.go
+++ b/pkg/owner/machine.go
@@ -55,6 +55,7 @@
 	drains  map[fleet.ReplicaKey]*drain
 	usage   map[fleet.ReplicaKey]*usage
 	updates uint64
+	cache   limitCache
 	// idleAt is when idle replicas are looked at next.
 	idleAt time.Time
 	lastID uint64
@@ -63,12 +64,13 @@
 // hooks leave out steps of the protocol; tests use them to show that the
 // checker notices.
 type hooks struct {
-	skipRosterRead   bool
-	forgetFloating   bool
-	skipSettle       bool
-	skipConfirm      bool
-	skipReservation  bool
-	bindWithoutLimit bool
+	skipRosterRead     bool
+	skipTakeoverRoster bool
+	forgetFloating     bool
+	skipSettle         bool
+	skipConfirm        bool
+	skipReservation    bool
+	bindWithoutLimit   bool
 }
 
 // NewMachine returns the machine of a target that this node does not own yet.
--- a/pkg/owner/schedule_test.go
+++ b/pkg/owner/schedule_test.go
@@ -105,19 +105,20 @@
 		hooks hooks
 		from  int // where the search begins
 	}{
-		"roster not read":          {hooks{skipRosterRead: true}, 150},
+		"roster not read":          {hooks{skipRosterRead: true}, 6200},
 		"floating load forgotten":  {hooks{forgetFloating: true}, 1100},
 		"former owner not settled": {hooks{skipSettle: true}, 3600},
 		"unload not confirmed":     {hooks{skipConfirm: true}, 80},
 		"memory not reserved":      {hooks{skipReservation: true}, 7400},
 		"bind beyond the limit":    {hooks{bindWithoutLimit: true}, 0},
+		"takeover in a past epoch": {hooks{skipTakeoverRoster: true}, 137_000},
 	}
 	const plantedSchedules = 10_000
 	for name, p := range planted {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for i := range plantedSchedules {
-				number := (p.from + i) % plantedSchedules
+				number := p.from + i
 				w := newSim(p.hooks)
 				w.run(schedule(number))
 				if w.violation != "" {
--- a/pkg/owner/sim_test.go
+++ b/pkg/owner/sim_test.go
@@ -91,7 +91,7 @@
 
 // changeRoster adds a roster version without the node that skip names.
 func (w *sim) changeRoster(zone fleet.Zone, skip int) {
-	r := simRoster{epoch: fleet.Epoch(len(w.rosters[zone]) + 1)}
+	r := simRoster{epoch: fleet.Epoch(len(w.rosters[zone]) + 1), owners: map[fleet.TargetID]fleet.NodeID{}}
 	for i, n := range w.nodes {
 		if n.zone == zone && i+1 != skip {
 			r.members = append(r.members, n.id)
--- a/pkg/owner/simnode_test.go
+++ b/pkg/owner/simnode_test.go
@@ -13,14 +13,21 @@
 type simRoster struct {
 	epoch   fleet.Epoch
 	members []fleet.NodeID
+	owners  map[fleet.TargetID]fleet.NodeID // filled by owner
 }
 
 func (r simRoster) owner(id fleet.TargetID) fleet.NodeID {
+	if owner, ok := r.owners[id]; ok {
+		return owner
+	}
 	v := peer.View{}
 	for _, n := range r.members {
 		v.Roster = append(v.Roster, fleet.Node{ID: n})
 	}
 	owner, _ := v.TargetOwner(id)
+	if r.owners != nil {
+		r.owners[id] = owner
+	}
 	return owner
 }
 
--- a/pkg/owner/slotop.go
+++ b/pkg/owner/slotop.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/catalog"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/placement"
 	"almondturn/pkg/platform"
@@ -83,10 +85,33 @@
 	return nil
 }
 
+// limitKey names the limits of one record in the catalog.
+type limitKey struct {
+	group string
+	team  fleet.Team
+}
+
+// limitCache keeps the limits read from one snapshot of the catalog.
+type limitCache struct {
+	snapshot *catalog.Snapshot
+	limits   map[limitKey]placement.Limits
+}
+
+// limits returns the limits of the replica's record by the catalog in force.
 func (m *Machine) limits(k fleet.ReplicaKey, r placement.Record) placement.Limits {
-	l := placement.LimitsOf(m.env.Catalog, k, r.Team)
-	l.Peak = m.slots.records[placement.Group(k)].peak
+	if m.cache.snapshot != m.env.Catalog {
+		m.cache = limitCache{snapshot: m.env.Catalog, limits: map[limitKey]placement.Limits{}}
+	}
+	group := placement.Group(k)
+	key := limitKey{group: group, team: r.Team}
+	l, ok := m.cache.limits[key]
+	if !ok {
+		l = placement.LimitsOf(m.env.Catalog, k, r.Team)
+		m.cache.limits[key] = l
+	}
+	l.Peak = m.slots.records[group].peak
 	if m.hooks.bindWithoutLimit {
+		l.Max = maps.Clone(l.Max)
 		l.Max[k.Version]++
 	}
 	return l
--- a/pkg/owner/takeover.go
+++ b/pkg/owner/takeover.go
@@ -154,6 +154,9 @@
 	if m.stage == stageSlots {
 		m.stage = stageRoster
 	}
+	if m.hooks.skipTakeoverRoster {
+		m.takeoverRoster(RosterRead{Epoch: m.epoch})
+	}
 }
 
 // takeoverRoster ends a takeover when the roster read after the slots still
