--- a/pkg/catalog/readiness.go
+++ b/pkg/catalog/readiness.go
@@ -36,20 +36,17 @@
 // heard of for StartupWait. Peers come first because the service may have
 // come back older than what they hold.
 func (s *Service) settleReadiness(view *peer.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.ready.Load() {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	waited := s.clock.Now().Sub(s.start) >= s.opts.StartupWait
 	if !s.peerSynced && (!s.listed || !waited) {
 		return
 	}
 	s.ready.Store(true)
-	if !s.readyLogged {
-		s.readyLogged = true
-		event.CatalogReady.Log(&s.log).Int("teams", len(s.teams)).Bool("from_peers", s.peerSynced).Int("live_nodes", len(view.Live)).Send()
-	}
+	event.CatalogReady.Log(&s.log).Int("teams", len(s.teams)).Bool("from_peers", s.peerSynced).Int("live_nodes", len(view.Live)).Send()
 }
 
 // NodeRevisions is what one node answers about the revisions in force on it.
@@ -59,6 +56,8 @@
 	Reached   bool
 	Ready     bool
 	Revisions map[fleet.Team]uint64
+	// Sum is the sum of the heads in force; equal catalogs have equal sums.
+	Sum uint64
 }
 
 // InForce asks all live nodes which revisions of the given teams are in force
@@ -96,7 +95,7 @@
 	if n.ID == s.self.ID {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return NodeRevisions{Node: n, Reached: true, Ready: s.ready.Load(), Revisions: s.revisionsLocked()}
+		return NodeRevisions{Node: n, Reached: true, Ready: s.ready.Load(), Revisions: s.revisionsLocked(), Sum: s.sumLocked()}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, s.opts.PeerTimeout)
 	defer cancel()
@@ -105,7 +104,7 @@
 	if err != nil || !ok {
 		return NodeRevisions{Node: n}
 	}
-	return NodeRevisions{Node: n, Reached: true, Ready: digest.Ready, Revisions: digest.Revisions}
+	return NodeRevisions{Node: n, Reached: true, Ready: digest.Ready, Revisions: digest.Revisions, Sum: digest.Sum}
 }
 
 // waitProbeInterval is the pause between two questions while waiting.
