dispatch: a caller that leaves while waiting at the own home ends at once

Cause: the test of freed keys took its whole deadline: after the caller had gone the entry node asked its own home again without a pause until then. Change: waiting ends with the request's context, and the home forgets it. Conclusion: TestCallerThatLeavesIsForgottenAtOnce, with an hour's deadline.

--- a/pkg/dispatch/acquire.go
+++ b/pkg/dispatch/acquire.go
@@ -236,6 +236,9 @@
 			Hops:            hops,
 		}
 		grant, err := d.ask(ctx, home, ask)
+		if err == nil && grant.Waiting && ctx.Err() != nil {
+			err = fault.New(fault.CallerGone, "the request ended while it waited: %w", ctx.Err())
+		}
 		if err != nil {
 			d.endGrant(home, &wire.GrantEnd{RequestID: r.ID, Key: key})
 			return place{}, err
--- a/pkg/dispatch/home_test.go
+++ b/pkg/dispatch/home_test.go
@@ -157,3 +157,18 @@
 	c.State.Replicas[0].Running = 8
 	require.Equal(t, 4, o.places(&c, "helper"), "the even share")
 }
+
+// TestCallerThatLeavesIsForgottenAtOnce: its request neither waits on nor
+// asks again.
+func TestCallerThatLeavesIsForgottenAtOnce(t *testing.T) {
+	h, _ := busyHome(t)
+	n := h.net.(*testNode)
+	n.loads.get("t1").inflight.Add(100) // no place for a direct request
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- n.Do(ctx, modelRequest(time.Hour), &testSink{}) }()
+	require.Eventually(t, func() bool { return h.Waiting() == 1 }, testTimeout, time.Millisecond)
+	cancel()
+	requireKind(t, fault.CallerGone, <-done)
+	require.Zero(t, h.Waiting())
+}
--- a/pkg/target/stream_test.go
+++ b/pkg/target/stream_test.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -391,3 +393,23 @@
 	require.NoError(t, newClient(t, testOptions()).Do(context.Background(), target, streamRequest(), &got))
 	require.Equal(t, text, string(got.body))
 }
+
+// BenchmarkEvents passes on a stream of a thousand small events that arrive
+// as fast as they are taken.
+func BenchmarkEvents(b *testing.B) {
+	var text bytes.Buffer
+	for i := 1; i <= 1000; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: {\"id\":\"r1\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token\"}}]}\n\n", i)
+	}
+	text.WriteString("data: [DONE]\n\n")
+	in := bufio.NewReaderSize(nil, copyBytes)
+	b.ReportAllocs()
+	for b.Loop() {
+		in.Reset(bytes.NewReader(text.Bytes()))
+		e := eventStream{in: in}
+		if err := e.copy(func([]byte) error { return nil }); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.N)*1000/b.Elapsed().Seconds(), "events/s")
+}
