owner: settlements and lost loads are certain on engines without fencing

Cause: four schedules found by spec/placement.pml broke a limit or a VM's memory: settled before a state read after the last answer; handed-over loads, loads sent before the settlement and loads of a superseded owner forgotten because the replica was seen. Change: confirmSettlement waits for such a state; a lost load is forgotten by presence only when it was sent in the settled term, was the only one, and a later roster read shows one's own epoch.

--- a/pkg/owner/engineview.go
+++ b/pkg/owner/engineview.go
@@ -112,21 +112,21 @@
 }
 
 // observePending notes the loads sent before the fence order whose replica
-// the engine now has, where no other order can have loaded it.
+// the engine now has, where no earlier order can have loaded it.
 func (m *Machine) observePending(sequence uint64) {
 	for _, p := range m.orders.pending {
 		k := p.order.Key
 		_, present := m.engine.replicas[k]
-		only := m.settle.done && m.orders.floating[k] == nil
+		only := m.settle.done && m.orders.floating[k] == nil && (!p.unsettled || m.hooks.trustUnsettled)
 		if p.order.Kind == target.OrderLoad && p.order.Epoch == m.epoch && p.order.Sequence < sequence && present && only {
 			p.observed = true
 		}
 	}
 }
 
-// resolveFloating forgets loads of unknown outcome whose effect is now
-// certain: the engine they went to has ended, or the replica is there and
-// no other order can have loaded it.
+// resolveFloating forgets loads of unknown outcome that went to an engine
+// that has ended, and notes those whose replica is there and cannot stem from
+// another order of this owner or an earlier one.
 func (m *Machine) resolveFloating(incarnation string, generation uint64) {
 	for k, f := range m.orders.floating {
 		if f.generation > generation {
@@ -136,9 +136,12 @@
 			f.incarnation = incarnation // it went to this start or an earlier one
 		}
 		_, present := m.engine.replicas[k]
-		seen := present && !f.ambiguous && m.settle.done
-		if f.incarnation != incarnation || seen {
+		if f.incarnation != incarnation {
 			delete(m.orders.floating, k)
+			continue
+		}
+		if present && !f.ambiguous && m.settle.done {
+			f.seen = true
 		}
 	}
 }
--- a/pkg/owner/machine.go
+++ b/pkg/owner/machine.go
@@ -66,6 +66,10 @@
 	skipRosterRead   bool
 	forgetFloating   bool
 	skipSettle       bool
+	skipSettleState  bool
+	trustHandedOver  bool
+	trustUnsettled   bool
+	skipEffectRoster bool
 	skipConfirm      bool
 	skipReservation  bool
 	bindWithoutLimit bool
@@ -137,6 +141,7 @@
 		return
 	}
 	m.advanceSettlement()
+	m.advanceEffects()
 	m.advanceSurplus()
 	m.advanceSlotOps()
 	m.advanceWants()
--- a/pkg/owner/orders.go
+++ b/pkg/owner/orders.go
@@ -19,8 +19,11 @@
 	sentAt time.Time
 	// generation is that of the order book when the order was sent.
 	generation uint64
+	// unsettled is set when the order was sent before all orders of former
+	// owners were accounted for: its effect may then be another's.
+	unsettled bool
 	// observed is set once a current state shows the effect of a load: it
-	// cannot take effect a second time.
+	// cannot take effect a second time, unless a later owner loaded the replica.
 	observed bool
 }
 
@@ -33,6 +36,11 @@
 	epoch       fleet.Epoch
 	sequence    uint64
 	generation  uint64
+	// seen is set once a current state shows the replica; rosterCall is the
+	// roster read that began after that, 0 for none. While it shows this
+	// epoch, no later owner can have loaded the replica.
+	seen       bool
+	rosterCall uint64
 	// ambiguous is set once another load of the same replica was sent: a
 	// loaded replica then no longer tells that this one took effect.
 	ambiguous bool
@@ -56,6 +64,9 @@
 	syncing    bool
 	syncWanted bool
 	syncAt     time.Time
+	// effectCall is the roster read under way for the effects of loads.
+	effectCall    uint64
+	effectRetryAt time.Time
 }
 
 func newOrderBook() orderBook {
@@ -126,7 +137,7 @@
 	if f := m.orders.floating[k]; f != nil && kind == target.OrderLoad {
 		f.ambiguous = true
 	}
-	m.orders.pending[o.ID] = &pendingOrder{order: o, memoryBytes: memoryBytes, budget: budget, sentAt: m.env.Now, generation: m.orders.generation}
+	m.orders.pending[o.ID] = &pendingOrder{order: o, memoryBytes: memoryBytes, budget: budget, sentAt: m.env.Now, generation: m.orders.generation, unsettled: !m.settle.done}
 	timeout := m.opts.ShortOrderTimeout
 	if kind == target.OrderLoad {
 		timeout = m.opts.LoadTimeout
@@ -228,10 +239,12 @@
 func (m *Machine) loadUnknown(p *pendingOrder) {
 	k := p.order.Key
 	m.report(ReportOrderUnknown, k, "")
-	if !m.hooks.forgetFloating && !p.observed {
+	if !m.hooks.forgetFloating {
 		m.orders.addFloating(k, p.memoryBytes)
 		f := m.orders.floating[k]
 		f.epoch, f.sequence = p.order.Epoch, p.order.Sequence
+		f.ambiguous = f.ambiguous || (p.unsettled && !m.hooks.trustUnsettled)
+		f.seen = p.observed && !f.ambiguous
 	}
 	if w := m.wants[k]; w != nil {
 		w.observeUntil = m.env.Now.Add(m.opts.ObserveTime)
--- a/pkg/owner/slotop.go
+++ b/pkg/owner/slotop.go
@@ -266,6 +266,10 @@
 		m.takeoverRoster(ev)
 		return
 	}
+	if ev.Op == m.orders.effectCall {
+		m.effectsConfirmed(ev)
+		return
+	}
 	op := m.opByID(ev.Op)
 	if op == nil {
 		return
--- a/pkg/owner/takeover.go
+++ b/pkg/owner/takeover.go
@@ -12,6 +12,13 @@
 // settlement tells whether all orders of former owners are accounted for.
 type settlement struct {
 	done bool
+	// answers is set once every former owner has answered or is dead.
+	// barrier is the order book's generation then: a state read since shows
+	// what they did last.
+	answers bool
+	barrier uint64
+	// direct is set when the former owner alone accounts for all orders.
+	direct bool
 	// answered are the nodes whose process gave the target up.
 	answered map[fleet.NodeID]bool
 	// notBefore is when orders of dead processes can no longer take effect.
@@ -60,6 +67,7 @@
 	m.slots = newSlotBook()
 	m.orders.generation++
 	m.engine.forgetAuthority(m.orders.generation)
+	m.forgetEffects()
 	m.settle = settlement{
 		answered:  map[fleet.NodeID]bool{},
 		asking:    map[fleet.NodeID]bool{},
@@ -186,9 +194,12 @@
 	if m.settle.done {
 		return
 	}
-	if m.hooks.skipSettle || m.allAnswered() {
+	if m.hooks.skipSettle {
 		m.settle.done = true
-		m.report(ReportSettled, fleet.ReplicaKey{}, "")
+		return
+	}
+	if m.settle.direct || m.allAnswered() {
+		m.confirmSettlement()
 		return
 	}
 	if m.env.Now.Before(m.settle.nextAsk) {
@@ -203,6 +214,24 @@
 	}
 }
 
+// confirmSettlement ends the settlement with a state of the engine that was
+// read after the last answer: a load of a former owner that succeeded just
+// before is in it.
+func (m *Machine) confirmSettlement() {
+	if !m.settle.answers {
+		m.settle.answers = true
+		m.orders.generation++
+		m.settle.barrier = m.orders.generation
+	}
+	confirmed := m.env.Gone || (m.engine.current && m.engine.generation >= m.settle.barrier)
+	if !confirmed && !m.hooks.skipSettleState {
+		m.orders.syncWanted = true
+		return
+	}
+	m.settle.done = true
+	m.report(ReportSettled, fleet.ReplicaKey{}, "")
+}
+
 func (m *Machine) formerOwners() []fleet.NodeID {
 	nodes := m.env.EntryNodes
 	if m.env.PreviousOwner != "" {
@@ -236,12 +265,11 @@
 	for _, k := range ev.Settled.Floating {
 		m.orders.syncWanted = true
 		m.orders.addFloating(k, m.slots.memoryOf(m.target, k))
+		// The former owner may have sent other loads of this replica.
+		m.orders.floating[k].ambiguous = !m.hooks.trustHandedOver
 	}
 	direct := ev.Node == m.env.PreviousOwner && ev.Settled.Owned == m.env.PreviousEpoch && m.env.PreviousEpoch+1 == m.epoch
-	if direct && ev.Settled.Clean && !m.settle.done {
-		m.settle.done = true
-		m.report(ReportSettled, fleet.ReplicaKey{}, "")
-	}
+	m.settle.direct = m.settle.direct || (direct && ev.Settled.Clean)
 }
 
 // settleWanted gives the target up to the owner of a later epoch.
