--- a/pkg/owner/machine.go
+++ b/pkg/owner/machine.go
@@ -68,6 +68,10 @@
 	skipTakeoverRoster bool
 	forgetFloating     bool
 	skipSettle         bool
+	skipSettleState    bool
+	trustHandedOver    bool
+	trustUnsettled     bool
+	skipEffectRoster   bool
 	skipConfirm        bool
 	skipReservation    bool
 	bindWithoutLimit   bool
@@ -139,6 +143,7 @@
 		return
 	}
 	m.advanceSettlement()
+	m.advanceEffects()
 	m.advanceSurplus()
 	m.advanceSlotOps()
 	m.advanceWants()
