dispatch: after a failed load, requests that ask again do not each start one

Cause, found by reading: when no zone has room each waiting request asks again every quarter second, and each asking started a placement and a load. Change: a home refuses with the last load's reason for half of PlacePause. Conclusion: TestFailedLoadIsNotRepeatedByEachRequest, 20 requests, 1 load.

--- a/pkg/dispatch/fixture_test.go
+++ b/pkg/dispatch/fixture_test.go
@@ -233,6 +233,7 @@
 	o.AcquireSlice = 40 * time.Millisecond
 	o.AcquireGrace = 40 * time.Millisecond
 	o.PumpInterval = time.Millisecond
+	o.PlacePause = 4 * time.Millisecond
 	o.NodeDeadAfter = 100 * time.Millisecond
 	o.RetryDelay = time.Millisecond
 	o.RetryMaxDelay = 2 * time.Millisecond
--- a/pkg/dispatch/home_test.go
+++ b/pkg/dispatch/home_test.go
@@ -172,3 +172,16 @@
 	requireKind(t, fault.CallerGone, <-done)
 	require.Zero(t, h.Waiting())
 }
+
+// TestFailedLoadIsNotRepeatedByEachRequest: requests that ask again after a
+// refusal do not start a load each.
+func TestFailedLoadIsNotRepeatedByEachRequest(t *testing.T) {
+	o := testOptions()
+	o.PlacePause = time.Hour
+	n := newMesh().start(t, "n1", "a", o, newFakeDirectory(), &fakeSender{send: answerOK}, nil)
+	for i := range 20 {
+		_, err := n.home.Acquire(context.Background(), n.self, acquire(fmt.Sprint("r", i), time.Minute))
+		requireKind(t, fault.NoCapacity, err)
+	}
+	require.EqualValues(t, 1, n.loader.calls.Load())
+}
--- a/pkg/dispatch/homeloop.go
+++ b/pkg/dispatch/homeloop.go
@@ -256,7 +256,8 @@
 		q.scaleOutAfter = now.Add(q.home.opts.ScaleOutPause)
 	}
 	if err != nil && first && len(q.candidatesLocked(now)) == 0 {
-		q.dropLocked(func(*waiter) bool { return true }, loadRefusal(err))
+		q.refusal, q.refuseUntil = loadRefusal(err), now.Add(q.home.opts.PlacePause/2)
+		q.dropLocked(func(*waiter) bool { return true }, q.refusal)
 	}
 	q.kick()
 }
--- a/pkg/dispatch/homequeue.go
+++ b/pkg/dispatch/homequeue.go
@@ -33,6 +33,9 @@
 	load         average
 	loading      bool
 	loadingSince time.Time
+	// refusal is the answer until refuseUntil after a failed first load.
+	refusal     error
+	refuseUntil time.Time
 	// scaleOutAfter is the earliest time to ask for a further replica.
 	scaleOutAfter time.Time
 	// expiredAt and sweptAt are when overdue requests, and places of entry
@@ -96,6 +99,9 @@
 		q.waiters[w.id] = w
 		return w, nil
 	}
+	if err := q.recentFailureLocked(len(candidates), now); err != nil {
+		return nil, err
+	}
 	adm := q.admissionLocked(w.flow, remaining, candidates, now)
 	if err := adm.admit(); err != nil {
 		if len(candidates) == 0 {
@@ -112,6 +118,15 @@
 	return w, nil
 }
 
+// recentFailureLocked returns the refusal after a load that failed just now:
+// requests that ask again do not each start another.
+func (q *replicaQueue) recentFailureLocked(loaded int, now time.Time) error {
+	if loaded > 0 || q.loading || now.After(q.refuseUntil) {
+		return nil
+	}
+	return q.refusal
+}
+
 func (q *replicaQueue) admissionLocked(id flowID, remaining time.Duration, candidates []Candidate, now time.Time) admission {
 	a := admission{
 		remaining: remaining,
