--- a/pkg/membership/core.go
+++ b/pkg/membership/core.go
@@ -278,6 +278,7 @@
 
 // Heartbeat returns the next heartbeat.
 func (c *Core) Heartbeat(now time.Time) wire.Heartbeat {
+	c.forgivePause(now)
 	c.sequence++
 	hb := wire.Heartbeat{
 		Epoch:         c.roster.Epoch,
--- a/pkg/membership/core_test.go
+++ b/pkg/membership/core_test.go
@@ -168,6 +168,27 @@
 	assert.Equal(t, epoch+1, s.view("a").Epoch, "only its own return changed the roster")
 }
 
+// TestPausedNodeBlamesNobody: whatever runs first after a pause must not take
+// the others for silent.
+func TestPausedNodeBlamesNobody(t *testing.T) {
+	first := map[string]func(c *Core, now time.Time) []Action{
+		"tick":      (*Core).Tick,
+		"lost":      func(c *Core, now time.Time) []Action { return c.Lost(now, "b") },
+		"heartbeat": func(c *Core, now time.Time) []Action { c.Heartbeat(now); return nil },
+	}
+	for name, event := range first {
+		s := started(t, "a", "b", "c")
+		core := s.nodes["a"].core
+		s.now = s.now.Add(time.Minute)
+		actions := event(core, s.now)
+		assert.Empty(t, core.Heartbeat(s.now).Silent, name)
+		for _, action := range append(actions, core.Tick(s.now.Add(simStep))...) {
+			assert.IsNotType(t, WriteRoster{}, action, name)
+		}
+		assert.Len(t, core.View(s.now.Add(simStep)).Live, 3, name)
+	}
+}
+
 func TestSupersededProcessDoesNotFightItsSuccessor(t *testing.T) {
 	s := started(t, "a", "b", "c")
 	old := s.nodes["a"]
--- a/pkg/membership/decide.go
+++ b/pkg/membership/decide.go
@@ -17,6 +17,7 @@
 // decide returns what the present state asks for.
 func (c *Core) decide(now time.Time) []Action {
 	c.changed = true
+	c.forgivePause(now)
 	out := c.decideWatch(now)
 	if w, ok := c.decideWrite(now); ok {
 		out = append(out, w)
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -178,6 +178,7 @@
 	case ReadRosters:
 		s.spawn(s.readRosters)
 	case WriteRoster:
+		s.logEviction(a.Roster)
 		s.spawn(func() { s.writeRoster(a) })
 	case StartWatch:
 		s.startWatch(a)
@@ -198,6 +199,16 @@
 	}
 }
 
+// logEviction names the members that a proposed roster lacks.
+func (s *Service) logEviction(next wire.Roster) {
+	for _, m := range s.View().Roster {
+		stays := slices.ContainsFunc(next.Members, func(n fleet.Node) bool { return n.ID == m.ID })
+		if !stays && m.ID != s.self.ID {
+			event.RosterEvicting.Log(&s.log).Str("member", string(m.ID)).Uint64("epoch", uint64(next.Epoch)).Send()
+		}
+	}
+}
+
 // Heartbeat returns the next heartbeat; it is the mesh's heartbeat source.
 func (s *Service) Heartbeat() *wire.Heartbeat {
 	s.mu.Lock()
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -198,6 +198,21 @@
 	assert.Equal(t, CodeOverloaded, answered.Code)
 }
 
+// TestEndedConnectionHandlesWhatHasArrived: the end of a connection must not
+// overtake the messages before it, such as the news that the peer is leaving.
+func TestEndedConnectionHandlesWhatHasArrived(t *testing.T) {
+	got := 0
+	cfg := testConfig("a", func(context.Context, fleet.Node, Message) Message { got++; return nil })
+	c := idleConn(t, cfg)
+	const messages = 64
+	for range messages {
+		c.queueOneWay(&Heartbeat{})
+	}
+	c.Close(ErrClosed)
+	c.oneWayLoop()
+	assert.Equal(t, messages, got)
+}
+
 func TestShutdownWritesWhatIsQueued(t *testing.T) {
 	got := make(chan Message, 1)
 	d, a := pair(t, testConfig("a", ack), testConfig("b", func(_ context.Context, _ fleet.Node, m Message) Message {
--- a/wire/receive.go
+++ b/wire/receive.go
@@ -141,14 +141,27 @@
 	}
 }
 
-// oneWayLoop handles one-way messages in the order of their arrival.
+// oneWayLoop handles one-way messages in the order of their arrival, also
+// those that came just before the end of the connection.
 func (c *Conn) oneWayLoop() {
 	for {
 		select {
 		case <-c.done:
+			c.drainOneWay()
 			return
 		case m := <-c.oneWay:
 			c.cfg.Handler(c.ctx, c.peer, m)
 		}
 	}
 }
+
+func (c *Conn) drainOneWay() {
+	for {
+		select {
+		case m := <-c.oneWay:
+			c.cfg.Handler(c.ctx, c.peer, m)
+		default:
+			return
+		}
+	}
+}
