--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -69,7 +69,7 @@
 		NodesPerZone:  1,
 		CallersPort:   o.Port,
 		OperatorsPort: o.Port + operatorPortOffset,
-		Configure:     func(c *config.Config) { c.Log.Pretty = true },
+		Configure:     func(c *config.Config) { c.Log = config.Log{Level: "error", Pretty: true} },
 	}
 }
 
@@ -98,6 +98,10 @@
 
   curl http://%[1]s/services/bookings/seats -H 'Authorization: Bearer %[3]s' -H 'Idempotency-Key: seat-1' -d '{"hall":"Kingston","row":2}'
 
+What operators see:
+
+  go run ./cmd/almondturnctl --server http://%[4]s --token %[5]s status
+
 Ctrl-C stops gracefully.
 `
 
@@ -109,5 +113,5 @@
 		_, _ = fmt.Fprintf(out, "target %s (%s): http://%s\n", g.ID, g.Kind, g.Addr)
 	}
 	_, _ = fmt.Fprintf(out, "platform: %s\n", t.Site.PlatformURL)
-	_, _ = fmt.Fprintf(out, usageText, t.Nodes()[0].CallersAddr(), examples.DevListingKey, examples.DevBookingsKey)
+	_, _ = fmt.Fprintf(out, usageText, t.Nodes()[0].CallersAddr(), examples.DevListingKey, examples.DevBookingsKey, t.Nodes()[0].OperatorsAddr(), examples.DevRootToken)
 }
