--- a/spec/placement.pml
+++ b/spec/placement.pml
@@ -17,12 +17,14 @@
  * -DCAPACITY=n   memory units of the engine
  * -DOTHER        the target of the other zone takes part
  * -DDEATH        node 0 may die
+ * -DREBORN       node 0 may start anew, from an old view of the roster
  * -DRESTART      the engine may restart once
  * -DLOWER        the limit may be lowered once
  * Mutants, which have to be caught: -DFENCING_OFF -DSKIP_ROSTER
  * -DSKIP_SETTLE -DFORGET_FLOATING -DSKIP_CONFIRM -DSKIP_RESERVATION
  * -DSKIP_BIND_ROSTER -DSTALE_LIMIT -DSKIP_SETTLE_SYNC -DFORGET_AMBIGUOUS
  * -DPRESENCE_CLEARS -DPRESENCE_UNSETTLED -DFLOAT_OLD_START
+ * -DSKIP_TAKEOVER_ROSTER
  */
 #ifndef KEYS
 #define KEYS 1
@@ -65,7 +67,9 @@
 /* Nodes 0 and 1. */
 bit own[2];
 bit fenced[2];
+bit listed[2];
 bit ready[2];
+bit reborn;
 bit answered[2];
 bit settled[2];
 bit busy[2];
@@ -171,6 +175,20 @@
 #define SETTLED(n) skip
 #endif
 
+/* A takeover ends with a look at the roster. */
+#ifdef SKIP_TAKEOVER_ROSTER
+#define TAKEOVER_ROSTER(n) true
+#else
+#define TAKEOVER_ROSTER(n) (epoch == my[n])
+#endif
+
+/* The orders of a process that has ended have arrived or are gone. */
+#ifdef REBORN
+#define LIFETIME(n) (!reborn || n == 0 || !late[0])
+#else
+#define LIFETIME(n) true
+#endif
+
 /* What a load needs. */
 #ifdef SKIP_BIND_ROSTER
 #define MAY_LOAD(n, k) (view[AT(n, k)] == BOUND)
@@ -247,17 +265,24 @@
 end:
 	do
 	:: atomic { !dead[n] && !own[n] && holder == n && epoch > my[n] && epoch >= givenUp[n] ->
-		own[n] = 1; my[n] = epoch; fenced[n] = 0; ready[n] = 0; settled[n] = (epoch == 1); answered[n] = (epoch == 1);
+		own[n] = 1; my[n] = epoch; fenced[n] = 0; listed[n] = 0; ready[n] = 0; settled[n] = (epoch == 1); answered[n] = (epoch == 1);
 		present[AT(n, 0)] = 0; view[AT(n, 0)] = 0; usable[AT(n, 0)] = 0;
 #if KEYS > 1
 		present[AT(n, 1)] = 0; view[AT(n, 1)] = 0; usable[AT(n, 1)] = 0;
 #endif
 		seenInc[n] = 0 }
+#ifdef REBORN
+	/* A new process of node 0 starts from an old view of the roster. */
+	:: atomic { n == 0 && reborn && !own[n] && my[n] == 0 && givenUp[n] <= 1 ->
+		own[n] = 1; my[n] = 1; fenced[n] = 0; listed[n] = 0; ready[n] = 0; settled[n] = 0; answered[n] = 0; seenInc[n] = 0;
+		present[AT(n, 0)] = 0; view[AT(n, 0)] = 0; usable[AT(n, 0)] = 0 }
+#endif
 	:: atomic { own[n] && epoch != my[n] -> own[n] = 0 }
 	:: atomic { own[n] && !dead[n] && (!fenced[n] || seenInc[n] != inc) -> synchronise(n, k) }
-	:: atomic { own[n] && !dead[n] && fenced[n] && !ready[n] -> readSlots(n, k); ready[n] = 1 }
+	:: atomic { own[n] && !dead[n] && fenced[n] && !listed[n] -> readSlots(n, k); listed[n] = 1 }
+	:: atomic { own[n] && !dead[n] && listed[n] && !ready[n] && TAKEOVER_ROSTER(n) -> ready[n] = 1 }
 	:: atomic { own[n] && !dead[n] && ready[n] -> synchronise(n, k) }
-	:: atomic { own[n] && !dead[n] && ready[n] && !answered[n] && !dead[1 - n] && !busy[1 - n] && my[1 - n] < my[n] ->
+	:: atomic { own[n] && !dead[n] && ready[n] && !answered[n] && !dead[1 - n] && !busy[1 - n] && my[1 - n] < my[n] && LIFETIME(n) ->
 		/* The other node gives the target up and names its floating loads. */
 		givenUp[1 - n] = my[n]; own[1 - n] = 0; answered[n] = 1;
 		k = 0;
@@ -419,6 +444,11 @@
 #ifdef LOWER
 	:: atomic { catalogLimit == 2 -> catalogLimit = 1 }
 #endif
+#ifdef REBORN
+	:: atomic { !reborn && epoch == 2 && Node[1]@end -> reborn = 1;
+		own[0] = 0; my[0] = 0; givenUp[0] = 0; listed[0] = 0; ready[0] = 0; settled[0] = 0; answered[0] = 0;
+		floating[0] = 0; ambiguous[0] = 0; floatInc[0] = 0 }
+#endif
 #ifdef DEATH
 	:: atomic { !dead[0] && !dead[1] -> dead[0] = 1; own[0] = 0; busy[0] = 0 }
 #endif
