--- a/pkg/claim/table.go
+++ b/pkg/claim/table.go
@@ -60,7 +60,10 @@
 		return nil, fmt.Errorf("decode claims: %w", err)
 	}
 	t := newTable()
-	for _, e := range list {
+	for i, e := range list {
+		if e == nil {
+			return nil, fmt.Errorf("decode claims: entry %d is empty", i)
+		}
 		t.put(e)
 	}
 	return t, nil
