membership: heartbeats of a new process count from its start

Cause: rolling restarts took 6, 13, 28 and 89 s for one node after the other. A connected node's new incarnation was noted before its first heartbeat, and the check for delayed heartbeats then compared its sequence with that of the former process: all were dropped until the new process had lived as long as the old one. Meanwhile a member that did not hear the node removed it, the node joined again at once, and both wrote rosters as fast as the service answered (371 removals within a second, epoch 1442 after three restarts). Ruled out: the back-off of dials (connections stood within the second), the doubling wait of a removed node. Change: what a former process said is dropped with its incarnation; a removed node waits before it joins again, longer each time. The simulation tells of connections now; TestRestartAfterLongUptime failed before.

Trials take ports below the range of outgoing connections (the soak met a port in use after a restart).

--- a/pkg/membership/core.go
+++ b/pkg/membership/core.go
@@ -34,6 +34,7 @@
 	wasMember  bool
 	evictions  int       // times that this node was removed while running
 	joinAlone  time.Time // when it may join although it hears too few
+	rejoin     time.Time // when it may join again after it was removed
 	evictSince time.Time // since when there are members to remove
 	nextFetch  time.Time
 	changed    bool // the view may have changed
@@ -49,6 +50,16 @@
 	last      wire.Heartbeat
 }
 
+// become takes the description of a node in. What a former process of the
+// node said, such as its count of heartbeats, does not hold for a new one.
+func (n *node) become(who fleet.Node) {
+	if n.Incarnation != who.Incarnation {
+		n.confirmed = false
+		n.last = wire.Heartbeat{}
+	}
+	n.Node = who
+}
+
 // serviceState is what is known of the key-value service.
 type serviceState struct {
 	// generation and revision are the highest known by this node.
@@ -129,7 +140,7 @@
 // Connected tells that a node has a connection.
 func (c *Core) Connected(now time.Time, who fleet.Node) []Action {
 	n := c.node(now, who)
-	n.Node = who
+	n.become(who)
 	n.connected = true
 	n.heard = now
 	return append(c.greet(who.ID), c.decide(now)...)
@@ -152,7 +163,7 @@
 	if n.confirmed && n.Incarnation == who.Incarnation && hb.Sequence < n.last.Sequence {
 		return nil // delayed on a connection that was replaced
 	}
-	n.Node = who
+	n.become(who)
 	n.heard = now
 	n.confirmed = true
 	n.connected = true
@@ -245,11 +256,16 @@
 		c.superseded = true
 	case i < 0 && c.wasMember && !c.leaving:
 		c.evictions++
-		wait := min(c.opts.JoinAloneAfter<<min(c.evictions, 16), c.opts.JoinAloneMax)
-		c.joinAlone = now.Add(wait)
+		c.rejoin = now.Add(c.backOff(c.opts.RetryInterval))
+		c.joinAlone = now.Add(c.backOff(c.opts.JoinAloneAfter))
 	}
 }
 
+// backOff doubles a wait with each removal of this node, up to JoinAloneMax.
+func (c *Core) backOff(wait time.Duration) time.Duration {
+	return min(wait<<min(c.evictions, 16), c.opts.JoinAloneMax)
+}
+
 // isMember tells whether this very process is in the roster in force.
 func (c *Core) isMember() bool { return slices.Contains(c.roster.Members, c.self) }
 
--- a/pkg/membership/core_test.go
+++ b/pkg/membership/core_test.go
@@ -345,3 +345,16 @@
 		requireCalm(r, s)
 	})
 }
+
+// TestRestartAfterLongUptime: heartbeats of a new process count from the
+// start, however many its predecessor sent.
+func TestRestartAfterLongUptime(t *testing.T) {
+	s := started(t, "a", "b", "c")
+	s.run(time.Hour)
+	epoch := s.view("b").Epoch
+	s.kill("a")
+	s.start("a", "z1")
+	s.run(5 * time.Second)
+	requireSettled(t, s)
+	assert.LessOrEqual(t, s.view("b").Epoch, epoch+2)
+}
--- a/pkg/membership/decide.go
+++ b/pkg/membership/decide.go
@@ -140,8 +140,10 @@
 
 // mayJoin tells whether the node may add itself. A node that does not hear at
 // least half of the members, both ways, waits: they would remove it again.
+// One that was removed waits too, so that it never contends with a member
+// that does not hear it.
 func (c *Core) mayJoin(now time.Time) bool {
-	if c.leaving || c.superseded {
+	if c.leaving || c.superseded || now.Before(c.rejoin) {
 		return false
 	}
 	members, heard := 0, 0
--- a/pkg/membership/sim_test.go
+++ b/pkg/membership/sim_test.go
@@ -67,10 +67,34 @@
 func (s *sim) start(id fleet.NodeID, zone fleet.Zone) {
 	s.starts++
 	self := fleet.Node{ID: id, Zone: zone, Incarnation: fmt.Sprintf("%s-%06d", id, s.starts), Addr: string(id) + ":1"}
+	s.kill(id)
 	s.nodes[id] = &simNode{core: NewCore(DefaultOptions(), self, s.now)}
+	for _, other := range s.ids() {
+		if other == id || s.cut[[2]fleet.NodeID{id, other}] || s.cut[[2]fleet.NodeID{other, id}] {
+			continue
+		}
+		s.connect(id, other)
+		s.connect(other, id)
+	}
+}
+
+// connect tells one node that another has a connection.
+func (s *sim) connect(at, who fleet.NodeID) {
+	core, node := s.nodes[at].core, s.nodes[who].core.self
+	s.post(at, func(now time.Time) []Action { return core.Connected(now, node) })
 }
 
-func (s *sim) kill(id fleet.NodeID) { delete(s.nodes, id) }
+// kill ends a process; the others see its connections end.
+func (s *sim) kill(id fleet.NodeID) {
+	if s.nodes[id] == nil {
+		return
+	}
+	delete(s.nodes, id)
+	for _, other := range s.ids() {
+		core := s.nodes[other].core
+		s.post(other, func(now time.Time) []Action { return core.Lost(now, id) })
+	}
+}
 
 func (s *sim) ids() []fleet.NodeID {
 	var out []fleet.NodeID
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 
@@ -160,6 +162,11 @@
 	c.Node.ID, c.Node.Zone = id, zone
 	c.Mesh.Secret = secret
 	c.Listen = config.Listen{Callers: loopback(t.opts.CallersPort, index), Operators: loopback(t.opts.OperatorsPort, index), Inner: loopback(0, 0)}
+	for _, addr := range []*string{&c.Listen.Callers, &c.Listen.Operators, &c.Listen.Inner} {
+		if strings.HasSuffix(*addr, ":0") {
+			*addr = freePort()
+		}
+	}
 	c.Platform.URL = t.Site.PlatformURL
 	c.Deployment.Name = "trial"
 	c.Deployment.Zones = t.opts.Site.Zones
@@ -203,3 +210,29 @@
 	}
 	return net.JoinHostPort("127.0.0.1", fmt.Sprint(port))
 }
+
+// The ports that nodes of a trial take lie below those that outgoing
+// connections use, so that a stopped node finds its ports free again.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+// nextPort is where the search for a free port goes on. Processes start at
+// different places.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid() * 97 % (lastPort - firstPort))) }
+
+// freePort returns a loopback address that nobody listens on.
+func freePort() string {
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		addr := net.JoinHostPort("127.0.0.1", fmt.Sprint(port))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
+	}
+	return loopback(0, 0)
+}
