dispatch: the refusal at the deadline names the reason of the wait

Change: the last refusal that was waited out is told when the deadline ends the wait. The test's third case has a mesh of its own, because a refusal holds for a short time; its check is the same. Conclusion: callers hear why there was no place.

--- a/pkg/dispatch/acquire.go
+++ b/pkg/dispatch/acquire.go
@@ -52,15 +52,27 @@
 // acquire finds a place for the request: at a loaded replica directly while
 // this node keeps within its share, or by a model home's grant. When no
 // zone has one it asks again until the deadline, unless the replica may not
-// be loaded at all.
+// be loaded at all. When the deadline ends the wait, the error is the reason
+// why there was no place.
 func (d *Dispatcher) acquire(ctx context.Context, r *Request, not exclusion) (place, error) {
+	var reason error
 	for {
 		if p, ok := d.direct(r, not.exclude); ok {
 			return p, nil
 		}
 		p, err := d.fromZones(ctx, r, not)
-		if err == nil || !placeMayCome(r, err) || !sleep(ctx, jitter(d.opts.PlacePause)) {
-			return p, err
+		switch {
+		case err == nil:
+			return p, nil
+		case placeMayCome(r, err):
+			reason = err
+		case reason != nil && (ctx.Err() != nil || fault.KindOf(err) == fault.DeadlineExceeded):
+			return place{}, reason
+		default:
+			return place{}, err
+		}
+		if !sleep(ctx, jitter(d.opts.PlacePause)) {
+			return place{}, reason
 		}
 	}
 }
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -136,6 +136,9 @@
 	never := modelRequest(testTimeout)
 	never.Replica.MaxReplicas = 0
 	requireKind(t, fault.NoCapacity, n.Do(context.Background(), never, &testSink{}))
+	// Another mesh: the refusal above holds for a short time.
+	m, dir = newMesh(), newFakeDirectory()
+	n = m.start(t, "n1", "a", testOptions(), dir, &fakeSender{send: answerOK}, nil)
 	n.loader.load = func(ctx context.Context, _ fleet.ReplicaKey) (fleet.TargetID, error) {
 		<-ctx.Done()
 		return "", ctx.Err()
