--- a/pkg/bench/client.go
+++ b/pkg/bench/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -102,10 +103,12 @@
 var (
 	dataPrefix = []byte("data: ")
 	doneMark   = []byte("[DONE]")
+	errorEvent = []byte("event: error")
 )
 
 func (r *result) read(lines *bufio.Reader, start time.Time) {
 	r.code = codeIncomplete
+	failed := false
 	for {
 		line, err := lines.ReadSlice('\n')
 		if err != nil {
@@ -113,8 +116,13 @@
 		}
 		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
+			failed = failed || bytes.HasPrefix(line, errorEvent)
 			continue
 		}
+		if failed {
+			r.code = bodyCode(data, codeIncomplete)
+			return
+		}
 		if bytes.HasPrefix(data, doneMark) {
 			r.code = codeOK
 			return
@@ -126,10 +134,23 @@
 	}
 }
 
+// maxErrorBytes bounds the body of an error answer that is read.
+const maxErrorBytes = 64 << 10
+
 func errorCode(resp *http.Response) string {
+	otherwise := fmt.Sprintf("status_%d", resp.StatusCode)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return otherwise
+	}
+	return bodyCode(body, otherwise)
+}
+
+// bodyCode returns the code in an error body.
+func bodyCode(body []byte, otherwise string) string {
 	var b fault.Body
-	if json.NewDecoder(resp.Body).Decode(&b) != nil || b.Error.Code == "" {
-		return fmt.Sprintf("status_%d", resp.StatusCode)
+	if json.Unmarshal(body, &b) != nil || b.Error.Code == "" {
+		return otherwise
 	}
 	return b.Error.Code
 }
