--- a/pkg/keepalive/decide.go
+++ b/pkg/keepalive/decide.go
@@ -66,7 +66,7 @@
 	survivors := 1.0
 	for i, p := range probabilities {
 		width := bucketStart[i+1] - bucketStart[i]
-		survivors -= p
+		survivors = remaining(survivors, p)
 		idleSeconds := width*survivors + width*p/2
 		gains[i] = p*coldSeconds - idlePrice*idleSeconds
 	}
@@ -105,7 +105,7 @@
 	for a := range bucketCount - 1 {
 		run, runSum := bestPrefix(gains[a : bucketCount-1])
 		total := keepSum + runSum - loadPrice*survivors
-		survivors -= probabilities[a]
+		survivors = remaining(survivors, probabilities[a])
 		before := keep
 		if sum += gains[a]; sum > keepSum {
 			keep, keepSum = a+1, sum
@@ -122,6 +122,10 @@
 	return best, found
 }
 
+// remaining returns the share of gaps that outlast a bucket. Rounding must
+// not make it negative: buckets that no gap reaches would seem to gain.
+func remaining(survivors, ended float64) float64 { return max(0, survivors-ended) }
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/pkg/keepalive/keepalive_test.go
+++ b/pkg/keepalive/keepalive_test.go
@@ -82,8 +82,8 @@
 			require.Greater(t, plan.LoadAt, plan.Keep)
 			require.Greater(t, plan.LoadedUntil, plan.LoadAt)
 		}
-		// A plan that loads ahead may end earlier and be loaded for longer
-		// in all, so windows are compared without it.
+		// A plan that loads ahead may have a short window and be loaded for
+		// longer in all, so windows are compared without it.
 		o.LoadAhead = false
 		dearer := cost
 		dearer.IdleWeight *= 4
@@ -91,6 +91,21 @@
 	})
 }
 
+// TestBucketsThatNoGapReachesGainNothing: rounding once left a share of gaps
+// below zero, and the window became the longest allowed.
+func TestBucketsThatNoGapReachesGainNothing(t *testing.T) {
+	own := observed(0, 0, 0, time.Second)
+	var prior Histogram
+	for _, gap := range []time.Duration{0, 0, 0, time.Second / 2} {
+		prior.Add(gap)
+	}
+	cost := Cost{IdleWeight: 0.000244140625, Accelerators: 0.00390625, LoadTime: time.Millisecond, Waiting: 1}
+	for range 4 {
+		assert.LessOrEqual(t, Decide(own, &prior, cost, DefaultOptions()).Keep, 2*time.Second)
+		cost.IdleWeight *= 2
+	}
+}
+
 func TestHistogramForgetsOldGaps(t *testing.T) {
 	var h Histogram
 	for range decayAt {
