scenarios: a changed limit is awaited on all nodes

Change: the command waits until all running nodes have the limit in force. Conclusion: the script asked too early; the refusal was true.

--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"almondturn/fleet"
 	"almondturn/pkg/catalog"
 )
 
@@ -56,3 +57,8 @@
 	}
 	return nil
 }
+
+// Declared returns what the settings in force at this node say of a replica.
+func (n *Node) Declared(k fleet.ReplicaKey) (catalog.Replica, bool) {
+	return n.parts.catalog.Snapshot().Replica(k)
+}
--- a/scenarios/deployment_test.go
+++ b/scenarios/deployment_test.go
@@ -154,13 +154,31 @@
 				}
 				m.MaxReplicas = limit
 				d.noteLimits(team)
-				return trial.Wait(ctx, func() error { return d.Nodes()[0].ApplyTeam(ctx, team) })
+				err := trial.Wait(ctx, func() error { return d.Nodes()[0].ApplyTeam(ctx, team) })
+				if err != nil {
+					return err
+				}
+				key := fleet.ReplicaKey{Service: team.Services[i].Name, Model: m.Name, Version: m.Version}
+				return d.awaitLimit(ctx, key, limit)
 			}
 		}
 	}
 	return fmt.Errorf("model %q does not exist", model)
 }
 
+// awaitLimit returns when the limit is in force on all running nodes, so that
+// a call that follows is judged by it wherever it goes.
+func (d *deployment) awaitLimit(ctx context.Context, key fleet.ReplicaKey, limit int) error {
+	return trial.Wait(ctx, func() error {
+		for _, n := range d.Nodes() {
+			if r, _ := n.Declared(key); r.MaxReplicas != limit {
+				return fmt.Errorf("node %s has limit %d of %s in force, not %d", n.ID(), r.MaxReplicas, key, limit)
+			}
+		}
+		return nil
+	})
+}
+
 // loaded returns on how many engines the model is loaded, by the engines' own word.
 func (d *deployment) loaded(key fleet.ReplicaKey) int {
 	n := 0
