platform: a watch that cannot be opened is given up

Change: dials of the platform client end after its timeout, and the shared watch is given up with its first watcher.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -53,7 +53,7 @@
 // NewClient returns a client of the service at base, such as
 // http://10.0.0.1:2380, whose calls are given up after timeout. dial may be nil.
 func NewClient(base string, timeout time.Duration, dial fleet.DialFunc) *Client {
-	dial = dial.Or(&net.Dialer{Timeout: timeout})
+	dial = bounded(dial.Or(&net.Dialer{}), timeout)
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	return &Client{
 		base:  base,
@@ -62,6 +62,15 @@
 	}
 }
 
+// bounded gives a dial up after timeout, also when its context has no end.
+func bounded(dial fleet.DialFunc, timeout time.Duration) fleet.DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dial(ctx, network, addr)
+	}
+}
+
 // Get implements KV.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	var e Entry
--- a/pkg/platform/hub.go
+++ b/pkg/platform/hub.go
@@ -50,7 +50,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.cancel == nil {
-		if err := h.openLocked(after); err != nil {
+		if err := h.openLocked(ctx, after); err != nil {
 			return nil, err
 		}
 	}
@@ -80,10 +80,15 @@
 	}
 }
 
-// openLocked opens the shared watch.
-func (h *Hub) openLocked(after Revision) error {
+// openLocked opens the shared watch. It outlives the first watcher, but is
+// given up when that one ends before the watch is open.
+func (h *Hub) openLocked(first context.Context, after Revision) error {
 	ctx, cancel := context.WithCancel(context.Background())
+	stop := context.AfterFunc(first, cancel)
 	events, err := h.KV.Watch(ctx, SharedPrefix, after)
+	if !stop() && err == nil {
+		err = first.Err()
+	}
 	if err != nil {
 		cancel()
 		return err
--- a/pkg/platform/hub_test.go
+++ b/pkg/platform/hub_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -80,3 +82,24 @@
 		}
 	}
 }
+
+// TestHubGivesUpWithTheFirstWatcher: a host that does not answer must not
+// hold the hub for ever.
+func TestHubGivesUpWithTheFirstWatcher(t *testing.T) {
+	silent := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	hub := platform.NewHub(platform.NewClient("http://127.0.0.1:1", time.Hour, silent))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() {
+		_, err := hub.Watch(ctx, "fleet/", 0)
+		done <- err
+	}()
+	cancel()
+	require.Error(t, <-done)
+	short := platform.NewHub(platform.NewClient("http://127.0.0.1:1", time.Millisecond, silent))
+	_, err := short.Watch(context.WithoutCancel(t.Context()), "fleet/", 0)
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+}
