--- a/cmd/almondturn/main.go
+++ b/cmd/almondturn/main.go
@@ -15,6 +15,7 @@
 	"almondturn/pkg/dev"
 	"almondturn/pkg/node"
 	"almondturn/pkg/version"
+	"almondturn/platform"
 )
 
 type serveCmd struct {
@@ -25,6 +26,8 @@
 	Port int `arg:"--port" default:"8080" help:"first callers' port; the zones take consecutive ports"`
 }
 
+type entryCmd struct{}
+
 type configCmd struct {
 	Check *checkCmd `arg:"subcommand:check" help:"check settings files and exit"`
 }
@@ -37,6 +40,7 @@
 
 type arguments struct {
 	Serve   *serveCmd   `arg:"subcommand:serve" help:"run a node"`
+	Entry   *entryCmd   `arg:"subcommand:entry" help:"run an entry node on the users' platform; its settings file is named by the environment"`
 	Dev     *devCmd     `arg:"subcommand:dev" help:"run stand-ins and one node per zone in this process"`
 	Config  *configCmd  `arg:"subcommand:config" help:"work with settings files"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the version"`
@@ -67,6 +71,8 @@
 			return err
 		}
 		return node.Run(ctx, cfg)
+	case a.Entry != nil:
+		return platform.Run(ctx)
 	case a.Dev != nil:
 		return dev.Run(ctx, dev.Options{Port: a.Dev.Port}, os.Stdout)
 	case a.Config != nil && a.Config.Check != nil:
--- /dev/null
+++ b/pkg/entry/answer.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"almondturn/pkg/fault"
+	"almondturn/pkg/upstream"
+)
+
+// maxBuffered is the largest body of a plain answer that is read whole before
+// any of it goes to the client, so that a broken one can be replaced.
+const maxBuffered = 256 << 10
+
+// copyBytes is the size of the buffer of a stream.
+const copyBytes = 4 << 10
+
+// answer is what goes to the client.
+type answer struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	rc       *http.ResponseController
+	protocol Protocol
+	started  bool
+	complete bool
+	status   int
+	closing  bool
+}
+
+func (a *answer) clientLeft() bool {
+	return errors.Is(a.r.Context().Err(), context.Canceled)
+}
+
+// abort cuts the connection, so that a part of an answer is not taken for
+// the whole.
+func (a *answer) abort() {
+	panic(http.ErrAbortHandler)
+}
+
+// begin writes the head of a target's answer.
+func (a *answer) begin(status int, header http.Header, length int64) {
+	h := a.w.Header()
+	a.protocol.Returned(header, h)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // none is made up
+	}
+	if length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+	}
+	if a.closing {
+		h["Connection"] = []string{"close"}
+	}
+	a.started = true
+	a.status = status
+	a.w.WriteHeader(status)
+}
+
+// refuse tells the client that the request has not run, and when to come back.
+func (a *answer) refuse(r *refusal) {
+	a.write(r.Kind.Answer(), r.Error.Error(), r.after)
+}
+
+// fail tells the client that the request may have run.
+func (a *answer) fail(last result) {
+	kind := fault.OutcomeUnknown
+	if last.kind == expired {
+		a.writeStatus(http.StatusGatewayTimeout, "the time is over; the request may have run", 0)
+		return
+	}
+	a.write(kind.Answer(), "the target gave no whole answer", 0)
+}
+
+func (a *answer) write(row fault.Answer, message string, after time.Duration) {
+	a.writeStatus(row.Status, row.Code+": "+message, after)
+}
+
+func (a *answer) writeStatus(status int, message string, after time.Duration) {
+	h := a.w.Header()
+	h["Content-Type"] = []string{"text/plain; charset=utf-8"}
+	if after > 0 {
+		h["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
+	}
+	if a.closing {
+		h["Connection"] = []string{"close"}
+	}
+	a.status = status
+	a.complete = true
+	a.w.WriteHeader(status)
+	_, _ = io.WriteString(a.w, message+"\n") // a client that left is not told
+}
+
+// errUnsigned tells that a success bears no target's signature.
+var errUnsigned = errors.New("the answer bears no signature")
+
+// pass passes a target's answer on to the client.
+func (n *Node) pass(ctx context.Context, j *job, resp *upstream.Answer, info AnswerInfo, a *answer) result {
+	out := result{info: info, status: resp.Status}
+	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
+	if success && !info.Signed || a.started && !success {
+		out.kind, out.err = unknown, errUnsigned
+		return out
+	}
+	if success && j.engine {
+		return n.passStream(ctx, j, resp, a, out)
+	}
+	return n.passPlain(ctx, j, resp, a, out)
+}
+
+// passPlain reads the body whole before it goes to the client.
+func (n *Node) passPlain(ctx context.Context, j *job, resp *upstream.Answer, a *answer, out result) result {
+	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered+1))
+	if err != nil {
+		return broken(ctx, out, err)
+	}
+	if len(body) > maxBuffered {
+		return n.passLong(ctx, resp, body, a, out)
+	}
+	again := j.runs < j.route.MaxAttempts && j.sends < maxSends && time.Until(j.deadline) > leastRun
+	if out.status >= http.StatusInternalServerError && j.idempotent() && again && n.budgetLeft(j) {
+		out.kind = failedRun
+		return out
+	}
+	a.begin(out.status, resp.Header, int64(len(body)))
+	j.first = time.Since(j.arrived)
+	if _, err := a.w.Write(body); err != nil {
+		out.kind, out.err = clientGone, err
+		return out
+	}
+	a.complete = true
+	out.kind = answered
+	return out
+}
+
+// passLong copies a body that is too long to be kept.
+func (n *Node) passLong(ctx context.Context, resp *upstream.Answer, read []byte, a *answer, out result) result {
+	a.begin(out.status, resp.Header, resp.Length)
+	if _, err := a.w.Write(read); err != nil {
+		out.kind, out.err = clientGone, err
+		return out
+	}
+	if _, err := io.Copy(a.w, resp); err != nil {
+		return broken(ctx, out, err)
+	}
+	a.complete = true
+	out.kind = answered
+	return out
+}
+
+// broken classifies an answer that did not come whole.
+func broken(ctx context.Context, out result, err error) result {
+	out.err = err
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		out.kind = expired
+	case ctx.Err() != nil:
+		out.kind = clientGone
+	default:
+		out.kind = unknown
+	}
+	return out
+}
+
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+func drain(resp *upstream.Answer) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxBuffered)) // what is left closes the connection
+}
--- /dev/null
+++ b/pkg/entry/job.go
@@ -0,0 +1,303 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/pkg/event"
+	"almondturn/pkg/fault"
+	"almondturn/pkg/route"
+	"almondturn/pkg/upstream"
+	"almondturn/wire"
+)
+
+// job is one request of a client on its way through the node.
+type job struct {
+	info     RequestInfo
+	route    *route.Route
+	table    *route.Table
+	service  string
+	engine   bool
+	method   string
+	path     string
+	host     string
+	header   http.Header
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+
+	exclude []string
+	// runs counts the sends that a target may have run, sends all of them.
+	runs, sends int
+	// lastEvent is the event after which the next target goes on.
+	lastEvent string
+	// target is the last one that the request was sent to.
+	target string
+	waited time.Duration
+	first  time.Duration
+}
+
+// Bounds of the attempts for one request.
+const (
+	// maxSends bounds the sends of one request, with those that were refused.
+	maxSends = 5
+	// patienceShare is the part of its time that a request waits for an owner.
+	patienceShare = 0.4
+	// unsafeIdle is the longest idle time of a kept connection that carries a
+	// request which must not be repeated: the target may have closed it.
+	unsafeIdle = 700 * time.Millisecond
+	// safeIdle is the same for requests that may be repeated.
+	safeIdle = 20 * time.Second
+)
+
+func (j *job) idempotent() bool { return j.route.Idempotent() }
+
+// patience is how long the request waits for a place while no owner of a zone
+// answers.
+func (j *job) patience() time.Duration {
+	return time.Duration(patienceShare * float64(j.deadline.Sub(j.arrived)))
+}
+
+// resultKind tells how one send ended.
+type resultKind uint8
+
+const (
+	// answered: the target's answer went to the client, whole.
+	answered resultKind = iota
+	// unreachable: no connection was established.
+	unreachable
+	// notRun: the target said that it did not run the request.
+	notRun
+	// notLoaded: the same, because the model is not loaded there.
+	notLoaded
+	// failedRun: the target ran the request and answered with an error of
+	// its own, which has not gone to the client.
+	failedRun
+	// unknown: the target may have run the request, without a whole answer.
+	unknown
+	// clientGone: the client has left or takes no more bytes.
+	clientGone
+	// expired: the time is over.
+	expired
+)
+
+// String returns the kind's name.
+func (k resultKind) String() string {
+	return [...]string{"answered", "unreachable", "not_run", "not_loaded", "failed", "unknown", "client_gone", "expired"}[k]
+}
+
+// result is how one send ended.
+type result struct {
+	kind   resultKind
+	info   AnswerInfo
+	status int
+	err    error
+}
+
+// failed tells whether the result speaks against the target.
+func (r result) failed() bool {
+	return r.kind == unreachable || r.kind == unknown || r.kind == failedRun || r.status >= http.StatusInternalServerError
+}
+
+// outcome translates the result for the owner that granted the run.
+func (r result) outcome() wire.RunOutcome {
+	switch r.kind {
+	case unreachable:
+		return wire.RunUnreachable
+	case notRun:
+		return wire.RunBusy
+	case notLoaded:
+		return wire.RunNotLoaded
+	case unknown:
+		return wire.RunFailed
+	default:
+		return wire.RunCompleted
+	}
+}
+
+// do finds places for the request and sends it until it is answered, or may
+// not be sent again.
+func (n *Node) do(ctx context.Context, j *job, a *answer) {
+	b := n.budgets.of(j.service)
+	b.request(time.Now(), n.limits())
+	var last result
+	for {
+		began := time.Now()
+		p, ref := n.place(ctx, j)
+		j.waited += time.Since(began)
+		if ref != nil {
+			n.finish(j, a, last, ref)
+			return
+		}
+		if j.sends > 0 && !b.spend(time.Now(), n.limits()) {
+			event.BudgetExhausted.Log(n.log).Str("request", j.info.ID).Str("service", j.service).Send()
+			n.giveBack(p, result{kind: expired})
+			n.finish(j, a, last, nil)
+			return
+		}
+		last = n.send(ctx, j, p, a)
+		n.giveBack(p, last)
+		if !n.mayRepeat(ctx, j, a, last) {
+			n.finish(j, a, last, nil)
+			return
+		}
+		event.RequestRetried.Log(n.log).Str("request", j.info.ID).Str("target", j.target).
+			Stringer("cause", last.kind).Int("status", last.status).AnErr("error", last.err).Send()
+	}
+}
+
+// place returns where to send the request next.
+func (n *Node) place(ctx context.Context, j *job) (place, *refusal) {
+	if j.engine {
+		return n.enginePlace(ctx, j)
+	}
+	return n.plainPlace(j)
+}
+
+// giveBack ends the use of a place.
+func (n *Node) giveBack(p place, r result) {
+	if p.run != 0 {
+		outcome := r.outcome()
+		if r.kind == expired {
+			outcome = wire.RunUnused
+		}
+		n.endRun(p, outcome)
+		return
+	}
+	n.loads.end(time.Now(), p.target.ID, r)
+}
+
+// mayRepeat tells whether the request may be sent once more after a result.
+func (n *Node) mayRepeat(ctx context.Context, j *job, a *answer, r result) bool {
+	if ctx.Err() != nil || j.sends >= maxSends || time.Until(j.deadline) < leastRun {
+		return false
+	}
+	switch r.kind {
+	case unreachable:
+		j.sends-- // nothing has reached a target
+		return len(j.exclude) < maxSends
+	case notRun, notLoaded:
+		return true
+	case failedRun:
+		return true // only chosen where another run is allowed
+	case unknown:
+		return j.idempotent() && j.runs < j.route.MaxAttempts && (!a.started || j.route.Resumable)
+	default:
+		return false
+	}
+}
+
+// send sends the request to one target and passes the answer on.
+func (n *Node) send(ctx context.Context, j *job, p place, a *answer) result {
+	t := p.target
+	j.target = t.ID
+	j.sends++
+	maxIdle := unsafeIdle
+	if j.idempotent() {
+		maxIdle = safeIdle
+	}
+	resp, err := n.pool.Do(ctx, t.Addr, &upstream.Request{
+		Method: j.method, Path: j.path, Host: j.host, Body: j.body, MaxIdle: maxIdle,
+		Header:  n.protocol.Outgoing(j.header, Outgoing{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEvent: j.lastEvent}),
+		Belongs: n.belongs(j),
+	})
+	if err != nil {
+		return n.sendFailed(ctx, j, t.ID, err)
+	}
+	defer resp.Close()
+	info := n.protocol.Answer(resp.Header)
+	if info.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
+		j.exclude = append(j.exclude, t.ID)
+		kind := notRun
+		if resp.Status == http.StatusMisdirectedRequest {
+			kind = notLoaded
+		}
+		drain(resp)
+		return result{kind: kind, info: info, status: resp.Status}
+	}
+	j.runs++
+	r := n.pass(ctx, j, resp, info, a)
+	if r.kind == unknown || r.kind == failedRun {
+		j.exclude = append(j.exclude, t.ID)
+	}
+	return r
+}
+
+// belongs returns whether an answer is the one to the request.
+func (n *Node) belongs(j *job) func(http.Header) bool {
+	return func(h http.Header) bool {
+		id := n.protocol.Answer(h).RequestID
+		return id == "" || id == j.info.ID
+	}
+}
+
+func (n *Node) sendFailed(ctx context.Context, j *job, target string, err error) result {
+	j.exclude = append(j.exclude, target)
+	var send *upstream.SendError
+	sent := !errors.As(err, &send) || send.Sent
+	if sent {
+		j.runs++
+	}
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return result{kind: expired, err: err}
+	case ctx.Err() != nil:
+		return result{kind: clientGone, err: err}
+	case sent:
+		return result{kind: unknown, err: err}
+	default:
+		return result{kind: unreachable, err: err}
+	}
+}
+
+// finish answers the client after the last send, unless the answer has gone
+// out already, and logs the outcome. last is the zero result without a send.
+func (n *Node) finish(j *job, a *answer, last result, ref *refusal) {
+	line := event.RequestServed
+	switch {
+	case a.complete:
+	case last.kind == clientGone || a.clientLeft():
+		line = event.RequestGone
+		a.abort()
+	case a.started:
+		line = event.RequestBroken
+		a.abort()
+	case j.runs == 0:
+		line = event.RequestRefused
+		if ref == nil {
+			ref = refuse(fault.NoReplica, defaultRetry, "no target took the request")
+		}
+		a.refuse(ref)
+	default:
+		line = event.RequestBroken
+		a.fail(last)
+	}
+	e := line.Log(n.log).Str("request", j.info.ID).Str("route", j.route.Name).Str("model", j.info.Model).
+		Str("target", j.target).Int("status", a.status).Int("sends", j.sends).Int("runs", j.runs).
+		Dur("waited_ms", j.waited).Dur("first_ms", j.first).Dur("total_ms", time.Since(j.arrived)).Int64("version", j.table.Version)
+	if ref != nil {
+		e = e.Str("reason", ref.Message)
+	}
+	if last.err != nil {
+		e = e.Stringer("result", last.kind).AnErr("cause", last.err)
+	}
+	e.Send()
+	n.metrics.observe(j, a, line.Name)
+}
+
+// hashOf spreads requests over the backends of a route.
+func hashOf(id string) uint64 { return fleet.Weight("", id) }
+
+// isEngine tells whether a service runs models.
+func isEngine(t *route.Table, service string) bool {
+	s := t.Services[service]
+	return s != nil && s.Engine != nil
+}
+
+// budgetLeft tells whether the request could be sent once more.
+func (n *Node) budgetLeft(j *job) bool {
+	return n.budgets.of(j.service).left(time.Now(), n.limits())
+}
--- /dev/null
+++ b/pkg/entry/links.go
@@ -0,0 +1,373 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/pkg/event"
+	"almondturn/pkg/upstream"
+	"almondturn/pkg/zoneowner"
+	"almondturn/wire"
+)
+
+// innerPath is where nodes connect to each other.
+const innerPath = "/almondturn/nodes"
+
+// Times of the connections between nodes.
+const (
+	linkDialTimeout = 500 * time.Millisecond
+	linkHeartbeat   = 600 * time.Millisecond
+	linkSilence     = 1600 * time.Millisecond
+	linkRetry       = 200 * time.Millisecond
+	nodeGoneAfter   = 3 * time.Second
+	maxRelays       = 3
+)
+
+// links are the connections to the owners of the zones, and those that other
+// nodes opened to this one.
+type links struct {
+	node   *Node
+	client *http.Client
+
+	mu       sync.Mutex // guards zones, accepted and known
+	zones    map[fleet.Zone]*link
+	accepted map[fleet.NodeID]*wire.Conn
+	known    map[fleet.NodeID]fleet.Node
+	changed  chan struct{} // closed and replaced when an owner changes
+	ctx      context.Context
+}
+
+// link is the connection to the owner of one zone.
+type link struct {
+	zone   fleet.Zone
+	owner  zoneowner.OwnerRecord
+	token  uint64
+	conn   atomic.Pointer[wire.Conn]
+	state  atomic.Pointer[wire.ZoneState]
+	cancel context.CancelFunc
+}
+
+func newLinks(n *Node) *links {
+	return &links{
+		node: n,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: upstream.NewDialer(linkDialTimeout).DialContext,
+		}},
+		zones:    map[fleet.Zone]*link{},
+		accepted: map[fleet.NodeID]*wire.Conn{},
+		known:    map[fleet.NodeID]fleet.Node{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// setOwner connects to the owner of a zone unless a later one is known.
+func (l *links) setOwner(zone fleet.Zone, r zoneowner.OwnerRecord, token uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.zones[zone]
+	if old != nil {
+		if token < old.token {
+			return
+		}
+		if old.owner == r {
+			old.token = token
+			return
+		}
+		old.cancel()
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	k := &link{zone: zone, owner: r, token: token, cancel: cancel}
+	l.zones[zone] = k
+	if r.Addr != l.node.self.Addr {
+		go l.keep(ctx, k)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// keep dials the owner until the link is replaced.
+func (l *links) keep(ctx context.Context, k *link) {
+	for ctx.Err() == nil {
+		c, err := wire.Dial(ctx, "ws://"+k.owner.Addr+innerPath, l.client, l.config(k))
+		if err == nil {
+			l.serve(ctx, k, c)
+		}
+		sleep(ctx, linkRetry)
+	}
+}
+
+// serve runs an established connection to an owner.
+func (l *links) serve(ctx context.Context, k *link, c *wire.Conn) {
+	stop := context.AfterFunc(ctx, func() { c.Close(wire.ErrClosed) })
+	defer stop()
+	c.Send(l.node.runsIn(k.zone))
+	k.conn.Store(c)
+	event.OwnerConnected.Log(l.node.log).Str("zone", string(k.zone)).Str("node", string(k.owner.Node)).Send()
+	err := c.Run()
+	k.conn.Store(nil)
+	event.OwnerLost.Log(l.node.log).Str("zone", string(k.zone)).Str("node", string(k.owner.Node)).Err(err).Send()
+}
+
+func (l *links) config(k *link) wire.Config {
+	frame, err := wire.Encode(wire.KindOneWay, 0, 0, new(wire.Heartbeat))
+	if err != nil {
+		frame = nil // without heartbeats, the connection counts as silent
+	}
+	o := wire.DefaultOptions()
+	o.HeartbeatInterval, o.SilenceTimeout, o.HandshakeTimeout = linkHeartbeat, linkSilence, linkDialTimeout*2
+	return wire.Config{
+		Options: o, Self: l.node.self,
+		Handler: func(ctx context.Context, from fleet.Node, m wire.Message) wire.Message {
+			return l.node.handle(ctx, k, from, m)
+		},
+		Heartbeat: func() []byte { return frame },
+	}
+}
+
+// handler accepts the connections of other nodes.
+func (l *links) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := wire.Accept(w, r, l.config(nil))
+		if err != nil {
+			event.MeshHandshakeFailed.Log(l.node.log).Str("remote", r.RemoteAddr).Err(err).Send()
+			return
+		}
+		id := c.Peer().ID
+		l.mu.Lock()
+		l.accepted[id] = c
+		l.known[id] = c.Peer()
+		l.mu.Unlock()
+		_ = c.Run()
+		l.mu.Lock()
+		current := l.accepted[id] == c
+		if current {
+			delete(l.accepted, id)
+		}
+		l.mu.Unlock()
+		if current {
+			time.AfterFunc(nodeGoneAfter, func() { l.forget(id) })
+		}
+	})
+}
+
+// forget drops the runs of a node that has not connected again.
+func (l *links) forget(id fleet.NodeID) {
+	l.mu.Lock()
+	_, back := l.accepted[id]
+	l.mu.Unlock()
+	if !back {
+		l.node.owner.NodeGone(id, false)
+	}
+}
+
+// Ping implements zoneowner.Network.
+func (l *links) Ping(ctx context.Context, to fleet.NodeID, m *wire.OwnerPing) (*wire.OwnerPong, error) {
+	l.mu.Lock()
+	c := l.accepted[to]
+	l.mu.Unlock()
+	if c == nil {
+		return nil, errNoConnection
+	}
+	answer, err := c.Call(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	pong, ok := answer.(*wire.OwnerPong)
+	if !ok {
+		return nil, errNoConnection
+	}
+	l.node.learnVersion(pong.ConfigurationVersion)
+	return pong, nil
+}
+
+// Broadcast implements zoneowner.Network.
+func (l *links) Broadcast(m *wire.ZoneState) {
+	frame, err := wire.Encode(wire.KindOneWay, 0, 0, m)
+	if err != nil {
+		event.MeshEncodeFailed.Log(l.node.log).Err(err).Send()
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.accepted {
+		c.SendEncoded(frame)
+	}
+}
+
+// Connected implements zoneowner.Network.
+func (l *links) Connected() []fleet.Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]fleet.Node, 0, len(l.accepted))
+	for _, c := range l.accepted {
+		out = append(out, c.Peer())
+	}
+	return out
+}
+
+// errNoConnection tells that a node is not connected.
+var errNoConnection = errors.New("the node is not connected")
+
+// link returns the link to a zone's owner, nil when none is known, and a
+// channel that is closed when an owner changes.
+func (l *links) link(zone fleet.Zone) (*link, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.zones[zone], l.changed
+}
+
+// place asks the owner of a zone for a place.
+func (l *links) place(ctx context.Context, zone fleet.Zone, m *wire.Place) (*wire.Placed, error) {
+	if zone == l.node.self.Zone && l.node.owner.Owns() {
+		return l.node.owner.Place(ctx, l.node.self.ID, m), nil
+	}
+	k, _ := l.link(zone)
+	if k == nil {
+		return nil, errNoConnection
+	}
+	c := k.conn.Load()
+	if c == nil {
+		return nil, errNoConnection
+	}
+	answer, err := c.Call(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	placed, ok := answer.(*wire.Placed)
+	if !ok {
+		return nil, errNoConnection
+	}
+	return placed, nil
+}
+
+// ended gives a run back to the owner that granted it.
+func (l *links) ended(zone fleet.Zone, m *wire.RunEnded) {
+	if zone == l.node.self.Zone && l.node.owner.Owns() {
+		l.node.owner.RunEnded(m)
+		return
+	}
+	if k, _ := l.link(zone); k != nil {
+		if c := k.conn.Load(); c != nil {
+			c.Send(m)
+		}
+	}
+}
+
+// state returns what the owner of a zone last told, nil when it is not connected.
+func (l *links) state(zone fleet.Zone) *wire.ZoneState {
+	if zone == l.node.self.Zone {
+		if s := l.node.owner.State(); s != nil {
+			return s
+		}
+	}
+	k, _ := l.link(zone)
+	if k == nil || k.conn.Load() == nil {
+		return nil
+	}
+	return k.state.Load()
+}
+
+// learn records what an owner tells.
+func (l *links) learn(k *link, s *wire.ZoneState) {
+	k.state.Store(s)
+	l.mu.Lock()
+	for _, n := range s.Nodes {
+		l.known[n.ID] = n
+	}
+	l.mu.Unlock()
+	l.node.learnVersion(s.ConfigurationVersion)
+}
+
+// nodes returns the number of nodes that are known.
+func (l *links) nodes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.known)
+	if _, ok := l.known[l.node.self.ID]; !ok {
+		n++
+	}
+	return n
+}
+
+// relay passes a call to the key-value service on through other nodes.
+func (l *links) relay(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	err := errNoConnection
+	for i, c := range l.neighbours() {
+		if i >= maxRelays {
+			break
+		}
+		var answer wire.Message
+		answer, err = c.Call(ctx, &wire.StoreCall{Method: method, Path: path, Body: body})
+		if a, ok := answer.(*wire.StoreAnswer); ok && a.Status != 0 {
+			return a.Status, a.Body, nil
+		}
+		if err != nil && errors.Is(err, wire.ErrOutcomeUnknown) {
+			return 0, nil, err
+		}
+	}
+	return 0, nil, err
+}
+
+// neighbours returns connections to other nodes, owners first.
+func (l *links) neighbours() []*wire.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*wire.Conn
+	for _, zone := range slices.Sorted(maps.Keys(l.zones)) {
+		if c := l.zones[zone].conn.Load(); c != nil {
+			out = append(out, c)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.accepted)) {
+		out = append(out, l.accepted[id])
+	}
+	return out
+}
+
+// leave tells the owners that this node takes nothing over any more.
+func (l *links) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.zones {
+		if c := k.conn.Load(); c != nil {
+			c.Send(&wire.Heartbeat{Leaving: true})
+		}
+	}
+}
+
+// handle answers the messages of other nodes. k is nil on connections that
+// the other node opened.
+func (n *Node) handle(ctx context.Context, k *link, from fleet.Node, m wire.Message) wire.Message {
+	switch m := m.(type) {
+	case *wire.Place:
+		return n.owner.Place(ctx, from.ID, m)
+	case *wire.RunEnded:
+		n.owner.RunEnded(m)
+	case *wire.Runs:
+		n.owner.Adopt(from, m)
+	case *wire.ZoneState:
+		if k != nil {
+			n.links.learn(k, m)
+		}
+	case *wire.OwnerPing:
+		return n.owner.Promise(from, m)
+	case *wire.Heartbeat:
+		if m.Leaving {
+			n.owner.NodeGone(from.ID, true)
+		}
+	case *wire.StoreCall:
+		status, body, err := n.forward(ctx, m.Method, m.Path, m.Body)
+		if err != nil {
+			return new(wire.StoreAnswer)
+		}
+		return &wire.StoreAnswer{Status: status, Body: body}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/metrics.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"almondturn/pkg/fault"
+)
+
+// nodeMetrics are the counters and histograms of one node.
+type nodeMetrics struct{ set *metrics.Set }
+
+func newMetrics() *nodeMetrics { return &nodeMetrics{set: metrics.NewSet()} }
+
+// observe counts the end of a request by route and outcome.
+func (m *nodeMetrics) observe(j *job, a *answer, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_requests_total{route=%q,outcome=%q,status="%d"}`, j.route.Name, outcome, a.status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_request_seconds{route=%q}`, j.route.Name)).UpdateDuration(j.arrived)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_place_wait_seconds{route=%q}`, j.route.Name)).Update(j.waited.Seconds())
+	if j.first > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_first_byte_seconds{route=%q}`, j.route.Name)).Update(j.first.Seconds())
+	}
+}
+
+// refused counts a request that no route was found for, or that was not read.
+func (m *nodeMetrics) refused(kind fault.Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_refusals_total{kind=%q}`, kind.String())).Inc()
+}
+
+// StoreCall counts a call to the key-value service by its answer.
+func (m *nodeMetrics) storeCall(call string, status int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_store_calls_total{call=%q,status="%d"}`, call, status)).Inc()
+}
+
+// write writes all metrics as text.
+func (m *nodeMetrics) write(w io.Writer, n *Node) {
+	m.set.WritePrometheus(w)
+	owns := 0
+	if n.owner.Owns() {
+		owns = 1
+	}
+	fmt.Fprintf(w, "almondturn_configuration_version %d\n", n.version())
+	fmt.Fprintf(w, "almondturn_requests_in_flight %d\n", n.inFlight.Load())
+	fmt.Fprintf(w, "almondturn_zone_owned %d\n", owns)
+	fmt.Fprintf(w, "almondturn_target_connections_total %d\n", n.pool.Dialed.Load())
+	fmt.Fprintf(w, "almondturn_uptime_seconds %.1f\n", time.Since(n.started).Seconds())
+}
--- /dev/null
+++ b/pkg/entry/node.go
@@ -0,0 +1,318 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"almondturn/fleet"
+	"almondturn/pkg/event"
+	"almondturn/pkg/inventory"
+	kv "almondturn/pkg/platform"
+	"almondturn/pkg/route"
+	"almondturn/pkg/upstream"
+	"almondturn/pkg/zoneowner"
+)
+
+// Times of a node.
+const (
+	// targetPause is the wait between two fetches of changes of targets.
+	targetPause = 500 * time.Millisecond
+	// sweepInterval is the time between two looks at idle connections.
+	sweepInterval = 2 * time.Second
+	// stopPoll is the time between two looks while the node stops.
+	stopPoll = 50 * time.Millisecond
+	// stopMargin is the time before the kill at which requests are cut off.
+	stopMargin = 400 * time.Millisecond
+	// stopNotice is the longest time that clients are still taken while the
+	// balancer notices that the node stops.
+	stopNotice = 2800 * time.Millisecond
+	// headerTimeout bounds the wait for the head of a request.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	// requiredDenials is the number of the balancer's questions that a
+	// stopping node answers with no before clients stay away.
+	requiredDenials = 2
+)
+
+// FullStore is the key-value service, as a node uses it.
+type FullStore interface {
+	Store
+	zoneowner.Store
+	// SetRelay sets the way through other nodes for calls that get no answer.
+	SetRelay(func(ctx context.Context, method, path string, body []byte) (int, []byte, error))
+	// Forward makes a call for another node; status 0 tells that it was not made.
+	Forward(ctx context.Context, method, path string, body []byte) (int, []byte, error)
+}
+
+// Deps are what a node works with.
+type Deps struct {
+	Settings      *Settings
+	Log           *zerolog.Logger
+	Store         FullStore
+	Targets       zoneowner.Targets
+	Pool          *upstream.Pool
+	Protocol      Protocol
+	Decoder       Decoder
+	Metrics       *Metrics
+	ReadinessPath string
+}
+
+// Metrics are the counters and histograms of one node.
+type Metrics = nodeMetrics
+
+// NewMetrics returns empty metrics.
+func NewMetrics() *Metrics { return newMetrics() }
+
+// StoreCall counts a call to the key-value service by its answer.
+func (m *nodeMetrics) StoreCall(call string, status int) { m.storeCall(call, status) }
+
+// Node is one entry node.
+type Node struct {
+	settings *Settings
+	// bounds are those of the settings as last read.
+	bounds   atomic.Pointer[Bounds]
+	self     fleet.Node
+	log      *zerolog.Logger
+	protocol Protocol
+	decoder  Decoder
+	store    FullStore
+	pool     *upstream.Pool
+	owner    *zoneowner.Owner
+	links    *links
+	metrics  *nodeMetrics
+	budgets  budgets
+	loads    loads
+	started  time.Time
+	ready    atomic.Bool
+	stopping atomic.Bool
+	denials  atomic.Int32
+	inFlight atomic.Int64
+
+	table atomic.Pointer[route.Table]
+	view  atomic.Pointer[inventory.View]
+	// targets are the entries as last read; only the watch uses it.
+	targets map[string]*inventory.Target
+
+	runsMu sync.Mutex // guards runs
+	runs   map[uint64]runAt
+
+	configuration *watch
+	watches       []*watch
+	readinessPath string
+
+	clients, readiness, inner *http.Server
+	idle                      *idleConns
+	ctx                       context.Context
+	cancel                    context.CancelFunc
+	// hardStop ends the requests that are in progress when the time to stop is over.
+	hardStop   context.Context
+	cancelHard context.CancelFunc
+}
+
+// New returns a node that does not listen yet.
+func New(d Deps) (*Node, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return nil, fmt.Errorf("make an incarnation: %w", err)
+	}
+	n := &Node{
+		settings: d.Settings, log: d.Log, protocol: d.Protocol, decoder: d.Decoder, store: d.Store, pool: d.Pool,
+		metrics: d.Metrics, started: time.Now(), runs: map[uint64]runAt{}, readinessPath: d.ReadinessPath,
+		targets: map[string]*inventory.Target{}, idle: newIdleConns(),
+	}
+	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.InnerAddr}
+	n.bounds.Store(&d.Settings.Bounds)
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.hardStop, n.cancelHard = context.WithCancel(context.Background())
+	n.links = newLinks(n)
+	n.links.ctx = n.ctx
+	n.owner = zoneowner.New(zoneowner.Config{
+		Self: n.self, Zones: len(d.Settings.Zones), MinLease: d.Settings.MinLeaseTime, HolderPause: d.Settings.OrderHolderPause,
+		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Version: n.version,
+	})
+	d.Store.SetRelay(n.links.relay)
+	n.configuration = n.newWatch(d.Decoder.ConfigurationKey, 0, n.resetConfiguration, n.changeConfiguration)
+	n.watches = []*watch{
+		n.configuration,
+		n.newWatch(d.Decoder.TargetPrefix, targetPause, n.resetTargets, n.changeTargets),
+		n.newWatch(zoneowner.KeyPrefix, 0, n.resetOwners, n.changeOwners),
+	}
+	return n, nil
+}
+
+func (n *Node) newWatch(prefix string, pause time.Duration, reset func([]kv.Entry), changed func([]kv.WatchEvent)) *watch {
+	return &watch{store: n.store, prefix: prefix, pause: pause, reset: reset, changed: changed, node: n, refresh: make(chan struct{}, 1)}
+}
+
+// Start listens and begins to follow the platform.
+func (n *Node) Start() error {
+	inner := http.NewServeMux()
+	inner.Handle(innerPath, n.links.handler())
+	inner.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
+	ready := http.NewServeMux()
+	ready.HandleFunc(n.readinessPath, n.serveReadiness)
+	ready.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
+	n.clients = &http.Server{Handler: n, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idle.track, DisableGeneralOptionsHandler: true}
+	n.readiness = &http.Server{Handler: ready}
+	n.inner = &http.Server{Handler: inner}
+	listeners := []struct {
+		server *http.Server
+		addr   string
+	}{{n.inner, n.settings.InnerAddr}, {n.readiness, n.settings.ReadinessAddr}, {n.clients, n.settings.ClientsAddr}}
+	for _, l := range listeners {
+		if err := serveOn(l.server, l.addr); err != nil {
+			return err
+		}
+	}
+	for _, w := range n.watches {
+		go w.run(n.ctx)
+	}
+	go n.owner.Run(n.ctx)
+	go n.sweep()
+	event.EntryStarted.Log(n.log).Str("node", string(n.self.ID)).Str("zone", string(n.self.Zone)).Str("incarnation", n.self.Incarnation).
+		Str("clients", n.settings.ClientsAddr).Str("inner", n.settings.InnerAddr).Send()
+	return nil
+}
+
+func serveOn(s *http.Server, addr string) error {
+	config := upstream.ListenConfig()
+	l, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	go func() { _ = s.Serve(l) }() // ends with Close
+	return nil
+}
+
+func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if n.ready.Load() && !n.stopping.Load() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	if n.stopping.Load() {
+		n.denials.Add(1)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// checkReady takes clients once the configuration and the targets are known.
+func (n *Node) checkReady() {
+	if n.table.Load() == nil || n.view.Load() == nil {
+		return
+	}
+	if !n.ready.Swap(true) {
+		event.EntryReady.Log(n.log).Dur("after_ms", time.Since(n.started)).Send()
+	}
+}
+
+// learnVersion fetches the configuration when another node has a newer one.
+func (n *Node) learnVersion(version int64) {
+	if version > n.version() {
+		n.configuration.renew()
+	}
+}
+
+// limits returns the figures of the retry budget.
+func (n *Node) limits() limits {
+	b := n.bounds.Load()
+	return limits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.nodes()}
+}
+
+// forward makes a store call for another node.
+func (n *Node) forward(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	return n.store.Forward(ctx, method, path, body)
+}
+
+func (n *Node) sweep() {
+	for sleep(n.ctx, sweepInterval) {
+		n.pool.Sweep()
+		if t := n.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
+			n.idle.closeOlder(t.Limits.IdleTimeout)
+		}
+	}
+}
+
+// Stop ends the node gracefully: the balancer is told first, the zone is given
+// up, and requests in progress are answered while there is time.
+func (n *Node) Stop() {
+	event.EntryStopping.Log(n.log).Int64("in_flight", n.inFlight.Load()).Send()
+	began := time.Now()
+	n.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTime-stopMargin)
+	defer cancel()
+	n.owner.Resign(ctx)
+	n.links.leave()
+	for ctx.Err() == nil {
+		noticed := n.denials.Load() >= requiredDenials && time.Since(began) > stopNotice/4 || time.Since(began) > stopNotice
+		if noticed && n.inFlight.Load() == 0 {
+			break
+		}
+		if noticed {
+			n.idle.closeOlder(0)
+		}
+		sleep(ctx, stopPoll)
+	}
+	cut := n.inFlight.Load()
+	n.cancelHard()
+	n.settle()
+	event.EntryStopped.Log(n.log).Int64("cut", cut).Dur("after_ms", time.Since(began)).Send()
+	n.cancel()
+	for _, s := range []*http.Server{n.clients, n.readiness, n.inner} {
+		_ = s.Close()
+	}
+}
+
+// settle gives the requests that were cut off the time to answer.
+func (n *Node) settle() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	for n.inFlight.Load() > 0 && sleep(ctx, stopPoll/5) {
+	}
+	_ = n.clients.Shutdown(ctx) // what is left is cut off by Close
+}
+
+// idleConns are the connections of clients that wait for the next request.
+type idleConns struct {
+	mu    sync.Mutex // guards since
+	since map[net.Conn]time.Time
+}
+
+func newIdleConns() *idleConns { return &idleConns{since: map[net.Conn]time.Time{}} }
+
+func (i *idleConns) track(c net.Conn, s http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if s == http.StateIdle {
+		i.since[c] = time.Now()
+		return
+	}
+	delete(i.since, c)
+}
+
+// closeOlder closes the connections that are idle for longer than d.
+func (i *idleConns) closeOlder(d time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, since := range i.since {
+		if time.Since(since) > d {
+			_ = c.Close()
+			delete(i.since, c)
+		}
+	}
+}
+
+// Reload takes over the bounds of new settings. Addresses stay as they were at
+// the start.
+func (n *Node) Reload(s *Settings) {
+	n.bounds.Store(&s.Bounds)
+	event.EntryReloaded.Log(n.log).Send()
+}
--- /dev/null
+++ b/pkg/entry/place.go
@@ -0,0 +1,261 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/pkg/fault"
+	"almondturn/pkg/inventory"
+	"almondturn/wire"
+)
+
+// Times of the search for a place.
+const (
+	// ownerWait is how long a request waits for the owner of a zone when
+	// none is connected.
+	ownerWait = 150 * time.Millisecond
+	// leastRun is the time that must be left for a run.
+	leastRun = 200 * time.Millisecond
+	// defaultRetry is when a refused request is worth another try.
+	defaultRetry = 600 * time.Millisecond
+)
+
+// place is a target that a request may be sent to.
+type place struct {
+	target *inventory.Target
+	// zone and run identify the grant of the owner of the zone; run is 0
+	// for targets that were chosen without an owner.
+	zone fleet.Zone
+	run  uint64
+}
+
+// refusal is an error with the time after which the client may come back.
+type refusal struct {
+	*fault.Error
+	after time.Duration
+}
+
+func refuse(kind fault.Kind, after time.Duration, format string, args ...any) *refusal {
+	return &refusal{fault.New(kind, format, args...), after}
+}
+
+// plainPlace chooses a target of a plain service.
+func (n *Node) plainPlace(j *job) (place, *refusal) {
+	candidates := n.view.Load().Service(j.service)
+	t := n.loads.begin(time.Now(), candidates, n.self.Zone, j.exclude)
+	if t == nil && len(j.exclude) > 0 && j.idempotent() {
+		t = n.loads.begin(time.Now(), candidates, n.self.Zone, nil)
+	}
+	if t == nil {
+		return place{}, refuse(fault.NoReplica, defaultRetry, "no target of the service %q is left", j.service)
+	}
+	return place{target: t, zone: t.Zone}, nil
+}
+
+// enginePlace waits for a place at a target that has the model loaded.
+func (n *Node) enginePlace(ctx context.Context, j *job) (place, *refusal) {
+	for {
+		p, ref, asked := n.askOwners(ctx, j)
+		if ref != nil || p.target != nil {
+			return p, ref
+		}
+		if !asked {
+			if p, ok := n.withoutOwner(j); ok {
+				return p, nil
+			}
+		}
+		left := time.Until(j.deadline)
+		if ctx.Err() != nil || left < leastRun || time.Since(j.arrived) > j.patience() {
+			return place{}, refuse(fault.NoCapacity, defaultRetry, "no owner of a zone gives a place for the model %q", j.info.Model)
+		}
+		n.awaitOwner(ctx)
+	}
+}
+
+// askOwners asks the owners of the zones one after the other, and the first
+// one again when all others refuse. asked is false when none answered.
+func (n *Node) askOwners(ctx context.Context, j *job) (p place, ref *refusal, asked bool) {
+	zones := n.zoneOrder(j)
+	var reached []fleet.Zone
+	for _, zone := range zones {
+		placed, err := n.links.place(ctx, zone, n.placeMessage(j, false))
+		if err != nil || placed.Refusal == wire.PlaceNotOwner {
+			continue
+		}
+		reached = append(reached, zone)
+		if placed.Refusal == wire.PlaceElsewhere {
+			continue
+		}
+		p, ref = n.accept(j, zone, placed)
+		return p, ref, true
+	}
+	for _, zone := range reached {
+		placed, err := n.links.place(ctx, zone, n.placeMessage(j, true))
+		if err != nil || placed.Refusal == wire.PlaceNotOwner {
+			continue
+		}
+		p, ref = n.accept(j, zone, placed)
+		return p, ref, true
+	}
+	return place{}, nil, len(reached) > 0
+}
+
+// accept turns an owner's answer into a place or a refusal. Neither comes of
+// a grant at a target that this node does not know yet.
+func (n *Node) accept(j *job, zone fleet.Zone, placed *wire.Placed) (place, *refusal) {
+	if placed.Refusal != wire.PlaceGranted {
+		after := max(time.Duration(placed.RetryAfterMillis)*time.Millisecond, defaultRetry/2)
+		return place{}, refuse(fault.Overloaded, after, "the model %q cannot be served in time", j.info.Model)
+	}
+	t := n.view.Load().Target(placed.Target)
+	if t == nil {
+		n.links.ended(zone, &wire.RunEnded{Run: placed.Run, Outcome: wire.RunUnused})
+		j.exclude = append(j.exclude, placed.Target)
+		return place{}, nil
+	}
+	n.startRun(zone, placed.Run, t, j)
+	return place{target: t, zone: zone, run: placed.Run}, nil
+}
+
+func (n *Node) placeMessage(j *job, last bool) *wire.Place {
+	now := time.Now()
+	return &wire.Place{
+		RequestID: j.info.ID, Service: j.service, Model: j.info.Model, Adapter: j.info.Adapter,
+		InputTokens: j.info.InputTokens, OutputTokens: j.info.OutputTokens, Priority: j.route.Priority,
+		ObjectiveMillis: j.arrived.Add(j.route.Objective).Sub(now).Milliseconds(),
+		DeadlineMillis:  j.deadline.Sub(now).Milliseconds(),
+		Exclude:         j.exclude, LastResort: last,
+	}
+}
+
+// zoneRank orders the zones for one request; lower goes first.
+type zoneRank struct {
+	zone   fleet.Zone
+	class  int
+	weight uint64
+}
+
+// Classes of zoneRank.
+const (
+	loadedHere = iota
+	loadedThere
+	copyKept
+	noCopy
+	noOrders
+)
+
+// zoneOrder returns the zones in the order in which a request asks them: the
+// own zone if the model is loaded there, other zones with the model, zones
+// with a copy of its weights. Requests for one model that is not loaded go to
+// the same zone from all nodes, so that they wait for one load.
+func (n *Node) zoneOrder(j *job) []fleet.Zone {
+	key := j.service + "/" + j.info.Model
+	ranks := make([]zoneRank, 0, len(n.settings.Zones))
+	copies := n.zonesWithCopy(j)
+	for _, zone := range n.settings.Zones {
+		r := zoneRank{zone: zone, class: noCopy, weight: fleet.Weight(fleet.NodeID(zone), key)}
+		state := n.links.state(zone)
+		switch {
+		case state != nil && slices.Contains(state.Loaded[j.service], j.info.Model):
+			r.class = loadedThere
+			if zone == n.self.Zone {
+				r.class = loadedHere
+			}
+		case state == nil || state.OrdersAfterMillis > 0:
+			r.class = noOrders
+		case copies[zone]:
+			r.class = copyKept
+		}
+		ranks = append(ranks, r)
+	}
+	slices.SortFunc(ranks, func(a, b zoneRank) int {
+		switch {
+		case a.class != b.class:
+			return a.class - b.class
+		case a.weight > b.weight:
+			return -1
+		case a.weight < b.weight:
+			return 1
+		}
+		return 0
+	})
+	out := make([]fleet.Zone, len(ranks))
+	for i, r := range ranks {
+		out[i] = r.zone
+	}
+	return out
+}
+
+func (n *Node) zonesWithCopy(j *job) map[fleet.Zone]bool {
+	out := map[fleet.Zone]bool{}
+	for _, t := range n.view.Load().Service(j.service) {
+		if !t.Draining && t.HasCopy(j.info.Model) {
+			out[t.Zone] = true
+		}
+	}
+	return out
+}
+
+// withoutOwner chooses among the targets that were last said to have the
+// model loaded; it keeps a zone serving that no owner can be reached for.
+func (n *Node) withoutOwner(j *job) (place, bool) {
+	var candidates []*inventory.Target
+	for _, t := range n.view.Load().Service(j.service) {
+		if t.Has(j.info.Model, j.info.Adapter) {
+			candidates = append(candidates, t)
+		}
+	}
+	t := n.loads.begin(time.Now(), candidates, n.self.Zone, j.exclude)
+	if t == nil {
+		return place{}, false
+	}
+	return place{target: t, zone: t.Zone}, true
+}
+
+// awaitOwner waits until an owner changes, for a short time.
+func (n *Node) awaitOwner(ctx context.Context) {
+	_, changed := n.links.link(n.self.Zone)
+	t := time.NewTimer(ownerWait)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// startRun records a run, so that a new owner of the zone can be told of it.
+func (n *Node) startRun(zone fleet.Zone, run uint64, t *inventory.Target, j *job) {
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	n.runs[run] = runAt{zone, wire.Run{Run: run, Target: t.ID, Model: j.info.Model, Adapter: j.info.Adapter, Tokens: j.info.InputTokens + j.info.OutputTokens}}
+}
+
+// endRun gives a place back.
+func (n *Node) endRun(p place, outcome wire.RunOutcome) {
+	n.runsMu.Lock()
+	delete(n.runs, p.run)
+	n.runsMu.Unlock()
+	n.links.ended(p.zone, &wire.RunEnded{Run: p.run, Outcome: outcome})
+}
+
+// runAt is a run at a target of a zone.
+type runAt struct {
+	zone fleet.Zone
+	run  wire.Run
+}
+
+// runsIn returns the runs at targets of a zone.
+func (n *Node) runsIn(zone fleet.Zone) *wire.Runs {
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	m := new(wire.Runs)
+	for _, r := range n.runs {
+		if r.zone == zone {
+			m.Runs = append(m.Runs, r.run)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/pkg/entry/serve.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"almondturn/pkg/fault"
+)
+
+// defaultBodyBytes bounds a body while no configuration is known.
+const defaultBodyBytes = 4 << 20
+
+// ServeHTTP takes a request of a client.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	a := &answer{w: w, r: r, rc: http.NewResponseController(w), protocol: n.protocol, closing: n.stopping.Load()}
+	j, ref := n.accepted(r)
+	if ref == nil {
+		ref = n.readBody(r, j)
+	}
+	if ref != nil {
+		a.refuse(ref)
+		n.metrics.refused(ref.Kind)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	defer cancel()
+	stop := context.AfterFunc(n.hardStop, cancel)
+	defer stop()
+	n.do(ctx, j, a)
+}
+
+// accepted finds the route of a request and reads what it says of itself.
+func (n *Node) accepted(r *http.Request) (*job, *refusal) {
+	table := n.table.Load()
+	if table == nil || n.view.Load() == nil {
+		return nil, refuse(fault.NotReady, defaultRetry, "the configuration is not known yet")
+	}
+	uri := requestURI(r)
+	path, _, _ := strings.Cut(uri, "?")
+	rt := table.Match(r.Host, path)
+	if rt == nil {
+		return nil, refuse(fault.UnknownPath, 0, "no route for host %q and path %q", r.Host, path)
+	}
+	j := &job{
+		info: n.protocol.Request(r.Header), route: rt, table: table,
+		method: r.Method, path: uri, host: r.Host, header: r.Header, arrived: time.Now(),
+	}
+	if j.info.ID == "" {
+		return nil, refuse(fault.BadRequest, 0, "the request has no identifier")
+	}
+	j.service = rt.Service(hashOf(j.info.ID))
+	j.engine = isEngine(table, j.service)
+	j.lastEvent = j.info.LastEvent
+	j.deadline = j.arrived.Add(j.timeout())
+	return j, nil
+}
+
+// timeout is the time that the client waits, or the route allows.
+func (j *job) timeout() time.Duration {
+	switch {
+	case j.info.Deadline <= 0:
+		return j.route.Timeout
+	case j.route.Timeout <= 0:
+		return j.info.Deadline
+	default:
+		return min(j.info.Deadline, j.route.Timeout)
+	}
+}
+
+// requestURI returns the path and query as the client sent them.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// readBody reads the whole body, so that a send does not depend on the client.
+func (n *Node) readBody(r *http.Request, j *job) *refusal {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	limit := j.table.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > limit {
+		return refuse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit)
+	}
+	if r.ContentLength > 0 {
+		j.body = make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, j.body); err != nil {
+			panic(http.ErrAbortHandler) // the client broke off
+		}
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refuse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	j.body = body
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/state.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+
+	"almondturn/fleet"
+	"almondturn/pkg/event"
+	"almondturn/pkg/inventory"
+	kv "almondturn/pkg/platform"
+	"almondturn/pkg/route"
+	"almondturn/pkg/zoneowner"
+)
+
+// Decoder reads what the platform keeps in its key-value service.
+type Decoder struct {
+	ConfigurationKey string
+	TargetPrefix     string
+	Configuration    func(value []byte, revision uint64) (*route.Table, error)
+	Target           func(key string, value []byte) (*inventory.Target, error)
+}
+
+// resetConfiguration takes the configuration from a list.
+func (n *Node) resetConfiguration(entries []kv.Entry) {
+	for _, e := range entries {
+		if e.Key == n.decoder.ConfigurationKey {
+			n.setConfiguration(e)
+		}
+	}
+}
+
+func (n *Node) changeConfiguration(events []kv.WatchEvent) {
+	for _, e := range events {
+		if e.Entry.Key == n.decoder.ConfigurationKey && !e.Deleted {
+			n.setConfiguration(e.Entry)
+		}
+	}
+}
+
+// setConfiguration puts a configuration in force unless a newer one is.
+func (n *Node) setConfiguration(e kv.Entry) {
+	current := n.table.Load()
+	if current != nil && uint64(e.ModRevision) <= current.Revision {
+		return
+	}
+	t, err := n.decoder.Configuration(e.Value, uint64(e.ModRevision))
+	if err != nil {
+		event.ConfigurationInvalid.Log(n.log).Err(err).Send()
+		return
+	}
+	n.table.Store(t)
+	n.owner.SetTable(t)
+	event.ConfigurationInForce.Log(n.log).Int64("version", t.Version).Uint64("revision", t.Revision).Send()
+	n.checkReady()
+}
+
+// version returns the version of the configuration in force, 0 for none.
+func (n *Node) version() int64 {
+	if t := n.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// resetTargets replaces the list of targets.
+func (n *Node) resetTargets(entries []kv.Entry) {
+	n.targets = make(map[string]*inventory.Target, len(entries))
+	for _, e := range entries {
+		n.setTarget(e)
+	}
+	n.publishTargets()
+}
+
+func (n *Node) changeTargets(events []kv.WatchEvent) {
+	for _, e := range events {
+		if e.Deleted {
+			delete(n.targets, e.Entry.Key)
+			continue
+		}
+		n.setTarget(e.Entry)
+	}
+	n.publishTargets()
+}
+
+func (n *Node) setTarget(e kv.Entry) {
+	t, err := n.decoder.Target(e.Key, e.Value)
+	if err != nil {
+		delete(n.targets, e.Key)
+		event.TargetEntryInvalid.Log(n.log).Err(err).Send()
+		return
+	}
+	n.targets[e.Key] = t
+}
+
+// publishTargets puts the list in force and logs who came and who leaves.
+func (n *Node) publishTargets() {
+	list := make([]*inventory.Target, 0, len(n.targets))
+	for _, t := range n.targets {
+		list = append(list, t)
+	}
+	before := n.view.Load()
+	after := inventory.NewView(list)
+	n.view.Store(after)
+	n.owner.SetView(after)
+	n.logTargets(before, after)
+	n.checkReady()
+}
+
+func (n *Node) logTargets(before, after *inventory.View) {
+	if before == nil {
+		before = inventory.NewView(nil)
+	}
+	after.All(func(t *inventory.Target) {
+		old := before.Target(t.ID)
+		switch {
+		case old == nil || old.Incarnation != t.Incarnation:
+			event.TargetStarted.Log(n.log).Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Send()
+		case t.Draining && !old.Draining:
+			event.TargetDraining.Log(n.log).Str("target", t.ID).Send()
+		}
+	})
+	before.All(func(t *inventory.Target) {
+		if after.Target(t.ID) == nil {
+			event.TargetGone.Log(n.log).Str("target", t.ID).Send()
+			n.pool.Forget(t.Addr)
+			n.loads.forget(t.ID)
+		}
+	})
+}
+
+// resetOwners takes the owners of all zones from a list.
+func (n *Node) resetOwners(entries []kv.Entry) {
+	seen := map[fleet.Zone]bool{}
+	for _, e := range entries {
+		if zone, ok := ownerZone(e.Key); ok {
+			seen[zone] = true
+			n.setOwner(zone, e)
+		}
+	}
+	for _, zone := range n.settings.Zones {
+		if !seen[zone] {
+			n.setOwner(zone, kv.Entry{})
+		}
+	}
+}
+
+func (n *Node) changeOwners(events []kv.WatchEvent) {
+	for _, e := range events {
+		zone, ok := ownerZone(e.Entry.Key)
+		switch {
+		case !ok:
+		case e.Deleted:
+			n.setOwner(zone, kv.Entry{})
+		default:
+			n.setOwner(zone, e.Entry)
+		}
+	}
+}
+
+// setOwner records the owner of a zone; an entry without a key tells that
+// there is none.
+func (n *Node) setOwner(zone fleet.Zone, e kv.Entry) {
+	var r zoneowner.OwnerRecord
+	if e.Key != "" {
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			event.TargetEntryInvalid.Log(n.log).Str("key", e.Key).Err(err).Send()
+			return
+		}
+	}
+	if zone == n.settings.Zone {
+		n.owner.ObserveKey(r, e.ModRevision)
+	}
+	if r.Addr != "" {
+		event.ZoneOwnerChanged.Log(n.log).Str("zone", string(zone)).Str("node", string(r.Node)).Uint64("token", uint64(e.ModRevision)).Send()
+		n.links.setOwner(zone, r, uint64(e.ModRevision))
+	}
+}
+
+func ownerZone(key string) (fleet.Zone, bool) {
+	rest, ok := strings.CutPrefix(key, zoneowner.KeyPrefix)
+	if !ok {
+		return "", false
+	}
+	zone, ok := strings.CutSuffix(rest, "/owner")
+	return fleet.Zone(zone), ok
+}
--- /dev/null
+++ b/pkg/entry/watch.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"almondturn/pkg/event"
+	kv "almondturn/pkg/platform"
+)
+
+// Store is the part of the key-value service that the watches need.
+type Store interface {
+	List(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error)
+	// Changes waits up to wait for changes after a revision, and returns the
+	// revision to continue from.
+	Changes(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.WatchEvent, kv.Revision, error)
+}
+
+// Times of a watch.
+const (
+	// watchWait is the longest time that one call waits for changes.
+	watchWait = 15 * time.Second
+	// watchRetry is the wait after a call that failed.
+	watchRetry = 200 * time.Millisecond
+)
+
+// watch keeps a copy of the entries below a prefix up to date.
+type watch struct {
+	store  Store
+	prefix string
+	// pause is the wait between two calls, so that changes are fetched together.
+	pause time.Duration
+	// reset gets all entries, changed gets single changes, in order.
+	reset   func([]kv.Entry)
+	changed func([]kv.WatchEvent)
+	node    *Node
+	refresh chan struct{}
+}
+
+// run follows the prefix until ctx ends.
+func (w *watch) run(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		err := w.follow(ctx, &lost)
+		if errors.Is(err, kv.ErrCompacted) || ctx.Err() != nil {
+			continue // list again at once
+		}
+		if !lost {
+			lost = true
+			event.StoreLost.Log(w.node.log).Str("prefix", w.prefix).Err(err).Send()
+		}
+		sleep(ctx, watchRetry)
+	}
+}
+
+// follow lists the prefix and then fetches changes until a call fails.
+func (w *watch) follow(ctx context.Context, lost *bool) error {
+	entries, revision, err := w.store.List(ctx, w.prefix)
+	if err != nil {
+		return err
+	}
+	if *lost {
+		*lost = false
+		event.StoreRegained.Log(w.node.log).Str("prefix", w.prefix).Send()
+	}
+	w.reset(entries)
+	for {
+		events, next, err := w.fetch(ctx, revision)
+		if err != nil {
+			return err
+		}
+		if len(events) > 0 {
+			w.changed(events)
+			sleep(ctx, w.pause)
+		}
+		revision = max(revision, next)
+	}
+}
+
+// errRefresh asks for a new list.
+var errRefresh = errors.New("a newer state is known")
+
+// fetch waits for changes; a request to refresh ends the wait.
+func (w *watch) fetch(ctx context.Context, after kv.Revision) ([]kv.WatchEvent, kv.Revision, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-w.refresh:
+			cancel(errRefresh)
+		case <-stop:
+		}
+	}()
+	return w.store.Changes(ctx, w.prefix, after, watchWait)
+}
+
+// renew has the prefix listed again.
+func (w *watch) renew() {
+	select {
+	case w.refresh <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/logsink/logsink.go
@@ -0,0 +1,98 @@
+// Package logsink writes log lines from a queue, so that an output that is
+// not read never blocks the work that is logged.
+package logsink
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// queueLines is the number of lines that may wait to be written; more
+	// are dropped and counted.
+	queueLines = 2048
+	// batchBytes is the size above which waiting lines are written at once.
+	batchBytes = 32 << 10
+)
+
+// Sink is an io.Writer for whole lines.
+type Sink struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Uint64
+	report  atomic.Pointer[func(uint64)]
+	done    chan struct{}
+}
+
+// New returns a Sink that writes to out. Close ends it.
+func New(out io.Writer) *Sink {
+	s := &Sink{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+// Report sets the function that is told how many lines were dropped, once
+// the output is read again.
+func (s *Sink) Report(f func(dropped uint64)) { s.report.Store(&f) }
+
+// Write queues one line. It never blocks and never fails.
+func (s *Sink) Write(line []byte) (int, error) {
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped and not reported yet.
+func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
+
+// Close writes what waits. Lines that are written later are lost.
+func (s *Sink) Close() {
+	s.lines <- nil
+	<-s.done
+}
+
+func (s *Sink) run() {
+	defer close(s.done)
+	var batch []byte
+	for line := range s.lines {
+		if line == nil {
+			return
+		}
+		batch = append(batch[:0], line...)
+		last := s.gather(&batch)
+		_, _ = s.out.Write(batch) // nothing is left to tell of a broken output
+		if last {
+			return
+		}
+		s.reportDropped()
+	}
+}
+
+// gather adds the lines that wait already; true tells that the sink is closed.
+func (s *Sink) gather(batch *[]byte) bool {
+	for len(*batch) < batchBytes {
+		select {
+		case line := <-s.lines:
+			if line == nil {
+				return true
+			}
+			*batch = append(*batch, line...)
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+func (s *Sink) reportDropped() {
+	report := s.report.Load()
+	if report == nil {
+		return
+	}
+	if n := s.dropped.Swap(0); n > 0 {
+		(*report)(n)
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/grant.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// cacheShare is the part of a target's cache that runs may fill by their
+// expected sizes; the rest is for answers that grow longer.
+const cacheShare = 0.9
+
+// grant gives places to waiting requests, the most urgent first.
+func (s *Scheduler) grant(now time.Time, order []*queue) {
+	targets := s.sortedTargets()
+	for _, q := range order {
+		for _, w := range slices.Clone(q.waiters) {
+			t := s.choose(now, targets, w)
+			if t != nil {
+				s.grantTo(now, w, t)
+				continue
+			}
+			if len(w.Exclude) == 0 {
+				break // those behind it find no place either
+			}
+		}
+	}
+}
+
+// choose returns the target with the fewest runs that can take the request.
+func (s *Scheduler) choose(now time.Time, targets []*target, w *waiter) *target {
+	var best *target
+	for _, t := range targets {
+		if t.info.Service != w.Service || !s.fits(now, t, w) || slices.Contains(w.Exclude, t.info.ID) {
+			continue
+		}
+		if best == nil || t.runs < best.runs {
+			best = t
+		}
+	}
+	return best
+}
+
+// fits tells whether the request can begin at the target now.
+func (s *Scheduler) fits(now time.Time, t *target, w *waiter) bool {
+	if !t.healthy(now) || now.Before(t.busyUntil) || !t.has(now, w.Model, w.Adapter) {
+		return false
+	}
+	e := s.services[w.Service].Engine
+	if t.runs >= s.slots(t) {
+		return false
+	}
+	return t.runs == 0 || float64(t.tokens+w.tokens()) <= cacheShare*float64(e.CacheTokens)
+}
+
+// slots returns the number of requests that the target runs at once.
+func (s *Scheduler) slots(t *target) int {
+	if svc := s.services[t.info.Service]; svc != nil && svc.Engine != nil && svc.Engine.Slots > 0 {
+		return svc.Engine.Slots
+	}
+	return t.info.Slots
+}
+
+func (w *waiter) tokens() int { return w.InputTokens + w.OutputTokens }
+
+func (s *Scheduler) grantTo(now time.Time, w *waiter, t *target) {
+	s.lastRun++
+	r := &run{
+		id: s.lastRun, node: w.Node, target: t.info.ID, model: w.Model, adapter: w.Adapter,
+		tokens: w.tokens(), since: now,
+	}
+	s.runs[r.id] = r
+	t.occupy(now, r)
+	s.remove(w)
+	s.emit(Grant{Ticket: w.ticket, Run: r.id, Target: t.info.ID, Waited: now.Sub(w.since)})
+}
--- /dev/null
+++ b/pkg/scheduler/load.go
@@ -0,0 +1,325 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"almondturn/pkg/route"
+)
+
+// Source is where the weights of a load come from.
+type Source uint8
+
+// The sources, the fastest first.
+const (
+	FromMemory Source = iota + 1
+	FromDisk
+	FromStore
+)
+
+// Thresholds of placement.
+const (
+	// crowded is the part of its slots above which a model gets another replica.
+	crowded = 0.75
+	// spareRoom is the part of the other replicas' slots that a model's runs
+	// must fit into for one replica to count as surplus.
+	spareRoom = 0.5
+	// closeAfter is how long a request waits before replicas with runs are
+	// closed to make room for it.
+	closeAfter = 300 * time.Millisecond
+	// runEstimate is the expected time until a closing replica is empty.
+	runEstimate = 1500 * time.Millisecond
+	// surplusWeight scales the value of a surplus replica.
+	surplusWeight = 0.05
+)
+
+// state sums up a model's replicas in the zone.
+type state struct {
+	usable, runs, coming int
+}
+
+func (s *Scheduler) state(now time.Time, k modelKey) state {
+	var st state
+	for _, t := range s.targets {
+		if t.info.Service != k.service || !t.healthy(now) {
+			continue
+		}
+		if r := t.replicas[k.model]; r != nil && !r.closing {
+			st.usable++
+			st.runs += r.runs
+			continue
+		}
+		if t.plan != nil && t.plan.model == k.model {
+			st.coming++
+		}
+	}
+	return st
+}
+
+// loadModels begins a load for each queue whose requests find no place.
+func (s *Scheduler) loadModels(now time.Time, order []*queue) {
+	for _, q := range order {
+		if len(q.waiters) == 0 {
+			continue
+		}
+		k := q.key.modelKey()
+		st := s.state(now, k)
+		if st.coming > 0 || st.usable > 0 && (q.key.adapter != "" || s.hasRoom(now, k)) {
+			continue
+		}
+		s.beginLoad(now, k, now.Sub(q.waiters[0].since) >= closeAfter)
+	}
+}
+
+// hasRoom tells whether one of the model's replicas takes another run.
+func (s *Scheduler) hasRoom(now time.Time, k modelKey) bool {
+	for _, t := range s.targets {
+		if t.info.Service == k.service && t.healthy(now) && t.has(now, k.model, "") && t.runs < s.slots(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// scaleOut loads another replica of models whose replicas are crowded.
+func (s *Scheduler) scaleOut(now time.Time) {
+	seen := map[modelKey]bool{}
+	for _, t := range s.sortedTargets() {
+		for model := range t.replicas {
+			seen[modelKey{t.info.Service, model}] = true
+		}
+	}
+	keys := make([]modelKey, 0, len(seen))
+	for k := range seen {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b modelKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model))
+	})
+	for _, k := range keys {
+		st := s.state(now, k)
+		svc := s.services[k.service]
+		if st.usable == 0 || st.coming > 0 || svc == nil || svc.Engine == nil {
+			continue
+		}
+		if float64(st.runs) > crowded*float64(svc.Engine.Slots*st.usable) {
+			s.beginLoad(now, k, false)
+		}
+	}
+}
+
+// candidate is one way to load a model.
+type candidate struct {
+	t       *target
+	source  Source
+	time    time.Duration
+	victims []string
+	cost    float64
+}
+
+// beginLoad chooses where to load the model and begins to make room. With
+// closing, replicas with runs may be closed for it.
+func (s *Scheduler) beginLoad(now time.Time, k modelKey, closing bool) {
+	svc := s.services[k.service]
+	if svc == nil || svc.Engine == nil {
+		return
+	}
+	m := svc.Engine.Models[k.model]
+	if m == nil || m.WeightsMB > svc.Engine.WeightsMB {
+		return
+	}
+	copies := s.copies(now, k)
+	best, ok := s.bestCandidate(now, k, m, svc.Engine, copies, false)
+	if !ok && closing {
+		best, ok = s.bestCandidate(now, k, m, svc.Engine, copies, true)
+	}
+	if !ok {
+		return
+	}
+	best.t.plan = &plan{model: k.model, source: best.source, victims: best.victims, since: now}
+	for _, v := range best.victims {
+		best.t.replicas[v].closing = true
+	}
+	s.continueOrder(now, best.t)
+}
+
+// copies returns the number of healthy targets that keep a copy of the model.
+func (s *Scheduler) copies(now time.Time, k modelKey) int {
+	n := 0
+	for _, t := range s.targets {
+		if t.info.Service == k.service && t.healthy(now) && t.info.HasCopy(k.model) {
+			n++
+		}
+	}
+	return n
+}
+
+// bestCandidate returns the cheapest target for the model. Targets without a
+// copy come into question only when no target has one.
+func (s *Scheduler) bestCandidate(now time.Time, k modelKey, m *route.Model, e *route.Engine, copies int, closing bool) (candidate, bool) {
+	var best candidate
+	found := false
+	for _, t := range s.sortedTargets() {
+		if t.info.Service != k.service || !t.healthy(now) || t.phase != idle || t.plan != nil || t.replicas[k.model] != nil {
+			continue
+		}
+		c := candidate{t: t}
+		c.source, c.time = sourceOf(t, m)
+		if c.source == FromStore && (copies > 0 || !s.store.allows(now, e, s.zones)) {
+			continue
+		}
+		if !s.makeRoom(now, &c, m, e, closing) {
+			continue
+		}
+		if !found || c.cost < best.cost {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// sourceOf returns where the target takes the weights from, and how long a
+// load takes.
+func sourceOf(t *target, m *route.Model) (Source, time.Duration) {
+	switch {
+	case slices.Contains(t.info.InMemory, m.Name):
+		return FromMemory, m.MemoryTime
+	case slices.Contains(t.info.OnDisk, m.Name):
+		return FromDisk, m.DiskTime
+	default:
+		return FromStore, m.LoadTime
+	}
+}
+
+// victim is a replica that may be unloaded.
+type victim struct {
+	model    string
+	value    float64
+	lastUsed time.Time
+	mb       float64
+}
+
+// makeRoom chooses the replicas to unload, the least valuable first, and
+// sets the candidate's cost in seconds.
+func (s *Scheduler) makeRoom(now time.Time, c *candidate, m *route.Model, e *route.Engine, closing bool) bool {
+	c.cost = c.time.Seconds()
+	missing := m.WeightsMB - (e.WeightsMB - c.t.usedMB(e))
+	if missing <= 0 {
+		return true
+	}
+	for _, v := range s.victims(now, c.t, m, e, closing) {
+		c.victims = append(c.victims, v.model)
+		c.cost += v.value
+		missing -= v.mb
+		if missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) victims(now time.Time, t *target, m *route.Model, e *route.Engine, closing bool) []victim {
+	wanted := s.demandOf(modelKey{t.info.Service, m.Name}).perSecond(now)
+	var out []victim
+	for name, r := range t.replicas {
+		if r.closing || r.runs > 0 && !closing || s.isAwaited(t.info.Service, name) {
+			continue
+		}
+		k := modelKey{t.info.Service, name}
+		value := s.value(now, k, e)
+		if r.runs > 0 {
+			if value > wanted {
+				continue // more wanted than what it would make room for
+			}
+			value += runEstimate.Seconds()
+		}
+		mb := float64(len(r.adapters))*e.Models[name].AdapterMB + e.Models[name].WeightsMB
+		out = append(out, victim{model: name, value: value, lastUsed: r.lastUsed, mb: mb})
+	}
+	slices.SortFunc(out, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.value, b.value), a.lastUsed.Compare(b.lastUsed), cmp.Compare(a.model, b.model))
+	})
+	return out
+}
+
+// isAwaited tells whether requests wait for the model.
+func (s *Scheduler) isAwaited(service, model string) bool {
+	for k := range s.queues {
+		if k.service == service && k.model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// value estimates what the loss of one replica costs, in requests per second
+// that would have to wait for a load.
+func (s *Scheduler) value(now time.Time, k modelKey, e *route.Engine) float64 {
+	rate := s.demandOf(k).perSecond(now)
+	st := s.state(now, k)
+	if st.usable > 1 && float64(st.runs) <= spareRoom*float64(e.Slots*(st.usable-1)) {
+		return surplusWeight * rate
+	}
+	return rate
+}
+
+// continueOrders sends the next order of each target that makes room.
+func (s *Scheduler) continueOrders(now time.Time) {
+	for _, t := range s.sortedTargets() {
+		if t.plan != nil && t.phase == idle {
+			s.continueOrder(now, t)
+		}
+	}
+}
+
+// continueOrder unloads the plan's next victim, or loads its model.
+func (s *Scheduler) continueOrder(now time.Time, t *target) {
+	if now.Before(t.quietUntil) || t.phase != idle {
+		return
+	}
+	p := t.plan
+	e := s.services[t.info.Service].Engine
+	if e == nil || t.info.Draining || t.replicas[p.model] != nil {
+		t.abandonPlan()
+		return
+	}
+	for _, v := range p.victims {
+		r := t.replicas[v]
+		if r == nil {
+			continue
+		}
+		if r.runs == 0 {
+			s.send(now, t, Order{Operation: Unload, Model: v}, 0)
+		}
+		return
+	}
+	m := e.Models[p.model]
+	if m == nil || t.usedMB(e)+m.WeightsMB > e.WeightsMB {
+		t.abandonPlan()
+		return
+	}
+	source, d := sourceOf(t, m)
+	if source == FromStore {
+		if !s.store.allows(now, e, s.zones) {
+			return
+		}
+		s.store.begin(now, d)
+	}
+	s.send(now, t, Order{Operation: Load, Model: p.model, Source: source}, d)
+}
+
+// abandonPlan opens the replicas that were to make room.
+func (t *target) abandonPlan() {
+	for _, r := range t.replicas {
+		r.closing = false
+	}
+	t.plan = nil
+}
+
+func (s *Scheduler) send(now time.Time, t *target, o Order, expected time.Duration) {
+	o.Target, o.Sequence = t.info.ID, t.sequence
+	t.order, t.phase = &o, ordering
+	t.orderSince, t.expected = now, expected
+	s.emit(SendOrder{Order: o})
+}
--- /dev/null
+++ b/pkg/scheduler/names.go
@@ -0,0 +1,11 @@
+package scheduler
+
+// String returns the source's name, empty for none.
+func (s Source) String() string {
+	return [...]string{"", "memory", "disk", "store"}[s]
+}
+
+// String returns the result's name.
+func (r OrderResult) String() string {
+	return [...]string{"accepted", "done", "rejected", "unknown"}[r]
+}
--- /dev/null
+++ b/pkg/scheduler/refuse.go
@@ -0,0 +1,87 @@
+package scheduler
+
+import "time"
+
+// loadEstimate is the expected time from the choice of a target for a model
+// to the first free place, including the unload before it.
+const loadEstimate = time.Second
+
+// refuseHopeless refuses the requests that will not be served in time, and
+// those that another zone is likely to serve sooner.
+func (s *Scheduler) refuseHopeless(now time.Time, order []*queue) {
+	targets := 0
+	for _, t := range s.targets {
+		if t.healthy(now) {
+			targets++
+		}
+	}
+	ahead := 0
+	for _, q := range order {
+		if len(q.waiters) == 0 {
+			continue
+		}
+		k := q.key.modelKey()
+		st := s.state(now, k)
+		if st.usable > 0 || st.coming > 0 {
+			continue
+		}
+		ahead++
+		s.refuseCold(now, q, s.coldWait(now, ahead, targets), s.copies(now, k) == 0)
+	}
+}
+
+// coldWait estimates the time until the model of the queue at the given rank
+// is loaded.
+func (s *Scheduler) coldWait(now time.Time, rank, targets int) time.Duration {
+	if targets == 0 {
+		return time.Hour
+	}
+	wait := time.Duration(rank) * loadEstimate / time.Duration(targets)
+	if s.ordersFrom.After(now) {
+		wait += s.ordersFrom.Sub(now)
+	}
+	return max(wait, loadEstimate/2)
+}
+
+func (s *Scheduler) refuseCold(now time.Time, q *queue, wait time.Duration, noCopy bool) {
+	ready := now.Add(wait)
+	for _, w := range append([]*waiter(nil), q.waiters...) {
+		fresh := now.Sub(w.since) < loadEstimate/4
+		late := ready.After(w.Objective)
+		switch {
+		case !w.LastResort && fresh && (late || noCopy):
+			s.refuse(w, Elsewhere, 0)
+		case ready.After(w.Deadline.Add(-minimumRun)):
+			s.refuse(w, Overloaded, min(wait, 2*time.Second))
+		}
+	}
+}
+
+// Next returns when Step has to be called again if nothing else happens.
+func (s *Scheduler) Next(now time.Time) time.Time {
+	next := now.Add(time.Second)
+	consider := func(t time.Time) {
+		if t.After(now) && t.Before(next) {
+			next = t
+		}
+	}
+	consider(s.ordersFrom)
+	for _, t := range s.targets {
+		consider(t.reportAt)
+		consider(t.suspectUntil)
+		consider(t.busyUntil)
+		consider(t.quietUntil)
+		for _, r := range t.replicas {
+			for _, a := range r.adapters {
+				consider(a.readyAt)
+			}
+		}
+	}
+	if len(s.tickets) > 0 {
+		consider(now.Add(waitingStep))
+	}
+	return next
+}
+
+// waitingStep is the longest time between two steps while requests wait.
+const waitingStep = 100 * time.Millisecond
--- /dev/null
+++ b/pkg/scheduler/scheduler.go
@@ -0,0 +1,363 @@
+// Package scheduler decides, for the targets of one availability zone, which
+// request runs where, and which model is loaded or unloaded next. It does no
+// I/O and reads no clock: the owner of the zone feeds it with requests and
+// reports and carries out the actions that Step returns.
+package scheduler
+
+import (
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/route"
+)
+
+// Request asks for a place at a target that has a model loaded.
+type Request struct {
+	ID                        string
+	Node                      fleet.NodeID
+	Service, Model, Adapter   string
+	InputTokens, OutputTokens int
+	// Priority is the route's rank, 0 is the most urgent.
+	Priority int
+	// Objective is when the answer should begin, Deadline when the caller
+	// no longer waits.
+	Objective, Deadline time.Time
+	// Exclude lists targets that failed this request before.
+	Exclude []string
+	// LastResort tells that no other zone takes the request.
+	LastResort bool
+}
+
+// Ticket identifies a request that waits.
+type Ticket uint64
+
+// RunID identifies a granted request.
+type RunID uint64
+
+// Reason tells why a request is refused.
+type Reason uint8
+
+// The reasons of a refusal.
+const (
+	// Elsewhere: another zone is likely to serve the request sooner.
+	Elsewhere Reason = iota + 1
+	// Overloaded: the request cannot be served in time.
+	Overloaded
+)
+
+// Outcome tells how a run ended.
+type Outcome uint8
+
+// The outcomes of a run.
+const (
+	Completed Outcome = iota
+	// Failed: the target broke off or gave no whole answer.
+	Failed
+	// Unreachable: no connection to the target was established.
+	Unreachable
+	// NotLoaded: the target does not have the model or the adapter.
+	NotLoaded
+	// Busy: the target refused the request as full.
+	Busy
+	// Unused: the grant was not used.
+	Unused
+)
+
+// Operation is what an order does.
+type Operation uint8
+
+// The operations of an order.
+const (
+	Load Operation = iota + 1
+	Unload
+)
+
+// Order tells a target to load or unload a model, or an adapter of a model.
+type Order struct {
+	Target    string
+	Operation Operation
+	Model     string
+	Adapter   string
+	// Sequence is the number of orders that the target must have accepted
+	// before this one.
+	Sequence uint64
+	// Source is where the weights come from.
+	Source Source
+}
+
+// OrderResult is a target's answer to an order.
+type OrderResult uint8
+
+// The answers to an order.
+const (
+	OrderAccepted OrderResult = iota
+	// OrderDone: what the order asks for holds already.
+	OrderDone
+	// OrderRejected: nothing was done.
+	OrderRejected
+	// OrderUnknown: the order may have been accepted, or may be later.
+	OrderUnknown
+)
+
+// Action is one of Grant, Refusal, SendOrder and AskReport.
+type Action any
+
+// Grant lets a waiting request run at a target.
+type Grant struct {
+	Ticket Ticket
+	Run    RunID
+	Target string
+	// Waited is the time since Submit.
+	Waited time.Duration
+}
+
+// Refusal ends a waiting request.
+type Refusal struct {
+	Ticket     Ticket
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// SendOrder has an order sent; its result goes to Ordered.
+type SendOrder struct{ Order Order }
+
+// AskReport has a target asked for its state, which goes to Reported.
+type AskReport struct{ Target string }
+
+// Scheduler holds the state of one zone. It is not safe for concurrent use.
+type Scheduler struct {
+	services map[string]*route.Service
+	targets  map[string]*target
+	queues   map[queueKey]*queue
+	tickets  map[Ticket]*waiter
+	runs     map[RunID]*run
+	demand   map[modelKey]*demand
+	store    storeBudget
+
+	// ordersFrom is when the first order may be sent.
+	ordersFrom time.Time
+	// ordersUntil is when the permission to send orders ends.
+	ordersUntil time.Time
+	// zones is the number of zones that share the weight store.
+	zones int
+
+	lastTicket Ticket
+	lastRun    RunID
+	actions    []Action
+}
+
+// modelKey names a model of a service.
+type modelKey struct{ service, model string }
+
+// New returns a scheduler without targets. firstRun numbers the runs, so that
+// those of an earlier owner are told apart.
+func New(firstRun RunID) *Scheduler {
+	return &Scheduler{
+		services: map[string]*route.Service{},
+		targets:  map[string]*target{},
+		queues:   map[queueKey]*queue{},
+		tickets:  map[Ticket]*waiter{},
+		runs:     map[RunID]*run{},
+		demand:   map[modelKey]*demand{},
+		lastRun:  firstRun,
+		zones:    1,
+	}
+}
+
+// SetServices replaces the configuration of the services.
+func (s *Scheduler) SetServices(services map[string]*route.Service) { s.services = services }
+
+// SetZones sets the number of zones that share the weight store.
+func (s *Scheduler) SetZones(n int) { s.zones = max(n, 1) }
+
+// AllowOrders lets orders be sent from and until the given times.
+func (s *Scheduler) AllowOrders(from, until time.Time) { s.ordersFrom, s.ordersUntil = from, until }
+
+// mayOrder tells whether orders may be sent now.
+func (s *Scheduler) mayOrder(now time.Time) bool {
+	return !now.Before(s.ordersFrom) && now.Before(s.ordersUntil)
+}
+
+// SetTargets replaces the list of targets of the zone. What a target holds
+// is learned from its reports; the list tells of starts and departures.
+func (s *Scheduler) SetTargets(list []*inventory.Target) {
+	seen := make(map[string]bool, len(list))
+	for _, info := range list {
+		svc := s.services[info.Service]
+		if svc == nil || svc.Engine == nil {
+			continue
+		}
+		seen[info.ID] = true
+		t := s.targets[info.ID]
+		if t == nil || t.info.Incarnation != info.Incarnation {
+			t = newTarget(info)
+			s.dropRuns(info.ID)
+			s.targets[info.ID] = t
+		}
+		t.update(info)
+	}
+	for id := range s.targets {
+		if !seen[id] {
+			delete(s.targets, id)
+			s.dropRuns(id)
+		}
+	}
+}
+
+// dropRuns forgets the runs of a target that is gone; their ends may still
+// be told and are ignored.
+func (s *Scheduler) dropRuns(target string) {
+	for id, r := range s.runs {
+		if r.target == target {
+			delete(s.runs, id)
+		}
+	}
+}
+
+// Submit queues a request. The answer is an action of a later Step.
+func (s *Scheduler) Submit(now time.Time, r Request) Ticket {
+	s.lastTicket++
+	w := &waiter{Request: r, ticket: s.lastTicket, since: now}
+	s.tickets[w.ticket] = w
+	key := queueKey{r.Service, r.Model, r.Adapter}
+	q := s.queues[key]
+	if q == nil {
+		q = &queue{key: key}
+		s.queues[key] = q
+	}
+	q.add(w)
+	s.demandOf(key.modelKey()).add(now)
+	return w.ticket
+}
+
+// Cancel removes a request that no longer waits. It is not an error when the
+// request was granted or refused meanwhile.
+func (s *Scheduler) Cancel(t Ticket) {
+	w := s.tickets[t]
+	if w == nil {
+		return
+	}
+	s.remove(w)
+}
+
+func (s *Scheduler) remove(w *waiter) {
+	delete(s.tickets, w.ticket)
+	key := queueKey{w.Service, w.Model, w.Adapter}
+	q := s.queues[key]
+	q.remove(w)
+	if len(q.waiters) == 0 {
+		delete(s.queues, key)
+	}
+}
+
+// run is one granted request.
+type run struct {
+	id             RunID
+	node           fleet.NodeID
+	target         string
+	model, adapter string
+	tokens         int
+	since          time.Time
+}
+
+// Ended gives the place of a run back.
+func (s *Scheduler) Ended(now time.Time, id RunID, o Outcome) {
+	r := s.runs[id]
+	if r == nil {
+		return
+	}
+	delete(s.runs, id)
+	t := s.targets[r.target]
+	if t == nil {
+		return
+	}
+	t.release(now, r)
+	t.observe(now, r, o)
+}
+
+// AdoptRuns replaces the runs that a node has at the zone's targets; it tells
+// a new owner what is in progress.
+func (s *Scheduler) AdoptRuns(now time.Time, node fleet.NodeID, runs []AdoptedRun) {
+	s.DropNode(now, node)
+	for _, a := range runs {
+		t := s.targets[a.Target]
+		if t == nil {
+			continue
+		}
+		r := &run{id: a.Run, node: node, target: a.Target, model: a.Model, adapter: a.Adapter, tokens: a.Tokens, since: now}
+		s.runs[r.id] = r
+		t.occupy(now, r)
+	}
+}
+
+// AdoptedRun is a run that another owner has granted.
+type AdoptedRun struct {
+	Run                    RunID
+	Target, Model, Adapter string
+	Tokens                 int
+}
+
+// DropNode forgets the runs of a node that is gone.
+func (s *Scheduler) DropNode(now time.Time, node fleet.NodeID) {
+	for id, r := range s.runs {
+		if r.node != node {
+			continue
+		}
+		delete(s.runs, id)
+		if t := s.targets[r.target]; t != nil {
+			t.release(now, r)
+		}
+	}
+}
+
+// Step takes all decisions that are due and returns what is to be done.
+func (s *Scheduler) Step(now time.Time) []Action {
+	s.actions = nil
+	s.expire(now)
+	order := s.byUrgency(now)
+	s.grant(now, order)
+	if s.mayOrder(now) {
+		s.continueOrders(now)
+		s.loadAdapters(now, order)
+		s.loadModels(now, order)
+		s.scaleOut(now)
+	}
+	s.refuseHopeless(now, order)
+	s.askReports(now)
+	return s.actions
+}
+
+func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
+
+// Loaded returns the names of the models per service that are loaded or
+// being loaded.
+func (s *Scheduler) Loaded() map[string][]string {
+	seen := map[modelKey]bool{}
+	out := map[string][]string{}
+	add := func(service, model string) {
+		k := modelKey{service, model}
+		if !seen[k] {
+			seen[k] = true
+			out[service] = append(out[service], model)
+		}
+	}
+	for _, t := range s.targets {
+		if t.info.Draining {
+			continue
+		}
+		for m := range t.replicas {
+			add(t.info.Service, m)
+		}
+		if o := t.order; o != nil && o.Operation == Load && o.Adapter == "" {
+			add(t.info.Service, o.Model)
+		}
+	}
+	return out
+}
+
+// Waiting returns the number of requests that wait.
+func (s *Scheduler) Waiting() int { return len(s.tickets) }
+
+// Running returns the number of runs.
+func (s *Scheduler) Running() int { return len(s.runs) }
--- /dev/null
+++ b/pkg/scheduler/target.go
@@ -0,0 +1,437 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/route"
+)
+
+// phase tells what is known of a target's orders.
+type phase uint8
+
+const (
+	// unread: the target has not been asked for its state yet, or gave an
+	// answer that does not fit what was known.
+	unread phase = iota
+	// idle: the state is known and no order is in progress.
+	idle
+	// ordering: an order was sent and is not answered.
+	ordering
+	// loading: an order was accepted and is being carried out.
+	loading
+	// unsettled: it is not known whether the last order was accepted.
+	unsettled
+)
+
+// Times of a target's orders.
+const (
+	// reportInterval is the time between two reports that are asked for
+	// while an order is carried out.
+	reportInterval = 120 * time.Millisecond
+	// reportLag is added to the expected end of an order before the first
+	// report, because reports lag.
+	reportLag = 70 * time.Millisecond
+	// unsettledWait is the time after which a report tells whether an order
+	// without an answer was accepted.
+	unsettledWait = 400 * time.Millisecond
+	// reportRetry is the wait after a report that failed.
+	reportRetry = 300 * time.Millisecond
+	// suspectTime is how long a target that cannot be reached gets no requests.
+	suspectTime = 1200 * time.Millisecond
+	// busyTime is how long a target that refused as full gets no requests.
+	busyTime = 80 * time.Millisecond
+	// adapterLoadTime is the time after which an accepted adapter is used.
+	adapterLoadTime = 15 * time.Millisecond
+	// unloadTime is the pause between an unload and the next order.
+	unloadTime = 10 * time.Millisecond
+	// maxFailures is the number of failed runs in a row that make a target suspect.
+	maxFailures = 3
+)
+
+// target is the state of one engine.
+type target struct {
+	info  *inventory.Target
+	phase phase
+	// sequence is the number of orders that the target has accepted.
+	sequence uint64
+	replicas map[string]*replica
+	// order is in progress in the phases ordering, loading and unsettled.
+	order      *Order
+	orderSince time.Time
+	// expected is the duration of the order in progress.
+	expected time.Duration
+	// quietUntil is when the next order may be sent.
+	quietUntil time.Time
+	// plan is what the target makes room for.
+	plan *plan
+
+	asked    bool // a report was asked for and has not come
+	reportAt time.Time
+
+	runs, tokens int
+	failures     int
+	suspectUntil time.Time
+	busyUntil    time.Time
+}
+
+// replica is a model that a target has loaded.
+type replica struct {
+	adapters map[string]*adapter
+	runs     int
+	lastUsed time.Time
+	// closing replicas take no new runs, because they are to be unloaded.
+	closing bool
+}
+
+// adapter is an adapter that a target has loaded.
+type adapter struct {
+	runs     int
+	lastUsed time.Time
+	readyAt  time.Time
+}
+
+// plan is a model that is to be loaded once there is room for it.
+type plan struct {
+	model   string
+	source  Source
+	victims []string
+	since   time.Time
+}
+
+func newTarget(info *inventory.Target) *target {
+	t := &target{replicas: map[string]*replica{}}
+	t.info = info
+	t.setModels(info.Models)
+	return t
+}
+
+// update takes over a newer list entry. While the target's own state is not
+// known, the entry tells what it holds.
+func (t *target) update(info *inventory.Target) {
+	t.info = info
+	if t.phase == unread {
+		t.setModels(info.Models)
+	}
+}
+
+// setModels makes the replicas those of the list and keeps the counts of
+// runs. Adapters that are on their way stay.
+func (t *target) setModels(models []inventory.LoadedModel) {
+	seen := map[string]bool{}
+	for _, m := range models {
+		seen[m.Name] = true
+		r := t.replicas[m.Name]
+		if r == nil {
+			r = &replica{adapters: map[string]*adapter{}}
+			t.replicas[m.Name] = r
+		}
+		for _, name := range m.Adapters {
+			if r.adapters[name] == nil {
+				r.adapters[name] = new(adapter)
+			}
+		}
+		for name, a := range r.adapters {
+			if a.runs == 0 && !slices.Contains(m.Adapters, name) {
+				delete(r.adapters, name)
+			}
+		}
+	}
+	for name := range t.replicas {
+		if !seen[name] {
+			delete(t.replicas, name)
+		}
+	}
+}
+
+// healthy tells whether the target may get requests and orders.
+func (t *target) healthy(now time.Time) bool {
+	return !t.info.Draining && !now.Before(t.suspectUntil)
+}
+
+// usedMB returns the memory that the replicas and the model of an order in
+// progress take.
+func (t *target) usedMB(e *route.Engine) float64 {
+	used := 0.0
+	for name, r := range t.replicas {
+		m := e.Models[name]
+		if m == nil {
+			return e.WeightsMB // a model that the configuration does not name
+		}
+		used += m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
+	}
+	return used
+}
+
+// adapterCount returns the number of adapters that the target holds.
+func (t *target) adapterCount() int {
+	n := 0
+	for _, r := range t.replicas {
+		n += len(r.adapters)
+	}
+	return n
+}
+
+// has tells whether a run may start for the model and adapter.
+func (t *target) has(now time.Time, model, adapter string) bool {
+	r := t.replicas[model]
+	if r == nil || r.closing {
+		return false
+	}
+	if adapter == "" {
+		return true
+	}
+	a := r.adapters[adapter]
+	return a != nil && !now.Before(a.readyAt)
+}
+
+// occupy counts a run.
+func (t *target) occupy(now time.Time, r *run) {
+	t.runs++
+	t.tokens += r.tokens
+	rep := t.replicas[r.model]
+	if rep == nil {
+		return
+	}
+	rep.runs++
+	rep.lastUsed = now
+	if a := rep.adapters[r.adapter]; a != nil {
+		a.runs++
+		a.lastUsed = now
+	}
+}
+
+// release takes a run off the counts.
+func (t *target) release(now time.Time, r *run) {
+	t.runs = max(t.runs-1, 0)
+	t.tokens = max(t.tokens-r.tokens, 0)
+	rep := t.replicas[r.model]
+	if rep == nil {
+		return
+	}
+	rep.runs = max(rep.runs-1, 0)
+	rep.lastUsed = now
+	if a := rep.adapters[r.adapter]; a != nil {
+		a.runs = max(a.runs-1, 0)
+	}
+}
+
+// observe draws conclusions from how a run ended.
+func (t *target) observe(now time.Time, r *run, o Outcome) {
+	switch o {
+	case Completed:
+		t.failures = 0
+	case Unreachable:
+		t.suspectUntil = now.Add(suspectTime)
+	case Failed:
+		t.failures++
+		if t.failures >= maxFailures {
+			t.failures = 0
+			t.suspectUntil = now.Add(suspectTime)
+		}
+	case Busy:
+		t.busyUntil = now.Add(busyTime)
+	case NotLoaded:
+		t.missing(now, r)
+	case Unused:
+	}
+}
+
+// missing takes back what a target was believed to hold.
+func (t *target) missing(now time.Time, r *run) {
+	rep := t.replicas[r.model]
+	if rep == nil {
+		return
+	}
+	if a := rep.adapters[r.adapter]; a != nil {
+		delete(rep.adapters, r.adapter)
+	} else {
+		delete(t.replicas, r.model)
+	}
+	if t.phase == idle {
+		t.unknown(now)
+	}
+}
+
+// unknown has the target asked for its state before the next order.
+func (t *target) unknown(now time.Time) {
+	t.phase = unread
+	t.order = nil
+	t.reportAt = now
+}
+
+// Ordered takes the answer to an order.
+func (s *Scheduler) Ordered(now time.Time, o Order, result OrderResult) {
+	t := s.targets[o.Target]
+	if t == nil || t.phase != ordering || t.order == nil || *t.order != o {
+		return
+	}
+	switch result {
+	case OrderAccepted:
+		t.accepted(now)
+	case OrderDone:
+		t.done(now)
+	case OrderRejected:
+		t.unknown(now)
+	case OrderUnknown:
+		t.phase = unsettled
+		t.reportAt = now.Add(unsettledWait)
+	}
+}
+
+// accepted follows an order that the target carries out.
+func (t *target) accepted(now time.Time) {
+	o := t.order
+	t.sequence = o.Sequence + 1
+	if o.Adapter != "" {
+		t.applyAdapter(now, o)
+		return
+	}
+	if o.Operation == Unload {
+		// Replicas are unloaded without runs, so that nothing is waited for.
+		delete(t.replicas, o.Model)
+		t.phase, t.order = idle, nil
+		t.quietUntil = now.Add(unloadTime)
+		return
+	}
+	t.phase = loading
+	t.orderSince = now
+	t.reportAt = now.Add(t.expected + reportLag)
+}
+
+// done follows an order whose result held already, or at once.
+func (t *target) done(now time.Time) {
+	o := t.order
+	switch {
+	case o.Adapter != "":
+		if o.Operation == Unload {
+			t.sequence = o.Sequence + 1
+		}
+		t.applyAdapter(now, o)
+	case o.Operation == Load:
+		t.replicas[o.Model] = &replica{adapters: map[string]*adapter{}, lastUsed: now}
+		t.phase, t.order, t.plan = idle, nil, nil
+	default:
+		delete(t.replicas, o.Model)
+		t.phase, t.order = idle, nil
+	}
+}
+
+func (t *target) applyAdapter(now time.Time, o *Order) {
+	t.phase, t.order = idle, nil
+	r := t.replicas[o.Model]
+	if r == nil {
+		return
+	}
+	if o.Operation == Unload {
+		delete(r.adapters, o.Adapter)
+		return
+	}
+	r.adapters[o.Adapter] = &adapter{lastUsed: now, readyAt: now.Add(adapterLoadTime)}
+}
+
+// Reported takes a target's state.
+func (s *Scheduler) Reported(now time.Time, id string, r inventory.Report) {
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	t.asked = false
+	if r.Incarnation != t.info.Incarnation {
+		// The list will tell of the new start; until then nothing is ordered.
+		t.reportAt = now.Add(reportRetry)
+		return
+	}
+	t.reported(now, r)
+}
+
+func (t *target) reported(now time.Time, r inventory.Report) {
+	next := now.Add(reportInterval)
+	switch t.phase {
+	case ordering:
+		return
+	case loading:
+		if r.Sequence < t.sequence || r.Busy {
+			t.reportAt = next
+			return
+		}
+	case unsettled:
+		if r.Sequence == t.order.Sequence && !r.Busy && now.Sub(t.orderSince) < unsettledWait {
+			t.reportAt = next
+			return
+		}
+		if r.Busy {
+			t.reportAt = next
+			return
+		}
+	case idle:
+		if r.Sequence < t.sequence {
+			return
+		}
+	case unread:
+		if r.Busy {
+			t.reportAt = next
+			return
+		}
+	}
+	t.settle(now, r)
+}
+
+// settle takes the state over as known.
+func (t *target) settle(now time.Time, r inventory.Report) {
+	o := t.order
+	t.sequence = r.Sequence
+	t.phase, t.order = idle, nil
+	t.setModels(r.Models)
+	info := *t.info
+	info.InMemory, info.OnDisk = r.InMemory, r.OnDisk
+	t.info = &info
+	if o != nil && o.Operation == Load && o.Adapter == "" {
+		if rep := t.replicas[o.Model]; rep != nil {
+			rep.lastUsed = now
+		}
+		t.plan = nil
+	}
+}
+
+// ReportFailed tells that a target did not answer.
+func (s *Scheduler) ReportFailed(now time.Time, id string) {
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	t.asked = false
+	t.reportAt = now.Add(reportRetry)
+	if t.phase != loading {
+		t.suspectUntil = now.Add(reportRetry)
+	}
+}
+
+// askReports asks the targets whose state is due to be read.
+func (s *Scheduler) askReports(now time.Time) {
+	soon := now.After(s.ordersFrom.Add(-unsettledWait)) && now.Before(s.ordersUntil)
+	for _, t := range s.sortedTargets() {
+		due := t.phase == loading || t.phase == unsettled || t.phase == unread && soon
+		if !due || t.asked || now.Before(t.reportAt) {
+			continue
+		}
+		t.asked = true
+		s.emit(AskReport{Target: t.info.ID})
+	}
+}
+
+// sortedTargets returns the targets in order of their identifiers.
+func (s *Scheduler) sortedTargets() []*target {
+	out := make([]*target, 0, len(s.targets))
+	for _, t := range s.targets {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b *target) int {
+		if a.info.ID < b.info.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/pkg/upstream/exchange.go
@@ -0,0 +1,180 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// maxForeignAnswers is the number of answers to other requests that are
+// skipped on one connection before it is given up.
+const maxForeignAnswers = 3
+
+// Request is what is sent to a target. Path is passed on byte for byte.
+type Request struct {
+	Method string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// MaxIdle bounds the idle time of a kept connection that may be used; 0
+	// asks for a new connection.
+	MaxIdle time.Duration
+	// Belongs tells whether an answer with this header is the one to this
+	// request. Others are skipped.
+	Belongs func(http.Header) bool
+}
+
+// SendError tells that an exchange failed before the head of an answer came.
+type SendError struct {
+	// Sent tells whether the target can have got the request.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *SendError) Error() string {
+	if e.Sent {
+		return "sent without an answer: " + e.Err.Error()
+	}
+	return "not sent: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// ErrForeign tells that a connection carried only answers to other requests.
+var ErrForeign = errors.New("answers belong to other requests")
+
+// Answer is the head of a target's answer, with its body to be read.
+// Close must be called.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the size of the body, -1 when it is not known in advance.
+	Length int64
+
+	pool  *Pool
+	addr  string
+	conn  *conn
+	resp  *http.Response
+	stop  func() bool
+	whole bool
+}
+
+// Do sends the request and returns the head of the answer. The end of ctx
+// closes the connection, also while the body is read. A *SendError tells
+// whether the target can have got the request.
+func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Answer, error) {
+	c, err := p.get(ctx, addr, r.MaxIdle)
+	if err != nil {
+		return nil, &SendError{Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	n, err := c.Write(head(r))
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, &SendError{Sent: n > 0, Err: cause(ctx, err)}
+	}
+	resp, err := readAnswer(c, r)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, &SendError{Sent: true, Err: cause(ctx, err)}
+	}
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		pool: p, addr: addr, conn: c, resp: resp, stop: stop,
+	}, nil
+}
+
+// cause prefers the reason for which the exchange was ended.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); c != nil {
+		return c
+	}
+	return err
+}
+
+// readAnswer reads heads until one belongs to the request.
+func readAnswer(c *conn, r *Request) (*http.Response, error) {
+	as := &http.Request{Method: r.Method}
+	for range maxForeignAnswers {
+		resp, err := http.ReadResponse(c.in, as)
+		if err != nil {
+			return nil, fmt.Errorf("read the head of the answer: %w", err)
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Belongs == nil || r.Belongs(resp.Header) {
+			return resp, nil
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, fmt.Errorf("skip an answer to another request: %w", err)
+		}
+	}
+	return nil, ErrForeign
+}
+
+// Read reads the body. io.EOF tells that it is whole.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.resp.Body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+	}
+	return n, err
+}
+
+// SetReadDeadline bounds the wait for the next bytes of the body.
+func (a *Answer) SetReadDeadline(t time.Time) { _ = a.conn.SetReadDeadline(t) }
+
+// Close keeps the connection if the body was read to its end, and closes it
+// otherwise, so that the target stops working on the request.
+func (a *Answer) Close() {
+	running := a.stop()
+	reusable := a.whole && running && !a.resp.Close
+	if !reusable || a.conn.in.Buffered() > 0 {
+		_ = a.conn.Close()
+		return
+	}
+	a.conn.idleFor = idleTimeout(a.Header.Get("Keep-Alive"))
+	a.pool.put(a.addr, a.conn)
+}
+
+// head returns the bytes of the request.
+func head(r *Request) []byte {
+	size := len(r.Method) + len(r.Path) + len(r.Host) + 64 + len(r.Body)
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			size += len(k) + len(v) + 4
+		}
+	}
+	b := make([]byte, 0, size)
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			b = append(b, k...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, r.Body...)
+}
--- /dev/null
+++ b/pkg/upstream/pool.go
@@ -0,0 +1,189 @@
+// Package upstream sends HTTP/1.1 requests to targets over connections that
+// it keeps. Unlike http.Transport it never repeats a request by itself, and
+// it tells whether a failed one can have reached the target.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Limits of kept connections.
+const (
+	// defaultIdle is how long an idle connection is used when the target
+	// states no timeout.
+	defaultIdle = 4 * time.Second
+	// idleMargin is subtracted from a stated idle timeout, so that a request
+	// does not cross the target's close.
+	idleMargin = 600 * time.Millisecond
+	// maxIdlePerTarget is the number of idle connections kept to one target.
+	maxIdlePerTarget = 16
+	// readBufferBytes is the size of a connection's read buffer.
+	readBufferBytes = 4 << 10
+)
+
+// Pool keeps idle connections to targets. Its methods may be called
+// concurrently.
+type Pool struct {
+	dialer *Dialer
+	// Dialed counts the connections that were opened.
+	Dialed atomic.Uint64
+
+	mu   sync.Mutex // guards idle
+	idle map[string][]*conn
+}
+
+// conn is one connection to a target. It carries one request at a time.
+type conn struct {
+	net.Conn
+	in        *bufio.Reader
+	raw       syscall.RawConn
+	idleSince time.Time
+	idleFor   time.Duration
+	reused    bool
+}
+
+// NewPool returns an empty pool. A connection attempt ends after dialTimeout.
+func NewPool(dialTimeout time.Duration) *Pool {
+	return &Pool{dialer: NewDialer(dialTimeout), idle: map[string][]*conn{}}
+}
+
+// get returns a kept connection that is idle for less than maxIdle, or a new one.
+func (p *Pool) get(ctx context.Context, addr string, maxIdle time.Duration) (*conn, error) {
+	for {
+		c := p.take(addr, maxIdle)
+		if c == nil {
+			return p.dial(ctx, addr)
+		}
+		if c.alive() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// take removes the connection that was used last from the pool.
+func (p *Pool) take(addr string, maxIdle time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	idle := time.Since(c.idleSince)
+	if idle >= min(c.idleFor, maxIdle) {
+		return nil // all others are idle for longer
+	}
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	p.Dialed.Add(1)
+	c, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	out := &conn{Conn: c, in: bufio.NewReaderSize(c, readBufferBytes), idleFor: defaultIdle}
+	if sc, ok := c.(syscall.Conn); ok {
+		out.raw, _ = sc.SyscallConn() // without it, alive assumes the best
+	}
+	return out, nil
+}
+
+// alive tells whether an idle connection is still open and holds no bytes
+// that nobody asked for.
+func (c *conn) alive() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	open := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, rerr := syscall.Read(int(fd), b[:])
+		open = n < 0 && (rerr == syscall.EAGAIN || rerr == syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && open
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(addr string, c *conn) {
+	_ = c.SetDeadline(time.Time{}) // a closed connection is found by alive
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	list := p.idle[addr]
+	if len(list) >= maxIdlePerTarget {
+		p.mu.Unlock()
+		_ = c.Close()
+		return
+	}
+	p.idle[addr] = append(list, c)
+	p.mu.Unlock()
+}
+
+// Sweep closes connections that are idle for longer than their target keeps them.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	var old []*conn
+	p.mu.Lock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.idleSince) >= c.idleFor {
+				old = append(old, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		p.idle[addr] = kept
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// Forget closes the idle connections to a target that is gone.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// idleTimeout returns how long a connection may be used after an answer with
+// the given Keep-Alive header.
+func idleTimeout(keepAlive string) time.Duration {
+	for _, field := range strings.Split(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		s, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil || s < 0 {
+			return defaultIdle
+		}
+		d := time.Duration(s) * time.Second
+		return max(d-idleMargin, d/4)
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/pkg/zoneowner/campaign.go
@@ -0,0 +1,438 @@
+package zoneowner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/pkg/boottime"
+	"almondturn/pkg/event"
+	kv "almondturn/pkg/platform"
+	"almondturn/pkg/scheduler"
+	"almondturn/wire"
+)
+
+// KeyPrefix is where the owners of the zones register.
+const KeyPrefix = "almondturn/zones/"
+
+// Times of the campaign.
+const (
+	// leaseTime is how long the zone stays with an owner that is not heard of.
+	leaseTime = 1500 * time.Millisecond
+	// renewInterval is the time between two renewals and between two pings.
+	renewInterval = 400 * time.Millisecond
+	// pingTimeout bounds the wait for a promise.
+	pingTimeout = 600 * time.Millisecond
+	// takeRetry is the wait after a failed attempt to take the zone.
+	takeRetry = 250 * time.Millisecond
+	// takeJitter spreads the attempts of the nodes.
+	takeJitter = 40 * time.Millisecond
+	// stateInterval is the least time between two broadcasts of the zone's
+	// state; stateRefresh the longest.
+	stateInterval = 100 * time.Millisecond
+	stateRefresh  = time.Second
+)
+
+// OwnerRecord is the value of a zone's key.
+type OwnerRecord struct {
+	Node        fleet.NodeID `json:"node"`
+	Addr        string       `json:"addr"`
+	Incarnation string       `json:"incarnation"`
+}
+
+// lastRecord tells who gave orders last. It outlives the lease.
+type lastRecord struct {
+	Addr string `json:"addr"`
+	// Age is the time since the last order when the owner resigned.
+	Age time.Duration `json:"age,omitempty"`
+}
+
+// ownerKey is a zone's key; without an address, nobody owns the zone.
+type ownerKey struct {
+	record   OwnerRecord
+	revision kv.Revision
+}
+
+// OwnerKey returns the key of a zone's owner.
+func OwnerKey(zone fleet.Zone) string { return KeyPrefix + string(zone) + "/owner" }
+
+func lastKey(zone fleet.Zone) string { return KeyPrefix + string(zone) + "/last" }
+
+// ObserveKey tells the owner what a watch says of the zone's key; an empty
+// record means that the key does not exist.
+func (o *Owner) ObserveKey(record OwnerRecord, revision kv.Revision) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held = ownerKey{record, revision}
+	o.known = true
+	t := o.tenure
+	if t != nil && record.Addr != "" && !o.isMine(record) {
+		o.end(t, "another node took the zone")
+	}
+	o.nudge()
+}
+
+func (o *Owner) isMine(r OwnerRecord) bool {
+	return r.Addr == o.cfg.Self.Addr && r.Incarnation == o.cfg.Self.Incarnation
+}
+
+// Promise answers a ping of an owner: this node does not take the zone over
+// for PromiseTime.
+func (o *Owner) Promise(from fleet.Node, m *wire.OwnerPing) *wire.OwnerPong {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	pong := &wire.OwnerPong{ConfigurationVersion: o.cfg.Version()}
+	outdated := o.known && o.held.record.Addr != "" && o.held.record.Addr != from.Addr && uint64(o.held.revision) > m.Token
+	if m.Zone != o.cfg.Self.Zone || o.tenure != nil || outdated {
+		return pong
+	}
+	pong.Promised = true
+	o.promisedUntil = boottime.Now().Add(PromiseTime)
+	o.promisedTo = from.Addr
+	return pong
+}
+
+// Run takes the zone when nobody owns it, until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := o.campaign(ctx)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-o.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// campaign takes the zone if that is due, and returns when to look again.
+func (o *Owner) campaign(ctx context.Context) time.Duration {
+	o.mu.Lock()
+	held, promised := o.held, o.promisedUntil.Sub(boottime.Now())
+	able := o.known && o.ready && o.tenure == nil && !o.stopping && o.services != nil
+	mine := held.record.Addr == o.cfg.Self.Addr
+	o.mu.Unlock()
+	switch {
+	case !able || held.record.Addr != "" && !mine:
+		return time.Second
+	case promised > 0 && !mine:
+		return promised
+	}
+	time.Sleep(rand.N(takeJitter))
+	if err := o.take(ctx, held); err != nil {
+		event.ZoneTakeFailed.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Err(err).Send()
+		return takeRetry
+	}
+	return time.Second
+}
+
+// take registers this node as the owner. held is the key that it replaces:
+// none, or that of an earlier start of this node.
+func (o *Owner) take(ctx context.Context, held ownerKey) error {
+	sent := boottime.Now()
+	lease, err := o.cfg.Store.GrantLease(ctx, o.ttl)
+	if err != nil {
+		return fmt.Errorf("grant a lease: %w", err)
+	}
+	last, revision, err := o.readLast(ctx)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(OwnerRecord{o.cfg.Self.ID, o.cfg.Self.Addr, o.cfg.Self.Incarnation})
+	if err != nil {
+		return fmt.Errorf("encode the owner: %w", err)
+	}
+	key := OwnerKey(o.cfg.Self.Zone)
+	token, err := o.cfg.Store.CompareAndSwap(ctx, key, value, held.revision, lease)
+	if errors.Is(err, kv.ErrOutcomeUnknown) {
+		token, err = o.readBack(ctx, key)
+	}
+	if err != nil {
+		o.reread(ctx, key)
+		return fmt.Errorf("take the key: %w", err)
+	}
+	taken := boottime.Now()
+	record, err := json.Marshal(lastRecord{Addr: o.cfg.Self.Addr})
+	if err != nil {
+		return fmt.Errorf("encode the record: %w", err)
+	}
+	if _, err := o.cfg.Store.CompareAndSwap(ctx, lastKey(o.cfg.Self.Zone), record, revision, 0); err != nil {
+		// Without the record a successor would not know of this owner.
+		_ = o.cfg.Store.RevokeLease(ctx, lease)
+		return fmt.Errorf("write the record of the owner: %w", err)
+	}
+	o.begin(uint64(token), lease, sent, o.ordersFrom(last, taken))
+	return nil
+}
+
+// readLast returns the record of who gave orders last.
+func (o *Owner) readLast(ctx context.Context) (lastRecord, kv.Revision, error) {
+	var last lastRecord
+	e, err := o.cfg.Store.Get(ctx, lastKey(o.cfg.Self.Zone))
+	if errors.Is(err, kv.ErrNotFound) {
+		return last, 0, nil
+	}
+	if err != nil {
+		return last, 0, fmt.Errorf("read the record of the owner: %w", err)
+	}
+	if err := json.Unmarshal(e.Value, &last); err != nil {
+		last = lastRecord{Addr: "unreadable"} // any owner may have been
+	}
+	return last, e.ModRevision, nil
+}
+
+// readBack finds out whether a change without an answer took effect.
+func (o *Owner) readBack(ctx context.Context, key string) (kv.Revision, error) {
+	e, err := o.cfg.Store.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	var r OwnerRecord
+	if err := json.Unmarshal(e.Value, &r); err != nil || !o.isMine(r) {
+		return 0, fmt.Errorf("key %q: %w", key, kv.ErrConflict)
+	}
+	return e.ModRevision, nil
+}
+
+// reread learns the key's state after a failed attempt.
+func (o *Owner) reread(ctx context.Context, key string) {
+	e, err := o.cfg.Store.Get(ctx, key)
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+		o.ObserveKey(OwnerRecord{}, 0)
+	case err == nil:
+		var r OwnerRecord
+		if json.Unmarshal(e.Value, &r) == nil {
+			o.ObserveKey(r, e.ModRevision)
+		}
+	}
+}
+
+// ordersFrom returns when the first order may be sent: no two owners give
+// orders within the holder pause.
+func (o *Owner) ordersFrom(last lastRecord, taken time.Time) time.Time {
+	if last.Addr == "" || last.Addr == o.cfg.Self.Addr {
+		return taken
+	}
+	if last.Age > 0 {
+		return taken.Add(max(o.cfg.HolderPause+pauseMargin-last.Age, 0))
+	}
+	pause := o.cfg.HolderPause + pauseMargin
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.promisedTo != last.Addr {
+		// This node made the former owner no promise, so that the owner may
+		// still trust a lease that was taken away from it.
+		pause += o.ttl
+	}
+	return taken.Add(pause)
+}
+
+// begin starts a tenure.
+func (o *Owner) begin(token uint64, lease kv.LeaseID, renewed, ordersFrom time.Time) {
+	ctx, cancel := context.WithCancel(context.Background())
+	const runsPerToken = 1 << 24 // runs of two owners get different numbers
+	t := &tenure{
+		token: token, lease: lease, ordersFrom: ordersFrom, ctx: ctx, cancel: cancel,
+		scheduler: scheduler.New(scheduler.RunID(token * runsPerToken)),
+		waiting:   map[scheduler.Ticket]chan *wire.Placed{},
+	}
+	t.authority.renewed(renewed, o.ttl)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t.scheduler.SetServices(o.services)
+	t.scheduler.SetZones(o.cfg.Zones)
+	t.setTargets(o.targets)
+	o.tenure = t
+	o.held = ownerKey{OwnerRecord{o.cfg.Self.ID, o.cfg.Self.Addr, o.cfg.Self.Incarnation}, kv.Revision(token)}
+	event.ZoneTaken.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Uint64("token", token).
+		Int64("orders_after_ms", ordersFrom.Sub(boottime.Now()).Milliseconds()).Send()
+	go o.keepLease(t)
+	go o.keepPromises(t)
+	go o.keepStepping(t)
+}
+
+// end ends the tenure; waiting requests go back to their nodes. o.mu is held.
+func (o *Owner) end(t *tenure, reason string) {
+	if o.tenure != t {
+		return
+	}
+	o.tenure = nil
+	o.told.Store(nil)
+	t.cancel()
+	for ticket, result := range t.waiting {
+		delete(t.waiting, ticket)
+		result <- &wire.Placed{Refusal: wire.PlaceNotOwner}
+	}
+	event.ZoneLost.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Uint64("token", t.token).Str("reason", reason).Send()
+}
+
+// Resign gives the zone up, and tells the next owner when the last order was sent.
+func (o *Owner) Resign(ctx context.Context) {
+	o.mu.Lock()
+	o.stopping = true
+	t := o.tenure
+	if t == nil {
+		o.mu.Unlock()
+		return
+	}
+	age := time.Hour
+	if !t.lastOrder.IsZero() {
+		age = max(boottime.Now().Sub(t.lastOrder), time.Millisecond)
+	}
+	if pause := t.ordersFrom.Sub(boottime.Now()); pause > 0 {
+		age = max(o.cfg.HolderPause-pause, time.Millisecond) // the pause of this owner still counts
+	}
+	o.end(t, "resigned")
+	o.mu.Unlock()
+	if _, revision, err := o.readLast(ctx); err == nil {
+		if record, err := json.Marshal(lastRecord{o.cfg.Self.Addr, age}); err == nil {
+			// Without it the next owner waits for the whole pause.
+			_, _ = o.cfg.Store.CompareAndSwap(ctx, lastKey(o.cfg.Self.Zone), record, revision, 0)
+		}
+	}
+	_ = o.cfg.Store.RevokeLease(ctx, t.lease) // else it lapses
+}
+
+// Owns tells whether this node owns its zone.
+func (o *Owner) Owns() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.tenure != nil
+}
+
+// keepLease renews the lease until the tenure ends.
+func (o *Owner) keepLease(t *tenure) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		sent := boottime.Now()
+		err := o.cfg.Store.RenewLease(t.ctx, t.lease)
+		o.mu.Lock()
+		switch {
+		case err == nil:
+			t.authority.renewed(sent, o.ttl)
+		case errors.Is(err, kv.ErrLeaseExpired):
+			t.authority.lost()
+			o.mu.Unlock()
+			o.retake(t)
+			continue
+		case t.ctx.Err() == nil:
+			event.LeaseRenewFailed.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Err(err).Send()
+			o.endIfPowerless(t)
+		}
+		o.mu.Unlock()
+	}
+}
+
+// endIfPowerless ends a tenure without authority, so that its waiting
+// requests look for another owner. o.mu is held.
+func (o *Owner) endIfPowerless(t *tenure) {
+	boot := boottime.Now()
+	if boot.Sub(t.authority.until(boot)) > o.ttl {
+		o.end(t, "neither lease nor promises")
+	}
+}
+
+// retake registers the owner again after its lease lapsed. The tenure goes on
+// when nobody else has taken the zone.
+func (o *Owner) retake(t *tenure) {
+	ctx, cancel := context.WithTimeout(t.ctx, leaseTime)
+	defer cancel()
+	sent := boottime.Now()
+	lease, err := o.cfg.Store.GrantLease(ctx, o.ttl)
+	if err != nil {
+		return // the next renewal finds the lease lapsed again
+	}
+	value, err := json.Marshal(OwnerRecord{o.cfg.Self.ID, o.cfg.Self.Addr, o.cfg.Self.Incarnation})
+	if err != nil {
+		return
+	}
+	token, err := o.cfg.Store.CompareAndSwap(ctx, OwnerKey(o.cfg.Self.Zone), value, 0, lease)
+	if errors.Is(err, kv.ErrOutcomeUnknown) || errors.Is(err, kv.ErrConflict) {
+		token, err = o.readBack(ctx, OwnerKey(o.cfg.Self.Zone))
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		if errors.Is(err, kv.ErrConflict) {
+			o.end(t, "another node took the zone after the lease lapsed")
+		}
+		return
+	}
+	t.token, t.lease = uint64(token), lease
+	t.authority.renewed(sent, o.ttl)
+	event.ZoneTaken.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Uint64("token", t.token).Str("after", "lapse").Send()
+}
+
+// keepPromises pings the other nodes of the zone until the tenure ends.
+func (o *Owner) keepPromises(t *tenure) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		for _, n := range o.cfg.Network.Connected() {
+			if n.Zone != o.cfg.Self.Zone {
+				continue
+			}
+			o.mu.Lock()
+			t.authority.joined(boottime.Now(), n.ID)
+			o.mu.Unlock()
+			go o.ping(t, n.ID)
+		}
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (o *Owner) ping(t *tenure, node fleet.NodeID) {
+	ctx, cancel := context.WithTimeout(t.ctx, pingTimeout)
+	defer cancel()
+	o.mu.Lock()
+	token := t.token
+	o.mu.Unlock()
+	sent := boottime.Now()
+	pong, err := o.cfg.Network.Ping(ctx, node, &wire.OwnerPing{Zone: o.cfg.Self.Zone, Token: token})
+	if err != nil || !pong.Promised {
+		return // the promise is not extended
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t.authority.promised(sent, node)
+}
+
+// keepStepping runs the scheduler when time alone makes something due.
+func (o *Owner) keepStepping(t *tenure) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-o.step:
+		case <-timer.C:
+		}
+		o.mu.Lock()
+		if o.tenure != t {
+			o.mu.Unlock()
+			return
+		}
+		o.run(t)
+		now := time.Now()
+		wait := min(t.scheduler.Next(now).Sub(now), o.tellState(t, now))
+		o.mu.Unlock()
+		timer.Reset(max(wait, time.Millisecond))
+	}
+}
--- /dev/null
+++ b/pkg/zoneowner/owner.go
@@ -0,0 +1,363 @@
+// Package zoneowner owns an availability zone: at most one node of the zone
+// at a time grants places at its targets and orders them to load and unload
+// models. Ownership is a key with a lease in the platform's key-value
+// service. The decisions are those of package scheduler.
+package zoneowner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"almondturn/fleet"
+	"almondturn/pkg/boottime"
+	"almondturn/pkg/event"
+	"almondturn/pkg/inventory"
+	kv "almondturn/pkg/platform"
+	"almondturn/pkg/route"
+	"almondturn/pkg/scheduler"
+	"almondturn/wire"
+)
+
+// Store is the part of the key-value service that ownership needs.
+type Store interface {
+	Get(ctx context.Context, key string) (kv.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.LeaseID) (kv.Revision, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error)
+	RenewLease(ctx context.Context, id kv.LeaseID) error
+	RevokeLease(ctx context.Context, id kv.LeaseID) error
+}
+
+// Targets tells targets what to load and asks for their state.
+type Targets interface {
+	// Order sends an order under a fencing token; the error explains a
+	// result other than accepted and done.
+	Order(ctx context.Context, t *inventory.Target, o scheduler.Order, token uint64) (scheduler.OrderResult, error)
+	Report(ctx context.Context, t *inventory.Target) (inventory.Report, error)
+}
+
+// Network reaches the other nodes.
+type Network interface {
+	// Ping asks a node of the zone to hold back from taking the zone over.
+	Ping(ctx context.Context, to fleet.NodeID, m *wire.OwnerPing) (*wire.OwnerPong, error)
+	// Broadcast sends the state of the zone to all connected nodes.
+	Broadcast(m *wire.ZoneState)
+	// Connected returns the nodes that are connected to this one as owner.
+	Connected() []fleet.Node
+}
+
+// Config is what an Owner needs.
+type Config struct {
+	Self  fleet.Node
+	Zones int
+	// MinLease is the shortest lease that the service grants.
+	MinLease time.Duration
+	// HolderPause is the least time between the orders of two owners.
+	HolderPause time.Duration
+	Store       Store
+	Targets     Targets
+	Network     Network
+	Log         *zerolog.Logger
+	// Version returns the version of the configuration in force.
+	Version func() int64
+}
+
+// Owner takes part in the ownership of the node's zone. Its methods may be
+// called concurrently.
+type Owner struct {
+	cfg  Config
+	ttl  time.Duration
+	wake chan struct{} // has the campaign look again
+	step chan struct{} // has the scheduler run
+	// told is the last state of the zone that was broadcast; nil without a tenure.
+	told atomic.Pointer[wire.ZoneState]
+
+	mu sync.Mutex // guards all below
+	// held is the key as last read or watched.
+	held  ownerKey
+	known bool
+	// promisedUntil is when this node may take the zone over, by boottime.
+	promisedUntil time.Time
+	promisedTo    string
+	ready         bool
+	stopping      bool
+	tenure        *tenure
+	targets       []*inventory.Target
+	services      map[string]*route.Service
+}
+
+// tenure is the time from taking the zone to losing it.
+type tenure struct {
+	token     uint64
+	lease     kv.LeaseID
+	scheduler *scheduler.Scheduler
+	authority authority
+	// ordersFrom is when orders may begin, by boottime.
+	ordersFrom time.Time
+	lastOrder  time.Time
+	byID       map[string]*inventory.Target
+	waiting    map[scheduler.Ticket]chan *wire.Placed
+	ctx        context.Context
+	cancel     context.CancelFunc
+	state      stateSent
+}
+
+// New returns an Owner that does not take part yet; Run does.
+func New(cfg Config) *Owner {
+	return &Owner{
+		cfg:  cfg,
+		ttl:  max(cfg.MinLease, leaseTime),
+		wake: make(chan struct{}, 1),
+		step: make(chan struct{}, 1),
+	}
+}
+
+// SetTable replaces the configuration.
+func (o *Owner) SetTable(t *route.Table) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.services = t.Services
+	if o.tenure != nil {
+		o.tenure.scheduler.SetServices(t.Services)
+		o.tenure.setTargets(o.targets)
+	}
+	o.kick()
+}
+
+// SetView replaces the list of targets.
+func (o *Owner) SetView(v *inventory.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.targets = o.targets[:0:0]
+	v.All(func(t *inventory.Target) {
+		if t.Zone == o.cfg.Self.Zone {
+			o.targets = append(o.targets, t)
+		}
+	})
+	o.ready = true
+	if o.tenure != nil {
+		o.tenure.setTargets(o.targets)
+	}
+	o.kick()
+	o.nudge()
+}
+
+func (t *tenure) setTargets(list []*inventory.Target) {
+	t.byID = make(map[string]*inventory.Target, len(list))
+	for _, target := range list {
+		t.byID[target.ID] = target
+	}
+	t.scheduler.SetTargets(list)
+}
+
+// kick has the scheduler run; nudge has the campaign look again.
+func (o *Owner) kick() {
+	select {
+	case o.step <- struct{}{}:
+	default:
+	}
+}
+
+func (o *Owner) nudge() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Place waits for a place at a target of the zone.
+func (o *Owner) Place(ctx context.Context, node fleet.NodeID, m *wire.Place) *wire.Placed {
+	result := make(chan *wire.Placed, 1)
+	o.mu.Lock()
+	t := o.tenure
+	if t == nil {
+		o.mu.Unlock()
+		return &wire.Placed{Refusal: wire.PlaceNotOwner}
+	}
+	now := time.Now()
+	ticket := t.scheduler.Submit(now, request(now, node, m))
+	t.waiting[ticket] = result
+	o.run(t)
+	o.mu.Unlock()
+	select {
+	case p := <-result:
+		return p
+	case <-ctx.Done():
+	}
+	return o.withdraw(t, ticket, result)
+}
+
+// withdraw ends the wait of a request whose node no longer waits.
+func (o *Owner) withdraw(t *tenure, ticket scheduler.Ticket, result chan *wire.Placed) *wire.Placed {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t.scheduler.Cancel(ticket)
+	delete(t.waiting, ticket)
+	select {
+	case p := <-result:
+		if p.Run != 0 {
+			t.scheduler.Ended(time.Now(), scheduler.RunID(p.Run), scheduler.Unused)
+		}
+	default:
+	}
+	return &wire.Placed{Refusal: wire.PlaceOverloaded}
+}
+
+func request(now time.Time, node fleet.NodeID, m *wire.Place) scheduler.Request {
+	return scheduler.Request{
+		ID: m.RequestID, Node: node, Service: m.Service, Model: m.Model, Adapter: m.Adapter,
+		InputTokens: m.InputTokens, OutputTokens: m.OutputTokens, Priority: m.Priority,
+		Objective:  now.Add(time.Duration(m.ObjectiveMillis) * time.Millisecond),
+		Deadline:   now.Add(time.Duration(m.DeadlineMillis) * time.Millisecond),
+		Exclude:    m.Exclude,
+		LastResort: m.LastResort,
+	}
+}
+
+// RunEnded gives a place back.
+func (o *Owner) RunEnded(m *wire.RunEnded) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.tenure == nil {
+		return
+	}
+	o.tenure.scheduler.Ended(time.Now(), scheduler.RunID(m.Run), scheduler.Outcome(m.Outcome))
+	o.run(o.tenure)
+}
+
+// Adopt takes over the runs of a node that has connected.
+func (o *Owner) Adopt(node fleet.Node, m *wire.Runs) {
+	runs := make([]scheduler.AdoptedRun, len(m.Runs))
+	for i, r := range m.Runs {
+		runs[i] = scheduler.AdoptedRun{Run: scheduler.RunID(r.Run), Target: r.Target, Model: r.Model, Adapter: r.Adapter, Tokens: r.Tokens}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.tenure == nil {
+		return
+	}
+	if node.Zone == o.cfg.Self.Zone {
+		o.tenure.authority.joined(boottime.Now(), node.ID)
+	}
+	o.tenure.scheduler.AdoptRuns(time.Now(), node.ID, runs)
+	o.run(o.tenure)
+}
+
+// NodeGone forgets the runs of a node that has been out of sight.
+func (o *Owner) NodeGone(node fleet.NodeID, leaving bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.tenure == nil {
+		return
+	}
+	if leaving {
+		o.tenure.authority.left(node)
+	}
+	o.tenure.scheduler.DropNode(time.Now(), node)
+	o.run(o.tenure)
+}
+
+// run lets the scheduler decide and carries its actions out. o.mu is held.
+func (o *Owner) run(t *tenure) {
+	now, boot := time.Now(), boottime.Now()
+	until := t.authority.until(boot)
+	t.scheduler.AllowOrders(now.Add(t.ordersFrom.Sub(boot)), now.Add(until.Sub(boot)))
+	for _, a := range t.scheduler.Step(now) {
+		o.act(t, now, a)
+	}
+}
+
+func (o *Owner) act(t *tenure, now time.Time, a scheduler.Action) {
+	switch a := a.(type) {
+	case scheduler.Grant:
+		t.answer(a.Ticket, &wire.Placed{Run: uint64(a.Run), Target: a.Target})
+	case scheduler.Refusal:
+		t.answer(a.Ticket, refusal(a))
+	case scheduler.SendOrder:
+		t.lastOrder = boottime.Now()
+		if target := t.byID[a.Order.Target]; target != nil {
+			go o.sendOrder(t, target, a.Order)
+			return
+		}
+		t.scheduler.Ordered(now, a.Order, scheduler.OrderRejected)
+	case scheduler.AskReport:
+		if target := t.byID[a.Target]; target != nil {
+			go o.askReport(t, target)
+			return
+		}
+		t.scheduler.ReportFailed(now, a.Target)
+	}
+}
+
+func refusal(a scheduler.Refusal) *wire.Placed {
+	p := &wire.Placed{Refusal: wire.PlaceOverloaded, RetryAfterMillis: a.RetryAfter.Milliseconds()}
+	if a.Reason == scheduler.Elsewhere {
+		p.Refusal = wire.PlaceElsewhere
+	}
+	return p
+}
+
+func (t *tenure) answer(ticket scheduler.Ticket, p *wire.Placed) {
+	result := t.waiting[ticket]
+	delete(t.waiting, ticket)
+	if result != nil {
+		result <- p // buffered, and answered once
+	}
+}
+
+// sendOrder sends an order unless the authority ended meanwhile.
+func (o *Owner) sendOrder(t *tenure, target *inventory.Target, order scheduler.Order) {
+	result := scheduler.OrderRejected
+	var err error
+	token, ok := o.orderToken(t)
+	if ok {
+		result, err = o.cfg.Targets.Order(t.ctx, target, order, token)
+	}
+	event.OrderSent.Log(o.cfg.Log).Str("target", target.ID).Str("operation", operationName(order)).
+		Str("model", order.Model).Str("adapter", order.Adapter).Uint64("sequence", order.Sequence).
+		Str("source", order.Source.String()).Str("result", result.String()).Uint64("token", token).AnErr("cause", err).Send()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.tenure != t {
+		return
+	}
+	t.scheduler.Ordered(time.Now(), order, result)
+	o.run(t)
+	o.kick()
+}
+
+func operationName(o scheduler.Order) string {
+	if o.Operation == scheduler.Load {
+		return "load"
+	}
+	return "unload"
+}
+
+// orderToken returns the fencing token for an order. It checks the authority
+// once more, by the clock that counts a suspension since the decision.
+func (o *Owner) orderToken(t *tenure) (uint64, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	boot := boottime.Now()
+	return t.token, o.tenure == t && !o.stopping && !boot.Before(t.ordersFrom) && boot.Before(t.authority.until(boot))
+}
+
+func (o *Owner) askReport(t *tenure, target *inventory.Target) {
+	r, err := o.cfg.Targets.Report(t.ctx, target)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.tenure != t {
+		return
+	}
+	if err != nil {
+		event.ReportFailed.Log(o.cfg.Log).Str("target", target.ID).Err(err).Send()
+		t.scheduler.ReportFailed(time.Now(), target.ID)
+	} else {
+		t.scheduler.Reported(time.Now(), target.ID, r)
+	}
+	o.run(t)
+	o.kick()
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -36,6 +36,15 @@
 	TypeGrantEnd:      func() Message { return new(GrantEnd) },
 	TypeCongested:     func() Message { return new(Congested) },
 	TypeScaleOut:      func() Message { return new(ScaleOut) },
+	TypePlace:         func() Message { return new(Place) },
+	TypePlaced:        func() Message { return new(Placed) },
+	TypeRunEnded:      func() Message { return new(RunEnded) },
+	TypeRuns:          func() Message { return new(Runs) },
+	TypeZoneState:     func() Message { return new(ZoneState) },
+	TypeOwnerPing:     func() Message { return new(OwnerPing) },
+	TypeOwnerPong:     func() Message { return new(OwnerPong) },
+	TypeStoreCall:     func() Message { return new(StoreCall) },
+	TypeStoreAnswer:   func() Message { return new(StoreAnswer) },
 }
 
 // Type implements Message.
--- /dev/null
+++ b/wire/zone.go
@@ -0,0 +1,175 @@
+package wire
+
+import "almondturn/fleet"
+
+// The message types between the entry nodes and the owner of an availability
+// zone, numbered apart from those in messages.go.
+const (
+	TypePlace Type = iota + 600
+	TypePlaced
+	TypeRunEnded
+	TypeRuns
+	TypeZoneState
+	TypeOwnerPing
+	TypeOwnerPong
+	TypeStoreCall
+	TypeStoreAnswer
+)
+
+// Place asks the owner of a zone for a target that has the model loaded. The
+// answer is Placed; it comes when a place is free or the request is refused.
+type Place struct {
+	RequestID string `cbor:"1,keyasint"`
+	Service   string `cbor:"2,keyasint"`
+	Model     string `cbor:"3,keyasint"`
+	Adapter   string `cbor:"4,keyasint,omitempty"`
+	// InputTokens and OutputTokens are the sizes of the prompt and of the
+	// expected answer.
+	InputTokens  int `cbor:"5,keyasint,omitempty"`
+	OutputTokens int `cbor:"6,keyasint,omitempty"`
+	// Priority is the route's rank, 0 is the most urgent.
+	Priority int `cbor:"7,keyasint,omitempty"`
+	// ObjectiveMillis is the time left until the latency objective, negative
+	// when it has passed.
+	ObjectiveMillis int64 `cbor:"8,keyasint,omitempty"`
+	// DeadlineMillis is the time left until the deadline.
+	DeadlineMillis int64 `cbor:"9,keyasint"`
+	// Exclude lists targets that failed this request before.
+	Exclude []string `cbor:"10,keyasint,omitempty"`
+	// LastResort tells that all other zones have refused.
+	LastResort bool `cbor:"11,keyasint,omitempty"`
+}
+
+// PlaceRefusal tells why an owner grants no place.
+type PlaceRefusal uint8
+
+// The refusals of Placed. PlaceGranted is none.
+const (
+	PlaceGranted PlaceRefusal = iota
+	// PlaceNotOwner: the node does not own the zone.
+	PlaceNotOwner
+	// PlaceElsewhere: another zone is likely to serve the request sooner.
+	PlaceElsewhere
+	// PlaceOverloaded: the request cannot be served in time.
+	PlaceOverloaded
+)
+
+// Placed answers Place.
+type Placed struct {
+	// Run identifies the grant; it is given back with RunEnded.
+	Run     uint64       `cbor:"1,keyasint,omitempty"`
+	Target  string       `cbor:"2,keyasint,omitempty"`
+	Refusal PlaceRefusal `cbor:"3,keyasint,omitempty"`
+	// RetryAfterMillis is when a refused request is worth another try.
+	RetryAfterMillis int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// RunOutcome tells an owner how a granted run ended.
+type RunOutcome uint8
+
+// The outcomes of RunEnded.
+const (
+	RunCompleted RunOutcome = iota
+	// RunFailed: the target broke off or gave no whole answer.
+	RunFailed
+	// RunUnreachable: no connection to the target was established.
+	RunUnreachable
+	// RunNotLoaded: the target does not have the model or the adapter.
+	RunNotLoaded
+	// RunBusy: the target refused the request as full.
+	RunBusy
+	// RunUnused: the grant was not used.
+	RunUnused
+)
+
+// RunEnded gives a grant back.
+type RunEnded struct {
+	Run     uint64     `cbor:"1,keyasint"`
+	Outcome RunOutcome `cbor:"2,keyasint,omitempty"`
+}
+
+// Run is one request in progress at a target.
+type Run struct {
+	Run     uint64 `cbor:"1,keyasint"`
+	Target  string `cbor:"2,keyasint"`
+	Model   string `cbor:"3,keyasint"`
+	Adapter string `cbor:"4,keyasint,omitempty"`
+	Tokens  int    `cbor:"5,keyasint,omitempty"`
+}
+
+// Runs tells an owner all requests that the sender has in progress at targets
+// of the owner's zone. It is the first message on a new connection.
+type Runs struct {
+	Runs []Run `cbor:"1,keyasint,omitempty"`
+}
+
+// ZoneState is what an owner tells all nodes of its zone.
+type ZoneState struct {
+	Zone fleet.Zone `cbor:"1,keyasint"`
+	// Token is the fencing token of the owner; a higher one supersedes.
+	Token uint64 `cbor:"2,keyasint"`
+	// Loaded lists the models that are loaded or being loaded, per service.
+	Loaded map[string][]string `cbor:"3,keyasint,omitempty"`
+	// OrdersAfterMillis is the time until the owner may order loads.
+	OrdersAfterMillis int64 `cbor:"4,keyasint,omitempty"`
+	// Nodes are the entry nodes that are connected to the owner.
+	Nodes []fleet.Node `cbor:"5,keyasint,omitempty"`
+	// ConfigurationVersion is the newest one that the owner knows of.
+	ConfigurationVersion int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// OwnerPing asks a node of the same zone to hold back from taking the zone
+// over. The answer is OwnerPong.
+type OwnerPing struct {
+	Zone  fleet.Zone `cbor:"1,keyasint"`
+	Token uint64     `cbor:"2,keyasint"`
+}
+
+// OwnerPong answers OwnerPing. With Promised, the sender does not take the
+// zone over for the promise time, counted from its answer.
+type OwnerPong struct {
+	Promised bool `cbor:"1,keyasint,omitempty"`
+	// ConfigurationVersion is the one in force at the sender.
+	ConfigurationVersion int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// StoreCall asks a node to pass a call on to the platform's key-value
+// service, for a sender that does not reach it.
+type StoreCall struct {
+	Method string `cbor:"1,keyasint"`
+	Path   string `cbor:"2,keyasint"`
+	Body   []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// StoreAnswer answers StoreCall. Status 0 tells that the call was not made.
+type StoreAnswer struct {
+	Status int    `cbor:"1,keyasint,omitempty"`
+	Body   []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Type implements Message.
+func (*Place) Type() Type { return TypePlace }
+
+// Type implements Message.
+func (*Placed) Type() Type { return TypePlaced }
+
+// Type implements Message.
+func (*RunEnded) Type() Type { return TypeRunEnded }
+
+// Type implements Message.
+func (*Runs) Type() Type { return TypeRuns }
+
+// Type implements Message.
+func (*ZoneState) Type() Type { return TypeZoneState }
+
+// Type implements Message.
+func (*OwnerPing) Type() Type { return TypeOwnerPing }
+
+// Type implements Message.
+func (*OwnerPong) Type() Type { return TypeOwnerPong }
+
+// Type implements Message.
+func (*StoreCall) Type() Type { return TypeStoreCall }
+
+// Type implements Message.
+func (*StoreAnswer) Type() Type { return TypeStoreAnswer }
