scheduler: an order that was rejected is sent again soon

Change: reports older than what is known are ignored; a rejected order is sent again after 15 ms, up to 8 times, before the state counts as unknown.

--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -45,7 +45,16 @@
 	// adapterLoadTime is the time after which an accepted adapter is used.
 	adapterLoadTime = 15 * time.Millisecond
 	// unloadTime is the pause between an unload and the next order.
-	unloadTime = 10 * time.Millisecond
+	unloadTime = 45 * time.Millisecond
+	// rejectedPause is the pause after an order that was rejected, mostly
+	// because the one before it is not finished.
+	rejectedPause = 15 * time.Millisecond
+	// maxRejections is the number of rejections in a row after which the
+	// target is asked for its state.
+	maxRejections = 8
+	// staleFor is how long reports that are older than what is known are
+	// ignored.
+	staleFor = 2 * time.Second
 	// maxFailures is the number of failed runs in a row that make a target suspect.
 	maxFailures = 3
 )
@@ -72,6 +81,9 @@
 
 	runs, tokens int
 	failures     int
+	rejections   int
+	// unreadSince is when the state became unknown.
+	unreadSince  time.Time
 	suspectUntil time.Time
 	busyUntil    time.Time
 }
@@ -259,6 +271,20 @@
 	t.phase = unread
 	t.order = nil
 	t.reportAt = now
+	t.unreadSince = now
+	t.rejections = 0
+}
+
+// rejected follows an order that was not accepted. The next one is sent again
+// soon, because reports tell of the end of an order later than the target does.
+func (t *target) rejected(now time.Time) {
+	t.rejections++
+	if t.rejections > maxRejections {
+		t.unknown(now)
+		return
+	}
+	t.phase, t.order = idle, nil
+	t.quietUntil = now.Add(rejectedPause)
 }
 
 // Ordered takes the answer to an order.
@@ -273,7 +299,7 @@
 	case OrderDone:
 		t.done(now)
 	case OrderRejected:
-		t.unknown(now)
+		t.rejected(now)
 	case OrderUnknown:
 		t.phase = unsettled
 		t.reportAt = now.Add(unsettledWait)
@@ -283,6 +309,7 @@
 // accepted follows an order that the target carries out.
 func (t *target) accepted(now time.Time) {
 	o := t.order
+	t.rejections = 0
 	t.sequence = o.Sequence + 1
 	if o.Adapter != "" {
 		t.applyAdapter(now, o)
@@ -370,7 +397,8 @@
 			return
 		}
 	case unread:
-		if r.Busy {
+		stale := r.Sequence < t.sequence && now.Sub(t.unreadSince) < staleFor
+		if r.Busy || stale {
 			t.reportAt = next
 			return
 		}
