scheduler: replicas by Little's law, full zones send requests elsewhere, doubted replicas count as memory

Change: a replica said to be missing is doubted, takes no runs and keeps its memory until a report; replicas needed = rate x duration / 0.7 slots; an owner without room answers 'elsewhere' and tells which models are full.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -210,7 +210,9 @@
 	defer resp.Close()
 	info := n.protocol.Answer(resp.Header)
 	if info.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
-		j.exclude = append(j.exclude, t.ID)
+		if p.run == 0 {
+			j.exclude = append(j.exclude, t.ID) // an owner learns it from the result
+		}
 		kind := notRun
 		if resp.Status == http.StatusMisdirectedRequest {
 			kind = notLoaded
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -132,16 +132,23 @@
 
 // zoneRank orders the zones for one request; lower goes first.
 type zoneRank struct {
-	zone   fleet.Zone
-	class  int
-	weight uint64
+	zone  fleet.Zone
+	class int
+	// backlog is that of the zone, in steps, so that small differences do
+	// not part the requests for one model.
+	backlog int
+	weight  uint64
 }
 
+// backlogStep is the size of the steps of zoneRank.backlog.
+const backlogStep = 3
+
 // Classes of zoneRank.
 const (
 	loadedHere = iota
 	loadedThere
 	copyKept
+	loadedFull
 	noCopy
 	noOrders
 )
@@ -158,6 +165,8 @@
 		r := zoneRank{zone: zone, class: noCopy, weight: fleet.Weight(fleet.NodeID(zone), key)}
 		state := n.links.state(zone)
 		switch {
+		case state != nil && slices.Contains(state.Full[j.service], j.info.Model):
+			r.class = loadedFull
 		case state != nil && slices.Contains(state.Loaded[j.service], j.info.Model):
 			r.class = loadedThere
 			if zone == n.self.Zone {
@@ -166,7 +175,7 @@
 		case state == nil || state.OrdersAfterMillis > 0:
 			r.class = noOrders
 		case copies[zone]:
-			r.class = copyKept
+			r.class, r.backlog = copyKept, state.Backlog/backlogStep
 		}
 		ranks = append(ranks, r)
 	}
@@ -174,6 +183,8 @@
 		switch {
 		case a.class != b.class:
 			return a.class - b.class
+		case a.backlog != b.backlog:
+			return a.backlog - b.backlog
 		case a.weight > b.weight:
 			return -1
 		case a.weight < b.weight:
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -21,10 +22,9 @@
 // Thresholds of placement.
 const (
 	// crowded is the part of its slots above which a model gets another replica.
-	crowded = 0.75
-	// spareRoom is the part of the other replicas' slots that a model's runs
-	// must fit into for one replica to count as surplus.
-	spareRoom = 0.5
+	crowded = 0.85
+	// usedSlots is the part of its slots that a replica is expected to fill.
+	usedSlots = 0.7
 	// closeAfter is how long a request waits before replicas with runs are
 	// closed to make room for it.
 	closeAfter = 300 * time.Millisecond
@@ -45,7 +45,7 @@
 		if t.info.Service != k.service || !t.healthy(now) {
 			continue
 		}
-		if r := t.replicas[k.model]; r != nil && !r.closing {
+		if r := t.replicas[k.model]; r != nil && !r.closing && !r.doubted {
 			st.usable++
 			st.runs += r.runs
 			continue
@@ -84,27 +84,14 @@
 
 // scaleOut loads another replica of models whose replicas are crowded.
 func (s *Scheduler) scaleOut(now time.Time) {
-	seen := map[modelKey]bool{}
-	for _, t := range s.sortedTargets() {
-		for model := range t.replicas {
-			seen[modelKey{t.info.Service, model}] = true
-		}
-	}
-	keys := make([]modelKey, 0, len(seen))
-	for k := range seen {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b modelKey) int {
-		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model))
-	})
-	for _, k := range keys {
+	for _, k := range s.models() {
 		st := s.state(now, k)
 		svc := s.services[k.service]
 		if st.usable == 0 || st.coming > 0 || svc == nil || svc.Engine == nil {
 			continue
 		}
-		if float64(st.runs) > crowded*float64(svc.Engine.Slots*st.usable) {
-			s.beginLoad(now, k, false)
+		if st.usable < s.needed(now, k, svc.Engine) || float64(st.runs) > crowded*float64(svc.Engine.Slots*st.usable) {
+			s.beginLoad(now, k, s.isAwaited(k.service, k.model))
 		}
 	}
 }
@@ -257,13 +244,20 @@
 // that would have to wait for a load.
 func (s *Scheduler) value(now time.Time, k modelKey, e *route.Engine) float64 {
 	rate := s.demandOf(k).perSecond(now)
-	st := s.state(now, k)
-	if st.usable > 1 && float64(st.runs) <= spareRoom*float64(e.Slots*(st.usable-1)) {
+	if s.state(now, k).usable > s.needed(now, k, e) {
 		return surplusWeight * rate
 	}
 	return rate
 }
 
+// needed returns the number of replicas for the model's demand in the zone:
+// by Little's law, the requests in progress are the rate times the duration.
+func (s *Scheduler) needed(now time.Time, k modelKey, e *route.Engine) int {
+	d := s.demandOf(k)
+	running := d.perSecond(now) * d.duration().Seconds()
+	return max(int(math.Ceil(running/(usedSlots*float64(max(e.Slots, 1))))), 1)
+}
+
 // continueOrders sends the next order of each target that makes room.
 func (s *Scheduler) continueOrders(now time.Time) {
 	for _, t := range s.sortedTargets() {
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // loadEstimate is the expected time from the choice of a target for a model
 // to the first free place, including the unload before it.
@@ -22,6 +25,10 @@
 		}
 		k := q.key.modelKey()
 		st := s.state(now, k)
+		if st.usable > 0 && st.coming == 0 && !s.hasRoom(now, k) {
+			s.sendElsewhere(now, q)
+			continue
+		}
 		if st.usable > 0 || st.coming > 0 {
 			continue
 		}
@@ -30,6 +37,15 @@
 	}
 }
 
+// sendElsewhere lets new requests look for room in other zones.
+func (s *Scheduler) sendElsewhere(now time.Time, q *queue) {
+	for _, w := range slices.Clone(q.waiters) {
+		if !w.LastResort && now.Sub(w.since) < loadEstimate/4 {
+			s.refuse(w, Elsewhere, 0)
+		}
+	}
+}
+
 // coldWait estimates the time until the model of the queue at the given rank
 // is loaded.
 func (s *Scheduler) coldWait(now time.Time, rank, targets int) time.Duration {
@@ -45,7 +61,7 @@
 
 func (s *Scheduler) refuseCold(now time.Time, q *queue, wait time.Duration, noCopy bool) {
 	ready := now.Add(wait)
-	for _, w := range append([]*waiter(nil), q.waiters...) {
+	for _, w := range slices.Clone(q.waiters) {
 		fresh := now.Sub(w.since) < loadEstimate/4
 		late := ready.After(w.Objective)
 		switch {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -5,6 +5,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"almondturn/fleet"
@@ -274,6 +276,9 @@
 	}
 	t.release(now, r)
 	t.observe(now, r, o)
+	if o == Completed {
+		s.demandOf(modelKey{t.info.Service, r.model}).ended(now.Sub(r.since))
+	}
 }
 
 // AdoptRuns replaces the runs that a node has at the zone's targets; it tells
@@ -330,32 +335,60 @@
 
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
-// Loaded returns the names of the models per service that are loaded or
-// being loaded.
-func (s *Scheduler) Loaded() map[string][]string {
-	seen := map[modelKey]bool{}
-	out := map[string][]string{}
-	add := func(service, model string) {
-		k := modelKey{service, model}
-		if !seen[k] {
-			seen[k] = true
-			out[service] = append(out[service], model)
-		}
-	}
-	for _, t := range s.targets {
-		if t.info.Draining {
+// Summary is what other nodes need to know of the zone.
+type Summary struct {
+	// Loaded names the models per service that are loaded or being loaded,
+	// Full those of them whose replicas have no room, in order.
+	Loaded, Full map[string][]string
+	// Backlog is the number of models that requests wait for and that are
+	// not being loaded yet.
+	Backlog int
+}
+
+// Summary returns the state of the zone's models.
+func (s *Scheduler) Summary(now time.Time) Summary {
+	out := Summary{Loaded: map[string][]string{}, Full: map[string][]string{}}
+	for _, k := range s.models() {
+		st := s.state(now, k)
+		if st.usable == 0 && st.coming == 0 {
 			continue
 		}
-		for m := range t.replicas {
-			add(t.info.Service, m)
+		out.Loaded[k.service] = append(out.Loaded[k.service], k.model)
+		if st.coming == 0 && !s.hasRoom(now, k) {
+			out.Full[k.service] = append(out.Full[k.service], k.model)
 		}
-		if o := t.order; o != nil && o.Operation == Load && o.Adapter == "" {
-			add(t.info.Service, o.Model)
+	}
+	waits := map[modelKey]bool{}
+	for k := range s.queues {
+		if st := s.state(now, k.modelKey()); st.usable == 0 && st.coming == 0 {
+			waits[k.modelKey()] = true
 		}
 	}
+	out.Backlog = len(waits)
 	return out
 }
 
+// models returns the models that a target has loaded or makes room for, in order.
+func (s *Scheduler) models() []modelKey {
+	seen := map[modelKey]bool{}
+	for _, t := range s.targets {
+		for model := range t.replicas {
+			seen[modelKey{t.info.Service, model}] = true
+		}
+		if t.plan != nil {
+			seen[modelKey{t.info.Service, t.plan.model}] = true
+		}
+	}
+	keys := make([]modelKey, 0, len(seen))
+	for k := range seen {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b modelKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model))
+	})
+	return keys
+}
+
 // Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int { return len(s.tickets) }
 
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -95,10 +95,14 @@
 	lastUsed time.Time
 	// closing replicas take no new runs, because they are to be unloaded.
 	closing bool
+	// doubted replicas were said to be missing by an answer to a request. They
+	// take no new runs until a report lists them, and still count as memory.
+	doubted bool
 }
 
 // adapter is an adapter that a target has loaded.
 type adapter struct {
+	doubted  bool
 	runs     int
 	lastUsed time.Time
 	readyAt  time.Time
@@ -139,10 +143,12 @@
 			r = &replica{adapters: map[string]*adapter{}}
 			t.replicas[m.Name] = r
 		}
+		r.doubted = false
 		for _, name := range m.Adapters {
 			if r.adapters[name] == nil {
 				r.adapters[name] = new(adapter)
 			}
+			r.adapters[name].doubted = false
 		}
 		for name, a := range r.adapters {
 			if a.runs == 0 && !slices.Contains(m.Adapters, name) {
@@ -188,14 +194,14 @@
 // has tells whether a run may start for the model and adapter.
 func (t *target) has(now time.Time, model, adapter string) bool {
 	r := t.replicas[model]
-	if r == nil || r.closing {
+	if r == nil || r.closing || r.doubted {
 		return false
 	}
 	if adapter == "" {
 		return true
 	}
 	a := r.adapters[adapter]
-	return a != nil && !now.Before(a.readyAt)
+	return a != nil && !a.doubted && !now.Before(a.readyAt)
 }
 
 // occupy counts a run.
@@ -250,20 +256,34 @@
 	}
 }
 
-// missing takes back what a target was believed to hold.
+// missing doubts what a target was believed to hold. The memory stays counted
+// until a report tells that it is free.
 func (t *target) missing(now time.Time, r *run) {
 	rep := t.replicas[r.model]
 	if rep == nil {
 		return
 	}
-	if a := rep.adapters[r.adapter]; a != nil {
-		delete(rep.adapters, r.adapter)
+	if a := rep.adapters[r.adapter]; a != nil && !a.doubted {
+		a.doubted = true
 	} else {
-		delete(t.replicas, r.model)
+		rep.doubted = true
 	}
-	if t.phase == idle {
-		t.unknown(now)
+	t.reportAt = now
+}
+
+// doubtful tells whether a report has to settle what the target holds.
+func (t *target) doubtful() bool {
+	for _, r := range t.replicas {
+		if r.doubted {
+			return true
+		}
+		for _, a := range r.adapters {
+			if a.doubted {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 // unknown has the target asked for its state before the next order.
@@ -393,7 +413,8 @@
 			return
 		}
 	case idle:
-		if r.Sequence < t.sequence {
+		if r.Sequence < t.sequence || r.Busy {
+			t.reportAt = next
 			return
 		}
 	case unread:
@@ -440,7 +461,7 @@
 func (s *Scheduler) askReports(now time.Time) {
 	soon := now.After(s.ordersFrom.Add(-unsettledWait)) && now.Before(s.ordersUntil)
 	for _, t := range s.sortedTargets() {
-		due := t.phase == loading || t.phase == unsettled || t.phase == unread && soon
+		due := t.phase == loading || t.phase == unsettled || t.phase == unread && soon || t.phase == idle && t.doubtful()
 		if !due || t.asked || now.Before(t.reportAt) {
 			continue
 		}
--- a/pkg/zoneowner/state.go
+++ b/pkg/zoneowner/state.go
@@ -13,6 +13,7 @@
 type stateSent struct {
 	at     time.Time
 	loaded map[string][]string
+	full   map[string][]string
 	orders bool
 }
 
@@ -23,27 +24,26 @@
 	if since < stateInterval {
 		return stateInterval - since
 	}
-	m := o.state(t)
+	m := o.state(t, now)
 	orders := m.OrdersAfterMillis == 0
-	same := orders == t.state.orders && maps.EqualFunc(m.Loaded, t.state.loaded, slices.Equal[[]string])
+	same := orders == t.state.orders && maps.EqualFunc(m.Loaded, t.state.loaded, slices.Equal[[]string]) &&
+		maps.EqualFunc(m.Full, t.state.full, slices.Equal[[]string])
 	if same && since < stateRefresh {
 		return stateRefresh - since
 	}
-	t.state = stateSent{at: now, loaded: m.Loaded, orders: orders}
+	t.state = stateSent{at: now, loaded: m.Loaded, full: m.Full, orders: orders}
 	o.told.Store(m)
 	o.cfg.Network.Broadcast(m)
 	return stateRefresh
 }
 
 // state returns what the nodes are told. o.mu is held.
-func (o *Owner) state(t *tenure) *wire.ZoneState {
+func (o *Owner) state(t *tenure, now time.Time) *wire.ZoneState {
+	summary := t.scheduler.Summary(now)
 	m := &wire.ZoneState{
-		Zone: o.cfg.Self.Zone, Token: t.token, Loaded: t.scheduler.Loaded(),
+		Zone: o.cfg.Self.Zone, Token: t.token, Loaded: summary.Loaded, Full: summary.Full, Backlog: summary.Backlog,
 		Nodes: append(o.cfg.Network.Connected(), o.cfg.Self), ConfigurationVersion: o.cfg.Version(),
 	}
-	for _, names := range m.Loaded {
-		slices.Sort(names)
-	}
 	boot := boottime.Now()
 	if after := t.ordersFrom.Sub(boot); after > 0 {
 		m.OrdersAfterMillis = max(after.Milliseconds(), 1)
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -116,6 +116,11 @@
 	Nodes []fleet.Node `cbor:"5,keyasint,omitempty"`
 	// ConfigurationVersion is the newest one that the owner knows of.
 	ConfigurationVersion int64 `cbor:"6,keyasint,omitempty"`
+	// Full lists the models of Loaded whose replicas have no room.
+	Full map[string][]string `cbor:"7,keyasint,omitempty"`
+	// Backlog is the number of models that requests wait for and that are
+	// not being loaded yet.
+	Backlog int `cbor:"8,keyasint,omitempty"`
 }
 
 // OwnerPing asks a node of the same zone to hold back from taking the zone
