scheduler: unread prompts weigh in the choice, slow starts add replicas, first run probes a load

Waits for the report after each load held places empty for 0.1 to 0.2 s. Change: the node tells the owner when an answer begins; prompt tokens that are not read yet weigh in the choice of the target; a model whose runs start late gets another replica; the first run after a load is granted at its expected end and confirms it. A stream that the client has left by then is refused.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -28,6 +28,10 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
+	// place is where the request is being sent.
+	place place
+	// begun is set once the owner was told of the first event from there.
+	begun bool
 
 	exclude []string
 	// runs counts the sends that a target may have run, sends all of them.
@@ -61,6 +65,27 @@
 	return time.Duration(patienceShare * float64(j.deadline.Sub(j.arrived)))
 }
 
+// Clients leave a stream whose next event does not come within the longest of
+// a fixed time, a multiple of the latency objective and a multiple of the
+// longest pause between events.
+const (
+	abandonAfter      = 2 * time.Second
+	abandonObjectives = 4
+	abandonGaps       = 8
+)
+
+// startBy is when the answer has to begin for the client to be there still.
+func (j *job) startBy() time.Time {
+	if j.route.Kind != route.Stream {
+		return j.deadline
+	}
+	gap := max(abandonAfter, abandonObjectives*j.route.Objective, abandonGaps*j.route.EventGap)
+	if left := j.arrived.Add(gap); left.Before(j.deadline) {
+		return left
+	}
+	return j.deadline
+}
+
 // resultKind tells how one send ended.
 type resultKind uint8
 
@@ -193,7 +218,7 @@
 // send sends the request to one target and passes the answer on.
 func (n *Node) send(ctx context.Context, j *job, p place, a *answer) result {
 	t := p.target
-	j.target = t.ID
+	j.target, j.place, j.begun = t.ID, p, false
 	j.sends++
 	maxIdle := unsafeIdle
 	if j.idempotent() {
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -247,6 +247,19 @@
 	return placed, nil
 }
 
+// began tells the owner that granted a run that its answer has begun.
+func (l *links) began(zone fleet.Zone, m *wire.RunStarted) {
+	if zone == l.node.self.Zone && l.node.owner.Owns() {
+		l.node.owner.RunStarted(m)
+		return
+	}
+	if k, _ := l.link(zone); k != nil {
+		if c := k.conn.Load(); c != nil {
+			c.Send(m)
+		}
+	}
+}
+
 // ended gives a run back to the owner that granted it.
 func (l *links) ended(zone fleet.Zone, m *wire.RunEnded) {
 	if zone == l.node.self.Zone && l.node.owner.Owns() {
@@ -348,6 +361,8 @@
 	switch m := m.(type) {
 	case *wire.Place:
 		return n.owner.Place(ctx, from.ID, m)
+	case *wire.RunStarted:
+		n.owner.RunStarted(m)
 	case *wire.RunEnded:
 		n.owner.RunEnded(m)
 	case *wire.Runs:
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -94,8 +94,10 @@
 	started  time.Time
 	ready    atomic.Bool
 	stopping atomic.Bool
-	denials  atomic.Int32
-	inFlight atomic.Int64
+	// stoppingSince is when the node was asked to stop, in Unix nanoseconds.
+	stoppingSince atomic.Int64
+	denials       atomic.Int32
+	inFlight      atomic.Int64
 
 	table atomic.Pointer[route.Table]
 	view  atomic.Pointer[inventory.View]
@@ -246,6 +248,7 @@
 func (n *Node) Stop() {
 	event.EntryStopping.Log(n.log).Int64("in_flight", n.inFlight.Load()).Send()
 	began := time.Now()
+	n.stoppingSince.Store(began.UnixNano())
 	n.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTime-stopMargin)
 	defer cancel()
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -66,7 +66,7 @@
 				return p, nil
 			}
 		}
-		left := time.Until(j.deadline)
+		left := time.Until(j.startBy())
 		if ctx.Err() != nil || left < leastRun || time.Since(j.arrived) > j.patience() {
 			return place{}, refuse(fault.NoCapacity, defaultRetry, "no owner of a zone gives a place for the model %q", j.info.Model)
 		}
@@ -125,7 +125,8 @@
 		RequestID: j.info.ID, Service: j.service, Model: j.info.Model, Adapter: j.info.Adapter,
 		InputTokens: j.info.InputTokens, OutputTokens: j.info.OutputTokens, Priority: j.route.Priority,
 		ObjectiveMillis: j.arrived.Add(j.route.Objective).Sub(now).Milliseconds(),
-		DeadlineMillis:  j.deadline.Sub(now).Milliseconds(),
+		DeadlineMillis:  j.startBy().Sub(now).Milliseconds(),
+		LatencyMillis:   j.route.Objective.Milliseconds(),
 		Exclude:         j.exclude, LastResort: last,
 	}
 }
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -14,6 +14,9 @@
 // defaultBodyBytes bounds a body while no configuration is known.
 const defaultBodyBytes = 4 << 20
 
+// stopRetry is when a client that reached a stopping node may come back.
+const stopRetry = 200 * time.Millisecond
+
 // ServeHTTP takes a request of a client.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
@@ -37,6 +40,9 @@
 
 // accepted finds the route of a request and reads what it says of itself.
 func (n *Node) accepted(r *http.Request) (*job, *refusal) {
+	if at := n.stoppingSince.Load(); at != 0 && time.Since(time.Unix(0, at)) > stopNotice {
+		return nil, refuse(fault.ShuttingDown, stopRetry, "the node is stopping")
+	}
 	table := n.table.Load()
 	if table == nil || n.view.Load() == nil {
 		return nil, refuse(fault.NotReady, defaultRetry, "the configuration is not known yet")
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"almondturn/pkg/upstream"
+	"almondturn/wire"
 )
 
 // Silence after which a stream that can be resumed goes on at another target.
@@ -79,6 +80,10 @@
 		a.begin(status, resp.Header, -1)
 		j.first = time.Since(j.arrived)
 	}
+	if j.place.run != 0 && !j.begun {
+		j.begun = true
+		n.links.began(j.place.zone, &wire.RunStarted{Run: j.place.run})
+	}
 	if _, err := a.w.Write(events); err != nil {
 		return err
 	}
--- a/pkg/scheduler/demand.go
+++ b/pkg/scheduler/demand.go
@@ -24,6 +24,20 @@
 	// first is the time of the first request; the count has grown since.
 	first time.Time
 	mean  time.Duration
+	// latency is the mean time from a grant to the first event, as a share
+	// of the latency objective.
+	latency float64
+}
+
+// latencyStep is the weight of the last run in the mean latency.
+const latencyStep = 0.12
+
+// began learns from the time until a run's first event.
+func (d *demand) began(took, objective time.Duration) {
+	if objective <= 0 {
+		return
+	}
+	d.latency += latencyStep * (min(took.Seconds()/objective.Seconds(), 1) - d.latency)
 }
 
 // ended learns from the duration of a run.
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -26,14 +26,21 @@
 	}
 }
 
-// choose returns the target with the fewest runs that can take the request.
+// tokensPerRun is the number of unread prompt tokens that weigh as much as one
+// run in the choice of a target.
+const tokensPerRun = 200
+
+// weight ranks targets by the work that they have.
+func (t *target) weight() int { return t.runs + t.unstarted/tokensPerRun }
+
+// choose returns the target with the least work that can take the request.
 func (s *Scheduler) choose(now time.Time, targets []*target, w *waiter) *target {
 	var best *target
 	for _, t := range targets {
 		if t.info.Service != w.Service || !s.fits(now, t, w) || slices.Contains(w.Exclude, t.info.ID) {
 			continue
 		}
-		if best == nil || t.runs < best.runs {
+		if best == nil || t.weight() < best.weight() {
 			best = t
 		}
 	}
@@ -42,7 +49,7 @@
 
 // fits tells whether the request can begin at the target now.
 func (s *Scheduler) fits(now time.Time, t *target, w *waiter) bool {
-	if !t.healthy(now) || now.Before(t.busyUntil) || !t.has(now, w.Model, w.Adapter) {
+	if !t.healthy(now) || now.Before(t.busyUntil) || !t.has(now, w.Model, w.Adapter) && !t.probeable(now, w.Model, w.Adapter) {
 		return false
 	}
 	e := s.services[w.Service].Engine
@@ -66,8 +73,10 @@
 	s.lastRun++
 	r := &run{
 		id: s.lastRun, node: w.Node, target: t.info.ID, model: w.Model, adapter: w.Adapter,
-		tokens: w.tokens(), since: now,
+		tokens: w.tokens(), input: w.InputTokens, objective: w.latency, since: now,
+		probe: t.probeable(now, w.Model, w.Adapter) && !t.has(now, w.Model, w.Adapter),
 	}
+	t.probing = t.probing || r.probe
 	s.runs[r.id] = r
 	t.occupy(now, r)
 	s.remove(w)
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -19,12 +19,21 @@
 	FromStore
 )
 
+// leastRuns is the number of runs per replica below which a slow start has
+// other causes than the number of requests.
+const leastRuns = 6
+
 // Thresholds of placement.
 const (
 	// crowded is the part of its slots above which a model gets another replica.
 	crowded = 0.85
 	// usedSlots is the part of its slots that a replica is expected to fill.
 	usedSlots = 0.7
+	// slowStart is the time to the first event, as a share of the latency
+	// objective, above which a model gets another replica, and quickStart
+	// that below which a surplus replica may go.
+	slowStart  = 0.4
+	quickStart = 0.2
 	// closeAfter is how long a request waits before replicas with runs are
 	// closed to make room for it.
 	closeAfter = 300 * time.Millisecond
@@ -57,12 +66,10 @@
 	return st
 }
 
-// loadModels begins a load for each queue whose requests find no place.
+// loadModels begins a load for each queue whose requests find no place, the
+// one with the most to win first.
 func (s *Scheduler) loadModels(now time.Time, order []*queue) {
-	for _, q := range order {
-		if len(q.waiters) == 0 {
-			continue
-		}
+	for _, q := range s.byGain(now, order) {
 		k := q.key.modelKey()
 		st := s.state(now, k)
 		if st.coming > 0 || st.usable > 0 && (q.key.adapter != "" || s.hasRoom(now, k)) {
@@ -72,6 +79,49 @@
 	}
 }
 
+// lateWeight is what a request that misses its objective counts, beside one
+// that meets it.
+const lateWeight = 0.15
+
+// byGain orders the queues by what a load of their model wins: the requests
+// that it serves, most of all in time, for the memory and the time it takes.
+func (s *Scheduler) byGain(now time.Time, order []*queue) []*queue {
+	type ranked struct {
+		q    *queue
+		gain float64
+	}
+	ranks := make([]ranked, 0, len(order))
+	for _, q := range order {
+		if len(q.waiters) > 0 {
+			ranks = append(ranks, ranked{q, s.gain(now, q)})
+		}
+	}
+	slices.SortStableFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.gain, a.gain) })
+	out := make([]*queue, len(ranks))
+	for i, r := range ranks {
+		out[i] = r.q
+	}
+	return out
+}
+
+func (s *Scheduler) gain(now time.Time, q *queue) float64 {
+	svc := s.services[q.key.service]
+	if svc == nil || svc.Engine == nil || svc.Engine.Models[q.key.model] == nil {
+		return 0
+	}
+	m := svc.Engine.Models[q.key.model]
+	served := 0.0
+	for _, w := range q.waiters {
+		if now.Add(m.DiskTime).Before(w.Objective) {
+			served++
+		} else {
+			served += lateWeight
+		}
+	}
+	occupied := m.DiskTime + s.demandOf(q.key.modelKey()).duration()
+	return served / (m.WeightsMB * occupied.Seconds())
+}
+
 // hasRoom tells whether one of the model's replicas takes another run.
 func (s *Scheduler) hasRoom(now time.Time, k modelKey) bool {
 	for _, t := range s.targets {
@@ -90,8 +140,11 @@
 		if st.usable == 0 || st.coming > 0 || svc == nil || svc.Engine == nil {
 			continue
 		}
-		if st.usable < s.needed(now, k, svc.Engine) || float64(st.runs) > crowded*float64(svc.Engine.Slots*st.usable) {
-			s.beginLoad(now, k, s.isAwaited(k.service, k.model))
+		d := s.demandOf(k)
+		slow := d.latency > slowStart && st.runs >= leastRuns*st.usable
+		if slow || st.usable < s.needed(now, k, svc.Engine) || float64(st.runs) > crowded*float64(svc.Engine.Slots*st.usable) {
+			s.beginLoad(now, k, slow || s.isAwaited(k.service, k.model))
+			d.latency = min(d.latency, quickStart) // the next replica has to show its effect first
 		}
 	}
 }
@@ -244,7 +297,7 @@
 // that would have to wait for a load.
 func (s *Scheduler) value(now time.Time, k modelKey, e *route.Engine) float64 {
 	rate := s.demandOf(k).perSecond(now)
-	if s.state(now, k).usable > s.needed(now, k, e) {
+	if s.state(now, k).usable > s.needed(now, k, e) && s.demandOf(k).latency < quickStart {
 		return surplusWeight * rate
 	}
 	return rate
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -16,6 +16,8 @@
 	Request
 	ticket Ticket
 	since  time.Time
+	// latency is the latency objective as a duration.
+	latency time.Duration
 }
 
 // queue holds the requests for one model or adapter, the most urgent first.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -25,6 +25,8 @@
 	// Objective is when the answer should begin, Deadline when the caller
 	// no longer waits.
 	Objective, Deadline time.Time
+	// Latency is the latency objective as a duration.
+	Latency time.Duration
 	// Exclude lists targets that failed this request before.
 	Exclude []string
 	// LastResort tells that no other zone takes the request.
@@ -220,7 +222,7 @@
 // Submit queues a request. The answer is an action of a later Step.
 func (s *Scheduler) Submit(now time.Time, r Request) Ticket {
 	s.lastTicket++
-	w := &waiter{Request: r, ticket: s.lastTicket, since: now}
+	w := &waiter{Request: r, ticket: s.lastTicket, since: now, latency: r.Latency}
 	s.tickets[w.ticket] = w
 	key := queueKey{r.Service, r.Model, r.Adapter}
 	q := s.queues[key]
@@ -260,7 +262,31 @@
 	target         string
 	model, adapter string
 	tokens         int
+	input          int
+	objective      time.Duration
 	since          time.Time
+	started        bool
+	// probe is the first run after a load that no report has confirmed yet.
+	probe bool
+}
+
+// Started tells that the answer of a run has begun.
+func (s *Scheduler) Started(now time.Time, id RunID) {
+	r := s.runs[id]
+	if r == nil || r.started {
+		return
+	}
+	r.started = true
+	t := s.targets[r.target]
+	if t == nil {
+		return
+	}
+	t.unstarted = max(t.unstarted-r.input, 0)
+	if r.probe {
+		t.confirmed(now, r)
+		return
+	}
+	s.demandOf(modelKey{t.info.Service, r.model}).began(now.Sub(r.since), r.objective)
 }
 
 // Ended gives the place of a run back.
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -44,6 +44,11 @@
 	busyTime = 80 * time.Millisecond
 	// adapterLoadTime is the time after which an accepted adapter is used.
 	adapterLoadTime = 15 * time.Millisecond
+	// probeMargin is added to the expected end of a load before a first run
+	// shows whether the model is there; probePause is the wait after a run
+	// that showed it is not.
+	probeMargin = 15 * time.Millisecond
+	probePause  = 60 * time.Millisecond
 	// unloadTime is the pause between an unload and the next order.
 	unloadTime = 45 * time.Millisecond
 	// rejectedPause is the pause after an order that was rejected, mostly
@@ -80,8 +85,14 @@
 	reportAt time.Time
 
 	runs, tokens int
-	failures     int
-	rejections   int
+	// unstarted is the number of prompt tokens of runs without a first event.
+	unstarted int
+	// probing is set while the first run after a load shows whether the
+	// model is there; probeAt is when the next one may.
+	probing    bool
+	probeAt    time.Time
+	failures   int
+	rejections int
 	// unreadSince is when the state became unknown.
 	unreadSince  time.Time
 	suspectUntil time.Time
@@ -204,10 +215,30 @@
 	return a != nil && !a.doubted && !now.Before(a.readyAt)
 }
 
+// probeable tells whether one run may show that a load has ended, before a
+// report does.
+func (t *target) probeable(now time.Time, model, adapter string) bool {
+	return t.phase == loading && adapter == "" && t.order.Model == model && t.order.Adapter == "" && !t.probing &&
+		!now.Before(t.orderSince.Add(t.expected+probeMargin)) && !now.Before(t.probeAt)
+}
+
+// confirmed follows the first event of a probe: the load has ended.
+func (t *target) confirmed(now time.Time, r *run) {
+	t.probing = false
+	if t.phase != loading || t.order.Model != r.model {
+		return
+	}
+	t.replicas[r.model] = &replica{adapters: map[string]*adapter{}, lastUsed: now, runs: 1}
+	t.phase, t.order, t.plan = idle, nil, nil
+}
+
 // occupy counts a run.
 func (t *target) occupy(now time.Time, r *run) {
 	t.runs++
 	t.tokens += r.tokens
+	if !r.started {
+		t.unstarted += r.input
+	}
 	rep := t.replicas[r.model]
 	if rep == nil {
 		return
@@ -224,6 +255,13 @@
 func (t *target) release(now time.Time, r *run) {
 	t.runs = max(t.runs-1, 0)
 	t.tokens = max(t.tokens-r.tokens, 0)
+	if !r.started {
+		t.unstarted = max(t.unstarted-r.input, 0)
+	}
+	if r.probe && !r.started {
+		t.probing = false
+		t.probeAt = now.Add(probePause)
+	}
 	rep := t.replicas[r.model]
 	if rep == nil {
 		return
@@ -249,9 +287,13 @@
 			t.suspectUntil = now.Add(suspectTime)
 		}
 	case Busy:
-		t.busyUntil = now.Add(busyTime)
+		if !r.probe {
+			t.busyUntil = now.Add(busyTime)
+		}
 	case NotLoaded:
-		t.missing(now, r)
+		if !r.probe {
+			t.missing(now, r)
+		}
 	case Unused:
 	}
 }
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -212,6 +212,7 @@
 		InputTokens: m.InputTokens, OutputTokens: m.OutputTokens, Priority: m.Priority,
 		Objective:  now.Add(time.Duration(m.ObjectiveMillis) * time.Millisecond),
 		Deadline:   now.Add(time.Duration(m.DeadlineMillis) * time.Millisecond),
+		Latency:    time.Duration(m.LatencyMillis) * time.Millisecond,
 		Exclude:    m.Exclude,
 		LastResort: m.LastResort,
 	}
@@ -228,6 +229,17 @@
 	o.run(o.tenure)
 }
 
+// RunStarted tells that the answer of a run has begun.
+func (o *Owner) RunStarted(m *wire.RunStarted) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.tenure == nil {
+		return
+	}
+	o.tenure.scheduler.Started(time.Now(), scheduler.RunID(m.Run))
+	o.run(o.tenure)
+}
+
 // Adopt takes over the runs of a node that has connected.
 func (o *Owner) Adopt(node fleet.Node, m *wire.Runs) {
 	runs := make([]scheduler.AdoptedRun, len(m.Runs))
--- a/wire/types.go
+++ b/wire/types.go
@@ -39,6 +39,7 @@
 	TypePlace:         func() Message { return new(Place) },
 	TypePlaced:        func() Message { return new(Placed) },
 	TypeRunEnded:      func() Message { return new(RunEnded) },
+	TypeRunStarted:    func() Message { return new(RunStarted) },
 	TypeRuns:          func() Message { return new(Runs) },
 	TypeZoneState:     func() Message { return new(ZoneState) },
 	TypeOwnerPing:     func() Message { return new(OwnerPing) },
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -14,6 +14,7 @@
 	TypeOwnerPong
 	TypeStoreCall
 	TypeStoreAnswer
+	TypeRunStarted
 )
 
 // Place asks the owner of a zone for a target that has the model loaded. The
@@ -38,6 +39,8 @@
 	Exclude []string `cbor:"10,keyasint,omitempty"`
 	// LastResort tells that all other zones have refused.
 	LastResort bool `cbor:"11,keyasint,omitempty"`
+	// LatencyMillis is the latency objective.
+	LatencyMillis int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // PlaceRefusal tells why an owner grants no place.
@@ -88,6 +91,11 @@
 	Outcome RunOutcome `cbor:"2,keyasint,omitempty"`
 }
 
+// RunStarted tells an owner that the answer of a granted run has begun.
+type RunStarted struct {
+	Run uint64 `cbor:"1,keyasint"`
+}
+
 // Run is one request in progress at a target.
 type Run struct {
 	Run     uint64 `cbor:"1,keyasint"`
@@ -161,6 +169,9 @@
 // Type implements Message.
 func (*RunEnded) Type() Type { return TypeRunEnded }
 
+// Type implements Message.
+func (*RunStarted) Type() Type { return TypeRunStarted }
+
 // Type implements Message.
 func (*Runs) Type() Type { return TypeRuns }
 
