scheduler: blocked plans move, adapters load beside them; owners log grants and refusals

The load was planned on a target whose victim had runs while others became free; adapters waited for the same plan. Ruled out: full replicas (usable 0), missing copies. Change: a plan that waits for runs moves to a target with idle victims; an adapter is loaded beside a plan when both fit; each grant and refusal is logged with what decided it.

--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -55,12 +55,12 @@
 		return
 	}
 	// A target that makes room for a model keeps that room.
-	fits := t.plan == nil && t.usedMB(e)+m.AdapterMB <= e.WeightsMB
+	fits := max(t.usedMB(e), t.plannedMB(e))+m.AdapterMB <= e.WeightsMB
 	if t.adapterCount() < e.AdapterSlots && fits {
 		s.send(now, t, Order{Operation: Load, Model: k.model, Adapter: k.adapter}, adapterLoadTime)
 		return
 	}
-	if model, name, ok := t.oldestAdapter(); ok && t.plan == nil {
+	if model, name, ok := t.oldestAdapter(); ok {
 		s.send(now, t, Order{Operation: Unload, Model: model, Adapter: name}, 0)
 	}
 }
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -80,5 +80,5 @@
 	s.runs[r.id] = r
 	t.occupy(now, r)
 	s.remove(w)
-	s.emit(Grant{Ticket: w.ticket, Run: r.id, Target: t.info.ID, Waited: now.Sub(w.since)})
+	s.emit(Grant{Ticket: w.ticket, Run: r.id, Target: t.info.ID, Waited: now.Sub(w.since), Running: t.runs, Probe: r.probe})
 }
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -46,6 +46,9 @@
 // state sums up a model's replicas in the zone.
 type state struct {
 	usable, runs, coming int
+	// blocked is a target that makes room for the model and waits for the
+	// end of runs.
+	blocked *target
 }
 
 func (s *Scheduler) state(now time.Time, k modelKey) state {
@@ -61,6 +64,9 @@
 		}
 		if t.plan != nil && t.plan.model == k.model {
 			st.coming++
+			if t.planBlocked() {
+				st.blocked = t
+			}
 		}
 	}
 	return st
@@ -72,7 +78,11 @@
 	for _, q := range s.byGain(now, order) {
 		k := q.key.modelKey()
 		st := s.state(now, k)
-		if st.coming > 0 || st.usable > 0 && (q.key.adapter != "" || s.hasRoom(now, k)) {
+		if st.usable > 0 && (q.key.adapter != "" || s.hasRoom(now, k)) {
+			continue
+		}
+		if st.coming > 0 {
+			s.unblock(now, k, st)
 			continue
 		}
 		s.beginLoad(now, k, now.Sub(q.waiters[0].since) >= closeAfter)
@@ -174,9 +184,13 @@
 	if !ok && closing {
 		best, ok = s.bestCandidate(now, k, m, svc.Engine, copies, true)
 	}
-	if !ok {
-		return
+	if ok {
+		s.follow(now, k, best)
 	}
+}
+
+// follow begins to make room as the candidate says.
+func (s *Scheduler) follow(now time.Time, k modelKey, best candidate) {
 	best.t.plan = &plan{model: k.model, source: best.source, victims: best.victims, since: now}
 	for _, v := range best.victims {
 		best.t.replicas[v].closing = true
@@ -195,6 +209,21 @@
 	return n
 }
 
+// unblock moves a plan that waits for the end of runs to a target that has
+// room at once.
+func (s *Scheduler) unblock(now time.Time, k modelKey, st state) {
+	svc := s.services[k.service]
+	if st.blocked == nil || svc == nil || svc.Engine == nil || svc.Engine.Models[k.model] == nil {
+		return
+	}
+	best, ok := s.bestCandidate(now, k, svc.Engine.Models[k.model], svc.Engine, s.copies(now, k), false)
+	if !ok {
+		return
+	}
+	st.blocked.abandonPlan()
+	s.follow(now, k, best)
+}
+
 // bestCandidate returns the cheapest target for the model. Targets without a
 // copy come into question only when no target has one.
 func (s *Scheduler) bestCandidate(now time.Time, k modelKey, m *route.Model, e *route.Engine, copies int, closing bool) (candidate, bool) {
@@ -356,6 +385,36 @@
 	s.send(now, t, Order{Operation: Load, Model: p.model, Source: source}, d)
 }
 
+// planBlocked tells whether the target's plan waits for the end of runs.
+func (t *target) planBlocked() bool {
+	if t.phase != idle || t.plan == nil {
+		return false
+	}
+	for _, v := range t.plan.victims {
+		if r := t.replicas[v]; r != nil {
+			return r.runs > 0
+		}
+	}
+	return false
+}
+
+// plannedMB returns the memory in use once the target's plan is carried out.
+func (t *target) plannedMB(e *route.Engine) float64 {
+	used := t.usedMB(e)
+	if t.plan == nil {
+		return used
+	}
+	for _, v := range t.plan.victims {
+		if r, m := t.replicas[v], e.Models[v]; r != nil && m != nil {
+			used -= m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
+		}
+	}
+	if m := e.Models[t.plan.model]; m != nil && t.replicas[t.plan.model] == nil {
+		used += m.WeightsMB
+	}
+	return used
+}
+
 // abandonPlan opens the replicas that were to make room.
 func (t *target) abandonPlan() {
 	for _, r := range t.replicas {
--- a/pkg/scheduler/names.go
+++ b/pkg/scheduler/names.go
@@ -9,3 +9,8 @@
 func (r OrderResult) String() string {
 	return [...]string{"accepted", "done", "rejected", "unknown"}[r]
 }
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	return [...]string{"", "elsewhere", "overloaded"}[r]
+}
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -101,7 +101,7 @@
 func (s *Scheduler) expire(now time.Time) {
 	for _, w := range s.sortedWaiters() {
 		if w.Deadline.Sub(now) < minimumRun {
-			s.refuse(w, Overloaded, refusedRetry)
+			s.refuse(now, w, Overloaded, refusedRetry, Basis{Left: w.Deadline.Sub(now)})
 		}
 	}
 }
@@ -116,7 +116,7 @@
 	return out
 }
 
-func (s *Scheduler) refuse(w *waiter, reason Reason, retry time.Duration) {
+func (s *Scheduler) refuse(now time.Time, w *waiter, reason Reason, retry time.Duration, b Basis) {
 	s.remove(w)
-	s.emit(Refusal{Ticket: w.ticket, Reason: reason, RetryAfter: retry})
+	s.emit(Refusal{Ticket: w.ticket, Reason: reason, RetryAfter: retry, Waited: now.Sub(w.since), Basis: b})
 }
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -9,6 +9,9 @@
 // to the first free place, including the unload before it.
 const loadEstimate = time.Second
 
+// longestRetry bounds the time after which a refused request may come back.
+const longestRetry = 2 * time.Second
+
 // refuseHopeless refuses the requests that will not be served in time, and
 // those that another zone is likely to serve sooner.
 func (s *Scheduler) refuseHopeless(now time.Time, order []*queue) {
@@ -26,22 +29,23 @@
 		k := q.key.modelKey()
 		st := s.state(now, k)
 		if st.usable > 0 && st.coming == 0 && !s.hasRoom(now, k) {
-			s.sendElsewhere(now, q)
+			s.sendElsewhere(now, q, Basis{Usable: st.usable})
 			continue
 		}
 		if st.usable > 0 || st.coming > 0 {
 			continue
 		}
 		ahead++
-		s.refuseCold(now, q, s.coldWait(now, ahead, targets), s.copies(now, k) == 0)
+		s.refuseCold(now, q, Basis{Expected: s.coldWait(now, ahead, targets), Copies: s.copies(now, k), Backlog: ahead})
 	}
 }
 
 // sendElsewhere lets new requests look for room in other zones.
-func (s *Scheduler) sendElsewhere(now time.Time, q *queue) {
+func (s *Scheduler) sendElsewhere(now time.Time, q *queue, b Basis) {
 	for _, w := range slices.Clone(q.waiters) {
 		if !w.LastResort && now.Sub(w.since) < loadEstimate/4 {
-			s.refuse(w, Elsewhere, 0)
+			b.Left = w.Deadline.Sub(now)
+			s.refuse(now, w, Elsewhere, 0, b)
 		}
 	}
 }
@@ -59,16 +63,17 @@
 	return max(wait, loadEstimate/2)
 }
 
-func (s *Scheduler) refuseCold(now time.Time, q *queue, wait time.Duration, noCopy bool) {
-	ready := now.Add(wait)
+func (s *Scheduler) refuseCold(now time.Time, q *queue, b Basis) {
+	ready := now.Add(b.Expected)
 	for _, w := range slices.Clone(q.waiters) {
 		fresh := now.Sub(w.since) < loadEstimate/4
 		late := ready.After(w.Objective)
+		b.Left = w.Deadline.Sub(now)
 		switch {
-		case !w.LastResort && fresh && (late || noCopy):
-			s.refuse(w, Elsewhere, 0)
+		case !w.LastResort && fresh && (late || b.Copies == 0):
+			s.refuse(now, w, Elsewhere, 0, b)
 		case ready.After(w.Deadline.Add(-minimumRun)):
-			s.refuse(w, Overloaded, min(wait, 2*time.Second))
+			s.refuse(now, w, Overloaded, min(b.Expected, longestRetry), b)
 		}
 	}
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -114,6 +114,10 @@
 	Target string
 	// Waited is the time since Submit.
 	Waited time.Duration
+	// Running is the number of runs at the target, with this one.
+	Running int
+	// Probe tells that no report has confirmed the load yet.
+	Probe bool
 }
 
 // Refusal ends a waiting request.
@@ -121,6 +125,22 @@
 	Ticket     Ticket
 	Reason     Reason
 	RetryAfter time.Duration
+	Waited     time.Duration
+	Basis      Basis
+}
+
+// Basis is what a refusal was decided on.
+type Basis struct {
+	// Expected is the estimated time until a place is free; 0 when none was made.
+	Expected time.Duration
+	// Left is the time until the latest useful start.
+	Left time.Duration
+	// Usable and Coming are the replicas of the model in the zone.
+	Usable, Coming int
+	// Copies is the number of targets with a copy of the weights.
+	Copies int
+	// Backlog is the rank of the model among those that wait for a load.
+	Backlog int
 }
 
 // SendOrder has an order sent; its result goes to Ordered.
--- a/pkg/zoneowner/campaign.go
+++ b/pkg/zoneowner/campaign.go
@@ -240,7 +240,7 @@
 	t := &tenure{
 		token: token, lease: lease, ordersFrom: ordersFrom, ctx: ctx, cancel: cancel,
 		scheduler: scheduler.New(scheduler.RunID(token * runsPerToken)),
-		waiting:   map[scheduler.Ticket]chan *wire.Placed{},
+		waiting:   map[scheduler.Ticket]waiting{},
 	}
 	t.authority.renewed(renewed, o.ttl)
 	o.mu.Lock()
@@ -265,9 +265,9 @@
 	o.tenure = nil
 	o.told.Store(nil)
 	t.cancel()
-	for ticket, result := range t.waiting {
+	for ticket, w := range t.waiting {
 		delete(t.waiting, ticket)
-		result <- &wire.Placed{Refusal: wire.PlaceNotOwner}
+		w.result <- &wire.Placed{Refusal: wire.PlaceNotOwner}
 	}
 	event.ZoneLost.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Uint64("token", t.token).Str("reason", reason).Send()
 }
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -99,12 +99,19 @@
 	ordersFrom time.Time
 	lastOrder  time.Time
 	byID       map[string]*inventory.Target
-	waiting    map[scheduler.Ticket]chan *wire.Placed
+	waiting    map[scheduler.Ticket]waiting
 	ctx        context.Context
 	cancel     context.CancelFunc
 	state      stateSent
 }
 
+// waiting is a request that waits for the scheduler's answer.
+type waiting struct {
+	request string
+	model   string
+	result  chan *wire.Placed // buffered, and answered once
+}
+
 // New returns an Owner that does not take part yet; Run does.
 func New(cfg Config) *Owner {
 	return &Owner{
@@ -179,7 +186,7 @@
 	}
 	now := time.Now()
 	ticket := t.scheduler.Submit(now, request(now, node, m))
-	t.waiting[ticket] = result
+	t.waiting[ticket] = waiting{m.RequestID, m.Model, result}
 	o.run(t)
 	o.mu.Unlock()
 	select {
@@ -285,9 +292,15 @@
 func (o *Owner) act(t *tenure, now time.Time, a scheduler.Action) {
 	switch a := a.(type) {
 	case scheduler.Grant:
-		t.answer(a.Ticket, &wire.Placed{Run: uint64(a.Run), Target: a.Target})
+		w := t.answer(a.Ticket, &wire.Placed{Run: uint64(a.Run), Target: a.Target})
+		event.PlaceGranted.Log(o.cfg.Log).Str("request", w.request).Str("model", w.model).Str("target", a.Target).
+			Uint64("run", uint64(a.Run)).Dur("waited_ms", a.Waited).Int("running", a.Running).Bool("probe", a.Probe).Send()
 	case scheduler.Refusal:
-		t.answer(a.Ticket, refusal(a))
+		w := t.answer(a.Ticket, refusal(a))
+		event.PlaceRefused.Log(o.cfg.Log).Str("request", w.request).Str("model", w.model).Stringer("reason", a.Reason).
+			Dur("waited_ms", a.Waited).Dur("expected_ms", a.Basis.Expected).Dur("left_ms", a.Basis.Left).
+			Int("usable", a.Basis.Usable).Int("copies", a.Basis.Copies).Int("backlog", a.Basis.Backlog).
+			Int64("orders_after_ms", max(t.ordersFrom.Sub(boottime.Now()).Milliseconds(), 0)).Send()
 	case scheduler.SendOrder:
 		t.lastOrder = boottime.Now()
 		if target := t.byID[a.Order.Target]; target != nil {
@@ -312,12 +325,13 @@
 	return p
 }
 
-func (t *tenure) answer(ticket scheduler.Ticket, p *wire.Placed) {
-	result := t.waiting[ticket]
+func (t *tenure) answer(ticket scheduler.Ticket, p *wire.Placed) waiting {
+	w := t.waiting[ticket]
 	delete(t.waiting, ticket)
-	if result != nil {
-		result <- p // buffered, and answered once
+	if w.result != nil {
+		w.result <- p
 	}
+	return w
 }
 
 // sendOrder sends an order unless the authority ended meanwhile.
