--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -144,16 +144,7 @@
 		l.accepted[id] = c
 		l.known[id] = c.Peer()
 		l.mu.Unlock()
-		_ = c.Run()
-		l.mu.Lock()
-		current := l.accepted[id] == c
-		if current {
-			delete(l.accepted, id)
-		}
-		l.mu.Unlock()
-		if current {
-			time.AfterFunc(nodeGoneAfter, func() { l.forget(id) })
-		}
+		l.run(id, c)
 	})
 }
 
@@ -312,7 +303,11 @@
 // relay passes a call to the key-value service on through other nodes.
 func (l *links) relay(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	err := errNoConnection
-	for i, c := range l.neighbours() {
+	around := l.neighbours()
+	if len(around) == 0 {
+		around = l.seeds(ctx)
+	}
+	for i, c := range around {
 		if i >= maxRelays {
 			break
 		}
@@ -328,6 +323,42 @@
 	return 0, nil, err
 }
 
+// seeds connects to the first node of the settings that answers. It is needed
+// only while no owner is known and the key-value service cannot tell of one.
+func (l *links) seeds(ctx context.Context) []*wire.Conn {
+	for _, addr := range l.node.settings.Seeds {
+		if addr == l.node.self.Addr {
+			continue
+		}
+		c, err := wire.Dial(ctx, "ws://"+addr+innerPath, l.client, l.config(nil))
+		if err != nil {
+			continue // seeds may be stale
+		}
+		id := c.Peer().ID
+		l.mu.Lock()
+		l.accepted[id] = c
+		l.known[id] = c.Peer()
+		l.mu.Unlock()
+		go l.run(id, c)
+		return []*wire.Conn{c}
+	}
+	return nil
+}
+
+// run serves a connection that is not one to an owner until it ends.
+func (l *links) run(id fleet.NodeID, c *wire.Conn) {
+	_ = c.Run() // the reason does not matter: the other end dials again
+	l.mu.Lock()
+	current := l.accepted[id] == c
+	if current {
+		delete(l.accepted, id)
+	}
+	l.mu.Unlock()
+	if current {
+		time.AfterFunc(nodeGoneAfter, func() { l.forget(id) })
+	}
+}
+
 // neighbours returns connections to other nodes, owners first.
 func (l *links) neighbours() []*wire.Conn {
 	l.mu.Lock()
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"almondturn/fleet"
+	"almondturn/pkg/boottime"
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
 	kv "almondturn/pkg/platform"
@@ -139,7 +140,7 @@
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
 		Self: n.self, Zones: len(d.Settings.Zones), MinLease: d.Settings.MinLeaseTime, HolderPause: d.Settings.OrderHolderPause,
-		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Version: n.version,
+		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Version: n.version, Boot: boottime.Now,
 	})
 	d.Store.SetRelay(n.links.relay)
 	n.configuration = n.newWatch(d.Decoder.ConfigurationKey, 0, n.resetConfiguration, n.changeConfiguration)
@@ -274,6 +275,16 @@
 	}
 }
 
+// Abort ends the node at once, as a crash does: nothing is handed over.
+func (n *Node) Abort() {
+	n.owner.Abandon()
+	n.cancelHard()
+	n.cancel()
+	for _, s := range []*http.Server{n.clients, n.readiness, n.inner} {
+		_ = s.Close()
+	}
+}
+
 // settle gives the requests that were cut off the time to answer.
 func (n *Node) settle() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
--- a/pkg/entry/state.go
+++ b/pkg/entry/state.go
@@ -184,3 +184,6 @@
 	zone, ok := strings.CutSuffix(rest, "/owner")
 	return fleet.Zone(zone), ok
 }
+
+// Version returns the version of the configuration in force, 0 for none.
+func (n *Node) Version() int64 { return n.version() }
--- a/pkg/zoneowner/campaign.go
+++ b/pkg/zoneowner/campaign.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"almondturn/fleet"
-	"almondturn/pkg/boottime"
 	"almondturn/pkg/event"
 	kv "almondturn/pkg/platform"
 	"almondturn/pkg/scheduler"
@@ -91,7 +90,7 @@
 		return pong
 	}
 	pong.Promised = true
-	o.promisedUntil = boottime.Now().Add(PromiseTime)
+	o.promisedUntil = o.cfg.Boot().Add(PromiseTime)
 	o.promisedTo = from.Addr
 	return pong
 }
@@ -113,7 +112,7 @@
 // campaign takes the zone if that is due, and returns when to look again.
 func (o *Owner) campaign(ctx context.Context) time.Duration {
 	o.mu.Lock()
-	held, promised := o.held, o.promisedUntil.Sub(boottime.Now())
+	held, promised := o.held, o.promisedUntil.Sub(o.cfg.Boot())
 	able := o.known && o.ready && o.tenure == nil && !o.stopping && o.services != nil
 	mine := held.record.Addr == o.cfg.Self.Addr
 	o.mu.Unlock()
@@ -134,7 +133,7 @@
 // take registers this node as the owner. held is the key that it replaces:
 // none, or that of an earlier start of this node.
 func (o *Owner) take(ctx context.Context, held ownerKey) error {
-	sent := boottime.Now()
+	sent := o.cfg.Boot()
 	lease, err := o.cfg.Store.GrantLease(ctx, o.ttl)
 	if err != nil {
 		return fmt.Errorf("grant a lease: %w", err)
@@ -156,7 +155,7 @@
 		o.reread(ctx, key)
 		return fmt.Errorf("take the key: %w", err)
 	}
-	taken := boottime.Now()
+	taken := o.cfg.Boot()
 	record, err := json.Marshal(lastRecord{Addr: o.cfg.Self.Addr})
 	if err != nil {
 		return fmt.Errorf("encode the record: %w", err)
@@ -251,7 +250,7 @@
 	o.tenure = t
 	o.held = ownerKey{OwnerRecord{o.cfg.Self.ID, o.cfg.Self.Addr, o.cfg.Self.Incarnation}, kv.Revision(token)}
 	event.ZoneTaken.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Uint64("token", token).
-		Int64("orders_after_ms", ordersFrom.Sub(boottime.Now()).Milliseconds()).Send()
+		Int64("orders_after_ms", ordersFrom.Sub(o.cfg.Boot()).Milliseconds()).Send()
 	go o.keepLease(t)
 	go o.keepPromises(t)
 	go o.keepStepping(t)
@@ -283,9 +282,9 @@
 	}
 	age := time.Hour
 	if !t.lastOrder.IsZero() {
-		age = max(boottime.Now().Sub(t.lastOrder), time.Millisecond)
+		age = max(o.cfg.Boot().Sub(t.lastOrder), time.Millisecond)
 	}
-	if pause := t.ordersFrom.Sub(boottime.Now()); pause > 0 {
+	if pause := t.ordersFrom.Sub(o.cfg.Boot()); pause > 0 {
 		age = max(o.cfg.HolderPause-pause, time.Millisecond) // the pause of this owner still counts
 	}
 	o.end(t, "resigned")
@@ -299,6 +298,16 @@
 	_ = o.cfg.Store.RevokeLease(ctx, t.lease) // else it lapses
 }
 
+// Abandon ends the tenure without a word, as a crash does.
+func (o *Owner) Abandon() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopping = true
+	if o.tenure != nil {
+		o.end(o.tenure, "abandoned")
+	}
+}
+
 // Owns tells whether this node owns its zone.
 func (o *Owner) Owns() bool {
 	o.mu.Lock()
@@ -316,7 +325,7 @@
 			return
 		case <-ticker.C:
 		}
-		sent := boottime.Now()
+		sent := o.cfg.Boot()
 		err := o.cfg.Store.RenewLease(t.ctx, t.lease)
 		o.mu.Lock()
 		switch {
@@ -338,7 +347,7 @@
 // endIfPowerless ends a tenure without authority, so that its waiting
 // requests look for another owner. o.mu is held.
 func (o *Owner) endIfPowerless(t *tenure) {
-	boot := boottime.Now()
+	boot := o.cfg.Boot()
 	if boot.Sub(t.authority.until(boot)) > o.ttl {
 		o.end(t, "neither lease nor promises")
 	}
@@ -349,7 +358,7 @@
 func (o *Owner) retake(t *tenure) {
 	ctx, cancel := context.WithTimeout(t.ctx, leaseTime)
 	defer cancel()
-	sent := boottime.Now()
+	sent := o.cfg.Boot()
 	lease, err := o.cfg.Store.GrantLease(ctx, o.ttl)
 	if err != nil {
 		return // the next renewal finds the lease lapsed again
@@ -385,7 +394,7 @@
 				continue
 			}
 			o.mu.Lock()
-			t.authority.joined(boottime.Now(), n.ID)
+			t.authority.joined(o.cfg.Boot(), n.ID)
 			o.mu.Unlock()
 			go o.ping(t, n.ID)
 		}
@@ -403,7 +412,7 @@
 	o.mu.Lock()
 	token := t.token
 	o.mu.Unlock()
-	sent := boottime.Now()
+	sent := o.cfg.Boot()
 	pong, err := o.cfg.Network.Ping(ctx, node, &wire.OwnerPing{Zone: o.cfg.Self.Zone, Token: token})
 	if err != nil || !pong.Promised {
 		return // the promise is not extended
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"almondturn/fleet"
-	"almondturn/pkg/boottime"
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
 	kv "almondturn/pkg/platform"
@@ -63,6 +62,9 @@
 	Log         *zerolog.Logger
 	// Version returns the version of the configuration in force.
 	Version func() int64
+	// Boot reads the clock that leases are judged by, which goes on while
+	// the machine is suspended.
+	Boot func() time.Time
 }
 
 // Owner takes part in the ownership of the node's zone. Its methods may be
@@ -259,7 +261,7 @@
 		return
 	}
 	if node.Zone == o.cfg.Self.Zone {
-		o.tenure.authority.joined(boottime.Now(), node.ID)
+		o.tenure.authority.joined(o.cfg.Boot(), node.ID)
 	}
 	o.tenure.scheduler.AdoptRuns(time.Now(), node.ID, runs)
 	o.run(o.tenure)
@@ -281,7 +283,7 @@
 
 // run lets the scheduler decide and carries its actions out. o.mu is held.
 func (o *Owner) run(t *tenure) {
-	now, boot := time.Now(), boottime.Now()
+	now, boot := time.Now(), o.cfg.Boot()
 	until := t.authority.until(boot)
 	t.scheduler.AllowOrders(now.Add(t.ordersFrom.Sub(boot)), now.Add(until.Sub(boot)))
 	for _, a := range t.scheduler.Step(now) {
@@ -300,9 +302,9 @@
 		event.PlaceRefused.Log(o.cfg.Log).Str("request", w.request).Str("model", w.model).Stringer("reason", a.Reason).
 			Dur("waited_ms", a.Waited).Dur("expected_ms", a.Basis.Expected).Dur("left_ms", a.Basis.Left).
 			Int("usable", a.Basis.Usable).Int("copies", a.Basis.Copies).Int("backlog", a.Basis.Backlog).
-			Int64("orders_after_ms", max(t.ordersFrom.Sub(boottime.Now()).Milliseconds(), 0)).Send()
+			Int64("orders_after_ms", max(t.ordersFrom.Sub(o.cfg.Boot()).Milliseconds(), 0)).Send()
 	case scheduler.SendOrder:
-		t.lastOrder = boottime.Now()
+		t.lastOrder = o.cfg.Boot()
 		if target := t.byID[a.Order.Target]; target != nil {
 			go o.sendOrder(t, target, a.Order)
 			return
@@ -367,7 +369,7 @@
 func (o *Owner) orderToken(t *tenure) (uint64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	boot := boottime.Now()
+	boot := o.cfg.Boot()
 	return t.token, o.tenure == t && !o.stopping && !boot.Before(t.ordersFrom) && boot.Before(t.authority.until(boot))
 }
 
--- a/pkg/zoneowner/state.go
+++ b/pkg/zoneowner/state.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"almondturn/pkg/boottime"
 	"almondturn/wire"
 )
 
@@ -44,7 +43,7 @@
 		Zone: o.cfg.Self.Zone, Token: t.token, Loaded: summary.Loaded, Full: summary.Full, Backlog: summary.Backlog,
 		Nodes: append(o.cfg.Network.Connected(), o.cfg.Self), ConfigurationVersion: o.cfg.Version(),
 	}
-	boot := boottime.Now()
+	boot := o.cfg.Boot()
 	if after := t.ordersFrom.Sub(boot); after > 0 {
 		m.OrdersAfterMillis = max(after.Milliseconds(), 1)
 	} else if !boot.Before(t.authority.until(boot)) {
