--- a/cmd/almondturnctl/main.go
+++ b/cmd/almondturnctl/main.go
@@ -9,11 +9,15 @@
 
 	"almondturn/pkg/bench"
 	"almondturn/pkg/ctl"
+	"almondturn/pkg/emulator"
+	"almondturn/pkg/explain"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := ctl.Run(ctx, os.Args[1:], ctl.Env{Stdout: os.Stdout, Stderr: os.Stderr, Bench: bench.Main})
+	code := ctl.Run(ctx, os.Args[1:], ctl.Env{Stdout: os.Stdout, Stderr: os.Stderr, Tools: map[string]ctl.Tool{
+		"bench": bench.Main, "emulate": emulator.Main, "explain": explain.Main,
+	}})
 	stop()
 	os.Exit(code)
 }
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -37,10 +37,13 @@
 type Env struct {
 	Stdout io.Writer
 	Stderr io.Writer
-	// Bench runs the subcommand bench with its arguments; nil for none.
-	Bench func(ctx context.Context, args []string, stdout, stderr io.Writer) int
+	// Tools run the subcommands that have arguments of their own, by name.
+	Tools map[string]Tool
 }
 
+// Tool runs a subcommand with its arguments and returns the exit code.
+type Tool func(ctx context.Context, args []string, stdout, stderr io.Writer) int
+
 // args are the flags and subcommands.
 type args struct {
 	Apply       *applyCmd       `arg:"subcommand:apply" help:"make a team's settings those of a file"`
@@ -53,7 +56,9 @@
 	Targets     *targetsCmd     `arg:"subcommand:targets" help:"list the targets"`
 	Drain       *drainCmd       `arg:"subcommand:drain" help:"give a target no new work"`
 	Undrain     *undrainCmd     `arg:"subcommand:undrain" help:"give a drained target work again"`
-	Bench       *benchCmd       `arg:"subcommand:bench" help:"send load to a deployment; see bench --help"`
+	Bench       *toolCmd        `arg:"subcommand:bench" help:"send load to a deployment; see bench --help"`
+	Emulate     *toolCmd        `arg:"subcommand:emulate" help:"play placement against simulated targets; see emulate --help"`
+	Explain     *toolCmd        `arg:"subcommand:explain" help:"print what the logs say about one request; see explain --help"`
 
 	Server    []string      `arg:"--server,separate,env:ALMONDTURN_SERVER" help:"URL of a node's operators' listener; repeat it to try the next one"`
 	Token     string        `arg:"--token,env:ALMONDTURN_TOKEN" help:"operator token"`
@@ -108,21 +113,21 @@
 	Target string `arg:"positional,required"`
 }
 
-type benchCmd struct {
+// toolCmd is a subcommand of Env.Tools, listed for --help.
+type toolCmd struct {
 	Args []string `arg:"positional"`
 }
 
-// commandBench is handed to Env.Bench as a whole.
-const commandBench = "bench"
-
 // defaultServer is a node of `almondturn dev`.
 const defaultServer = "http://127.0.0.1:8081"
 
 // Run runs the command line, without the program's name, and returns the
 // exit code.
 func Run(ctx context.Context, argv []string, env Env) int {
-	if len(argv) > 0 && argv[0] == commandBench && env.Bench != nil {
-		return env.Bench(ctx, argv[1:], env.Stdout, env.Stderr)
+	if len(argv) > 0 {
+		if tool := env.Tools[argv[0]]; tool != nil {
+			return tool(ctx, argv[1:], env.Stdout, env.Stderr)
+		}
 	}
 	var a args
 	parser, err := arg.NewParser(arg.Config{Program: "almondturnctl", Out: env.Stderr}, &a)
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -224,12 +224,12 @@
 	assert.Equal(t, ExitUsage, f.run("status", "--ca", f.devFile()))
 }
 
-func TestBenchHook(t *testing.T) {
+func TestToolGetsItsArguments(t *testing.T) {
 	var got []string
-	code := Run(context.Background(), []string{"bench", "--rate", "3"}, Env{Bench: func(_ context.Context, args []string, _, _ io.Writer) int {
+	code := Run(context.Background(), []string{"bench", "--rate", "3"}, Env{Tools: map[string]Tool{"bench": func(_ context.Context, args []string, _, _ io.Writer) int {
 		got = args
 		return 7
-	}})
+	}}})
 	assert.Equal(t, 7, code)
 	assert.Equal(t, []string{"--rate", "3"}, got)
 }
--- /dev/null
+++ b/pkg/explain/explain_test.go
@@ -0,0 +1,51 @@
+package explain
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const entryLog = `noise
+  0.1 front-1 {"level":"info","node":"front-1","name":"request_refused","request":"r1","model":"m1","status":429,"total_ms":1000,"time":"2026-01-01T10:00:02.5Z"}
+{"node":"front-1","name":"request_served","request":"r2","model":"m1","time":"2026-01-01T10:00:02Z"}
+{"node":"front-1","name":"zone_owner_changed","zone":"a","time":"2026-01-01T09:00:00Z"}
+`
+
+const ownerLog = `{"node":"front-2","name":"place_refused","request":"r1","model":"m1","reason":"overloaded","time":"2026-01-01T10:00:02.4Z"}
+{"node":"front-2","name":"order_sent","model":"m1","target":"t1","result":"accepted","time":"2026-01-01T10:00:01Z"}
+{"node":"front-2","name":"order_sent","model":"m9","target":"t2","result":"accepted","time":"2026-01-01T10:00:01Z"}
+`
+
+func TestStoryOfARequest(t *testing.T) {
+	dir := t.TempDir()
+	a, b := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	require.NoError(t, os.WriteFile(a, []byte(entryLog), 0o600))
+	require.NoError(t, os.WriteFile(b, []byte(ownerLog), 0o600))
+	var out, errs bytes.Buffer
+	require.Zero(t, Main(t.Context(), []string{"r1", a, b}, &out, &errs), errs.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 3, out.String())
+	assert.Contains(t, lines[0], "order_sent")
+	assert.Contains(t, lines[1], "reason=overloaded")
+	assert.Contains(t, lines[2], "status=429")
+}
+
+func TestOnlyTheRequest(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, run(&arguments{Request: "r1", Only: true}, strings.NewReader(entryLog+ownerLog), &out))
+	assert.Equal(t, 2, strings.Count(out.String(), "\n"))
+}
+
+func TestUnknownRequestAndFile(t *testing.T) {
+	var out, errs bytes.Buffer
+	require.Error(t, run(&arguments{Request: "r9"}, strings.NewReader(entryLog), &out))
+	assert.Equal(t, 1, Main(t.Context(), []string{"r1", "/no/such/file"}, &out, &errs))
+	assert.Contains(t, errs.String(), "/no/such/file")
+	assert.Equal(t, 1, Main(t.Context(), nil, &out, &errs))
+}
