--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -109,10 +109,10 @@
 	defer stop()
 	c.Send(l.node.runsIn(k.zone))
 	k.conn.Store(c)
-	event.OwnerConnected.Log(l.node.log).Str("zone", string(k.zone)).Str("node", string(k.owner.Node)).Send()
+	event.OwnerConnected.Log(l.node.log).Str("zone", string(k.zone)).Str("owner", string(k.owner.Node)).Send()
 	err := c.Run()
 	k.conn.Store(nil)
-	event.OwnerLost.Log(l.node.log).Str("zone", string(k.zone)).Str("node", string(k.owner.Node)).Err(err).Send()
+	event.OwnerLost.Log(l.node.log).Str("zone", string(k.zone)).Str("owner", string(k.owner.Node)).Err(err).Send()
 }
 
 func (l *links) config(k *link) wire.Config {
@@ -280,6 +280,13 @@
 
 // learn records what an owner tells.
 func (l *links) learn(k *link, s *wire.ZoneState) {
+	if s.Resigned {
+		k.state.Store(nil)
+		if k.zone == l.node.self.Zone {
+			l.node.owner.Released(k.owner.Addr)
+		}
+		return
+	}
 	k.state.Store(s)
 	l.mu.Lock()
 	for _, n := range s.Nodes {
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -181,7 +181,7 @@
 	}
 	go n.owner.Run(n.ctx)
 	go n.sweep()
-	event.EntryStarted.Log(n.log).Str("node", string(n.self.ID)).Str("zone", string(n.self.Zone)).Str("incarnation", n.self.Incarnation).
+	event.EntryStarted.Log(n.log).Str("zone", string(n.self.Zone)).Str("incarnation", n.self.Incarnation).
 		Str("clients", n.settings.ClientsAddr).Str("inner", n.settings.InnerAddr).Send()
 	return nil
 }
--- a/pkg/entry/state.go
+++ b/pkg/entry/state.go
@@ -171,7 +171,7 @@
 		n.owner.ObserveKey(r, e.ModRevision)
 	}
 	if r.Addr != "" {
-		event.ZoneOwnerChanged.Log(n.log).Str("zone", string(zone)).Str("node", string(r.Node)).Uint64("token", uint64(e.ModRevision)).Send()
+		event.ZoneOwnerChanged.Log(n.log).Str("zone", string(zone)).Str("owner", string(r.Node)).Uint64("token", uint64(e.ModRevision)).Send()
 		n.links.setOwner(zone, r, uint64(e.ModRevision))
 	}
 }
--- a/pkg/zoneowner/campaign.go
+++ b/pkg/zoneowner/campaign.go
@@ -296,6 +296,17 @@
 		}
 	}
 	_ = o.cfg.Store.RevokeLease(ctx, t.lease) // else it lapses
+	o.cfg.Network.Broadcast(&wire.ZoneState{Zone: o.cfg.Self.Zone, Token: t.token, Resigned: true})
+}
+
+// Released ends the promise to an owner that has resigned.
+func (o *Owner) Released(addr string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.promisedTo == addr {
+		o.promisedUntil = time.Time{}
+	}
+	o.nudge()
 }
 
 // Abandon ends the tenure without a word, as a crash does.
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -129,6 +129,9 @@
 	// Backlog is the number of models that requests wait for and that are
 	// not being loaded yet.
 	Backlog int `cbor:"8,keyasint,omitempty"`
+	// Resigned tells that the sender has given the zone up, so that promises
+	// made to it no longer hold anybody back.
+	Resigned bool `cbor:"9,keyasint,omitempty"`
 }
 
 // OwnerPing asks a node of the same zone to hold back from taking the zone
