scheduler: decisions only when something waits, one index of holders a step

Change: targets per model are indexed once a step; crowded models are looked for every 100 ms; the start and end of a run lead to a step only when a request or a plan waits; nodes that own no zone fetch changes of targets less often.

--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -24,8 +24,11 @@
 
 // Times of a node.
 const (
-	// targetPause is the wait between two fetches of changes of targets.
-	targetPause = 500 * time.Millisecond
+	// ownerTargetPause is the wait between two fetches of changes of targets
+	// by the owner of a zone.
+	ownerTargetPause = 400 * time.Millisecond
+	// targetPauses is the part of the drain time that other nodes wait.
+	targetPauses = 3
 	// sweepInterval is the time between two looks at idle connections.
 	sweepInterval = 2 * time.Second
 	// stopPoll is the time between two looks while the node stops.
@@ -143,16 +146,26 @@
 		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Version: n.version, Boot: boottime.Now,
 	})
 	d.Store.SetRelay(n.links.relay)
-	n.configuration = n.newWatch(d.Decoder.ConfigurationKey, 0, n.resetConfiguration, n.changeConfiguration)
+	n.configuration = n.newWatch(d.Decoder.ConfigurationKey, noPause, n.resetConfiguration, n.changeConfiguration)
 	n.watches = []*watch{
 		n.configuration,
-		n.newWatch(d.Decoder.TargetPrefix, targetPause, n.resetTargets, n.changeTargets),
-		n.newWatch(zoneowner.KeyPrefix, 0, n.resetOwners, n.changeOwners),
+		n.newWatch(d.Decoder.TargetPrefix, n.targetPause, n.resetTargets, n.changeTargets),
+		n.newWatch(zoneowner.KeyPrefix, noPause, n.resetOwners, n.changeOwners),
 	}
 	return n, nil
 }
 
-func (n *Node) newWatch(prefix string, pause time.Duration, reset func([]kv.Entry), changed func([]kv.WatchEvent)) *watch {
+func noPause() time.Duration { return 0 }
+
+// targetPause is short enough for a leaving target to be left in time.
+func (n *Node) targetPause() time.Duration {
+	if n.owner.Owns() || !n.ready.Load() {
+		return ownerTargetPause
+	}
+	return max(n.bounds.Load().DrainTime/targetPauses, ownerTargetPause)
+}
+
+func (n *Node) newWatch(prefix string, pause func() time.Duration, reset func([]kv.Entry), changed func([]kv.WatchEvent)) *watch {
 	return &watch{store: n.store, prefix: prefix, pause: pause, reset: reset, changed: changed, node: n, refresh: make(chan struct{}, 1)}
 }
 
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -29,8 +29,9 @@
 type watch struct {
 	store  Store
 	prefix string
-	// pause is the wait between two calls, so that changes are fetched together.
-	pause time.Duration
+	// pause returns the wait between two calls, so that changes are fetched
+	// together.
+	pause func() time.Duration
 	// reset gets all entries, changed gets single changes, in order.
 	reset   func([]kv.Entry)
 	changed func([]kv.WatchEvent)
@@ -72,7 +73,7 @@
 		}
 		if len(events) > 0 {
 			w.changed(events)
-			sleep(ctx, w.pause)
+			sleep(ctx, w.pause())
 		}
 		revision = max(revision, next)
 	}
--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -36,7 +36,7 @@
 // that have the base model.
 func (s *Scheduler) adapterTarget(now time.Time, q *queue) *target {
 	var best *target
-	for _, t := range s.sortedTargets() {
+	for _, t := range s.sorted {
 		ok := t.info.Service == q.key.service && t.phase == idle && t.healthy(now) && t.has(now, q.key.model, "") &&
 			t.runs < s.slots(t) && !now.Before(t.quietUntil)
 		if ok && (best == nil || t.adapterCount() < best.adapterCount()) {
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -11,10 +11,9 @@
 
 // grant gives places to waiting requests, the most urgent first.
 func (s *Scheduler) grant(now time.Time, order []*queue) {
-	targets := s.sortedTargets()
 	for _, q := range order {
 		for _, w := range slices.Clone(q.waiters) {
-			t := s.choose(now, targets, w)
+			t := s.choose(now, s.holders[q.key.modelKey()], w)
 			if t != nil {
 				s.grantTo(now, w, t)
 				continue
@@ -37,7 +36,7 @@
 func (s *Scheduler) choose(now time.Time, targets []*target, w *waiter) *target {
 	var best *target
 	for _, t := range targets {
-		if t.info.Service != w.Service || !s.fits(now, t, w) || slices.Contains(w.Exclude, t.info.ID) {
+		if !s.fits(now, t, w) || slices.Contains(w.Exclude, t.info.ID) {
 			continue
 		}
 		if best == nil || t.weight() < best.weight() {
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -19,6 +19,9 @@
 	FromStore
 )
 
+// scaleInterval is the time between two looks for crowded models.
+const scaleInterval = 100 * time.Millisecond
+
 // leastRuns is the number of runs per replica below which a slow start has
 // other causes than the number of requests.
 const leastRuns = 6
@@ -53,8 +56,8 @@
 
 func (s *Scheduler) state(now time.Time, k modelKey) state {
 	var st state
-	for _, t := range s.targets {
-		if t.info.Service != k.service || !t.healthy(now) {
+	for _, t := range s.holders[k] {
+		if !t.healthy(now) {
 			continue
 		}
 		if r := t.replicas[k.model]; r != nil && !r.closing && !r.doubted {
@@ -134,8 +137,8 @@
 
 // hasRoom tells whether one of the model's replicas takes another run.
 func (s *Scheduler) hasRoom(now time.Time, k modelKey) bool {
-	for _, t := range s.targets {
-		if t.info.Service == k.service && t.healthy(now) && t.has(now, k.model, "") && t.runs < s.slots(t) {
+	for _, t := range s.holders[k] {
+		if t.healthy(now) && t.has(now, k.model, "") && t.runs < s.slots(t) {
 			return true
 		}
 	}
@@ -144,6 +147,10 @@
 
 // scaleOut loads another replica of models whose replicas are crowded.
 func (s *Scheduler) scaleOut(now time.Time) {
+	if now.Sub(s.scaledAt) < scaleInterval {
+		return
+	}
+	s.scaledAt = now
 	for _, k := range s.models() {
 		st := s.state(now, k)
 		svc := s.services[k.service]
@@ -191,6 +198,7 @@
 
 // follow begins to make room as the candidate says.
 func (s *Scheduler) follow(now time.Time, k modelKey, best candidate) {
+	s.holders[k] = append(s.holders[k], best.t)
 	best.t.plan = &plan{model: k.model, source: best.source, victims: best.victims, since: now}
 	for _, v := range best.victims {
 		best.t.replicas[v].closing = true
@@ -229,7 +237,7 @@
 func (s *Scheduler) bestCandidate(now time.Time, k modelKey, m *route.Model, e *route.Engine, copies int, closing bool) (candidate, bool) {
 	var best candidate
 	found := false
-	for _, t := range s.sortedTargets() {
+	for _, t := range s.sorted {
 		if t.info.Service != k.service || !t.healthy(now) || t.phase != idle || t.plan != nil || t.replicas[k.model] != nil {
 			continue
 		}
@@ -342,7 +350,7 @@
 
 // continueOrders sends the next order of each target that makes room.
 func (s *Scheduler) continueOrders(now time.Time) {
-	for _, t := range s.sortedTargets() {
+	for _, t := range s.sorted {
 		if t.plan != nil && t.phase == idle {
 			s.continueOrder(now, t)
 		}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -153,6 +153,13 @@
 type Scheduler struct {
 	services map[string]*route.Service
 	targets  map[string]*target
+	// sorted are the targets in order of their identifiers.
+	sorted []*target
+	// holders are the targets that have a model loaded or make room for it;
+	// Step builds it anew.
+	holders map[modelKey][]*target
+	// scaledAt is when scaleOut ran last.
+	scaledAt time.Time
 	queues   map[queueKey]*queue
 	tickets  map[Ticket]*waiter
 	runs     map[RunID]*run
@@ -227,6 +234,7 @@
 			s.dropRuns(id)
 		}
 	}
+	s.sortTargets()
 }
 
 // dropRuns forgets the runs of a target that is gone; their ends may still
@@ -365,6 +373,7 @@
 // Step takes all decisions that are due and returns what is to be done.
 func (s *Scheduler) Step(now time.Time) []Action {
 	s.actions = nil
+	s.index()
 	s.expire(now)
 	order := s.byUrgency(now)
 	s.grant(now, order)
@@ -379,6 +388,21 @@
 	return s.actions
 }
 
+// index finds the targets of each model.
+func (s *Scheduler) index() {
+	s.holders = make(map[modelKey][]*target, len(s.holders))
+	for _, t := range s.sorted {
+		for model := range t.replicas {
+			k := modelKey{t.info.Service, model}
+			s.holders[k] = append(s.holders[k], t)
+		}
+		if t.plan != nil && t.replicas[t.plan.model] == nil {
+			k := modelKey{t.info.Service, t.plan.model}
+			s.holders[k] = append(s.holders[k], t)
+		}
+	}
+}
+
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
 // Summary is what other nodes need to know of the zone.
@@ -393,6 +417,7 @@
 
 // Summary returns the state of the zone's models.
 func (s *Scheduler) Summary(now time.Time) Summary {
+	s.index()
 	out := Summary{Loaded: map[string][]string{}, Full: map[string][]string{}}
 	for _, k := range s.models() {
 		st := s.state(now, k)
@@ -416,17 +441,8 @@
 
 // models returns the models that a target has loaded or makes room for, in order.
 func (s *Scheduler) models() []modelKey {
-	seen := map[modelKey]bool{}
-	for _, t := range s.targets {
-		for model := range t.replicas {
-			seen[modelKey{t.info.Service, model}] = true
-		}
-		if t.plan != nil {
-			seen[modelKey{t.info.Service, t.plan.model}] = true
-		}
-	}
-	keys := make([]modelKey, 0, len(seen))
-	for k := range seen {
+	keys := make([]modelKey, 0, len(s.holders))
+	for k := range s.holders {
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(a, b modelKey) int {
@@ -438,5 +454,19 @@
 // Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int { return len(s.tickets) }
 
+// Busy tells whether a freed place may be used at once: requests wait, or a
+// target makes room for a model.
+func (s *Scheduler) Busy() bool {
+	if len(s.tickets) > 0 {
+		return true
+	}
+	for _, t := range s.sorted {
+		if t.plan != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Running returns the number of runs.
 func (s *Scheduler) Running() int { return len(s.runs) }
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"almondturn/pkg/inventory"
@@ -502,7 +503,7 @@
 // askReports asks the targets whose state is due to be read.
 func (s *Scheduler) askReports(now time.Time) {
 	soon := now.After(s.ordersFrom.Add(-unsettledWait)) && now.Before(s.ordersUntil)
-	for _, t := range s.sortedTargets() {
+	for _, t := range s.sorted {
 		due := t.phase == loading || t.phase == unsettled || t.phase == unread && soon || t.phase == idle && t.doubtful()
 		if !due || t.asked || now.Before(t.reportAt) {
 			continue
@@ -512,17 +513,11 @@
 	}
 }
 
-// sortedTargets returns the targets in order of their identifiers.
-func (s *Scheduler) sortedTargets() []*target {
-	out := make([]*target, 0, len(s.targets))
+// sortTargets puts the targets in order of their identifiers.
+func (s *Scheduler) sortTargets() {
+	s.sorted = s.sorted[:0]
 	for _, t := range s.targets {
-		out = append(out, t)
+		s.sorted = append(s.sorted, t)
 	}
-	slices.SortFunc(out, func(a, b *target) int {
-		if a.info.ID < b.info.ID {
-			return -1
-		}
-		return 1
-	})
-	return out
+	slices.SortFunc(s.sorted, func(a, b *target) int { return strings.Compare(a.info.ID, b.info.ID) })
 }
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -235,7 +235,15 @@
 		return
 	}
 	o.tenure.scheduler.Ended(time.Now(), scheduler.RunID(m.Run), scheduler.Outcome(m.Outcome))
-	o.run(o.tenure)
+	o.runIfBusy(o.tenure)
+}
+
+// runIfBusy lets the scheduler decide if something waits for a place.
+// o.mu is held.
+func (o *Owner) runIfBusy(t *tenure) {
+	if t.scheduler.Busy() {
+		o.run(t)
+	}
 }
 
 // RunStarted tells that the answer of a run has begun.
@@ -246,7 +254,7 @@
 		return
 	}
 	o.tenure.scheduler.Started(time.Now(), scheduler.RunID(m.Run))
-	o.run(o.tenure)
+	o.runIfBusy(o.tenure)
 }
 
 // Adopt takes over the runs of a node that has connected.
