--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// moreUrgent orders requests by their latency objective, then by arrival.
+// moreUrgent orders requests by rank, latency objective and arrival.
 func moreUrgent(a, b *waiter) int {
-	return cmp.Or(a.Objective.Compare(b.Objective), cmp.Compare(a.ticket, b.ticket))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Objective.Compare(b.Objective), cmp.Compare(a.ticket, b.ticket))
 }
 
 // urgency ranks queues. Requests that can still meet their objective come
@@ -58,8 +58,8 @@
 		ranks = append(ranks, q.urgency(now))
 	}
 	slices.SortFunc(ranks, func(a, b urgency) int {
-		return cmp.Or(compareBool(a.late, b.late), a.objective.Compare(b.objective),
-			cmp.Compare(a.priority, b.priority), cmp.Compare(a.q.waiters[0].ticket, b.q.waiters[0].ticket))
+		return cmp.Or(compareBool(a.late, b.late), cmp.Compare(a.priority, b.priority), a.objective.Compare(b.objective),
+			cmp.Compare(a.q.waiters[0].ticket, b.q.waiters[0].ticket))
 	})
 	out := make([]*queue, len(ranks))
 	for i, r := range ranks {
