--- a/pkg/node/module.go
+++ b/pkg/node/module.go
@@ -190,7 +190,7 @@
 }
 
 func newLoader(c *config.Config, d ownerDeps) owner.Loader {
-	return owner.NewRequester(c.Owner, d.deps())
+	return owner.NewLoadClient(c.Owner, d.deps())
 }
 
 func newStreams(c *config.Config, clock platform.Clock, log zerolog.Logger) *target.Streams {
--- a/pkg/owner/requester.go
+++ b/pkg/owner/loadclient.go
@@ -15,24 +15,24 @@
 // maxLoadTargets bounds the targets that one load is tried on.
 const maxLoadTargets = 3
 
-// Requester chooses a target for a load and asks its owner. It implements
+// LoadClient chooses a target for a load and asks its owner. It implements
 // Loader.
-type Requester struct {
+type LoadClient struct {
 	opts Options
 	deps Deps
 }
 
-var _ Loader = (*Requester)(nil)
+var _ Loader = (*LoadClient)(nil)
 
-// NewRequester returns a Requester.
-func NewRequester(opts Options, deps Deps) *Requester { return &Requester{opts: opts, deps: deps} }
+// NewLoadClient returns a LoadClient.
+func NewLoadClient(opts Options, deps Deps) *LoadClient { return &LoadClient{opts: opts, deps: deps} }
 
 // Load implements Loader. Another target is tried after any failure: a
 // replica whose outcome is unknown keeps its slot and its memory there, so
 // that the limit holds whatever becomes of it. When no target of the zone
 // can load, one of another zone is used; that is cheaper than moving a slot,
 // and all zones that want the replica at once meet in one load.
-func (q *Requester) Load(ctx context.Context, key fleet.ReplicaKey, prefetch bool) (fleet.TargetID, error) {
+func (q *LoadClient) Load(ctx context.Context, key fleet.ReplicaKey, prefetch bool) (fleet.TargetID, error) {
 	r, ok := q.deps.Catalog.Load().Replica(key)
 	if !ok {
 		return "", fault.New(fault.UnknownModel, "replica %s is not declared", key)
@@ -71,7 +71,7 @@
 
 // loading is one load and what was tried for it.
 type loading struct {
-	q          *Requester
+	q          *LoadClient
 	replica    catalog.Replica
 	prefetch   bool
 	candidates []placement.Candidate
@@ -143,7 +143,7 @@
 
 // wanted describes the load. Where the limit is used up only targets with a
 // slot can load.
-func (q *Requester) wanted(view *peer.View, candidates []placement.Candidate, r catalog.Replica) placement.Wanted {
+func (q *LoadClient) wanted(view *peer.View, candidates []placement.Candidate, r catalog.Replica) placement.Wanted {
 	w := placement.Wanted{Key: r.Key, MemoryBytes: r.MemoryBytes, Zone: q.deps.Self.Zone}
 	up := view.PlatformUp && !view.PlatformOlder
 	w.BoundOnly = !up || boundTargets(candidates, r.Key) >= r.MaxReplicas
--- a/pkg/owner/service_test.go
+++ b/pkg/owner/service_test.go
@@ -52,7 +52,7 @@
 	node   fleet.Node
 	router *peer.Router
 	svc    *Service
-	loader *Requester
+	loader *LoadClient
 }
 
 // Record implements engine.Recorder.
@@ -161,7 +161,7 @@
 		Network: n, Router: n.router, Engines: orders, Directory: s,
 	}
 	n.svc = New(opts, deps)
-	n.loader = NewRequester(opts, deps)
+	n.loader = NewLoadClient(opts, deps)
 	require.NoError(s.t, n.svc.Start(s.t.Context()))
 	s.t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// refuseWithoutCopy lets new requests look for a zone that keeps a copy of
+// their model before it is loaded from the weight store.
+func (s *Scheduler) refuseWithoutCopy(now time.Time, order []*queue) {
+	for _, q := range order {
+		k := q.key.modelKey()
+		if len(q.waiters) == 0 || s.copies(now, k) > 0 {
+			continue
+		}
+		if st := s.state(now, k); st.usable == 0 && st.coming == 0 {
+			s.sendElsewhere(now, q, Basis{})
+		}
+	}
+}
+
 // sendElsewhere lets new requests look for room in other zones.
 func (s *Scheduler) sendElsewhere(now time.Time, q *queue, b Basis) {
 	for _, w := range slices.Clone(q.waiters) {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -393,6 +393,8 @@
 	s.expire(now)
 	order := s.byUrgency(now)
 	s.grant(now, order)
+	s.findFree(now)
+	s.refuseWithoutCopy(now, order)
 	if s.mayOrder(now) {
 		s.continueOrders(now)
 		s.loadAdapters(now, order)
