--- /dev/null
+++ b/pkg/entry/entry_test.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/fleet"
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/route"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func TestRetryBudget(t *testing.T) {
+	l := limits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 3}
+	b := new(retryBudget)
+	spent := 0
+	for b.spend(now, l) {
+		spent++
+	}
+	assert.Equal(t, 7, spent, "0.7 of a third of the slack")
+	for range 100 {
+		b.request(now, l)
+	}
+	for b.spend(now.Add(time.Second), l) {
+		spent++
+	}
+	assert.Equal(t, 21, spent, "0.7 of a fifth of the requests more")
+	assert.False(t, b.left(now.Add(5*time.Second), l))
+	assert.True(t, b.spend(now.Add(12*time.Second), l), "the window has passed")
+}
+
+// TestRetryBudgetHoldsInEveryWindow spends as much as it can for a while and
+// counts over all windows.
+func TestRetryBudgetHoldsInEveryWindow(t *testing.T) {
+	l := limits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 1}
+	b := new(retryBudget)
+	var requests, repeats []time.Time
+	for at := now; at.Before(now.Add(40 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		b.request(at, l)
+		requests = append(requests, at)
+		for b.spend(at, l) {
+			repeats = append(repeats, at)
+		}
+	}
+	for _, from := range requests {
+		in := func(list []time.Time) int {
+			n := 0
+			for _, x := range list {
+				if !x.Before(from) && x.Before(from.Add(l.window)) {
+					n++
+				}
+			}
+			return n
+		}
+		// Requests count in the window or the one before it.
+		assert.LessOrEqual(t, float64(in(repeats)), l.ratio*100+l.slack)
+	}
+}
+
+func TestEventsAreCutAtTheirEnds(t *testing.T) {
+	stream := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	for size := 1; size <= len(stream); size++ {
+		s := new(eventSplitter)
+		out := ""
+		for rest := stream; rest != ""; {
+			n := min(size, len(rest))
+			whole, err := s.add([]byte(rest[:n]))
+			require.NoError(t, err)
+			out += string(whole)
+			rest = rest[n:]
+		}
+		assert.Equal(t, stream, out, "pieces of %d bytes", size)
+		assert.Equal(t, "3", s.last)
+		assert.Empty(t, s.rest)
+	}
+}
+
+func TestResumedStreamMustContinue(t *testing.T) {
+	for text, ok := range map[string]bool{"id: 5\ndata: x\n\n": true, "id: 4\ndata: x\n\n": false, "id: 6\ndata: x\n\n": false} {
+		s := &eventSplitter{last: "4", resumed: true}
+		_, err := s.add([]byte(text))
+		assert.Equal(t, ok, err == nil, text)
+	}
+}
+
+func FuzzEventSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\n\nid: 2"), 3)
+	f.Fuzz(func(t *testing.T, text []byte, size int) {
+		size = max(size, 1)
+		s := new(eventSplitter)
+		var out []byte
+		for rest := text; len(rest) > 0; {
+			n := min(size, len(rest))
+			whole, err := s.add(rest[:n])
+			if err != nil {
+				return
+			}
+			out = append(out, whole...)
+			rest = rest[n:]
+		}
+		assert.Equal(t, text, append(out, s.rest...), "nothing is lost or added")
+	})
+}
+
+func TestPlainTargetChoice(t *testing.T) {
+	target := func(id string, zone fleet.Zone) *inventory.Target {
+		return &inventory.Target{ID: id, Zone: zone, Slots: 2}
+	}
+	near, far := target("near", "a"), target("far", "b")
+	l := new(loads)
+	all := []*inventory.Target{far, near}
+	assert.Equal(t, near, l.begin(now, all, "a", nil))
+	assert.Equal(t, far, l.begin(now, all, "a", nil), "the near one is half full")
+	assert.Equal(t, far, l.begin(now, all, "a", []string{"near"}))
+	l.end(now, "near", result{kind: unreachable})
+	l.end(now, "far", result{})
+	l.end(now, "far", result{})
+	assert.Equal(t, far, l.begin(now, all, "a", nil), "the near one cannot be reached")
+	l.end(now, "far", result{})
+	later := now.Add(time.Hour)
+	for range 30 {
+		l.end(later, "near", result{kind: answered})
+		l.end(later, "far", result{kind: failedRun})
+	}
+	assert.Equal(t, near, l.begin(later, all, "a", nil))
+	draining := target("d", "a")
+	draining.Draining = true
+	assert.Nil(t, l.begin(now, []*inventory.Target{draining}, "a", nil))
+}
+
+func TestReportedLoadCounts(t *testing.T) {
+	a, b := &inventory.Target{ID: "a", Slots: 4}, &inventory.Target{ID: "b", Slots: 4}
+	l := new(loads)
+	l.end(now, "a", result{info: AnswerInfo{Running: 3, Waiting: 2, Slots: 4}})
+	assert.Equal(t, b, l.begin(now, []*inventory.Target{a, b}, "", nil))
+	l.end(now, "b", result{})
+	assert.Equal(t, a, l.begin(now.Add(time.Second), []*inventory.Target{a, b}, "", nil), "an old report says nothing")
+}
+
+func TestStreamsMustBeginBeforeTheClientLeaves(t *testing.T) {
+	j := &job{arrived: now, deadline: now.Add(20 * time.Second), route: &route.Route{Kind: route.Stream, Objective: 2 * time.Second, EventGap: 300 * time.Millisecond}}
+	assert.Equal(t, now.Add(8*time.Second), j.startBy(), "four objectives")
+	j.route = &route.Route{Kind: route.Stream, Objective: 100 * time.Millisecond, EventGap: 300 * time.Millisecond}
+	assert.Equal(t, now.Add(2400*time.Millisecond), j.startBy(), "eight pauses")
+	j.route = &route.Route{Kind: route.Unsafe, Objective: 100 * time.Millisecond}
+	assert.Equal(t, j.deadline, j.startBy())
+	j.deadline = now.Add(time.Second)
+	assert.Equal(t, j.deadline, j.startBy())
+}
+
+func TestWhatMayBeSentAgain(t *testing.T) {
+	safe := &route.Route{Kind: route.Safe, MaxAttempts: 2}
+	unsafe := &route.Route{Kind: route.Unsafe, MaxAttempts: 2}
+	resumable := &route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2}
+	stream := &route.Route{Kind: route.Stream, MaxAttempts: 2}
+	for _, c := range []struct {
+		name    string
+		route   *route.Route
+		kind    resultKind
+		runs    int
+		started bool
+		want    bool
+	}{
+		{"unsafe, answer lost", unsafe, unknown, 1, false, false},
+		{"unsafe, refused", unsafe, notRun, 0, false, true},
+		{"unsafe, not reached", unsafe, unreachable, 0, false, true},
+		{"safe, answer lost", safe, unknown, 1, false, true},
+		{"safe, answer lost twice", safe, unknown, 2, false, false},
+		{"safe, half an answer is out", safe, unknown, 1, true, false},
+		{"stream, broken", stream, unknown, 1, true, false},
+		{"stream that can be resumed, broken", resumable, unknown, 1, true, true},
+		{"answered", safe, answered, 1, true, false},
+		{"client gone", safe, clientGone, 1, false, false},
+		{"time over", safe, expired, 1, false, false},
+	} {
+		j := &job{route: c.route, sends: 1, runs: c.runs, deadline: time.Now().Add(time.Minute)}
+		assert.Equal(t, c.want, new(Node).mayRepeat(t.Context(), j, &answer{started: c.started}, result{kind: c.kind}), c.name)
+	}
+}
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,52 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestLongestPrefixOfTheHost(t *testing.T) {
+	routes := []*Route{
+		{Name: "root", Host: "a.example", PathPrefix: "/"},
+		{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "short", Host: "A.Example", PathPrefix: "/x/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/x/y/z/"},
+	}
+	table := NewTable(1, routes, nil, Limits{})
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"a.example:8080", "/x/1", "short"},
+		{"A.EXAMPLE", "/q", "root"},
+		{"b.example", "/x/y/", ""},
+		{"c.example", "/", ""},
+	} {
+		got := table.Match(c.host, c.path)
+		if c.want == "" {
+			assert.Nil(t, got, c.path)
+			continue
+		}
+		if assert.NotNil(t, got, c.path) {
+			assert.Equal(t, c.want, got.Name, c.path)
+		}
+	}
+}
+
+func TestBackendsShareByWeight(t *testing.T) {
+	r := &Route{Backends: []Backend{{"a", 90}, {"b", 10}, {"c", 0}}}
+	count := map[string]int{}
+	for i := range uint64(1000) {
+		count[r.Service(i)]++
+	}
+	assert.Equal(t, map[string]int{"a": 900, "b": 100}, count)
+	assert.Equal(t, "a", (&Route{Backends: []Backend{{"a", 0}}}).Service(5), "no weights at all")
+}
+
+func TestWhatMayBeRepeated(t *testing.T) {
+	assert.True(t, (&Route{Kind: Safe}).Idempotent())
+	assert.False(t, (&Route{Kind: Unsafe}).Idempotent())
+	assert.False(t, (&Route{Kind: Stream}).Idempotent())
+	assert.True(t, (&Route{Kind: Stream, Resumable: true}).Idempotent())
+	assert.False(t, (&Route{Kind: Unsafe, Resumable: true}).Idempotent())
+}
--- /dev/null
+++ b/pkg/upstream/upstream_test.go
@@ -0,0 +1,198 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// script is a target that answers each request on a connection with the next
+// text, and closes the connection after the last one.
+func script(t *testing.T, answers ...string) (addr string, requests *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	requests = new(atomic.Int32)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for _, a := range answers {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					requests.Add(1)
+					_, _ = io.WriteString(c, a)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok"
+
+func send(t *testing.T, p *Pool, addr string) (string, error) {
+	a, err := p.Do(t.Context(), addr, &Request{
+		Method: http.MethodPost, Path: "/x?y=1", Host: "h", Body: []byte("body"), MaxIdle: time.Minute,
+		Belongs: func(h http.Header) bool { return h.Get("X-Id") == "mine" },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := io.ReadAll(a)
+	return string(b), err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	p := NewPool(time.Second)
+	addr, _ := script(t, okAnswer, okAnswer, okAnswer)
+	for range 3 {
+		body, err := send(t, p, addr)
+		require.NoError(t, err)
+		assert.Equal(t, "ok", body)
+	}
+	assert.Equal(t, uint64(1), p.Dialed.Load())
+}
+
+func TestClosedConnectionIsNotUsedAgain(t *testing.T) {
+	p := NewPool(time.Second)
+	addr, requests := script(t, okAnswer)
+	for range 3 {
+		_, err := send(t, p, addr)
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond) // the close arrives
+	}
+	assert.Equal(t, int32(3), requests.Load(), "each request is sent once")
+	assert.Equal(t, uint64(3), p.Dialed.Load())
+}
+
+func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	p := NewPool(time.Second)
+	foreign := "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nbad"
+	addr, _ := script(t, foreign+okAnswer)
+	body, err := send(t, p, addr)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", body)
+}
+
+func TestConnectionWithUnaskedBytesIsClosed(t *testing.T) {
+	p := NewPool(time.Second)
+	addr, _ := script(t, okAnswer+"HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nbad", okAnswer)
+	for range 2 {
+		body, err := send(t, p, addr)
+		require.NoError(t, err)
+		assert.Equal(t, "ok", body)
+	}
+	assert.Equal(t, uint64(2), p.Dialed.Load())
+}
+
+func TestErrorTellsWhetherTheRequestWasSent(t *testing.T) {
+	p := NewPool(time.Second)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := l.Addr().String()
+	require.NoError(t, l.Close())
+	garbage, _ := script(t, "this is no answer\r\n\r\n")
+	cut, _ := script(t, "")
+	for addr, sent := range map[string]bool{closed: false, garbage: true, cut: true} {
+		_, err := send(t, p, addr)
+		var e *SendError
+		require.ErrorAs(t, err, &e)
+		assert.Equal(t, sent, e.Sent, err)
+	}
+}
+
+func TestShortBodyIsAnError(t *testing.T) {
+	p := NewPool(time.Second)
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 10\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort",
+	} {
+		addr, _ := script(t, answer)
+		_, err := send(t, p, addr)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	p := NewPool(time.Second)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	gone := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, c)
+		close(gone)
+	}()
+	cause := errors.New("the client left")
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(50*time.Millisecond, func() { cancel(cause) })
+	_, err = p.Do(ctx, l.Addr().String(), &Request{Method: http.MethodGet, Path: "/", Host: "h"})
+	require.ErrorIs(t, err, cause)
+	<-gone
+}
+
+func TestRequestIsSentAsGiven(t *testing.T) {
+	b := string(head(&Request{Method: "POST", Path: "/a//b/%2f?x=%20", Host: "h:1", Header: http.Header{"X-Odd": {"1", "2"}}, Body: []byte("abc")}))
+	first, rest, _ := strings.Cut(b, "\r\n")
+	assert.Equal(t, "POST /a//b/%2f?x=%20 HTTP/1.1", first)
+	for _, want := range []string{"Host: h:1\r\n", "X-Odd: 1\r\n", "X-Odd: 2\r\n", "Content-Length: 3\r\n"} {
+		assert.Contains(t, rest, want)
+	}
+	assert.True(t, strings.HasSuffix(b, "\r\n\r\nabc"))
+	assert.NotContains(t, string(head(&Request{Method: "GET", Path: "/", Host: "h"})), "Content-Length")
+}
+
+func TestIdleTimeoutStaysBelowTheStatedOne(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"":                  defaultIdle,
+		"timeout=5":         5*time.Second - idleMargin,
+		"max=3, timeout=2":  2*time.Second - idleMargin,
+		"timeout=1":         400 * time.Millisecond,
+		"timeout=0":         0,
+		"timeout=never":     defaultIdle,
+		"Timeout=4, max=10": 4*time.Second - idleMargin,
+	} {
+		assert.Equal(t, want, idleTimeout(header), header)
+	}
+}
+
+func TestSweepClosesOldConnections(t *testing.T) {
+	p := NewPool(time.Second)
+	addr, _ := script(t, strings.Replace(okAnswer, "\r\n", "\r\nKeep-Alive: timeout=0\r\n", 1), okAnswer)
+	_, err := send(t, p, addr)
+	require.NoError(t, err)
+	p.Sweep()
+	assert.Empty(t, p.idle)
+}
+
+func FuzzIdleTimeout(f *testing.F) {
+	f.Add("timeout=5, max=100")
+	f.Fuzz(func(t *testing.T, header string) {
+		assert.GreaterOrEqual(t, idleTimeout(header), time.Duration(0), fmt.Sprintf("%q", header))
+	})
+}
