--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -172,7 +172,6 @@
 	Arrival
 	arrived time.Time
 	cold    bool
-	done    bool
 }
 
 // delayed is something that happens later.
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -283,15 +283,13 @@
 // finish answers the client after the last send, unless the answer has gone
 // out already, and logs the outcome. last is the zero result without a send.
 func (n *Node) finish(j *job, a *answer, last result, ref *refusal) {
-	line := event.RequestServed
+	line, cut := event.RequestServed, false
 	switch {
 	case a.complete:
 	case last.kind == clientGone || a.clientLeft():
-		line = event.RequestGone
-		a.abort()
+		line, cut = event.RequestGone, true
 	case a.started:
-		line = event.RequestBroken
-		a.abort()
+		line, cut = event.RequestBroken, true
 	case j.runs == 0:
 		line = event.RequestRefused
 		if ref == nil {
@@ -313,6 +311,9 @@
 	}
 	e.Send()
 	n.metrics.observe(j, a, line.Name)
+	if cut {
+		a.abort()
+	}
 }
 
 // hashOf spreads requests over the backends of a route.
