entry: a stopping node answers what it has no time left for

Ruled out: the place queue (its refusal was sent), the balancer. Change: the end of the stop has a cause of its own and is answered 504; a body that is too large is read on before the answer; the test draws before it forks. Test: TestStopAnswersWhatDoesNotFinish failed before with EOF.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -155,7 +155,7 @@
 func broken(ctx context.Context, out result, err error) result {
 	out.err = err
 	switch {
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case timeOver(ctx):
 		out.kind = expired
 	case ctx.Err() != nil:
 		out.kind = clientGone
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -269,7 +269,7 @@
 		j.runs++
 	}
 	switch {
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case timeOver(ctx):
 		return result{kind: expired, err: err}
 	case ctx.Err() != nil:
 		return result{kind: clientGone, err: err}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -17,6 +17,19 @@
 // stopRetry is when a client that reached a stopping node may come back.
 const stopRetry = 200 * time.Millisecond
 
+// maxDiscarded bounds what is read of a body that is too large.
+const maxDiscarded = 16 << 20
+
+// errStopping ends the requests that a stopping node has no time left for.
+var errStopping = errors.New("the node is stopping")
+
+// timeOver tells whether a request was ended by its deadline or by the stop of
+// the node, and not by its client.
+func timeOver(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, errStopping)
+}
+
 // ServeHTTP takes a request of a client.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
@@ -31,9 +44,11 @@
 		n.metrics.refused(ref.Kind)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	timed, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
-	stop := context.AfterFunc(n.hardStop, cancel)
+	ctx, end := context.WithCancelCause(timed)
+	defer end(nil)
+	stop := context.AfterFunc(n.hardStop, func() { end(errStopping) })
 	defer stop()
 	n.do(ctx, j, a)
 }
@@ -97,6 +112,8 @@
 		limit = defaultBodyBytes
 	}
 	if r.ContentLength > limit {
+		// A client that still writes would not see the answer.
+		_, _ = io.CopyN(io.Discard, r.Body, min(r.ContentLength, maxDiscarded))
 		return refuse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit)
 	}
 	if r.ContentLength > 0 {
--- a/pkg/zoneowner/cluster_test.go
+++ b/pkg/zoneowner/cluster_test.go
@@ -285,10 +285,11 @@
 func (c *cluster) demand(ctx context.Context, o *Owner) {
 	r := rand.New(rand.NewPCG(7, 7))
 	for n := 0; ctx.Err() == nil; n++ {
+		model := fmt.Sprint("m", r.IntN(4))
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, time.Second)
 			defer cancel()
-			m := &wire.Place{RequestID: fmt.Sprint(n), Service: testService, Model: fmt.Sprint("m", r.IntN(4)), DeadlineMillis: 1000, ObjectiveMillis: 900, LastResort: true}
+			m := &wire.Place{RequestID: fmt.Sprint(n), Service: testService, Model: model, DeadlineMillis: 1000, ObjectiveMillis: 900, LastResort: true}
 			if p := o.Place(ctx, "client", m); p.Run != 0 {
 				o.RunEnded(&wire.RunEnded{Run: p.Run})
 			}
