entry: the clients' protocol is an interface, the configuration may span several keys

Cause: almondturn has two request paths because pkg/entry reads the platform's headers and one configuration key, so that the callers' API could not use it.

Change: entry.ClientProtocol reads requests and writes errors, entry.TargetProtocol speaks to targets; platform/ implements both. Decoder.Configuration gets all entries below a prefix. How long clients wait for a first event is a field of the route, read by platform/ instead of computed in entry. pkg/kv holds the key-value types and a change of several keys at once (Store.Commit); entry, zoneowner and platform use it.

Tests: go test ./platform ./pkg/entry ./pkg/zoneowner pass; no decision changes.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -25,8 +25,10 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	rc       *http.ResponseController
-	protocol Protocol
-	started  bool
+	protocol ClientProtocol
+	// request is nil until its head has been read.
+	request *Request
+	started bool
 	complete bool
 	status   int
 	closing  bool
@@ -36,16 +38,18 @@
 	return errors.Is(a.r.Context().Err(), context.Canceled)
 }
 
-// abort cuts the connection, so that a part of an answer is not taken for
-// the whole.
+// abort ends a part of an answer so that it is not taken for the whole.
 func (a *answer) abort() {
-	panic(http.ErrAbortHandler)
+	err := fault.New(fault.StreamBroken, "the target gave no whole answer")
+	if a.clientLeft() || !a.protocol.Broken(a.w, a.request, err) {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // begin writes the head of a target's answer.
 func (a *answer) begin(status int, header http.Header, length int64) {
 	h := a.w.Header()
-	a.protocol.Returned(header, h)
+	a.protocol.Returned(a.request.ID, header, h)
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // none is made up
 	}
@@ -61,37 +65,25 @@
 }
 
 // refuse tells the client that the request has not run, and when to come back.
-func (a *answer) refuse(r *refusal) {
-	a.write(r.Kind.Answer(), r.Error.Error(), r.after)
+func (a *answer) refuse(r *Refusal) {
+	if a.closing {
+		a.w.Header()["Connection"] = []string{"close"}
+	}
+	id := ""
+	if a.request != nil {
+		id = a.request.ID
+	}
+	a.complete = true
+	a.status = a.protocol.WriteError(a.w, id, r)
 }
 
 // fail tells the client that the request may have run.
 func (a *answer) fail(last result) {
-	kind := fault.OutcomeUnknown
 	if last.kind == expired {
-		a.writeStatus(http.StatusGatewayTimeout, "the time is over; the request may have run", 0)
+		a.refuse(refuse(fault.TimeOver, 0, "the time is over; the request may have run"))
 		return
 	}
-	a.write(kind.Answer(), "the target gave no whole answer", 0)
-}
-
-func (a *answer) write(row fault.Answer, message string, after time.Duration) {
-	a.writeStatus(row.Status, row.Code+": "+message, after)
-}
-
-func (a *answer) writeStatus(status int, message string, after time.Duration) {
-	h := a.w.Header()
-	h["Content-Type"] = []string{"text/plain; charset=utf-8"}
-	if after > 0 {
-		h["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
-	}
-	if a.closing {
-		h["Connection"] = []string{"close"}
-	}
-	a.status = status
-	a.complete = true
-	a.w.WriteHeader(status)
-	_, _ = io.WriteString(a.w, message+"\n") // a client that left is not told
+	a.refuse(refuse(fault.OutcomeUnknown, 0, "the target gave no whole answer"))
 }
 
 // errUnsigned tells that a success bears no target's signature.
@@ -105,7 +97,7 @@
 		out.kind, out.err = unknown, errUnsigned
 		return out
 	}
-	if success && j.engine {
+	if success && j.engine && !j.Whole {
 		return n.passStream(ctx, j, resp, a, out)
 	}
 	return n.passPlain(ctx, j, resp, a, out)
@@ -120,7 +112,7 @@
 	if len(body) > maxBuffered {
 		return n.passLong(ctx, resp, body, a, out)
 	}
-	again := j.runs < j.route.MaxAttempts && j.sends < maxSends && time.Until(j.deadline) > leastRun
+	again := j.runs < j.Route.MaxAttempts && j.sends < maxSends && time.Until(j.deadline) > leastRun
 	if out.status >= http.StatusInternalServerError && j.idempotent() && again && n.budgetLeft(j) {
 		out.kind = failedRun
 		return out
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -16,15 +16,10 @@
 
 // job is one request of a client on its way through the node.
 type job struct {
-	info     RequestInfo
-	route    *route.Route
+	*Request
 	table    *route.Table
 	service  string
 	engine   bool
-	method   string
-	path     string
-	host     string
-	header   http.Header
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
@@ -57,7 +52,7 @@
 	safeIdle = 20 * time.Second
 )
 
-func (j *job) idempotent() bool { return j.route.Idempotent() }
+func (j *job) idempotent() bool { return j.Route.Idempotent() }
 
 // patience is how long the request waits for a place while no owner of a zone
 // answers.
@@ -65,22 +60,12 @@
 	return time.Duration(patienceShare * float64(j.deadline.Sub(j.arrived)))
 }
 
-// Clients leave a stream whose next event does not come within the longest of
-// a fixed time, a multiple of the latency objective and a multiple of the
-// longest pause between events.
-const (
-	abandonAfter      = 2 * time.Second
-	abandonObjectives = 4
-	abandonGaps       = 8
-)
-
 // startBy is when the answer has to begin for the client to be there still.
 func (j *job) startBy() time.Time {
-	if j.route.Kind != route.Stream {
+	if j.Route.Patience <= 0 {
 		return j.deadline
 	}
-	gap := max(abandonAfter, abandonObjectives*j.route.Objective, abandonGaps*j.route.EventGap)
-	if left := j.arrived.Add(gap); left.Before(j.deadline) {
+	if left := j.arrived.Add(j.Route.Patience); left.Before(j.deadline) {
 		return left
 	}
 	return j.deadline
@@ -158,7 +143,7 @@
 			return
 		}
 		if j.sends > 0 && !b.spend(time.Now(), n.limits()) {
-			event.BudgetExhausted.Log(n.log).Str("request", j.info.ID).Str("service", j.service).Send()
+			event.BudgetExhausted.Log(n.log).Str("request", j.ID).Str("service", j.service).Send()
 			n.giveBack(p, result{kind: expired})
 			n.finish(j, a, last, nil)
 			return
@@ -169,13 +154,13 @@
 			n.finish(j, a, last, nil)
 			return
 		}
-		event.RequestRetried.Log(n.log).Str("request", j.info.ID).Str("target", j.target).
+		event.RequestRetried.Log(n.log).Str("request", j.ID).Str("target", j.target).
 			Stringer("cause", last.kind).Int("status", last.status).AnErr("error", last.err).Send()
 	}
 }
 
 // place returns where to send the request next.
-func (n *Node) place(ctx context.Context, j *job) (place, *refusal) {
+func (n *Node) place(ctx context.Context, j *job) (place, *Refusal) {
 	if j.engine {
 		return n.enginePlace(ctx, j)
 	}
@@ -209,7 +194,7 @@
 	case failedRun:
 		return true // only chosen where another run is allowed
 	case unknown:
-		return j.idempotent() && j.runs < j.route.MaxAttempts && (!a.started || j.route.Resumable)
+		return j.idempotent() && j.runs < j.Route.MaxAttempts && (!a.started || j.Route.Resumable)
 	default:
 		return false
 	}
@@ -225,15 +210,15 @@
 		maxIdle = safeIdle
 	}
 	resp, err := n.pool.Do(ctx, t.Addr, &upstream.Request{
-		Method: j.method, Path: j.path, Host: j.host, Body: j.body, MaxIdle: maxIdle,
-		Header:  n.protocol.Outgoing(j.header, Outgoing{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEvent: j.lastEvent}),
+		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: maxIdle,
+		Header:  n.targetProtocol.Outgoing(j.Header, Outgoing{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEvent: j.lastEvent}),
 		Belongs: n.belongs(j),
 	})
 	if err != nil {
 		return n.sendFailed(ctx, j, t.ID, err)
 	}
 	defer resp.Close()
-	info := n.protocol.Answer(resp.Header)
+	info := n.targetProtocol.Answer(resp.Header)
 	if info.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
 		if p.run == 0 {
 			j.exclude = append(j.exclude, t.ID) // an owner learns it from the result
@@ -256,8 +241,8 @@
 // belongs returns whether an answer is the one to the request.
 func (n *Node) belongs(j *job) func(http.Header) bool {
 	return func(h http.Header) bool {
-		id := n.protocol.Answer(h).RequestID
-		return id == "" || id == j.info.ID
+		id := n.targetProtocol.Answer(h).RequestID
+		return id == "" || id == j.ID
 	}
 }
 
@@ -282,7 +267,7 @@
 
 // finish answers the client after the last send, unless the answer has gone
 // out already, and logs the outcome. last is the zero result without a send.
-func (n *Node) finish(j *job, a *answer, last result, ref *refusal) {
+func (n *Node) finish(j *job, a *answer, last result, ref *Refusal) {
 	line, cut := event.RequestServed, false
 	switch {
 	case a.complete:
@@ -300,7 +285,7 @@
 		line = event.RequestBroken
 		a.fail(last)
 	}
-	e := line.Log(n.log).Str("request", j.info.ID).Str("route", j.route.Name).Str("model", j.info.Model).
+	e := line.Log(n.log).Str("request", j.ID).Str("route", j.Route.Name).Str("model", j.Model).
 		Str("target", j.target).Int("status", a.status).Int("sends", j.sends).Int("runs", j.runs).
 		Dur("waited_ms", j.waited).Dur("first_ms", j.first).Dur("total_ms", time.Since(j.arrived)).Int64("version", j.table.Version)
 	if ref != nil {
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -17,11 +17,11 @@
 
 // observe counts the end of a request by route and outcome.
 func (m *nodeMetrics) observe(j *job, a *answer, outcome string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_requests_total{route=%q,outcome=%q,status="%d"}`, j.route.Name, outcome, a.status)).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_request_seconds{route=%q}`, j.route.Name)).UpdateDuration(j.arrived)
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_place_wait_seconds{route=%q}`, j.route.Name)).Update(j.waited.Seconds())
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_requests_total{route=%q,outcome=%q,status="%d"}`, j.Route.Name, outcome, a.status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_request_seconds{route=%q}`, j.Route.Name)).UpdateDuration(j.arrived)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_place_wait_seconds{route=%q}`, j.Route.Name)).Update(j.waited.Seconds())
 	if j.first > 0 {
-		m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_first_byte_seconds{route=%q}`, j.route.Name)).Update(j.first.Seconds())
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_first_byte_seconds{route=%q}`, j.Route.Name)).Update(j.first.Seconds())
 	}
 }
 
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -16,7 +16,7 @@
 	"almondturn/pkg/boottime"
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
-	kv "almondturn/pkg/platform"
+	"almondturn/pkg/kv"
 	"almondturn/pkg/route"
 	"almondturn/pkg/upstream"
 	"almondturn/pkg/zoneowner"
@@ -64,10 +64,14 @@
 	Store         FullStore
 	Targets       zoneowner.Targets
 	Pool          *upstream.Pool
-	Protocol      Protocol
+	Clients       ClientProtocol
+	TargetHeaders TargetProtocol
 	Decoder       Decoder
 	Metrics       *Metrics
 	ReadinessPath string
+	// Wrap returns the handler of the clients' listener, which passes
+	// requests on to node; nil takes node itself.
+	Wrap func(node http.Handler) http.Handler
 }
 
 // Metrics are the counters and histograms of one node.
@@ -86,7 +90,9 @@
 	bounds   atomic.Pointer[Bounds]
 	self     fleet.Node
 	log      *zerolog.Logger
-	protocol Protocol
+	clientProtocol ClientProtocol
+	targetProtocol TargetProtocol
+	handler        http.Handler
 	decoder  Decoder
 	store    FullStore
 	pool     *upstream.Pool
@@ -107,6 +113,9 @@
 	view  atomic.Pointer[inventory.View]
 	// targets are the entries as last read; only the watch uses it.
 	targets map[string]*inventory.Target
+	// configured are the entries of the configuration as last read; only the
+	// watch uses it.
+	configured map[string]kv.Entry
 
 	runsMu sync.Mutex // guards runs
 	runs   map[uint64]runAt
@@ -131,14 +140,18 @@
 		return nil, fmt.Errorf("make an incarnation: %w", err)
 	}
 	n := &Node{
-		settings: d.Settings, log: d.Log, protocol: d.Protocol, decoder: d.Decoder, store: d.Store, pool: d.Pool,
+		settings: d.Settings, log: d.Log, clientProtocol: d.Clients, targetProtocol: d.TargetHeaders, decoder: d.Decoder, store: d.Store, pool: d.Pool,
 		metrics: d.Metrics, started: time.Now(), runs: map[uint64]runAt{}, readinessPath: d.ReadinessPath,
-		targets: map[string]*inventory.Target{}, idle: newIdleConns(),
+		targets: map[string]*inventory.Target{}, configured: map[string]kv.Entry{}, idle: newIdleConns(),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.InnerAddr}
 	n.bounds.Store(&d.Settings.Bounds)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.hardStop, n.cancelHard = context.WithCancel(context.Background())
+	n.handler = n
+	if d.Wrap != nil {
+		n.handler = d.Wrap(n)
+	}
 	n.links = newLinks(n)
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
@@ -146,7 +159,7 @@
 		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Version: n.version, Boot: boottime.Now,
 	})
 	d.Store.SetRelay(n.links.relay)
-	n.configuration = n.newWatch(d.Decoder.ConfigurationKey, noPause, n.resetConfiguration, n.changeConfiguration)
+	n.configuration = n.newWatch(d.Decoder.ConfigurationPrefix, noPause, n.resetConfiguration, n.changeConfiguration)
 	n.watches = []*watch{
 		n.configuration,
 		n.newWatch(d.Decoder.TargetPrefix, n.targetPause, n.resetTargets, n.changeTargets),
@@ -177,7 +190,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc(n.readinessPath, n.serveReadiness)
 	ready.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
-	n.clients = &http.Server{Handler: n, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idle.track, DisableGeneralOptionsHandler: true}
+	n.clients = &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idle.track, DisableGeneralOptionsHandler: true}
 	n.readiness = &http.Server{Handler: ready}
 	n.inner = &http.Server{Handler: inner}
 	listeners := []struct {
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -31,18 +31,12 @@
 	run  uint64
 }
 
-// refusal is an error with the time after which the client may come back.
-type refusal struct {
-	*fault.Error
-	after time.Duration
-}
-
-func refuse(kind fault.Kind, after time.Duration, format string, args ...any) *refusal {
-	return &refusal{fault.New(kind, format, args...), after}
+func refuse(kind fault.Kind, after time.Duration, format string, args ...any) *Refusal {
+	return &Refusal{fault.New(kind, format, args...), after}
 }
 
 // plainPlace chooses a target of a plain service.
-func (n *Node) plainPlace(j *job) (place, *refusal) {
+func (n *Node) plainPlace(j *job) (place, *Refusal) {
 	candidates := n.view.Load().Service(j.service)
 	t := n.loads.begin(time.Now(), candidates, n.self.Zone, j.exclude)
 	if t == nil && len(j.exclude) > 0 && j.idempotent() {
@@ -55,7 +49,7 @@
 }
 
 // enginePlace waits for a place at a target that has the model loaded.
-func (n *Node) enginePlace(ctx context.Context, j *job) (place, *refusal) {
+func (n *Node) enginePlace(ctx context.Context, j *job) (place, *Refusal) {
 	for {
 		p, ref, asked := n.askOwners(ctx, j)
 		if ref != nil || p.target != nil {
@@ -68,7 +62,7 @@
 		}
 		left := time.Until(j.startBy())
 		if ctx.Err() != nil || left < leastRun || time.Since(j.arrived) > j.patience() {
-			return place{}, refuse(fault.NoCapacity, defaultRetry, "no owner of a zone gives a place for the model %q", j.info.Model)
+			return place{}, refuse(fault.NoCapacity, defaultRetry, "no owner of a zone gives a place for the model %q", j.Model)
 		}
 		n.awaitOwner(ctx)
 	}
@@ -76,7 +70,7 @@
 
 // askOwners asks the owners of the zones one after the other, and the first
 // one again when all others refuse. asked is false when none answered.
-func (n *Node) askOwners(ctx context.Context, j *job) (p place, ref *refusal, asked bool) {
+func (n *Node) askOwners(ctx context.Context, j *job) (p place, ref *Refusal, asked bool) {
 	zones := n.zoneOrder(j)
 	var reached []fleet.Zone
 	for _, zone := range zones {
@@ -104,10 +98,10 @@
 
 // accept turns an owner's answer into a place or a refusal. Neither comes of
 // a grant at a target that this node does not know yet.
-func (n *Node) accept(j *job, zone fleet.Zone, placed *wire.Placed) (place, *refusal) {
+func (n *Node) accept(j *job, zone fleet.Zone, placed *wire.Placed) (place, *Refusal) {
 	if placed.Refusal != wire.PlaceGranted {
 		after := max(time.Duration(placed.RetryAfterMillis)*time.Millisecond, defaultRetry/2)
-		return place{}, refuse(fault.Overloaded, after, "the model %q cannot be served in time", j.info.Model)
+		return place{}, refuse(fault.Overloaded, after, "the model %q cannot be served in time", j.Model)
 	}
 	t := n.view.Load().Target(placed.Target)
 	if t == nil {
@@ -122,11 +116,11 @@
 func (n *Node) placeMessage(j *job, last bool) *wire.Place {
 	now := time.Now()
 	return &wire.Place{
-		RequestID: j.info.ID, Service: j.service, Model: j.info.Model, Adapter: j.info.Adapter,
-		InputTokens: j.info.InputTokens, OutputTokens: j.info.OutputTokens, Priority: j.route.Priority,
-		ObjectiveMillis: j.arrived.Add(j.route.Objective).Sub(now).Milliseconds(),
+		RequestID: j.ID, Service: j.service, Model: j.Model, Adapter: j.Adapter,
+		InputTokens: j.InputTokens, OutputTokens: j.OutputTokens, Priority: j.Priority,
+		ObjectiveMillis: j.arrived.Add(j.Route.Objective).Sub(now).Milliseconds(),
 		DeadlineMillis:  j.startBy().Sub(now).Milliseconds(),
-		LatencyMillis:   j.route.Objective.Milliseconds(),
+		LatencyMillis:   j.Route.Objective.Milliseconds(),
 		Exclude:         j.exclude, LastResort: last,
 	}
 }
@@ -159,16 +153,16 @@
 // with a copy of its weights. Requests for one model that is not loaded go to
 // the same zone from all nodes, so that they wait for one load.
 func (n *Node) zoneOrder(j *job) []fleet.Zone {
-	key := j.service + "/" + j.info.Model
+	key := j.service + "/" + j.Model
 	ranks := make([]zoneRank, 0, len(n.settings.Zones))
 	copies := n.zonesWithCopy(j)
 	for _, zone := range n.settings.Zones {
 		r := zoneRank{zone: zone, class: noCopy, weight: fleet.Weight(fleet.NodeID(zone), key)}
 		state := n.links.state(zone)
 		switch {
-		case state != nil && slices.Contains(state.Full[j.service], j.info.Model):
+		case state != nil && slices.Contains(state.Full[j.service], j.Model):
 			r.class = loadedFull
-		case state != nil && slices.Contains(state.Loaded[j.service], j.info.Model):
+		case state != nil && slices.Contains(state.Loaded[j.service], j.Model):
 			r.class = loadedThere
 			if zone == n.self.Zone {
 				r.class = loadedHere
@@ -203,7 +197,7 @@
 func (n *Node) zonesWithCopy(j *job) map[fleet.Zone]bool {
 	out := map[fleet.Zone]bool{}
 	for _, t := range n.view.Load().Service(j.service) {
-		if !t.Draining && t.HasCopy(j.info.Model) {
+		if !t.Draining && t.HasCopy(j.Model) {
 			out[t.Zone] = true
 		}
 	}
@@ -215,7 +209,7 @@
 func (n *Node) withoutOwner(j *job) (place, bool) {
 	var candidates []*inventory.Target
 	for _, t := range n.view.Load().Service(j.service) {
-		if t.Has(j.info.Model, j.info.Adapter) {
+		if t.Has(j.Model, j.Adapter) {
 			candidates = append(candidates, t)
 		}
 	}
@@ -242,7 +236,7 @@
 func (n *Node) startRun(zone fleet.Zone, run uint64, t *inventory.Target, j *job) {
 	n.runsMu.Lock()
 	defer n.runsMu.Unlock()
-	n.runs[run] = runAt{zone, wire.Run{Run: run, Target: t.ID, Model: j.info.Model, Adapter: j.info.Adapter, Tokens: j.info.InputTokens + j.info.OutputTokens}}
+	n.runs[run] = runAt{zone, wire.Run{Run: run, Target: t.ID, Model: j.Model, Adapter: j.Adapter, Tokens: j.InputTokens + j.OutputTokens}}
 }
 
 // endRun gives a place back.
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"almondturn/pkg/fault"
@@ -34,11 +33,15 @@
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	a := &answer{w: w, r: r, rc: http.NewResponseController(w), protocol: n.protocol, closing: n.stopping.Load()}
+	a := &answer{w: w, r: r, rc: http.NewResponseController(w), protocol: n.clientProtocol, closing: n.stopping.Load()}
 	j, ref := n.accepted(r)
 	if ref == nil {
+		a.request = j.Request
 		ref = n.readBody(r, j)
 	}
+	if ref == nil {
+		ref = j.admit()
+	}
 	if ref != nil {
 		a.refuse(ref)
 		n.metrics.refused(ref.Kind)
@@ -54,7 +57,7 @@
 }
 
 // accepted finds the route of a request and reads what it says of itself.
-func (n *Node) accepted(r *http.Request) (*job, *refusal) {
+func (n *Node) accepted(r *http.Request) (*job, *Refusal) {
 	if at := n.stoppingSince.Load(); at != 0 && time.Since(time.Unix(0, at)) > stopNotice {
 		return nil, refuse(fault.ShuttingDown, stopRetry, "the node is stopping")
 	}
@@ -62,48 +65,43 @@
 	if table == nil || n.view.Load() == nil {
 		return nil, refuse(fault.NotReady, defaultRetry, "the configuration is not known yet")
 	}
-	uri := requestURI(r)
-	path, _, _ := strings.Cut(uri, "?")
-	rt := table.Match(r.Host, path)
-	if rt == nil {
-		return nil, refuse(fault.UnknownPath, 0, "no route for host %q and path %q", r.Host, path)
-	}
-	j := &job{
-		info: n.protocol.Request(r.Header), route: rt, table: table,
-		method: r.Method, path: uri, host: r.Host, header: r.Header, arrived: time.Now(),
+	req, err := n.clientProtocol.Accept(r, table)
+	if err != nil {
+		return nil, &Refusal{Error: err}
 	}
-	if j.info.ID == "" {
-		return nil, refuse(fault.BadRequest, 0, "the request has no identifier")
+	return &job{Request: req, table: table, arrived: time.Now()}, nil
+}
+
+// admit completes a request whose body has been read.
+func (j *job) admit() *Refusal {
+	if j.ReadBody != nil {
+		body, err := j.ReadBody(j.Request, j.body)
+		if err != nil {
+			return &Refusal{Error: err}
+		}
+		j.body = body
 	}
-	j.service = rt.Service(hashOf(j.info.ID))
-	j.engine = isEngine(table, j.service)
-	j.lastEvent = j.info.LastEvent
+	j.service = j.Route.Service(hashOf(j.ID))
+	j.engine = isEngine(j.table, j.service)
+	j.lastEvent = j.LastEvent
 	j.deadline = j.arrived.Add(j.timeout())
-	return j, nil
+	return nil
 }
 
 // timeout is the time that the client waits, or the route allows.
 func (j *job) timeout() time.Duration {
 	switch {
-	case j.info.Deadline <= 0:
-		return j.route.Timeout
-	case j.route.Timeout <= 0:
-		return j.info.Deadline
+	case j.Deadline <= 0:
+		return j.Route.Timeout
+	case j.Route.Timeout <= 0:
+		return j.Deadline
 	default:
-		return min(j.info.Deadline, j.route.Timeout)
-	}
-}
-
-// requestURI returns the path and query as the client sent them.
-func requestURI(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
+		return min(j.Deadline, j.Route.Timeout)
 	}
-	return r.URL.RequestURI()
 }
 
 // readBody reads the whole body, so that a send does not depend on the client.
-func (n *Node) readBody(r *http.Request, j *job) *refusal {
+func (n *Node) readBody(r *http.Request, j *job) *Refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -5,7 +5,6 @@
 package entry
 
 import (
-	"net/http"
 	"time"
 
 	"almondturn/fleet"
@@ -49,44 +48,3 @@
 	// MinLeaseTime is the shortest lease that the key-value service grants.
 	MinLeaseTime time.Duration
 }
-
-// RequestInfo is what a request says of itself.
-type RequestInfo struct {
-	ID                           string
-	Model, Adapter               string
-	InputTokens, MaxOutputTokens int
-	// OutputTokens is the expected length of the answer.
-	OutputTokens int
-	// Deadline is how long the client waits; 0 when it does not say.
-	Deadline time.Duration
-	// LastEvent is the event after which a stream goes on, empty for a new one.
-	LastEvent string
-}
-
-// Outgoing is what the node adds to a request to a target.
-type Outgoing struct {
-	Target    string
-	TimeLeft  time.Duration
-	LastEvent string
-}
-
-// AnswerInfo is what a target says of its answer.
-type AnswerInfo struct {
-	RequestID string
-	// Signed tells that the answer bears a target's signature.
-	Signed bool
-	// NotExecuted tells that the target did not run the request.
-	NotExecuted             bool
-	Running, Waiting, Slots int
-}
-
-// Protocol reads and writes the headers that the platform defines.
-type Protocol interface {
-	Request(h http.Header) RequestInfo
-	// Outgoing returns the header of a request to a target: what the client
-	// sent, without what only the system sets.
-	Outgoing(in http.Header, o Outgoing) http.Header
-	Answer(h http.Header) AnswerInfo
-	// Returned copies a target's header into an answer to a client.
-	Returned(in, out http.Header)
-}
--- a/pkg/entry/state.go
+++ b/pkg/entry/state.go
@@ -7,53 +7,71 @@
 	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
-	kv "almondturn/pkg/platform"
+	"almondturn/pkg/kv"
 	"almondturn/pkg/route"
 	"almondturn/pkg/zoneowner"
 )
 
 // Decoder reads what the platform keeps in its key-value service.
 type Decoder struct {
-	ConfigurationKey string
-	TargetPrefix     string
-	Configuration    func(value []byte, revision uint64) (*route.Table, error)
-	Target           func(key string, value []byte) (*inventory.Target, error)
+	// ConfigurationPrefix and TargetPrefix are what the keys of the
+	// configuration and of the targets begin with.
+	ConfigurationPrefix, TargetPrefix string
+	// Configuration reads the entries of the configuration, by key. It
+	// returns nil when they do not hold one yet.
+	Configuration func(entries map[string]kv.Entry) (*route.Table, error)
+	Target        func(key string, value []byte) (*inventory.Target, error)
 }
 
 // resetConfiguration takes the configuration from a list.
 func (n *Node) resetConfiguration(entries []kv.Entry) {
+	n.configured = make(map[string]kv.Entry, len(entries))
 	for _, e := range entries {
-		if e.Key == n.decoder.ConfigurationKey {
-			n.setConfiguration(e)
-		}
+		n.configured[e.Key] = e
 	}
+	n.decodeConfiguration()
 }
 
 func (n *Node) changeConfiguration(events []kv.WatchEvent) {
 	for _, e := range events {
-		if e.Entry.Key == n.decoder.ConfigurationKey && !e.Deleted {
-			n.setConfiguration(e.Entry)
+		if e.Deleted {
+			delete(n.configured, e.Entry.Key)
+			continue
 		}
+		n.configured[e.Entry.Key] = e.Entry
 	}
+	n.decodeConfiguration()
 }
 
-// setConfiguration puts a configuration in force unless a newer one is.
-func (n *Node) setConfiguration(e kv.Entry) {
+// decodeConfiguration puts the configuration in force unless a newer one is.
+func (n *Node) decodeConfiguration() {
 	current := n.table.Load()
-	if current != nil && uint64(e.ModRevision) <= current.Revision {
+	if current != nil && n.configuredRevision() <= current.Revision {
 		return
 	}
-	t, err := n.decoder.Configuration(e.Value, uint64(e.ModRevision))
+	t, err := n.decoder.Configuration(n.configured)
 	if err != nil {
 		event.ConfigurationInvalid.Log(n.log).Err(err).Send()
 		return
 	}
+	if t == nil || current != nil && t.Revision <= current.Revision {
+		return
+	}
 	n.table.Store(t)
 	n.owner.SetTable(t)
 	event.ConfigurationInForce.Log(n.log).Int64("version", t.Version).Uint64("revision", t.Revision).Send()
 	n.checkReady()
 }
 
+// configuredRevision returns the revision of the last change of the configuration.
+func (n *Node) configuredRevision() uint64 {
+	last := kv.Revision(0)
+	for _, e := range n.configured {
+		last = max(last, e.ModRevision)
+	}
+	return uint64(last)
+}
+
 // version returns the version of the configuration in force, 0 for none.
 func (n *Node) version() int64 {
 	if t := n.table.Load(); t != nil {
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -36,7 +36,7 @@
 	s := &eventSplitter{last: j.lastEvent, resumed: a.started}
 	buf := make([]byte, copyBytes)
 	for {
-		if j.route.Resumable {
+		if j.Route.Resumable {
 			resp.SetReadDeadline(time.Now().Add(j.silence(s.count > 0 || a.started)))
 		}
 		count, err := resp.Read(buf)
@@ -70,9 +70,9 @@
 // is resumed elsewhere.
 func (j *job) silence(running bool) time.Duration {
 	if running {
-		return max(leastGapSilence, gapSilences*j.route.EventGap)
+		return max(leastGapSilence, gapSilences*j.Route.EventGap)
 	}
-	return max(leastFirstSilence, j.route.Objective*3/2)
+	return max(leastFirstSilence, j.Route.Objective*3/2)
 }
 
 func (n *Node) writeEvents(j *job, resp *upstream.Answer, a *answer, status int, events []byte) error {
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"almondturn/pkg/event"
-	kv "almondturn/pkg/platform"
+	"almondturn/pkg/kv"
 )
 
 // Store is the part of the key-value service that the watches need.
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -39,6 +39,7 @@
 	StreamBroken
 	CallerGone
 	NotReady
+	TimeOver
 	kindEnd
 )
 
@@ -89,6 +90,7 @@
 	OutcomeUnknown:      {Status: http.StatusBadGateway, Code: "outcome_unknown", Run: RunUnknown},
 	StreamBroken:        {Status: http.StatusBadGateway, Code: "stream_broken", Run: RunYes},
 	CallerGone:          {Status: 499, Code: "caller_gone", Run: RunUnknown},
+	TimeOver:            {Status: http.StatusGatewayTimeout, Code: "time_over", Run: RunUnknown},
 	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
 
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -47,6 +47,9 @@
 	// EventGap is the longest pause between two events of a stream that is
 	// still on time.
 	EventGap time.Duration
+	// Patience is how long clients wait for the first event of a stream; 0
+	// when they wait until the deadline.
+	Patience time.Duration
 	// Priority is the rank, 0 is the most urgent.
 	Priority int
 	// MaxAttempts is the number of targets that one request may run on.
@@ -135,7 +138,10 @@
 	Revision uint64
 	Services map[string]*Service
 	Limits   Limits
-	hosts    map[string][]*Route
+	// Extension is what the reader of the configuration needs beside the
+	// routes; nil when that is nothing.
+	Extension any
+	hosts     map[string][]*Route
 }
 
 // NewTable returns a table of routes.
--- a/pkg/zoneowner/campaign.go
+++ b/pkg/zoneowner/campaign.go
@@ -10,7 +10,7 @@
 
 	"almondturn/fleet"
 	"almondturn/pkg/event"
-	kv "almondturn/pkg/platform"
+	"almondturn/pkg/kv"
 	"almondturn/pkg/scheduler"
 	"almondturn/wire"
 )
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -15,7 +15,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
-	kv "almondturn/pkg/platform"
+	"almondturn/pkg/kv"
 	"almondturn/pkg/route"
 	"almondturn/pkg/scheduler"
 	"almondturn/wire"
