scheduler: limits of replicas by quotas of zones, unload of idle and undeclared models

Cause: the limits that operators declare held only on the former request path.

Change: route.Limit.Quota divides a limit over the zones by rendezvous weights of the name, so that the quotas add up to the limit without a word between zones. The scheduler keeps its zone's quota: replicas that are loaded, planned, ordered with unknown outcome or held by a target that left the list within a minute all count. Beyond it, replicas with the fewest runs take no new runs and are unloaded when the last has ended. A price of idle time (0 on the users' platform) unloads by the keep-alive policy. A model that the configuration does not name is unloaded; before, a target that held one could never load anything, and closing replicas for room there dereferenced nil.

Ruled out: a count in the key-value service, which costs calls and stops loads in a cut.

--- a/pkg/emulator/baseline.go
+++ b/pkg/emulator/baseline.go
@@ -55,7 +55,7 @@
 }
 
 // SetTargets implements Policy.
-func (b *Baseline) SetTargets(list []*inventory.Target) {
+func (b *Baseline) SetTargets(_ time.Time, list []*inventory.Target) {
 	seen := map[string]bool{}
 	for _, info := range list {
 		seen[info.ID] = true
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -19,7 +19,7 @@
 // is one.
 type Policy interface {
 	SetServices(services map[string]*route.Service)
-	SetTargets(list []*inventory.Target)
+	SetTargets(now time.Time, list []*inventory.Target)
 	AllowOrders(from, until time.Time)
 	Submit(now time.Time, r scheduler.Request) scheduler.Ticket
 	Started(now time.Time, id scheduler.RunID)
@@ -206,7 +206,7 @@
 		}
 		w.engines = append(w.engines, e)
 	}
-	w.list()
+	w.list(w.start)
 	w.play()
 	slices.Sort(w.result.ColdWaits)
 	return w.result
@@ -253,7 +253,7 @@
 }
 
 // list tells the policy which targets there are.
-func (w *world) list() {
+func (w *world) list(now time.Time) {
 	var out []*inventory.Target
 	for _, e := range w.engines {
 		if e.gone {
@@ -264,7 +264,7 @@
 			Models: e.loaded(), OnDisk: slices.Clone(e.disk), InMemory: slices.Clone(e.memory),
 		})
 	}
-	w.policy.SetTargets(out)
+	w.policy.SetTargets(now, out)
 }
 
 func (e *engine) loaded() []inventory.LoadedModel {
--- a/pkg/emulator/orders.go
+++ b/pkg/emulator/orders.go
@@ -158,12 +158,12 @@
 		w.crash(now, e)
 		w.after(now, f.For, func(time.Time) {
 			e.alive, e.incarnation = true, e.incarnation+1
-			w.list()
+			w.list(now)
 		})
 	case Gone:
 		w.crash(now, e)
 		e.gone = true
-		w.list()
+		w.list(now)
 	case LostOrders:
 		e.lostUntil = now.Add(f.For)
 	case Unreachable:
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -155,7 +155,7 @@
 	n.links = newLinks(n)
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
-		Self: n.self, Zones: len(d.Settings.Zones), Strength: d.Settings.Strength, MinLease: d.Settings.MinLeaseTime, HolderPause: d.Settings.OrderHolderPause,
+		Self: n.self, Zones: d.Settings.Zones, Strength: d.Settings.Strength, MinLease: d.Settings.MinLeaseTime, HolderPause: d.Settings.OrderHolderPause,
 		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Version: n.version, Boot: boottime.Now,
 	})
 	d.Store.SetRelay(n.links.relay)
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -8,6 +8,8 @@
 	"almondturn/fleet"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/inventory"
+	"almondturn/pkg/route"
+	"almondturn/pkg/scheduler"
 	"almondturn/wire"
 )
 
@@ -146,6 +148,7 @@
 	loadedFull
 	noCopy
 	noOrders
+	notAllowed
 )
 
 // zoneOrder returns the zones in the order in which a request asks them: the
@@ -153,9 +156,10 @@
 // with a copy of its weights. Requests for one model that is not loaded go to
 // the same zone from all nodes, so that they wait for one load.
 func (n *Node) zoneOrder(j *job) []fleet.Zone {
-	key := j.service + "/" + j.Model
+	key := scheduler.LimitName(j.service, j.Model, "")
 	ranks := make([]zoneRank, 0, len(n.settings.Zones))
 	copies := n.zonesWithCopy(j)
+	model := j.table.Model(j.service, j.Model)
 	for _, zone := range n.settings.Zones {
 		r := zoneRank{zone: zone, class: noCopy, weight: fleet.Weight(fleet.NodeID(zone), key)}
 		state := n.links.state(zone)
@@ -167,6 +171,8 @@
 			if zone == n.self.Zone {
 				r.class = loadedHere
 			}
+		case !n.mayLoad(model, zone, key):
+			r.class = notAllowed
 		case state == nil || state.OrdersAfterMillis > 0:
 			r.class = noOrders
 		case copies[zone]:
@@ -194,6 +200,16 @@
 	return out
 }
 
+// mayLoad tells whether the zone may hold a replica of the model, which may be
+// nil.
+func (n *Node) mayLoad(m *route.Model, zone fleet.Zone, name string) bool {
+	if m == nil {
+		return true
+	}
+	quota, limited := m.Replicas.Quota(zone, n.settings.Zones, name)
+	return !limited || quota > 0
+}
+
 func (n *Node) zonesWithCopy(j *job) map[fleet.Zone]bool {
 	out := map[fleet.Zone]bool{}
 	for _, t := range n.view.Load().Service(j.service) {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -95,6 +95,10 @@
 	LoadTime, DiskTime, MemoryTime time.Duration
 	// AdapterMB is the memory of one adapter, in MB.
 	AdapterMB float64
+	// Replicas bounds the replicas of the model over all zones.
+	Replicas Limit
+	// AdapterReplicas bounds those of single adapters; nil for none.
+	AdapterReplicas map[string]Limit
 }
 
 // Engine describes the targets of a model service.
@@ -110,7 +114,10 @@
 	// LoadsPerSecond is the rate of loads from the weight store that all
 	// targets together may begin.
 	LoadsPerSecond float64
-	Models         map[string]*Model
+	// IdleWeight is the price of an idle accelerator second in seconds of cold
+	// start; 0 keeps replicas loaded until others need the memory.
+	IdleWeight float64
+	Models     map[string]*Model
 }
 
 // Service is a group of targets that run the same program.
@@ -154,6 +161,15 @@
 	return t
 }
 
+// Model returns what the configuration says of a model, nil for nothing.
+func (t *Table) Model(service, name string) *Model {
+	s := t.Services[service]
+	if s == nil || s.Engine == nil {
+		return nil
+	}
+	return s.Engine.Models[name]
+}
+
 // Match returns the route of the host with the longest prefix of path, nil
 // when there is none. host may carry a port.
 func (t *Table) Match(host, path string) *Route {
--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -6,7 +6,7 @@
 // have the base model loaded.
 func (s *Scheduler) loadAdapters(now time.Time, order []*queue) {
 	for _, q := range order {
-		if q.key.adapter == "" || len(q.waiters) == 0 || s.adapterComing(now, q.key) {
+		if q.key.adapter == "" || len(q.waiters) == 0 || s.adapterComing(now, q.key) || !s.mayLoadAdapter(q.key) {
 			continue
 		}
 		if t := s.adapterTarget(now, q); t != nil {
--- a/pkg/scheduler/demand.go
+++ b/pkg/scheduler/demand.go
@@ -27,6 +27,8 @@
 	// latency is the mean time from a grant to the first event, as a share
 	// of the latency objective.
 	latency float64
+	// idleSince is when the last run ended, zero once the gap was learned.
+	idleSince time.Time
 }
 
 // latencyStep is the weight of the last run in the mean latency.
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -60,7 +60,7 @@
 		if !t.healthy(now) {
 			continue
 		}
-		if r := t.replicas[k.model]; r != nil && !r.closing && !r.doubted {
+		if r := t.replicas[k.model]; r != nil && !r.closing && !r.doubted && !r.retiring {
 			st.usable++
 			st.runs += r.runs
 			continue
@@ -188,7 +188,7 @@
 		return
 	}
 	m := svc.Engine.Models[k.model]
-	if m == nil || m.WeightsMB > svc.Engine.WeightsMB {
+	if m == nil || m.WeightsMB > svc.Engine.WeightsMB || !s.mayGrow(k) {
 		return
 	}
 	copies := s.copies(now, k)
@@ -338,7 +338,7 @@
 	wanted := s.demandOf(modelKey{t.info.Service, m.Name}).perSecond(now)
 	var out []victim
 	for name, r := range t.replicas {
-		if r.closing || r.runs > 0 && !closing || s.isAwaited(t.info.Service, name) {
+		if r.closing || r.runs > 0 && !closing || e.Models[name] == nil || s.isAwaited(t.info.Service, name) {
 			continue
 		}
 		k := modelKey{t.info.Service, name}
@@ -421,7 +421,7 @@
 		return
 	}
 	m := e.Models[p.model]
-	if m == nil || t.usedMB(e)+m.WeightsMB > e.WeightsMB {
+	if m == nil || t.usedMB(e)+m.WeightsMB > e.WeightsMB || s.overQuota(modelKey{t.info.Service, p.model}) {
 		t.abandonPlan()
 		return
 	}
@@ -432,6 +432,7 @@
 		}
 		s.store.begin(now, d)
 	}
+	s.noteLoad(modelKey{t.info.Service, p.model}, d)
 	s.send(now, t, Order{Operation: Load, Model: p.model, Source: source}, d)
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 	"almondturn/fleet"
 	"almondturn/pkg/inventory"
+	"almondturn/pkg/keepalive"
 	"almondturn/pkg/route"
 )
 
@@ -177,8 +178,15 @@
 	ordersFrom time.Time
 	// ordersUntil is when the permission to send orders ends.
 	ordersUntil time.Time
-	// zones is the number of zones that share the weight store.
-	zones int
+	// zone is the scheduler's own, allZones are those that share the limits of
+	// replicas; zones is their number.
+	zone     fleet.Zone
+	allZones []fleet.Zone
+	zones    int
+	// departed are targets that left the list lately.
+	departed []departed
+	// keepalive is nil until a service has a price of idle time.
+	keepalive *keepalive.Policy
 
 	lastTicket Ticket
 	lastRun    RunID
@@ -209,9 +217,6 @@
 // SetServices replaces the configuration of the services.
 func (s *Scheduler) SetServices(services map[string]*route.Service) { s.services = services }
 
-// SetZones sets the number of zones that share the weight store.
-func (s *Scheduler) SetZones(n int) { s.zones = max(n, 1) }
-
 // AllowOrders lets orders be sent from and until the given times.
 func (s *Scheduler) AllowOrders(from, until time.Time) { s.ordersFrom, s.ordersUntil = from, until }
 
@@ -222,7 +227,7 @@
 
 // SetTargets replaces the list of targets of the zone. What a target holds
 // is learned from its reports; the list tells of starts and departures.
-func (s *Scheduler) SetTargets(list []*inventory.Target) {
+func (s *Scheduler) SetTargets(now time.Time, list []*inventory.Target) {
 	seen := make(map[string]bool, len(list))
 	for _, info := range list {
 		svc := s.services[info.Service]
@@ -238,8 +243,9 @@
 		}
 		t.update(info)
 	}
-	for id := range s.targets {
+	for id, t := range s.targets {
 		if !seen[id] {
+			s.depart(now, t)
 			delete(s.targets, id)
 			s.dropRuns(id)
 		}
@@ -269,6 +275,7 @@
 		s.queues[key] = q
 	}
 	q.add(w)
+	s.noteArrival(now, key.modelKey())
 	s.awaited[key.modelKey()]++
 	s.demandOf(key.modelKey()).add(now)
 	return w.ticket
@@ -346,8 +353,10 @@
 	}
 	t.release(now, r)
 	t.observe(now, r, o)
+	d := s.demandOf(modelKey{t.info.Service, r.model})
+	d.idleSince = now
 	if o == Completed {
-		s.demandOf(modelKey{t.info.Service, r.model}).ended(now.Sub(r.since))
+		d.ended(now.Sub(r.since))
 	}
 }
 
@@ -390,16 +399,20 @@
 func (s *Scheduler) Step(now time.Time) []Action {
 	s.actions = nil
 	s.index()
+	s.forgetDeparted(now)
 	s.expire(now)
+	s.retire(now)
 	order := s.byUrgency(now)
 	s.grant(now, order)
 	s.findFree(now)
+	s.refuseUnallowed(now, order)
 	s.refuseWithoutCopy(now, order)
 	if s.mayOrder(now) {
 		s.continueOrders(now)
 		s.loadAdapters(now, order)
 		s.loadModels(now, order)
 		s.scaleOut(now)
+		s.unloadRetired(now)
 	}
 	s.refuseHopeless(now, order)
 	s.askReports(now)
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"almondturn/fleet"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/route"
 )
@@ -33,7 +34,7 @@
 	z := &zone{t: t, Scheduler: New(0), now: start, targets: targets}
 	z.SetServices(map[string]*route.Service{svc: {Name: svc, Engine: e}})
 	z.AllowOrders(start, start.Add(time.Hour))
-	z.SetTargets(targets)
+	z.SetTargets(z.now, targets)
 	for _, target := range targets {
 		z.Reported(z.now, target.ID, inventory.Report{Models: target.Models, OnDisk: target.OnDisk, InMemory: target.InMemory})
 	}
@@ -321,7 +322,7 @@
 		targets = append(targets, engine(fmt.Sprint("t", i), nil, nil))
 	}
 	z := newZone(t, targets...)
-	z.SetZones(3) // a third of 1 load a second over 5 s
+	z.SetZones("z", []fleet.Zone{"z", "y", "x"}) // a third of 1 load a second over 5 s
 	orders := 0
 	for i := range 6 {
 		for _, a := range z.submit(z.request(fmt.Sprint("m", i))) {
@@ -338,7 +339,7 @@
 	run := one[Grant](t, z.submit(z.request("m0"))).Run
 	again := engine("a", nil, []string{"m0"})
 	again.Incarnation = 2
-	z.SetTargets([]*inventory.Target{again})
+	z.SetTargets(z.now, []*inventory.Target{again})
 	z.Ended(z.now, run, Failed)
 	actions := z.submit(z.request("m0"))
 	none[Grant](t, actions)
@@ -349,7 +350,7 @@
 	z := newZone(t, engine("a", []string{"m0"}, nil))
 	leaving := engine("a", []string{"m0"}, nil)
 	leaving.Draining = true
-	z.SetTargets([]*inventory.Target{leaving})
+	z.SetTargets(z.now, []*inventory.Target{leaving})
 	none[Grant](t, z.submit(z.request("m0")))
 }
 
@@ -377,3 +378,115 @@
 		z.Step(z.now)
 	}
 }
+
+// limited returns a zone whose models have a limit of replicas.
+func limited(t *testing.T, limit int, targets ...*inventory.Target) *zone {
+	z := newZone(t, targets...)
+	for _, m := range z.services[svc].Engine.Models {
+		m.Replicas = route.AtMost(limit)
+	}
+	return z
+}
+
+func TestLimitOfReplicasHolds(t *testing.T) {
+	z := limited(t, 1, engine("a", []string{"m0"}, []string{"m0"}), engine("b", nil, []string{"m0"}))
+	for range 4 {
+		z.submit(z.request("m0"))
+	}
+	for range 50 { // all slots are taken and more requests wait
+		none[SendOrder](t, z.submit(z.request("m0")))
+	}
+	for _, m := range z.services[svc].Engine.Models {
+		m.Replicas = route.AtMost(2)
+	}
+	assert.Equal(t, "b", one[SendOrder](t, z.after(time.Second)).Order.Target, "a raised limit is used")
+}
+
+func TestReplicasOfADepartedTargetCount(t *testing.T) {
+	z := limited(t, 1, engine("a", []string{"m0"}, nil), engine("b", nil, []string{"m0"}))
+	z.SetTargets(z.now, z.targets[1:])
+	none[SendOrder](t, z.submit(z.request("m0")))
+	z.now = z.now.Add(departedHold)
+	z.AllowOrders(start, z.now.Add(time.Hour))
+	order := one[SendOrder](t, z.submit(z.request("m0"))).Order
+	assert.Equal(t, "b", order.Target)
+	assert.Equal(t, Load, order.Operation)
+}
+
+func TestDepartedTargetThatIsBackCountsOnce(t *testing.T) {
+	z := limited(t, 2, engine("a", []string{"m0"}, nil), engine("b", nil, []string{"m0"}))
+	z.SetTargets(z.now, z.targets[1:])
+	z.SetTargets(z.now, z.targets)
+	z.Step(z.now)
+	assert.Equal(t, 1, z.held(modelKey{svc, "m0"}))
+}
+
+func TestLoweredLimitUnloadsWithoutCuttingRunsOff(t *testing.T) {
+	z := limited(t, 2, engine("a", []string{"m0"}, nil), engine("b", []string{"m0"}, nil))
+	run := one[Grant](t, z.submit(z.request("m0")))
+	busy := run.Target
+	for _, m := range z.services[svc].Engine.Models {
+		m.Replicas = route.AtMost(0)
+	}
+	first := one[SendOrder](t, z.after(time.Millisecond)).Order
+	assert.Equal(t, Unload, first.Operation)
+	assert.NotEqual(t, busy, first.Target, "the replica with a run stays")
+	assert.Equal(t, Overloaded, one[Refusal](t, z.submit(z.request("m0"))).Reason, "no new run begins")
+	z.Ended(z.now, run.Run, Completed)
+	second := one[SendOrder](t, z.after(time.Millisecond)).Order
+	assert.Equal(t, Order{Target: busy, Operation: Unload, Model: "m0"}, second)
+}
+
+func TestZoneWithoutQuotaSendsElsewhere(t *testing.T) {
+	z := limited(t, 1, engine("a", nil, []string{"m0"}))
+	others := []fleet.Zone{"z", "y", "x"}
+	for _, zone := range others {
+		z.SetZones(zone, others)
+		quota, _ := z.quota(modelKey{svc, "m0"})
+		if quota > 0 {
+			continue
+		}
+		r := z.request("m0")
+		r.LastResort = false
+		assert.Equal(t, Elsewhere, one[Refusal](t, z.submit(r)).Reason)
+	}
+}
+
+func TestModelThatIsNotDeclaredIsUnloaded(t *testing.T) {
+	z := newZone(t, engine("a", []string{"old"}, []string{"m0"}))
+	assert.Equal(t, Order{Target: "a", Operation: Unload, Model: "old"}, one[SendOrder](t, z.after(time.Millisecond)).Order)
+}
+
+func TestIdleReplicasGoWhenIdleTimeHasAPrice(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0"}, []string{"m0"}))
+	run := one[Grant](t, z.submit(z.request("m0")))
+	z.Ended(z.now, run.Run, Completed)
+	none[SendOrder](t, z.after(10*time.Minute))
+	z.services[svc].Engine.IdleWeight = 0.2
+	assert.Equal(t, Unload, one[SendOrder](t, z.after(time.Millisecond)).Order.Operation)
+}
+
+// TestIdleWindowFollowsTheGaps: a model that is asked for every five seconds
+// stays between two requests.
+func TestIdleWindowFollowsTheGaps(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0"}, []string{"m0"}))
+	z.services[svc].Engine.IdleWeight = 0.02
+	k := modelKey{svc, "m0"}
+	for range 20 {
+		z.demandOf(k).idleSince = z.now
+		z.now = z.now.Add(5 * time.Second)
+		z.noteArrival(z.now, k)
+	}
+	run := one[Grant](t, z.submit(z.request("m0")))
+	z.Ended(z.now, run.Run, Completed)
+	none[SendOrder](t, z.after(5*time.Second))
+	assert.Equal(t, Unload, one[SendOrder](t, z.after(30*time.Minute)).Order.Operation)
+}
+
+func TestAdapterLimitHolds(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0"}, nil), engine("b", []string{"m0"}, nil))
+	z.services[svc].Engine.Models["m0"].AdapterReplicas = map[string]route.Limit{"x": route.AtMost(0)}
+	r := z.request("m0")
+	r.Adapter = "x"
+	none[SendOrder](t, z.submit(r))
+}
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -110,6 +110,8 @@
 	lastUsed time.Time
 	// closing replicas take no new runs, because they are to be unloaded.
 	closing bool
+	// retiring replicas take no new runs either; see Scheduler.retire.
+	retiring bool
 	// doubted replicas were said to be missing by an answer to a request. They
 	// take no new runs until a report lists them, and still count as memory.
 	doubted bool
@@ -220,7 +222,7 @@
 // has tells whether a run may start for the model and adapter.
 func (t *target) has(now time.Time, model, adapter string) bool {
 	r := t.replicas[model]
-	if r == nil || r.closing || r.doubted {
+	if r == nil || r.closing || r.doubted || r.retiring {
 		return false
 	}
 	if adapter == "" {
@@ -233,7 +235,7 @@
 // probeable tells whether one run may show that a load has ended, before a
 // report does.
 func (t *target) probeable(now time.Time, model, adapter string) bool {
-	return t.phase == loading && adapter == "" && t.order.Model == model && t.order.Adapter == "" && !t.probing &&
+	return t.phase == loading && t.expected > 0 && adapter == "" && t.order.Model == model && t.order.Adapter == "" && !t.probing &&
 		!now.Before(t.orderSince.Add(t.expected+probeMargin)) && !now.Before(t.probeAt)
 }
 
--- a/pkg/zoneowner/campaign.go
+++ b/pkg/zoneowner/campaign.go
@@ -276,7 +276,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t.scheduler.SetServices(o.services)
-	t.scheduler.SetZones(o.cfg.Zones)
+	t.scheduler.SetZones(o.cfg.Self.Zone, o.cfg.Zones)
 	t.setTargets(o.targets)
 	o.tenure = t
 	o.held = ownerKey{OwnerRecord{o.cfg.Self.ID, o.cfg.Self.Addr, o.cfg.Self.Incarnation}, kv.Revision(token)}
--- a/pkg/zoneowner/cluster_test.go
+++ b/pkg/zoneowner/cluster_test.go
@@ -243,7 +243,7 @@
 	c.starts++
 	self := fleet.Node{ID: fleet.NodeID(fmt.Sprint("n", i)), Zone: testZone, Addr: fmt.Sprint("addr", i), Incarnation: fmt.Sprint("start", c.starts)}
 	o := New(Config{
-		Self: self, Zones: 1, Strength: 1, MinLease: time.Second, HolderPause: testPause, Store: storeOf{c, i}, Targets: targetsOf{c, i},
+		Self: self, Zones: []fleet.Zone{self.Zone}, Strength: 1, MinLease: time.Second, HolderPause: testPause, Store: storeOf{c, i}, Targets: targetsOf{c, i},
 		Network: networkOf{c, i}, Log: &log, Version: func() int64 { return 1 }, Boot: time.Now,
 	})
 	c.owners[i], c.cancels[i] = o, cancel
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -51,7 +51,8 @@
 // Config is what an Owner needs.
 type Config struct {
 	Self  fleet.Node
-	Zones int
+	// Zones are all zones of the deployment.
+	Zones []fleet.Zone
 	// MinLease is the shortest lease that the service grants.
 	MinLease time.Duration
 	// Strength is the processor share of the node, 1 for a whole core. Weaker
@@ -166,7 +167,7 @@
 	for _, target := range list {
 		t.byID[target.ID] = target
 	}
-	t.scheduler.SetTargets(list)
+	t.scheduler.SetTargets(time.Now(), list)
 }
 
 // kick has the scheduler run; nudge has the campaign look again.
