--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -53,7 +53,7 @@
 	}
 	report := Report{Args: *a}
 	if s.direct != "" {
-		c := newClient(a, []string{s.direct}, a.Service)
+		c := newClient(a, []string{s.direct}, true)
 		report.Series = append(report.Series, measure(ctx, a, out, "direct", s.models[:1], c))
 	}
 	if a.Trial {
@@ -66,7 +66,7 @@
 		return err
 	}
 	before := s.loads()
-	report.Series = append(report.Series, measure(ctx, a, out, "almondturn", s.models, newClient(a, s.urls, "")))
+	report.Series = append(report.Series, measure(ctx, a, out, "almondturn", s.models, newClient(a, s.urls, false)))
 	stopProfile()
 	report.Loads = s.loads() - before
 	report.print(out)
--- /dev/null
+++ b/pkg/claims/claims_test.go
@@ -0,0 +1,142 @@
+package claims
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/pkg/fault"
+	"almondturn/pkg/kv"
+	"almondturn/pkg/kv/kvtest"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var tctx = context.Background()
+
+func newTable(s *kvtest.Store, now *time.Time) *Table {
+	t := New(s)
+	t.now = func() time.Time { return *now }
+	return t
+}
+
+func request(id, body string) *Request {
+	return &Request{Owner: "bookings", Key: "k", Digest: sha256.Sum256([]byte(body)), RequestID: id, Deadline: start.Add(10 * time.Second)}
+}
+
+func TestOneRequestOfMany(t *testing.T) {
+	store, now := new(kvtest.Store), start
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	claimed := 0
+	for i := range 20 {
+		table := newTable(store, &now) // a node of its own
+		wg.Go(func() {
+			c, answer, err := table.Begin(t.Context(), request(fmt.Sprint("r", i), "seat"))
+			mu.Lock()
+			defer mu.Unlock()
+			if c != nil {
+				claimed++
+				return
+			}
+			assert.Nil(t, answer)
+			assert.Equal(t, fault.KeyInProgress, fault.KindOf(err))
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, 1, claimed)
+}
+
+func TestOutcomes(t *testing.T) {
+	want := &Answer{Status: 201, ContentType: "application/json", Body: []byte("{}")}
+	for name, c := range map[string]struct {
+		end     func(*Table, *Claim) error
+		claimed bool
+		answer  *Answer
+		kind    fault.Kind
+	}{
+		"answered": {end: func(t *Table, c *Claim) error { return t.Settle(tctx, c, want) }, answer: want},
+		"not run":  {end: func(t *Table, c *Claim) error { return t.Release(tctx, c) }, claimed: true},
+		"unknown":  {end: func(t *Table, c *Claim) error { return t.Abandon(tctx, c) }, kind: fault.OutcomeUnknown},
+		"running":  {end: func(*Table, *Claim) error { return nil }, kind: fault.KeyInProgress},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store, now := new(kvtest.Store), start
+			first, _, err := newTable(store, &now).Begin(tctx, request("r1", "seat"))
+			require.NoError(t, err)
+			require.NoError(t, c.end(newTable(store, &now), first))
+			second, answer, err := newTable(store, &now).Begin(tctx, request("r2", "seat"))
+			assert.Equal(t, c.claimed, second != nil)
+			assert.Equal(t, c.answer, answer)
+			if c.kind != 0 {
+				assert.Equal(t, c.kind, fault.KindOf(err))
+			}
+		})
+	}
+}
+
+func TestKeyOfAnotherRequest(t *testing.T) {
+	store, now := new(kvtest.Store), start
+	table := newTable(store, &now)
+	_, _, err := table.Begin(tctx, request("r1", "seat 1"))
+	require.NoError(t, err)
+	_, _, err = table.Begin(tctx, request("r2", "seat 2"))
+	assert.Equal(t, fault.KeyMismatch, fault.KindOf(err))
+}
+
+func TestDeadHolder(t *testing.T) {
+	store, now := new(kvtest.Store), start
+	_, _, err := newTable(store, &now).Begin(tctx, request("r1", "seat"))
+	require.NoError(t, err)
+	now = start.Add(10*time.Second + deadAfter + time.Millisecond)
+	_, _, err = newTable(store, &now).Begin(tctx, request("r2", "seat"))
+	assert.Equal(t, fault.OutcomeUnknown, fault.KindOf(err), "it is never sent a second time")
+}
+
+func TestLostAnswersOfTheStore(t *testing.T) {
+	store, now := new(kvtest.Store), start
+	table := newTable(store, &now)
+	store.LoseAnswers(1)
+	c, _, err := table.Begin(tctx, request("r1", "seat"))
+	require.NoError(t, err)
+	require.NotNil(t, c, "the claim was read back")
+	store.LoseAnswers(1)
+	require.ErrorIs(t, table.Settle(tctx, c, &Answer{Status: 200}), kv.ErrOutcomeUnknown)
+	require.NoError(t, table.Settle(tctx, c, &Answer{Status: 200}), "the first try has come through")
+	_, answer, err := table.Begin(tctx, request("r2", "seat"))
+	require.NoError(t, err)
+	assert.Equal(t, 200, answer.Status)
+}
+
+func TestStoreDown(t *testing.T) {
+	store, now := new(kvtest.Store), start
+	store.SetDown(true)
+	_, _, err := newTable(store, &now).Begin(tctx, request("r1", "seat"))
+	assert.Equal(t, fault.ClaimUnsettled, fault.KindOf(err))
+	assert.Equal(t, fault.RunNo, fault.KindOf(err).Answer().Run)
+}
+
+func TestClaimsOfAnHourShareALease(t *testing.T) {
+	store, now := new(kvtest.Store), start
+	table := newTable(store, &now)
+	leases := map[kv.LeaseID]bool{}
+	for i := range 5 {
+		r := request("r", "seat")
+		r.Key = fmt.Sprint(i)
+		c, _, err := table.Begin(tctx, r)
+		require.NoError(t, err)
+		leases[c.lease] = true
+		now = now.Add(20 * time.Minute)
+	}
+	assert.Len(t, leases, 2)
+	table.dropLease(table.lease)
+	c, _, err := table.Begin(tctx, request("r", "seat"))
+	require.NoError(t, err)
+	assert.False(t, leases[c.lease])
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,41 +13,22 @@
 	"github.com/goccy/go-yaml"
 
 	"almondturn/fleet"
-	"almondturn/pkg/admin"
-	"almondturn/pkg/catalog"
-	"almondturn/pkg/claim"
-	"almondturn/pkg/directory"
-	"almondturn/pkg/dispatch"
-	"almondturn/pkg/gateway"
-	"almondturn/pkg/keepalive"
-	"almondturn/pkg/membership"
-	"almondturn/pkg/mesh"
-	"almondturn/pkg/observer"
-	"almondturn/pkg/owner"
-	"almondturn/pkg/target"
+	"almondturn/pkg/callers"
+	"almondturn/pkg/operators"
 )
 
 // Config are the settings of one node. docs/settings.md lists every option.
 type Config struct {
-	Node       Node                 `yaml:"node"`
-	Listen     Listen               `yaml:"listen"`
-	TLS        TLS                  `yaml:"tls"`
-	Platform   Platform             `yaml:"platform"`
-	Deployment Deployment           `yaml:"deployment"`
-	Admin      admin.Options        `yaml:"admin"`
-	Shutdown   Shutdown             `yaml:"shutdown"`
-	Log        Log                  `yaml:"log"`
-	Gateway    gateway.Options      `yaml:"gateway"`
-	Mesh       mesh.Options         `yaml:"mesh"`
-	Membership membership.Options   `yaml:"membership"`
-	Directory  directory.Options    `yaml:"directory"`
-	Observer   observer.Options     `yaml:"observer"`
-	Catalog    catalog.Options      `yaml:"catalog"`
-	Owner      owner.Options        `yaml:"owner"`
-	Orders     target.OrderOptions  `yaml:"orders"`
-	Target     target.StreamOptions `yaml:"target"`
-	Dispatch   dispatch.Options     `yaml:"dispatch"`
-	Claim      claim.Options        `yaml:"claim"`
+	Node       Node              `yaml:"node"`
+	Listen     Listen            `yaml:"listen"`
+	TLS        TLS               `yaml:"tls"`
+	Store      Store             `yaml:"store"`
+	Deployment Deployment        `yaml:"deployment"`
+	Callers    callers.Options   `yaml:"callers"`
+	Operators  operators.Options `yaml:"operators"`
+	Retries    Retries           `yaml:"retries"`
+	Shutdown   Shutdown          `yaml:"shutdown"`
+	Log        Log               `yaml:"log"`
 }
 
 // Node tells the process who and where it is.
@@ -55,7 +37,12 @@
 	ID fleet.NodeID `yaml:"id" validate:"required,hostname_rfc1123"`
 	// Zone is the availability zone of the VM.
 	Zone fleet.Zone `yaml:"zone" validate:"required,hostname_rfc1123"`
-	// SecretFile is read for mesh.secret, when that is not given.
+	// Cores is the processor share of the VM, 1 for a whole core; weaker nodes
+	// leave the zone to stronger ones.
+	Cores float64 `yaml:"cores" validate:"gt=0"`
+	// Secret authenticates nodes to each other; all nodes have the same.
+	Secret string `yaml:"secret" validate:"omitempty,min=16"`
+	// SecretFile is read for the secret, when that is not given.
 	SecretFile string `yaml:"secret_file" validate:"omitempty,filepath"`
 }
 
@@ -63,7 +50,7 @@
 type Listen struct {
 	// Callers is the address of the callers' listener.
 	Callers string `yaml:"callers" validate:"required,hostname_port"`
-	// Operators is the address of the operators' listener.
+	// Operators is the address of the operators' listener and of the metrics.
 	Operators string `yaml:"operators" validate:"required,hostname_port"`
 	// Inner is the address of the listener for other nodes.
 	Inner string `yaml:"inner" validate:"required,hostname_port"`
@@ -72,7 +59,7 @@
 }
 
 // TLS holds the certificates of the outer listeners; an empty pair serves
-// plain text. The inner listener has its own under mesh.tls.
+// plain text.
 type TLS struct {
 	Callers   KeyPair `yaml:"callers"`
 	Operators KeyPair `yaml:"operators"`
@@ -86,71 +73,63 @@
 	Key string `yaml:"key" validate:"required_with=Cert,omitempty,filepath"`
 }
 
-// Platform tells where the platform's key-value service and VM list are.
-type Platform struct {
-	// URL is the base address of the key-value service and the VM list.
-	URL string `yaml:"url" validate:"required,http_url"`
-	// Timeout is the time after which a call is given up.
-	Timeout time.Duration `yaml:"timeout" validate:"min=10ms,max=1m"`
-	// Dial opens connections; nil takes net.Dialer.
-	Dial fleet.DialFunc `yaml:"-"`
+// Store tells where the platform's key-value service is.
+type Store struct {
+	// Address is the host:port of the key-value service.
+	Address string `yaml:"address" validate:"required,hostname_port"`
+	// MinLease is the shortest lease that the service grants.
+	MinLease time.Duration `yaml:"min_lease" validate:"min=10ms,max=1m"`
 }
 
 // Deployment holds what is common to all nodes of a deployment.
 type Deployment struct {
-	// Name is shown in status and metrics.
-	Name string `yaml:"name" validate:"required"`
-	// Zones are all availability zones of the deployment.
+	// Zones are all availability zones of the deployment that have targets.
+	// The limits of replicas are divided over them, so that all nodes must
+	// have the same list.
 	Zones []fleet.Zone `yaml:"zones" validate:"min=1,unique,dive,hostname_rfc1123"`
-	// StoreLoadsPerSecond is the rate of loads that the weight store allows.
-	StoreLoadsPerSecond float64 `yaml:"store_loads_per_second" validate:"gt=0"`
-	// StoreFullSpeedLoads is the number of parallel loads at full speed.
-	StoreFullSpeedLoads int `yaml:"store_full_speed_loads" validate:"min=1"`
-	// AdaptersInTransit is the number of adapter loads at full speed.
-	AdaptersInTransit int `yaml:"adapters_in_transit" validate:"min=1"`
-	// IdleWeight is the price of an idle accelerator second against a
-	// second of cold start; higher unloads sooner.
-	IdleWeight float64 `yaml:"idle_weight" validate:"gt=0"`
-	// Targets are known without the VM list.
-	Targets []fleet.Target `yaml:"targets" validate:"dive"`
+	// Seeds are inner addresses of some nodes, for a node that does not reach
+	// the key-value service; they may be stale.
+	Seeds []string `yaml:"seeds" validate:"dive,hostname_port"`
+	// OrderPause is the least time between orders of two nodes to one target.
+	OrderPause time.Duration `yaml:"order_pause" validate:"min=0,max=1m"`
+	// DrainTime is the time after which a leaving target gets no requests.
+	DrainTime time.Duration `yaml:"drain_time" validate:"min=100ms,max=5m"`
+}
+
+// Retries bound the repeated sends to a service over all nodes.
+type Retries struct {
+	// Ratio is the share of the requests of a window that may be repeated.
+	Ratio float64 `yaml:"ratio" validate:"min=0,max=1"`
+	// Slack is the number of repeated sends in a window beyond that share.
+	Slack float64 `yaml:"slack" validate:"min=0"`
+	// Window is the time over which both are counted.
+	Window time.Duration `yaml:"window" validate:"min=1s,max=5m"`
 }
 
 // Shutdown are the settings of a graceful shutdown.
 type Shutdown struct {
-	// Notice is how long the node still accepts callers after readiness
-	// has gone off, for the balancer to notice.
-	Notice time.Duration `yaml:"notice" validate:"min=0,max=5m"`
-	// HandOver bounds the hand-over of targets and waiting requests.
-	HandOver time.Duration `yaml:"hand_over" validate:"min=100ms,max=5m"`
+	// Time bounds a graceful shutdown; requests that have not ended by then
+	// are refused or cut off.
+	Time time.Duration `yaml:"time" validate:"min=1s,max=10m"`
 }
 
-// Log are the settings of the log on standard error.
+// Log are the settings of the log on standard output.
 type Log struct {
 	// Level is the lowest level that is written.
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
-	// Pretty writes lines for people in place of JSON.
-	Pretty bool `yaml:"pretty"`
 }
 
 // Default returns the settings that hold where a file names none.
 func Default() Config {
 	return Config{
-		Platform:   Platform{Timeout: 2 * time.Second},
-		Deployment: Deployment{StoreLoadsPerSecond: 7, StoreFullSpeedLoads: 4, AdaptersInTransit: 30, IdleWeight: keepalive.DefaultOptions().IdleWeight},
-		Shutdown:   Shutdown{Notice: 5 * time.Second, HandOver: 10 * time.Second},
+		Node:       Node{Cores: 1},
+		Store:      Store{MinLease: 500 * time.Millisecond},
+		Deployment: Deployment{OrderPause: 3 * time.Second, DrainTime: 3 * time.Second},
+		Callers:    callers.DefaultOptions(),
+		Operators:  operators.DefaultOptions(),
+		Retries:    Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Shutdown:   Shutdown{Time: 15 * time.Second},
 		Log:        Log{Level: "info"},
-		Gateway:    gateway.DefaultOptions(),
-		Admin:      admin.DefaultOptions(),
-		Mesh:       mesh.DefaultOptions(),
-		Membership: membership.DefaultOptions(),
-		Directory:  directory.DefaultOptions(),
-		Observer:   observer.DefaultOptions(),
-		Catalog:    catalog.DefaultOptions(),
-		Owner:      owner.DefaultOptions(),
-		Orders:     target.DefaultOrderOptions(),
-		Target:     target.DefaultStreamOptions(),
-		Dispatch:   dispatch.DefaultOptions(),
-		Claim:      claim.DefaultOptions(),
 	}
 }
 
@@ -188,31 +167,24 @@
 	return &c, c.finish()
 }
 
-// readSecret takes the mesh's secret from its file.
+// readSecret takes the nodes' secret from its file.
 func (c *Config) readSecret() error {
-	if c.Mesh.Secret != "" || c.Node.SecretFile == "" {
+	if c.Node.Secret != "" || c.Node.SecretFile == "" {
 		return nil
 	}
 	text, err := os.ReadFile(c.Node.SecretFile)
 	if err != nil {
 		return fmt.Errorf("node.secret_file: %w", err)
 	}
-	c.Mesh.Secret = strings.TrimSpace(string(text))
+	c.Node.Secret = strings.TrimSpace(string(text))
 	return nil
 }
 
 // finish checks what spans several fields.
 func (c *Config) finish() error {
-	found := false
-	for _, z := range c.Deployment.Zones {
-		found = found || z == c.Node.Zone
-	}
-	if !found {
+	if !slices.Contains(c.Deployment.Zones, c.Node.Zone) {
 		return fmt.Errorf("node.zone %q is none of deployment.zones %v", c.Node.Zone, c.Deployment.Zones)
 	}
-	if c.Listen.Advertise == "" {
-		c.Listen.Advertise = c.Listen.Inner
-	}
 	return nil
 }
 
--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -13,8 +13,8 @@
 	"os"
 	"strings"
 
-	"almondturn/pkg/admin"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/operators"
 )
 
 // client calls the nodes' operators' listeners, one after the other.
@@ -95,7 +95,7 @@
 		return nil, &usageError{fmt.Errorf("--server %q: %w", server, err)}
 	}
 	req.Header.Set("Authorization", "Bearer "+c.token)
-	req.Header.Set(admin.HeaderAuthor, c.author)
+	req.Header.Set(operators.HeaderAuthor, c.author)
 	for k, v := range r.header {
 		req.Header.Set(k, v)
 	}
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -14,9 +14,9 @@
 
 	"github.com/google/uuid"
 
-	"almondturn/pkg/admin"
-	"almondturn/pkg/catalog"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/operators"
+	"almondturn/pkg/teams"
 )
 
 // The values of --output.
@@ -52,8 +52,6 @@
 		return r.diff(ctx, a.Diff)
 	case a.History != nil:
 		return r.history(ctx, a.History.Team)
-	case a.Restore != nil:
-		return r.restore(ctx, a.Restore.Team)
 	case a.Status != nil:
 		return r.status(ctx)
 	case a.Targets != nil:
@@ -62,8 +60,6 @@
 		return r.setDrain(ctx, a.Drain.Target, "drain")
 	case a.Undrain != nil:
 		return r.setDrain(ctx, a.Undrain.Target, "undrain")
-	case a.Acknowledge != nil:
-		return r.acknowledge(ctx)
 	}
 	return &usageError{errors.New("this program was built without the subcommand bench")}
 }
@@ -71,12 +67,12 @@
 func teamPath(team string) string { return apiRoot + "/teams/" + url.PathEscape(team) }
 
 // readFile reads and checks a file of settings before anything is sent.
-func readFile(path string) ([]byte, *catalog.TeamSpec, error) {
+func readFile(path string) ([]byte, *teams.TeamSpec, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, nil, &usageError{err}
 	}
-	spec, err := catalog.ParseTeam(path, text)
+	spec, err := teams.ParseTeam(path, text)
 	if err != nil {
 		return nil, nil, &usageError{err}
 	}
@@ -108,12 +104,12 @@
 		method: http.MethodPut,
 		path:   teamPath(string(spec.Team)) + "?" + query.Encode(),
 		body:   body,
-		header: map[string]string{"Content-Type": contentTypeJSON, "If-Match": base, admin.HeaderWriteID: cmd.WriteID},
+		header: map[string]string{"Content-Type": contentTypeJSON, "If-Match": base, operators.HeaderWriteID: cmd.WriteID},
 	})
 	if err != nil {
 		return unknownOutcome(err, cmd.WriteID)
 	}
-	var put admin.PutAnswer
+	var put operators.PutAnswer
 	if err := json.Unmarshal(answer.body, &put); err != nil {
 		return fmt.Errorf("answer of the node: %w", err)
 	}
@@ -156,7 +152,7 @@
 	if err != nil {
 		return "", err
 	}
-	var history admin.HistoryAnswer
+	var history operators.HistoryAnswer
 	if err := json.Unmarshal(answer.body, &history); err != nil {
 		return "", fmt.Errorf("answer of the node: %w", err)
 	}
@@ -196,7 +192,7 @@
 	if err != nil {
 		return err
 	}
-	if answer.header.Get(admin.HeaderSource) == "in-force" {
+	if answer.header.Get(operators.HeaderSource) == "in-force" {
 		fmt.Fprintln(r.env.Stderr, "almondturnctl: these are the settings in force on the node; the accepted ones cannot be read now")
 	}
 	if r.args.Output == outputText && cmd.Revision == 0 {
@@ -243,18 +239,6 @@
 	return err
 }
 
-func (r *runner) acknowledge(ctx context.Context) error {
-	answer, err := r.client.do(ctx, request{method: http.MethodPost, path: apiRoot + "/platform/acknowledge"})
-	if err != nil {
-		return err
-	}
-	if r.args.Output == outputJSON {
-		return r.print(answer.body)
-	}
-	_, err = fmt.Fprintln(r.env.Stdout, "acknowledged: the key-value service's present state is followed again")
-	return err
-}
-
 func (r *runner) print(body []byte) error {
 	if len(body) > 0 && body[len(body)-1] != '\n' {
 		body = append(body, '\n')
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -46,19 +46,17 @@
 
 // args are the flags and subcommands.
 type args struct {
-	Apply       *applyCmd       `arg:"subcommand:apply" help:"make a team's settings those of a file"`
-	Get         *getCmd         `arg:"subcommand:get" help:"print a team's settings"`
-	Diff        *diffCmd        `arg:"subcommand:diff" help:"compare a file with the accepted settings"`
-	History     *historyCmd     `arg:"subcommand:history" help:"list the former revisions of a team's settings"`
-	Restore     *restoreCmd     `arg:"subcommand:restore" help:"write the settings in force over a key-value service that came back older"`
-	Acknowledge *acknowledgeCmd `arg:"subcommand:acknowledge" help:"accept that the key-value service came back older, for rosters and replica slots"`
-	Status      *statusCmd      `arg:"subcommand:status" help:"show nodes, zones and revisions in force"`
-	Targets     *targetsCmd     `arg:"subcommand:targets" help:"list the targets"`
-	Drain       *drainCmd       `arg:"subcommand:drain" help:"give a target no new work"`
-	Undrain     *undrainCmd     `arg:"subcommand:undrain" help:"give a drained target work again"`
-	Bench       *toolCmd        `arg:"subcommand:bench" help:"send load to a deployment; see bench --help"`
-	Emulate     *toolCmd        `arg:"subcommand:emulate" help:"play placement against simulated targets; see emulate --help"`
-	Explain     *toolCmd        `arg:"subcommand:explain" help:"print what the logs say about one request; see explain --help"`
+	Apply   *applyCmd   `arg:"subcommand:apply" help:"make a team's settings those of a file"`
+	Get     *getCmd     `arg:"subcommand:get" help:"print a team's settings"`
+	Diff    *diffCmd    `arg:"subcommand:diff" help:"compare a file with the accepted settings"`
+	History *historyCmd `arg:"subcommand:history" help:"list the former revisions of a team's settings"`
+	Status  *statusCmd  `arg:"subcommand:status" help:"show nodes, zones and revisions in force"`
+	Targets *targetsCmd `arg:"subcommand:targets" help:"list the targets"`
+	Drain   *drainCmd   `arg:"subcommand:drain" help:"give a target no new work"`
+	Undrain *undrainCmd `arg:"subcommand:undrain" help:"give a drained target work again"`
+	Bench   *toolCmd    `arg:"subcommand:bench" help:"send load to a deployment; see bench --help"`
+	Emulate *toolCmd    `arg:"subcommand:emulate" help:"play placement against simulated targets; see emulate --help"`
+	Explain *toolCmd    `arg:"subcommand:explain" help:"print what the logs say about one request; see explain --help"`
 
 	Server    []string      `arg:"--server,separate,env:ALMONDTURN_SERVER" help:"URL of a node's operators' listener; repeat it to try the next one"`
 	Token     string        `arg:"--token,env:ALMONDTURN_TOKEN" help:"operator token"`
@@ -95,12 +93,6 @@
 	Team string `arg:"positional,required"`
 }
 
-type restoreCmd struct {
-	Team string `arg:"positional,required"`
-}
-
-type acknowledgeCmd struct{}
-
 type statusCmd struct{}
 
 type targetsCmd struct{}
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -6,15 +6,16 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"os"
+	"slices"
 	"time"
 
 	"almondturn/examples"
 	"almondturn/fleet"
 	"almondturn/pkg/config"
-	"almondturn/pkg/standin/engine"
-	"almondturn/pkg/standin/site"
-	"almondturn/pkg/standin/weights"
 	"almondturn/pkg/trial"
+	"almondturn/platform/standin"
 )
 
 // Options are the settings of a trial deployment.
@@ -27,50 +28,29 @@
 const (
 	operatorPortOffset = 100
 	enginesPerZone     = 2
-	// nonFencingEvery makes every third engine ignore fencing numbers.
-	nonFencingEvery = 3
-	startTimeout    = 30 * time.Second
+	startTimeout       = 30 * time.Second
 )
 
 // Run starts the deployment, prints how to use it, and stops it gracefully
 // when ctx ends.
 func Run(ctx context.Context, o Options, out io.Writer) error {
-	t, err := trial.Start(ctx, options(o))
+	t, err := trial.Start(trial.Options{
+		Zones: []fleet.Zone{"hobart", "kingston", "sorell"}, NodesPerZone: 1, EnginesPerZone: enginesPerZone, PlainPerZone: 1,
+		CallersPort: o.Port, OperatorsPort: o.Port + operatorPortOffset,
+		Configure: func(c *config.Config) { c.Log.Level = "error" },
+		Log:       os.Stderr,
+	})
 	if err != nil {
 		return err
 	}
+	defer t.Stop()
 	if err := prepare(ctx, t); err != nil {
-		_ = t.Stop(context.WithoutCancel(ctx))
 		return err
 	}
 	usage(out, t)
 	<-ctx.Done()
 	_, _ = fmt.Fprintln(out, "stopping: requests in progress finish first")
-	return t.Stop(context.WithoutCancel(ctx))
-}
-
-func options(o Options) trial.Options {
-	built := 0
-	return trial.Options{
-		Site: site.Options{
-			Zones:          []fleet.Zone{"hobart", "kingston", "sorell"},
-			EnginesPerZone: enginesPerZone,
-			PlainPerZone:   1,
-			PlainService:   "bookings",
-			Engine: func(id fleet.TargetID, _ fleet.Zone, _ int) engine.Options {
-				built++
-				opts := engine.DefaultOptions(id)
-				opts.ChecksFencing = built%nonFencingEvery != 0
-				return opts
-			},
-			Store: weights.Options{LoadsPerSecond: 7, FullSpeedLoads: 4},
-			VMLag: time.Second,
-		},
-		NodesPerZone:  1,
-		CallersPort:   o.Port,
-		OperatorsPort: o.Port + operatorPortOffset,
-		Configure:     func(c *config.Config) { c.Log = config.Log{Level: "error", Pretty: true} },
-	}
+	return nil
 }
 
 // prepare applies the example settings and waits until all nodes serve.
@@ -109,9 +89,11 @@
 	for _, n := range t.Nodes() {
 		_, _ = fmt.Fprintf(out, "node %s: callers http://%s, operators http://%s\n", n.ID(), n.CallersAddr(), n.OperatorsAddr())
 	}
-	for _, g := range t.Site.Targets {
-		_, _ = fmt.Fprintf(out, "target %s (%s): http://%s\n", g.ID, g.Kind, g.Addr)
+	for _, list := range []map[string]*standin.Engine{t.Engines, t.Plains} {
+		for _, id := range slices.Sorted(maps.Keys(list)) {
+			_, _ = fmt.Fprintf(out, "target %s (%s): http://%s\n", id, list[id].Service, list[id].Addr())
+		}
 	}
-	_, _ = fmt.Fprintf(out, "platform: %s\n", t.Site.PlatformURL)
+	_, _ = fmt.Fprintf(out, "key-value service: http://%s\n", t.Store.Addr())
 	_, _ = fmt.Fprintf(out, usageText, t.Nodes()[0].CallersAddr(), examples.DevListingKey, examples.DevBookingsKey, t.Nodes()[0].OperatorsAddr(), examples.DevRootToken)
 }
--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -27,8 +27,8 @@
 	rc       *http.ResponseController
 	protocol ClientProtocol
 	// request is nil until its head has been read.
-	request *Request
-	started bool
+	request  *Request
+	started  bool
 	complete bool
 	status   int
 	closing  bool
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -212,8 +212,11 @@
 	resp, err := n.pool.Do(ctx, t.Addr, &upstream.Request{
 		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: maxIdle,
 		Header:  n.targetProtocol.Outgoing(j.Header, Outgoing{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEvent: j.lastEvent}),
-		Belongs: n.belongs(j),
+		Belongs: n.belongs(j), HeadWait: j.headWait(a.started),
 	})
+	if isTimeout(err) {
+		n.pool.Forget(t.Addr) // the connections kept with it may be silent too
+	}
 	if err != nil {
 		return n.sendFailed(ctx, j, t.ID, err)
 	}
@@ -238,6 +241,15 @@
 	return r
 }
 
+// headWait bounds the wait for the head of an answer. A request that must not
+// be repeated waits until its deadline.
+func (j *job) headWait(running bool) time.Duration {
+	if !j.Route.Resumable || j.Whole {
+		return 0
+	}
+	return j.silence(running)
+}
+
 // belongs returns whether an answer is the one to the request.
 func (n *Node) belongs(j *job) func(http.Header) bool {
 	return func(h http.Header) bool {
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -12,7 +12,6 @@
 
 	"almondturn/fleet"
 	"almondturn/pkg/event"
-	"almondturn/pkg/upstream"
 	"almondturn/pkg/zoneowner"
 	"almondturn/wire"
 )
@@ -36,10 +35,11 @@
 	node   *Node
 	client *http.Client
 
-	mu       sync.Mutex // guards zones, accepted and known
+	mu       sync.Mutex // guards zones, accepted, known and states
 	zones    map[fleet.Zone]*link
 	accepted map[fleet.NodeID]*wire.Conn
 	known    map[fleet.NodeID]fleet.Node
+	states   map[fleet.NodeID]wire.NodeState
 	changed  chan struct{} // closed and replaced when an owner changes
 	ctx      context.Context
 }
@@ -54,15 +54,14 @@
 	cancel context.CancelFunc
 }
 
-func newLinks(n *Node) *links {
+func newLinks(n *Node, dial fleet.DialFunc) *links {
 	return &links{
-		node: n,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: upstream.NewDialer(linkDialTimeout).DialContext,
-		}},
+		node:     n,
+		client:   &http.Client{Transport: &http.Transport{DialContext: dial}},
 		zones:    map[fleet.Zone]*link{},
 		accepted: map[fleet.NodeID]*wire.Conn{},
 		known:    map[fleet.NodeID]fleet.Node{},
+		states:   map[fleet.NodeID]wire.NodeState{},
 		changed:  make(chan struct{}),
 	}
 }
@@ -108,6 +107,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close(wire.ErrClosed) })
 	defer stop()
 	c.Send(l.node.runsIn(k.zone))
+	c.Send(l.node.state())
 	k.conn.Store(c)
 	event.OwnerConnected.Log(l.node.log).Str("zone", string(k.zone)).Str("owner", string(k.owner.Node)).Send()
 	err := c.Run()
@@ -123,7 +123,7 @@
 	o := wire.DefaultOptions()
 	o.HeartbeatInterval, o.SilenceTimeout, o.HandshakeTimeout = linkHeartbeat, linkSilence, linkDialTimeout*2
 	return wire.Config{
-		Options: o, Self: l.node.self,
+		Options: o, Self: l.node.self, Secret: l.node.settings.Secret,
 		Handler: func(ctx context.Context, from fleet.Node, m wire.Message) wire.Message {
 			return l.node.handle(ctx, k, from, m)
 		},
@@ -359,6 +359,7 @@
 	current := l.accepted[id] == c
 	if current {
 		delete(l.accepted, id)
+		delete(l.states, id)
 	}
 	l.mu.Unlock()
 	if current {
@@ -411,6 +412,10 @@
 		}
 	case *wire.OwnerPing:
 		return n.owner.Promise(from, m)
+	case *wire.NodeState:
+		n.links.learnState(from.ID, m)
+	case *wire.NodesCall:
+		return n.links.connected()
 	case *wire.Heartbeat:
 		if m.Leaving {
 			n.owner.NodeGone(from.ID, true)
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -35,6 +35,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_store_calls_total{call=%q,status="%d"}`, call, status)).Inc()
 }
 
+// WriteMetrics writes all metrics of the node as text.
+func (n *Node) WriteMetrics(w io.Writer) { n.metrics.write(w, n) }
+
 // write writes all metrics as text.
 func (m *nodeMetrics) write(w io.Writer, n *Node) {
 	m.set.WritePrometheus(w)
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -61,6 +62,7 @@
 type Deps struct {
 	Settings      *Settings
 	Log           *zerolog.Logger
+	Dial          fleet.DialFunc
 	Store         FullStore
 	Targets       zoneowner.Targets
 	Pool          *upstream.Pool
@@ -70,8 +72,13 @@
 	Metrics       *Metrics
 	ReadinessPath string
 	// Wrap returns the handler of the clients' listener, which passes
-	// requests on to node; nil takes node itself.
-	Wrap func(node http.Handler) http.Handler
+	// requests on to the node; nil takes the node itself.
+	Wrap func(n *Node) http.Handler
+}
+
+// reporter asks a target for its state.
+type reporter interface {
+	Report(ctx context.Context, t *inventory.Target) (inventory.Report, error)
 }
 
 // Metrics are the counters and histograms of one node.
@@ -87,32 +94,37 @@
 type Node struct {
 	settings *Settings
 	// bounds are those of the settings as last read.
-	bounds   atomic.Pointer[Bounds]
-	self     fleet.Node
-	log      *zerolog.Logger
+	bounds         atomic.Pointer[Bounds]
+	self           fleet.Node
+	log            *zerolog.Logger
 	clientProtocol ClientProtocol
 	targetProtocol TargetProtocol
 	handler        http.Handler
-	decoder  Decoder
-	store    FullStore
-	pool     *upstream.Pool
-	owner    *zoneowner.Owner
-	links    *links
-	metrics  *nodeMetrics
-	budgets  budgets
-	loads    loads
-	started  time.Time
-	ready    atomic.Bool
-	stopping atomic.Bool
+	decoder        Decoder
+	store          FullStore
+	pool           *upstream.Pool
+	owner          *zoneowner.Owner
+	links          *links
+	metrics        *nodeMetrics
+	survey         survey
+	reporter       reporter
+	budgets        budgets
+	loads          loads
+	started        time.Time
+	ready          atomic.Bool
+	stopping       atomic.Bool
 	// stoppingSince is when the node was asked to stop, in Unix nanoseconds.
 	stoppingSince atomic.Int64
 	denials       atomic.Int32
-	inFlight      atomic.Int64
+	// asked tells that a balancer has ever asked.
+	asked    atomic.Bool
+	inFlight atomic.Int64
 
 	table atomic.Pointer[route.Table]
 	view  atomic.Pointer[inventory.View]
-	// targets are the entries as last read; only the watch uses it.
-	targets map[string]*inventory.Target
+	// targets are the entries as last read.
+	targets   map[string]*inventory.Target
+	targetsMu sync.Mutex // guards targets
 	// configured are the entries of the configuration as last read; only the
 	// watch uses it.
 	configured map[string]kv.Entry
@@ -141,18 +153,19 @@
 	}
 	n := &Node{
 		settings: d.Settings, log: d.Log, clientProtocol: d.Clients, targetProtocol: d.TargetHeaders, decoder: d.Decoder, store: d.Store, pool: d.Pool,
-		metrics: d.Metrics, started: time.Now(), runs: map[uint64]runAt{}, readinessPath: d.ReadinessPath,
+		reporter: d.Targets, metrics: d.Metrics, started: time.Now(), runs: map[uint64]runAt{}, readinessPath: d.ReadinessPath,
 		targets: map[string]*inventory.Target{}, configured: map[string]kv.Entry{}, idle: newIdleConns(),
 	}
-	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.InnerAddr}
+	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertised()}
 	n.bounds.Store(&d.Settings.Bounds)
+	n.survey.reached(n.started)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.hardStop, n.cancelHard = context.WithCancel(context.Background())
 	n.handler = n
 	if d.Wrap != nil {
 		n.handler = d.Wrap(n)
 	}
-	n.links = newLinks(n)
+	n.links = newLinks(n, d.Dial)
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
 		Self: n.self, Zones: d.Settings.Zones, Strength: d.Settings.Strength, MinLease: d.Settings.MinLeaseTime, HolderPause: d.Settings.OrderHolderPause,
@@ -188,7 +201,9 @@
 	inner.Handle(innerPath, n.links.handler())
 	inner.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
 	ready := http.NewServeMux()
-	ready.HandleFunc(n.readinessPath, n.serveReadiness)
+	if n.readinessPath != "" {
+		ready.HandleFunc(n.readinessPath, n.ServeReadiness)
+	}
 	ready.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
 	n.clients = &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idle.track, DisableGeneralOptionsHandler: true}
 	n.readiness = &http.Server{Handler: ready}
@@ -196,9 +211,13 @@
 	listeners := []struct {
 		server *http.Server
 		addr   string
-	}{{n.inner, n.settings.InnerAddr}, {n.readiness, n.settings.ReadinessAddr}, {n.clients, n.settings.ClientsAddr}}
+		secure *tls.Config
+	}{{n.inner, n.settings.InnerAddr, nil}, {n.readiness, n.settings.ReadinessAddr, nil}, {n.clients, n.settings.ClientsAddr, n.settings.ClientsTLS}}
 	for _, l := range listeners {
-		if err := serveOn(l.server, l.addr); err != nil {
+		if l.addr == "" {
+			continue
+		}
+		if err := serveOn(l.server, l.addr, l.secure); err != nil {
 			return err
 		}
 	}
@@ -212,17 +231,23 @@
 	return nil
 }
 
-func serveOn(s *http.Server, addr string) error {
+// serveOn serves on an address; secure may be nil.
+func serveOn(s *http.Server, addr string, secure *tls.Config) error {
 	config := upstream.ListenConfig()
 	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", addr, err)
 	}
+	if secure != nil {
+		l = tls.NewListener(l, secure)
+	}
 	go func() { _ = s.Serve(l) }() // ends with Close
 	return nil
 }
 
-func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+// ServeReadiness answers the balancer's question whether the node takes clients.
+func (n *Node) ServeReadiness(w http.ResponseWriter, _ *http.Request) {
+	n.asked.Store(true)
 	if n.ready.Load() && !n.stopping.Load() {
 		w.WriteHeader(http.StatusOK)
 		return
@@ -240,6 +265,7 @@
 	}
 	if !n.ready.Swap(true) {
 		event.EntryReady.Log(n.log).Dur("after_ms", time.Since(n.started)).Send()
+		n.links.tellState()
 	}
 }
 
@@ -282,7 +308,7 @@
 	n.owner.Resign(ctx)
 	n.links.leave()
 	for ctx.Err() == nil {
-		noticed := n.denials.Load() >= requiredDenials && time.Since(began) > stopNotice/4 || time.Since(began) > stopNotice
+		noticed := n.noticed(time.Since(began))
 		if noticed && n.inFlight.Load() == 0 {
 			break
 		}
@@ -301,6 +327,15 @@
 	}
 }
 
+// noticed tells whether clients stay away from a node that has been stopping
+// for a time.
+func (n *Node) noticed(stopping time.Duration) bool {
+	if !n.asked.Load() || stopping > stopNotice {
+		return true // nobody asks, or everybody had the time to
+	}
+	return n.denials.Load() >= requiredDenials && stopping > stopNotice/4
+}
+
 // Abort ends the node at once, as a crash does: nothing is handed over.
 func (n *Node) Abort() {
 	n.owner.Abandon()
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -55,12 +55,13 @@
 	for {
 		p, ref, asked := n.askOwners(ctx, j)
 		if ref != nil || p.target != nil {
+			n.survey.reached(time.Now())
 			return p, ref
 		}
-		if !asked {
-			if p, ok := n.withoutOwner(j); ok {
-				return p, nil
-			}
+		if asked {
+			n.survey.reached(time.Now())
+		} else if p, ok := n.withoutOwner(ctx, j); ok {
+			return p, nil
 		}
 		left := time.Until(j.startBy())
 		if ctx.Err() != nil || left < leastRun || time.Since(j.arrived) > j.patience() {
@@ -222,7 +223,19 @@
 
 // withoutOwner chooses among the targets that were last said to have the
 // model loaded; it keeps a zone serving that no owner can be reached for.
-func (n *Node) withoutOwner(j *job) (place, bool) {
+func (n *Node) withoutOwner(ctx context.Context, j *job) (place, bool) {
+	if p, ok := n.lastLoaded(j); ok {
+		return p, true
+	}
+	if !n.survey.due(time.Now()) {
+		return place{}, false
+	}
+	n.surveyTargets(ctx, j.service)
+	return n.lastLoaded(j)
+}
+
+// lastLoaded chooses among the targets that are known to have had the model.
+func (n *Node) lastLoaded(j *job) (place, bool) {
 	var candidates []*inventory.Target
 	for _, t := range n.view.Load().Service(j.service) {
 		if t.Has(j.Model, j.Adapter) {
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -16,6 +16,10 @@
 // stopRetry is when a client that reached a stopping node may come back.
 const stopRetry = 200 * time.Millisecond
 
+// writeGrace is the time after its deadline that an answer, or the error that
+// ends it, may take to reach the client.
+const writeGrace = time.Second
+
 // maxDiscarded bounds what is read of a body that is too large.
 const maxDiscarded = 16 << 20
 
@@ -47,6 +51,9 @@
 		n.metrics.refused(ref.Kind)
 		return
 	}
+	// A client that takes no bytes ends with its deadline too.
+	_ = a.rc.SetWriteDeadline(j.deadline.Add(writeGrace))
+	defer func() { _ = a.rc.SetWriteDeadline(time.Time{}) }()
 	timed, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	ctx, end := context.WithCancelCause(timed)
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"crypto/tls"
 	"time"
 
 	"almondturn/fleet"
@@ -15,8 +16,16 @@
 	Node fleet.NodeID
 	Zone fleet.Zone
 	// ClientsAddr, ReadinessAddr and InnerAddr are the addresses to listen
-	// on for clients, the balancer's questions and other nodes.
+	// on for clients, the balancer's questions and other nodes. Without a
+	// ReadinessAddr, the balancer asks elsewhere.
 	ClientsAddr, ReadinessAddr, InnerAddr string
+	// AdvertisedAddr is the inner address that other nodes dial; empty takes
+	// InnerAddr.
+	AdvertisedAddr string
+	// ClientsTLS is nil for plain text.
+	ClientsTLS *tls.Config
+	// Secret authenticates nodes to each other; all nodes have the same.
+	Secret []byte
 	// StoreAddr is the address of the platform's key-value service.
 	StoreAddr string
 	// Seeds are inner addresses of some nodes; they may be stale.
@@ -29,6 +38,14 @@
 	MemoryMB float64
 }
 
+// advertised returns the inner address that other nodes dial.
+func (s *Settings) advertised() string {
+	if s.AdvertisedAddr != "" {
+		return s.AdvertisedAddr
+	}
+	return s.InnerAddr
+}
+
 // Bounds are the figures that the operators ask for.
 type Bounds struct {
 	// DrainTime is the time after which a leaving target gets no requests.
--- a/pkg/entry/state.go
+++ b/pkg/entry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strings"
 
 	"almondturn/fleet"
@@ -59,6 +60,10 @@
 	}
 	n.table.Store(t)
 	n.owner.SetTable(t)
+	if current == nil || !maps.Equal(current.Drained, t.Drained) {
+		n.drainedChanged()
+	}
+	n.links.tellState()
 	event.ConfigurationInForce.Log(n.log).Int64("version", t.Version).Uint64("revision", t.Revision).Send()
 	n.checkReady()
 }
@@ -82,6 +87,8 @@
 
 // resetTargets replaces the list of targets.
 func (n *Node) resetTargets(entries []kv.Entry) {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
 	n.targets = make(map[string]*inventory.Target, len(entries))
 	for _, e := range entries {
 		n.setTarget(e)
@@ -90,6 +97,8 @@
 }
 
 func (n *Node) changeTargets(events []kv.WatchEvent) {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
 	for _, e := range events {
 		if e.Deleted {
 			delete(n.targets, e.Entry.Key)
@@ -100,6 +109,29 @@
 	n.publishTargets()
 }
 
+// drainedChanged puts the list of targets in force again under another
+// configuration, if there is one.
+func (n *Node) drainedChanged() {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	if n.view.Load() != nil {
+		n.publishTargets()
+	}
+}
+
+// drained returns the target as one that gets no new requests if operators
+// have drained it.
+func (n *Node) drained(t *inventory.Target) *inventory.Target {
+	table := n.table.Load()
+	if table == nil || !table.Drained[t.ID] || t.Draining {
+		return t
+	}
+	out := *t
+	out.Draining = true
+	return &out
+}
+
+// setTarget records an entry. n.targetsMu is held.
 func (n *Node) setTarget(e kv.Entry) {
 	t, err := n.decoder.Target(e.Key, e.Value)
 	if err != nil {
@@ -111,10 +143,11 @@
 }
 
 // publishTargets puts the list in force and logs who came and who leaves.
+// n.targetsMu is held.
 func (n *Node) publishTargets() {
 	list := make([]*inventory.Target, 0, len(n.targets))
 	for _, t := range n.targets {
-		list = append(list, t)
+		list = append(list, n.drained(t))
 	}
 	before := n.view.Load()
 	after := inventory.NewView(list)
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -58,6 +58,7 @@
 		}
 		if err != nil {
 			if isTimeout(err) && ctx.Err() == nil {
+				n.pool.Forget(j.place.target.Addr) // see send
 				out.kind, out.err = unknown, err
 				return out
 			}
--- a/pkg/fault/http.go
+++ b/pkg/fault/http.go
@@ -48,8 +48,19 @@
 // WriteHTTP answers a request with err: the status, the headers and the JSON
 // body that the table holds for its kind. It must come before any other write.
 func WriteHTTP(w http.ResponseWriter, requestID string, err error) {
+	WriteHTTPAfter(w, requestID, err, 0)
+}
+
+// WriteHTTPAfter is WriteHTTP with the time after which the caller may come
+// back; 0 takes the one of the table.
+func WriteHTTPAfter(w http.ResponseWriter, requestID string, err error, after time.Duration) {
 	a := KindOf(err).Answer()
-	body, mErr := json.Marshal(NewBody(requestID, err))
+	if after > 0 && a.Retry {
+		a.RetryAfter = after
+	}
+	text := NewBody(requestID, err)
+	text.Error.RetryAfterMillis = a.RetryAfter.Milliseconds()
+	body, mErr := json.Marshal(text)
 	if mErr != nil {
 		// The body holds only strings and numbers, which always encode.
 		body = []byte(`{"error":{"code":"internal","message":"internal error","run":"unknown"}}`)
--- /dev/null
+++ b/pkg/kv/kvtest/kvtest.go
@@ -0,0 +1,114 @@
+// Package kvtest is a key-value service in memory, for tests.
+package kvtest
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"almondturn/pkg/kv"
+)
+
+// Store is a key-value service in memory. Its zero value is ready to use.
+type Store struct {
+	mu       sync.Mutex // guards all below
+	revision kv.Revision
+	entries  map[string]kv.Entry
+	down     bool
+	lose     int
+}
+
+// SetDown lets all calls fail without effect, or ends that.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// LoseAnswers lets the next n changes take effect without an answer.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Entries returns all entries by key.
+func (s *Store) Entries() map[string]kv.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.entries)
+}
+
+// Get returns one entry, or kv.ErrNotFound.
+func (s *Store) Get(_ context.Context, key string) (kv.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return kv.Entry{}, kv.ErrUnavailable
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return kv.Entry{}, kv.ErrNotFound
+	}
+	return e, nil
+}
+
+// List returns the entries below prefix in key order.
+func (s *Store) List(_ context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, kv.ErrUnavailable
+	}
+	var out []kv.Entry
+	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, s.entries[key])
+		}
+	}
+	return out, s.revision, nil
+}
+
+// Commit carries a change out, or returns kv.ErrConflict.
+func (s *Store) Commit(_ context.Context, c kv.Change) (kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, kv.ErrUnavailable
+	}
+	for key, revision := range c.Expect {
+		if s.entries[key].ModRevision != revision {
+			return 0, kv.ErrConflict
+		}
+	}
+	s.revision++
+	if s.entries == nil {
+		s.entries = map[string]kv.Entry{}
+	}
+	for _, e := range c.Put {
+		e.ModRevision = s.revision
+		s.entries[e.Key] = e
+	}
+	for _, key := range c.Delete {
+		delete(s.entries, key)
+	}
+	if s.lose > 0 {
+		s.lose--
+		return 0, kv.ErrOutcomeUnknown
+	}
+	return s.revision, nil
+}
+
+// GrantLease returns a lease that never lapses.
+func (s *Store) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, kv.ErrUnavailable
+	}
+	s.revision++
+	return kv.LeaseID(s.revision), nil
+}
--- a/pkg/admin/auth.go
+++ b/pkg/operators/auth.go
@@ -1,4 +1,4 @@
-package admin
+package operators
 
 import (
 	"crypto/subtle"
@@ -7,9 +7,9 @@
 	"github.com/gin-gonic/gin"
 
 	"almondturn/fleet"
-	"almondturn/pkg/catalog"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/teams"
 )
 
 const bearerPrefix = "Bearer "
@@ -47,9 +47,9 @@
 	if !ok || token == "" {
 		return operator{}, fault.New(fault.Unauthenticated, "the header Authorization is missing; want Bearer and a token")
 	}
-	digest := catalog.HashKey(token)
+	digest := teams.HashKey(token)
 	op := operator{root: s.opts.RootTokenSHA256 != "" && sameDigest(digest, s.opts.RootTokenSHA256)}
-	snap := s.catalog.Snapshot()
+	snap := s.snapshot()
 	for _, name := range snap.TeamNames() {
 		spec, _ := snap.Team(name)
 		for _, known := range spec.OperatorTokens {
@@ -99,7 +99,7 @@
 }
 
 func (s *Server) denied(c *gin.Context, why string) {
-	event.AdminDenied.Log(&s.log).Str("path", c.Request.URL.Path).Str("remote", c.ClientIP()).Str("why", why).Send()
+	event.OperatorDenied.Log(s.log).Str("path", c.Request.URL.Path).Str("remote", c.ClientIP()).Str("why", why).Send()
 }
 
 // maxAuthorBytes bounds the name in the history.
--- a/pkg/admin/admin.go
+++ b/pkg/operators/operators.go
@@ -1,6 +1,6 @@
-// Package admin is the operators' HTTP interface: it reads and changes the
-// teams' subtrees, shows the state of the deployment and drains targets.
-package admin
+// Package operators is the operators' interface: settings of teams, the state
+// of nodes and targets, and drains, over HTTP by token.
+package operators
 
 import (
 	"context"
@@ -14,9 +14,12 @@
 	"github.com/rs/zerolog"
 
 	"almondturn/fleet"
-	"almondturn/pkg/catalog"
+	"almondturn/pkg/entry"
+	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
-	"almondturn/pkg/peer"
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/route"
+	"almondturn/pkg/teams"
 )
 
 // Headers of the operators' interface.
@@ -48,59 +51,30 @@
 	return Options{MaxBodyBytes: 16 << 20, ApplyTimeout: 10 * time.Second, MaxWait: time.Minute}
 }
 
-// Catalog is what the interface needs of the catalog service.
-type Catalog interface {
-	Apply(ctx context.Context, c catalog.Change) (*catalog.Committed, error)
-	Restore(ctx context.Context, team fleet.Team, author string) (*catalog.Committed, error)
-	Repository() *catalog.Repository
-	Snapshot() *catalog.Snapshot
-	Head(team fleet.Team) *catalog.Head
-	InForce(ctx context.Context, teams ...fleet.Team) []catalog.NodeRevisions
-	WaitInForce(ctx context.Context, team fleet.Team, revision uint64) []catalog.NodeRevisions
-	Older() []fleet.Team
+// Node is what the listener needs of the node behind it.
+type Node interface {
+	Self() fleet.Node
+	// Table returns the configuration in force, nil for none.
+	Table() *route.Table
+	// Targets returns the targets that are listed, nil for none.
+	Targets() *inventory.View
+	// Status asks the owners of all zones for their nodes.
+	Status(ctx context.Context) []entry.ZoneStatus
 }
 
-// Target is what the node knows of one target.
-type Target struct {
-	Target      fleet.Target       `json:"target"`
-	State       fleet.TargetState  `json:"state"`
-	Owner       fleet.NodeID       `json:"owner"`
-	Unreachable bool               `json:"unreachable"`
-	Slots       []fleet.ReplicaKey `json:"slots"`
-}
-
-// TargetTable lists and drains the targets.
-type TargetTable interface {
-	Targets() []Target
-	// Drain stops new work on a target on all nodes, or takes that back.
-	Drain(target fleet.TargetID, cancelled bool)
-}
-
-// Members tells of the nodes of the deployment.
-type Members interface {
-	// Members are the nodes of all rosters, reachable or not.
-	Members() []fleet.Node
-	// Acknowledge accepts that the key-value service came back older.
-	Acknowledge(ctx context.Context) error
-}
-
-// Server answers operators.
+// Server holds the handlers of the operators' listener.
 type Server struct {
-	opts    Options
-	self    fleet.Node
-	catalog Catalog
-	net     peer.Network
-	view    func() *peer.View
-	targets TargetTable
-	members Members
-	log     zerolog.Logger
-	engine  *gin.Engine
+	opts       Options
+	node       Node
+	repository *teams.Repository
+	log        *zerolog.Logger
+	engine     *gin.Engine
 }
 
-// New returns a server.
-func New(opts Options, self fleet.Node, c Catalog, net peer.Network, view func() *peer.View, targets TargetTable, members Members, log zerolog.Logger) *Server {
+// New returns a server for the settings that the repository keeps.
+func New(opts Options, n Node, r *teams.Repository, log *zerolog.Logger) *Server {
 	gin.SetMode(gin.ReleaseMode)
-	s := &Server{opts: opts, self: self, catalog: c, net: net, view: view, targets: targets, members: members, log: log, engine: gin.New()}
+	s := &Server{opts: opts, node: n, repository: r, log: log, engine: gin.New()}
 	s.engine.HandleMethodNotAllowed = true
 	s.engine.Use(s.identify, gin.CustomRecoveryWithWriter(nil, s.recovered))
 	s.engine.NoRoute(s.handle(noRoute))
@@ -111,15 +85,26 @@
 	v1.PUT("/teams/:team", s.handle(s.putTeam))
 	v1.GET("/teams/:team/history", s.handle(s.history))
 	v1.POST("/teams/:team/diff", s.handle(s.diff))
-	v1.POST("/teams/:team/restore", s.handle(s.restore))
 	v1.GET("/status", s.handle(s.status))
 	v1.GET("/targets", s.handle(s.listTargets))
 	v1.POST("/targets/:target/drain", s.handle(s.drain))
 	v1.POST("/targets/:target/undrain", s.handle(s.undrain))
-	v1.POST("/platform/acknowledge", s.handle(s.acknowledge))
 	return s
 }
 
+// snapshot returns the settings in force on this node.
+func (s *Server) snapshot() *teams.Snapshot {
+	if t := s.node.Table(); t != nil {
+		if snap := teams.SnapshotOf(t); snap != nil {
+			return snap
+		}
+	}
+	return noTeams
+}
+
+// noTeams is in force until the first settings have come.
+var noTeams = teams.Build(nil, nil)
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.engine.ServeHTTP(w, r) }
 
@@ -153,7 +138,7 @@
 func (s *Server) fail(c *gin.Context, err error) {
 	id := c.GetString(contextRequestID)
 	if fault.KindOf(err) == fault.Internal {
-		s.log.Error().Str("request", id).Err(err).Msg("operator's request failed")
+		event.OperatorFailed.Log(s.log).Str("request", id).Err(err).Send()
 	}
 	fault.WriteHTTP(c.Writer, id, err)
 }
--- a/pkg/admin/teams.go
+++ b/pkg/operators/teams.go
@@ -1,4 +1,4 @@
-package admin
+package operators
 
 import (
 	"context"
@@ -10,13 +10,12 @@
 	"strings"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
 
 	"almondturn/fleet"
-	"almondturn/pkg/catalog"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/teams"
 )
 
 // The content types of a team's settings.
@@ -36,39 +35,34 @@
 	Revision uint64     `json:"revision"`
 }
 
-// PutAnswer answers an accepted change.
+// PutAnswer is the answer to a change that was accepted.
 type PutAnswer struct {
 	Team     fleet.Team `json:"team"`
 	Revision uint64     `json:"revision"`
 	WriteID  string     `json:"write_id"`
-	// Unchanged is true when the subtree was in this state already.
-	Unchanged bool `json:"unchanged"`
-	// InForce is true when every live node has the revision in force; it is
-	// false, too, when the request did not ask to wait.
+	// InForce is true when every node that is connected has the revision in
+	// force; it is false, too, when the request did not ask to wait.
 	InForce bool `json:"in_force"`
 	// WaitedMillis is the time from accepted until that was so, or until the
 	// wait ended.
 	WaitedMillis float64 `json:"waited_ms"`
-	// Lagging are the live nodes that have it not yet.
-	Lagging []NodeStatus `json:"lagging,omitempty"`
-	// Unreachable are the members that are not live, such as those of a zone
-	// that is cut off; they take the revision when they are back.
-	Unreachable []NodeStatus `json:"unreachable,omitempty"`
-	// Surplus are the places that hold more replicas than now allowed.
-	Surplus []Surplus `json:"surplus,omitempty"`
+	// Lagging are the nodes that have it not yet, Unreachable the zones of
+	// which no owner was reached; they take the revision when they are back.
+	Lagging     []NodeStatus `json:"lagging,omitempty"`
+	Unreachable []fleet.Zone `json:"unreachable,omitempty"`
 }
 
 // HistoryAnswer answers GET history, newest first.
 type HistoryAnswer struct {
-	Team      fleet.Team     `json:"team"`
-	Revisions []catalog.Past `json:"revisions"`
+	Team      fleet.Team   `json:"team"`
+	Revisions []teams.Past `json:"revisions"`
 }
 
 // DiffAnswer answers POST diff.
 type DiffAnswer struct {
-	Team     fleet.Team           `json:"team"`
-	Revision uint64               `json:"revision"`
-	Paths    []catalog.Difference `json:"paths"`
+	Team     fleet.Team         `json:"team"`
+	Revision uint64             `json:"revision"`
+	Paths    []teams.Difference `json:"paths"`
 }
 
 func (s *Server) listTeams(c *gin.Context) error {
@@ -76,37 +70,38 @@
 	if err != nil {
 		return err
 	}
-	snap := s.catalog.Snapshot()
+	snap := s.snapshot()
 	answer := TeamList{Teams: []TeamRevision{}}
 	for _, name := range snap.TeamNames() {
 		if op.may(name) {
-			answer.Teams = append(answer.Teams, TeamRevision{Team: name, Revision: uint64(snap.Revisions[name])})
+			answer.Teams = append(answer.Teams, TeamRevision{Team: name, Revision: snap.Revisions[name]})
 		}
 	}
 	c.JSON(http.StatusOK, answer)
 	return nil
 }
 
-// accepted returns the last accepted subtree, or the one in force while the
-// key-value service does not answer or holds an older one.
-func (s *Server) accepted(ctx context.Context, team fleet.Team) (*catalog.TeamSpec, uint64, string, error) {
-	inForce, _ := s.catalog.Snapshot().Team(team)
-	var revision uint64
-	if head := s.catalog.Head(team); head != nil {
-		revision = head.Revision
-	}
-	spec, head, err := s.catalog.Repository().Read(ctx, team)
-	switch {
-	case err == nil && spec != nil && head.Revision >= revision:
-		return spec, head.Revision, "accepted", nil
-	case inForce != nil:
-		return inForce, revision, "in-force", nil
-	case err != nil:
+// accepted returns the accepted subtree, or the one in force on this node
+// while the key-value service does not answer, and which of both it is.
+func (s *Server) accepted(ctx context.Context, team fleet.Team) (*teams.TeamSpec, uint64, string, error) {
+	record, err := s.repository.Read(ctx, team)
+	if err == nil {
+		return record.Spec, record.Revision, sourceAccepted, nil
+	}
+	snap := s.snapshot()
+	spec, ok := snap.Team(team)
+	if !ok || fault.KindOf(err) == fault.UnknownPath {
 		return nil, 0, "", err
 	}
-	return nil, 0, "", fault.New(fault.UnknownPath, "team %q does not exist", team)
+	return spec, snap.Revisions[team], sourceInForce, nil
 }
 
+// The values of HeaderSource.
+const (
+	sourceAccepted = "accepted"
+	sourceInForce  = "in-force"
+)
+
 func (s *Server) getTeam(c *gin.Context) error {
 	_, team, err := s.authorize(c)
 	if err != nil {
@@ -119,11 +114,11 @@
 		if err != nil {
 			return fault.New(fault.BadRequest, "revision %q is not a number", asked)
 		}
-		spec, err := s.catalog.Repository().ReadRevision(ctx, team, revision)
+		record, err := s.repository.ReadRevision(ctx, team, revision)
 		if err != nil {
 			return err
 		}
-		return writeTeam(c, spec, revision)
+		return writeTeam(c, record.Spec, revision)
 	}
 	spec, revision, source, err := s.accepted(ctx, team)
 	if err != nil {
@@ -133,13 +128,13 @@
 	return writeTeam(c, spec, revision)
 }
 
-func writeTeam(c *gin.Context, spec *catalog.TeamSpec, revision uint64) error {
+func writeTeam(c *gin.Context, spec *teams.TeamSpec, revision uint64) error {
 	c.Header("ETag", strconv.Quote(strconv.FormatUint(revision, 10)))
 	if strings.Contains(c.GetHeader("Accept"), contentTypeJSON) {
 		c.JSON(http.StatusOK, spec)
 		return nil
 	}
-	text, err := catalog.FormatTeam(spec)
+	text, err := teams.FormatTeam(spec)
 	if err != nil {
 		return err
 	}
@@ -148,7 +143,7 @@
 }
 
 // readTeam parses the body as the subtree of the path's team.
-func (s *Server) readTeam(c *gin.Context, team fleet.Team) (*catalog.TeamSpec, error) {
+func (s *Server) readTeam(c *gin.Context, team fleet.Team) (*teams.TeamSpec, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.opts.MaxBodyBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
@@ -163,7 +158,7 @@
 	}
 	spec, err := parseTeam(c, file, body)
 	if err != nil {
-		var invalid *catalog.InvalidError
+		var invalid *teams.InvalidError
 		if errors.As(err, &invalid) {
 			return nil, invalid.Fault()
 		}
@@ -176,11 +171,11 @@
 }
 
 // parseTeam reads JSON when the request says so, else YAML.
-func parseTeam(c *gin.Context, file string, body []byte) (*catalog.TeamSpec, error) {
+func parseTeam(c *gin.Context, file string, body []byte) (*teams.TeamSpec, error) {
 	if strings.HasPrefix(c.ContentType(), contentTypeJSON) {
-		return catalog.ParseTeamJSON(body)
+		return teams.ParseTeamJSON(body)
 	}
-	return catalog.ParseTeam(file, body)
+	return teams.ParseTeam(file, body)
 }
 
 func (s *Server) putTeam(c *gin.Context) error {
@@ -200,50 +195,64 @@
 	if err != nil {
 		return err
 	}
-	before, _ := s.catalog.Snapshot().Team(team)
 	// An operator who goes away does not interrupt the change.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request.Context()), s.opts.ApplyTimeout)
 	defer cancel()
-	done, err := s.catalog.Apply(ctx, catalog.Change{Spec: spec, Expect: expect, Author: author(c, op), WriteID: c.GetHeader(HeaderWriteID)})
+	record, err := s.repository.Apply(ctx, teams.Change{Spec: spec, Expect: expect, Author: author(c, op), WriteID: c.GetHeader(HeaderWriteID)})
 	if err != nil {
-		event.CatalogRefused.Log(&s.log).Str("team", string(team)).Str("kind", fault.KindOf(err).String()).Err(err).Send()
+		event.SettingsRefused.Log(s.log).Str("team", string(team)).Str("kind", fault.KindOf(err).String()).Err(err).Send()
 		return err
 	}
-	return s.answerAccepted(c, before, done, wait)
-}
-
-// answerAccepted waits as asked and tells how far the change has come. before
-// is the subtree that was in force, nil for none.
-func (s *Server) answerAccepted(c *gin.Context, before *catalog.TeamSpec, done *catalog.Committed, wait time.Duration) error {
-	team := done.Head.Team
-	event.CatalogAccepted.Log(&s.log).Str("team", string(team)).Uint64("revision", done.Head.Revision).Str("author", done.Head.Author).Send()
-	answer := PutAnswer{Team: team, Revision: done.Head.Revision, WriteID: done.Head.WriteID, Unchanged: done.Unchanged}
+	event.SettingsAccepted.Log(s.log).Str("team", string(team)).Uint64("revision", record.Revision).Str("author", record.Author).Send()
+	answer := PutAnswer{Team: team, Revision: record.Revision, WriteID: record.WriteID}
 	if wait > 0 {
-		ctx, cancel := context.WithTimeout(c.Request.Context(), wait)
-		defer cancel()
-		accepted := time.Now()
-		lagging := s.catalog.WaitInForce(ctx, team, done.Head.Revision)
-		answer.WaitedMillis = float64(time.Since(accepted).Microseconds()) / 1000
-		answer.InForce = len(lagging) == 0
-		if answer.InForce {
-			metrics.GetOrCreateHistogram(fmt.Sprintf(`almondturn_admin_in_force_seconds{team=%q}`, string(team))).UpdateDuration(accepted)
-		}
-		for _, n := range lagging {
-			answer.Lagging = append(answer.Lagging, nodeStatus(n, operator{root: true}))
-		}
-		answer.Unreachable = s.unreachable(answer.Lagging)
-	}
-	snap := s.catalog.Snapshot()
-	after, _ := snap.Team(team)
-	services := map[fleet.Service]bool{}
-	serviceNames(services, before)
-	serviceNames(services, after)
-	answer.Surplus = surplus(services, snap, s.targets.Targets())
+		s.awaitInForce(c.Request.Context(), record.Change, wait, &answer)
+	}
 	c.Header("ETag", strconv.Quote(strconv.FormatUint(answer.Revision, 10)))
 	c.JSON(http.StatusOK, answer)
 	return nil
 }
 
+// inForcePoll is the time between two looks at what the nodes have in force.
+const inForcePoll = 50 * time.Millisecond
+
+// awaitInForce waits until all nodes have a change in force, and notes in the
+// answer which have not.
+func (s *Server) awaitInForce(ctx context.Context, change int64, wait time.Duration, answer *PutAnswer) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	began := time.Now()
+	for {
+		answer.Lagging, answer.Unreachable = s.lagging(ctx, change)
+		answer.InForce = len(answer.Lagging) == 0
+		answer.WaitedMillis = float64(time.Since(began).Microseconds()) / 1000
+		if answer.InForce && len(answer.Unreachable) == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(inForcePoll):
+		}
+	}
+}
+
+// lagging returns the nodes that have an older configuration in force, and the
+// zones of which nothing is known.
+func (s *Server) lagging(ctx context.Context, change int64) (nodes []NodeStatus, unreachable []fleet.Zone) {
+	for _, z := range s.node.Status(ctx) {
+		if z.Owner == "" {
+			unreachable = append(unreachable, z.Zone)
+		}
+		for _, n := range zoneStatus(z).Nodes {
+			if n.Change < change {
+				nodes = append(nodes, n)
+			}
+		}
+	}
+	return nodes, unreachable
+}
+
 // ifMatch reads the revision that a change is based on.
 func ifMatch(c *gin.Context) (uint64, error) {
 	text := strings.Trim(c.GetHeader("If-Match"), `"`)
@@ -276,19 +285,11 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), s.opts.ApplyTimeout)
 	defer cancel()
-	head := s.catalog.Head(team)
-	stored, err := s.catalog.Repository().Head(ctx, team)
-	if err == nil && stored.Revision > 0 && (head == nil || stored.Revision >= head.Revision) {
-		head = stored
-	}
-	if head == nil {
-		if err != nil {
-			return err
-		}
-		return fault.New(fault.UnknownPath, "team %q does not exist", team)
+	past, err := s.repository.History(ctx, team)
+	if err != nil {
+		return err
 	}
-	now := catalog.Past{Revision: head.Revision, WriteID: head.WriteID, Author: head.Author, Time: head.Time}
-	c.JSON(http.StatusOK, HistoryAnswer{Team: team, Revisions: append([]catalog.Past{now}, head.History...)})
+	c.JSON(http.StatusOK, HistoryAnswer{Team: team, Revisions: past})
 	return nil
 }
 
@@ -307,30 +308,11 @@
 	if err != nil && fault.KindOf(err) != fault.UnknownPath {
 		return err
 	}
-	paths := catalog.Diff(before, after)
+	paths := teams.Diff(before, after)
 	if strings.Contains(c.GetHeader("Accept"), "text/plain") {
-		c.String(http.StatusOK, "%s", catalog.FormatDiff(fmt.Sprintf("revision %d", revision), "yours", paths, 0))
+		c.String(http.StatusOK, "%s", teams.FormatDiff(fmt.Sprintf("revision %d", revision), "yours", paths, 0))
 		return nil
 	}
 	c.JSON(http.StatusOK, DiffAnswer{Team: team, Revision: revision, Paths: paths})
 	return nil
 }
-
-func (s *Server) restore(c *gin.Context) error {
-	op, err := s.authorizeRoot(c)
-	if err != nil {
-		return err
-	}
-	team := fleet.Team(c.Param("team"))
-	wait, err := s.wait(c)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request.Context()), s.opts.ApplyTimeout)
-	defer cancel()
-	done, err := s.catalog.Restore(ctx, team, author(c, op))
-	if err != nil {
-		return err
-	}
-	return s.answerAccepted(c, nil, done, wait)
-}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -145,6 +145,9 @@
 	Revision uint64
 	Services map[string]*Service
 	Limits   Limits
+	// Drained are the targets that get no new requests by the operators' will;
+	// nil for none.
+	Drained map[string]bool
 	// Extension is what the reader of the configuration needs beside the
 	// routes; nil when that is nothing.
 	Extension any
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -13,11 +13,15 @@
 func (s *Scheduler) grant(now time.Time, order []*queue) {
 	for _, q := range order {
 		for _, w := range slices.Clone(q.waiters) {
-			t := s.choose(now, s.holders[q.key.modelKey()], w)
-			if t != nil {
+			candidates := s.notExcluded(now, q.key.modelKey(), w)
+			if t := s.choose(now, candidates, w); t != nil {
 				s.grantTo(now, w, t)
 				continue
 			}
+			if len(candidates) == 0 && len(s.holders[q.key.modelKey()]) > 0 && !w.LastResort {
+				s.refuse(now, w, Elsewhere, 0, Basis{Left: w.Deadline.Sub(now)})
+				continue
+			}
 			if len(w.Exclude) == 0 {
 				break // those behind it find no place either
 			}
@@ -32,11 +36,28 @@
 // weight ranks targets by the work that they have.
 func (t *target) weight() int { return t.runs + t.unstarted/tokensPerRun }
 
+// notExcluded returns the targets of the model that have not failed the
+// request. When all have, and no other zone takes the request, it returns them
+// all: a connection may have failed and not the target.
+func (s *Scheduler) notExcluded(now time.Time, k modelKey, w *waiter) []*target {
+	all := s.holders[k]
+	if len(w.Exclude) == 0 {
+		return all
+	}
+	rest := slices.DeleteFunc(slices.Clone(all), func(t *target) bool {
+		return slices.Contains(w.Exclude, t.info.ID) || !t.healthy(now)
+	})
+	if len(rest) == 0 && w.LastResort {
+		return all
+	}
+	return rest
+}
+
 // choose returns the target with the least work that can take the request.
 func (s *Scheduler) choose(now time.Time, targets []*target, w *waiter) *target {
 	var best *target
 	for _, t := range targets {
-		if !s.fits(now, t, w) || slices.Contains(w.Exclude, t.info.ID) {
+		if !s.fits(now, t, w) {
 			continue
 		}
 		if best == nil || t.weight() < best.weight() {
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -379,6 +379,23 @@
 	}
 }
 
+// TestFailedTargetIsTakenAgainWhenItIsTheOnlyOne: a connection that went silent
+// says little of the target, and no other one has the model.
+func TestFailedTargetIsTakenAgainWhenItIsTheOnlyOne(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0"}, nil))
+	r := z.request("m0")
+	r.Exclude = []string{"a"}
+	assert.Equal(t, "a", one[Grant](t, z.submit(r)).Target)
+	z = newZone(t, engine("a", []string{"m0"}, nil), engine("b", []string{"m0"}, nil))
+	for range 4 {
+		assert.Equal(t, "b", one[Grant](t, z.submit(r)).Target)
+	}
+	none[Grant](t, z.submit(r)) // b is full, not gone
+	r.LastResort = false
+	z = newZone(t, engine("a", []string{"m0"}, nil))
+	assert.Equal(t, Elsewhere, one[Refusal](t, z.submit(r)).Reason, "another zone may have it")
+}
+
 // limited returns a zone whose models have a limit of replicas.
 func limited(t *testing.T, limit int, targets ...*inventory.Target) *zone {
 	z := newZone(t, targets...)
--- a/pkg/catalog/check.go
+++ b/pkg/teams/check.go
@@ -1,4 +1,4 @@
-package catalog
+package teams
 
 import (
 	"errors"
@@ -138,6 +138,12 @@
 	if svc.Kind == fleet.TargetEngine && len(svc.Calls) > 0 {
 		c.add(path+".calls", "no calls, or kind plain", "engine service %q lists rules for calls", svc.Name)
 	}
+	if svc.Kind == fleet.TargetEngine && svc.Engine == nil {
+		c.add(path+".engine", "a description of the targets", "service %q of models does not say what its targets are", svc.Name)
+	}
+	if svc.Kind == fleet.TargetPlain && svc.Engine != nil {
+		c.add(path+".engine", "no engine, or kind engine", "plain service %q describes engines", svc.Name)
+	}
 	models := newNames(c, "model")
 	for i := range svc.Models {
 		m := &svc.Models[i]
--- a/pkg/catalog/diff.go
+++ b/pkg/teams/diff.go
@@ -1,4 +1,4 @@
-package catalog
+package teams
 
 import (
 	"fmt"
@@ -79,8 +79,8 @@
 	at := "services[" + string(svc.Name) + "]"
 	out[at+".kind"] = string(svc.Kind)
 	out[at+".class"] = strconv.Itoa(int(svc.Class))
-	out[at+".share"] = strconv.Itoa(svc.Share)
 	out[at+".idle_weight"] = strconv.FormatFloat(svc.IdleWeight, 'g', -1, 64)
+	flattenEngine(out, at+".engine", svc.Engine)
 	for i, c := range svc.Calls {
 		out[fmt.Sprintf("%s.calls[%d]", at, i)] = fmt.Sprintf("%s %s idempotent=%t", c.Method, c.PathPrefix, c.Idempotent)
 	}
@@ -99,6 +99,21 @@
 	}
 }
 
+func flattenEngine(out map[string]string, at string, e *EngineSpec) {
+	if e == nil {
+		return
+	}
+	number := func(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+	out[at+".requests"] = strconv.Itoa(e.Requests)
+	out[at+".memory_bytes"] = strconv.FormatInt(e.MemoryBytes, 10)
+	out[at+".cache_tokens"] = strconv.Itoa(e.CacheTokens)
+	out[at+".adapters"] = strconv.Itoa(e.Adapters)
+	out[at+".loads_per_second"] = number(e.LoadsPerSecond)
+	out[at+".store_seconds"] = number(e.StoreSeconds)
+	out[at+".disk_seconds"] = number(e.DiskSeconds)
+	out[at+".memory_seconds"] = number(e.MemorySeconds)
+}
+
 func flattenModel(out map[string]string, at string, m *ModelSpec) {
 	out[at+".memory_bytes"] = strconv.FormatInt(m.MemoryBytes, 10)
 	out[at+".max_replicas"] = strconv.Itoa(m.MaxReplicas)
--- a/pkg/catalog/parse_json.go
+++ b/pkg/teams/parse_json.go
@@ -1,4 +1,4 @@
-package catalog
+package teams
 
 import (
 	"bytes"
--- /dev/null
+++ b/pkg/teams/repository_test.go
@@ -0,0 +1,193 @@
+package teams
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/fleet"
+	"almondturn/pkg/fault"
+	"almondturn/pkg/kv"
+	"almondturn/pkg/kv/kvtest"
+)
+
+func teamSpec(t *testing.T, edits ...string) *TeamSpec {
+	text := strings.NewReplacer(edits...).Replace(validYAML)
+	spec, err := ParseTeam("x.yaml", []byte(text))
+	require.NoError(t, err)
+	return spec
+}
+
+// other is a team with a name, a service and a key of its own.
+func other(t *testing.T, name string) *TeamSpec {
+	return teamSpec(t, "team: listings", "team: "+name, "listing\n", name+"-service\n", strings.Repeat("a", 64), strings.Repeat("b", 64))
+}
+
+func TestApplyReadHistory(t *testing.T) {
+	store := new(kvtest.Store)
+	r := NewRepository(store)
+	for revision := range uint64(keptRevisions + 5) {
+		record, err := r.Apply(t.Context(), Change{Spec: teamSpec(t), Expect: revision, Author: "ann"})
+		require.NoError(t, err)
+		assert.Equal(t, revision+1, record.Revision)
+	}
+	record, err := r.Read(t.Context(), "listings")
+	require.NoError(t, err)
+	assert.EqualValues(t, keptRevisions+5, record.Revision)
+	past, err := r.History(t.Context(), "listings")
+	require.NoError(t, err)
+	assert.Len(t, past, keptRevisions+1)
+	assert.EqualValues(t, keptRevisions+4, past[1].Revision)
+	old, err := r.ReadRevision(t.Context(), "listings", 6)
+	require.NoError(t, err)
+	assert.EqualValues(t, 6, old.Revision)
+	_, err = r.ReadRevision(t.Context(), "listings", 2)
+	assert.Equal(t, fault.UnknownPath, fault.KindOf(err))
+	_, err = r.Read(t.Context(), "nobody")
+	assert.Equal(t, fault.UnknownPath, fault.KindOf(err))
+}
+
+func TestConflictShowsBothSides(t *testing.T) {
+	r := NewRepository(new(kvtest.Store))
+	_, err := r.Apply(t.Context(), Change{Spec: teamSpec(t), Author: "ann"})
+	require.NoError(t, err)
+	_, err = r.Apply(t.Context(), Change{Spec: teamSpec(t, "max_replicas: 2", "max_replicas: 3"), Expect: 1, Author: "bob"})
+	require.NoError(t, err)
+	_, err = r.Apply(t.Context(), Change{Spec: teamSpec(t, "max_replicas: 2", "max_replicas: 9"), Expect: 1, Author: "eve"})
+	assert.Equal(t, fault.RevisionConflict, fault.KindOf(err))
+	assert.ErrorContains(t, err, "revision 2 (by bob)")
+	assert.ErrorContains(t, err, "changed on both sides: services[listing].models[small@1].max_replicas")
+	_, err = r.Apply(t.Context(), Change{Spec: teamSpec(t), Author: "eve"})
+	assert.ErrorContains(t, err, "exists already, at revision 2")
+	_, err = r.Apply(t.Context(), Change{Spec: other(t, "new"), Expect: 4})
+	assert.Equal(t, fault.RevisionConflict, fault.KindOf(err))
+}
+
+func TestNamesBelongToOneTeam(t *testing.T) {
+	r := NewRepository(new(kvtest.Store))
+	_, err := r.Apply(t.Context(), Change{Spec: teamSpec(t)})
+	require.NoError(t, err)
+	_, err = r.Apply(t.Context(), Change{Spec: teamSpec(t, "team: listings", "team: second")})
+	assert.Equal(t, fault.InvalidCatalog, fault.KindOf(err))
+	assert.ErrorContains(t, err, "services[0].name: belongs to another team")
+	assert.NotContains(t, err.Error(), "listings", "the other team is not named")
+	_, err = r.Apply(t.Context(), Change{Spec: other(t, "second")})
+	require.NoError(t, err)
+	_, err = r.Apply(t.Context(), Change{Spec: teamSpec(t, "team: listings", "team: third", "listing\n", "third-service\n")})
+	assert.ErrorContains(t, err, "callers[0].key_sha256")
+}
+
+// TestRacesForOneName: of many teams that want one service name at the same
+// time, one gets it.
+func TestRacesForOneName(t *testing.T) {
+	store := new(kvtest.Store)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	won := 0
+	for i := range 6 {
+		spec := teamSpec(t, "team: listings", fmt.Sprint("team: team-", i), strings.Repeat("a", 64), strings.Repeat(string("bcdef0"[i])+"a", 32))
+		wg.Go(func() {
+			if _, err := NewRepository(store).Apply(t.Context(), Change{Spec: spec}); err == nil {
+				mu.Lock()
+				won++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, 1, won)
+}
+
+func TestLostAnswersAreSettled(t *testing.T) {
+	store := new(kvtest.Store)
+	r := NewRepository(store)
+	store.LoseAnswers(1)
+	record, err := r.Apply(t.Context(), Change{Spec: teamSpec(t)})
+	require.NoError(t, err)
+	assert.EqualValues(t, 1, record.Revision)
+	again, err := r.Apply(t.Context(), Change{Spec: teamSpec(t), WriteID: record.WriteID})
+	require.NoError(t, err)
+	assert.EqualValues(t, 1, again.Revision, "the same change is not made twice")
+	store.LoseAnswers(1)
+	require.NoError(t, r.Drain(t.Context(), "t1", true))
+	store.SetDown(true)
+	_, err = r.Apply(t.Context(), Change{Spec: teamSpec(t), Expect: 1})
+	assert.Equal(t, fault.PlatformUnavailable, fault.KindOf(err))
+	assert.Equal(t, fault.PlatformUnavailable, fault.KindOf(r.Drain(t.Context(), "t1", false)))
+}
+
+func TestDecoderFollowsChanges(t *testing.T) {
+	store := new(kvtest.Store)
+	r, d := NewRepository(store), NewDecoder()
+	table, err := d.Decode(store.Entries())
+	require.NoError(t, err)
+	assert.Nil(t, table)
+	for i, spec := range []*TeamSpec{teamSpec(t), other(t, "second")} {
+		_, err := r.Apply(t.Context(), Change{Spec: spec})
+		require.NoError(t, err)
+		table, err = d.Decode(store.Entries())
+		require.NoError(t, err)
+		assert.EqualValues(t, i+1, table.Version)
+	}
+	require.NoError(t, r.Drain(t.Context(), "t1", true))
+	drained, err := d.Decode(store.Entries())
+	require.NoError(t, err)
+	assert.True(t, drained.Drained["t1"])
+	assert.Greater(t, drained.Revision, table.Revision, "a drain is a newer configuration")
+	require.NoError(t, r.Drain(t.Context(), "t1", false))
+	back, err := d.Decode(store.Entries())
+	require.NoError(t, err)
+	assert.False(t, back.Drained["t1"])
+	assert.Greater(t, back.Version, drained.Version)
+	m := back.Services["listing"].Engine.Models["small@1"]
+	assert.Equal(t, 2, m.Replicas.Max)
+	assert.Equal(t, 1, m.AdapterReplicas["hobart"].Max)
+	id, ok := SnapshotOf(back).Identify("no key")
+	assert.False(t, ok, id)
+	assert.Equal(t, map[fleet.Team]uint64{"listings": 1, "second": 1}, SnapshotOf(back).Revisions)
+}
+
+func TestDamagedEntriesAreNotTaken(t *testing.T) {
+	store := new(kvtest.Store)
+	_, err := NewRepository(store).Apply(t.Context(), Change{Spec: teamSpec(t)})
+	require.NoError(t, err)
+	for _, key := range []string{headKey, teamKey("listings")} {
+		entries := store.Entries()
+		entries[key] = kv.Entry{Key: key, Value: []byte("not what it should be"), ModRevision: 99}
+		_, err := NewDecoder().Decode(entries)
+		assert.ErrorContains(t, err, key)
+	}
+}
+
+// TestLargeTeamFitsIntoOneValue: 20,000 adapters in one subtree.
+func TestLargeTeamFitsIntoOneValue(t *testing.T) {
+	spec := teamSpec(t)
+	m := &spec.Services[0].Models[0]
+	for i := range 20_000 {
+		m.Adapters = append(m.Adapters, AdapterSpec{Name: fmt.Sprint("adapter-", i), MemoryBytes: 1 << 26, MaxReplicas: 2})
+	}
+	value, err := encodeRecord(&Record{Spec: spec})
+	require.NoError(t, err)
+	assert.Less(t, len(value), maxRecordBytes/2)
+	record, err := decodeRecord(kv.Entry{Value: value})
+	require.NoError(t, err)
+	assert.Len(t, record.Spec.Services[0].Models[0].Adapters, 20_001)
+}
+
+// failingList is a store whose lists fail.
+type failingList struct{ *kvtest.Store }
+
+func (failingList) List(context.Context, string) ([]kv.Entry, kv.Revision, error) {
+	return nil, 0, kv.ErrOutcomeUnknown
+}
+
+func TestErrorsOfTheStoreAreTold(t *testing.T) {
+	r := NewRepository(failingList{new(kvtest.Store)})
+	_, err := r.Apply(t.Context(), Change{Spec: teamSpec(t)})
+	assert.Equal(t, fault.OutcomeUnknown, fault.KindOf(err))
+}
--- a/pkg/catalog/snapshot.go
+++ b/pkg/teams/snapshot.go
@@ -1,4 +1,4 @@
-package catalog
+package teams
 
 import (
 	"crypto/sha256"
@@ -6,11 +6,9 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync/atomic"
 
 	"almondturn/fleet"
 	"almondturn/pkg/fault"
-	"almondturn/pkg/platform"
 )
 
 // Identity is who a caller's API key stands for.
@@ -20,7 +18,7 @@
 	Service fleet.Service
 }
 
-// Replica is what the catalog says of one replica key.
+// Replica is what the subtrees say of one replica key.
 type Replica struct {
 	Key         fleet.ReplicaKey
 	Team        fleet.Team
@@ -30,11 +28,13 @@
 	IdleWeight  float64
 }
 
-// Snapshot is an immutable, indexed copy of the catalog. All lookups are O(1).
-// Each team has its own index, so that a change rebuilds only that team's.
+// Snapshot is an immutable, indexed copy of all teams' subtrees. All lookups
+// are O(1).
 type Snapshot struct {
 	// Revisions is the revision in force of each team's subtree.
-	Revisions map[fleet.Team]platform.Revision
+	Revisions map[fleet.Team]uint64
+	// Drained are the targets that operators have drained.
+	Drained map[string]bool
 
 	teams    map[fleet.Team]*teamIndex
 	services map[fleet.Service]*serviceIndex
@@ -52,31 +52,20 @@
 	replicas map[fleet.ReplicaKey]Replica
 }
 
-// Build indexes the given subtrees, which must have been checked.
-func Build(teams []*TeamSpec, revisions map[fleet.Team]platform.Revision) *Snapshot {
+// Build indexes the given subtrees, which must have been checked. revisions
+// may be nil.
+func Build(teams []*TeamSpec, revisions map[fleet.Team]uint64) *Snapshot {
 	indexes := make(map[fleet.Team]*teamIndex, len(teams))
 	for _, t := range teams {
 		indexes[t.Team] = indexTeam(t)
 	}
-	if revisions == nil {
-		revisions = map[fleet.Team]platform.Revision{}
-	}
-	return assemble(indexes, revisions)
-}
-
-// With returns a copy of the snapshot in which one team's subtree is replaced.
-func (s *Snapshot) With(spec *TeamSpec, revision platform.Revision) *Snapshot {
-	indexes := maps.Clone(s.teams)
-	indexes[spec.Team] = indexTeam(spec)
-	revisions := maps.Clone(s.Revisions)
-	revisions[spec.Team] = revision
 	return assemble(indexes, revisions)
 }
 
 // assemble joins the teams' indexes. While a service moves from one team to
 // another, a node may for a moment hold it under both; then the first team
 // by name keeps it, so that every node with the same subtrees agrees.
-func assemble(indexes map[fleet.Team]*teamIndex, revisions map[fleet.Team]platform.Revision) *Snapshot {
+func assemble(indexes map[fleet.Team]*teamIndex, revisions map[fleet.Team]uint64) *Snapshot {
 	s := &Snapshot{
 		Revisions: revisions,
 		teams:     indexes,
@@ -141,7 +130,7 @@
 	}
 }
 
-// HashKey returns the digest under which the catalog keeps an API key or token.
+// HashKey returns the digest under which a subtree names an API key or token.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
@@ -174,7 +163,7 @@
 	return x.spec, x.team, true
 }
 
-// Replica returns what the catalog says of a key; false when no service may use it.
+// Replica returns what the subtrees say of a key; false when no service may use it.
 func (s *Snapshot) Replica(k fleet.ReplicaKey) (Replica, bool) {
 	x, ok := s.services[k.Service]
 	if !ok {
@@ -184,17 +173,6 @@
 	return r, ok
 }
 
-// Replicas calls f for each replica key until f returns false.
-func (s *Snapshot) Replicas(f func(Replica) bool) {
-	for _, x := range s.services {
-		for _, r := range x.replicas {
-			if !f(r) {
-				return
-			}
-		}
-	}
-}
-
 // Resolve turns the model field of a request, model[@version][+adapter],
 // into a replica of the service. Without a version the last declared
 // version of that model is taken. Errors are of kind UnknownModel.
@@ -252,25 +230,6 @@
 	return false
 }
 
-// Store holds the snapshot in force for readers without locks.
-type Store struct {
-	current atomic.Pointer[Snapshot]
-}
-
-// Load returns the snapshot in force; never nil.
-func (s *Store) Load() *Snapshot {
-	if snap := s.current.Load(); snap != nil {
-		return snap
-	}
-	return empty
-}
-
-// empty is in force until the first subtree has come.
-var empty = Build(nil, nil)
-
-// Swap puts a snapshot in force.
-func (s *Store) Swap(snap *Snapshot) { s.current.Store(snap) }
-
 // TeamNames returns the names of all teams in order.
 func (s *Snapshot) TeamNames() []fleet.Team {
 	return slices.Sorted(maps.Keys(s.teams))
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -24,6 +24,9 @@
 	// MaxIdle bounds the idle time of a kept connection that may be used; 0
 	// asks for a new connection.
 	MaxIdle time.Duration
+	// HeadWait bounds the wait for the head of the answer; 0 for no bound but
+	// the end of ctx.
+	HeadWait time.Duration
 	// Belongs tells whether an answer with this header is the one to this
 	// request. Others are skipped.
 	Belongs func(http.Header) bool
@@ -47,6 +50,9 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// foreignWait bounds the wait for the right answer after one to another request.
+const foreignWait = 2 * time.Second
+
 // ErrForeign tells that a connection carried only answers to other requests.
 var ErrForeign = errors.New("answers belong to other requests")
 
@@ -81,7 +87,13 @@
 		_ = c.Close()
 		return nil, &SendError{Sent: n > 0, Err: cause(ctx, err)}
 	}
+	if r.HeadWait > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(r.HeadWait))
+	}
 	resp, err := readAnswer(c, r)
+	if err == nil {
+		err = c.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -118,6 +130,7 @@
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, fmt.Errorf("skip an answer to another request: %w", err)
 		}
+		_ = c.SetReadDeadline(time.Now().Add(foreignWait))
 	}
 	return nil, ErrForeign
 }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"almondturn/fleet"
 )
 
 // Limits of kept connections.
@@ -32,7 +34,7 @@
 // Pool keeps idle connections to targets. Its methods may be called
 // concurrently.
 type Pool struct {
-	dialer *Dialer
+	open fleet.DialFunc
 	// Dialed counts the connections that were opened.
 	Dialed atomic.Uint64
 
@@ -50,9 +52,9 @@
 	reused    bool
 }
 
-// NewPool returns an empty pool. A connection attempt ends after dialTimeout.
-func NewPool(dialTimeout time.Duration) *Pool {
-	return &Pool{dialer: NewDialer(dialTimeout), idle: map[string][]*conn{}}
+// NewPool returns an empty pool whose connections are opened by dial.
+func NewPool(dial fleet.DialFunc) *Pool {
+	return &Pool{open: dial, idle: map[string][]*conn{}}
 }
 
 // get returns a kept connection that is idle for less than maxIdle, or a new one.
@@ -89,7 +91,7 @@
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	p.Dialed.Add(1)
-	c, err := p.dialer.DialContext(ctx, "tcp", addr)
+	c, err := p.open(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -50,7 +50,7 @@
 
 // Config is what an Owner needs.
 type Config struct {
-	Self  fleet.Node
+	Self fleet.Node
 	// Zones are all zones of the deployment.
 	Zones []fleet.Zone
 	// MinLease is the shortest lease that the service grants.
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -15,6 +15,9 @@
 	TypeStoreCall
 	TypeStoreAnswer
 	TypeRunStarted
+	TypeNodeState
+	TypeNodesCall
+	TypeNodes
 )
 
 // Place asks the owner of a zone for a target that has the model loaded. The
@@ -149,6 +152,32 @@
 	ConfigurationVersion int64 `cbor:"2,keyasint,omitempty"`
 }
 
+// NodeState is what a node tells the owners of all zones of itself, when they
+// connect and when it changes.
+type NodeState struct {
+	// ConfigurationVersion is the one in force at the sender.
+	ConfigurationVersion int64 `cbor:"1,keyasint,omitempty"`
+	// Ready tells that the sender takes clients.
+	Ready bool `cbor:"2,keyasint,omitempty"`
+}
+
+// NodesCall asks the owner of a zone for the nodes that are connected to it.
+// The answer is Nodes.
+type NodesCall struct{}
+
+// Nodes answers NodesCall.
+type Nodes struct {
+	// Owner tells that the sender owns its zone.
+	Owner bool        `cbor:"1,keyasint,omitempty"`
+	Nodes []NodeEntry `cbor:"2,keyasint,omitempty"`
+}
+
+// NodeEntry is a node with its last state.
+type NodeEntry struct {
+	Node  fleet.Node `cbor:"1,keyasint"`
+	State NodeState  `cbor:"2,keyasint"`
+}
+
 // StoreCall asks a node to pass a call on to the platform's key-value
 // service, for a sender that does not reach it.
 type StoreCall struct {
@@ -187,6 +216,15 @@
 // Type implements Message.
 func (*OwnerPong) Type() Type { return TypeOwnerPong }
 
+// Type implements Message.
+func (*NodeState) Type() Type { return TypeNodeState }
+
+// Type implements Message.
+func (*NodesCall) Type() Type { return TypeNodesCall }
+
+// Type implements Message.
+func (*Nodes) Type() Type { return TypeNodes }
+
 // Type implements Message.
 func (*StoreCall) Type() Type { return TypeStoreCall }
 
