entry: idle connections end without cutting a request off; one watch of targets a zone

Change: the wait for the next request is ended by a read deadline and the server closes; the stop waits until no connection is idle. Ruled out: the target (it answered gone after the cut) and the grace time.

Change: the owner of a zone keeps its last changes (wire.ChangesCall) and the nodes of its zone wait there; a node that reaches no owner, or one that has lost the service, asks the service itself. The pause between two looks is a fifth of the drain time now, a third before.

--- /dev/null
+++ b/pkg/entry/feed.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"almondturn/pkg/kv"
+	"almondturn/wire"
+)
+
+// feedEvents is the least number of changes that an owner keeps for the nodes
+// of its zone; a node that is further behind asks the key-value service.
+const feedEvents = 4096
+
+// feed keeps the last changes that a watch has got, for other nodes.
+type feed struct {
+	mu sync.Mutex // guards all below
+	// live is false while the watch fails: others must not rely on it.
+	live bool
+	// Events holds all changes after floor, up to head.
+	events      []kv.WatchEvent
+	floor, head kv.Revision
+	changed     chan struct{} // closed and replaced when anything changes
+}
+
+func newFeed() *feed { return &feed{changed: make(chan struct{})} }
+
+// reset begins anew at a revision.
+func (f *feed) reset(at kv.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live, f.events, f.floor, f.head = true, nil, at, at
+	f.notify()
+}
+
+// add appends changes, up to a revision.
+func (f *feed) add(events []kv.WatchEvent, head kv.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.head = max(f.head, head)
+	if len(events) == 0 {
+		return
+	}
+	f.events = append(f.events, events...)
+	if surplus := len(f.events) - feedEvents; surplus > feedEvents {
+		f.floor = f.events[surplus-1].Entry.ModRevision
+		f.events = append(f.events[:0:0], f.events[surplus:]...)
+	}
+	f.notify()
+}
+
+// stop tells that the watch fails.
+func (f *feed) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = false
+	f.notify()
+}
+
+// notify wakes those that wait. f.mu is held.
+func (f *feed) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// after returns the changes after a revision; known is false when the feed is
+// not live or does not reach back that far. changed is closed when it is worth
+// another look.
+func (f *feed) after(revision kv.Revision) (out *wire.Changes, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.live || revision < f.floor || revision > f.head {
+		return new(wire.Changes), f.changed
+	}
+	out = &wire.Changes{Known: true, Revision: uint64(f.head)}
+	for _, e := range f.events {
+		if e.Entry.ModRevision > revision {
+			out.Events = append(out.Events, wire.Change{Key: e.Entry.Key, Value: e.Entry.Value, Revision: uint64(e.Entry.ModRevision), Deleted: e.Deleted})
+		}
+	}
+	return out, f.changed
+}
+
+// wait returns the changes after a revision as soon as there are some, or when
+// the wait is over.
+func (f *feed) wait(ctx context.Context, revision kv.Revision, wait time.Duration) *wire.Changes {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		out, changed := f.after(revision)
+		if !out.Known || len(out.Events) > 0 {
+			return out
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return out
+		}
+	}
+}
+
+// changesOf asks the owner of the node's zone for changes of the list of
+// targets; ok is false when the key-value service has to be asked.
+func (l *links) changesOf(ctx context.Context, after kv.Revision, wait time.Duration) (events []kv.WatchEvent, next kv.Revision, ok bool) {
+	if l.node.owner.Owns() {
+		return nil, 0, false
+	}
+	k, _ := l.link(l.node.self.Zone)
+	if k == nil {
+		return nil, 0, false
+	}
+	c := k.conn.Load()
+	if c == nil {
+		return nil, 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+linkSilence)
+	defer cancel()
+	answer, err := c.Call(ctx, &wire.ChangesCall{After: uint64(after), WaitMillis: wait.Milliseconds()})
+	if err != nil {
+		return nil, 0, false // the key-value service is asked instead
+	}
+	changes, ok := answer.(*wire.Changes)
+	if !ok || !changes.Known {
+		return nil, 0, false
+	}
+	for _, e := range changes.Events {
+		events = append(events, kv.WatchEvent{
+			Entry:   kv.Entry{Key: e.Key, Value: e.Value, ModRevision: kv.Revision(e.Revision)},
+			Deleted: e.Deleted,
+		})
+	}
+	return events, kv.Revision(changes.Revision), true
+}
+
+// changes answers another node's call. Only the owner of the zone does: there
+// has to be one that reads the key-value service itself.
+func (n *Node) changes(ctx context.Context, m *wire.ChangesCall) *wire.Changes {
+	if !n.owner.Owns() {
+		return new(wire.Changes)
+	}
+	return n.feed.wait(ctx, kv.Revision(m.After), time.Duration(m.WaitMillis)*time.Millisecond)
+}
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -412,6 +412,8 @@
 		}
 	case *wire.OwnerPing:
 		return n.owner.Promise(from, m)
+	case *wire.ChangesCall:
+		return n.changes(ctx, m)
 	case *wire.NodeState:
 		n.links.learnState(from.ID, m)
 	case *wire.NodesCall:
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -29,7 +29,7 @@
 	// by the owner of a zone.
 	ownerTargetPause = 400 * time.Millisecond
 	// targetPauses is the part of the drain time that other nodes wait.
-	targetPauses = 3
+	targetPauses = 5
 	// sweepInterval is the time between two looks at idle connections.
 	sweepInterval = 2 * time.Second
 	// stopPoll is the time between two looks while the node stops.
@@ -135,6 +135,8 @@
 	configuration *watch
 	watches       []*watch
 	readinessPath string
+	// feed passes changes of the list of targets on to the nodes of the zone.
+	feed *feed
 
 	clients, readiness, inner *http.Server
 	idle                      *idleConns
@@ -154,7 +156,7 @@
 	n := &Node{
 		settings: d.Settings, log: d.Log, clientProtocol: d.Clients, targetProtocol: d.TargetHeaders, decoder: d.Decoder, store: d.Store, pool: d.Pool,
 		reporter: d.Targets, metrics: d.Metrics, started: time.Now(), runs: map[uint64]runAt{}, readinessPath: d.ReadinessPath,
-		targets: map[string]*inventory.Target{}, configured: map[string]kv.Entry{}, idle: newIdleConns(),
+		targets: map[string]*inventory.Target{}, configured: map[string]kv.Entry{}, idle: newIdleConns(), feed: newFeed(),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertised()}
 	n.bounds.Store(&d.Settings.Bounds)
@@ -173,9 +175,11 @@
 	})
 	d.Store.SetRelay(n.links.relay)
 	n.configuration = n.newWatch(d.Decoder.ConfigurationPrefix, noPause, n.resetConfiguration, n.changeConfiguration)
+	targets := n.newWatch(d.Decoder.TargetPrefix, n.targetPause, n.resetTargets, n.changeTargets)
+	targets.feed, targets.remote = n.feed, n.links.changesOf
 	n.watches = []*watch{
 		n.configuration,
-		n.newWatch(d.Decoder.TargetPrefix, n.targetPause, n.resetTargets, n.changeTargets),
+		targets,
 		n.newWatch(zoneowner.KeyPrefix, noPause, n.resetOwners, n.changeOwners),
 	}
 	return n, nil
@@ -308,12 +312,11 @@
 	n.owner.Resign(ctx)
 	n.links.leave()
 	for ctx.Err() == nil {
-		noticed := n.noticed(time.Since(began))
-		if noticed && n.inFlight.Load() == 0 {
-			break
-		}
-		if noticed {
+		if n.noticed(time.Since(began)) {
 			n.idle.closeOlder(0)
+			if n.inFlight.Load() == 0 && n.idle.none() {
+				break
+			}
 		}
 		sleep(ctx, stopPoll)
 	}
@@ -373,18 +376,28 @@
 	delete(i.since, c)
 }
 
-// closeOlder closes the connections that are idle for longer than d.
+// closeOlder ends the connections that are idle for longer than d. It ends the
+// wait for their next request and leaves the close to the server: a request
+// that has arrived at this moment is answered. The server may just be about to
+// wait without a bound, so that callers repeat it.
 func (i *idleConns) closeOlder(d time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := time.Now()
 	for c, since := range i.since {
-		if time.Since(since) > d {
-			_ = c.Close()
-			delete(i.since, c)
+		if now.Sub(since) > d {
+			_ = c.SetReadDeadline(now)
 		}
 	}
 }
 
+// none tells whether no connection is idle.
+func (i *idleConns) none() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.since) == 0
+}
+
 // Reload takes over the bounds of new settings. Addresses stay as they were at
 // the start.
 func (n *Node) Reload(s *Settings) {
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -37,6 +37,10 @@
 	changed func([]kv.WatchEvent)
 	node    *Node
 	refresh chan struct{}
+	// feed passes the changes on to other nodes; nil for a watch of the node
+	// alone. remote asks another node's feed first; nil never does.
+	feed   *feed
+	remote func(ctx context.Context, after kv.Revision, wait time.Duration) ([]kv.WatchEvent, kv.Revision, bool)
 }
 
 // run follows the prefix until ctx ends.
@@ -44,6 +48,9 @@
 	lost := false
 	for ctx.Err() == nil {
 		err := w.follow(ctx, &lost)
+		if w.feed != nil {
+			w.feed.stop()
+		}
 		if errors.Is(err, kv.ErrCompacted) || ctx.Err() != nil {
 			continue // list again at once
 		}
@@ -66,11 +73,17 @@
 		event.StoreRegained.Log(w.node.log).Str("prefix", w.prefix).Send()
 	}
 	w.reset(entries)
+	if w.feed != nil {
+		w.feed.reset(revision)
+	}
 	for {
 		events, next, err := w.fetch(ctx, revision)
 		if err != nil {
 			return err
 		}
+		if w.feed != nil {
+			w.feed.add(events, next)
+		}
 		if len(events) > 0 {
 			w.changed(events)
 			sleep(ctx, w.pause())
@@ -95,6 +108,11 @@
 		case <-stop:
 		}
 	}()
+	if w.remote != nil {
+		if events, next, ok := w.remote(ctx, after, watchWait); ok {
+			return events, next, nil
+		}
+	}
 	return w.store.Changes(ctx, w.prefix, after, watchWait)
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -18,5 +18,7 @@
 	TypeStoreAnswer: func() Message { return new(StoreAnswer) },
 	TypeNodeState:   func() Message { return new(NodeState) },
 	TypeNodesCall:   func() Message { return new(NodesCall) },
+	TypeChangesCall: func() Message { return new(ChangesCall) },
+	TypeChanges:     func() Message { return new(Changes) },
 	TypeNodes:       func() Message { return new(Nodes) },
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -18,6 +18,8 @@
 	TypeNodeState
 	TypeNodesCall
 	TypeNodes
+	TypeChangesCall
+	TypeChanges
 )
 
 // Place asks the owner of a zone for a target that has the model loaded. The
@@ -178,6 +180,33 @@
 	State NodeState  `cbor:"2,keyasint"`
 }
 
+// ChangesCall asks the owner of the sender's zone for the changes of the list of
+// targets after a revision, so that one node of a zone watches the key-value
+// service for all. The answer is Changes; it comes when there are changes, or
+// after WaitMillis.
+type ChangesCall struct {
+	After      uint64 `cbor:"1,keyasint"`
+	WaitMillis int64  `cbor:"2,keyasint"`
+}
+
+// Changes answers ChangesCall.
+type Changes struct {
+	// Known tells that the owner follows the list and that its memory reaches
+	// back to the revision asked for. Otherwise the rest says nothing.
+	Known  bool     `cbor:"1,keyasint,omitempty"`
+	Events []Change `cbor:"2,keyasint,omitempty"`
+	// Revision is where to go on.
+	Revision uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Change is one change of an entry of the key-value service.
+type Change struct {
+	Key      string `cbor:"1,keyasint"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
+	Revision uint64 `cbor:"3,keyasint"`
+	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+}
+
 // StoreCall asks a node to pass a call on to the platform's key-value
 // service, for a sender that does not reach it.
 type StoreCall struct {
@@ -225,6 +254,12 @@
 // Type implements Message.
 func (*Nodes) Type() Type { return TypeNodes }
 
+// Type implements Message.
+func (*ChangesCall) Type() Type { return TypeChangesCall }
+
+// Type implements Message.
+func (*Changes) Type() Type { return TypeChanges }
+
 // Type implements Message.
 func (*StoreCall) Type() Type { return TypeStoreCall }
 
