--- a/pkg/standin/relay/relay.go
+++ b/pkg/standin/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay is a TCP relay between a client and a server whose
-// connections tests can silence, cut or refuse.
+// connections tests can delay, silence, cut or refuse.
 package relay
 
 import (
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Relay forwards connections from its own address to a server.
@@ -15,6 +16,7 @@
 	server   string
 
 	refuse atomic.Bool
+	delay  atomic.Int64 // nanoseconds before each read is forwarded
 
 	mu    sync.Mutex // guards conns
 	conns map[*link]struct{}
@@ -23,7 +25,8 @@
 // link is one forwarded connection.
 type link struct {
 	client, server net.Conn
-	silent         atomic.Bool
+	silent         atomic.Bool // both ways
+	deaf           atomic.Bool // from the server to the client
 	resume         chan struct{}
 	closing        sync.Once
 }
@@ -61,6 +64,19 @@
 	}
 }
 
+// Deafen stops forwarding from the server to the client on all open
+// connections; the server goes on to hear the client.
+func (r *Relay) Deafen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.conns {
+		l.deaf.Store(true)
+	}
+}
+
+// SetDelay holds each piece of data back for a time, both ways.
+func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+
 // Cut closes all open connections.
 func (r *Relay) Cut() {
 	r.mu.Lock()
@@ -108,8 +124,8 @@
 	r.conns[l] = struct{}{}
 	r.mu.Unlock()
 	var done sync.WaitGroup
-	done.Go(func() { l.copy(server, client) })
-	done.Go(func() { l.copy(client, server) })
+	done.Go(func() { l.copy(server, client, &l.silent, &r.delay) })
+	done.Go(func() { l.copy(client, server, &l.deaf, &r.delay) })
 	done.Wait()
 	l.close()
 	r.mu.Lock()
@@ -120,16 +136,19 @@
 // copyBufferBytes is the size of one read of a relayed connection.
 const copyBufferBytes = 16 << 10
 
-// copy forwards until an end closes. While silent it reads and forwards
-// nothing, and does not pass a close on.
-func (l *link) copy(dst io.Writer, src io.Reader) {
+// copy forwards until an end closes. While silent, or stopped in this
+// direction, it reads and forwards nothing, and does not pass a close on.
+func (l *link) copy(dst io.Writer, src io.Reader, stopped *atomic.Bool, delay *atomic.Int64) {
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := src.Read(buf)
-		if l.silent.Load() {
+		if l.silent.Load() || stopped.Load() {
 			<-l.resume
 			return
 		}
+		if d := delay.Load(); d > 0 {
+			time.Sleep(time.Duration(d))
+		}
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				break
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -299,6 +299,20 @@
 	return n
 }
 
+// Config returns the settings of a further node, which the trial does not run
+// itself. It reaches the key-value service at storeAddr and is dialled by
+// other nodes at the address that advertise returns for its own.
+func (t *Trial) Config(id fleet.NodeID, zone fleet.Zone, storeAddr string, advertise func(inner string) (string, error)) (*config.Config, error) {
+	c := t.config(id, zone, 0)
+	c.Store.Address = storeAddr
+	advertised, err := advertise(c.Listen.Inner)
+	if err != nil {
+		return nil, fmt.Errorf("node %s: %w", id, err)
+	}
+	c.Listen.Advertise = advertised
+	return c, nil
+}
+
 func (t *Trial) config(id fleet.NodeID, zone fleet.Zone, index int) *config.Config {
 	c := config.Default()
 	c.Node.ID, c.Node.Zone, c.Node.Secret = id, zone, secret
--- a/scenarios/deployment_test.go
+++ b/scenarios/deployment_test.go
@@ -77,6 +77,14 @@
 // applyExamples puts the example teams in force, with engines as the shape
 // says.
 func (d *deployment) applyExamples(ctx context.Context, s shape) error {
+	if err := d.applyTeams(ctx, s); err != nil {
+		return err
+	}
+	return d.AwaitServing(ctx, len(d.teams))
+}
+
+// applyTeams has the example teams accepted.
+func (d *deployment) applyTeams(ctx context.Context, s shape) error {
 	files, err := examples.Dev()
 	if err != nil {
 		return err
@@ -93,7 +101,7 @@
 			return err
 		}
 	}
-	return d.AwaitServing(ctx, len(files))
+	return nil
 }
 
 // adopt sets what a service says of its engines to what they are.
