--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -33,11 +33,8 @@
 	RevisionConflict
 	InvalidCatalog
 	ShuttingDown
-	TargetUnreachable
-	TargetFailed
 	OutcomeUnknown
 	StreamBroken
-	CallerGone
 	NotReady
 	TimeOver
 	kindEnd
@@ -85,11 +82,8 @@
 	RevisionConflict:    {Status: http.StatusConflict, Code: "revision_conflict", Run: RunNo},
 	InvalidCatalog:      {Status: http.StatusUnprocessableEntity, Code: "invalid_catalog", Run: RunNo},
 	ShuttingDown:        {Status: http.StatusServiceUnavailable, Code: "shutting_down", Run: RunNo, Retry: true, RetryAfter: time.Second},
-	TargetUnreachable:   {Status: http.StatusBadGateway, Code: "target_unreachable", Run: RunNo, Retry: true, RetryAfter: time.Second},
-	TargetFailed:        {Status: http.StatusBadGateway, Code: "target_failed", Run: RunYes},
 	OutcomeUnknown:      {Status: http.StatusBadGateway, Code: "outcome_unknown", Run: RunUnknown},
 	StreamBroken:        {Status: http.StatusBadGateway, Code: "stream_broken", Run: RunYes},
-	CallerGone:          {Status: 499, Code: "caller_gone", Run: RunUnknown},
 	TimeOver:            {Status: http.StatusGatewayTimeout, Code: "time_over", Run: RunUnknown},
 	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
--- a/pkg/fault/fault_test.go
+++ b/pkg/fault/fault_test.go
@@ -30,8 +30,8 @@
 
 func TestAsKeepsKindAndCause(t *testing.T) {
 	cause := errors.New("refused")
-	err := fmt.Errorf("dial: %w", New(TargetUnreachable, "target t1: %w", cause))
-	assert.Equal(t, TargetUnreachable, KindOf(err))
+	err := fmt.Errorf("dial: %w", New(NoReplica, "target t1: %w", cause))
+	assert.Equal(t, NoReplica, KindOf(err))
 	assert.ErrorIs(t, err, cause)
 	assert.Equal(t, Internal, KindOf(errors.New("other")))
 	assert.Equal(t, "internal", Kind(255).String())
--- a/pkg/kv/kvtest/kvtest.go
+++ b/pkg/kv/kvtest/kvtest.go
@@ -112,3 +112,32 @@
 	s.revision++
 	return kv.LeaseID(s.revision), nil
 }
+
+// CompareAndSwap writes value if the key's revision is expect.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.LeaseID) (kv.Revision, error) {
+	return s.Commit(ctx, kv.Change{
+		Expect: map[string]kv.Revision{key: expect},
+		Put:    []kv.Entry{{Key: key, Value: value, Lease: lease}},
+	})
+}
+
+// RenewLease succeeds unless the service is down.
+func (s *Store) RenewLease(context.Context, kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
+// RevokeLease deletes the keys that are bound to the lease.
+func (s *Store) RevokeLease(_ context.Context, id kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return kv.ErrUnavailable
+	}
+	maps.DeleteFunc(s.entries, func(_ string, e kv.Entry) bool { return e.Lease == id })
+	return nil
+}
--- a/pkg/teams/repository_test.go
+++ b/pkg/teams/repository_test.go
@@ -191,3 +191,25 @@
 	_, err := r.Apply(t.Context(), Change{Spec: teamSpec(t)})
 	assert.Equal(t, fault.OutcomeUnknown, fault.KindOf(err))
 }
+
+// BenchmarkDecodeLargeTeam reads a subtree with 20,000 adapters, as each node
+// does after a change of it.
+func BenchmarkDecodeLargeTeam(b *testing.B) {
+	spec, err := ParseTeam("x.yaml", []byte(validYAML))
+	require.NoError(b, err)
+	m := &spec.Services[0].Models[0]
+	for i := range 20_000 {
+		m.Adapters = append(m.Adapters, AdapterSpec{Name: fmt.Sprint("adapter-", i), MemoryBytes: 1 << 26, MaxReplicas: 2})
+	}
+	value, err := encodeRecord(&Record{Spec: spec})
+	require.NoError(b, err)
+	b.ReportMetric(float64(len(value)), "bytes")
+	entries := map[string]kv.Entry{
+		headKey:             {Key: headKey, Value: encodeHead(1), ModRevision: 1},
+		teamKey("listings"): {Key: teamKey("listings"), Value: value, ModRevision: 1},
+	}
+	for b.Loop() {
+		_, err := NewDecoder().Decode(entries)
+		require.NoError(b, err)
+	}
+}
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -405,3 +405,27 @@
 	o.run(t)
 	o.kick()
 }
+
+// keepStepping runs the scheduler when time alone makes something due.
+func (o *Owner) keepStepping(t *tenure) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-o.step:
+		case <-timer.C:
+		}
+		o.mu.Lock()
+		if o.tenure != t {
+			o.mu.Unlock()
+			return
+		}
+		o.run(t)
+		now := time.Now()
+		wait := min(t.scheduler.Next(now).Sub(now), o.tellState(t, now))
+		o.mu.Unlock()
+		timer.Reset(max(wait, time.Millisecond))
+	}
+}
--- /dev/null
+++ b/pkg/zoneowner/promises.go
@@ -0,0 +1,74 @@
+package zoneowner
+
+import (
+	"context"
+	"time"
+
+	"almondturn/fleet"
+	"almondturn/wire"
+)
+
+// Promise answers a ping of an owner: this node does not take the zone over
+// for PromiseTime. Only the last owner gets a promise: a node that has just
+// started must not give one to an owner that does not know of its successor.
+func (o *Owner) Promise(from fleet.Node, m *wire.OwnerPing) *wire.OwnerPong {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	pong := &wire.OwnerPong{ConfigurationVersion: o.cfg.Version()}
+	outdated := o.known && o.held.record.Addr != "" && o.held.record.Addr != from.Addr && uint64(o.held.revision) > m.Token
+	if m.Zone != o.cfg.Self.Zone || o.tenure != nil || outdated || o.lastAddr != from.Addr {
+		return pong
+	}
+	pong.Promised = true
+	o.promisedUntil = o.cfg.Boot().Add(PromiseTime)
+	o.promisedTo = from.Addr
+	return pong
+}
+
+// Released ends the promise to an owner that has resigned.
+func (o *Owner) Released(addr string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.promisedTo == addr {
+		o.promisedUntil = time.Time{}
+	}
+	o.nudge()
+}
+
+// keepPromises pings the other nodes of the zone until the tenure ends.
+func (o *Owner) keepPromises(t *tenure) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		for _, n := range o.cfg.Network.Connected() {
+			if n.Zone != o.cfg.Self.Zone {
+				continue
+			}
+			o.mu.Lock()
+			t.authority.joined(o.cfg.Boot(), n.ID)
+			o.mu.Unlock()
+			go o.ping(t, n.ID)
+		}
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (o *Owner) ping(t *tenure, node fleet.NodeID) {
+	ctx, cancel := context.WithTimeout(t.ctx, pingTimeout)
+	defer cancel()
+	o.mu.Lock()
+	token := t.token
+	o.mu.Unlock()
+	sent := o.cfg.Boot()
+	pong, err := o.cfg.Network.Ping(ctx, node, &wire.OwnerPing{Zone: o.cfg.Self.Zone, Token: token})
+	if err != nil || !pong.Promised {
+		return // the promise is not extended
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t.authority.promised(sent, node)
+}
--- /dev/null
+++ b/pkg/zoneowner/rules_test.go
@@ -0,0 +1,166 @@
+package zoneowner
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/fleet"
+	"almondturn/pkg/kv"
+	"almondturn/pkg/kv/kvtest"
+	"almondturn/pkg/route"
+	"almondturn/wire"
+)
+
+// The rules of ownership, one by one: a cluster hides what a single rule does,
+// because another one often catches what it lets through.
+
+// nobody is a network without other nodes.
+type nobody struct{}
+
+func (nobody) Ping(context.Context, fleet.NodeID, *wire.OwnerPing) (*wire.OwnerPong, error) {
+	return new(wire.OwnerPong), nil
+}
+func (nobody) Broadcast(*wire.ZoneState) {}
+func (nobody) Connected() []fleet.Node   { return nil }
+
+// The node under test, and another one.
+const (
+	ownAddr   = "10.0.0.1:1"
+	otherAddr = "10.0.0.2:1"
+)
+
+func lone(s *kvtest.Store) *Owner {
+	log := zerolog.Nop()
+	return New(Config{
+		Self: fleet.Node{ID: "n1", Zone: testZoneName, Incarnation: "i1", Addr: ownAddr}, Strength: 1, MinLease: time.Second, HolderPause: testPause,
+		Zones: []fleet.Zone{testZoneName}, Store: s, Network: nobody{}, Log: &log, Version: func() int64 { return 1 }, Boot: time.Now,
+	})
+}
+
+const testZoneName = "z"
+
+// tenured gives the owner a tenure whose lease has lapsed.
+func (o *Owner) tenured() *tenure {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &tenure{token: 1, lease: 1, ctx: ctx, cancel: cancel, waiting: nil}
+	o.tenure = t
+	return t
+}
+
+func writeLast(t *testing.T, s *kvtest.Store, r lastRecord) {
+	value, err := json.Marshal(r)
+	require.NoError(t, err)
+	e, _ := s.Get(t.Context(), LastKey(testZoneName))
+	_, err = s.Commit(t.Context(), kv.Change{
+		Expect: map[string]kv.Revision{LastKey(testZoneName): e.ModRevision},
+		Put:    []kv.Entry{{Key: LastKey(testZoneName), Value: value}},
+	})
+	require.NoError(t, err)
+}
+
+// TestRetakeOnlyWithoutAnOwnerBetween: the lease lapsed and the key is free
+// again. If another node was the owner meanwhile, it may have given orders.
+func TestRetakeOnlyWithoutAnOwnerBetween(t *testing.T) {
+	for last, stays := range map[string]bool{ownAddr: true, otherAddr: false} {
+		s := new(kvtest.Store)
+		writeLast(t, s, lastRecord{Addr: last})
+		o := lone(s)
+		o.retake(o.tenured())
+		_, err := s.Get(t.Context(), OwnerKey(testZoneName))
+		if stays {
+			assert.NotNil(t, o.tenure)
+			assert.NoError(t, err)
+			continue
+		}
+		assert.Nil(t, o.tenure, "the tenure ends")
+		assert.ErrorIs(t, err, kv.ErrNotFound, "and the key is given up")
+	}
+}
+
+// TestRetakeWhileTheServiceIsAway neither ends the tenure nor extends it.
+func TestRetakeWhileTheServiceIsAway(t *testing.T) {
+	s := new(kvtest.Store)
+	s.SetDown(true)
+	o := lone(s)
+	tenure := o.tenured()
+	o.retake(tenure)
+	assert.Same(t, tenure, o.tenure)
+	assert.False(t, o.tenure.authority.until(time.Now()).After(time.Now()))
+}
+
+// TestPauseOfANewOwner: how long after the taking the first order may come.
+func TestPauseOfANewOwner(t *testing.T) {
+	taken := time.Unix(1_700_000_000, 0)
+	pause := testPause + pauseMargin
+	for name, c := range map[string]struct {
+		last       lastRecord
+		promisedTo string
+		want       time.Duration
+	}{
+		"no owner before":                          {lastRecord{}, "", 0},
+		"the same node":                            {lastRecord{Addr: ownAddr}, "", 0},
+		"the same node, its own pause not over":    {lastRecord{Addr: ownAddr, Pending: true}, "", pause + leaseTime},
+		"another node, which had a promise":        {lastRecord{Addr: otherAddr}, otherAddr, pause},
+		"another node without a promise from here": {lastRecord{Addr: otherAddr}, "", pause + leaseTime},
+		"a promise to an earlier owner":            {lastRecord{Addr: otherAddr}, "10.0.0.3:1", pause + leaseTime},
+		"a planned stop":                           {lastRecord{Addr: otherAddr, Age: testPause / 2}, "", testPause/2 + pauseMargin},
+		"a planned stop long after its last order": {lastRecord{Addr: otherAddr, Age: time.Hour}, "", 0},
+		"an unreadable record":                     {lastRecord{Addr: "unreadable"}, "", pause + leaseTime},
+	} {
+		o := lone(new(kvtest.Store))
+		o.promisedTo = c.promisedTo
+		assert.Equal(t, c.want, o.ordersFrom(c.last, taken).Sub(taken), name)
+	}
+}
+
+// TestWhoGetsPromises: an owner that does not know of its successor must get
+// none, or it would go on beside it.
+func TestWhoGetsPromises(t *testing.T) {
+	from := fleet.Node{ID: "n2", Zone: testZoneName, Addr: otherAddr}
+	for name, c := range map[string]struct {
+		last string
+		held ownerKey
+		zone fleet.Zone
+		own  bool
+		want bool
+	}{
+		"the last owner":                     {last: otherAddr, zone: testZoneName, want: true},
+		"an owner that the record names not": {last: "10.0.0.3:1", zone: testZoneName},
+		"nobody is known to be the last":     {zone: testZoneName},
+		"another zone":                       {last: otherAddr, zone: "y"},
+		"a later owner holds the key":        {last: otherAddr, held: ownerKey{OwnerRecord{Addr: "10.0.0.3:1"}, 9}, zone: testZoneName},
+		"this node is the owner":             {last: otherAddr, zone: testZoneName, own: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			o := lone(new(kvtest.Store))
+			o.lastAddr, o.held, o.known = c.last, c.held, true
+			if c.own {
+				o.tenured()
+			}
+			pong := o.Promise(from, &wire.OwnerPing{Zone: c.zone, Token: 5})
+			assert.Equal(t, c.want, pong.Promised, name)
+			assert.Equal(t, c.want, o.promisedUntil.Sub(time.Now()) == PromiseTime, "a promise binds this node")
+		})
+	}
+}
+
+// TestPromiseHoldsBack: a node that has promised does not take a free zone.
+func TestPromiseHoldsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(kvtest.Store)
+		o := lone(s)
+		o.lastAddr, o.known, o.ready = otherAddr, true, true
+		o.services = map[string]*route.Service{}
+		pong := o.Promise(fleet.Node{Zone: testZoneName, Addr: otherAddr}, &wire.OwnerPing{Zone: testZoneName})
+		require.True(t, pong.Promised)
+		assert.Equal(t, PromiseTime, o.campaign(t.Context()), "it looks again when the promise is over")
+		assert.Empty(t, s.Entries())
+	})
+}
