--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -146,7 +146,7 @@
 			}
 			pong := o.Promise(from, &wire.OwnerPing{Zone: c.zone, Token: 5})
 			assert.Equal(t, c.want, pong.Promised, name)
-			assert.Equal(t, c.want, o.promisedUntil.Sub(time.Now()) == PromiseTime, "a promise binds this node")
+			assert.Equal(t, c.want, time.Until(o.promisedUntil) == PromiseTime, "a promise binds this node")
 		})
 	}
 }
--- a/scenarios/processes_test.go
+++ b/scenarios/processes_test.go
@@ -55,9 +55,11 @@
 	// key-value service, and the others' way to it.
 	storeRelays, innerRelays map[fleet.NodeID]*relay.Relay
 
-	mu      sync.Mutex // guards running and paused
+	mu      sync.Mutex // guards running and ending
 	configs map[fleet.NodeID]*config.Config
 	running map[fleet.NodeID]*exec.Cmd
+	// ending are closed when the process before has ended and its ports are free.
+	ending map[fleet.NodeID]chan struct{}
 }
 
 func startProcesses(t *testing.T, s shape) *processes {
@@ -69,7 +71,7 @@
 	p := &processes{
 		deployment: d, t: t, dir: t.TempDir(),
 		storeRelays: map[fleet.NodeID]*relay.Relay{}, innerRelays: map[fleet.NodeID]*relay.Relay{},
-		configs: map[fleet.NodeID]*config.Config{}, running: map[fleet.NodeID]*exec.Cmd{},
+		configs: map[fleet.NodeID]*config.Config{}, running: map[fleet.NodeID]*exec.Cmd{}, ending: map[fleet.NodeID]chan struct{}{},
 	}
 	t.Cleanup(p.stop)
 	for _, zone := range zoneNames[:s.zones] {
@@ -115,8 +117,14 @@
 
 func (p *processes) path(id fleet.NodeID) string { return filepath.Join(p.dir, string(id)+".yaml") }
 
-// start starts a node that does not run.
+// start starts a node that does not run, once its former process has ended.
 func (p *processes) start(id fleet.NodeID) {
+	p.mu.Lock()
+	before := p.ending[id]
+	p.mu.Unlock()
+	if before != nil {
+		<-before
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running[id] != nil {
@@ -140,15 +148,33 @@
 	return cmd != nil && cmd.Process.Signal(s) == nil
 }
 
+// pause stops a node's process and returns how it goes on, also when it was
+// asked to end meanwhile.
+func (p *processes) pause(id fleet.NodeID) (resume func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := p.running[id]
+	if cmd == nil {
+		return func() {}
+	}
+	_ = cmd.Process.Signal(syscall.SIGSTOP) // it may have ended
+	return func() { _ = cmd.Process.Signal(syscall.SIGCONT) }
+}
+
 // end sends a signal and waits for the end of the process.
 func (p *processes) end(id fleet.NodeID, s syscall.Signal) error {
 	p.mu.Lock()
 	cmd := p.running[id]
 	delete(p.running, id)
+	done := make(chan struct{})
+	if cmd != nil {
+		p.ending[id] = done
+	}
 	p.mu.Unlock()
 	if cmd == nil {
 		return nil
 	}
+	defer close(done)
 	if err := cmd.Process.Signal(s); err != nil {
 		return err
 	}
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -120,8 +120,7 @@
 		go func() { _ = s.end(id, syscall.SIGTERM); close(done) }()
 		return "stop " + string(id), func() { <-done; s.start(id) }
 	case 2:
-		s.signal(id, syscall.SIGSTOP)
-		return "pause " + string(id), func() { s.signal(id, syscall.SIGCONT) }
+		return "pause " + string(id), s.pause(id)
 	case 3:
 		s.Store.SetFault([]standin.Fault{standin.Silent, standin.Busy, standin.Limited, standin.LoseAnswers}[s.rng.IntN(4)])
 		return "key-value service", func() { s.Store.SetFault(standin.Healthy) }
