scheduler: new requests of a full model are refused by their expected wait

Change: a new request behind as many others as runs are expected to end before its latest start (runs in progress over their mean duration, doubted by half) is refused at once with the time to come back. Test: TestFullModelRefusesBeyondWhatItCanServe.

--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -9,6 +9,10 @@
 // to the first free place, including the unload before it.
 const loadEstimate = time.Second
 
+// doubt is how many times longer than the time left the expected wait for a
+// place has to be for a refusal: other models may give way meanwhile.
+const doubt = 1.5
+
 // longestRetry bounds the time after which a refused request may come back.
 const longestRetry = 2 * time.Second
 
@@ -30,6 +34,7 @@
 		st := s.state(now, k)
 		if st.usable > 0 && st.coming == 0 && !s.hasRoom(now, k) {
 			s.sendElsewhere(now, q, Basis{Usable: st.usable})
+			s.refuseBeyond(now, q, st)
 			continue
 		}
 		if st.usable > 0 || st.coming > 0 {
@@ -64,6 +69,25 @@
 	}
 }
 
+// refuseBeyond refuses the requests of a model whose replicas are full that
+// will not get a place in time: those behind as many others as runs are
+// expected to end before their latest start. It is decided while a request is
+// new; later, the time that has passed says more of luck than of the queue.
+func (s *Scheduler) refuseBeyond(now time.Time, q *queue, st state) {
+	perSecond := float64(st.runs) / s.demandOf(q.key.modelKey()).duration().Seconds()
+	if perSecond <= 0 {
+		return
+	}
+	for i, w := range slices.Clone(q.waiters) {
+		expected := time.Duration(float64(i+1) / perSecond * float64(time.Second))
+		left := w.Deadline.Sub(now) - minimumRun
+		fresh := now.Sub(w.since) < loadEstimate/4
+		if fresh && float64(expected) > doubt*float64(left) {
+			s.refuse(now, w, Overloaded, min(max(expected-left, refusedRetry), longestRetry), Basis{Expected: expected, Left: w.Deadline.Sub(now), Usable: st.usable})
+		}
+	}
+}
+
 // coldWait estimates the time until the model of the queue at the given rank
 // is loaded.
 func (s *Scheduler) coldWait(now time.Time, rank, targets int) time.Duration {
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -396,6 +396,22 @@
 	assert.Equal(t, Elsewhere, one[Refusal](t, z.submit(r)).Reason, "another zone may have it")
 }
 
+// TestFullModelRefusesBeyondWhatItCanServe: more requests wait for a model than
+// its replica can begin in time. Those at the end are refused at once.
+func TestFullModelRefusesBeyondWhatItCanServe(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0"}, nil))
+	var last []Action
+	for range 30 { // 4 places, runs of 2 s, 5 s left: about 10 of the others in time
+		last = z.submit(z.request("m0"))
+	}
+	refusal := one[Refusal](t, last)
+	assert.Equal(t, Overloaded, refusal.Reason)
+	assert.Zero(t, refusal.Waited)
+	assert.GreaterOrEqual(t, refusal.RetryAfter, refusedRetry)
+	assert.Greater(t, refusal.Basis.Expected, refusal.Basis.Left)
+	assert.InDelta(t, 14, z.Waiting(), 2)
+}
+
 // limited returns a zone whose models have a limit of replicas.
 func limited(t *testing.T, limit int, targets ...*inventory.Target) *zone {
 	z := newZone(t, targets...)
