--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -130,6 +130,9 @@
 		consider(t.suspectUntil)
 		consider(t.busyUntil)
 		consider(t.quietUntil)
+		if at, ok := t.nextProbe(); ok && len(s.tickets) > 0 {
+			consider(at)
+		}
 		for _, r := range t.replicas {
 			for _, a := range r.adapters {
 				consider(a.readyAt)
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -412,6 +412,21 @@
 	assert.InDelta(t, 14, z.Waiting(), 2)
 }
 
+// TestProbeComesInTime: nothing but time makes a load usable, so that Next has
+// to tell of the moment.
+func TestProbeComesInTime(t *testing.T) {
+	z := newZone(t, engine("a", nil, []string{"m0"}))
+	order := one[SendOrder](t, z.submit(z.request("m0"))).Order
+	z.Ordered(z.now, order, OrderAccepted)
+	ready := z.now.Add(800*time.Millisecond + probeMargin)
+	for z.now.Before(ready) {
+		none[Grant](t, z.Step(z.now))
+		z.now = z.Next(z.now)
+	}
+	assert.Equal(t, ready, z.now)
+	assert.True(t, one[Grant](t, z.Step(z.now)).Probe)
+}
+
 // limited returns a zone whose models have a limit of replicas.
 func limited(t *testing.T, limit int, targets ...*inventory.Target) *zone {
 	z := newZone(t, targets...)
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -232,11 +232,24 @@
 	return a != nil && !a.doubted && !now.Before(a.readyAt)
 }
 
+// nextProbe returns when a run may show that a load has ended; ok is false when
+// no load of a model is being carried out, or a probe is.
+func (t *target) nextProbe() (at time.Time, ok bool) {
+	if t.phase != loading || t.expected <= 0 || t.order.Adapter != "" || t.probing {
+		return time.Time{}, false
+	}
+	at = t.orderSince.Add(t.expected + probeMargin)
+	if t.probeAt.After(at) {
+		at = t.probeAt
+	}
+	return at, true
+}
+
 // probeable tells whether one run may show that a load has ended, before a
 // report does.
 func (t *target) probeable(now time.Time, model, adapter string) bool {
-	return t.phase == loading && t.expected > 0 && adapter == "" && t.order.Model == model && t.order.Adapter == "" && !t.probing &&
-		!now.Before(t.orderSince.Add(t.expected+probeMargin)) && !now.Before(t.probeAt)
+	at, ok := t.nextProbe()
+	return ok && adapter == "" && t.order.Model == model && !now.Before(at)
 }
 
 // confirmed follows the first event of a probe: the load has ended.
