--- a/cmd/almondturn/main.go
+++ b/cmd/almondturn/main.go
@@ -28,12 +28,9 @@
 
 type entryCmd struct{}
 
-type configCmd struct {
-	Check *checkCmd `arg:"subcommand:check" help:"check settings files and exit"`
-}
-
 type checkCmd struct {
-	Files []string `arg:"positional,required" placeholder:"FILE"`
+	Platform bool     `arg:"--platform" help:"the files are settings of entry, in the platform's format"`
+	Files    []string `arg:"positional,required" placeholder:"FILE"`
 }
 
 type versionCmd struct{}
@@ -42,7 +39,7 @@
 	Serve   *serveCmd   `arg:"subcommand:serve" help:"run a node"`
 	Entry   *entryCmd   `arg:"subcommand:entry" help:"run an entry node on the users' platform; its settings file is named by the environment"`
 	Dev     *devCmd     `arg:"subcommand:dev" help:"run stand-ins and one node per zone in this process"`
-	Config  *configCmd  `arg:"subcommand:config" help:"work with settings files"`
+	Check   *checkCmd   `arg:"subcommand:check-config" help:"check settings files and exit"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -75,8 +72,8 @@
 		return platform.Run(ctx)
 	case a.Dev != nil:
 		return dev.Run(ctx, dev.Options{Port: a.Dev.Port}, os.Stdout)
-	case a.Config != nil && a.Config.Check != nil:
-		return checkFiles(a.Config.Check.Files)
+	case a.Check != nil:
+		return checkFiles(a.Check)
 	case a.Version != nil:
 		fmt.Println(version.String())
 		return nil
@@ -87,10 +84,10 @@
 }
 
 // checkFiles reports every file, and fails when one of them is wrong.
-func checkFiles(files []string) error {
+func checkFiles(c *checkCmd) error {
 	var errs []error
-	for _, f := range files {
-		if _, err := config.Load(f); err != nil {
+	for _, f := range c.Files {
+		if err := checkFile(f, c.Platform); err != nil {
 			errs = append(errs, err)
 			continue
 		}
@@ -98,3 +95,12 @@
 	}
 	return errors.Join(errs...)
 }
+
+func checkFile(path string, ofPlatform bool) error {
+	if ofPlatform {
+		_, err := platform.ReadSettings(path)
+		return err
+	}
+	_, err := config.Load(path)
+	return err
+}
--- a/pkg/config/docs_test.go
+++ b/pkg/config/docs_test.go
@@ -21,7 +21,7 @@
 // ALMONDTURN_UPDATE=1 rewrites the page.
 func TestSettingsPageListsEveryOption(t *testing.T) {
 	var b strings.Builder
-	b.WriteString("# Settings of a node\n\nOne YAML file per node; `almondturn config check FILE` checks it. Unknown fields are refused.\nRegenerate with `ALMONDTURN_UPDATE=1 go test ./pkg/config`.\n\n| option | default | rule | meaning |\n|---|---|---|---|\n")
+	b.WriteString("# Settings of a node\n\nOne YAML file per node; `almondturn check-config FILE` checks it. Unknown fields are refused.\nRegenerate with `ALMONDTURN_UPDATE=1 go test ./pkg/config`.\n\n| option | default | rule | meaning |\n|---|---|---|---|\n")
 	p := page{t: t, out: &b, docs: map[string]map[string]string{}}
 	p.options("", reflect.ValueOf(Default()))
 	if os.Getenv("ALMONDTURN_UPDATE") == "1" {
