entry: a node that starts while the key-value service is away works with what others know

Change: nodes keep the raw entries of their watches; a node that has never read a prefix and gets no answer asks the nodes that are connected, then its seeds (wire.SnapshotCall).

--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -330,11 +330,12 @@
 	return 0, nil, err
 }
 
-// seeds connects to the first node of the settings that answers. It is needed
-// only while no owner is known and the key-value service cannot tell of one.
+// seeds connects to the first node of the settings that answers and is not
+// connected yet. It is needed only while no owner is known and the key-value
+// service cannot tell of one.
 func (l *links) seeds(ctx context.Context) []*wire.Conn {
 	for _, addr := range l.node.settings.Seeds {
-		if addr == l.node.self.Addr {
+		if addr == l.node.self.Addr || l.connectedTo(addr) {
 			continue
 		}
 		c, err := wire.Dial(ctx, "ws://"+addr+innerPath, l.client, l.config(nil))
@@ -352,6 +353,18 @@
 	return nil
 }
 
+// connectedTo tells whether a node with this inner address is connected.
+func (l *links) connectedTo(addr string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.accepted {
+		if c.Peer().Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
 // run serves a connection that is not one to an owner until it ends.
 func (l *links) run(id fleet.NodeID, c *wire.Conn) {
 	_ = c.Run() // the reason does not matter: the other end dials again
@@ -414,6 +427,8 @@
 		return n.owner.Promise(from, m)
 	case *wire.ChangesCall:
 		return n.changes(ctx, m)
+	case *wire.SnapshotCall:
+		return n.snapshotOf(m)
 	case *wire.NodeState:
 		n.links.learnState(from.ID, m)
 	case *wire.NodesCall:
--- /dev/null
+++ b/pkg/entry/snapshot.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"almondturn/pkg/event"
+	"almondturn/pkg/kv"
+	"almondturn/wire"
+)
+
+// snapshot is a copy of the entries below a prefix, for nodes that start while
+// the key-value service is away.
+type snapshot struct {
+	mu      sync.Mutex // guards all below
+	known   bool
+	entries map[string]kv.Entry
+}
+
+// reset replaces all entries.
+func (s *snapshot) reset(entries []kv.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known, s.entries = true, make(map[string]kv.Entry, len(entries))
+	for _, e := range entries {
+		s.entries[e.Key] = e
+	}
+}
+
+// change applies changes.
+func (s *snapshot) change(events []kv.WatchEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range events {
+		if e.Deleted {
+			delete(s.entries, e.Entry.Key)
+			continue
+		}
+		s.entries[e.Entry.Key] = e.Entry
+	}
+}
+
+// all returns the entries; ok is false when they were never read.
+func (s *snapshot) all() (entries map[string]kv.Entry, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.entries), s.known
+}
+
+// snapshotOf answers another node's question for the entries below a prefix.
+func (n *Node) snapshotOf(m *wire.SnapshotCall) *wire.Snapshot {
+	for _, w := range n.watches {
+		if w.prefix != m.Prefix {
+			continue
+		}
+		entries, ok := w.snapshot.all()
+		out := &wire.Snapshot{Known: ok}
+		for _, e := range entries {
+			out.Entries = append(out.Entries, wire.Change{Key: e.Key, Value: e.Value, Revision: uint64(e.ModRevision)})
+		}
+		return out
+	}
+	return new(wire.Snapshot)
+}
+
+// borrow takes the entries from another node, if this one has never read them.
+// They stay in force until the key-value service answers.
+func (w *watch) borrow(ctx context.Context) {
+	if _, known := w.snapshot.all(); known {
+		return
+	}
+	entries, from, ok := w.node.links.snapshot(ctx, w.prefix)
+	if !ok {
+		return // the next failure asks again
+	}
+	w.snapshot.reset(entries)
+	w.reset(entries)
+	event.StoreBorrowed.Log(w.node.log).Str("prefix", w.prefix).Str("from", from).Int("entries", len(entries)).Send()
+}
+
+// snapshot asks the other nodes that are connected, or the seeds, for the
+// entries below a prefix.
+func (l *links) snapshot(ctx context.Context, prefix string) (entries []kv.Entry, from string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, linkSilence)
+	defer cancel()
+	for _, around := range []func() []*wire.Conn{l.neighbours, func() []*wire.Conn { return l.seeds(ctx) }} {
+		for _, c := range around() {
+			if entries, ok := askSnapshot(ctx, c, prefix); ok {
+				return entries, string(c.Peer().ID), true
+			}
+		}
+	}
+	return nil, "", false
+}
+
+// askSnapshot asks one node.
+func askSnapshot(ctx context.Context, c *wire.Conn, prefix string) ([]kv.Entry, bool) {
+	answer, err := c.Call(ctx, &wire.SnapshotCall{Prefix: prefix})
+	if err != nil {
+		return nil, false // another node may know
+	}
+	s, ok := answer.(*wire.Snapshot)
+	if !ok || !s.Known {
+		return nil, false
+	}
+	entries := make([]kv.Entry, len(s.Entries))
+	for i, e := range s.Entries {
+		entries[i] = kv.Entry{Key: e.Key, Value: e.Value, ModRevision: kv.Revision(e.Revision)}
+	}
+	return entries, true
+}
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -37,6 +37,8 @@
 	changed func([]kv.WatchEvent)
 	node    *Node
 	refresh chan struct{}
+	// snapshot is what was last read.
+	snapshot snapshot
 	// feed passes the changes on to other nodes; nil for a watch of the node
 	// alone. remote asks another node's feed first; nil never does.
 	feed   *feed
@@ -58,6 +60,7 @@
 			lost = true
 			event.StoreLost.Log(w.node.log).Str("prefix", w.prefix).Err(err).Send()
 		}
+		w.borrow(ctx)
 		sleep(ctx, watchRetry)
 	}
 }
@@ -72,6 +75,7 @@
 		*lost = false
 		event.StoreRegained.Log(w.node.log).Str("prefix", w.prefix).Send()
 	}
+	w.snapshot.reset(entries)
 	w.reset(entries)
 	if w.feed != nil {
 		w.feed.reset(revision)
@@ -85,6 +89,7 @@
 			w.feed.add(events, next)
 		}
 		if len(events) > 0 {
+			w.snapshot.change(events)
 			w.changed(events)
 			sleep(ctx, w.pause())
 		}
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -20,6 +20,7 @@
 	StoreLost            = register(716, "store_lost", zerolog.WarnLevel, "The key-value service gives no answer to a watch; the last state stays in force.")
 	StoreRegained        = register(717, "store_regained", zerolog.InfoLevel, "The key-value service answers a watch again.")
 
+	StoreBorrowed   = register(719, "store_borrowed", zerolog.WarnLevel, "The node has started while the key-value service gives no answer, and works with what another node knows of it.")
 	TargetsSurveyed = register(718, "targets_surveyed", zerolog.WarnLevel, "No owner of a zone was reached for seconds: the node has asked the targets of its zone itself what they have loaded.")
 
 	ZoneTaken        = register(720, "zone_taken", zerolog.InfoLevel, "This node owns its availability zone; the field orders_after_ms tells when it may order loads.")
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -117,6 +117,7 @@
 			t.order = append(t.order, id)
 		}
 	}
+	t.shareSeeds()
 	for _, id := range t.order {
 		if err := t.StartNode(id); err != nil {
 			t.Stop()
@@ -320,9 +321,6 @@
 	t.Fabric.Name(c.Listen.Inner, string(zone))
 	c.Store.Address, c.Store.MinLease = t.storeAddr, minLease
 	c.Deployment.Zones, c.Deployment.OrderPause, c.Deployment.DrainTime = t.opts.Zones, orderPause, drainTime
-	for _, other := range t.order {
-		c.Deployment.Seeds = append(c.Deployment.Seeds, t.configs[other].Listen.Inner)
-	}
 	c.Operators.RootTokenSHA256 = teams.HashKey(examples.DevRootToken)
 	if t.opts.Configure != nil {
 		t.opts.Configure(&c)
@@ -330,6 +328,17 @@
 	return &c
 }
 
+// shareSeeds gives every node the inner addresses of all others.
+func (t *Trial) shareSeeds() {
+	for _, id := range t.order {
+		for _, other := range t.order {
+			if other != id {
+				t.configs[id].Deployment.Seeds = append(t.configs[id].Deployment.Seeds, t.configs[other].Listen.Inner)
+			}
+		}
+	}
+}
+
 // platformHost is the platform's name in the fabric and among the relays.
 const platformHost = "platform"
 
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -231,10 +231,10 @@
 	ts.Check(get(ts).d.setLimit(ctx, args[0], number(ts, opts, "n", 0)))
 }
 
-// cmdAwait: await serving | await loaded MODEL n=N | await running n=N | await taken n=N
+// cmdAwait: await serving | await ready | await loaded MODEL n=N | await running n=N | await taken n=N
 func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
 	words, opts := options(args)
-	mustUse(ts, len(words) >= 1, "await serving|loaded MODEL n=N|running n=N|taken n=N")
+	mustUse(ts, len(words) >= 1, "await serving|ready|loaded MODEL n=N|running n=N|taken n=N")
 	d := get(ts).d
 	ctx, cancel := bounded()
 	defer cancel()
@@ -260,6 +260,15 @@
 			}
 			return nil
 		}))
+	case "ready":
+		ts.Check(trial.Wait(ctx, func() error {
+			for _, n := range d.Nodes() {
+				if !n.Ready() {
+					return fmt.Errorf("node %s is not ready", n.ID())
+				}
+			}
+			return nil
+		}))
 	case "taken":
 		ts.Check(trial.Wait(ctx, func() error {
 			have := 0
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -20,6 +20,8 @@
 	TypeNodes
 	TypeChangesCall
 	TypeChanges
+	TypeSnapshotCall
+	TypeSnapshot
 )
 
 // Place asks the owner of a zone for a target that has the model loaded. The
@@ -199,6 +201,20 @@
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
 }
 
+// SnapshotCall asks a node for the entries below a prefix that it knows, for a
+// sender that has just started and does not reach the key-value service. The
+// answer is Snapshot.
+type SnapshotCall struct {
+	Prefix string `cbor:"1,keyasint"`
+}
+
+// Snapshot answers SnapshotCall.
+type Snapshot struct {
+	// Known tells that the sender has read the prefix.
+	Known   bool     `cbor:"1,keyasint,omitempty"`
+	Entries []Change `cbor:"2,keyasint,omitempty"`
+}
+
 // Change is one change of an entry of the key-value service.
 type Change struct {
 	Key      string `cbor:"1,keyasint"`
@@ -260,6 +276,12 @@
 // Type implements Message.
 func (*Changes) Type() Type { return TypeChanges }
 
+// Type implements Message.
+func (*SnapshotCall) Type() Type { return TypeSnapshotCall }
+
+// Type implements Message.
+func (*Snapshot) Type() Type { return TypeSnapshot }
+
 // Type implements Message.
 func (*StoreCall) Type() Type { return TypeStoreCall }
 
