logsink: lines of success give way first while the output is not read

Change: above half of the queue, one of ten lines at level info is kept; request_refused is a warning. Dropped lines are counted as before. Test: TestRoutineLinesGiveWay: all of 512 failures among 5,120 lines are kept while nothing is read.

--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -36,10 +36,10 @@
 	PlaceRefused     = register(730, "place_refused", zerolog.InfoLevel, "The owner of a zone refused a request a place; the field reason tells why.")
 
 	RequestServed   = register(740, "request_served", zerolog.InfoLevel, "A request was answered; the field status is the target's.")
-	RequestRefused  = register(741, "request_refused", zerolog.InfoLevel, "A request was refused without having run.")
+	RequestRefused  = register(741, "request_refused", zerolog.WarnLevel, "A request was refused without having run.")
 	RequestBroken   = register(742, "request_broken", zerolog.WarnLevel, "A request failed after it was sent to a target, or its answer broke off.")
 	RequestGone     = register(743, "request_gone", zerolog.InfoLevel, "The client left before the end of the answer.")
 	RequestRetried  = register(744, "request_retried", zerolog.InfoLevel, "A request is sent to another target; the field cause tells why.")
 	BudgetExhausted = register(745, "retry_budget_exhausted", zerolog.WarnLevel, "A request is not repeated, because the budget of retries of its service is used up.")
-	LogDropped      = register(746, "log_dropped", zerolog.WarnLevel, "Log lines were dropped because the output was not read in time; the field lines counts them.")
+	LogDropped      = register(746, "log_dropped", zerolog.WarnLevel, "Log lines were dropped because the output was not read in time, lines of success first; the field lines counts them.")
 )
--- a/pkg/logsink/logsink.go
+++ b/pkg/logsink/logsink.go
@@ -5,6 +5,8 @@
 import (
 	"io"
 	"sync/atomic"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -13,6 +15,11 @@
 	queueLines = 2048
 	// batchBytes is the size above which waiting lines are written at once.
 	batchBytes = 32 << 10
+	// crowdedLines is the number of waiting lines above which routine lines are
+	// sampled, so that those of failures find room.
+	crowdedLines = queueLines / 2
+	// sampleEvery is the number of routine lines of which one is kept then.
+	sampleEvery = 10
 )
 
 // Sink is an io.Writer for whole lines.
@@ -20,6 +27,7 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	routine atomic.Uint64 // counts the routine lines that met a crowded queue
 	report  atomic.Pointer[func(uint64)]
 	done    chan struct{}
 }
@@ -45,6 +53,16 @@
 	return len(line), nil
 }
 
+// WriteLevel implements zerolog.LevelWriter: while many lines wait, most of
+// those at level info and below are dropped and counted.
+func (s *Sink) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	if level <= zerolog.InfoLevel && len(s.lines) > crowdedLines && s.routine.Add(1)%sampleEvery != 0 {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	return s.Write(line)
+}
+
 // Dropped returns the number of lines that were dropped and not reported yet.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
--- a/pkg/logsink/logsink_test.go
+++ b/pkg/logsink/logsink_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"io"
 	"sync"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -53,6 +55,37 @@
 	assert.Equal(t, lines, out.text.Len()/2+int(dropped), "every line is written or counted")
 }
 
+// TestRoutineLinesGiveWay: the output stands still, and every tenth line is of
+// a failure. No failure is lost while the queue has room for them.
+func TestRoutineLinesGiveWay(t *testing.T) {
+	out := &blocked{open: make(chan struct{})}
+	s := New(out)
+	const failures = crowdedLines / 2
+	for i := range failures * 10 {
+		level, text := zerolog.InfoLevel, "served\n"
+		if i%10 == 0 {
+			level, text = zerolog.WarnLevel, "FAILED\n"
+		}
+		_, err := s.WriteLevel(level, []byte(text))
+		assert.NoError(t, err)
+	}
+	close(out.open)
+	s.Close()
+	assert.Equal(t, failures, bytes.Count(out.text.Bytes(), []byte("FAILED")))
+	assert.Positive(t, s.Dropped())
+}
+
+// BenchmarkLine is the cost of one log line of a request.
+func BenchmarkLine(b *testing.B) {
+	s := New(io.Discard)
+	defer s.Close()
+	l := zerolog.New(s).With().Timestamp().Str("node", "front-a-1").Logger()
+	for b.Loop() {
+		l.Info().Int("event", 740).Str("name", "request_served").Str("request", "1cc86aea2d1f304d").Str("route", "r").Str("model", "m").
+			Str("target", "t").Int("status", 200).Int("sends", 1).Dur("waited_ms", 1500).Dur("first_ms", 200).Dur("total_ms", 300).Int64("version", 3).Send()
+	}
+}
+
 func TestBufferOfTheCallerIsNotKept(t *testing.T) {
 	var out bytes.Buffer
 	s := New(&out)
