--- /dev/null
+++ b/pkg/entry/shutdown.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"almondturn/pkg/event"
+)
+
+// Times of a graceful shutdown.
+const (
+	// stopPoll is the time between two looks while the node stops.
+	stopPoll = 50 * time.Millisecond
+	// stopMargin is the time before the kill at which requests are cut off.
+	stopMargin = 400 * time.Millisecond
+	// stopNotice is the longest time that clients are still taken while the
+	// balancer notices that the node stops.
+	stopNotice = 2800 * time.Millisecond
+	// requiredDenials is the number of the balancer's questions that a
+	// stopping node answers with no before clients stay away.
+	requiredDenials = 2
+)
+
+// Stop ends the node gracefully: the balancer is told first, the zone is given
+// up, and requests in progress are answered while there is time.
+func (n *Node) Stop() {
+	event.EntryStopping.Log(n.log).Int64("in_flight", n.inFlight.Load()).Send()
+	began := time.Now()
+	n.stoppingSince.Store(began.UnixNano())
+	n.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTime-stopMargin)
+	defer cancel()
+	n.owner.Resign(ctx)
+	n.links.leave()
+	for ctx.Err() == nil {
+		if n.noticed(time.Since(began)) {
+			n.idle.closeOlder(0)
+			if n.inFlight.Load() == 0 && n.idle.none() {
+				break
+			}
+		}
+		sleep(ctx, stopPoll)
+	}
+	cut := n.inFlight.Load()
+	n.cancelHard()
+	n.settle()
+	event.EntryStopped.Log(n.log).Int64("cut", cut).Dur("after_ms", time.Since(began)).Send()
+	n.cancel()
+	for _, s := range []*http.Server{n.clients, n.readiness, n.inner} {
+		_ = s.Close()
+	}
+}
+
+// noticed tells whether clients stay away from a node that has been stopping
+// for a time.
+func (n *Node) noticed(stopping time.Duration) bool {
+	if !n.asked.Load() || stopping > stopNotice {
+		return true // nobody asks, or everybody had the time to
+	}
+	return n.denials.Load() >= requiredDenials && stopping > stopNotice/4
+}
+
+// Abort ends the node at once, as a crash does: nothing is handed over.
+func (n *Node) Abort() {
+	n.owner.Abandon()
+	n.cancelHard()
+	n.cancel()
+	for _, s := range []*http.Server{n.clients, n.readiness, n.inner} {
+		_ = s.Close()
+	}
+}
+
+// settle gives the requests that were cut off the time to answer.
+func (n *Node) settle() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	for n.inFlight.Load() > 0 && sleep(ctx, stopPoll/5) {
+	}
+	_ = n.clients.Shutdown(ctx) // what is left is cut off by Close
+}
+
+// idleConns are the connections of clients that wait for the next request.
+type idleConns struct {
+	mu    sync.Mutex // guards since
+	since map[net.Conn]time.Time
+}
+
+func newIdleConns() *idleConns { return &idleConns{since: map[net.Conn]time.Time{}} }
+
+func (i *idleConns) track(c net.Conn, s http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if s == http.StateIdle {
+		i.since[c] = time.Now()
+		return
+	}
+	delete(i.since, c)
+}
+
+// closeOlder ends the connections that are idle for longer than d. It ends the
+// wait for their next request and leaves the close to the server: a request
+// that has arrived at this moment is answered. The server may just be about to
+// wait without a bound, so that callers repeat it.
+func (i *idleConns) closeOlder(d time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	for c, since := range i.since {
+		if now.Sub(since) > d {
+			_ = c.SetReadDeadline(now)
+		}
+	}
+}
+
+// none tells whether no connection is idle.
+func (i *idleConns) none() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.since) == 0
+}
