entry: the configuration's bound on the head of a request holds; unused settings are gone

Cause: max_header_bytes of the configuration was decoded and not applied (a constant of 64 KB was); five other figures were decoded and used nowhere.

Change: a head above the bound is refused as header_too_large (431), not run. HealthPath, MaxConnections, HeaderTimeout, MemoryMB and ConfigApplyTime are gone.

--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -72,6 +72,9 @@
 	if table == nil || n.view.Load() == nil {
 		return nil, refuse(fault.NotReady, defaultRetry, "the configuration is not known yet")
 	}
+	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return nil, refuse(fault.HeaderTooLarge, 0, "the head of the request is larger than %d bytes", limit)
+	}
 	req, err := n.clientProtocol.Accept(r, table)
 	if err != nil {
 		return nil, &Refusal{Error: err}
@@ -79,6 +82,19 @@
 	return &job{Request: req, table: table, arrived: time.Now()}, nil
 }
 
+// headerBytes returns the size of the head of a request as it was sent, but for
+// spaces around values.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + separators
+		}
+	}
+	return size
+}
+
 // admit completes a request whose body has been read.
 func (j *job) admit() *Refusal {
 	if j.ReadBody != nil {
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -34,8 +34,6 @@
 	Bounds
 	// Strength is the share of a processor core that the process may use.
 	Strength float64
-	// MemoryMB is the memory that the process may use, in MB.
-	MemoryMB float64
 }
 
 // advertised returns the inner address that other nodes dial.
@@ -52,8 +50,6 @@
 	DrainTime time.Duration
 	// ShutdownTime is the time between the signal to stop and the kill.
 	ShutdownTime time.Duration
-	// ConfigApplyTime is the time in which a configuration is to be in force.
-	ConfigApplyTime time.Duration
 	// RetryRatio and RetrySlack bound the repeated sends to a service within
 	// RetryWindow, over all nodes: a share of the requests, and a number.
 	RetryRatio  float64
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -37,6 +37,7 @@
 	StreamBroken
 	NotReady
 	TimeOver
+	HeaderTooLarge
 	kindEnd
 )
 
@@ -84,6 +85,7 @@
 	ShuttingDown:        {Status: http.StatusServiceUnavailable, Code: "shutting_down", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	OutcomeUnknown:      {Status: http.StatusBadGateway, Code: "outcome_unknown", Run: RunUnknown},
 	StreamBroken:        {Status: http.StatusBadGateway, Code: "stream_broken", Run: RunYes},
+	HeaderTooLarge:      {Status: http.StatusRequestHeaderFieldsTooLarge, Code: "header_too_large", Run: RunNo},
 	TimeOver:            {Status: http.StatusGatewayTimeout, Code: "time_over", Run: RunUnknown},
 	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -122,10 +122,7 @@
 
 // Service is a group of targets that run the same program.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections is what one target accepts from all callers.
-	MaxConnections int
+	Name string
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -134,7 +131,6 @@
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 }
 
