zoneowner: the state of a zone is told when it has changed

Cause: an owner sent the state, with the list of all nodes, to all nodes at least once a second: bytes grow with the square of the nodes.

Change: the nodes are told when they change, the state when something that nodes act on has changed, and every 5 s. Test: TestStateIsToldWhenItChanges (4 broadcasts in the first 4 s before, 1 now).

--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -10,6 +10,7 @@
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/route"
 	"almondturn/pkg/scheduler"
+	"almondturn/pkg/zoneowner"
 	"almondturn/wire"
 )
 
@@ -138,9 +139,6 @@
 	weight  uint64
 }
 
-// backlogStep is the size of the steps of zoneRank.backlog.
-const backlogStep = 3
-
 // Classes of zoneRank.
 const (
 	loadedHere = iota
@@ -177,7 +175,7 @@
 		case state == nil || state.OrdersAfterMillis > 0:
 			r.class = noOrders
 		case copies[zone]:
-			r.class, r.backlog = copyKept, state.Backlog/backlogStep
+			r.class, r.backlog = copyKept, state.Backlog/zoneowner.BacklogStep
 		}
 		ranks = append(ranks, r)
 	}
--- a/pkg/zoneowner/campaign.go
+++ b/pkg/zoneowner/campaign.go
@@ -40,7 +40,7 @@
 	// stateInterval is the least time between two broadcasts of the zone's
 	// state; stateRefresh the longest.
 	stateInterval = 100 * time.Millisecond
-	stateRefresh  = time.Second
+	stateRefresh  = 5 * time.Second
 )
 
 // OwnerRecord is the value of a zone's key.
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,20 +17,24 @@
 	"almondturn/pkg/kv"
 	"almondturn/pkg/kv/kvtest"
 	"almondturn/pkg/route"
+	"almondturn/pkg/scheduler"
 	"almondturn/wire"
 )
 
 // The rules of ownership, one by one: a cluster hides what a single rule does,
 // because another one often catches what it lets through.
 
-// nobody is a network without other nodes.
-type nobody struct{}
+// hall is a network that records what is broadcast.
+type hall struct {
+	nodes []fleet.Node
+	told  []*wire.ZoneState
+}
 
-func (nobody) Ping(context.Context, fleet.NodeID, *wire.OwnerPing) (*wire.OwnerPong, error) {
+func (*hall) Ping(context.Context, fleet.NodeID, *wire.OwnerPing) (*wire.OwnerPong, error) {
 	return new(wire.OwnerPong), nil
 }
-func (nobody) Broadcast(*wire.ZoneState) {}
-func (nobody) Connected() []fleet.Node   { return nil }
+func (h *hall) Broadcast(m *wire.ZoneState) { h.told = append(h.told, m) }
+func (h *hall) Connected() []fleet.Node     { return slices.Clone(h.nodes) }
 
 // The node under test, and another one.
 const (
@@ -40,7 +46,7 @@
 	log := zerolog.Nop()
 	return New(Config{
 		Self: fleet.Node{ID: "n1", Zone: testZoneName, Incarnation: "i1", Addr: ownAddr}, Strength: 1, MinLease: time.Second, HolderPause: testPause,
-		Zones: []fleet.Zone{testZoneName}, Store: s, Network: nobody{}, Log: &log, Version: func() int64 { return 1 }, Boot: time.Now,
+		Zones: []fleet.Zone{testZoneName}, Store: s, Network: new(hall), Log: &log, Version: func() int64 { return 1 }, Boot: time.Now,
 	})
 }
 
@@ -164,3 +170,38 @@
 		assert.Empty(t, s.Entries())
 	})
 }
+
+// TestStateIsToldWhenItChanges: a broadcast goes to every node, so that a
+// large deployment bears no more of them than needed.
+func TestStateIsToldWhenItChanges(t *testing.T) {
+	o, network, version := lone(new(kvtest.Store)), new(hall), int64(1)
+	o.cfg.Network, o.cfg.Version = network, func() int64 { return version }
+	tenure := o.tenured()
+	tenure.scheduler = scheduler.New(0)
+	now := time.Now()
+	for range 40 { // 4 s
+		o.tellState(tenure, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	require.Len(t, network.told, 1)
+	assert.Len(t, network.told[0].Nodes, 1, "the node itself")
+	for i := range 3 {
+		network.nodes = append(network.nodes, fleet.Node{ID: fleet.NodeID(fmt.Sprint("n", 9-i))})
+		now = now.Add(time.Second)
+		o.tellState(tenure, now)
+	}
+	require.Len(t, network.told, 4, "each node that comes has to know the others")
+	assert.Len(t, network.told[3].Nodes, 4)
+	slices.Reverse(network.nodes)
+	now = now.Add(time.Second)
+	o.tellState(tenure, now)
+	assert.Len(t, network.told, 4, "the order of the connections does not matter")
+	version = 2
+	now = now.Add(time.Second)
+	o.tellState(tenure, now)
+	require.Len(t, network.told, 5)
+	assert.Empty(t, network.told[4].Nodes)
+	now = now.Add(stateRefresh)
+	o.tellState(tenure, now)
+	assert.Len(t, network.told, 6)
+}
--- a/pkg/zoneowner/state.go
+++ b/pkg/zoneowner/state.go
@@ -1,21 +1,27 @@
 package zoneowner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
+	"almondturn/fleet"
 	"almondturn/wire"
 )
 
 // stateSent is the last broadcast of a zone's state.
 type stateSent struct {
-	at     time.Time
-	loaded map[string][]string
-	full   map[string][]string
-	orders bool
+	at    time.Time
+	state *wire.ZoneState
+	// nodes are those that were last told; only changes of them are.
+	nodes []fleet.Node
 }
 
+// BacklogStep is the size of the steps in which a zone's backlog is told and
+// compared, so that small differences do not part the requests for one model.
+const BacklogStep = 3
+
 // tellState broadcasts the zone's state when it has changed or is due, and
 // returns the time until the next look. o.mu is held.
 func (o *Owner) tellState(t *tenure, now time.Time) time.Duration {
@@ -24,24 +30,40 @@
 		return stateInterval - since
 	}
 	m := o.state(t, now)
-	orders := m.OrdersAfterMillis == 0
-	same := orders == t.state.orders && maps.EqualFunc(m.Loaded, t.state.loaded, slices.Equal[[]string]) &&
-		maps.EqualFunc(m.Full, t.state.full, slices.Equal[[]string])
-	if same && since < stateRefresh {
+	nodes := o.nodes()
+	met := slices.Equal(nodes, t.state.nodes)
+	if met && sameState(m, t.state.state) && since < stateRefresh {
 		return stateRefresh - since
 	}
-	t.state = stateSent{at: now, loaded: m.Loaded, full: m.Full, orders: orders}
+	if !met {
+		m.Nodes = nodes
+	}
+	t.state = stateSent{at: now, state: m, nodes: nodes}
 	o.told.Store(m)
 	o.cfg.Network.Broadcast(m)
 	return stateRefresh
 }
 
+// nodes returns the connected nodes and this one, in order.
+func (o *Owner) nodes() []fleet.Node {
+	nodes := append(o.cfg.Network.Connected(), o.cfg.Self)
+	slices.SortFunc(nodes, func(a, b fleet.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return nodes
+}
+
+// sameState tells whether nothing has changed that nodes act on. before may be nil.
+func sameState(now, before *wire.ZoneState) bool {
+	return before != nil && (now.OrdersAfterMillis == 0) == (before.OrdersAfterMillis == 0) &&
+		now.ConfigurationVersion == before.ConfigurationVersion && now.Backlog/BacklogStep == before.Backlog/BacklogStep &&
+		maps.EqualFunc(now.Loaded, before.Loaded, slices.Equal[[]string]) && maps.EqualFunc(now.Full, before.Full, slices.Equal[[]string])
+}
+
 // state returns what the nodes are told. o.mu is held.
 func (o *Owner) state(t *tenure, now time.Time) *wire.ZoneState {
 	summary := t.scheduler.Summary(now)
 	m := &wire.ZoneState{
 		Zone: o.cfg.Self.Zone, Token: t.token, Loaded: summary.Loaded, Full: summary.Full, Backlog: summary.Backlog,
-		Nodes: append(o.cfg.Network.Connected(), o.cfg.Self), ConfigurationVersion: o.cfg.Version(),
+		ConfigurationVersion: o.cfg.Version(),
 	}
 	boot := o.cfg.Boot()
 	if after := t.ordersFrom.Sub(boot); after > 0 {
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -127,7 +127,8 @@
 	Loaded map[string][]string `cbor:"3,keyasint,omitempty"`
 	// OrdersAfterMillis is the time until the owner may order loads.
 	OrdersAfterMillis int64 `cbor:"4,keyasint,omitempty"`
-	// Nodes are the entry nodes that are connected to the owner.
+	// Nodes are the entry nodes that are connected to the owner, with itself;
+	// empty when they are those of the message before.
 	Nodes []fleet.Node `cbor:"5,keyasint,omitempty"`
 	// ConfigurationVersion is the newest one that the owner knows of.
 	ConfigurationVersion int64 `cbor:"6,keyasint,omitempty"`
