--- a/pkg/entry/feed.go
+++ b/pkg/entry/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,14 +75,29 @@
 		return new(wire.Changes), f.changed
 	}
 	out = &wire.Changes{Known: true, Revision: uint64(f.head)}
-	for _, e := range f.events {
-		if e.Entry.ModRevision > revision {
-			out.Events = append(out.Events, wire.Change{Key: e.Entry.Key, Value: e.Entry.Value, Revision: uint64(e.Entry.ModRevision), Deleted: e.Deleted})
-		}
+	for _, e := range lastOfEach(f.events, revision) {
+		out.Events = append(out.Events, wire.Change{Key: e.Entry.Key, Value: e.Entry.Value, Revision: uint64(e.Entry.ModRevision), Deleted: e.Deleted})
 	}
 	return out, f.changed
 }
 
+// lastOfEach returns the last change after a revision of each key, in order.
+func lastOfEach(events []kv.WatchEvent, after kv.Revision) []kv.WatchEvent {
+	seen := map[string]bool{}
+	var out []kv.WatchEvent
+	for _, e := range slices.Backward(events) {
+		if e.Entry.ModRevision <= after {
+			break
+		}
+		if !seen[e.Entry.Key] {
+			seen[e.Entry.Key] = true
+			out = append(out, e)
+		}
+	}
+	slices.Reverse(out)
+	return out
+}
+
 // wait returns the changes after a revision as soon as there are some, or when
 // the wait is over.
 func (f *feed) wait(ctx context.Context, revision kv.Revision, wait time.Duration) *wire.Changes {
--- a/pkg/entry/feed_test.go
+++ b/pkg/entry/feed_test.go
@@ -70,6 +70,15 @@
 	assert.Len(t, f.revisions(last-feedEvents), feedEvents)
 }
 
+// TestFeedTellsTheLastChangeOfAKey: what was changed again need not be sent.
+func TestFeedTellsTheLastChangeOfAKey(t *testing.T) {
+	f := newFeed()
+	f.reset(0)
+	f.add([]kv.WatchEvent{change("a", 1), change("b", 2), change("a", 3), {Entry: kv.Entry{Key: "b", ModRevision: 4}, Deleted: true}, change("c", 5)}, 5)
+	assert.Equal(t, []uint64{3, 4, 5}, f.revisions(0))
+	assert.Equal(t, []uint64{4, 5}, f.revisions(3))
+}
+
 func TestFeedWakesThoseThatWait(t *testing.T) {
 	f := newFeed()
 	f.reset(1)
