platform: tests take ports that outgoing connections do not

Cause: the platform tests failed once beside the soak, and once in six runs at the same time: listen on 127.0.0.1:39235: address already in use. The tests took a port by listening on port 0 and closing it; an outgoing connection of another test could get it before the node. (The output of the first failure was not kept; the second shows this cause.)

Change: standin.FreeAddr, which pkg/trial had, for both: ports below those of outgoing connections.

--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -8,9 +8,7 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"almondturn/examples"
@@ -317,7 +315,7 @@
 func (t *Trial) config(id fleet.NodeID, zone fleet.Zone, index int) *config.Config {
 	c := config.Default()
 	c.Node.ID, c.Node.Zone, c.Node.Secret = id, zone, secret
-	c.Listen = config.Listen{Callers: loopback(t.opts.CallersPort, index), Operators: loopback(t.opts.OperatorsPort, index), Inner: freePort()}
+	c.Listen = config.Listen{Callers: loopback(t.opts.CallersPort, index), Operators: loopback(t.opts.OperatorsPort, index), Inner: standin.FreeAddr()}
 	t.Fabric.Name(c.Listen.Inner, string(zone))
 	c.Store.Address, c.Store.MinLease = t.storeAddr, minLease
 	c.Deployment.Zones, c.Deployment.OrderPause, c.Deployment.DrainTime = t.opts.Zones, orderPause, drainTime
@@ -356,36 +354,10 @@
 // takes any free one.
 func loopback(first, index int) string {
 	if first == 0 {
-		return freePort()
+		return standin.FreeAddr()
 	}
 	return net.JoinHostPort("127.0.0.1", fmt.Sprint(first+index))
 }
 
-// The ports that nodes of a trial take lie below those that outgoing
-// connections use, so that a stopped node finds its ports free again.
-const (
-	firstPort = 12000
-	lastPort  = 30000
-)
-
-// nextPort is where the search for a free port goes on. Processes start at
-// different places.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid() * 97 % (lastPort - firstPort))) }
-
-// freePort returns a loopback address that nobody listens on.
-func freePort() string {
-	for range lastPort - firstPort {
-		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
-		addr := net.JoinHostPort("127.0.0.1", fmt.Sprint(port))
-		if l, err := net.Listen("tcp", addr); err == nil {
-			_ = l.Close()
-			return addr
-		}
-	}
-	return "127.0.0.1:0"
-}
-
 // targets returns the number of targets whose entries are ready or leaving.
 func (t *Trial) targets() int { return len(t.Engines) + len(t.Plains) }
