--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -58,11 +59,15 @@
 	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port"`
 }
 
-// TLS holds the certificates of the outer listeners; an empty pair serves
-// plain text.
+// TLS holds the certificates of the listeners; an empty pair serves plain text.
 type TLS struct {
 	Callers   KeyPair `yaml:"callers"`
 	Operators KeyPair `yaml:"operators"`
+	// Inner is what nodes show each other.
+	Inner KeyPair `yaml:"inner"`
+	// InnerCA is the PEM file of the authority that signs the nodes'
+	// certificates; it must be given with tls.inner.
+	InnerCA string `yaml:"inner_ca" validate:"omitempty,filepath"`
 }
 
 // KeyPair names the PEM files of a certificate and its key.
@@ -185,6 +190,9 @@
 	if !slices.Contains(c.Deployment.Zones, c.Node.Zone) {
 		return fmt.Errorf("node.zone %q is none of deployment.zones %v", c.Node.Zone, c.Deployment.Zones)
 	}
+	if (c.TLS.InnerCA == "") != (c.TLS.Inner.Cert == "") {
+		return errors.New("tls.inner and tls.inner_ca must be given together")
+	}
 	return nil
 }
 
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -57,7 +57,7 @@
 func newLinks(n *Node, dial fleet.DialFunc) *links {
 	return &links{
 		node:     n,
-		client:   &http.Client{Transport: &http.Transport{DialContext: dial}},
+		client:   &http.Client{Transport: &http.Transport{DialContext: dial, TLSClientConfig: n.settings.InnerTLS}},
 		zones:    map[fleet.Zone]*link{},
 		accepted: map[fleet.NodeID]*wire.Conn{},
 		known:    map[fleet.NodeID]fleet.Node{},
@@ -91,10 +91,18 @@
 	l.changed = make(chan struct{})
 }
 
+// url returns where a node with an inner address takes connections.
+func (l *links) url(addr string) string {
+	if l.node.settings.InnerTLS != nil {
+		return "wss://" + addr + innerPath
+	}
+	return "ws://" + addr + innerPath
+}
+
 // keep dials the owner until the link is replaced.
 func (l *links) keep(ctx context.Context, k *link) {
 	for ctx.Err() == nil {
-		c, err := wire.Dial(ctx, "ws://"+k.owner.Addr+innerPath, l.client, l.config(k))
+		c, err := wire.Dial(ctx, l.url(k.owner.Addr), l.client, l.config(k))
 		if err == nil {
 			l.serve(ctx, k, c)
 		}
@@ -338,7 +346,7 @@
 		if addr == l.node.self.Addr || l.connectedTo(addr) {
 			continue
 		}
-		c, err := wire.Dial(ctx, "ws://"+addr+innerPath, l.client, l.config(nil))
+		c, err := wire.Dial(ctx, l.url(addr), l.client, l.config(nil))
 		if err != nil {
 			continue // seeds may be stale
 		}
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -205,7 +205,7 @@
 		server *http.Server
 		addr   string
 		secure *tls.Config
-	}{{n.inner, n.settings.InnerAddr, nil}, {n.readiness, n.settings.ReadinessAddr, nil}, {n.clients, n.settings.ClientsAddr, n.settings.ClientsTLS}}
+	}{{n.inner, n.settings.InnerAddr, n.settings.InnerTLS}, {n.readiness, n.settings.ReadinessAddr, nil}, {n.clients, n.settings.ClientsAddr, n.settings.ClientsTLS}}
 	for _, l := range listeners {
 		if l.addr == "" {
 			continue
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -24,6 +24,8 @@
 	AdvertisedAddr string
 	// ClientsTLS is nil for plain text.
 	ClientsTLS *tls.Config
+	// InnerTLS is what nodes show each other and check; nil for plain text.
+	InnerTLS *tls.Config
 	// Secret authenticates nodes to each other; all nodes have the same.
 	Secret []byte
 	// StoreAddr is the address of the platform's key-value service.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -104,10 +105,14 @@
 	if err != nil {
 		return nil, err
 	}
+	inner, err := innerTLS(c)
+	if err != nil {
+		return nil, err
+	}
 	return &entry.Settings{
 		Node: c.Node.ID, Zone: c.Node.Zone, Strength: c.Node.Cores,
 		ClientsAddr: c.Listen.Callers, InnerAddr: c.Listen.Inner, AdvertisedAddr: c.Listen.Advertise,
-		ClientsTLS: secure, Secret: []byte(c.Node.Secret),
+		ClientsTLS: secure, InnerTLS: inner, Secret: []byte(c.Node.Secret),
 		StoreAddr: c.Store.Address, Seeds: c.Deployment.Seeds, Zones: c.Deployment.Zones,
 		Bounds: entry.Bounds{
 			DrainTime: c.Deployment.DrainTime, ShutdownTime: c.Shutdown.Time,
@@ -117,6 +122,25 @@
 	}, nil
 }
 
+// innerTLS returns what nodes show each other and check, both ways; nil when
+// they speak in plain text.
+func innerTLS(c *config.Config) (*tls.Config, error) {
+	secure, err := certificate("tls.inner", c.TLS.Inner)
+	if err != nil || secure == nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(c.TLS.InnerCA)
+	if err != nil {
+		return nil, fmt.Errorf("tls.inner_ca: %w", err)
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("tls.inner_ca: %s holds no PEM certificate", c.TLS.InnerCA)
+	}
+	secure.RootCAs, secure.ClientCAs, secure.ClientAuth = authorities, authorities, tls.RequireAndVerifyClientCert
+	return secure, nil
+}
+
 // certificate loads a key pair; nil when none is named.
 func certificate(name string, pair config.KeyPair) (*tls.Config, error) {
 	if pair.Cert == "" {
