--- a/pkg/zoneowner/owner_test.go
+++ b/pkg/zoneowner/owner_test.go
@@ -178,21 +178,28 @@
 	})
 }
 
+// restartOthers ends all nodes without a word, lets the key lapse, and starts
+// all but the owner, which it returns.
+func (c *cluster) restartOthers(ctx context.Context) (owner int) {
+	owner = c.owner()
+	for i := range testNodes {
+		c.crash(i)
+	}
+	time.Sleep(2 * time.Second)
+	for i := range testNodes {
+		if i != owner {
+			c.start(ctx, i)
+		}
+	}
+	return owner
+}
+
 // TestOwnerIsPreferredAfterAllHaveRestarted: all nodes died and the key has
 // lapsed. The node that owned the zone needs no pause, so that the others let
 // it come first, although it starts last.
 func TestOwnerIsPreferredAfterAllHaveRestarted(t *testing.T) {
 	run(t, func(ctx context.Context, c *cluster) {
-		first := c.owner()
-		for i := range testNodes {
-			c.crash(i)
-		}
-		time.Sleep(2 * time.Second)
-		for i := range testNodes {
-			if i != first {
-				c.start(ctx, i)
-			}
-		}
+		first := c.restartOthers(ctx)
 		time.Sleep(400 * time.Millisecond)
 		c.start(ctx, first)
 		before := c.count()
@@ -205,16 +212,7 @@
 // TestOthersTakeTheZoneWhenTheOwnerStaysAway: the preference does not last.
 func TestOthersTakeTheZoneWhenTheOwnerStaysAway(t *testing.T) {
 	run(t, func(ctx context.Context, c *cluster) {
-		first := c.owner()
-		for i := range testNodes {
-			c.crash(i)
-		}
-		time.Sleep(2 * time.Second)
-		for i := range testNodes {
-			if i != first {
-				c.start(ctx, i)
-			}
-		}
+		first := c.restartOthers(ctx)
 		time.Sleep(2 * time.Second)
 		assert.NotContains(t, []int{-1, first}, c.owner())
 	})
