logsink: the tests wait until the writer stands in its first write

The writer takes up to 32 KB of lines into its first batch before it meets the blocked output; at 7 bytes a line that is more than 4,000 lines, so that the queue never became crowded when the writer ran beside the loop. TestOutputThatIsNotReadBlocksNobody had the same gap (2 bytes a line, 8,192 lines fit into one batch). Ruled out: a fault of the sampling itself; the counts were right for what was queued. Change: both tests write one line and wait until the output has been entered, so that each later line stays in the queue. The count of dropped lines is now checked to the line (was: positive).

--- a/pkg/logsink/logsink_test.go
+++ b/pkg/logsink/logsink_test.go
@@ -12,12 +12,26 @@
 
 // blocked is an output that is not read until it is opened.
 type blocked struct {
-	open chan struct{}
-	mu   sync.Mutex
-	text bytes.Buffer
+	entered chan struct{} // closed when the first write has begun
+	open    chan struct{}
+	begin   sync.Once
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+// stuckSink returns a Sink whose writer stands in its first write, of one
+// line, so that all later lines stay in the queue until the output is opened.
+// Without the wait, the writer may take thousands of lines into its first batch.
+func stuckSink() (*Sink, *blocked) {
+	out := &blocked{entered: make(chan struct{}), open: make(chan struct{})}
+	s := New(out)
+	_, _ = s.Write([]byte("first\n"))
+	<-out.entered
+	return s, out
 }
 
 func (b *blocked) Write(p []byte) (int, error) {
+	b.begin.Do(func() { close(b.entered) })
 	<-b.open
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -35,8 +49,7 @@
 }
 
 func TestOutputThatIsNotReadBlocksNobody(t *testing.T) {
-	out := &blocked{open: make(chan struct{})}
-	s := New(out)
+	s, out := stuckSink()
 	told := make(chan uint64, 1)
 	s.Report(func(n uint64) { told <- n })
 	const lines = queueLines * 4
@@ -46,20 +59,20 @@
 		assert.Equal(t, 2, n)
 	}
 	dropped := s.Dropped()
-	assert.Positive(t, dropped)
+	assert.Equal(t, uint64(lines-queueLines), dropped, "the queue is filled to its end")
 	close(out.open)
 	assert.Equal(t, dropped, <-told)
 	s.Close()
 	out.mu.Lock()
 	defer out.mu.Unlock()
-	assert.Equal(t, lines, out.text.Len()/2+int(dropped), "every line is written or counted")
+	written := bytes.Count(out.text.Bytes(), []byte("x\n"))
+	assert.Equal(t, lines, written+int(dropped), "every line is written or counted")
 }
 
 // TestRoutineLinesGiveWay: the output stands still, and every tenth line is of
 // a failure. No failure is lost while the queue has room for them.
 func TestRoutineLinesGiveWay(t *testing.T) {
-	out := &blocked{open: make(chan struct{})}
-	s := New(out)
+	s, out := stuckSink()
 	const failures = crowdedLines / 2
 	for i := range failures * 10 {
 		level, text := zerolog.InfoLevel, "served\n"
