scheduler: prompts are paced by the pause between events that routes allow

Before each pause, 8,000 to 26,000 prompt tokens had been granted at the target within 0.4 s; an engine reads them between the tokens of its streams. The wait for it counts as a slow start, so that the model gets another replica. A load is probed twice at most: one request had spent all its five sends on probes of one load and was refused.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -37,6 +37,10 @@
 	target string
 	waited time.Duration
 	first  time.Duration
+	// lastAt is when the last events were passed on, pause the longest time
+	// between two such moments.
+	lastAt time.Time
+	pause  time.Duration
 }
 
 // Bounds of the attempts for one request.
@@ -299,7 +303,7 @@
 	}
 	e := line.Log(n.log).Str("request", j.ID).Str("route", j.Route.Name).Str("model", j.Model).
 		Str("target", j.target).Int("status", a.status).Int("sends", j.sends).Int("runs", j.runs).
-		Dur("waited_ms", j.waited).Dur("first_ms", j.first).Dur("total_ms", time.Since(j.arrived)).Int64("version", j.table.Version)
+		Dur("waited_ms", j.waited).Dur("first_ms", j.first).Dur("pause_ms", j.pause).Dur("total_ms", time.Since(j.arrived)).Int64("version", j.table.Version)
 	if ref != nil {
 		e = e.Str("reason", ref.Message)
 	}
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -125,6 +125,7 @@
 		ObjectiveMillis: j.arrived.Add(j.Route.Objective).Sub(now).Milliseconds(),
 		DeadlineMillis:  j.startBy().Sub(now).Milliseconds(),
 		LatencyMillis:   j.Route.Objective.Milliseconds(),
+		GapMillis:       j.Route.EventGap.Milliseconds(),
 		Exclude:         j.exclude, LastResort: last,
 	}
 }
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -77,10 +77,14 @@
 }
 
 func (n *Node) writeEvents(j *job, resp *upstream.Answer, a *answer, status int, events []byte) error {
+	now := time.Now()
 	if !a.started {
 		a.begin(status, resp.Header, -1)
-		j.first = time.Since(j.arrived)
+		j.first = now.Sub(j.arrived)
+	} else {
+		j.pause = max(j.pause, now.Sub(j.lastAt))
 	}
+	j.lastAt = now
 	if j.place.run != 0 && !j.begun {
 		j.begun = true
 		n.links.began(j.place.zone, &wire.RunStarted{Run: j.place.run})
--- a/pkg/scheduler/demand.go
+++ b/pkg/scheduler/demand.go
@@ -27,6 +27,8 @@
 	// latency is the mean time from a grant to the first event, as a share
 	// of the latency objective.
 	latency float64
+	// reading is the time that prompts take to be read.
+	reading readingTime
 	// idleSince is when the last run ended, zero once the gap was learned.
 	idleSince time.Time
 }
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -76,6 +76,12 @@
 	if t.runs >= s.slots(t) {
 		return false
 	}
+	if t.runs > 0 && s.pauses(now, t, w) {
+		if w.paced.IsZero() {
+			w.paced = now
+		}
+		return false
+	}
 	return t.runs == 0 || float64(t.tokens+w.tokens()) <= cacheShare*float64(e.CacheTokens)
 }
 
@@ -96,9 +102,15 @@
 		tokens: w.tokens(), input: w.InputTokens, objective: w.latency, since: now,
 		probe: t.probeable(now, w.Model, w.Adapter) && !t.has(now, w.Model, w.Adapter),
 	}
-	t.probing = t.probing || r.probe
+	if r.probe {
+		t.probing = true
+		t.probes++
+	}
 	s.runs[r.id] = r
 	t.occupy(now, r)
+	r.unread = t.unstarted
+	r.paced = w.paced
+	t.reads = append(t.reads, read{now, s.readingOf(modelKey{w.Service, w.Model}, w.InputTokens)})
 	s.remove(w)
 	s.emit(Grant{Ticket: w.ticket, Run: r.id, Target: t.info.ID, Waited: now.Sub(w.since), Running: t.runs, Probe: r.probe})
 }
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -42,7 +42,7 @@
 		return
 	}
 	t.phase = loading
-	t.orderSince = now
+	t.orderSince, t.probes = now, 0
 	t.reportAt = now.Add(t.expected + reportLag)
 }
 
--- /dev/null
+++ b/pkg/scheduler/orders_test.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/pkg/inventory"
+)
+
+func TestOneLoadForAllRequestsOfAModel(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0"}, []string{"m5"}), engine("b", []string{"m1"}, []string{"m5"}))
+	o := one[SendOrder](t, z.submit(z.request("m5"))).Order
+	assert.Equal(t, Load, o.Operation)
+	assert.Equal(t, FromDisk, o.Source)
+	for range 3 {
+		none[SendOrder](t, z.submit(z.request("m5")))
+	}
+	z.Ordered(z.now, o, OrderAccepted)
+	probe := one[Grant](t, z.after(800*time.Millisecond+probeMargin))
+	assert.True(t, probe.Probe, "one request shows whether the model is there")
+	z.Started(z.now, probe.Run)
+	assert.Len(t, z.Step(z.now), 3, "the others follow")
+}
+
+func TestProbeThatFindsNoModelIsRepeated(t *testing.T) {
+	z := newZone(t, engine("a", nil, []string{"m5"}))
+	o := one[SendOrder](t, z.submit(z.request("m5"))).Order
+	z.Ordered(z.now, o, OrderAccepted)
+	probe := one[Grant](t, z.after(900*time.Millisecond))
+	z.Ended(z.now, probe.Run, NotLoaded)
+	z.Submit(z.now, z.request("m5"))
+	none[Grant](t, z.Step(z.now))
+	assert.True(t, one[Grant](t, z.after(probePause)).Probe)
+}
+
+func TestMemoryOfAMissingModelStaysCounted(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0", "m1"}, []string{"m5", "m6"}))
+	run := one[Grant](t, z.submit(z.request("m0"))).Run
+	o := one[SendOrder](t, z.submit(z.request("m5"))).Order // unloads m1
+	z.Ended(z.now, run, NotLoaded)
+	z.Ordered(z.now, o, OrderAccepted)
+	o = one[SendOrder](t, z.after(unloadTime)).Order
+	require.Equal(t, "m5", o.Model)
+	z.Ordered(z.now, o, OrderAccepted)
+	z.Submit(z.now, z.request("m6"))
+	one[AskReport](t, z.after(time.Second))
+	z.Reported(z.now, "a", inventory.Report{Sequence: 2, Models: []inventory.LoadedModel{{Name: "m0"}, {Name: "m5"}}, OnDisk: []string{"m5", "m6"}})
+	for _, a := range z.Step(z.now) {
+		if s, ok := a.(SendOrder); ok {
+			assert.Equal(t, Unload, s.Order.Operation, "there is no room for a third model")
+		}
+	}
+}
+
+func TestRejectedOrderIsSentAgainSoon(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0", "m1"}, []string{"m5"}))
+	o := one[SendOrder](t, z.submit(z.request("m5"))).Order
+	z.Ordered(z.now, o, OrderRejected)
+	none[AskReport](t, z.Step(z.now))
+	assert.Equal(t, o, one[SendOrder](t, z.after(rejectedPause)).Order)
+}
+
+func TestReportsOlderThanWhatIsKnownAreIgnored(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0", "m1"}, []string{"m5"}))
+	o := one[SendOrder](t, z.submit(z.request("m5"))).Order
+	z.Ordered(z.now, o, OrderAccepted) // sequence 1: m1 or m0 is unloaded
+	for range maxRejections + 1 {
+		z.Ordered(z.now, one[SendOrder](t, z.after(unloadTime)).Order, OrderRejected)
+	}
+	one[AskReport](t, z.Step(z.now))
+	z.Reported(z.now, "a", inventory.Report{Sequence: 0, Models: []inventory.LoadedModel{{Name: "m0"}, {Name: "m1"}}, OnDisk: []string{"m5"}})
+	none[SendOrder](t, z.Step(z.now))
+	z.now = z.now.Add(reportInterval)
+	one[AskReport](t, z.Step(z.now))
+	z.Reported(z.now, "a", inventory.Report{Sequence: 1, Models: []inventory.LoadedModel{{Name: "m0"}}, OnDisk: []string{"m5"}})
+	assert.Equal(t, uint64(1), one[SendOrder](t, z.Step(z.now)).Order.Sequence)
+}
+
+func TestOrderWithoutAnswerIsSettledByAReport(t *testing.T) {
+	z := newZone(t, engine("a", nil, []string{"m5"}))
+	o := one[SendOrder](t, z.submit(z.request("m5"))).Order
+	z.Ordered(z.now, o, OrderUnknown)
+	none[SendOrder](t, z.Step(z.now))
+	one[AskReport](t, z.after(unsettledWait))
+	z.Reported(z.now, "a", inventory.Report{OnDisk: []string{"m5"}})
+	again := one[SendOrder](t, z.Step(z.now)).Order
+	assert.Equal(t, o.Sequence, again.Sequence, "only one of the two can be accepted")
+}
+
+func TestNoOrdersWithoutAuthority(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0"}, []string{"m5"}))
+	z.AllowOrders(z.now.Add(2*time.Second), z.now.Add(time.Hour))
+	none[SendOrder](t, z.submit(z.request("m5")))
+	one[Grant](t, z.submit(z.request("m0")))
+	one[SendOrder](t, z.after(2*time.Second))
+	z.AllowOrders(start, z.now)
+	none[SendOrder](t, z.submit(z.request("m6")))
+}
+
+func TestProbeComesInTime(t *testing.T) {
+	z := newZone(t, engine("a", nil, []string{"m0"}))
+	order := one[SendOrder](t, z.submit(z.request("m0"))).Order
+	z.Ordered(z.now, order, OrderAccepted)
+	ready := z.now.Add(800*time.Millisecond + probeMargin)
+	for z.now.Before(ready) {
+		none[Grant](t, z.Step(z.now))
+		z.now = z.Next(z.now)
+	}
+	assert.Equal(t, ready, z.now)
+	assert.True(t, one[Grant](t, z.Step(z.now)).Probe)
+}
+
+// TestLongLoadIsProbedOnlyTwice: a failed probe is a send of its request and
+// counts against the budget of retries.
+func TestLongLoadIsProbedOnlyTwice(t *testing.T) {
+	z := newZone(t, engine("a", nil, []string{"m5"}))
+	o := one[SendOrder](t, z.submit(z.request("m5"))).Order
+	z.Ordered(z.now, o, OrderAccepted)
+	z.now = z.now.Add(900 * time.Millisecond)
+	for range maxProbes {
+		probe := one[Grant](t, z.Step(z.now))
+		z.Ended(z.now, probe.Run, NotLoaded)
+		z.Submit(z.now, z.request("m5"))
+		z.now = z.now.Add(2 * probePause)
+	}
+	none[Grant](t, z.Step(z.now))
+	z.Reported(z.now, "a", inventory.Report{Models: []inventory.LoadedModel{{Name: "m5"}}, Sequence: 1})
+	assert.False(t, one[Grant](t, z.Step(z.now)).Probe)
+}
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -18,6 +18,9 @@
 	since  time.Time
 	// latency is the latency objective as a duration.
 	latency time.Duration
+	// paced is when the request first waited only for the pacing of prompts;
+	// zero when it has not.
+	paced time.Time
 }
 
 // queue holds the requests for one model or adapter, the most urgent first.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -38,6 +38,11 @@
 	runs     map[RunID]*run
 	demand   map[modelKey]*demand
 	store    storeBudget
+	// gaps are the shortest pauses between events that the routes of a service
+	// allow.
+	gaps map[string]time.Duration
+	// reading is the time that prompts take to be read, by service.
+	reading map[string]*readingTime
 
 	// ordersFrom is when the first order may be sent.
 	ordersFrom time.Time
@@ -74,13 +79,18 @@
 		values:   map[modelKey]float64{},
 		copied:   map[modelKey]int{},
 		awaited:  map[modelKey]int{},
+		gaps:     map[string]time.Duration{},
+		reading:  map[string]*readingTime{},
 		lastRun:  firstRun,
 		zones:    1,
 	}
 }
 
 // SetServices replaces the configuration of the services.
-func (s *Scheduler) SetServices(services map[string]*route.Service) { s.services = services }
+func (s *Scheduler) SetServices(services map[string]*route.Service) {
+	s.services = services
+	clear(s.gaps) // routes may allow other pauses now
+}
 
 // AllowOrders lets orders be sent from and until the given times.
 func (s *Scheduler) AllowOrders(from, until time.Time) { s.ordersFrom, s.ordersUntil = from, until }
@@ -141,6 +151,7 @@
 	}
 	q.add(w)
 	s.noteArrival(now, key.modelKey())
+	s.noteGap(r.Service, r.EventGap)
 	s.awaited[key.modelKey()]++
 	s.demandOf(key.modelKey()).add(now)
 	return w.ticket
@@ -179,9 +190,14 @@
 	model, adapter string
 	tokens         int
 	input          int
-	objective      time.Duration
-	since          time.Time
-	started        bool
+	// unread is the number of prompt tokens that the target had to read when
+	// the run was granted, with its own.
+	unread int
+	// paced is when the request began to wait for the pacing of prompts, if so.
+	paced     time.Time
+	objective time.Duration
+	since     time.Time
+	started   bool
 	// probe is the first run after a load that no report has confirmed yet.
 	probe bool
 }
@@ -202,7 +218,15 @@
 		t.confirmed(now, r)
 		return
 	}
-	s.demandOf(modelKey{t.info.Service, r.model}).began(now.Sub(r.since), r.objective)
+	d := s.demandOf(modelKey{t.info.Service, r.model})
+	since := r.since
+	if !r.paced.IsZero() {
+		since = r.paced // the wait is the target's doing as well
+	}
+	d.began(now.Sub(since), r.objective)
+	if r.unread > 0 {
+		s.learnReading(modelKey{t.info.Service, r.model}, r.unread, now.Sub(r.since))
+	}
 }
 
 // Ended gives the place of a run back.
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -50,6 +50,9 @@
 	// that showed it is not.
 	probeMargin = 15 * time.Millisecond
 	probePause  = 60 * time.Millisecond
+	// maxProbes is the number of runs that may show the end of one load; after
+	// them, only a report does. Each failed one is a send of its request.
+	maxProbes = 2
 	// unloadTime is the pause between an unload and the next order.
 	unloadTime = 45 * time.Millisecond
 	// rejectedPause is the pause after an order that was rejected, mostly
@@ -91,9 +94,13 @@
 	runs, tokens int
 	// unstarted is the number of prompt tokens of runs without a first event.
 	unstarted int
+	// reads are the prompts that were sent within the last allowed pause
+	// between events.
+	reads []read
 	// probing is set while the first run after a load shows whether the
 	// model is there; probeAt is when the next one may.
 	probing    bool
+	probes     int // since the load was accepted
 	probeAt    time.Time
 	failures   int
 	rejections int
@@ -235,7 +242,7 @@
 // nextProbe returns when a run may show that a load has ended; ok is false when
 // no load of a model is being carried out, or a probe is.
 func (t *target) nextProbe() (at time.Time, ok bool) {
-	if t.phase != loading || t.expected <= 0 || t.order.Adapter != "" || t.probing {
+	if t.phase != loading || t.expected <= 0 || t.order.Adapter != "" || t.probing || t.probes >= maxProbes {
 		return time.Time{}, false
 	}
 	at = t.orderSince.Add(t.expected + probeMargin)
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -19,6 +19,9 @@
 	Objective, Deadline time.Time
 	// Latency is the latency objective as a duration.
 	Latency time.Duration
+	// EventGap is the longest pause between two events of the answer that is
+	// still on time, 0 for none.
+	EventGap time.Duration
 	// Exclude lists targets that failed this request before.
 	Exclude []string
 	// LastResort tells that no other zone takes the request.
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -234,6 +234,7 @@
 		Objective:  now.Add(time.Duration(m.ObjectiveMillis) * time.Millisecond),
 		Deadline:   now.Add(time.Duration(m.DeadlineMillis) * time.Millisecond),
 		Latency:    time.Duration(m.LatencyMillis) * time.Millisecond,
+		EventGap:   time.Duration(m.GapMillis) * time.Millisecond,
 		Exclude:    m.Exclude,
 		LastResort: m.LastResort,
 	}
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -48,6 +48,9 @@
 	LastResort bool `cbor:"11,keyasint,omitempty"`
 	// LatencyMillis is the latency objective.
 	LatencyMillis int64 `cbor:"12,keyasint,omitempty"`
+	// GapMillis is the longest pause between two events that is on time, 0 for
+	// none.
+	GapMillis int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // PlaceRefusal tells why an owner grants no place.
