--- /dev/null
+++ b/pkg/entry/handle.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+
+	"almondturn/fleet"
+	"almondturn/wire"
+)
+
+// handle answers the messages of other nodes. k is nil on connections that
+// the other node opened.
+func (n *Node) handle(ctx context.Context, k *link, from fleet.Node, m wire.Message) wire.Message {
+	switch m := m.(type) {
+	case *wire.Place:
+		return n.owner.Place(ctx, from.ID, m)
+	case *wire.RunStarted:
+		n.owner.RunStarted(m)
+	case *wire.RunEnded:
+		n.owner.RunEnded(m)
+	case *wire.Runs:
+		n.owner.Adopt(from, m)
+	case *wire.ZoneState:
+		if k != nil {
+			n.links.learn(k, m)
+		}
+	case *wire.ZoneChange:
+		if k != nil {
+			n.links.learnChange(k, m)
+		}
+	case *wire.OwnerPing:
+		return n.owner.Promise(from, m)
+	case *wire.ChangesCall:
+		return n.changes(ctx, m)
+	case *wire.SnapshotCall:
+		return n.snapshotOf(m)
+	case *wire.NodeState:
+		n.links.learnState(from.ID, m)
+	case *wire.NodesCall:
+		return n.links.connected()
+	case *wire.Heartbeat:
+		if m.Leaving {
+			n.owner.NodeGone(from.ID, true)
+		}
+	case *wire.StoreCall:
+		status, body, err := n.forward(ctx, m.Method, m.Path, m.Body)
+		if err != nil {
+			return new(wire.StoreAnswer)
+		}
+		return &wire.StoreAnswer{Status: status, Body: body}
+	}
+	return nil
+}
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +24,6 @@
 	linkSilence     = 1600 * time.Millisecond
 	linkRetry       = 200 * time.Millisecond
 	nodeGoneAfter   = 3 * time.Second
-	maxRelays       = 3
 )
 
 // links are the connections to the owners of the zones, and those that other
@@ -35,13 +32,16 @@
 	node   *Node
 	client *http.Client
 
-	mu       sync.Mutex // guards zones, accepted, known and states
+	mu       sync.Mutex // guards zones, accepted, left, counts and states
 	zones    map[fleet.Zone]*link
 	accepted map[fleet.NodeID]*wire.Conn
-	known    map[fleet.NodeID]fleet.Node
-	states   map[fleet.NodeID]wire.NodeState
-	changed  chan struct{} // closed and replaced when an owner changes
-	ctx      context.Context
+	// left is when a node's connection ended.
+	left map[fleet.NodeID]time.Time
+	// counts are the numbers of nodes that the owners of the zones last told.
+	counts  map[fleet.Zone]int
+	states  map[fleet.NodeID]wire.NodeState
+	changed chan struct{} // closed and replaced when an owner changes
+	ctx     context.Context
 }
 
 // link is the connection to the owner of one zone.
@@ -60,7 +60,8 @@
 		client:   &http.Client{Transport: &http.Transport{DialContext: dial, TLSClientConfig: n.settings.InnerTLS}},
 		zones:    map[fleet.Zone]*link{},
 		accepted: map[fleet.NodeID]*wire.Conn{},
-		known:    map[fleet.NodeID]fleet.Node{},
+		left:     map[fleet.NodeID]time.Time{},
+		counts:   map[fleet.Zone]int{},
 		states:   map[fleet.NodeID]wire.NodeState{},
 		changed:  make(chan struct{}),
 	}
@@ -150,7 +151,6 @@
 		id := c.Peer().ID
 		l.mu.Lock()
 		l.accepted[id] = c
-		l.known[id] = c.Peer()
 		l.mu.Unlock()
 		l.run(id, c)
 	})
@@ -187,7 +187,7 @@
 }
 
 // Broadcast implements zoneowner.Network.
-func (l *links) Broadcast(m *wire.ZoneState) {
+func (l *links) Broadcast(m wire.Message) {
 	frame, err := wire.Encode(wire.KindOneWay, 0, 0, m)
 	if err != nil {
 		event.MeshEncodeFailed.Log(l.node.log).Err(err).Send()
@@ -200,6 +200,16 @@
 	}
 }
 
+// Tell implements zoneowner.Network.
+func (l *links) Tell(to fleet.NodeID, m wire.Message) {
+	l.mu.Lock()
+	c := l.accepted[to]
+	l.mu.Unlock()
+	if c != nil {
+		c.Send(m) // a message that is dropped is made good by the next whole state
+	}
+}
+
 // Connected implements zoneowner.Network.
 func (l *links) Connected() []fleet.Node {
 	l.mu.Lock()
@@ -286,93 +296,6 @@
 	return k.state.Load()
 }
 
-// learn records what an owner tells.
-func (l *links) learn(k *link, s *wire.ZoneState) {
-	if s.Resigned {
-		k.state.Store(nil)
-		if k.zone == l.node.self.Zone {
-			l.node.owner.Released(k.owner.Addr)
-		}
-		return
-	}
-	k.state.Store(s)
-	l.mu.Lock()
-	for _, n := range s.Nodes {
-		l.known[n.ID] = n
-	}
-	l.mu.Unlock()
-	l.node.learnVersion(s.ConfigurationVersion)
-}
-
-// nodes returns the number of nodes that are known.
-func (l *links) nodes() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := len(l.known)
-	if _, ok := l.known[l.node.self.ID]; !ok {
-		n++
-	}
-	return n
-}
-
-// relay passes a call to the key-value service on through other nodes.
-func (l *links) relay(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
-	err := errNoConnection
-	around := l.neighbours()
-	if len(around) == 0 {
-		around = l.seeds(ctx)
-	}
-	for i, c := range around {
-		if i >= maxRelays {
-			break
-		}
-		var answer wire.Message
-		answer, err = c.Call(ctx, &wire.StoreCall{Method: method, Path: path, Body: body})
-		if a, ok := answer.(*wire.StoreAnswer); ok && a.Status != 0 {
-			return a.Status, a.Body, nil
-		}
-		if err != nil && errors.Is(err, wire.ErrOutcomeUnknown) {
-			return 0, nil, err
-		}
-	}
-	return 0, nil, err
-}
-
-// seeds connects to the first node of the settings that answers and is not
-// connected yet. It is needed only while no owner is known and the key-value
-// service cannot tell of one.
-func (l *links) seeds(ctx context.Context) []*wire.Conn {
-	for _, addr := range l.node.settings.Seeds {
-		if addr == l.node.self.Addr || l.connectedTo(addr) {
-			continue
-		}
-		c, err := wire.Dial(ctx, l.url(addr), l.client, l.config(nil))
-		if err != nil {
-			continue // seeds may be stale
-		}
-		id := c.Peer().ID
-		l.mu.Lock()
-		l.accepted[id] = c
-		l.known[id] = c.Peer()
-		l.mu.Unlock()
-		go l.run(id, c)
-		return []*wire.Conn{c}
-	}
-	return nil
-}
-
-// connectedTo tells whether a node with this inner address is connected.
-func (l *links) connectedTo(addr string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.accepted {
-		if c.Peer().Addr == addr {
-			return true
-		}
-	}
-	return false
-}
-
 // run serves a connection that is not one to an owner until it ends.
 func (l *links) run(id fleet.NodeID, c *wire.Conn) {
 	_ = c.Run() // the reason does not matter: the other end dials again
@@ -381,6 +304,7 @@
 	if current {
 		delete(l.accepted, id)
 		delete(l.states, id)
+		l.left[id] = time.Now()
 	}
 	l.mu.Unlock()
 	if current {
@@ -388,22 +312,6 @@
 	}
 }
 
-// neighbours returns connections to other nodes, owners first.
-func (l *links) neighbours() []*wire.Conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []*wire.Conn
-	for _, zone := range slices.Sorted(maps.Keys(l.zones)) {
-		if c := l.zones[zone].conn.Load(); c != nil {
-			out = append(out, c)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(l.accepted)) {
-		out = append(out, l.accepted[id])
-	}
-	return out
-}
-
 // leave tells the owners that this node takes nothing over any more.
 func (l *links) leave() {
 	l.mu.Lock()
@@ -414,43 +322,3 @@
 		}
 	}
 }
-
-// handle answers the messages of other nodes. k is nil on connections that
-// the other node opened.
-func (n *Node) handle(ctx context.Context, k *link, from fleet.Node, m wire.Message) wire.Message {
-	switch m := m.(type) {
-	case *wire.Place:
-		return n.owner.Place(ctx, from.ID, m)
-	case *wire.RunStarted:
-		n.owner.RunStarted(m)
-	case *wire.RunEnded:
-		n.owner.RunEnded(m)
-	case *wire.Runs:
-		n.owner.Adopt(from, m)
-	case *wire.ZoneState:
-		if k != nil {
-			n.links.learn(k, m)
-		}
-	case *wire.OwnerPing:
-		return n.owner.Promise(from, m)
-	case *wire.ChangesCall:
-		return n.changes(ctx, m)
-	case *wire.SnapshotCall:
-		return n.snapshotOf(m)
-	case *wire.NodeState:
-		n.links.learnState(from.ID, m)
-	case *wire.NodesCall:
-		return n.links.connected()
-	case *wire.Heartbeat:
-		if m.Leaving {
-			n.owner.NodeGone(from.ID, true)
-		}
-	case *wire.StoreCall:
-		status, body, err := n.forward(ctx, m.Method, m.Path, m.Body)
-		if err != nil {
-			return new(wire.StoreAnswer)
-		}
-		return &wire.StoreAnswer{Status: status, Body: body}
-	}
-	return nil
-}
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -15,6 +15,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/boottime"
 	"almondturn/pkg/event"
+	"almondturn/pkg/gate"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/route"
@@ -124,6 +125,8 @@
 	configuration *watch
 	watches       []*watch
 	readinessPath string
+	// snapshots bounds the copies of lists that are given to other nodes.
+	snapshots *gate.Gate
 	// feed passes changes of the list of targets on to the nodes of the zone.
 	feed *feed
 
@@ -148,6 +151,7 @@
 		settings: d.Settings, log: d.Log, clientProtocol: d.Clients, targetProtocol: d.TargetHeaders, decoder: d.Decoder, store: d.Store, pool: d.Pool,
 		reporter: d.Targets, metrics: d.Metrics, started: time.Now(), runs: map[uint64]runAt{}, readinessPath: d.ReadinessPath,
 		targets: map[string]*inventory.Target{}, configured: map[string]kv.Entry{}, idle: newIdleConns(), feed: newFeed(),
+		snapshots: gate.New(time.Now),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertised()}
 	n.bounds.Store(&d.Settings.Bounds)
--- /dev/null
+++ b/pkg/entry/relay.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+
+	"almondturn/wire"
+)
+
+// maxRelays is the number of nodes that a call is tried through.
+const maxRelays = 3
+
+// relay passes a call to the key-value service on through other nodes.
+func (l *links) relay(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	err := errNoConnection
+	around := l.neighbours()
+	if len(around) == 0 {
+		around = l.seeds(ctx)
+	}
+	for i, c := range around {
+		if i >= maxRelays {
+			break
+		}
+		var answer wire.Message
+		answer, err = c.Call(ctx, &wire.StoreCall{Method: method, Path: path, Body: body})
+		if a, ok := answer.(*wire.StoreAnswer); ok && a.Status != 0 {
+			return a.Status, a.Body, nil
+		}
+		if err != nil && errors.Is(err, wire.ErrOutcomeUnknown) {
+			return 0, nil, err
+		}
+	}
+	return 0, nil, err
+}
+
+// seeds connects to the first node of the settings that answers and is not
+// connected yet. It is needed only while no owner is known and the key-value
+// service cannot tell of one.
+func (l *links) seeds(ctx context.Context) []*wire.Conn {
+	for _, addr := range l.node.settings.Seeds {
+		if addr == l.node.self.Addr || l.connectedTo(addr) {
+			continue
+		}
+		c, err := wire.Dial(ctx, l.url(addr), l.client, l.config(nil))
+		if err != nil {
+			continue // seeds may be stale
+		}
+		id := c.Peer().ID
+		l.mu.Lock()
+		l.accepted[id] = c
+		l.mu.Unlock()
+		go l.run(id, c)
+		return []*wire.Conn{c}
+	}
+	return nil
+}
+
+// connectedTo tells whether a node with this inner address is connected.
+func (l *links) connectedTo(addr string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.accepted {
+		if c.Peer().Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// neighbours returns connections to other nodes, owners first.
+func (l *links) neighbours() []*wire.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*wire.Conn
+	for _, zone := range slices.Sorted(maps.Keys(l.zones)) {
+		if c := l.zones[zone].conn.Load(); c != nil {
+			out = append(out, c)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.accepted)) {
+		out = append(out, l.accepted[id])
+	}
+	return out
+}
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -49,7 +49,22 @@
 }
 
 // snapshotOf answers another node's question for the entries below a prefix.
+// While too many ask, it tells that it knows nothing.
 func (n *Node) snapshotOf(m *wire.SnapshotCall) *wire.Snapshot {
+	leave, ok := n.snapshots.Enter()
+	if !ok {
+		return new(wire.Snapshot)
+	}
+	out := n.takeSnapshot(m)
+	size := 0
+	for _, e := range out.Entries {
+		size += len(e.Key) + len(e.Value)
+	}
+	leave(size)
+	return out
+}
+
+func (n *Node) takeSnapshot(m *wire.SnapshotCall) *wire.Snapshot {
 	for _, w := range n.watches {
 		if w.prefix != m.Prefix {
 			continue
--- /dev/null
+++ b/pkg/gate/gate.go
@@ -0,0 +1,51 @@
+// Package gate bounds the large answers that a node gives to other nodes, so
+// that many of them at once, as when all nodes start anew, take up neither its
+// memory nor its link.
+package gate
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Bounds of the answers through one Gate.
+const (
+	// concurrent is the number of answers that are made at once.
+	concurrent = 4
+	// bytesPerSecond bounds the answers over time, since they wait in the
+	// queues of connections after they were made.
+	bytesPerSecond = 8 << 20
+	// burstBytes is what may go out at once after a quiet time.
+	burstBytes = 8 << 20
+)
+
+// Gate lets a bounded number of large answers through. It is safe for
+// concurrent use.
+type Gate struct {
+	slots chan struct{}
+	bytes *rate.Limiter
+	now   func() time.Time
+}
+
+// New returns a Gate that reads the clock now.
+func New(now func() time.Time) *Gate {
+	return &Gate{slots: make(chan struct{}, concurrent), bytes: rate.NewLimiter(bytesPerSecond, burstBytes), now: now}
+}
+
+// Enter asks for one answer; ok is false when there are too many. Otherwise
+// leave must be called with the size of the answer in bytes.
+func (g *Gate) Enter() (leave func(size int), ok bool) {
+	if g.bytes.TokensAt(g.now()) <= 0 {
+		return nil, false
+	}
+	select {
+	case g.slots <- struct{}{}:
+	default:
+		return nil, false
+	}
+	return func(size int) {
+		g.bytes.ReserveN(g.now(), min(size, burstBytes))
+		<-g.slots
+	}, true
+}
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -42,10 +42,14 @@
 type Network interface {
 	// Ping asks a node of the zone to hold back from taking the zone over.
 	Ping(ctx context.Context, to fleet.NodeID, m *wire.OwnerPing) (*wire.OwnerPong, error)
-	// Broadcast sends the state of the zone to all connected nodes.
-	Broadcast(m *wire.ZoneState)
+	// Broadcast sends a message to all connected nodes, Tell to one of them.
+	Broadcast(m wire.Message)
+	Tell(to fleet.NodeID, m wire.Message)
 	// Connected returns the nodes that are connected to this one as owner.
 	Connected() []fleet.Node
+	// NodeCount returns the number of nodes that are connected or have lately
+	// been, with this one.
+	NodeCount() int
 }
 
 // Config is what an Owner needs.
@@ -284,6 +288,9 @@
 	if node.Zone == o.cfg.Self.Zone {
 		o.tenure.authority.joined(o.cfg.Boot(), node.ID)
 	}
+	if told := o.tenure.state.last; told != nil {
+		o.cfg.Network.Tell(node.ID, told)
+	}
 	o.tenure.scheduler.AdoptRuns(time.Now(), node.ID, runs)
 	o.run(o.tenure)
 }
--- a/pkg/zoneowner/state.go
+++ b/pkg/zoneowner/state.go
@@ -1,59 +1,55 @@
 package zoneowner
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
-	"almondturn/fleet"
 	"almondturn/wire"
 )
 
-// stateSent is the last broadcast of a zone's state.
+// stateSent is what the nodes were last told of the zone.
 type stateSent struct {
-	at    time.Time
-	state *wire.ZoneState
-	// nodes are those that were last told; only changes of them are.
-	nodes []fleet.Node
+	// last is the last state, which changes refer to; nil for none.
+	last *wire.ZoneState
+	// at is when it was told, wholeAt when a state was last told as a whole.
+	at, wholeAt time.Time
 }
 
 // BacklogStep is the size of the steps in which a zone's backlog is told and
 // compared, so that small differences do not part the requests for one model.
 const BacklogStep = 3
 
-// tellState broadcasts the zone's state when it has changed or is due, and
-// returns the time until the next look. o.mu is held.
+// tellState tells the nodes what has changed in the zone, and now and then the
+// whole state, in case a message was dropped. It returns the time until the
+// next look. o.mu is held.
 func (o *Owner) tellState(t *tenure, now time.Time) time.Duration {
-	since := now.Sub(t.state.at)
-	if since < stateInterval {
+	if since := now.Sub(t.state.at); since < stateInterval {
 		return stateInterval - since
 	}
-	m := o.state(t, now)
-	nodes := o.nodes()
-	met := slices.Equal(nodes, t.state.nodes)
-	if met && sameState(m, t.state.state) && since < stateRefresh {
-		return stateRefresh - since
+	before := t.state.last
+	state := o.state(t, now)
+	whole := before == nil || before.Token != state.Token || now.Sub(t.state.wholeAt) >= stateRefresh
+	if !whole && sameState(state, before) {
+		return stateRefresh - now.Sub(t.state.wholeAt)
 	}
-	if !met {
-		m.Nodes = nodes
+	if before != nil {
+		state.Number = before.Number + 1
 	}
-	t.state = stateSent{at: now, state: m, nodes: nodes}
-	o.told.Store(m)
-	o.cfg.Network.Broadcast(m)
-	return stateRefresh
-}
-
-// nodes returns the connected nodes and this one, in order.
-func (o *Owner) nodes() []fleet.Node {
-	nodes := append(o.cfg.Network.Connected(), o.cfg.Self)
-	slices.SortFunc(nodes, func(a, b fleet.Node) int { return cmp.Compare(a.ID, b.ID) })
-	return nodes
+	t.state.last, t.state.at = state, now
+	o.told.Store(state)
+	if whole {
+		t.state.wholeAt = now
+		o.cfg.Network.Broadcast(state)
+	} else {
+		o.cfg.Network.Broadcast(before.ChangeTo(state))
+	}
+	return stateRefresh - now.Sub(t.state.wholeAt)
 }
 
-// sameState tells whether nothing has changed that nodes act on. before may be nil.
+// sameState tells whether nothing has changed that nodes act on.
 func sameState(now, before *wire.ZoneState) bool {
-	return before != nil && (now.OrdersAfterMillis == 0) == (before.OrdersAfterMillis == 0) &&
+	return (now.OrdersAfterMillis == 0) == (before.OrdersAfterMillis == 0) && now.NodeCount == before.NodeCount &&
 		now.ConfigurationVersion == before.ConfigurationVersion && now.Backlog/BacklogStep == before.Backlog/BacklogStep &&
 		maps.EqualFunc(now.Loaded, before.Loaded, slices.Equal[[]string]) && maps.EqualFunc(now.Full, before.Full, slices.Equal[[]string])
 }
@@ -63,7 +59,7 @@
 	summary := t.scheduler.Summary(now)
 	m := &wire.ZoneState{
 		Zone: o.cfg.Self.Zone, Token: t.token, Loaded: summary.Loaded, Full: summary.Full, Backlog: summary.Backlog,
-		ConfigurationVersion: o.cfg.Version(),
+		ConfigurationVersion: o.cfg.Version(), NodeCount: o.cfg.Network.NodeCount(),
 	}
 	boot := o.cfg.Boot()
 	if after := t.ordersFrom.Sub(boot); after > 0 {
--- a/wire/types.go
+++ b/wire/types.go
@@ -12,6 +12,7 @@
 	TypeRunStarted:   func() Message { return new(RunStarted) },
 	TypeRuns:         func() Message { return new(Runs) },
 	TypeZoneState:    func() Message { return new(ZoneState) },
+	TypeZoneChange:   func() Message { return new(ZoneChange) },
 	TypeOwnerPing:    func() Message { return new(OwnerPing) },
 	TypeOwnerPong:    func() Message { return new(OwnerPong) },
 	TypeStoreCall:    func() Message { return new(StoreCall) },
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -22,6 +22,7 @@
 	TypeChanges
 	TypeSnapshotCall
 	TypeSnapshot
+	TypeZoneChange
 )
 
 // Place asks the owner of a zone for a target that has the model loaded. The
@@ -121,30 +122,6 @@
 	Runs []Run `cbor:"1,keyasint,omitempty"`
 }
 
-// ZoneState is what an owner tells all nodes of its zone.
-type ZoneState struct {
-	Zone fleet.Zone `cbor:"1,keyasint"`
-	// Token is the fencing token of the owner; a higher one supersedes.
-	Token uint64 `cbor:"2,keyasint"`
-	// Loaded lists the models that are loaded or being loaded, per service.
-	Loaded map[string][]string `cbor:"3,keyasint,omitempty"`
-	// OrdersAfterMillis is the time until the owner may order loads.
-	OrdersAfterMillis int64 `cbor:"4,keyasint,omitempty"`
-	// Nodes are the entry nodes that are connected to the owner, with itself;
-	// empty when they are those of the message before.
-	Nodes []fleet.Node `cbor:"5,keyasint,omitempty"`
-	// ConfigurationVersion is the newest one that the owner knows of.
-	ConfigurationVersion int64 `cbor:"6,keyasint,omitempty"`
-	// Full lists the models of Loaded whose replicas have no room.
-	Full map[string][]string `cbor:"7,keyasint,omitempty"`
-	// Backlog is the number of models that requests wait for and that are
-	// not being loaded yet.
-	Backlog int `cbor:"8,keyasint,omitempty"`
-	// Resigned tells that the sender has given the zone up, so that promises
-	// made to it no longer hold anybody back.
-	Resigned bool `cbor:"9,keyasint,omitempty"`
-}
-
 // OwnerPing asks a node of the same zone to hold back from taking the zone
 // over. The answer is OwnerPong.
 type OwnerPing struct {
@@ -256,9 +233,6 @@
 // Type implements Message.
 func (*Runs) Type() Type { return TypeRuns }
 
-// Type implements Message.
-func (*ZoneState) Type() Type { return TypeZoneState }
-
 // Type implements Message.
 func (*OwnerPing) Type() Type { return TypeOwnerPing }
 
