entry: nodes that know no load choose different targets

Cause: on the own site of 300 nodes, 31 seat-holds ended with 502. Each node of a zone sent its requests to the same one of 30 targets, the first by identifier, because all loads were equal (0) to it; 100 nodes passed that target's bound of 110 connections, and it reset those beyond. Ruled out: the target itself (healthy, never more than 2 requests at once), a lost node. Change: targets of equal load are ordered by a hash of node and target (rendezvous). TestReportedLoadCounts expected the first by identifier; it now expects the one that the node prefers. Test: TestNodesWithoutKnowledgeSpread fails without the change (100 of 100 choose t0).

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -134,11 +134,17 @@
 
 func TestReportedLoadCounts(t *testing.T) {
 	a, b := &inventory.Target{ID: "a", Slots: 4}, &inventory.Target{ID: "b", Slots: 4}
+	all := []*inventory.Target{a, b}
 	l := new(loads)
-	l.end(now, "a", result{info: AnswerInfo{Running: 3, Waiting: 2, Slots: 4}})
-	assert.Equal(t, b, l.begin(now, []*inventory.Target{a, b}, "", nil))
-	l.end(now, "b", result{})
-	assert.Equal(t, a, l.begin(now.Add(time.Second), []*inventory.Target{a, b}, "", nil), "an old report says nothing")
+	first := l.begin(now, all, "", nil) // the one that this node prefers
+	other := a
+	if first == a {
+		other = b
+	}
+	l.end(now, first.ID, result{info: AnswerInfo{Running: 3, Waiting: 2, Slots: 4}})
+	assert.Equal(t, other, l.begin(now, all, "", nil))
+	l.end(now, other.ID, result{})
+	assert.Equal(t, first, l.begin(now.Add(time.Second), all, "", nil), "an old report says nothing")
 }
 
 func TestStreamsMustBeginBeforeTheClientLeaves(t *testing.T) {
--- a/pkg/entry/loads.go
+++ b/pkg/entry/loads.go
@@ -32,10 +32,14 @@
 	reportedAt time.Time
 	failures   float64
 	avoidUntil time.Time
+	// rank orders targets of equal load; it differs from node to node, so that
+	// nodes which know nothing yet don't all choose the same target.
+	rank uint64
 }
 
 // loads holds the load of all targets.
 type loads struct {
+	node     fleet.NodeID
 	mu       sync.Mutex // guards byTarget and the loads in it
 	byTarget map[string]*load
 }
@@ -46,7 +50,7 @@
 	}
 	x := l.byTarget[id]
 	if x == nil {
-		x = new(load)
+		x = &load{rank: fleet.Weight(string(l.node), id)}
 		l.byTarget[id] = x
 	}
 	return x
@@ -66,14 +70,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best *inventory.Target
-	lowest := 0.0
+	lowest, rank := 0.0, uint64(0)
 	for _, t := range candidates {
 		if t.Draining || slices.Contains(exclude, t.ID) {
 			continue
 		}
-		cost := l.of(t.ID).cost(now, t, zone)
-		if best == nil || cost < lowest {
-			best, lowest = t, cost
+		x := l.of(t.ID)
+		cost := x.cost(now, t, zone)
+		if best == nil || cost < lowest || cost == lowest && x.rank > rank {
+			best, lowest, rank = t, cost, x.rank
 		}
 	}
 	if best != nil {
--- /dev/null
+++ b/pkg/entry/loads_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"almondturn/fleet"
+	"almondturn/pkg/inventory"
+)
+
+// TestNodesWithoutKnowledgeSpread answers the pattern of a start of all nodes:
+// none knows a load yet, and each sends one request.
+func TestNodesWithoutKnowledgeSpread(t *testing.T) {
+	const nodes, targets = 100, 30
+	var list []*inventory.Target
+	for i := range targets {
+		list = append(list, &inventory.Target{ID: fmt.Sprint("t", i), Zone: "z", Slots: 6})
+	}
+	chosen := map[string]int{}
+	for i := range nodes {
+		l := &loads{node: fleet.NodeID(fmt.Sprint("n", i))}
+		first := l.begin(time.Unix(1, 0), list, "z", nil)
+		chosen[first.ID]++
+		l.end(time.Unix(1, 0), first.ID, result{kind: answered})
+		assert.Equal(t, first, l.begin(time.Unix(2, 0), list, "z", nil), "its connection is used again")
+	}
+	for id, n := range chosen {
+		assert.LessOrEqual(t, n, 5*nodes/targets, "target %s", id)
+	}
+}
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -154,6 +154,7 @@
 		snapshots: gate.New(time.Now),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertised()}
+	n.loads.node = n.self.ID
 	n.bounds.Store(&d.Settings.Bounds)
 	n.survey.reached(n.started)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
