scheduler: loads from the weight store are expected as long as they take

Change: a model without a copy waits for its rank in the zone's store loads and for the load; requests whose time is over before a load in progress ends are refused at once with the time that it has to go; how much longer than declared the store takes is learned, and the first probe comes then, not at the declared time.

--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -127,15 +127,19 @@
 		return 0
 	}
 	m := svc.Engine.Models[q.key.model]
+	load := m.DiskTime
+	if s.copies(now, q.key.modelKey()) == 0 {
+		load = s.store.expected(m.LoadTime)
+	}
 	served := 0.0
 	for _, w := range q.waiters {
-		if now.Add(m.DiskTime).Before(w.Objective) {
+		if now.Add(load).Before(w.Objective) {
 			served++
 		} else {
 			served += lateWeight
 		}
 	}
-	occupied := m.DiskTime + s.demandOf(q.key.modelKey()).duration()
+	occupied := load + s.demandOf(q.key.modelKey()).duration()
 	return served / (m.WeightsMB * occupied.Seconds())
 }
 
@@ -430,6 +434,7 @@
 		if !s.store.allows(now, e, s.zones) {
 			return
 		}
+		d = s.store.expected(d)
 		s.store.begin(now, d)
 	}
 	s.noteLoad(modelKey{t.info.Service, p.model}, d)
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -13,7 +13,8 @@
 // place has to be for a refusal: other models may give way meanwhile.
 const doubt = 1.5
 
-// longestRetry bounds the time after which a refused request may come back.
+// longestRetry bounds the time after which a request may come back that was
+// refused because others have the places.
 const longestRetry = 2 * time.Second
 
 // refuseHopeless refuses the requests that will not be served in time, and
@@ -25,7 +26,7 @@
 			targets++
 		}
 	}
-	ahead := 0
+	ahead, fromStore := 0, 0
 	for _, q := range order {
 		if len(q.waiters) == 0 {
 			continue
@@ -37,12 +38,60 @@
 			s.refuseBeyond(now, q, st)
 			continue
 		}
-		if st.usable > 0 || st.coming > 0 {
+		if st.usable > 0 {
+			continue
+		}
+		if st.coming > 0 {
+			s.refuseBeforeLoaded(now, q)
 			continue
 		}
 		ahead++
-		s.refuseCold(now, q, Basis{Expected: s.coldWait(now, ahead, targets), Copies: s.copies(now, k), Backlog: ahead})
+		b := Basis{Expected: s.coldWait(now, ahead, targets), Copies: s.copies(now, k), Backlog: ahead}
+		if m := s.model(k); m != nil && b.Copies == 0 {
+			fromStore++
+			b.Expected = max(b.Expected, s.store.wait(now, fromStore, m.LoadTime))
+		}
+		s.refuseCold(now, q, b)
+	}
+}
+
+// refuseBeforeLoaded refuses the requests whose time is over before the load
+// that is in progress ends; they may come back by then.
+func (s *Scheduler) refuseBeforeLoaded(now time.Time, q *queue) {
+	left, ok := s.loadLeft(now, q.key.modelKey())
+	if !ok {
+		return
+	}
+	for _, w := range slices.Clone(q.waiters) {
+		if now.Add(left).After(w.Deadline.Add(-minimumRun)) {
+			s.refuse(now, w, Overloaded, left, Basis{Expected: left, Left: w.Deadline.Sub(now), Coming: 1})
+		}
+	}
+}
+
+// loadLeft returns the least time until a load of the model that is planned or
+// in progress can end; ok is false when there is none.
+func (s *Scheduler) loadLeft(now time.Time, k modelKey) (left time.Duration, ok bool) {
+	m := s.model(k)
+	if m == nil {
+		return 0, false
+	}
+	for _, t := range s.holders[k] {
+		if !t.healthy(now) || t.plan == nil || t.plan.model != k.model {
+			continue
+		}
+		source, l := sourceOf(t, m)
+		if source == FromStore {
+			l = s.store.expected(l)
+		}
+		if t.loads(k.model) {
+			l = max(t.orderSince.Add(t.expected).Sub(now), 0)
+		}
+		if !ok || l < left {
+			left, ok = l, true
+		}
 	}
+	return left, ok
 }
 
 // refuseWithoutCopy lets new requests look for a zone that keeps a copy of
@@ -111,7 +160,7 @@
 		case !w.LastResort && fresh && (late || b.Copies == 0):
 			s.refuse(now, w, Elsewhere, 0, b)
 		case ready.After(w.Deadline.Add(-minimumRun)):
-			s.refuse(now, w, Overloaded, min(b.Expected, longestRetry), b)
+			s.refuse(now, w, Overloaded, b.Expected, b)
 		}
 	}
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -215,6 +215,9 @@
 	}
 	t.unstarted = max(t.unstarted-r.input, 0)
 	if r.probe {
+		if o := t.loadFromStore(); o != nil && o.Model == r.model {
+			s.storeLoadEnded(now, t, o)
+		}
 		t.confirmed(now, r)
 		return
 	}
