entry: metrics of orders, places, waiting requests, retry budget and nodes

Change: zoneowner tells an Observer of orders and places, which the node's metrics implement; the rest are read when the metrics are. Ruled out: metrics inside the scheduler, which does no I/O and stays pure. Figures: none; counters cost a map lookup an order.

--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -50,14 +52,26 @@
 }
 
 // within tells whether one more repeated send is allowed. b.mu is held.
-func (b *retryBudget) within(l limits) bool {
+func (b *retryBudget) within(l limits) bool { return b.unspent(l) >= 1 }
+
+// unspent returns the number of repeated sends that are allowed, with a
+// fraction; it is negative when the limits have shrunk. b.mu is held.
+func (b *retryBudget) unspent(l limits) float64 {
 	requests, repeats := 0, 0
 	for i := range budgetSteps {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
 	allowed := budgetShare * (l.ratio*float64(requests) + l.slack/float64(max(l.nodes, 1)))
-	return float64(repeats+1) <= allowed
+	return allowed - float64(repeats)
+}
+
+// rest returns what is left of the budget, for the metrics.
+func (b *retryBudget) rest(now time.Time, l limits) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now, l)
+	return b.unspent(l)
 }
 
 // advance empties the steps that have left the window.
@@ -86,6 +100,18 @@
 	return v.(*retryBudget)
 }
 
+// each calls f for every service, in order.
+func (b *budgets) each(f func(service string, b *retryBudget)) {
+	byName := map[string]*retryBudget{}
+	b.byService.Range(func(service, budget any) bool {
+		byName[service.(string)] = budget.(*retryBudget)
+		return true
+	})
+	for _, service := range slices.Sorted(maps.Keys(byName)) {
+		f(service, byName[service])
+	}
+}
+
 // left tells whether spend would allow a repeated send.
 func (b *retryBudget) left(now time.Time, l limits) bool {
 	b.mu.Lock()
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"almondturn/pkg/fault"
+	"almondturn/pkg/scheduler"
 )
 
 // nodeMetrics are the counters and histograms of one node.
@@ -25,6 +26,20 @@
 	}
 }
 
+// OrderAnswered implements zoneowner.Observer. Loads of adapters have no source.
+func (m *nodeMetrics) OrderAnswered(o scheduler.Order, result scheduler.OrderResult) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_orders_total{operation=%q,source=%q,result=%q}`, o.Operation, o.Source, result)).Inc()
+}
+
+// PlaceAnswered implements zoneowner.Observer.
+func (m *nodeMetrics) PlaceAnswered(service string, waited time.Duration, refused string) {
+	if refused != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_places_refused_total{service=%q,reason=%q}`, service, refused)).Inc()
+		return
+	}
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_place_granted_seconds{service=%q}`, service)).Update(waited.Seconds())
+}
+
 // refused counts a request that no route was found for, or that was not read.
 func (m *nodeMetrics) refused(kind fault.Kind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_refusals_total{kind=%q}`, kind.String())).Inc()
@@ -46,6 +61,12 @@
 		owns = 1
 	}
 	fmt.Fprintf(w, "almondturn_configuration_version %d\n", n.version())
+	fmt.Fprintf(w, "almondturn_configuration_age_seconds %.1f\n", n.configurationAge().Seconds())
+	n.budgets.each(func(service string, b *retryBudget) {
+		fmt.Fprintf(w, "almondturn_retry_budget_left{service=%q} %.1f\n", service, b.rest(time.Now(), n.limits()))
+	})
+	fmt.Fprintf(w, "almondturn_nodes %d\n", n.links.nodes())
+	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.Waiting())
 	fmt.Fprintf(w, "almondturn_requests_in_flight %d\n", n.inFlight.Load())
 	fmt.Fprintf(w, "almondturn_zone_owned %d\n", owns)
 	fmt.Fprintf(w, "almondturn_target_connections_total %d\n", n.pool.Dialed.Load())
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -111,7 +111,10 @@
 	inFlight atomic.Int64
 
 	table atomic.Pointer[route.Table]
-	view  atomic.Pointer[inventory.View]
+	// tableSince is when the table was put in force, in nanoseconds after the
+	// start of the node.
+	tableSince atomic.Int64
+	view       atomic.Pointer[inventory.View]
 	// targets are the entries as last read.
 	targets   map[string]*inventory.Target
 	targetsMu sync.Mutex // guards targets
@@ -167,7 +170,7 @@
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
 		Self: n.self, Zones: d.Settings.Zones, Strength: d.Settings.Strength, MinLease: d.Settings.MinLeaseTime, HolderPause: d.Settings.OrderHolderPause,
-		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Version: n.version, Boot: boottime.Now,
+		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Observer: d.Metrics, Version: n.version, Boot: boottime.Now,
 	})
 	d.Store.SetRelay(n.links.relay)
 	n.configuration = n.newWatch(d.Decoder.ConfigurationPrefix, noPause, n.resetConfiguration, n.changeConfiguration)
--- a/pkg/entry/state.go
+++ b/pkg/entry/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"strings"
+	"time"
 
 	"almondturn/fleet"
 	"almondturn/pkg/event"
@@ -59,6 +60,7 @@
 		return
 	}
 	n.table.Store(t)
+	n.tableSince.Store(int64(time.Since(n.started)))
 	n.owner.SetTable(t)
 	if current == nil || !maps.Equal(current.Drained, t.Drained) {
 		n.drainedChanged()
@@ -77,6 +79,16 @@
 	return uint64(last)
 }
 
+// configurationAge returns for how long the configuration has been in force, 0
+// without one.
+func (n *Node) configurationAge() time.Duration {
+	since := n.tableSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(n.started) - time.Duration(since)
+}
+
 // version returns the version of the configuration in force, 0 for none.
 func (n *Node) version() int64 {
 	if t := n.table.Load(); t != nil {
--- a/pkg/scheduler/names.go
+++ b/pkg/scheduler/names.go
@@ -14,3 +14,11 @@
 func (r Reason) String() string {
 	return [...]string{"", "elsewhere", "overloaded"}[r]
 }
+
+// String returns the operation's name.
+func (o Operation) String() string {
+	if o == Load {
+		return "load"
+	}
+	return "unload"
+}
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -52,6 +52,21 @@
 	NodeCount() int
 }
 
+// Observer counts what an owner does. Its methods must not block.
+type Observer interface {
+	// OrderAnswered is told of each order with its result.
+	OrderAnswered(o scheduler.Order, result scheduler.OrderResult)
+	// PlaceAnswered is told how long a request waited; refused is empty for a
+	// grant.
+	PlaceAnswered(service string, waited time.Duration, refused string)
+}
+
+// noObserver is the Observer of a Config without one.
+type noObserver struct{}
+
+func (noObserver) OrderAnswered(scheduler.Order, scheduler.OrderResult) {}
+func (noObserver) PlaceAnswered(string, time.Duration, string)          {}
+
 // Config is what an Owner needs.
 type Config struct {
 	Self fleet.Node
@@ -68,6 +83,8 @@
 	Targets     Targets
 	Network     Network
 	Log         *zerolog.Logger
+	// Observer is told what happens; nil for nobody.
+	Observer Observer
 	// Version returns the version of the configuration in force.
 	Version func() int64
 	// Boot reads the clock that leases are judged by, which goes on while
@@ -126,12 +143,16 @@
 // waiting is a request that waits for the scheduler's answer.
 type waiting struct {
 	request string
+	service string
 	model   string
 	result  chan *wire.Placed // buffered, and answered once
 }
 
 // New returns an Owner that does not take part yet; Run does.
 func New(cfg Config) *Owner {
+	if cfg.Observer == nil {
+		cfg.Observer = noObserver{}
+	}
 	return &Owner{
 		cfg:  cfg,
 		ttl:  max(cfg.MinLease, leaseTime),
@@ -204,7 +225,7 @@
 	}
 	now := time.Now()
 	ticket := t.scheduler.Submit(now, request(now, node, m))
-	t.waiting[ticket] = waiting{m.RequestID, m.Model, result}
+	t.waiting[ticket] = waiting{m.RequestID, m.Service, m.Model, result}
 	o.run(t)
 	o.mu.Unlock()
 	select {
@@ -323,10 +344,12 @@
 	switch a := a.(type) {
 	case scheduler.Grant:
 		w := t.answer(a.Ticket, &wire.Placed{Run: uint64(a.Run), Target: a.Target})
+		o.cfg.Observer.PlaceAnswered(w.service, a.Waited, "")
 		event.PlaceGranted.Log(o.cfg.Log).Str("request", w.request).Str("model", w.model).Str("target", a.Target).
 			Uint64("run", uint64(a.Run)).Dur("waited_ms", a.Waited).Int("running", a.Running).Bool("probe", a.Probe).Send()
 	case scheduler.Refusal:
 		w := t.answer(a.Ticket, refusal(a))
+		o.cfg.Observer.PlaceAnswered(w.service, a.Waited, a.Reason.String())
 		event.PlaceRefused.Log(o.cfg.Log).Str("request", w.request).Str("model", w.model).Stringer("reason", a.Reason).
 			Dur("waited_ms", a.Waited).Dur("expected_ms", a.Basis.Expected).Dur("left_ms", a.Basis.Left).
 			Int("usable", a.Basis.Usable).Int("copies", a.Basis.Copies).Int("backlog", a.Basis.Backlog).
@@ -372,9 +395,10 @@
 	if ok {
 		result, err = o.cfg.Targets.Order(t.ctx, target, order, token)
 	}
-	event.OrderSent.Log(o.cfg.Log).Str("target", target.ID).Str("operation", operationName(order)).
+	event.OrderSent.Log(o.cfg.Log).Str("target", target.ID).Stringer("operation", order.Operation).
 		Str("model", order.Model).Str("adapter", order.Adapter).Uint64("sequence", order.Sequence).
 		Str("source", order.Source.String()).Str("result", result.String()).Uint64("token", token).AnErr("cause", err).Send()
+	o.cfg.Observer.OrderAnswered(order, result)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.tenure != t {
@@ -385,13 +409,6 @@
 	o.kick()
 }
 
-func operationName(o scheduler.Order) string {
-	if o.Operation == scheduler.Load {
-		return "load"
-	}
-	return "unload"
-}
-
 // orderToken returns the fencing token for an order. It checks the authority
 // once more, by the clock that counts a suspension since the decision.
 func (o *Owner) orderToken(t *tenure) (uint64, bool) {
@@ -418,6 +435,16 @@
 	o.kick()
 }
 
+// Waiting returns the number of requests that wait for a place here.
+func (o *Owner) Waiting() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.tenure == nil {
+		return 0
+	}
+	return o.tenure.scheduler.Waiting()
+}
+
 // keepStepping runs the scheduler when time alone makes something due.
 func (o *Owner) keepStepping(t *tenure) {
 	timer := time.NewTimer(0)
