entry: a node that is told of a newer state lists it at once

When another node has a newer configuration, the watch is cancelled to list anew; that was taken for a failed call: 0.2 s of waiting, and a line store_lost that named a failure which was none. Ruled out: a lost connection to the key-value service (its calls went on meanwhile). Change: a refresh is treated like a lost history: list again at once. Test: TestRefreshListsAgainAtOnce fails on the code before (one list, a line store_lost).

--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -57,7 +57,7 @@
 		if w.feed != nil {
 			w.feed.stop()
 		}
-		if errors.Is(err, kv.ErrCompacted) || ctx.Err() != nil {
+		if errors.Is(err, kv.ErrCompacted) || errors.Is(err, errRefresh) || ctx.Err() != nil {
 			continue // list again at once
 		}
 		if !lost {
