scheduler: as many loads from the weight store as it carries, over all zones

Ruled out: the rate of the store (19 loads in 41 s, 26 a second allowed); a fixed limit (the sites carry four and one, which no configuration tells). Change: owners tell each other how many loads they have in progress; a limit over all zones begins at two, falls to what was carried as soon as a load is overdue, and rises after two loads at full speed while it was used up. A zone that hears no others goes by its own loads. Tests: TestLimitOfLoadsFindsWhatTheStoreCarries plays stores that carry 1, 4 and 12; TestLoadsOfOtherZonesCount.

--- a/pkg/entry/zonestate.go
+++ b/pkg/entry/zonestate.go
@@ -38,6 +38,20 @@
 	l.node.learnVersion(s.ConfigurationVersion)
 }
 
+// StoreLoadsElsewhere implements zoneowner.Network.
+func (l *links) StoreLoadsElsewhere() int {
+	n := 0
+	for _, zone := range l.node.settings.Zones {
+		if zone == l.node.self.Zone {
+			continue
+		}
+		if s := l.state(zone); s != nil {
+			n += s.StoreLoads
+		}
+	}
+	return n
+}
+
 // NodeCount implements zoneowner.Network.
 func (l *links) NodeCount() int {
 	l.mu.Lock()
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -435,7 +435,8 @@
 			return
 		}
 		d = s.store.expected(d)
-		s.store.begin(now, d)
+		s.store.begin(now)
+		t.storePeers = s.store.inProgress()
 	}
 	s.noteLoad(modelKey{t.info.Service, p.model}, d)
 	s.send(now, t, Order{Operation: Load, Model: p.model, Source: source}, d)
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -89,28 +89,16 @@
 		t.reportAt = now.Add(reportRetry)
 		return
 	}
-	o := t.loadFromStore()
+	o := t.storeLoad()
+	if t.phase != loading {
+		o = nil
+	}
 	t.reported(now, r)
 	if o != nil && t.phase == idle && t.replicas[o.Model] != nil {
 		s.storeLoadEnded(now, t, o)
 	}
 }
 
-// loadFromStore returns the load from the weight store that the target carries
-// out, nil for none.
-func (t *target) loadFromStore() *Order {
-	if t.phase != loading || t.order.Operation != Load || t.order.Adapter != "" || t.order.Source != FromStore {
-		return nil
-	}
-	return t.order
-}
-
-// storeLoadEnded learns how long a load from the weight store took.
-func (s *Scheduler) storeLoadEnded(now time.Time, t *target, o *Order) {
-	if m := s.model(modelKey{t.info.Service, o.Model}); m != nil {
-		s.store.finished(m.LoadTime, now.Sub(t.orderSince))
-	}
-}
 
 func (t *target) reported(now time.Time, r inventory.Report) {
 	next := now.Add(reportInterval)
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -49,7 +49,7 @@
 		b := Basis{Expected: s.coldWait(now, ahead, targets), Copies: s.copies(now, k), Backlog: ahead}
 		if m := s.model(k); m != nil && b.Copies == 0 {
 			fromStore++
-			b.Expected = max(b.Expected, s.store.wait(now, fromStore, m.LoadTime))
+			b.Expected = max(b.Expected, s.store.wait(fromStore, m.LoadTime))
 		}
 		s.refuseCold(now, q, b)
 	}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -218,7 +218,7 @@
 	}
 	t.unstarted = max(t.unstarted-r.input, 0)
 	if r.probe {
-		if o := t.loadFromStore(); o != nil && o.Model == r.model {
+		if o := t.storeLoad(); o != nil && t.phase == loading && o.Model == r.model {
 			s.storeLoadEnded(now, t, o)
 		}
 		t.confirmed(now, r)
@@ -298,6 +298,7 @@
 	s.forgetDeparted(now)
 	s.expire(now)
 	s.retire(now)
+	s.watchStore(now)
 	order := s.byUrgency(now)
 	s.grant(now, order)
 	s.findFree(now)
@@ -340,12 +341,14 @@
 	// Backlog is the number of models that requests wait for and that are
 	// not being loaded yet.
 	Backlog int
+	// StoreLoads is the number of loads from the weight store in progress.
+	StoreLoads int
 }
 
 // Summary returns the state of the zone's models.
 func (s *Scheduler) Summary(now time.Time) Summary {
 	s.index()
-	out := Summary{Loaded: map[string][]string{}, Full: map[string][]string{}}
+	out := Summary{Loaded: map[string][]string{}, Full: map[string][]string{}, StoreLoads: s.StoreLoads()}
 	for _, k := range s.models() {
 		st := s.state(now, k)
 		if st.usable == 0 && st.coming == 0 {
--- a/pkg/scheduler/store_test.go
+++ b/pkg/scheduler/store_test.go
@@ -37,16 +37,74 @@
 	none[Refusal](t, z.after(time.Second))
 }
 
-// TestLoadsBehindOthersAreExpectedLater: the zone loads two at once.
+// TestLoadsBehindOthersAreExpectedLater: two are loaded at once.
 func TestLoadsBehindOthersAreExpectedLater(t *testing.T) {
 	var b storeBudget
-	now := start
-	assert.Equal(t, 6*time.Second, b.wait(now, storeAtOnce, 6*time.Second))
-	for range storeAtOnce {
-		b.begin(now, 6*time.Second)
+	assert.Equal(t, 6*time.Second, b.wait(firstStoreLimit, 6*time.Second))
+	b.here, b.elsewhere = 1, 1
+	assert.Equal(t, 9*time.Second, b.wait(1, 6*time.Second))
+	b.here, b.elsewhere = 0, 0
+	assert.Equal(t, 6*time.Second, b.wait(1, 6*time.Second), "they have ended")
+}
+
+// storeModel is a weight store that carries some loads at full speed and shares
+// itself out among more.
+type storeModel struct {
+	carries int
+	left    []float64 // seconds of the loads in progress
+	began   []int     // ticks
+	peers   []int
+}
+
+// TestLimitOfLoadsFindsWhatTheStoreCarries plays a store with models always
+// waiting, and counts the loads in progress in the second half of ten minutes.
+func TestLimitOfLoadsFindsWhatTheStoreCarries(t *testing.T) {
+	const declared, ticks, perTick = 6.0, 6000, 0.1
+	for _, carries := range []int{1, 4, 12} {
+		var b storeBudget
+		m := storeModel{carries: carries}
+		sum := 0
+		for tick := range ticks {
+			for len(m.left) < b.atOnce() {
+				m.left, m.began, m.peers = append(m.left, declared), append(m.began, tick), append(m.peers, len(m.left)+1)
+			}
+			m.step(&b, tick, perTick, declared)
+			if tick >= ticks/2 {
+				sum += len(m.left)
+			}
+		}
+		mean := float64(sum) / (ticks / 2)
+		assert.InDelta(t, carries, mean, 0.5+0.3*float64(carries), "a store that carries %d", carries)
+	}
+}
+
+func (m *storeModel) step(b *storeBudget, tick int, perTick, declared float64) {
+	speed := min(float64(m.carries)/float64(len(m.left)), 1)
+	for i := range m.peers {
+		m.peers[i] = max(m.peers[i], len(m.left))
+	}
+	for i := 0; i < len(m.left); {
+		m.left[i] -= perTick * speed
+		slowdown := float64(tick-m.began[i]) * perTick / declared
+		if m.left[i] > 0 {
+			b.overdue(slowdown, m.peers[i])
+			i++
+			continue
+		}
+		b.finished(slowdown, m.peers[i])
+		m.left, m.began, m.peers = append(m.left[:i], m.left[i+1:]...), append(m.began[:i], m.began[i+1:]...), append(m.peers[:i], m.peers[i+1:]...)
 	}
-	assert.Equal(t, 9*time.Second, b.wait(now, 1, 6*time.Second))
-	assert.Equal(t, 6*time.Second, b.wait(now.Add(7*time.Second), 1, 6*time.Second), "they have ended")
+}
+
+func TestLoadsOfOtherZonesCount(t *testing.T) {
+	z := newZone(t, engine("a", nil, nil))
+	z.SetStoreLoadsElsewhere(firstStoreLimit)
+	r := z.request("m5")
+	r.Deadline = z.now.Add(time.Minute)
+	none[SendOrder](t, z.submit(r))
+	z.SetStoreLoadsElsewhere(0)
+	assert.Equal(t, FromStore, one[SendOrder](t, z.Step(z.now)).Order.Source)
+	assert.Equal(t, 1, z.StoreLoads())
 }
 
 func TestSlowStoreIsLearned(t *testing.T) {
@@ -71,6 +129,6 @@
 	expected := z.store.expected(6 * time.Second)
 	assert.Greater(t, expected, 7*time.Second)
 	assert.Less(t, expected, 9*time.Second)
-	z.store.finished(6*time.Second, time.Hour)
+	z.store.finished(600, 1)
 	assert.LessOrEqual(t, z.store.expected(6*time.Second), maxSlowdown*6*time.Second, "one load that hung says little")
 }
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -81,6 +81,9 @@
 	// order is in progress in the phases ordering, loading and unsettled.
 	order      *Order
 	orderSince time.Time
+	// storePeers is the largest number of loads from the weight store, over all
+	// zones, while the one in progress has lasted.
+	storePeers int
 	// expected is the duration of the order in progress.
 	expected time.Duration
 	// quietUntil is when the next order may be sent.
--- a/pkg/zoneowner/cluster_test.go
+++ b/pkg/zoneowner/cluster_test.go
@@ -399,6 +399,8 @@
 	return peer.Promise(self.cfg.Self, m), nil
 }
 
+func (networkOf) StoreLoadsElsewhere() int { return 0 }
+
 func (networkOf) Tell(fleet.NodeID, wire.Message) {}
 
 func (n networkOf) NodeCount() int { return len(n.c.owners) }
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -50,6 +50,9 @@
 	// NodeCount returns the number of nodes that are connected or have lately
 	// been, with this one.
 	NodeCount() int
+	// StoreLoadsElsewhere returns the number of loads from the weight store that
+	// the owners of other zones have in progress, as far as they are heard.
+	StoreLoadsElsewhere() int
 }
 
 // Observer counts what an owner does. Its methods must not block.
@@ -337,6 +340,7 @@
 	now, boot := time.Now(), o.cfg.Boot()
 	until := t.authority.until(boot)
 	t.scheduler.AllowOrders(now.Add(t.ordersFrom.Sub(boot)), now.Add(until.Sub(boot)))
+	t.scheduler.SetStoreLoadsElsewhere(o.cfg.Network.StoreLoadsElsewhere())
 	for _, a := range t.scheduler.Step(now) {
 		o.act(t, now, a)
 	}
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -38,6 +38,7 @@
 func (h *hall) Broadcast(m wire.Message) { h.told = append(h.told, m) }
 func (h *hall) Connected() []fleet.Node  { return slices.Clone(h.nodes) }
 func (h *hall) NodeCount() int           { return len(h.nodes) + 1 }
+func (*hall) StoreLoadsElsewhere() int   { return 0 }
 func (h *hall) Tell(to fleet.NodeID, m wire.Message) {
 	if h.single == nil {
 		h.single = map[fleet.NodeID][]wire.Message{}
--- a/pkg/zoneowner/state.go
+++ b/pkg/zoneowner/state.go
@@ -50,6 +50,7 @@
 // sameState tells whether nothing has changed that nodes act on.
 func sameState(now, before *wire.ZoneState) bool {
 	return (now.OrdersAfterMillis == 0) == (before.OrdersAfterMillis == 0) && now.NodeCount == before.NodeCount &&
+		now.StoreLoads == before.StoreLoads &&
 		now.ConfigurationVersion == before.ConfigurationVersion && now.Backlog/BacklogStep == before.Backlog/BacklogStep &&
 		maps.EqualFunc(now.Loaded, before.Loaded, slices.Equal[[]string]) && maps.EqualFunc(now.Full, before.Full, slices.Equal[[]string])
 }
@@ -60,6 +61,7 @@
 	m := &wire.ZoneState{
 		Zone: o.cfg.Self.Zone, Token: t.token, Loaded: summary.Loaded, Full: summary.Full, Backlog: summary.Backlog,
 		ConfigurationVersion: o.cfg.Version(), NodeCount: o.cfg.Network.NodeCount(),
+		StoreLoads: summary.StoreLoads,
 	}
 	boot := o.cfg.Boot()
 	if after := t.ordersFrom.Sub(boot); after > 0 {
--- a/wire/zonestate.go
+++ b/wire/zonestate.go
@@ -31,6 +31,8 @@
 	NodeCount int `cbor:"10,keyasint,omitempty"`
 	// Number counts the states of one owner.
 	Number uint64 `cbor:"11,keyasint,omitempty"`
+	// StoreLoads is the number of loads from the weight store in progress.
+	StoreLoads int `cbor:"12,keyasint,omitempty"`
 }
 
 // ZoneChange tells what has changed since the state with the number before.
@@ -49,6 +51,7 @@
 	ConfigurationVersion int64 `cbor:"9,keyasint,omitempty"`
 	Backlog              int   `cbor:"10,keyasint,omitempty"`
 	NodeCount            int   `cbor:"11,keyasint,omitempty"`
+	StoreLoads           int   `cbor:"12,keyasint,omitempty"`
 }
 
 // Type implements Message.
@@ -64,7 +67,7 @@
 		Loaded: without(next.Loaded, s.Loaded), Unloaded: without(s.Loaded, next.Loaded),
 		Full: without(next.Full, s.Full), Relieved: without(s.Full, next.Full),
 		OrdersAfterMillis: next.OrdersAfterMillis, ConfigurationVersion: next.ConfigurationVersion,
-		Backlog: next.Backlog, NodeCount: next.NodeCount,
+		Backlog: next.Backlog, NodeCount: next.NodeCount, StoreLoads: next.StoreLoads,
 	}
 }
 
@@ -78,7 +81,7 @@
 		Zone: c.Zone, Token: c.Token, Number: c.Number,
 		Loaded: joined(without(s.Loaded, c.Unloaded), c.Loaded), Full: joined(without(s.Full, c.Relieved), c.Full),
 		OrdersAfterMillis: c.OrdersAfterMillis, ConfigurationVersion: c.ConfigurationVersion,
-		Backlog: c.Backlog, NodeCount: c.NodeCount,
+		Backlog: c.Backlog, NodeCount: c.NodeCount, StoreLoads: c.StoreLoads,
 	}, true
 }
 
