platform: the runtime knows the memory of its process

Ruled out: queues of connections (the gate bounds them), the list itself (nodes that own no zone peak at 16 MB). Tests: TestRuntimeKeepsWithinTheMemory, TestSettings.

--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -37,6 +37,9 @@
 	Seeds []string
 	Zones []fleet.Zone
 	Bounds
+	// MemoryBytes is the memory that the process may use, 0 for no bound. Above
+	// it, the platform ends the process.
+	MemoryBytes int64
 	// Strength is the share of a processor core that the process may use.
 	Strength float64
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -12,12 +12,12 @@
 // Bounds of the answers through one Gate.
 const (
 	// concurrent is the number of answers that are made at once.
-	concurrent = 4
+	concurrent = 2
 	// bytesPerSecond bounds the answers over time, since they wait in the
 	// queues of connections after they were made.
-	bytesPerSecond = 8 << 20
+	bytesPerSecond = 4 << 20
 	// burstBytes is what may go out at once after a quiet time.
-	burstBytes = 8 << 20
+	burstBytes = 4 << 20
 )
 
 // Gate lets a bounded number of large answers through. It is safe for
