--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -84,15 +84,18 @@
 
 // Config is one run of the emulator.
 type Config struct {
-	Name     string
-	Seed     uint64
-	Length   time.Duration
-	Targets  int
-	Engine   *route.Engine
-	Initial  [][]string // models loaded at the start, per target
-	OnDisk   [][]string // copies on disk, per target
-	Arrivals []Arrival
-	Faults   []Fault
+	Name    string
+	Seed    uint64
+	Length  time.Duration
+	Targets int
+	Engine  *route.Engine
+	// StoreCarries is the number of loads from the weight store that go on at
+	// full speed; more share it out. 0 is no bound.
+	StoreCarries int
+	Initial      [][]string // models loaded at the start, per target
+	OnDisk       [][]string // copies on disk, per target
+	Arrivals     []Arrival
+	Faults       []Fault
 }
 
 // Result is what a run showed.
--- a/pkg/emulator/orders.go
+++ b/pkg/emulator/orders.go
@@ -112,7 +112,7 @@
 		return m.DiskTime
 	default:
 		w.result.StoreLoads++
-		return m.LoadTime
+		return time.Duration(w.storeShare() * float64(m.LoadTime))
 	}
 }
 
@@ -186,3 +186,18 @@
 	e.models, e.memory, e.past = map[string]map[string]bool{}, nil, nil
 	e.order, e.sequence = nil, 0
 }
+
+// storeShare returns how many times longer another load from the weight store
+// takes beside those that are in progress.
+func (w *world) storeShare() float64 {
+	if w.cfg.StoreCarries == 0 {
+		return 1
+	}
+	n := 1
+	for _, e := range w.engines {
+		if e.order != nil && e.order.Source == scheduler.FromStore {
+			n++
+		}
+	}
+	return max(float64(n)/float64(w.cfg.StoreCarries), 1)
+}
--- a/pkg/emulator/patterns.go
+++ b/pkg/emulator/patterns.go
@@ -72,6 +72,16 @@
 		c.busy(r, busyRate*2.5, 12*time.Second, 20*time.Second, 0)
 		c.busy(r, busyRate, 20*time.Second, patternLength, 0)
 	}},
+	// Half of the targets are new and keep no copies, and the weight store
+	// carries one load at full speed.
+	{"replaced-targets", func(c *Config, r *rand.Rand) {
+		c.StoreCarries = 1
+		for i := range patternTargets / 2 {
+			c.Initial[i], c.OnDisk[i] = nil, nil
+		}
+		c.rare(r, rareRate, 0, patternLength)
+		c.busy(r, busyRate, 0, patternLength, 0)
+	}},
 	{"cut-off-targets", func(c *Config, r *rand.Rand) {
 		c.rare(r, rareRate, 0, patternLength)
 		c.busy(r, busyRate, 0, patternLength, 0)
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -99,7 +99,6 @@
 	}
 }
 
-
 func (t *target) reported(now time.Time, r inventory.Report) {
 	next := now.Add(reportInterval)
 	switch t.phase {
