entry: owners that are expected back are waited for before another zone refuses for good

A node whose connection to the owner of a zone was being replaced (the owner had started anew) asked the other zone, which may hold no replica of the model, as its last resort, and took that refusal for final; the call to the right zone had been lost with the connection 20 ms before. Change: before the last question, a request whose zone did not answer looks again for up to 0.5 s while that zone's owner is connected by now, new, or lost for less than a second. An owner that stays away (zone cut off) is not waited for.

--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,9 @@
 	linkHeartbeat   = 600 * time.Millisecond
 	linkSilence     = 1600 * time.Millisecond
 	linkRetry       = 200 * time.Millisecond
-	nodeGoneAfter   = 3 * time.Second
+	// settleTime is how long an owner without a connection is expected back.
+	settleTime    = time.Second
+	nodeGoneAfter = 3 * time.Second
 )
 
 // links are the connections to the owners of the zones, and those that other
@@ -46,11 +49,13 @@
 
 // link is the connection to the owner of one zone.
 type link struct {
-	zone   fleet.Zone
-	owner  zoneowner.OwnerRecord
-	token  uint64
-	conn   atomic.Pointer[wire.Conn]
-	state  atomic.Pointer[wire.ZoneState]
+	zone  fleet.Zone
+	owner zoneowner.OwnerRecord
+	token uint64
+	conn  atomic.Pointer[wire.Conn]
+	state atomic.Pointer[wire.ZoneState]
+	// down is since when there is no connection.
+	down   atomic.Pointer[time.Time]
 	cancel context.CancelFunc
 }
 
@@ -84,6 +89,7 @@
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	k := &link{zone: zone, owner: r, token: token, cancel: cancel}
+	k.broken(time.Now())
 	l.zones[zone] = k
 	if r.Addr != l.node.self.Addr {
 		go l.keep(ctx, k)
@@ -111,6 +117,25 @@
 	}
 }
 
+// broken notes that there is no connection.
+func (k *link) broken(now time.Time) { k.down.Store(&now) }
+
+// settling tells whether one of the zones, whose owners have just not answered,
+// is worth another question: its owner is connected by now, or about to be,
+// because it is new or its connection has just ended. Owners that stay away are
+// not waited for.
+func (l *links) settling(now time.Time, zones []fleet.Zone) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(zones, func(zone fleet.Zone) bool {
+		k := l.zones[zone]
+		if k == nil || k.owner.Addr == "" {
+			return false
+		}
+		return k.conn.Load() != nil || now.Sub(*k.down.Load()) < settleTime
+	})
+}
+
 // serve runs an established connection to an owner.
 func (l *links) serve(ctx context.Context, k *link, c *wire.Conn) {
 	stop := context.AfterFunc(ctx, func() { c.Close(wire.ErrClosed) })
@@ -120,6 +145,7 @@
 	k.conn.Store(c)
 	event.OwnerConnected.Log(l.node.log).Str("zone", string(k.zone)).Str("owner", string(k.owner.Node)).Send()
 	err := c.Run()
+	k.broken(time.Now())
 	k.conn.Store(nil)
 	event.OwnerLost.Log(l.node.log).Str("zone", string(k.zone)).Str("owner", string(k.owner.Node)).Err(err).Send()
 }
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -23,6 +23,9 @@
 	leastRun = 200 * time.Millisecond
 	// defaultRetry is when a refused request is worth another try.
 	defaultRetry = 600 * time.Millisecond
+	// settleWait is how long a request waits for owners that are expected back,
+	// before another zone refuses it for good.
+	settleWait = 500 * time.Millisecond
 )
 
 // place is a target that a request may be sent to.
@@ -76,10 +79,11 @@
 // one again when all others refuse. asked is false when none answered.
 func (n *Node) askOwners(ctx context.Context, j *job) (p place, ref *Refusal, asked bool) {
 	zones := n.zoneOrder(j)
-	var reached []fleet.Zone
+	var reached, missed []fleet.Zone
 	for _, zone := range zones {
 		placed, err := n.links.place(ctx, zone, n.placeMessage(j, false))
 		if err != nil || placed.Refusal == wire.PlaceNotOwner {
+			missed = append(missed, zone)
 			continue
 		}
 		reached = append(reached, zone)
@@ -89,6 +93,9 @@
 		p, ref = n.accept(j, zone, placed)
 		return p, ref, true
 	}
+	if now := time.Now(); now.Sub(j.arrived) < settleWait && n.links.settling(now, missed) {
+		return place{}, nil, len(reached) > 0 // asked again soon
+	}
 	for _, zone := range reached {
 		placed, err := n.links.place(ctx, zone, n.placeMessage(j, true))
 		if err != nil || placed.Refusal == wire.PlaceNotOwner {
