zoneowner: large zones are taken over by the owner before, and read in turn

Cause: an own site of 300 nodes and 3,000 targets, all processes killed: nodes need 6 s for their lists, by when the preference for the former owner (3 s after the start of a process) was over; another node took the zone and had to wait 4.7 s before its first order. Then it asked 900 targets for their state at once on 0.4 of a core: 148 reports failed. Ruled out: lists (no store_lost, no second first page since they go on at a page), leases. Change: the preference counts from when a node could first take the zone; 32 reports are asked for at a time.

--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -163,14 +163,27 @@
 	}
 }
 
+// maxReports is the number of reports that are asked for at once: a new owner of
+// a large zone has to ask all targets.
+const maxReports = 32
+
 // askReports asks the targets whose state is due to be read.
 func (s *Scheduler) askReports(now time.Time) {
+	asked := 0
+	for _, t := range s.sorted {
+		if t.asked {
+			asked++
+		}
+	}
 	soon := now.After(s.ordersFrom.Add(-unsettledWait)) && now.Before(s.ordersUntil)
 	for _, t := range s.sorted {
 		due := t.phase == loading || t.phase == unsettled || t.phase == unread && soon || t.phase == idle && t.doubtful()
 		if !due || t.asked || now.Before(t.reportAt) {
 			continue
 		}
+		if asked++; asked > maxReports {
+			return // the others follow when answers have come
+		}
 		t.asked = true
 		s.emit(AskReport{Target: t.info.ID})
 	}
--- a/pkg/scheduler/orders_test.go
+++ b/pkg/scheduler/orders_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -130,3 +131,29 @@
 	z.Reported(z.now, "a", inventory.Report{Models: []inventory.LoadedModel{{Name: "m5"}}, Sequence: 1})
 	assert.False(t, one[Grant](t, z.Step(z.now)).Probe)
 }
+
+// TestReportsOfALargeZoneAreAskedForInTurn: a new owner knows no target's state.
+func TestReportsOfALargeZoneAreAskedForInTurn(t *testing.T) {
+	const targets = 3*maxReports + 7
+	var list []*inventory.Target
+	for i := range targets {
+		list = append(list, engine(fmt.Sprint("t", i), nil, nil))
+	}
+	z := newZone(t)
+	z.SetTargets(z.now, list)
+	asked := map[string]int{}
+	waiting := z.Step(z.now)
+	for len(waiting) > 0 {
+		assert.LessOrEqual(t, len(waiting), maxReports)
+		for _, a := range waiting {
+			id := a.(AskReport).Target
+			asked[id]++
+			z.Reported(z.now, id, inventory.Report{})
+		}
+		waiting = z.Step(z.now)
+	}
+	assert.Len(t, asked, targets)
+	for id, n := range asked {
+		assert.Equal(t, 1, n, id)
+	}
+}
--- a/pkg/zoneowner/campaign.go
+++ b/pkg/zoneowner/campaign.go
@@ -33,8 +33,9 @@
 	// weakDelay is how long a node without any processor share would wait
 	// before it takes the zone.
 	weakDelay = 400 * time.Millisecond
-	// preference is how much longer other nodes wait, within freshTime of their
-	// start, for the node that owned the zone before.
+	// preference is how much longer other nodes wait for the node that owned the
+	// zone before, within freshTime after they have learned what they need: that
+	// takes seconds when hundreds of nodes start at once.
 	preference = 700 * time.Millisecond
 	freshTime  = 3 * time.Second
 	// stateInterval is the least time between two broadcasts of the zone's
@@ -104,9 +105,6 @@
 
 // Run takes the zone when nobody owns it, until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
-	o.mu.Lock()
-	o.started = o.cfg.Boot()
-	o.mu.Unlock()
 	for ctx.Err() == nil {
 		wait := o.campaign(ctx)
 		timer := time.NewTimer(wait)
@@ -124,6 +122,9 @@
 	o.mu.Lock()
 	held, promised := o.held, o.promisedUntil.Sub(o.cfg.Boot())
 	able := o.known && o.ready && o.tenure == nil && !o.stopping && o.services != nil
+	if able && o.able.IsZero() {
+		o.able = o.cfg.Boot()
+	}
 	mine := held.record.Addr == o.cfg.Self.Addr
 	o.mu.Unlock()
 	switch {
@@ -144,7 +145,7 @@
 }
 
 // holdBack returns how long this node lets others take the free zone. It does
-// not for its own key. Just after the start of the process it waits for the
+// not for its own key. Just after it has started it waits for the
 // node that owned the zone before, unless that has resigned: if all have started
 // anew, that one may give orders at once.
 func (o *Owner) holdBack(mine bool) time.Duration {
@@ -154,7 +155,7 @@
 	wait := rand.N(takeJitter) + time.Duration((1-min(o.cfg.Strength, 1))*float64(weakDelay))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	fresh := o.cfg.Boot().Sub(o.started) < freshTime
+	fresh := o.cfg.Boot().Sub(o.able) < freshTime
 	if fresh && o.lastAddr != "" && o.lastAddr != o.cfg.Self.Addr && !o.lastResigned {
 		wait += preference
 	}
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -106,8 +106,8 @@
 	told atomic.Pointer[wire.ZoneState]
 
 	mu sync.Mutex // guards all below
-	// started is when Run began.
-	started time.Time
+	// able is when this node could first take the zone; zero before.
+	able time.Time
 	// held is the key as last read or watched.
 	held  ownerKey
 	known bool
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -252,3 +252,22 @@
 	require.True(t, ok)
 	assert.EqualValues(t, 3, next.ConfigurationVersion)
 }
+
+// TestPreferenceHoldsAfterASlowStart: hundreds of nodes that start at once need
+// seconds to learn the targets; the owner before still comes first then.
+func TestPreferenceHoldsAfterASlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(kvtest.Store)
+		writeLast(t, s, lastRecord{Addr: otherAddr})
+		o := lone(s)
+		o.lastAddr, o.services = otherAddr, map[string]*route.Service{}
+		assert.Equal(t, time.Second, o.campaign(t.Context()), "it knows nothing yet")
+		time.Sleep(2 * freshTime)
+		o.known, o.ready = true, true
+		began := time.Now()
+		o.campaign(t.Context())
+		defer o.Abandon()
+		assert.GreaterOrEqual(t, time.Since(began), preference)
+		assert.True(t, o.Owns(), "the owner before stayed away")
+	})
+}
