wait: one pause that a context cuts short; a name in the pacing of prompts

Change: pkg/wait; sentPrompt. No change of behaviour. Ruled out: boottime as its place (a clock, not a pause).

--- a/pkg/bench/load.go
+++ b/pkg/bench/load.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"almondturn/pkg/wait"
 )
 
 // arrival is one request of the plan.
@@ -104,12 +106,5 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d)
 }
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -11,6 +11,7 @@
 
 	"almondturn/fleet"
 	"almondturn/pkg/event"
+	"almondturn/pkg/wait"
 	"almondturn/pkg/zoneowner"
 	"almondturn/wire"
 )
@@ -113,7 +114,7 @@
 		if err == nil {
 			l.serve(ctx, k, c)
 		}
-		sleep(ctx, linkRetry)
+		wait.For(ctx, linkRetry)
 	}
 }
 
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -20,6 +20,7 @@
 	"almondturn/pkg/kv"
 	"almondturn/pkg/route"
 	"almondturn/pkg/upstream"
+	"almondturn/pkg/wait"
 	"almondturn/pkg/zoneowner"
 )
 
@@ -306,7 +307,7 @@
 }
 
 func (n *Node) sweep() {
-	for sleep(n.ctx, sweepInterval) {
+	for wait.For(n.ctx, sweepInterval) {
 		n.pool.Sweep()
 		if t := n.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
 			n.idle.closeOlder(t.Limits.IdleTimeout)
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondturn/pkg/event"
+	"almondturn/pkg/wait"
 )
 
 // Times of a graceful shutdown.
@@ -42,7 +43,7 @@
 				break
 			}
 		}
-		sleep(ctx, stopPoll)
+		wait.For(ctx, stopPoll)
 	}
 	cut := n.inFlight.Load()
 	n.cancelHard()
@@ -81,7 +82,7 @@
 func (n *Node) settle() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
 	defer cancel()
-	for n.inFlight.Load() > 0 && sleep(ctx, stopPoll/5) {
+	for n.inFlight.Load() > 0 && wait.For(ctx, stopPoll/5) {
 	}
 	_ = n.clients.Shutdown(ctx) // what is left is cut off by Close
 }
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -7,6 +7,7 @@
 
 	"almondturn/pkg/event"
 	"almondturn/pkg/kv"
+	"almondturn/pkg/wait"
 )
 
 // Store is the part of the key-value service that the watches need.
@@ -65,7 +66,7 @@
 			event.StoreLost.Log(w.node.log).Str("prefix", w.prefix).Err(err).Send()
 		}
 		w.borrow(ctx)
-		sleep(ctx, watchRetry)
+		wait.For(ctx, watchRetry)
 	}
 }
 
@@ -95,7 +96,7 @@
 		if len(events) > 0 {
 			w.snapshot.change(events)
 			w.changed(events)
-			sleep(ctx, w.pause())
+			wait.For(ctx, w.pause())
 		}
 		revision = max(revision, next)
 	}
@@ -141,14 +142,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -111,7 +111,7 @@
 	t.occupy(now, r)
 	r.unread = t.unstarted
 	r.paced = w.paced
-	t.reads = append(t.reads, read{now, s.readingOf(modelKey{w.Service, w.Model}, w.InputTokens)})
+	t.prompts = append(t.prompts, sentPrompt{now, s.readingOf(modelKey{w.Service, w.Model}, w.InputTokens)})
 	s.remove(w)
 	return Grant{Ticket: w.ticket, Run: r.id, Target: t.info.ID, Waited: now.Sub(w.since), Running: t.runs, Probe: r.probe}
 }
--- a/pkg/scheduler/reading.go
+++ b/pkg/scheduler/reading.go
@@ -71,10 +71,11 @@
 	return time.Duration(per * float64(tokens) * float64(time.Second))
 }
 
-// read is a prompt that was sent to a target.
-type read struct {
-	at   time.Time
-	time time.Duration
+// sentPrompt is a prompt that was sent to a target, with the time that it takes
+// to be read.
+type sentPrompt struct {
+	at      time.Time
+	reading time.Duration
 }
 
 // noteGap learns the shortest pause between events that a service's routes allow.
@@ -92,22 +93,22 @@
 // prompt alone cannot be spread.
 func (s *Scheduler) pauses(now time.Time, t *target, w *waiter) bool {
 	gap := s.gaps[w.Service]
-	t.forgetReads(now.Add(-gap))
-	if gap <= 0 || len(t.reads) == 0 {
+	t.forgetPrompts(now.Add(-gap))
+	if gap <= 0 || len(t.prompts) == 0 {
 		return false
 	}
 	total := s.readingOf(modelKey{w.Service, w.Model}, w.InputTokens)
-	for _, r := range t.reads {
-		total += r.time
+	for _, r := range t.prompts {
+		total += r.reading
 	}
 	return total > time.Duration(readingShare*float64(gap))
 }
 
-// forgetReads drops the prompts that were sent before a time.
-func (t *target) forgetReads(before time.Time) {
+// forgetPrompts drops the prompts that were sent before a time.
+func (t *target) forgetPrompts(before time.Time) {
 	n := 0
-	for n < len(t.reads) && t.reads[n].at.Before(before) {
+	for n < len(t.prompts) && t.prompts[n].at.Before(before) {
 		n++
 	}
-	t.reads = t.reads[n:]
+	t.prompts = t.prompts[n:]
 }
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -182,8 +182,8 @@
 		if at, ok := t.nextProbe(); ok && len(s.tickets) > 0 {
 			consider(at)
 		}
-		if len(s.tickets) > 0 && len(t.reads) > 0 {
-			consider(t.reads[0].at.Add(s.gaps[t.info.Service]))
+		if len(s.tickets) > 0 && len(t.prompts) > 0 {
+			consider(t.prompts[0].at.Add(s.gaps[t.info.Service]))
 		}
 		for _, r := range t.replicas {
 			for _, a := range r.adapters {
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -97,9 +97,9 @@
 	runs, tokens int
 	// unstarted is the number of prompt tokens of runs without a first event.
 	unstarted int
-	// reads are the prompts that were sent within the last allowed pause
+	// prompts are those that were sent within the last allowed pause
 	// between events.
-	reads []read
+	prompts []sentPrompt
 	// probing is set while the first run after a load shows whether the
 	// model is there; probeAt is when the next one may.
 	probing    bool
