scheduler: an adapter that is still in use keeps its slot

By reading: targets may go on with runs of nodes that have died, which the new owner does not know of. The unload of an adapter in such use is accepted (202) but not done (200), and does not block the next order; its slot counted as free, so that the next adapter exceeded the target's slots. Ruled out: models (a target refuses the next order while it unloads one); reports older than an order (Sequence). Change: such an adapter takes no runs and keeps its slot until a report tells that it is gone. Test: TestAdapterThatIsStillInUseKeepsItsSlot fails on the code before.

--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -65,12 +65,13 @@
 	}
 }
 
-// oldestAdapter returns the adapter without runs that has been unused for longest.
+// oldestAdapter returns the adapter without runs that has been unused for
+// longest, among those that are known to be there.
 func (t *target) oldestAdapter() (model, name string, ok bool) {
 	var oldest time.Time
 	for m, r := range t.replicas {
 		for n, a := range r.adapters {
-			if a.runs > 0 {
+			if a.runs > 0 || a.doubted {
 				continue
 			}
 			earlier := !ok || a.lastUsed.Before(oldest) || a.lastUsed.Equal(oldest) && m+"/"+n < model+"/"+name
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -30,6 +30,10 @@
 	o := t.order
 	t.rejections = 0
 	t.sequence = o.Sequence + 1
+	if o.Adapter != "" && o.Operation == Unload {
+		t.adapterLeaves(now, o)
+		return
+	}
 	if o.Adapter != "" {
 		t.applyAdapter(now, o)
 		return
@@ -64,6 +68,19 @@
 	}
 }
 
+// adapterLeaves follows an unload that is not done at once: the target still has
+// a run with the adapter that this owner does not know of, of a node that has
+// died. The adapter keeps its slot until a report tells that it is gone.
+func (t *target) adapterLeaves(now time.Time, o *Order) {
+	t.phase, t.order = idle, nil
+	r := t.replicas[o.Model]
+	if r == nil || r.adapters[o.Adapter] == nil {
+		return
+	}
+	r.adapters[o.Adapter].doubted = true
+	t.reportAt = now.Add(reportInterval)
+}
+
 func (t *target) applyAdapter(now time.Time, o *Order) {
 	t.phase, t.order = idle, nil
 	r := t.replicas[o.Model]
--- a/pkg/scheduler/orders_test.go
+++ b/pkg/scheduler/orders_test.go
@@ -157,3 +157,37 @@
 		assert.Equal(t, 1, n, id)
 	}
 }
+
+// TestAdapterThatIsStillInUseKeepsItsSlot: a node has died, and the target goes
+// on with its run, so that the unload is accepted but not done.
+func TestAdapterThatIsStillInUseKeepsItsSlot(t *testing.T) {
+	z := newZone(t, engine("a", []string{"m0"}, nil))
+	held := inventory.LoadedModel{Name: "m0", Adapters: []string{"x", "y"}} // two slots
+	z.Reported(z.now, "a", inventory.Report{Models: []inventory.LoadedModel{held}})
+	z.targets[0].Models = []inventory.LoadedModel{held}
+	z.SetTargets(z.now, z.targets)
+	z.Scheduler.targets["a"].setModels(z.targets[0].Models)
+	r := z.request("m0")
+	r.Adapter = "w"
+	o := one[SendOrder](t, z.submit(r)).Order
+	require.Equal(t, Unload, o.Operation)
+	z.Ordered(z.now, o, OrderAccepted)
+	for range 5 {
+		for _, a := range z.after(reportInterval) {
+			if sent, ok := a.(SendOrder); ok {
+				assert.Equal(t, Unload, sent.Order.Operation, "both slots are taken")
+				z.Ordered(z.now, sent.Order, OrderRejected)
+			}
+		}
+	}
+	left := inventory.LoadedModel{Name: "m0", Adapters: []string{"x", "y"}}
+	left.Adapters = []string{"y"}
+	if o.Adapter == "y" {
+		left.Adapters = []string{"x"}
+	}
+	z.Reported(z.now, "a", inventory.Report{Models: []inventory.LoadedModel{left}, Sequence: 1})
+	z.now = z.now.Add(rejectedPause)
+	load := one[SendOrder](t, z.Step(z.now)).Order
+	assert.Equal(t, Load, load.Operation)
+	assert.Equal(t, "w", load.Adapter)
+}
