scheduler: requests wait for the next report while no target is healthy

Change: without a healthy target the wait is the time until the first suspect target that does not drain takes requests again; an hour remains if there is none.

--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -22,12 +22,7 @@
 // refuseUnservable refuses the requests that will not be served in time, and
 // those that another zone is likely to serve sooner.
 func (s *Scheduler) refuseUnservable(now time.Time, queues []*queue) {
-	healthyTargets := 0
-	for _, t := range s.targets {
-		if t.healthy(now) {
-			healthyTargets++
-		}
-	}
+	recoveries := s.targetRecoveries(now)
 	rank, fromStore := 0, 0
 	for _, q := range queues {
 		if len(q.waiters) == 0 {
@@ -48,8 +43,9 @@
 			continue
 		}
 		rank++
-		estimate := RefusalEstimate{ExpectedWait: s.coldStartWait(now, rank, healthyTargets), TargetsWithCopy: s.targetsWithCopy(now, k), BacklogRank: rank}
-		if m := s.modelConfig(k); m != nil && estimate.TargetsWithCopy == 0 {
+		r := recoveries[k.service]
+		estimate := RefusalEstimate{ExpectedWait: s.coldStartWait(now, rank, r), TargetsWithCopy: s.targetsWithCopy(now, k), BacklogRank: rank}
+		if m := s.modelConfig(k); m != nil && estimate.TargetsWithCopy == 0 && r.healthy > 0 {
 			fromStore++
 			estimate.ExpectedWait = max(estimate.ExpectedWait, s.weightStore.expectedWait(fromStore, m.WeightStoreLoadTime))
 		}
@@ -141,13 +137,42 @@
 	}
 }
 
+// targetRecovery says when the targets of a service can take requests.
+type targetRecovery struct {
+	// healthy is the number of healthy targets.
+	healthy int
+	// next is when the first of the targets that are neither healthy nor draining
+	// takes requests again, zero if there is none.
+	next time.Time
+}
+
+// targetRecoveries returns the recovery of each service with targets.
+func (s *Scheduler) targetRecoveries(now time.Time) map[string]targetRecovery {
+	out := make(map[string]targetRecovery, len(s.services))
+	for _, t := range s.sortedTargets {
+		r := out[t.info.Service]
+		switch {
+		case t.healthy(now):
+			r.healthy++
+		case !t.info.Draining && (r.next.IsZero() || t.suspectUntil.Before(r.next)):
+			r.next = t.suspectUntil
+		}
+		out[t.info.Service] = r
+	}
+	return out
+}
+
 // coldStartWait estimates the time until a model is loaded, given its rank among
-// the models that wait for a load. It is at least half of coldStartEstimate.
-func (s *Scheduler) coldStartWait(now time.Time, rank, healthyTargets int) time.Duration {
-	if healthyTargets == 0 {
+// the models that wait for a load. It is at least half of coldStartEstimate. Without
+// a healthy target it is the time until one recovers, which may have the model.
+func (s *Scheduler) coldStartWait(now time.Time, rank int, r targetRecovery) time.Duration {
+	if r.healthy == 0 && r.next.IsZero() {
 		return time.Hour // no target can load the model
 	}
-	wait := time.Duration(rank) * coldStartEstimate / time.Duration(healthyTargets)
+	if r.healthy == 0 {
+		return r.next.Sub(now)
+	}
+	wait := time.Duration(rank) * coldStartEstimate / time.Duration(r.healthy)
 	if s.ordersFrom.After(now) {
 		wait += s.ordersFrom.Sub(now)
 	}
