entry: a stream stalls without events, not without bytes; its last attempt is not cut

Cause: the time after which a stream is continued at another target began anew with every byte, so that comments, blank lines or single bytes kept a stalled stream until its deadline. And a slow stream was cut at that time also when no other attempt was allowed, which ended it broken although it was sound. Change: only events with an identifier count as progress; the time is bounded only while the route's attempts, the deadline and the retry budget allow another attempt. The start of a long event is no longer copied with every read.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -256,7 +256,7 @@
 	resp, err := n.pool.Do(ctx, t.Addr, &upstream.Request{
 		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: maxIdle,
 		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
-		MatchesResponse: n.matchesResponse(j), ResponseHeaderTimeout: j.responseHeaderTimeout(cr.started),
+		MatchesResponse: n.matchesResponse(j), ResponseHeaderTimeout: n.responseHeaderTimeout(j, cr.started),
 	})
 	if isTimeout(err) {
 		n.pool.CloseIdle(t.Addr) // other connections to it may be stalled, too
@@ -286,11 +286,11 @@
 }
 
 // responseHeaderTimeout returns how long to wait for the headers of a response,
-// 0 for no bound before the deadline. Only a stream that can be resumed has a
-// bound; a request that must not be repeated waits until its deadline. started
+// 0 for no bound before the deadline. Only a stream that may be sent to another
+// target afterwards has a bound; any other request waits until its deadline. started
 // is true if a part of the response was written to the client.
-func (j *job) responseHeaderTimeout(started bool) time.Duration {
-	if !j.Route.Resumable || j.NonStreaming {
+func (n *Node) responseHeaderTimeout(j *job, started bool) time.Duration {
+	if !j.mayResumeElsewhere(time.Now(), j.possibleRuns+1) || !n.budgetAllowsRetry(j) {
 		return 0
 	}
 	return j.eventWait(started)
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -38,10 +38,9 @@
 func (n *Node) forwardStream(ctx context.Context, j *job, resp *upstream.Response, cr *clientResponse, out sendResult) sendResult {
 	s := &eventSplitter{lastID: j.resumeAfter, resumed: cr.started}
 	buf := make([]byte, streamBufferBytes)
+	progressAt, idCount := time.Now(), 0
 	for {
-		if j.Route.Resumable {
-			resp.SetReadDeadline(time.Now().Add(j.eventWait(s.idCount > 0 || cr.started)))
-		}
+		resp.SetReadDeadline(n.stallDeadline(j, progressAt, s.idCount > 0 || cr.started))
 		size, err := resp.Read(buf)
 		if size > 0 {
 			events, splitErr := s.add(buf[:size])
@@ -55,6 +54,9 @@
 				}
 				j.resumeAfter = s.lastID
 			}
+			if s.idCount > idCount { // other bytes, such as comments, are no progress
+				progressAt, idCount = time.Now(), s.idCount
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return n.endStream(ctx, j, resp, cr, s, out)
@@ -70,6 +72,23 @@
 	}
 }
 
+// stallDeadline returns the time at which a stream without another event is given up
+// in order to continue it at another target, zero if it must not be. progressAt is
+// when the last event with an ID, or before that the head of the response, was
+// received. started is that of eventWait.
+func (n *Node) stallDeadline(j *job, progressAt time.Time, started bool) time.Time {
+	if !j.mayResumeElsewhere(time.Now(), j.possibleRuns) || !n.budgetAllowsRetry(j) {
+		return time.Time{} // a slow stream is worth more than none
+	}
+	return progressAt.Add(j.eventWait(started))
+}
+
+// mayResumeElsewhere reports whether the request may be sent to another target after
+// the current one, which has it as the run with the number runs, has stalled.
+func (j *job) mayResumeElsewhere(now time.Time, runs int) bool {
+	return j.Route.Resumable && !j.NonStreaming && runs < j.Route.MaxAttempts && j.sends < maxSends && j.deadline.Sub(now) > minRunTime
+}
+
 // eventWait returns how long to wait for the next event of a stream before
 // it is resumed at another target: one and a half times the latency objective
 // for the first event, and a multiple of the longest event interval after it,
@@ -151,7 +170,7 @@
 		if len(buffered) > maxEventBytes {
 			return nil, errEventTooLong
 		}
-		s.partial = append(s.partial[:0:0], buffered...)
+		s.partial = append(s.partial, p...)
 		return nil, nil
 	}
 	end += len(eventEnd)
