scheduler: models in demand get replicas from the weight store; lasting overload serves in time

Causes: 1. a further replica was not loaded from the weight store while any target had a copy, and the targets that have the model loaded have one. 2. The estimate of prefill time rose at busy targets, since later prompts share the prefill, so that pacing kept a hot replica at 3 of 12 runs; its requests waited 1.75 s and were refused with free slots. 3. Beyond capacity the queue grew to the deadline, so that all that were served were late. Change: copies count only at targets that may load from them; the store goes to the model with most requests beyond its replicas, and to a further replica only after 2 s of demand; the estimate is at most the median time per pending token; requests that would wait for prefill beyond their deadline are refused at once; under lasting overload new requests that would miss their objective are refused at once. A request that comes back from other zones is counted once in the demand.

--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -209,10 +209,10 @@
 	if m == nil || m.WeightsMB > svc.Engine.WeightsMB || !s.mayAddReplica(k) {
 		return
 	}
-	copyCount := s.targetsWithCopy(now, k)
-	best, ok := s.bestCandidate(now, k, m, svc.Engine, copyCount, false)
+	fromStore := s.unloadedCopies(now, k) == 0 && s.isFirstForStore(now, k, svc.Engine)
+	best, ok := s.bestCandidate(now, k, m, svc.Engine, fromStore, false)
 	if !ok && allowClosing {
-		best, ok = s.bestCandidate(now, k, m, svc.Engine, copyCount, true)
+		best, ok = s.bestCandidate(now, k, m, svc.Engine, fromStore, true)
 	}
 	if ok {
 		s.startPlan(now, k, best)
@@ -248,6 +248,20 @@
 	return n
 }
 
+// unloadedCopies returns the number of healthy targets from whose local copy another
+// replica of the model could be loaded: those that don't have it loaded, and are not
+// occupied by a load from the weight store, which takes longer than one of the model.
+func (s *Scheduler) unloadedCopies(now time.Time, k modelKey) int {
+	n := 0
+	for _, t := range s.sortedTargets {
+		occupied := t.replicas[k.model] != nil || t.weightStoreLoad() != nil
+		if t.info.Service == k.service && t.healthy(now) && t.localCopies[k.model] != 0 && !occupied {
+			n++
+		}
+	}
+	return n
+}
+
 // findTargetsWithoutPlan finds the targets that may start a plan, and clears
 // replicaValues and copyCounts.
 func (s *Scheduler) findTargetsWithoutPlan(now time.Time) {
@@ -268,7 +282,7 @@
 	if st.blockedTarget == nil || svc == nil || svc.Engine == nil || svc.Engine.Models[k.model] == nil {
 		return
 	}
-	best, ok := s.bestCandidate(now, k, svc.Engine.Models[k.model], svc.Engine, s.targetsWithCopy(now, k), false)
+	best, ok := s.bestCandidate(now, k, svc.Engine.Models[k.model], svc.Engine, s.unloadedCopies(now, k) == 0, false)
 	if !ok {
 		return
 	}
@@ -277,8 +291,8 @@
 }
 
 // bestCandidate returns the candidate with the lowest score, or false if there is
-// none. Targets without a local copy are considered only if no target has one.
-func (s *Scheduler) bestCandidate(now time.Time, k modelKey, m *route.Model, e *route.Engine, copyCount int, allowClosing bool) (candidate, bool) {
+// none. Targets without a local copy are considered only if fromStore is true.
+func (s *Scheduler) bestCandidate(now time.Time, k modelKey, m *route.Model, e *route.Engine, fromStore, allowClosing bool) (candidate, bool) {
 	var best candidate
 	found := false
 	for _, t := range s.targetsWithoutPlan {
@@ -287,7 +301,7 @@
 		}
 		c := candidate{target: t}
 		c.source, c.loadTime = loadSource(t, m)
-		if c.source == FromWeightStore && (copyCount > 0 || !s.weightStore.mayStart(now, e, s.zoneCount)) {
+		if c.source == FromWeightStore && (!fromStore || !s.weightStore.mayStart(now, e, s.zoneCount)) {
 			continue
 		}
 		if !s.chooseVictims(now, &c, m, e, allowClosing) {
--- a/pkg/scheduler/prefill.go
+++ b/pkg/scheduler/prefill.go
@@ -19,23 +19,35 @@
 	// maxPrefillSampleRatio bounds a sample, as a multiple of the estimate. The
 	// time of a stalled target says nothing about prefill.
 	maxPrefillSampleRatio = 2
+	// medianStep is the relative step by which a sample moves the running median.
+	medianStep = 0.05
 )
 
 // prefillEstimate estimates the prefill time per token, by a weighted linear
 // regression of the time to a run's first event over the number of prompt tokens
 // waiting for prefill when it was granted. Its fields are the weighted sums of
 // the samples: n of 1, x of tokens, y of seconds, xx and xy of their products.
+//
+// Prompts granted later share the target's prefill, so that at a busy target the
+// regression overestimates. The estimate is therefore at most medianPerToken, the
+// running median of the seconds per pending token, which includes the fixed part of
+// the time and so is an upper bound wherever runs don't compete.
 type prefillEstimate struct {
 	n, x, y, xx, xy float64
+	medianPerToken  float64
 }
 
 // addSample adds the time from the grant to the first event of a run.
 func (e *prefillEstimate) addSample(pendingTokens int, took time.Duration) {
+	if pendingTokens <= 0 {
+		return
+	}
 	x, y := float64(pendingTokens), took.Seconds()
 	if secondsPerToken := e.secondsPerToken(); secondsPerToken > 0 {
 		fixed := (e.y - secondsPerToken*e.x) / e.n
 		y = min(y, maxPrefillSampleRatio*max(fixed+secondsPerToken*x, 0))
 	}
+	e.addToMedian(y / x)
 	e.n = e.n*prefillSampleDecay + 1
 	e.x = e.x*prefillSampleDecay + x
 	e.y = e.y*prefillSampleDecay + y
@@ -43,6 +55,18 @@
 	e.xy = e.xy*prefillSampleDecay + x*y
 }
 
+// addToMedian moves the running median by one step towards a sample.
+func (e *prefillEstimate) addToMedian(perToken float64) {
+	switch {
+	case e.medianPerToken == 0:
+		e.medianPerToken = perToken
+	case perToken > e.medianPerToken:
+		e.medianPerToken *= 1 + medianStep
+	default:
+		e.medianPerToken /= 1 + medianStep
+	}
+}
+
 // secondsPerToken returns the estimate in seconds, 0 as long as there are too few
 // samples.
 func (e *prefillEstimate) secondsPerToken() float64 {
@@ -50,7 +74,7 @@
 	if e.n < minPrefillSamples || spread <= 0 {
 		return 0
 	}
-	return max((e.n*e.xy-e.x*e.y)/spread, 0)
+	return min(max((e.n*e.xy-e.x*e.y)/spread, 0), e.medianPerToken)
 }
 
 // recordPrefill adds a sample for a model and for its service.
@@ -110,6 +134,18 @@
 	return total > time.Duration(prefillShare*float64(interval))
 }
 
+// prefillTurn returns the share of the maximum event interval that one prompt like
+// the request's takes of a replica's prefill budget: the interval divided by the
+// number of such prompts that the budget allows in it, which is at least 1.
+func (s *Scheduler) prefillTurn(w *waiter) time.Duration {
+	interval := s.eventIntervals[w.Service]
+	own := s.prefillTime(modelKey{w.Service, w.Model}, w.InputTokens)
+	if own <= 0 {
+		return 0
+	}
+	return interval / max(time.Duration(prefillShare*float64(interval))/own, 1)
+}
+
 // removePromptsBefore removes the prompts that were granted before the given time.
 func (t *target) removePromptsBefore(before time.Time) {
 	n := 0
--- a/pkg/scheduler/prefill_test.go
+++ b/pkg/scheduler/prefill_test.go
@@ -119,3 +119,19 @@
 	z.RunStarted(z.now, g.Run)
 	assert.Greater(t, z.demandOf(k).latencyRatio, before+latencySampleWeight*testEventInterval.Seconds()/2)
 }
+
+// A busy target: the longer a prompt is, the more prompts that were granted after it
+// share the prefill with it.
+func TestPrefillEstimateIsBoundedByMedianAtBusyTarget(t *testing.T) {
+	var e prefillEstimate
+	const fixed = 5 * time.Millisecond
+	for i := range 400 {
+		tokens := 800 + 1600*(i%3/2) // two short prompts, then a long one
+		took := fixed + time.Duration(tokens)*prefillPerToken
+		if i%3 == 2 {
+			took *= 4
+		}
+		e.addSample(tokens, took)
+	}
+	assert.Less(t, e.secondsPerToken(), 1.5*prefillPerToken.Seconds())
+}
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -24,6 +24,7 @@
 func (s *Scheduler) refuseUnservable(now time.Time, queues []*queue) {
 	recoveries := s.targetRecoveries(now)
 	rank, fromStore := 0, 0
+	prefillAhead := map[modelKey]time.Duration{}
 	for _, q := range queues {
 		if len(q.waiters) == 0 {
 			continue
@@ -36,6 +37,9 @@
 			continue
 		}
 		if st.ready > 0 {
+			if st.loading == 0 {
+				prefillAhead[k] = s.refuseBeyondPrefill(now, q, st, prefillAhead[k])
+			}
 			continue
 		}
 		if st.loading > 0 {
@@ -106,12 +110,10 @@
 	}
 }
 
-// redirectToOtherZone refuses new requests so that another zone is tried. Here and
-// in the functions below, a request is new if it has waited for less than a quarter
-// of coldStartEstimate.
+// redirectToOtherZone refuses new requests so that another zone is tried.
 func (s *Scheduler) redirectToOtherZone(now time.Time, q *queue, estimate RefusalEstimate) {
 	for _, w := range slices.Clone(q.waiters) {
-		if !w.OtherZonesRefused && now.Sub(w.submittedAt) < coldStartEstimate/4 {
+		if !w.OtherZonesRefused && w.isNew(now) {
 			estimate.TimeLeft = w.Deadline.Sub(now)
 			s.refuse(now, w, TryOtherZone, 0, estimate)
 		}
@@ -119,22 +121,75 @@
 }
 
 // refuseBeyondCapacity refuses new requests for a model whose replicas are full if
-// the expected wait for a slot exceeds refusalWaitRatio times the time left until
-// the latest start. Older requests are not refused: less time is left to them
-// because they have waited, and not because the queue has become longer.
+// the expected wait for a slot exceeds longestWait. Older requests are not refused:
+// less time is left to them because they have waited, and not because the queue has
+// become longer.
 func (s *Scheduler) refuseBeyondCapacity(now time.Time, q *queue, st modelState) {
-	perSecond := float64(st.runs) / s.demandOf(q.key.modelKey()).runDuration().Seconds()
+	k := q.key.modelKey()
+	perSecond := float64(st.runs) / s.demandOf(k).runDuration().Seconds()
 	if perSecond <= 0 {
 		return
 	}
-	for i, w := range slices.Clone(q.waiters) {
-		expected := time.Duration(float64(i+1) / perSecond * float64(time.Second))
+	overloaded := s.isOverloaded(now, k, perSecond)
+	waiting := 0
+	for _, w := range slices.Clone(q.waiters) {
+		expected := time.Duration(float64(waiting+1) / perSecond * float64(time.Second))
 		left := w.Deadline.Sub(now) - minRunTime
-		isNew := now.Sub(w.submittedAt) < coldStartEstimate/4
-		if isNew && float64(expected) > refusalWaitRatio*float64(left) {
-			s.refuse(now, w, Overloaded, min(max(expected-left, minRetryAfter), maxRetryAfter), RefusalEstimate{ExpectedWait: expected, TimeLeft: w.Deadline.Sub(now), ReadyReplicas: st.ready})
+		limit := time.Duration(refusalWaitRatio * float64(left))
+		if overloaded {
+			limit = min(left, max(w.ObjectiveAt.Sub(now), 0))
+		}
+		if !w.isNew(now) || expected <= limit {
+			waiting++
+			continue
+		}
+		s.refuse(now, w, Overloaded, min(max(expected-left, minRetryAfter), maxRetryAfter), RefusalEstimate{ExpectedWait: expected, TimeLeft: w.Deadline.Sub(now), ReadyReplicas: st.ready})
+	}
+}
+
+// isNew reports whether the request has waited for less than a quarter of
+// coldStartEstimate. Only new requests are sent to another zone or refused because of
+// the requests before them.
+func (w *waiter) isNew(now time.Time) bool { return now.Sub(w.submittedAt) < coldStartEstimate/4 }
+
+// overloadAge is the age of a model's demand from which its rate is compared with
+// what the replicas serve.
+const overloadAge = 2 * time.Second
+
+// isOverloaded reports whether more requests for the model arrive than its replicas
+// start, perSecond, and not in a burst alone. A longer queue would then serve no more
+// requests, and all of them late: those that miss their latency objective are refused.
+func (s *Scheduler) isOverloaded(now time.Time, k modelKey, perSecond float64) bool {
+	d := s.demandOf(k)
+	return now.Sub(d.firstAt) >= overloadAge && d.perSecond(now) > perSecond
+}
+
+// refuseBeyondPrefill refuses new requests for a model whose replicas have free slots
+// if they would wait beyond their deadline for the prefill budgets of the replicas.
+// They are sent to another zone if one may have the model. ahead is the time that one
+// replica takes to start the requests in more urgent queues of the model; the result
+// includes those of q.
+func (s *Scheduler) refuseBeyondPrefill(now time.Time, q *queue, st modelState, ahead time.Duration) time.Duration {
+	for _, w := range slices.Clone(q.waiters) {
+		withOwn := ahead + s.prefillTurn(w)
+		expected := s.eventIntervals[w.Service] + withOwn/time.Duration(st.ready) // the prompts granted last take up to one interval
+		left := w.Deadline.Sub(now) - minRunTime
+		limit := left
+		if turn := s.prefillTurn(w); turn > 0 && s.isOverloaded(now, q.key.modelKey(), float64(st.ready)/turn.Seconds()) {
+			limit = min(left, max(w.ObjectiveAt.Sub(now), s.eventIntervals[w.Service]))
+		}
+		if !w.isNew(now) || expected <= limit {
+			ahead = withOwn
+			continue
+		}
+		estimate := RefusalEstimate{ExpectedWait: expected, TimeLeft: w.Deadline.Sub(now), ReadyReplicas: st.ready}
+		if !w.OtherZonesRefused {
+			s.refuse(now, w, TryOtherZone, 0, estimate)
+			continue
 		}
+		s.refuse(now, w, Overloaded, min(max(expected-left, minRetryAfter), maxRetryAfter), estimate)
 	}
+	return ahead
 }
 
 // targetRecovery says when the targets of a service can take requests.
@@ -185,11 +240,10 @@
 func (s *Scheduler) refuseColdStart(now time.Time, q *queue, estimate RefusalEstimate) {
 	ready := now.Add(estimate.ExpectedWait)
 	for _, w := range slices.Clone(q.waiters) {
-		isNew := now.Sub(w.submittedAt) < coldStartEstimate/4
 		late := ready.After(w.ObjectiveAt)
 		estimate.TimeLeft = w.Deadline.Sub(now)
 		switch {
-		case !w.OtherZonesRefused && isNew && (late || estimate.TargetsWithCopy == 0):
+		case !w.OtherZonesRefused && w.isNew(now) && (late || estimate.TargetsWithCopy == 0):
 			s.refuse(now, w, TryOtherZone, 0, estimate)
 		case ready.After(w.Deadline.Add(-minRunTime)):
 			s.refuse(now, w, Overloaded, estimate.ExpectedWait, estimate)
--- a/pkg/scheduler/refuse_test.go
+++ b/pkg/scheduler/refuse_test.go
@@ -36,3 +36,88 @@
 	z.SetTargets(z.now, z.targets)
 	assert.Equal(t, Overloaded, only[Refusal](t, z.submitAndStep(z.request("m0"))).Reason)
 }
+
+// More long prompts arrive than the replica prefills beside its streams, while its
+// slots are free. Those that would wait beyond their deadline are refused at once, and
+// none of the others expires.
+func TestRequestsBeyondPrefillAreRefusedAtOnce(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil))
+	e := z.services[testService].Engine
+	e.Slots, e.CacheTokens = 32, 1_000_000
+	z.trainPrefill()
+	running := only[Grant](t, z.submitAndStep(z.promptRequest(100)))
+	z.RunStarted(z.now, running.Run)
+	z.now = z.now.Add(testEventInterval)
+	const tokens = 4000 // prefilled in 100 ms
+	granted, refused := 0, 0
+	for i := range 1000 {
+		if i%5 == 0 {
+			r := z.promptRequest(tokens)
+			r.Deadline = z.now.Add(2 * time.Second)
+			z.Submit(z.now, r)
+		}
+		for _, a := range z.stepAfter(10 * time.Millisecond) {
+			switch a := a.(type) {
+			case Grant:
+				granted++
+				z.RunEnded(z.now, a.Run, Unused)
+			case Refusal:
+				refused++
+				assert.Less(t, a.Waited, coldStartEstimate/4, "nothing is held and then refused")
+				assert.Positive(t, a.RetryAfter)
+			}
+		}
+	}
+	assert.Positive(t, refused)
+	assert.Greater(t, granted, 25, "10 s with one such prompt in 0.3 s")
+}
+
+// Twice as many requests arrive, for ten seconds, as the replicas of their model serve.
+// Those that are served begin within their latency objective, as many as without a
+// refusal, and the others are refused at once.
+func TestLastingOverloadServesWithinTheObjective(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil))
+	const runTime, perSecond, seconds = 500 * time.Millisecond, 16, 10 // 8 a second are served
+	inTime, late, held := 0, 0, 0
+	running := map[RunID]time.Time{}
+	for tick := range seconds * 100 {
+		z.now = z.now.Add(10 * time.Millisecond)
+		if tick*perSecond/100 != (tick+1)*perSecond/100 {
+			z.Submit(z.now, z.request("m0"))
+		}
+		for id, ends := range running {
+			if !z.now.Before(ends) {
+				z.RunEnded(z.now, id, Completed)
+				delete(running, id)
+			}
+		}
+		for _, a := range z.Step(z.now) {
+			switch a := a.(type) {
+			case Grant:
+				running[a.Run] = z.now.Add(runTime)
+				if a.Waited <= time.Second {
+					inTime++
+				} else {
+					late++
+				}
+			case Refusal:
+				if a.Waited >= coldStartEstimate/4 {
+					held++
+				}
+			}
+		}
+	}
+	assert.GreaterOrEqual(t, inTime+late, 8*seconds-4, "no slot stays free")
+	assert.GreaterOrEqual(t, inTime, 8*(seconds-3), "only those that came before the overload was known wait longer")
+	assert.Zero(t, held)
+}
+
+// A burst in one moment is no lasting overload: its requests wait, also beyond their
+// latency objective.
+func TestBurstWaitsBeyondTheObjective(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil))
+	for range 8 {
+		assertNone[Refusal](t, z.submitAndStep(z.request("m0")))
+	}
+	assert.Equal(t, 4, z.Waiting(), "4 run for 2 s, the others begin 1 s after their objective")
+}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -42,6 +42,9 @@
 	runs        map[RunID]*run
 	demand      map[modelKey]*demand
 	weightStore weightStoreBudget
+	// storeWanted holds when each model was last to be loaded from the weight
+	// store.
+	storeWanted map[modelKey]time.Time
 	// eventIntervals holds, for each service, the shortest maximum event
 	// interval among its requests.
 	eventIntervals map[string]time.Duration
@@ -83,6 +86,7 @@
 		replicaValues:  map[modelKey]float64{},
 		copyCounts:     map[modelKey]int{},
 		waitingByModel: map[modelKey]int{},
+		storeWanted:    map[modelKey]time.Time{},
 		eventIntervals: map[string]time.Duration{},
 		prefill:        map[string]*prefillEstimate{},
 		lastRun:        lastRun,
@@ -164,13 +168,20 @@
 		s.queues[key] = q
 	}
 	q.add(w)
-	s.recordArrival(now, key.modelKey())
 	s.recordEventInterval(r.Service, r.MaxEventInterval)
 	s.waitingByModel[key.modelKey()]++
-	s.demandOf(key.modelKey()).addRequest(now)
+	if !r.OtherZonesRefused { // otherwise it was counted when this zone referred it to others
+		s.recordDemand(now, key.modelKey())
+	}
 	return w.ticket
 }
 
+// recordDemand counts a request for a model.
+func (s *Scheduler) recordDemand(now time.Time, k modelKey) {
+	s.recordArrival(now, k)
+	s.demandOf(k).addRequest(now)
+}
+
 // Cancel removes a request whose caller no longer waits. It has no effect if the
 // request was already granted or refused.
 func (s *Scheduler) Cancel(t Ticket) {
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -59,6 +59,15 @@
 	return Request{Service: testService, Model: model, InputTokens: 100, OutputTokens: 100, LatencyObjective: time.Second, ObjectiveAt: z.now.Add(time.Second), Deadline: z.now.Add(5 * time.Second), OtherZonesRefused: true}
 }
 
+// Submit submits a request, and before that records the demand of one that this zone
+// has referred to the others.
+func (z *testZone) Submit(now time.Time, r Request) Ticket {
+	if r.OtherZonesRefused {
+		z.recordDemand(now, modelKey{r.Service, r.Model})
+	}
+	return z.Scheduler.Submit(now, r)
+}
+
 // submitAndStep submits a request and returns the actions of the next step.
 func (z *testZone) submitAndStep(r Request) []Action {
 	z.Submit(z.now, r)
--- a/pkg/scheduler/store.go
+++ b/pkg/scheduler/store.go
@@ -19,6 +19,9 @@
 	// fullSpeedLoadsToRaise is the number of loads at full speed, with as many
 	// concurrent loads as the limit allows, after which the limit grows by one.
 	fullSpeedLoadsToRaise = 2
+	// storeWantTime is how long a model that was to be loaded from the store, and
+	// was not, takes precedence over models with less demand.
+	storeWantTime = 500 * time.Millisecond
 	// excessSampleWeight is the weight of the last load in the mean of
 	// excessRatio. maxSlowdown bounds the slowdown of one sample.
 	excessSampleWeight = 0.3
@@ -116,6 +119,39 @@
 	return kept
 }
 
+// isFirstForStore records that the model is to be loaded from the weight store, and
+// reports whether it comes first: no other model that was to be loaded from there
+// within storeWantTime has more requests per second beyond its replicas. A further
+// replica needs demand that has lasted for overloadAge, because the load occupies the
+// store for long.
+func (s *Scheduler) isFirstForStore(now time.Time, k modelKey, e *route.Engine) bool {
+	if now.Sub(s.demandOf(k).firstAt) < overloadAge && s.modelState(now, k).ready > 0 {
+		return false
+	}
+	s.storeWanted[k] = now
+	own := s.unservedRate(now, k, e)
+	for other, at := range s.storeWanted {
+		if now.Sub(at) > storeWantTime {
+			delete(s.storeWanted, other)
+			continue
+		}
+		if other.service == k.service && other != k && s.unservedRate(now, other, e) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// unservedRate returns the estimated number of requests per second for the model
+// beyond those that its replicas in the zone can serve.
+func (s *Scheduler) unservedRate(now time.Time, k modelKey, e *route.Engine) float64 {
+	ready, needed := s.modelState(now, k).ready, s.neededReplicas(now, k, e)
+	if ready >= needed {
+		return 0
+	}
+	return s.demandOf(k).perSecond(now) * float64(needed-ready) / float64(needed)
+}
+
 // SetOtherZoneWeightStoreLoads sets the number of loads from the weight store that
 // the other zones have in progress.
 func (s *Scheduler) SetOtherZoneWeightStoreLoads(n int) { s.weightStore.otherZoneLoads = n }
