entry: the owner of a zone serves the changes of the owners to its nodes

Change: as for the list of targets, nodes request the changes from the owner of their zone, and call the service when they reach none, or when it lags behind them. The configuration is still watched by every node, because its time limit is short.

--- a/pkg/entry/changelog.go
+++ b/pkg/entry/changelog.go
@@ -76,13 +76,13 @@
 // out.Available is false if c is not available, does not reach back to the
 // revision, or has not reached it yet. changed is closed when the result may
 // differ.
-func (c *changeLog) changesAfter(revision kv.Revision) (out *wire.TargetChanges, changed <-chan struct{}) {
+func (c *changeLog) changesAfter(revision kv.Revision) (out *wire.EntryChanges, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.available || revision < c.floor || revision > c.head {
-		return new(wire.TargetChanges), c.changed
+		return new(wire.EntryChanges), c.changed
 	}
-	out = &wire.TargetChanges{Available: true, Revision: uint64(c.head)}
+	out = &wire.EntryChanges{Available: true, Revision: uint64(c.head)}
 	for _, e := range latestPerKey(c.events, revision) {
 		out.Events = append(out.Events, wire.EntryChange{Key: e.Entry.Key, Value: e.Entry.Value, Revision: uint64(e.Entry.ModRevision), Deleted: e.Deleted})
 	}
@@ -110,7 +110,7 @@
 // waitForChanges returns the changes after a revision as soon as there are any,
 // and without changes after maxWait or when ctx ends. It returns a result that is
 // not available as soon as the log is unavailable.
-func (c *changeLog) waitForChanges(ctx context.Context, revision kv.Revision, maxWait time.Duration) *wire.TargetChanges {
+func (c *changeLog) waitForChanges(ctx context.Context, revision kv.Revision, maxWait time.Duration) *wire.EntryChanges {
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	for {
@@ -126,11 +126,25 @@
 	}
 }
 
-// requestChanges requests the changes of the list of targets after a revision
-// from the owner of this node's zone, which waits at most maxWait for a change.
-// next is the revision to continue from. ok is false if the changes have to be
-// read from the key-value service.
-func (l *links) requestChanges(ctx context.Context, after kv.Revision, maxWait time.Duration) (events []kv.WatchEvent, next kv.Revision, ok bool) {
+// changesRequest returns the request for the changes after a revision that waits
+// for them.
+type changesRequest func(after kv.Revision, wait time.Duration) wire.Message
+
+// targetChangesRequest requests the changes of the list of targets.
+func targetChangesRequest(after kv.Revision, wait time.Duration) wire.Message {
+	return &wire.TargetChangesRequest{After: uint64(after), WaitMillis: wait.Milliseconds()}
+}
+
+// ownerChangesRequest requests the changes of the owners of the zones.
+func ownerChangesRequest(after kv.Revision, wait time.Duration) wire.Message {
+	return &wire.OwnerChangesRequest{After: uint64(after), WaitMillis: wait.Milliseconds()}
+}
+
+// requestChanges requests the changes of some entries after a revision from the
+// owner of this node's zone, which waits at most maxWait for a change. next is the
+// revision to continue from. ok is false if the changes have to be read from the
+// key-value service.
+func (l *links) requestChanges(ctx context.Context, request changesRequest, after kv.Revision, maxWait time.Duration) (events []kv.WatchEvent, next kv.Revision, ok bool) {
 	if l.node.owner.IsOwner() {
 		return nil, 0, false
 	}
@@ -142,11 +156,11 @@
 	if c == nil {
 		return nil, 0, false
 	}
-	resp, err := c.Call(ctx, &wire.TargetChangesRequest{After: uint64(after), WaitMillis: maxWait.Milliseconds()})
+	resp, err := c.Call(ctx, request(after, maxWait))
 	if err != nil {
 		return nil, 0, false // the caller reads the key-value service instead
 	}
-	changes, ok := resp.(*wire.TargetChanges)
+	changes, ok := resp.(*wire.EntryChanges)
 	if !ok || !changes.Available {
 		return nil, 0, false
 	}
@@ -159,12 +173,12 @@
 	return events, kv.Revision(changes.Revision), true
 }
 
-// serveChanges responds to requestChanges of another node. Only the owner of
-// the zone serves changes: at least one node of a zone has to read the
+// serveChanges responds to requestChanges of another node from a change log. Only
+// the owner of the zone serves changes: at least one node of a zone has to read the
 // key-value service itself.
-func (n *Node) serveChanges(ctx context.Context, m *wire.TargetChangesRequest) *wire.TargetChanges {
+func (n *Node) serveChanges(ctx context.Context, log *changeLog, after uint64, waitMillis int64) *wire.EntryChanges {
 	if !n.owner.IsOwner() {
-		return new(wire.TargetChanges)
+		return new(wire.EntryChanges)
 	}
-	return n.changeLog.waitForChanges(ctx, kv.Revision(m.After), time.Duration(m.WaitMillis)*time.Millisecond)
+	return log.waitForChanges(ctx, kv.Revision(after), time.Duration(waitMillis)*time.Millisecond)
 }
--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -32,7 +32,9 @@
 	case *wire.PeerLeaseRequest:
 		return n.owner.GrantPeerLease(from, m)
 	case *wire.TargetChangesRequest:
-		return n.serveChanges(ctx, m)
+		return n.serveChanges(ctx, n.targetChanges, m.After, m.WaitMillis)
+	case *wire.OwnerChangesRequest:
+		return n.serveChanges(ctx, n.ownerChanges, m.After, m.WaitMillis)
 	case *wire.SnapshotRequest:
 		return n.serveSnapshot(m)
 	case *wire.NodeState:
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -154,9 +154,9 @@
 	// snapshotLimiter bounds the number and rate of the snapshots that are sent
 	// to other nodes, as package limiter describes.
 	snapshotLimiter *limiter.Limiter
-	// changeLog serves the changes to the list of targets to the nodes of the
-	// zone.
-	changeLog *changeLog
+	// targetChanges and ownerChanges serve the changes of the list of targets and
+	// of the owners of the zones to the nodes of this zone.
+	targetChanges, ownerChanges *changeLog
 
 	clientServer, readinessServer, innerServer *http.Server
 	// metricsServer is nil if the metrics have no address of their own.
@@ -183,7 +183,7 @@
 	n := &Node{
 		settings: d.Settings, log: d.Log, clientProtocol: d.ClientProtocol, targetProtocol: d.TargetProtocol, decoder: d.Decoder, store: d.Store, pool: d.Pool,
 		reporter: d.Targets, metrics: d.Metrics, started: time.Now(), runs: map[uint64]zoneRun{}, readinessPath: d.ReadinessPath,
-		targetsByKey: map[string]*inventory.Target{}, configurationEntries: map[string]kv.Entry{}, idleClientConns: newIdleConns(), changeLog: newChangeLog(),
+		targetsByKey: map[string]*inventory.Target{}, configurationEntries: map[string]kv.Entry{}, idleClientConns: newIdleConns(), targetChanges: newChangeLog(), ownerChanges: newChangeLog(),
 		snapshotLimiter: limiter.New(time.Now),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
@@ -205,12 +205,10 @@
 	d.Store.SetRelay(n.links.relayStoreCall)
 	n.configurationWatch = n.newWatch(d.Decoder.ConfigurationPrefix, noFetchDelay, n.replaceConfiguration, n.applyConfigurationChanges)
 	targets := n.newWatch(d.Decoder.TargetPrefix, n.targetFetchDelay, n.replaceTargets, n.applyTargetChanges)
-	targets.changeLog, targets.peerChanges = n.changeLog, n.links.requestChanges
-	n.watches = []*watch{
-		n.configurationWatch,
-		targets,
-		n.newWatch(zoneowner.KeyPrefix, noFetchDelay, n.replaceOwners, n.applyOwnerChanges),
-	}
+	targets.changeLog, targets.peerChanges = n.targetChanges, targetChangesRequest
+	owners := n.newWatch(zoneowner.KeyPrefix, noFetchDelay, n.replaceOwners, n.applyOwnerChanges)
+	owners.changeLog, owners.peerChanges = n.ownerChanges, ownerChangesRequest
+	n.watches = []*watch{n.configurationWatch, targets, owners}
 	return n, nil
 }
 
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -53,9 +53,9 @@
 	// changeLog serves the changes to other nodes; nil if no other node needs
 	// them.
 	changeLog *changeLog
-	// peerChanges requests changes from another node, before the key-value
-	// service is called; it is nil if no other node serves them.
-	peerChanges func(ctx context.Context, after kv.Revision, maxWait time.Duration) ([]kv.WatchEvent, kv.Revision, bool)
+	// peerChanges is the request for changes to the owner of the zone, which is
+	// asked before the key-value service; nil if it does not serve them.
+	peerChanges changesRequest
 }
 
 // run watches the prefix until ctx ends.
@@ -143,7 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerChangesWait+peerResponseGrace)
 	defer cancel()
-	return w.peerChanges(ctx, after, peerChangesWait)
+	return w.node.links.requestChanges(ctx, w.peerChanges, after, peerChangesWait)
 }
 
 // relist makes run list the prefix again.
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -19,10 +19,11 @@
 	TypeNodesRequest
 	TypeNodes
 	TypeTargetChangesRequest
-	TypeTargetChanges
+	TypeEntryChanges
 	TypeSnapshotRequest
 	TypeSnapshot
 	TypeZoneChange
+	TypeOwnerChangesRequest
 )
 
 // SlotRequest asks the owner of a zone for a slot at a target that has the
@@ -183,16 +184,23 @@
 
 // TargetChangesRequest asks the owner of the sender's zone for the changes of
 // the list of targets after a revision of the key-value service, so that one
-// node of a zone watches that service for all. The response is TargetChanges;
+// node of a zone watches that service for all. The response is EntryChanges;
 // it is sent when there are changes, or after WaitMillis.
 type TargetChangesRequest struct {
 	After      uint64 `cbor:"1,keyasint"`
 	WaitMillis int64  `cbor:"2,keyasint"`
 }
 
-// TargetChanges is the response to TargetChangesRequest.
-type TargetChanges struct {
-	// Available is true if the owner watches the list and its retained changes
+// OwnerChangesRequest asks for the changes of the owners of all zones as
+// TargetChangesRequest does for those of the targets.
+type OwnerChangesRequest struct {
+	After      uint64 `cbor:"1,keyasint"`
+	WaitMillis int64  `cbor:"2,keyasint"`
+}
+
+// EntryChanges is the response to TargetChangesRequest and to OwnerChangesRequest.
+type EntryChanges struct {
+	// Available is true if the owner watches the entries and its retained changes
 	// reach back to the requested revision. Otherwise the other fields have no
 	// meaning.
 	Available bool `cbor:"1,keyasint,omitempty"`
@@ -275,7 +283,10 @@
 func (*TargetChangesRequest) Type() Type { return TypeTargetChangesRequest }
 
 // Type implements Message.
-func (*TargetChanges) Type() Type { return TypeTargetChanges }
+func (*OwnerChangesRequest) Type() Type { return TypeOwnerChangesRequest }
+
+// Type implements Message.
+func (*EntryChanges) Type() Type { return TypeEntryChanges }
 
 // Type implements Message.
 func (*SnapshotRequest) Type() Type { return TypeSnapshotRequest }
