platform, entry: a change whose response is lost behind a peer has an unknown outcome

An unreadable success of a transaction counted as not executed. Change: the answer of the relaying node says whether the outcome is unknown; only reads are tried elsewhere then; a change without a usable answer ends as kv.ErrOutcomeUnknown.

--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -46,11 +46,7 @@
 			n.owner.RemoveNode(from.ID, true)
 		}
 	case *wire.StoreRequest:
-		status, body, err := n.serveRelayedCall(ctx, m.Method, m.Path, m.Body)
-		if err != nil {
-			return new(wire.StoreResponse)
-		}
-		return &wire.StoreResponse{Status: status, Body: body}
+		return n.serveRelayedCall(ctx, m)
 	}
 	return nil
 }
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -341,12 +341,6 @@
 	return retryLimits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.maxNodeCount()}
 }
 
-// serveRelayedCall makes a call to the key-value service that another node
-// relays through this one.
-func (n *Node) serveRelayedCall(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
-	return n.store.Forward(ctx, method, path, body)
-}
-
 // closeIdleConns closes expired idle connections to targets and of clients
 // until the node stops.
 func (n *Node) closeIdleConns() {
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 
+	"almondturn/pkg/kv"
+	"almondturn/pkg/upstream"
 	"almondturn/wire"
 )
 
@@ -14,8 +18,8 @@
 
 // relayStoreCall relays a call to the key-value service through other nodes, one
 // after the other, and returns the status and body of the first response. If the
-// call may have been made without a response, it tries no other node and returns
-// an error that wraps wire.ErrOutcomeUnknown.
+// call may have been made without a complete response, it tries no other node and
+// returns an error that wraps kv.ErrOutcomeUnknown, unless the call only reads.
 func (l *links) relayStoreCall(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	err := errNoConnection
 	conns := l.peerConns()
@@ -28,16 +32,29 @@
 		}
 		var resp wire.Message
 		resp, err = c.Call(ctx, &wire.StoreRequest{Method: method, Path: path, Body: body})
-		if storeResp, ok := resp.(*wire.StoreResponse); ok && storeResp.Status != 0 {
+		storeResp, ok := resp.(*wire.StoreResponse)
+		if ok && storeResp.Status != 0 {
 			return storeResp.Status, storeResp.Body, nil
 		}
-		if err != nil && errors.Is(err, wire.ErrOutcomeUnknown) {
-			return 0, nil, err
+		unknown := errors.Is(err, wire.ErrOutcomeUnknown) || ok && storeResp.OutcomeUnknown
+		if unknown && method != http.MethodGet {
+			return 0, nil, fmt.Errorf("call through node %q without a response: %w", c.Peer().ID, errors.Join(kv.ErrOutcomeUnknown, err))
 		}
 	}
 	return 0, nil, err
 }
 
+// serveRelayedCall makes a call to the key-value service that another node relays
+// through this one.
+func (n *Node) serveRelayedCall(ctx context.Context, m *wire.StoreRequest) *wire.StoreResponse {
+	status, body, err := n.store.Forward(ctx, m.Method, m.Path, m.Body)
+	if err != nil {
+		var sendErr *upstream.SendError
+		return &wire.StoreResponse{OutcomeUnknown: errors.As(err, &sendErr) && sendErr.Sent}
+	}
+	return &wire.StoreResponse{Status: status, Body: body}
+}
+
 // dialSeeds connects to the first seed of the settings that accepts a
 // connection and is not connected yet; it returns nil if there is none. Seeds
 // are needed while the key-value service, which stores the addresses of the
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -243,10 +243,13 @@
 }
 
 // StoreResponse is the response to StoreRequest. Status is the HTTP status of
-// the key-value service, 0 if the call was not made.
+// the key-value service, 0 if the call was not made or got no response.
 type StoreResponse struct {
 	Status int    `cbor:"1,keyasint,omitempty"`
 	Body   []byte `cbor:"2,keyasint,omitempty"`
+	// OutcomeUnknown is true if the call got no complete response and may have
+	// been executed.
+	OutcomeUnknown bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Type implements Message.
