entry: the retry budget recovers after its window changes

Change: when the window changes, all counts move to the current bucket, so that they count for one more window. Result: TestRetryBudgetRecoversAfterItsWindowChanges failed before (window of 30 s).

--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -26,8 +26,10 @@
 	// budgetBuckets.
 	requests [budgetBuckets]int
 	retries  [budgetBuckets]int
-	// bucket is the number of the current bucket since the Unix epoch.
+	// bucket is the number of the current bucket since the Unix epoch, in units of
+	// window divided by budgetBuckets.
 	bucket int64
+	window time.Duration
 }
 
 // retryLimits are the limits of a retryBudget on one node.
@@ -85,11 +87,15 @@
 	return b.remainingLocked(l)
 }
 
-// advance clears the buckets that are no longer in the window. If l.window is
-// longer than in an earlier call, the number of the current bucket may be lower
-// than b.bucket; nothing is cleared until it exceeds b.bucket. b.mu must be held.
+// advance clears the buckets that are no longer in the window. After a change of the
+// window, all counts are taken for the current bucket, so that retries of the former
+// window still count for one whole new one. b.mu must be held.
 func (b *retryBudget) advance(now time.Time, l retryLimits) {
 	bucket := now.UnixNano() / (int64(l.window) / budgetBuckets)
+	if l.window != b.window {
+		b.moveToBucket(bucket)
+		b.window = l.window
+	}
 	if bucket-b.bucket >= budgetBuckets {
 		b.requests, b.retries = [budgetBuckets]int{}, [budgetBuckets]int{}
 	} else {
@@ -100,6 +106,18 @@
 	b.bucket = max(b.bucket, bucket)
 }
 
+// moveToBucket moves all counts to one bucket and makes it the current one.
+func (b *retryBudget) moveToBucket(bucket int64) {
+	requests, retries := 0, 0
+	for i := range budgetBuckets {
+		requests += b.requests[i]
+		retries += b.retries[i]
+	}
+	b.requests, b.retries = [budgetBuckets]int{}, [budgetBuckets]int{}
+	b.requests[bucket%budgetBuckets], b.retries[bucket%budgetBuckets] = requests, retries
+	b.bucket = bucket
+}
+
 // budgets holds one retryBudget per service. Its methods may be called
 // concurrently.
 type budgets struct {
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// After a reload with another window, old retries count for one new window and not
+// forever.
+func TestRetryBudgetRecoversAfterItsWindowChanges(t *testing.T) {
+	for _, window := range []time.Duration{time.Second, 30 * time.Second} {
+		l := retryLimits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 1}
+		b := new(retryBudget)
+		for b.spend(now, l) {
+		}
+		l.window = window
+		assert.False(t, b.allowsRetry(now.Add(time.Millisecond), l), "the retries still count")
+		assert.True(t, b.allowsRetry(now.Add(window+window/budgetBuckets), l), "a window of %s has elapsed", window)
+	}
+}
+
 func TestEventSplitterReturnsCompleteEvents(t *testing.T) {
 	stream := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 	for size := 1; size <= len(stream); size++ {
