scheduler: a target that refuses as full is tried less and less often

Cause: a target that answers 503 without a run got the next request after 80 ms each time, so that one request was sent to it four times and more within 0.4 s. Change: each further refusal doubles the time, up to 640 ms; a run that begins resets it.

--- a/pkg/scheduler/orders_test.go
+++ b/pkg/scheduler/orders_test.go
@@ -58,6 +58,36 @@
 	}
 }
 
+// The only target of a model refuses every request as full. A request is sent there
+// less and less often, and soon again after a run has begun.
+func TestTargetThatRefusesAsFullIsTriedLessOften(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil))
+	sends := 0
+	for range 200 { // 2 s
+		if z.Waiting() == 0 {
+			z.Submit(z.now, z.request("m0"))
+		}
+		for _, a := range z.stepAfter(10 * time.Millisecond) {
+			if g, ok := a.(Grant); ok {
+				sends++
+				z.RunEnded(z.now, g.Run, Busy)
+			}
+		}
+	}
+	assert.LessOrEqual(t, sends, 6)
+	for ticket := range z.waiters {
+		z.Cancel(ticket)
+	}
+	z.now = z.now.Add(maxBusyTime)
+	g := only[Grant](t, z.submitAndStep(z.request("m0")))
+	z.RunStarted(z.now, g.Run)
+	z.RunEnded(z.now, g.Run, Completed)
+	g = only[Grant](t, z.submitAndStep(z.request("m0")))
+	z.RunEnded(z.now, g.Run, Busy)
+	z.Submit(z.now, z.request("m0"))
+	only[Grant](t, z.stepAfter(busyTime))
+}
+
 func TestRejectedOrderIsSentAgainAfterRejectedDelay(t *testing.T) {
 	z := newTestZone(t, newTestTarget("a", []string{"m0", "m1"}, []string{"m5"}))
 	o := only[SendOrder](t, z.submitAndStep(z.request("m5"))).Order
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -243,6 +243,7 @@
 		return
 	}
 	t.pendingPrefillTokens = max(t.pendingPrefillTokens-r.inputTokens, 0)
+	t.refusals = 0
 	if r.probe {
 		if o := t.weightStoreLoad(); o != nil && t.phase == modelLoading && o.Model == r.model {
 			s.weightStoreLoadFinished(now, t, o)
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -45,8 +45,10 @@
 	// or after maxFailures failed runs.
 	suspectTime = 1200 * time.Millisecond
 	// busyTime is how long a target that refused a request as full gets no
-	// requests.
-	busyTime = 80 * time.Millisecond
+	// requests. Each further refusal without a run that begins doubles it, up to
+	// maxBusyTime.
+	busyTime    = 80 * time.Millisecond
+	maxBusyTime = 640 * time.Millisecond
 	// adapterLoadTime is the time from the acceptance of an adapter's load until
 	// runs may use the adapter.
 	adapterLoadTime = 15 * time.Millisecond
@@ -120,6 +122,9 @@
 	// failures and rejections count consecutive failed runs and rejected orders.
 	failures   int
 	rejections int
+	// refusals counts the requests that the target refused as full since a run
+	// last began.
+	refusals int
 	// unknownSince is when the state became unknown.
 	unknownSince time.Time
 	suspectUntil time.Time
@@ -355,7 +360,8 @@
 		}
 	case Busy:
 		if !r.probe {
-			t.busyUntil = now.Add(busyTime)
+			t.busyUntil = now.Add(min(busyTime<<min(t.refusals, 8), maxBusyTime))
+			t.refusals++
 		}
 	case NotLoaded:
 		if !r.probe {
