zoneowner: stopping nodes keep their runs and begin no term; an ended term keeps no lease

Causes (seen in reading): the owner removed the runs of a node that announced its stop, though the node still served them, and granted their slots again; a stopping node could begin a term whose key then stood until the lease expired; Resign read the lease and token without the lock while reacquire might write them; reacquire gave a new lease to a term that had ended. Change: NodeStopping only ends the node's candidacy; beginTerm fails while the node stops, and the lease is revoked; Resign copies both under the lock; reacquire revokes the lease of an ended term. Result: TestRunsOfStoppingNodeKeepTheirSlots, TestStoppingNodeBeginsNoTerm, TestReacquireOfEndedTermReleasesTheKey.

--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -43,7 +43,7 @@
 		return n.links.connectedNodes()
 	case *wire.Heartbeat:
 		if m.Leaving {
-			n.owner.RemoveNode(from.ID, true)
+			n.owner.NodeStopping(from.ID)
 		}
 	case *wire.StoreRequest:
 		return n.serveRelayedCall(ctx, m)
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -222,7 +222,7 @@
 	_, connected := l.peers[id]
 	l.mu.Unlock()
 	if !connected {
-		l.node.owner.RemoveNode(id, false)
+		l.node.owner.RemoveNode(id)
 	}
 }
 
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -235,10 +235,16 @@
 		_ = o.cfg.Store.RevokeLease(ctx, lease)
 		return fmt.Errorf("write the last-owner record: %w", err)
 	}
-	o.beginTerm(uint64(token), lease, sent, ordersFrom, ordersFrom.After(acquired))
+	if !o.beginTerm(uint64(token), lease, sent, ordersFrom, ordersFrom.After(acquired)) {
+		_ = o.cfg.Store.RevokeLease(ctx, lease) // if this fails, the lease expires
+		return errStopping
+	}
 	return nil
 }
 
+// errStopping means that the node began to stop while it acquired the zone.
+var errStopping = errors.New("the node is stopping")
+
 // readLastOwner returns the record of the last owner with its revision, and
 // zero values if there is none.
 func (o *Owner) readLastOwner(ctx context.Context) (lastOwnerRecord, kv.Revision, error) {
@@ -314,8 +320,9 @@
 // request for the lease was sent, ordersFrom when the first order may be sent;
 // both are times of BootClock. handoverPending reports whether the end of the
 // handover delay must still be recorded. The term is independent of the context
-// of Run; endTerm ends it.
-func (o *Owner) beginTerm(token uint64, lease kv.LeaseID, leaseRequested, ordersFrom time.Time, handoverPending bool) {
+// of Run; endTerm ends it. beginTerm returns false, and starts nothing, if the node
+// is stopping.
+func (o *Owner) beginTerm(token uint64, lease kv.LeaseID, leaseRequested, ordersFrom time.Time, handoverPending bool) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	const runsPerToken = 1 << 24 // runs of two owners get different identifiers
 	t := &term{
@@ -326,6 +333,10 @@
 	t.authority.leaseRenewed(leaseRequested, o.leaseTTL)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.stopping {
+		cancel()
+		return false
+	}
 	t.scheduler.SetServices(o.services)
 	t.scheduler.SetZones(o.cfg.Self.Zone, o.cfg.Zones)
 	t.setTargets(o.targets)
@@ -336,6 +347,7 @@
 	go o.renewLeaseLoop(t)
 	go o.peerLeaseLoop(t)
 	go o.schedulerLoop(t)
+	return true
 }
 
 // endTerm ends a term, and refuses its waiting requests with SlotNotOwner so
@@ -380,6 +392,7 @@
 		// owner may wait for less than the rest.
 		lastOrderAge = max(o.cfg.HandoverDelay-delayLeft, time.Millisecond)
 	}
+	token, lease := t.token, t.lease
 	o.endTerm(t, "resigned")
 	o.mu.Unlock()
 	if _, revision, err := o.readLastOwner(ctx); err == nil {
@@ -389,8 +402,8 @@
 			_, _ = o.cfg.Store.CompareAndSwap(ctx, LastOwnerKey(o.cfg.Self.Zone), record, revision, 0)
 		}
 	}
-	_ = o.cfg.Store.RevokeLease(ctx, t.lease) // if this fails, the lease expires
-	o.cfg.Network.Broadcast(&wire.ZoneState{Zone: o.cfg.Self.Zone, Token: t.token, Resigned: true})
+	_ = o.cfg.Store.RevokeLease(ctx, lease) // if this fails, the lease expires
+	o.cfg.Network.Broadcast(&wire.ZoneState{Zone: o.cfg.Self.Zone, Token: token, Resigned: true})
 }
 
 // Abort ends the term without releasing the lease or notifying other nodes, as
--- a/pkg/zoneowner/lease.go
+++ b/pkg/zoneowner/lease.go
@@ -102,6 +102,13 @@
 	if err == nil {
 		err = o.checkNoOtherOwner(ctx, lease)
 	}
+	if err == nil && !o.isCurrent(t) {
+		// The term ended meanwhile. Its context has ended as well.
+		revokeCtx, revokeCancel := context.WithTimeout(context.Background(), defaultLeaseTTL)
+		defer revokeCancel()
+		_ = o.cfg.Store.RevokeLease(revokeCtx, lease) // if this fails, the lease expires
+		return
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err != nil {
@@ -115,6 +122,13 @@
 	event.ZoneTaken.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Uint64("token", t.token).Str("after", "lapse").Send()
 }
 
+// isCurrent reports whether the term still lasts.
+func (o *Owner) isCurrent(t *term) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.term == t
+}
+
 // checkNoOtherOwner returns nil if no other node was the owner while this
 // node's owner key did not exist. If one was, it may have sent orders: the lease
 // is revoked, and the error wraps kv.ErrConflict.
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -363,17 +363,23 @@
 	o.stepScheduler(o.term)
 }
 
-// RemoveNode removes the runs of a node that has been disconnected. leaving
-// reports whether the node announced its shutdown.
-func (o *Owner) RemoveNode(node fleet.NodeID, leaving bool) {
+// NodeStopping records that a node has announced its shutdown and no longer acquires
+// the zone. Its runs keep their slots until they end, or the node is disconnected.
+func (o *Owner) NodeStopping(node fleet.NodeID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term != nil {
+		o.term.authority.nodeStopped(node)
+	}
+}
+
+// RemoveNode removes the runs of a node that has been disconnected.
+func (o *Owner) RemoveNode(node fleet.NodeID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.term == nil {
 		return
 	}
-	if leaving {
-		o.term.authority.nodeStopped(node)
-	}
 	o.term.scheduler.RemoveRunsOfNode(time.Now(), node)
 	o.stepScheduler(o.term)
 }
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondturn/fleet"
+	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/kv/kvtest"
 	"almondturn/pkg/route"
@@ -104,6 +105,44 @@
 	}
 }
 
+// The term ends while its lease is being replaced: the new lease is revoked, so that
+// the zone is free at once.
+func TestReacquireOfEndedTermReleasesTheKey(t *testing.T) {
+	s := new(kvtest.Store)
+	o := newSingleOwner(s)
+	ended := o.startExpiredTerm()
+	o.term = nil
+	o.reacquire(ended)
+	_, err := s.Get(t.Context(), OwnerKey(singleOwnerZone))
+	require.ErrorIs(t, err, kv.ErrNotFound)
+	assert.EqualValues(t, 1, ended.token, "an ended term gets no authority")
+}
+
+// A node that began to stop while it acquired its zone does not keep the zone.
+func TestStoppingNodeBeginsNoTerm(t *testing.T) {
+	s := new(kvtest.Store)
+	o := newSingleOwner(s)
+	o.stopping = true
+	require.ErrorIs(t, o.acquire(t.Context(), ownerEntry{}), errStopping)
+	assert.False(t, o.IsOwner())
+	_, err := s.Get(t.Context(), OwnerKey(singleOwnerZone))
+	require.ErrorIs(t, err, kv.ErrNotFound)
+}
+
+// The runs of a stopping node keep their slots: the node still serves them.
+func TestRunsOfStoppingNodeKeepTheirSlots(t *testing.T) {
+	o := newSingleOwner(new(kvtest.Store))
+	active := o.startExpiredTerm()
+	active.scheduler = scheduler.New(0)
+	active.scheduler.SetServices(map[string]*route.Service{"s": {Name: "s", Engine: &route.Engine{Slots: 1, Models: map[string]*route.Model{"m": {Name: "m"}}}}})
+	active.scheduler.SetTargets(time.Now(), []*inventory.Target{{ID: "a", Service: "s", Zone: singleOwnerZone}})
+	active.scheduler.AdoptRuns(time.Now(), "n2", []scheduler.AdoptedRun{{ID: 1, Target: "a", Model: "m"}})
+	o.NodeStopping("n2")
+	assert.Equal(t, 1, active.scheduler.Running())
+	o.RemoveNode("n2")
+	assert.Zero(t, active.scheduler.Running())
+}
+
 // While the store is unavailable, the term neither ends nor gets a longer
 // lease.
 func TestReacquireKeepsTermWhileStoreIsUnavailable(t *testing.T) {
