fault, logsink: causes stay in logs; an empty line ends nothing

Causes (seen in reading): an error built with %w carried the text of its cause, such as an internal address, into the message that callers see; an empty log line ended the goroutine that writes the log, as Close does. Change: the message ends before the cause, which Error adds for logs; callers of the platform get Public. Empty lines are ignored.

--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -154,21 +155,33 @@
 	Kind Kind
 	// Message is shown to the caller.
 	Message string
-	// Err is the cause; it is logged. Its text is shown to the caller only if Message
-	// includes it, as it does after New with %w. May be nil.
+	// Err is the cause. It is logged and not shown to the caller. May be nil.
 	Err error
 }
 
 // New returns an error of the given kind, whose message is built as by
-// fmt.Errorf. A %w verb in format sets Err; the message, which the caller sees,
-// then includes the text of that error.
+// fmt.Errorf. A format that ends with ": %w" sets Err, whose text is not part of the
+// message that the caller sees.
 func New(kind Kind, format string, args ...any) *Error {
 	err := fmt.Errorf(format, args...)
-	return &Error{Kind: kind, Message: err.Error(), Err: errors.Unwrap(err)}
+	cause := errors.Unwrap(err)
+	message := err.Error()
+	if cause != nil {
+		message = strings.TrimSuffix(message, ": "+cause.Error())
+	}
+	return &Error{Kind: kind, Message: message, Err: cause}
+}
+
+// Error returns the code, the message and the cause, for logs; it implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Public()
+	}
+	return e.Public() + ": " + e.Err.Error()
 }
 
-// Error returns the code and the message; it implements error.
-func (e *Error) Error() string { return e.Kind.String() + ": " + e.Message }
+// Public returns the code and the message, which callers may see.
+func (e *Error) Public() string { return e.Kind.String() + ": " + e.Message }
 
 // Unwrap returns the cause, for errors.Is and errors.As.
 func (e *Error) Unwrap() error { return e.Err }
--- a/pkg/fault/fault_test.go
+++ b/pkg/fault/fault_test.go
@@ -40,3 +40,13 @@
 	assert.Equal(t, Internal, KindOf(errors.New("other")))
 	assert.Equal(t, "internal", Kind(255).String())
 }
+
+// The cause may name internal addresses: it belongs into logs alone.
+func TestCauseIsLoggedAndNotShownToCallers(t *testing.T) {
+	cause := errors.New("dial 10.0.0.1:7001: refused")
+	err := New(PlatformUnavailable, "the service %q does not answer: %w", "kv", cause)
+	assert.Equal(t, `the service "kv" does not answer`, err.Message)
+	assert.NotContains(t, err.Public(), "10.0.0.1")
+	assert.Contains(t, err.Error(), "10.0.0.1")
+	assert.ErrorIs(t, err, cause)
+}
--- a/pkg/logsink/logsink.go
+++ b/pkg/logsink/logsink.go
@@ -25,11 +25,10 @@
 )
 
 // Sink is an io.Writer and a zerolog.LevelWriter whose writes never block. Each
-// write must hold one complete line, which must not be empty. It is safe for
-// concurrent use.
+// write must hold one complete line. It is safe for concurrent use.
 type Sink struct {
 	out     io.Writer
-	lines   chan []byte   // nil, as from an empty write, ends the writing goroutine
+	lines   chan []byte   // nil ends the writing goroutine
 	dropped atomic.Uint64 // lines since the last call of onDrop
 	routine atomic.Uint64 // routine lines that arrived while sampling
 	onDrop  atomic.Pointer[func(uint64)]
@@ -49,8 +48,11 @@
 func (s *Sink) OnDrop(f func(dropped uint64)) { s.onDrop.Store(&f) }
 
 // Write queues a copy of one line, or drops and counts it if the queue is full.
-// It never blocks and returns no error.
+// It never blocks and returns no error. An empty line is ignored.
 func (s *Sink) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
--- a/pkg/logsink/logsink_test.go
+++ b/pkg/logsink/logsink_test.go
@@ -112,3 +112,15 @@
 	s.Close()
 	assert.Equal(t, "first\n", out.String())
 }
+
+// An empty line must not end the writing goroutine, as Close does.
+func TestEmptyLineIsIgnored(t *testing.T) {
+	var out bytes.Buffer
+	s := New(&out)
+	for _, line := range []string{"a\n", "", "b\n"} {
+		_, err := s.Write([]byte(line))
+		assert.NoError(t, err)
+	}
+	s.Close()
+	assert.Equal(t, "a\nb\n", out.String())
+}
