entry: watches call the key-value service less often in an outage

Cause: while the service was away, each watch of each node called it every 0.2 s, directly and through a peer; all calls are priced, refused ones too, and grow with the nodes. Change: the wait doubles up to 0.8 s, shortened at random by up to a third, once the entries were read; a node without a copy keeps 0.2 s. Result: TestWatchCallsLessOftenInAnOutage failed before.

--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"almondturn/pkg/event"
@@ -29,8 +30,11 @@
 	// peerResponseGrace is how long after peerChangesWait the response of the
 	// other node may arrive.
 	peerResponseGrace = 300 * time.Millisecond
-	// watchRetryDelay is the wait after a failed call.
-	watchRetryDelay = 200 * time.Millisecond
+	// watchRetryDelay is the wait after the first failed call. It doubles with each
+	// further one, up to maxWatchRetryDelay, once the entries were read. Each wait is shortened at random by up
+	// to a third, so that the nodes don't call at the same time.
+	watchRetryDelay    = 200 * time.Millisecond
+	maxWatchRetryDelay = 800 * time.Millisecond
 )
 
 // watch keeps a copy of the entries below a prefix up to date.
@@ -60,7 +64,7 @@
 
 // run watches the prefix until ctx ends.
 func (w *watch) run(ctx context.Context) {
-	unavailable := false
+	unavailable, delay := false, watchRetryDelay
 	for ctx.Err() == nil {
 		err := w.follow(ctx, &unavailable)
 		if w.changeLog != nil {
@@ -70,11 +74,14 @@
 			continue // relist immediately
 		}
 		if !unavailable {
-			unavailable = true
+			unavailable, delay = true, watchRetryDelay
 			event.StoreLost.Log(w.node.log).Str("prefix", w.prefix).Err(err).Send()
 		}
 		w.copyFromPeer(ctx)
-		wait.Sleep(ctx, watchRetryDelay)
+		wait.Sleep(ctx, delay-rand.N(delay/3))
+		if _, available := w.entryCopy.get(); available {
+			delay = min(2*delay, maxWatchRetryDelay)
+		}
 	}
 }
 
--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -58,3 +58,35 @@
 		assert.Empty(t, out.String(), "the service is not logged as unavailable")
 	})
 }
+
+// failingStore is a store that has failed since the first list.
+type failingStore struct{ lists int }
+
+func (s *failingStore) List(context.Context, string) ([]kv.Entry, kv.Revision, error) {
+	s.lists++
+	if s.lists > 1 {
+		return nil, 0, kv.ErrUnavailable
+	}
+	return nil, 1, nil
+}
+
+func (*failingStore) Changes(context.Context, string, kv.Revision, time.Duration) ([]kv.WatchEvent, kv.Revision, error) {
+	return nil, 0, kv.ErrUnavailable
+}
+
+// In an outage the calls of a watch become fewer; all are priced, also refused ones.
+func TestWatchCallsLessOftenInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		store := new(failingStore)
+		w := &watch{
+			store: store, prefix: "a", fetchDelay: noFetchDelay, node: &Node{log: &log}, relistRequests: make(chan struct{}, 1),
+			onList: func([]kv.Entry) {}, onChanges: func([]kv.WatchEvent) {},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+		defer cancel()
+		w.run(ctx)
+		assert.LessOrEqual(t, store.lists, 18, "at least 0.53 s apart after the first ones")
+		assert.GreaterOrEqual(t, store.lists, 10, "the end of the outage is seen within 0.8 s")
+	})
+}
