--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -45,8 +45,8 @@
 	client *client
 }
 
-// run runs the subcommand that was given. It returns a usageError for bench, emulate or
-// explain, which get here if Env.Subcommands lacks them.
+// run runs the subcommand that was given. It returns a usageError for bench, emulate,
+// explain or refusals, which get here if Env.Subcommands lacks them.
 func (r *runner) run(ctx context.Context) error {
 	switch a := r.args; {
 	case a.Apply != nil:
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -51,17 +51,18 @@
 
 // arguments holds the flags and the subcommand, which is the pointer that isn't nil.
 type arguments struct {
-	Apply   *applyCmd    `arg:"subcommand:apply" help:"replace a team's settings by those in a file"`
-	Get     *getCmd      `arg:"subcommand:get" help:"print a team's settings"`
-	Diff    *diffCmd     `arg:"subcommand:diff" help:"compare a file with the accepted settings"`
-	History *historyCmd  `arg:"subcommand:history" help:"list the revisions of a team's settings, newest first"`
-	Status  *statusCmd   `arg:"subcommand:status" help:"show nodes, zones and revisions in force"`
-	Targets *targetsCmd  `arg:"subcommand:targets" help:"list the targets"`
-	Drain   *drainCmd    `arg:"subcommand:drain" help:"stop sending new requests to a target"`
-	Undrain *undrainCmd  `arg:"subcommand:undrain" help:"send requests to a drained target again"`
-	Bench   *externalCmd `arg:"subcommand:bench" help:"send load to a deployment; see bench --help"`
-	Emulate *externalCmd `arg:"subcommand:emulate" help:"simulate the placement of models on targets; see emulate --help"`
-	Explain *externalCmd `arg:"subcommand:explain" help:"print what the logs say about one request; see explain --help"`
+	Apply    *applyCmd    `arg:"subcommand:apply" help:"replace a team's settings by those in a file"`
+	Get      *getCmd      `arg:"subcommand:get" help:"print a team's settings"`
+	Diff     *diffCmd     `arg:"subcommand:diff" help:"compare a file with the accepted settings"`
+	History  *historyCmd  `arg:"subcommand:history" help:"list the revisions of a team's settings, newest first"`
+	Status   *statusCmd   `arg:"subcommand:status" help:"show nodes, zones and revisions in force"`
+	Targets  *targetsCmd  `arg:"subcommand:targets" help:"list the targets"`
+	Drain    *drainCmd    `arg:"subcommand:drain" help:"stop sending new requests to a target"`
+	Undrain  *undrainCmd  `arg:"subcommand:undrain" help:"send requests to a drained target again"`
+	Bench    *externalCmd `arg:"subcommand:bench" help:"send load to a deployment; see bench --help"`
+	Emulate  *externalCmd `arg:"subcommand:emulate" help:"simulate the placement of models on targets; see emulate --help"`
+	Explain  *externalCmd `arg:"subcommand:explain" help:"print what the logs say about one request; see explain --help"`
+	Refusals *externalCmd `arg:"subcommand:refusals" help:"sum the refusals in logs by cause and model; see refusals --help"`
 
 	Server    []string      `arg:"--server,separate,env:ALMONDTURN_SERVER" help:"URL of a node's operators' listener; give it several times to name nodes to try in turn"`
 	Token     string        `arg:"--token,env:ALMONDTURN_TOKEN" help:"operator token"`
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -1,7 +1,8 @@
-// Package explain implements the command "almondturnctl explain". From the logs
-// of all nodes it selects the lines about one request: those with its
-// identifier, and those at the same time about its model, its targets, the
-// ownership of zones, their leases and the key-value store.
+// Package explain implements the commands "almondturnctl explain" and "almondturnctl
+// refusals". From the logs of all nodes, the first selects the lines about one request:
+// those with its identifier, and those at the same time about its model, its targets,
+// the ownership of zones, their leases and the key-value store. The second sums the
+// refusals of slots by cause and model.
 package explain
 
 import (
