scheduler: a model that is being unloaded is not loaded from the weight store; store loads occupy few targets

Cause: since copies at targets that have the model loaded no longer counted, a request for a model whose only target was unloading it made the weight store load it elsewhere (6 s and more), instead of the target from its disk (0.8 s). Change: a first replica needs the store only if no target has a copy; a further one only if the others are full and overloaded, and while such loads occupy at most a tenth of the zone's targets; under overload requests wait while a copy allows another replica soon.

--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -209,7 +209,7 @@
 	if m == nil || m.WeightsMB > svc.Engine.WeightsMB || !s.mayAddReplica(k) {
 		return
 	}
-	fromStore := s.unloadedCopies(now, k) == 0 && s.isFirstForStore(now, k, svc.Engine)
+	fromStore := s.needsStore(now, k) && s.isFirstForStore(now, k, svc.Engine)
 	best, ok := s.bestCandidate(now, k, m, svc.Engine, fromStore, false)
 	if !ok && allowClosing {
 		best, ok = s.bestCandidate(now, k, m, svc.Engine, fromStore, true)
@@ -248,6 +248,16 @@
 	return n
 }
 
+// needsStore reports whether a replica of the model has to be loaded from the weight
+// store. For a first replica that is so only if no target has a copy: a target that has
+// one and unloads the model at the moment loads it again sooner than the store does.
+func (s *Scheduler) needsStore(now time.Time, k modelKey) bool {
+	if s.modelState(now, k).ready == 0 {
+		return s.targetsWithCopy(now, k) == 0
+	}
+	return s.unloadedCopies(now, k) == 0
+}
+
 // unloadedCopies returns the number of healthy targets from whose local copy another
 // replica of the model could be loaded: those that don't have it loaded, and are not
 // occupied by a load from the weight store, which takes longer than one of the model.
@@ -282,7 +292,7 @@
 	if st.blockedTarget == nil || svc == nil || svc.Engine == nil || svc.Engine.Models[k.model] == nil {
 		return
 	}
-	best, ok := s.bestCandidate(now, k, svc.Engine.Models[k.model], svc.Engine, s.unloadedCopies(now, k) == 0, false)
+	best, ok := s.bestCandidate(now, k, svc.Engine.Models[k.model], svc.Engine, s.needsStore(now, k), false)
 	if !ok {
 		return
 	}
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -126,7 +126,7 @@
 // become longer.
 func (s *Scheduler) refuseBeyondCapacity(now time.Time, q *queue, st modelState) {
 	k := q.key.modelKey()
-	perSecond := float64(st.runs) / s.demandOf(k).runDuration().Seconds()
+	perSecond := s.startRate(k, st)
 	if perSecond <= 0 {
 		return
 	}
@@ -147,6 +147,12 @@
 	}
 }
 
+// startRate returns the number of requests per second that the replicas of the model
+// start while all their slots are in use.
+func (s *Scheduler) startRate(k modelKey, st modelState) float64 {
+	return float64(st.runs) / s.demandOf(k).runDuration().Seconds()
+}
+
 // isNew reports whether the request has waited for less than a quarter of
 // coldStartEstimate. Only new requests are sent to another zone or refused because of
 // the requests before them.
@@ -157,11 +163,12 @@
 const overloadAge = 2 * time.Second
 
 // isOverloaded reports whether more requests for the model arrive than its replicas
-// start, perSecond, and not in a burst alone. A longer queue would then serve no more
-// requests, and all of them late: those that miss their latency objective are refused.
+// start, perSecond, not in a burst alone, and no copy of the weights allows another
+// replica soon. A longer queue would then serve no more requests, and all of them late:
+// those that miss their latency objective are refused.
 func (s *Scheduler) isOverloaded(now time.Time, k modelKey, perSecond float64) bool {
 	d := s.demandOf(k)
-	return now.Sub(d.firstAt) >= overloadAge && d.perSecond(now) > perSecond
+	return now.Sub(d.firstAt) >= overloadAge && d.perSecond(now) > perSecond && s.unloadedCopies(now, k) == 0
 }
 
 // refuseBeyondPrefill refuses new requests for a model whose replicas have free slots
--- a/pkg/scheduler/store.go
+++ b/pkg/scheduler/store.go
@@ -19,6 +19,10 @@
 	// fullSpeedLoadsToRaise is the number of loads at full speed, with as many
 	// concurrent loads as the limit allows, after which the limit grows by one.
 	fullSpeedLoadsToRaise = 2
+	// maxOccupiedShare is the largest share of a zone's targets that loads from the
+	// store may occupy if one of them is for a further replica. An occupied target
+	// can't change its models, which cold requests wait for.
+	maxOccupiedShare = 0.1
 	// storeWantTime is how long a model that was to be loaded from the store, and
 	// was not, takes precedence over models with less demand.
 	storeWantTime = 500 * time.Millisecond
@@ -122,10 +126,11 @@
 // isFirstForStore records that the model is to be loaded from the weight store, and
 // reports whether it comes first: no other model that was to be loaded from there
 // within storeWantTime has more requests per second beyond its replicas. A further
-// replica needs demand that has lasted for overloadAge, because the load occupies the
-// store for long.
+// replica is loaded from there only if the others are full and overloaded, because the
+// load occupies the store for long, and maxOccupiedShare allows it.
 func (s *Scheduler) isFirstForStore(now time.Time, k modelKey, e *route.Engine) bool {
-	if now.Sub(s.demandOf(k).firstAt) < overloadAge && s.modelState(now, k).ready > 0 {
+	st := s.modelState(now, k)
+	if st.ready > 0 && (s.hasFreeSlot(now, k) || !s.isOverloaded(now, k, s.startRate(k, st)) || !s.mayOccupyTarget(now, k.service)) {
 		return false
 	}
 	s.storeWanted[k] = now
@@ -142,6 +147,22 @@
 	return true
 }
 
+// mayOccupyTarget reports whether another target of the service may be occupied by a
+// load from the weight store for a further replica.
+func (s *Scheduler) mayOccupyTarget(now time.Time, service string) bool {
+	healthy, occupied := 0, 1
+	for _, t := range s.sortedTargets {
+		if t.info.Service != service || !t.healthy(now) {
+			continue
+		}
+		healthy++
+		if t.weightStoreLoad() != nil {
+			occupied++
+		}
+	}
+	return float64(occupied) <= maxOccupiedShare*float64(healthy)
+}
+
 // unservedRate returns the estimated number of requests per second for the model
 // beyond those that its replicas in the zone can serve.
 func (s *Scheduler) unservedRate(now time.Time, k modelKey, e *route.Engine) float64 {
