--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -84,7 +84,8 @@
 }
 
 // mayResumeElsewhere reports whether the request may be sent to another target after
-// the current one, which has it as the run with the number runs, has stalled.
+// the current one has stalled. runs is the number of runs that targets may have begun
+// for it, the current one included.
 func (j *job) mayResumeElsewhere(now time.Time, runs int) bool {
 	return j.Route.Resumable && !j.NonStreaming && runs < j.Route.MaxAttempts && j.sends < maxSends && j.deadline.Sub(now) > minRunTime
 }
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -31,8 +31,9 @@
 	// other node may arrive.
 	peerResponseGrace = 300 * time.Millisecond
 	// watchRetryDelay is the wait after the first failed call. It doubles with each
-	// further one, up to maxWatchRetryDelay, once the entries were read. Each wait is shortened at random by up
-	// to a third, so that the nodes don't call at the same time.
+	// further one, up to maxWatchRetryDelay, once the entries were read. Each wait is
+	// shortened at random by up to a third, so that the nodes don't call at the same
+	// time.
 	watchRetryDelay    = 200 * time.Millisecond
 	maxWatchRetryDelay = 800 * time.Millisecond
 )
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -209,7 +209,7 @@
 	if m == nil || m.WeightsMB > svc.Engine.WeightsMB || !s.mayAddReplica(k) {
 		return
 	}
-	fromStore := s.needsStore(now, k) && s.isFirstForStore(now, k, svc.Engine)
+	fromStore := s.needsStore(now, k) && s.mayUseStore(now, k, svc.Engine)
 	best, ok := s.bestCandidate(now, k, m, svc.Engine, fromStore, false)
 	if !ok && allowClosing {
 		best, ok = s.bestCandidate(now, k, m, svc.Engine, fromStore, true)
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -121,9 +121,10 @@
 }
 
 // refuseBeyondCapacity refuses new requests for a model whose replicas are full if
-// the expected wait for a slot exceeds longestWait. Older requests are not refused:
-// less time is left to them because they have waited, and not because the queue has
-// become longer.
+// the expected wait for a slot exceeds refusalWaitRatio times the time left until the
+// latest start or, while the model is overloaded, the time left until their latency
+// objective. Older requests are not refused: less time is left to them because they
+// have waited, and not because the queue has become longer.
 func (s *Scheduler) refuseBeyondCapacity(now time.Time, q *queue, st modelState) {
 	k := q.key.modelKey()
 	perSecond := s.startRate(k, st)
--- a/pkg/scheduler/store.go
+++ b/pkg/scheduler/store.go
@@ -123,17 +123,23 @@
 	return kept
 }
 
-// isFirstForStore records that the model is to be loaded from the weight store, and
-// reports whether it comes first: no other model that was to be loaded from there
-// within storeWantTime has more requests per second beyond its replicas. A further
-// replica is loaded from there only if the others are full and overloaded, because the
-// load occupies the store for long, and maxOccupiedShare allows it.
-func (s *Scheduler) isFirstForStore(now time.Time, k modelKey, e *route.Engine) bool {
+// mayUseStore reports whether the model is the next one to load from the weight store.
+// A further replica is loaded from there only if the others are full and overloaded,
+// because the load occupies the store for long, and if maxOccupiedShare allows it.
+func (s *Scheduler) mayUseStore(now time.Time, k modelKey, e *route.Engine) bool {
 	st := s.modelState(now, k)
-	if st.ready > 0 && (s.hasFreeSlot(now, k) || !s.isOverloaded(now, k, s.startRate(k, st)) || !s.mayOccupyTarget(now, k.service)) {
+	isFurther := st.ready > 0
+	if isFurther && (s.hasFreeSlot(now, k) || !s.isOverloaded(now, k, s.startRate(k, st)) || !s.mayOccupyTarget(now, k.service)) {
 		return false
 	}
 	s.storeWanted[k] = now
+	return s.isFirstForStore(now, k, e)
+}
+
+// isFirstForStore reports whether no other model in storeWanted, recorded within
+// storeWantTime, has more requests per second beyond its replicas. It removes older
+// records.
+func (s *Scheduler) isFirstForStore(now time.Time, k modelKey, e *route.Engine) bool {
 	own := s.unservedRate(now, k, e)
 	for other, at := range s.storeWanted {
 		if now.Sub(at) > storeWantTime {
