--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -178,12 +178,14 @@
 // replica takes to start the requests in more urgent queues of the model; the result
 // includes those of q.
 func (s *Scheduler) refuseBeyondPrefill(now time.Time, q *queue, st modelState, ahead time.Duration) time.Duration {
+	first := s.prefillTurn(q.waiters[0])
+	overloaded := first > 0 && s.isOverloaded(now, q.key.modelKey(), float64(st.ready)/first.Seconds())
 	for _, w := range slices.Clone(q.waiters) {
 		withOwn := ahead + s.prefillTurn(w)
 		expected := s.eventIntervals[w.Service] + withOwn/time.Duration(st.ready) // the prompts granted last take up to one interval
 		left := w.Deadline.Sub(now) - minRunTime
 		limit := left
-		if turn := s.prefillTurn(w); turn > 0 && s.isOverloaded(now, q.key.modelKey(), float64(st.ready)/turn.Seconds()) {
+		if overloaded {
 			limit = min(left, max(w.ObjectiveAt.Sub(now), s.eventIntervals[w.Service]))
 		}
 		if !w.isNew(now) || expected <= limit {
