entry, scheduler: the same decisions on architectures that fuse multiply and add

Cause: remainingLocked and secondsPerToken subtract products. Go may fuse a product with a sum on arm64 and does not on x86-64, so that the last bit differs there: the budget allowed 6 retries for 7, 20 for 21. Change: explicit conversions, which round, in the budget and in the spread of the prefill estimate, where a fused difference of equal samples need not be 0. Other products on decision paths (usage, keepalive, the sums of the prefill estimate) are added to, not compared with a threshold, and stay.

--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -74,7 +74,9 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	allowed := usableBudgetShare * (l.ratio*float64(requests) + l.slack/float64(max(l.nodes, 1)))
+	// The conversions round the products, so that all architectures decide alike.
+	shared := l.slack / float64(max(l.nodes, 1))
+	allowed := float64(usableBudgetShare * (float64(l.ratio*float64(requests)) + shared))
 	return allowed - float64(retries)
 }
 
--- a/pkg/scheduler/prefill.go
+++ b/pkg/scheduler/prefill.go
@@ -70,11 +70,11 @@
 // secondsPerToken returns the estimate in seconds, 0 as long as there are too few
 // samples.
 func (e *prefillEstimate) secondsPerToken() float64 {
-	spread := e.n*e.xx - e.x*e.x
+	spread := float64(e.n*e.xx) - float64(e.x*e.x) // rounded products: equal samples have no spread on any architecture
 	if e.n < minPrefillSamples || spread <= 0 {
 		return 0
 	}
-	return min(max((e.n*e.xy-e.x*e.y)/spread, 0), e.medianPerToken)
+	return min(max((float64(e.n*e.xy)-float64(e.x*e.y))/spread, 0), e.medianPerToken)
 }
 
 // recordPrefill adds a sample for a model and for its service.
