entry: a stream that broke late is continued elsewhere

A stream that broke later asked for a slot with no time left, and was refused at once; the wait for an owner was counted from the arrival, too.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -166,6 +166,11 @@
 func TestStartDeadlineIsEarlierOfFirstEventTimeoutAndDeadline(t *testing.T) {
 	j := &job{arrived: now, deadline: now.Add(20 * time.Second), Request: &Request{Route: &route.Route{Kind: route.Stream, FirstEventTimeout: 8 * time.Second}}}
 	assert.Equal(t, now.Add(8*time.Second), j.startDeadline())
+	j.lastEventAt = now.Add(9 * time.Second)
+	assert.Equal(t, now.Add(17*time.Second), j.startDeadline(), "the client waits from the last event on")
+	j.lastEventAt = now.Add(19 * time.Second)
+	assert.Equal(t, j.deadline, j.startDeadline(), "at most until the deadline")
+	j.lastEventAt = time.Time{}
 	j.Route = &route.Route{Kind: route.Unsafe}
 	assert.Equal(t, j.deadline, j.startDeadline(), "without a first-event timeout, the client waits until the deadline")
 	j.Route = &route.Route{Kind: route.Stream, FirstEventTimeout: 8 * time.Second}
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -65,7 +65,8 @@
 	// target refused without running the request.
 	maxSends = 5
 	// ownerTimeoutShare is the share of a request's time, from its arrival to
-	// its deadline, that it waits for an owner to grant or refuse a slot.
+	// its deadline, that it waits for an owner to grant or refuse a slot for one
+	// attempt.
 	ownerTimeoutShare = 0.4
 	// maxIdleUnsafe is the longest idle time of a pooled connection that may
 	// carry a request which must not be repeated: the target may have closed a
@@ -78,20 +79,25 @@
 // idempotent reports whether the request may run more than once.
 func (j *job) idempotent() bool { return j.Route.Idempotent() }
 
-// ownerTimeout returns how long after its arrival the request waits for a slot
-// while no owner of a zone grants or refuses one.
+// ownerTimeout returns how long a request waits for a slot for one attempt while no
+// owner of a zone grants or refuses one.
 func (j *job) ownerTimeout() time.Duration {
 	return time.Duration(ownerTimeoutShare * float64(j.deadline.Sub(j.arrived)))
 }
 
-// startDeadline returns the time by which the response has to start, since the
-// client stops waiting then: the first-event timeout of the route, if it has
-// one, and at most the deadline.
+// startDeadline returns the time by which the response of the next attempt has to
+// start, since the client stops waiting then: the first-event timeout of the route, if
+// it has one, and at most the deadline. The timeout counts from the last event that
+// the client received, or before any from the arrival of the request.
 func (j *job) startDeadline() time.Time {
 	if j.Route.FirstEventTimeout <= 0 {
 		return j.deadline
 	}
-	if firstEvent := j.arrived.Add(j.Route.FirstEventTimeout); firstEvent.Before(j.deadline) {
+	waitingSince := j.arrived
+	if !j.lastEventAt.IsZero() {
+		waitingSince = j.lastEventAt
+	}
+	if firstEvent := waitingSince.Add(j.Route.FirstEventTimeout); firstEvent.Before(j.deadline) {
 		return firstEvent
 	}
 	return j.deadline
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -65,6 +65,7 @@
 // error for the client if the owners refuse the request, or if no target is
 // found in time.
 func (n *Node) acquireEngineSlot(ctx context.Context, j *job) (assignment, *ErrorResponse) {
+	begin := time.Now()
 	for {
 		a, refusal, reached := n.requestFromOwners(ctx, j)
 		if refusal != nil || a.target != nil {
@@ -77,7 +78,7 @@
 			return a, nil
 		}
 		timeLeft := time.Until(j.startDeadline())
-		if ctx.Err() != nil || timeLeft < minRunTime || time.Since(j.arrived) > j.ownerTimeout() {
+		if ctx.Err() != nil || timeLeft < minRunTime || time.Since(begin) > j.ownerTimeout() {
 			return assignment{}, newErrorResponse(fault.NoCapacity, defaultRetryAfter, "no owner of a zone gives a place for the model %q", j.Model)
 		}
 		n.awaitOwnerChange(ctx)
