entry: request_broken says why the request was not sent again

The field not_retried of request_broken names the reason. No decision changes; TestRetryObstacleNamesTheReason and the table of TestPrepareRetryDependsOnRouteAndResult pass.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -12,6 +12,22 @@
 	"almondturn/pkg/route"
 )
 
+// The log tells apart why a broken request was not sent again.
+func TestRetryObstacleNamesTheReason(t *testing.T) {
+	resumable := &route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2}
+	for want, j := range map[string]*job{
+		"":                 {Request: &Request{Route: resumable}, possibleRuns: 1},
+		obstacleAttempts:   {Request: &Request{Route: resumable}, possibleRuns: 2},
+		obstacleSends:      {Request: &Request{Route: resumable}, possibleRuns: 1, sends: maxSends},
+		obstacleRepeatable: {Request: &Request{Route: &route.Route{Kind: route.Unsafe, MaxAttempts: 2}}, possibleRuns: 1},
+	} {
+		j.deadline = time.Now().Add(time.Minute)
+		assert.Equal(t, want, j.retryObstacle(t.Context(), &clientResponse{started: true}, sendResult{kind: outcomeUnknown}))
+		j.deadline = time.Now()
+		assert.Equal(t, obstacleTime, j.retryObstacle(t.Context(), &clientResponse{}, sendResult{kind: outcomeUnknown}))
+	}
+}
+
 // now is the fixed time of the tests.
 var now = time.Unix(1_700_000_000, 0)
 
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -57,6 +57,9 @@
 	// longestInterval the longest time between two such writes.
 	lastEventAt     time.Time
 	longestInterval time.Duration
+	// obstacle is why the request was not sent again after the last attempt, empty
+	// if it was.
+	obstacle string
 }
 
 // Limits of the attempts of one request.
@@ -179,12 +182,14 @@
 		a, refusal := n.findTarget(ctx, j)
 		j.slotWait += time.Since(waitStart)
 		if refusal != nil {
+			j.obstacle = obstacleRefused
 			n.finish(j, cr, last, refusal)
 			return
 		}
 		if j.sends > 0 && !budget.spend(time.Now(), n.retryLimits()) {
 			event.BudgetExhausted.Log(n.log).Str("request", j.ID).Str("service", j.service).Send()
 			n.releaseAssignment(a, sendResult{kind: expired})
+			j.obstacle = obstacleBudget
 			n.finish(j, cr, last, nil)
 			return
 		}
@@ -226,26 +231,67 @@
 	n.usages.release(time.Now(), a.target.ID, r)
 }
 
-// prepareRetry reports whether the request may be sent again after a result. It
-// subtracts an attempt that reached no target from j.sends, unless the request
-// has no attempts or time left.
+// prepareRetry reports whether the request may be sent again after a result, and
+// records in j.obstacle why not. It subtracts an attempt that reached no target from
+// j.sends, unless the request has no attempts or time left.
 func (n *Node) prepareRetry(ctx context.Context, j *job, cr *clientResponse, r sendResult) bool {
-	if ctx.Err() != nil || j.sends >= maxSends || time.Until(j.deadline) < minRunTime {
-		return false
+	j.obstacle = j.retryObstacle(ctx, cr, r)
+	if r.kind == unreachable && j.obstacle != obstacleTime && j.obstacle != obstacleSends {
+		j.sends-- // nothing was sent to a target
+	}
+	return j.obstacle == ""
+}
+
+// Values of job.obstacle, which the log has in the field not_retried.
+const (
+	obstacleTime       = "no time left"
+	obstacleSends      = "sent too often"
+	obstacleTargets    = "too many targets failed"
+	obstacleAttempts   = "no attempts left"
+	obstacleRepeatable = "must not run again"
+	obstacleResult     = "final result"
+	obstacleBudget     = "retry budget exhausted"
+	obstacleRefused    = "no slot"
+)
+
+// retryObstacle returns why the request may not be sent again after a result, empty
+// if it may.
+func (j *job) retryObstacle(ctx context.Context, cr *clientResponse, r sendResult) string {
+	switch {
+	case ctx.Err() != nil || time.Until(j.deadline) < minRunTime:
+		return obstacleTime
+	case j.sends >= maxSends:
+		return obstacleSends
 	}
 	switch r.kind {
 	case unreachable:
-		j.sends-- // nothing was sent to a target
 		// j.sends does not bound such attempts, but each excludes a target.
-		return len(j.excluded) < maxSends
+		if len(j.excluded) >= maxSends {
+			return obstacleTargets
+		}
+		return ""
 	case notRun, notLoaded:
-		return true
+		return ""
 	case failedRun:
-		return true // forwardBuffered returns failedRun only if another run is allowed
+		return "" // forwardBuffered returns failedRun only if another run is allowed
 	case outcomeUnknown:
-		return j.idempotent() && j.possibleRuns < j.Route.MaxAttempts && (!cr.started || j.Route.Resumable)
+		return j.rerunObstacle(cr.started)
+	default:
+		return obstacleResult
+	}
+}
+
+// rerunObstacle returns why the request may not run again after a run with an unknown
+// outcome, empty if it may. started is true if a part of the response was written to
+// the client.
+func (j *job) rerunObstacle(started bool) string {
+	switch {
+	case !j.idempotent() || started && !j.Route.Resumable:
+		return obstacleRepeatable
+	case j.possibleRuns >= j.Route.MaxAttempts:
+		return obstacleAttempts
 	default:
-		return false
+		return ""
 	}
 }
 
@@ -363,6 +409,9 @@
 	if refusal != nil {
 		e = e.Str("reason", refusal.Message)
 	}
+	if outcome == event.RequestBroken {
+		e = e.Str("not_retried", j.obstacle)
+	}
 	if last.err != nil {
 		e = e.Stringer("result", last.kind).AnErr("cause", last.err)
 	}
