entry: a silent stream is given up only after its continuation is secured

Cause: after 1.2 s without an event (1.5 s before the first) the connection to the target was closed first; a slot elsewhere and a retry of the budget were sought then. If either was missing, the answer in progress was lost. The budget was read before the close and spent after it: of many streams that fell silent at once, all saw a retry left and most found none. Class: an answer in progress is given up before its continuation is secured.

An event meanwhile ends the search, releases the slot and refunds the retry. A slot at the silent target itself, which owners grant as a last resort, is not taken. Time in which the client does not read is no silence.

--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -63,6 +63,20 @@
 	return true
 }
 
+// refund takes back a retry that spend counted and that was not made, unless it has
+// left the window.
+func (b *retryBudget) refund(now time.Time, l retryLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now, l)
+	for i := range int64(budgetBuckets) {
+		if count := &b.retries[(b.bucket-i+budgetBuckets)%budgetBuckets]; *count > 0 {
+			*count--
+			return
+		}
+	}
+}
+
 // allowsRetryLocked is allowsRetry without advance; b.mu must be held.
 func (b *retryBudget) allowsRetryLocked(l retryLimits) bool { return b.remainingLocked(l) >= 1 }
 
--- /dev/null
+++ b/pkg/entry/continuation_test.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/route"
+)
+
+// newSilentAttempt returns the continuation of an attempt that has been silent for
+// longer than eventWait, and the context of the attempt.
+func newSilentAttempt(t *testing.T) (*continuation, context.Context) {
+	log := zerolog.Nop()
+	n := &Node{log: &log}
+	ctx, giveUp := context.WithCancelCause(t.Context())
+	now := time.Now()
+	j := &job{
+		Request: &Request{Route: &route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2, FirstEventTimeout: time.Minute}},
+		arrived: now, deadline: now.Add(time.Minute), sends: 1,
+	}
+	c := n.watchSilence(ctx, giveUp, j, assignment{target: &inventory.Target{ID: "silent"}}, true)
+	require.NotNil(t, c)
+	c.timer.Stop()
+	c.progressAt = now.Add(-c.job.eventWait(true))
+	return c, ctx
+}
+
+// A client that reads slowly is not taken for a silent target.
+func TestNoTargetIsSoughtWhileTheClientReads(t *testing.T) {
+	c, _ := newSilentAttempt(t)
+	c.writeBegins()
+	_, ctx, _ := c.begin()
+	assert.Nil(t, ctx)
+	c.writeEnded(false)
+	j, ctx, _ := c.begin()
+	require.NotNil(t, ctx, "comments are no progress")
+	assert.Equal(t, []string{"silent"}, j.excluded)
+	c.writeBegins()
+	c.writeEnded(true)
+	require.Error(t, ctx.Err(), "an event ends the search")
+	c.endSearch(time.Hour)
+	_, ctx, _ = c.begin()
+	assert.Nil(t, ctx, "the stream is not silent any more")
+	assert.Nil(t, c.stop())
+}
+
+// An attempt that has gone on, or has ended, is not given up for what a search found.
+func TestAttemptIsGivenUpOnlyWhileItIsSilent(t *testing.T) {
+	for name, c := range map[string]struct {
+		event   func(*continuation)
+		givenUp bool
+	}{
+		"silent":         {func(*continuation) {}, true},
+		"event received": {func(c *continuation) { c.writeEnded(true) }, false},
+		"being written":  {func(c *continuation) { c.writeBegins() }, false},
+		"no time left":   {func(c *continuation) { c.job.deadline = time.Now().Add(minRunTime) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			silent, attempt := newSilentAttempt(t)
+			_, search, _ := silent.begin()
+			require.NotNil(t, search)
+			c.event(silent)
+			assert.Equal(t, c.givenUp, silent.handOver(search, assignment{runID: 7}))
+			if !c.givenUp {
+				silent.endSearch(time.Hour)
+				require.NoError(t, attempt.Err())
+				assert.Nil(t, silent.stop())
+				return
+			}
+			assert.ErrorIs(t, context.Cause(attempt), errStalled)
+			assert.Equal(t, uint64(7), silent.stop().runID)
+		})
+	}
+}
+
+func TestRefundedRetryMayBeSpentAgain(t *testing.T) {
+	l := retryLimits{slack: 10, window: 10 * time.Second, nodes: 1}
+	b := new(retryBudget)
+	for b.spend(now, l) {
+	}
+	b.refund(now.Add(3*time.Second), l)
+	assert.True(t, b.spend(now.Add(3*time.Second), l))
+	assert.False(t, b.spend(now.Add(3*time.Second), l))
+	b.refund(now.Add(time.Hour), l)
+	assert.InDelta(t, 7, b.remaining(now.Add(time.Hour), l), 0.01, "a retry that has left the window is not refunded")
+}
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -57,6 +57,9 @@
 	// longestInterval the longest time between two such writes.
 	lastEventAt     time.Time
 	longestInterval time.Duration
+	// secured is the assignment for the next attempt that the continuation of the
+	// last one secured, nil if there is none.
+	secured *assignment
 	// obstacle is why the request was not sent again after the last attempt, empty
 	// if it was.
 	obstacle string
@@ -174,28 +177,20 @@
 // serveJob finds a target for the request and sends it, and repeats both until
 // the request has a response or may not be sent again.
 func (n *Node) serveJob(ctx context.Context, j *job, cr *clientResponse) {
-	budget := n.budgets.forService(j.service)
-	budget.recordRequest(time.Now(), n.retryLimits())
+	n.budgets.forService(j.service).recordRequest(time.Now(), n.retryLimits())
 	var last sendResult
 	for {
-		waitStart := time.Now()
-		a, refusal := n.findTarget(ctx, j)
-		j.slotWait += time.Since(waitStart)
-		if refusal != nil {
-			j.obstacle = obstacleRefused
+		a, refusal, ok := n.nextAssignment(ctx, j)
+		if !ok {
 			n.finish(j, cr, last, refusal)
 			return
 		}
-		if j.sends > 0 && !budget.spend(time.Now(), n.retryLimits()) {
-			event.BudgetExhausted.Log(n.log).Str("request", j.ID).Str("service", j.service).Send()
-			n.releaseAssignment(a, sendResult{kind: expired})
-			j.obstacle = obstacleBudget
-			n.finish(j, cr, last, nil)
-			return
-		}
 		last = n.send(ctx, j, a, cr)
 		n.releaseAssignment(a, last)
 		if !n.prepareRetry(ctx, j, cr, last) {
+			if j.secured != nil {
+				n.releaseSecured(j, *j.secured)
+			}
 			n.finish(j, cr, last, nil)
 			return
 		}
@@ -204,6 +199,30 @@
 	}
 }
 
+// nextAssignment returns the assignment for the next attempt, which may have been
+// secured during the last one. ok is false if there is none; refusal is then the error
+// for the client, nil if the retry budget is exhausted.
+func (n *Node) nextAssignment(ctx context.Context, j *job) (a assignment, refusal *ErrorResponse, ok bool) {
+	if j.secured != nil {
+		a, j.secured = *j.secured, nil
+		return a, nil, true
+	}
+	waitStart := time.Now()
+	a, refusal = n.findTarget(ctx, j)
+	j.slotWait += time.Since(waitStart)
+	if refusal != nil {
+		j.obstacle = obstacleRefused
+		return a, refusal, false
+	}
+	if j.sends > 0 && !n.budgets.forService(j.service).spend(time.Now(), n.retryLimits()) {
+		event.BudgetExhausted.Log(n.log).Str("request", j.ID).Str("service", j.service).Send()
+		n.releaseAssignment(a, sendResult{kind: expired})
+		j.obstacle = obstacleBudget
+		return a, nil, false
+	}
+	return a, nil, true
+}
+
 // findTarget returns the assignment for the next attempt, or the error for the
 // client.
 func (n *Node) findTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
@@ -305,10 +324,14 @@
 	if j.idempotent() {
 		maxIdle = maxIdleSafe
 	}
-	resp, err := n.pool.Do(ctx, t.Addr, &upstream.Request{
+	attemptCtx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	c := n.watchSilence(attemptCtx, giveUp, j, a, cr.started)
+	defer func() { j.secured = c.stop() }()
+	resp, err := n.pool.Do(attemptCtx, t.Addr, &upstream.Request{
 		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: maxIdle,
 		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
-		MatchesResponse: n.matchesResponse(j), ResponseHeaderTimeout: n.responseHeaderTimeout(j, cr.started),
+		MatchesResponse: n.matchesResponse(j),
 	})
 	if isTimeout(err) {
 		n.pool.CloseIdle(t.Addr) // other connections to it may be stalled, too
@@ -317,6 +340,7 @@
 		return n.classifySendError(ctx, j, t.ID, err)
 	}
 	defer resp.Close()
+	c.headReceived()
 	info := n.targetProtocol.ParseResponse(resp.Header)
 	if info.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
 		if a.runID == 0 {
@@ -330,24 +354,16 @@
 		return sendResult{kind: kind, info: info, status: resp.Status}
 	}
 	j.possibleRuns++
-	r := n.forwardResponse(ctx, j, resp, info, cr)
+	r := n.forwardResponse(ctx, j, resp, info, cr, c)
+	if r.kind == outcomeUnknown && errors.Is(context.Cause(attemptCtx), errStalled) {
+		r.err = errStalled
+	}
 	if r.kind == outcomeUnknown || r.kind == failedRun {
 		j.excluded = append(j.excluded, t.ID)
 	}
 	return r
 }
 
-// responseHeaderTimeout returns how long to wait for the headers of a response,
-// 0 for no bound before the deadline. Only a stream that may be sent to another
-// target afterwards has a bound; any other request waits until its deadline. started
-// is true if a part of the response was written to the client.
-func (n *Node) responseHeaderTimeout(j *job, started bool) time.Duration {
-	if !j.mayResumeElsewhere(time.Now(), j.possibleRuns+1) || !n.budgetAllowsRetry(j) {
-		return 0
-	}
-	return j.eventWait(started)
-}
-
 // matchesResponse returns a function that reports whether response headers
 // belong to the request of j. Headers without a request ID match every request.
 func (n *Node) matchesResponse(j *job) func(http.Header) bool {
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -108,8 +108,8 @@
 var errUnusableResponse = errors.New("response is not signed by a target, may belong to another request, or cannot continue the stream")
 
 // forwardResponse forwards a target's response to the client and returns the
-// result of the attempt.
-func (n *Node) forwardResponse(ctx context.Context, j *job, resp *upstream.Response, info ResponseInfo, cr *clientResponse) sendResult {
+// result of the attempt. c is the continuation of the attempt, nil if there is none.
+func (n *Node) forwardResponse(ctx context.Context, j *job, resp *upstream.Response, info ResponseInfo, cr *clientResponse, c *continuation) sendResult {
 	out := sendResult{info: info, status: resp.Status}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	foreign := info.RequestID == "" && resp.Reused()
@@ -118,7 +118,7 @@
 		return out
 	}
 	if success && j.engine && !j.NonStreaming {
-		return n.forwardStream(ctx, j, resp, cr, out)
+		return n.forwardStream(ctx, j, resp, cr, out, c)
 	}
 	return n.forwardBuffered(ctx, j, resp, cr, out)
 }
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -12,8 +12,8 @@
 	"almondturn/wire"
 )
 
-// Times without an event after which a stream that can be resumed is continued
-// at another target.
+// Times without an event after which another target is sought for a stream that can
+// be resumed.
 const (
 	// minFirstEventWait and minNextEventWait are the shortest times to wait for
 	// the first and for each following event.
@@ -34,13 +34,13 @@
 )
 
 // forwardStream writes events to the client as they arrive. Only complete
-// events are written, so that another target can continue after the last one.
-func (n *Node) forwardStream(ctx context.Context, j *job, resp *upstream.Response, cr *clientResponse, out sendResult) sendResult {
+// events are written, so that another target can continue after the last one. c is the
+// continuation of the attempt, nil if there is none.
+func (n *Node) forwardStream(ctx context.Context, j *job, resp *upstream.Response, cr *clientResponse, out sendResult, c *continuation) sendResult {
 	s := &eventSplitter{lastID: j.resumeAfter, resumed: cr.started}
 	buf := make([]byte, streamBufferBytes)
-	progressAt, idCount := time.Now(), 0
+	idCount := 0
 	for {
-		resp.SetReadDeadline(n.stallDeadline(j, progressAt, s.idCount > 0 || cr.started))
 		size, err := resp.Read(buf)
 		if size > 0 {
 			events, splitErr := s.add(buf[:size])
@@ -48,41 +48,25 @@
 				return incompleteResult(ctx, out, splitErr)
 			}
 			if len(events) > 0 {
+				c.writeBegins()
 				if writeErr := n.writeEvents(j, resp, cr, out.status, events); writeErr != nil {
 					out.kind, out.err = clientGone, writeErr
 					return out
 				}
 				j.resumeAfter = s.lastID
-			}
-			if s.idCount > idCount { // other bytes, such as comments, are no progress
-				progressAt, idCount = time.Now(), s.idCount
+				c.writeEnded(s.idCount > idCount) // other bytes, such as comments, are no progress
+				idCount = s.idCount
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			return n.endStream(ctx, j, resp, cr, s, out)
 		}
 		if err != nil {
-			if isTimeout(err) && ctx.Err() == nil {
-				n.pool.CloseIdle(j.assignment.target.Addr) // other connections to it may be stalled, too
-				out.kind, out.err = outcomeUnknown, err
-				return out
-			}
 			return incompleteResult(ctx, out, err)
 		}
 	}
 }
 
-// stallDeadline returns the time at which a stream without another event is given up
-// in order to continue it at another target, zero if it must not be. progressAt is
-// when the last event with an ID, or before that the head of the response, was
-// received. started is that of eventWait.
-func (n *Node) stallDeadline(j *job, progressAt time.Time, started bool) time.Time {
-	if !j.mayResumeElsewhere(time.Now(), j.possibleRuns) || !n.budgetAllowsRetry(j) {
-		return time.Time{} // a slow stream is worth more than none
-	}
-	return progressAt.Add(j.eventWait(started))
-}
-
 // mayResumeElsewhere reports whether the request may be sent to another target after
 // the current one has stalled. runs is the number of runs that targets may have begun
 // for it, the current one included.
@@ -91,7 +75,7 @@
 }
 
 // eventWait returns how long to wait for the next event of a stream before
-// it is resumed at another target: one and a half times the latency objective
+// another target is sought for it: one and a half times the latency objective
 // for the first event, and a multiple of the longest event interval after it,
 // but not less than the minimum of each. started is true if an event with an ID
 // was received from this target, or a part of the response was written to the
