scheduler: requests that wait for a model are refused when a change removes it

What callers saw: beside a change of the configuration that removes a model before its load has begun, the requests that waited for it were answered at their deadline only.

Cause: the scheduler expected a load that nothing could order any more, and only a removed service or engine made the expected wait infinite.

Change: SetServices marks the requests that wait for a model that it removes; the next step refuses them unless the model is loaded or being loaded. Requests that arrive later wait as before, since their node may know a newer configuration.

--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -21,6 +21,8 @@
 	// pacedSince is when a target was first skipped for the request because of
 	// its prefill budget, zero if none was.
 	pacedSince time.Time
+	// modelRemoved is set when a change of the configuration removes the model.
+	modelRemoved bool
 }
 
 // queue holds the waiting requests for one model or adapter, the most urgent
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -46,6 +46,12 @@
 			s.refuseBeforeLoadEnds(now, q)
 			continue
 		}
+		if s.modelConfig(k) == nil {
+			s.refuseRemoved(now, q)
+		}
+		if len(q.waiters) == 0 {
+			continue
+		}
 		rank++
 		r := recoveries[k.service]
 		estimate := RefusalEstimate{ExpectedWait: s.coldStartWait(now, rank, r), TargetsWithCopy: s.targetsWithCopy(now, k), BacklogRank: rank}
@@ -57,6 +63,23 @@
 	}
 }
 
+// markModelRemoved records that a change of the configuration has removed the model.
+func (q *queue) markModelRemoved() {
+	for _, w := range q.waiters {
+		w.modelRemoved = true
+	}
+}
+
+// refuseRemoved refuses the requests that waited when their model was removed. Others
+// wait, because their model may be that of a configuration that has not arrived yet.
+func (s *Scheduler) refuseRemoved(now time.Time, q *queue) {
+	for _, w := range slices.Clone(q.waiters) {
+		if w.modelRemoved {
+			s.refuse(now, w, Overloaded, maxRetryAfter, RefusalEstimate{TimeLeft: w.Deadline.Sub(now)})
+		}
+	}
+}
+
 // refuseBeforeLoadEnds refuses the requests whose deadline comes before the end
 // of the model's load. The client may retry after that end.
 func (s *Scheduler) refuseBeforeLoadEnds(now time.Time, q *queue) {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -98,7 +98,18 @@
 // that are no longer configured stay until the next SetTargets, which must come
 // before the next Step.
 func (s *Scheduler) SetServices(services map[string]*route.Service) {
+	var configured []*queue
+	for _, q := range s.queues {
+		if s.modelConfig(q.key.modelKey()) != nil {
+			configured = append(configured, q)
+		}
+	}
 	s.services = services
+	for _, q := range configured {
+		if s.modelConfig(q.key.modelKey()) == nil {
+			q.markModelRemoved()
+		}
+	}
 	clear(s.eventIntervals) // routes may allow other intervals now
 }
 
