entry: a refusal that cannot be attributed does not deny a run

Callers saw: on a kept connection a target wrote an earlier refusal once more, without a request identifier.

Cause: send believed Not-Executed and 421 before forwardResponse looked whether a response without an identifier came on a reused connection, and forwardResponse looked only at successes.

Evidence: TestStaleRefusalOnReusedConnectionDoesNotDenyARun failed before for 503, 429, 421 and 500, each marked as not executed; at 429, 5 of 6 requests ran at both targets, and 4 of these were answered 503. TestStaleRefusalWithIdentifier, TestConnectionWithRefusalWrittenTwice and the test of idempotent requests passed before and stay as guards: a copy that names the earlier request is skipped, and bytes that arrive before the next request close the connection.

Change: send decides it once, for every status, before it reads the refusal: without an identifier on a reused connection the outcome is unknown. Unsafe requests get 502 and are not sent again, idempotent ones may be.

Measured: the tests pass, 5 runs under -race.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -342,6 +342,11 @@
 	defer resp.Close()
 	c.headReceived()
 	info := n.targetProtocol.ParseResponse(resp.Header)
+	if info.RequestID == "" && resp.Reused() {
+		j.possibleRuns++
+		j.excluded = append(j.excluded, t.ID)
+		return sendResult{kind: outcomeUnknown, info: info, status: resp.Status, err: errUnidentifiedResponse}
+	}
 	if info.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
 		if a.runID == 0 {
 			j.excluded = append(j.excluded, t.ID) // an owner is sent the result instead
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -101,19 +101,23 @@
 	cr.writeError(newErrorResponse(fault.OutcomeUnknown, 0, "the target gave no whole answer"))
 }
 
-// errUnusableResponse is the cause of a result whose response cannot be used: a
-// success without a target's signature, one without a request ID on a connection that
-// had carried another request, or any other status while the response of an earlier
-// target is being continued.
-var errUnusableResponse = errors.New("response is not signed by a target, may belong to another request, or cannot continue the stream")
+var (
+	// errUnusableResponse is the cause of a result whose response cannot be used: a
+	// success without a target's signature, or any other status while the response of
+	// an earlier target is being continued.
+	errUnusableResponse = errors.New("response is not signed by a target, or cannot continue the stream")
+	// errUnidentifiedResponse is the cause of a result whose response has no request ID
+	// and came on a connection that had carried another request: it may be a late copy
+	// of that one's response, also if it is a refusal.
+	errUnidentifiedResponse = errors.New("response without an identifier may belong to another request")
+)
 
 // forwardResponse forwards a target's response to the client and returns the
 // result of the attempt. c is the continuation of the attempt, nil if there is none.
 func (n *Node) forwardResponse(ctx context.Context, j *job, resp *upstream.Response, info ResponseInfo, cr *clientResponse, c *continuation) sendResult {
 	out := sendResult{info: info, status: resp.Status}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
-	foreign := info.RequestID == "" && resp.Reused()
-	if success && (!info.Signed || foreign) || cr.started && !success {
+	if success && !info.Signed || cr.started && !success {
 		out.kind, out.err = outcomeUnknown, errUnusableResponse
 		return out
 	}
