entry: a repeated refusal of an earlier attempt does not deny a run

Callers saw: a request that must not be repeated was refused by a target with a free queue place soon after, granted the same target again by the owner, and sent there on the same kept connection.

Cause: an identifier names a request, not an attempt, so that it cannot tell two attempts of one request on one connection apart.

Evidence: TestRefusalOfAnEarlierAttemptDoesNotDenyARun failed before: two runs of r1 instead of one.

Change: an attempt at a target that was sent the request before gets a new connection, on which nothing earlier can arrive. RepeatedRefusal of the stand-in engine plays the fault.

Measured: the test passes, 5 runs under -race.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"almondturn/fleet"
@@ -45,6 +46,8 @@
 	// resumeAfter is the ID of the last event that was written to the client;
 	// the next target continues the stream after it.
 	resumeAfter string
+	// sentTo lists the targets of all attempts.
+	sentTo []string
 	// lastTarget is the ID of the target of the last attempt.
 	lastTarget string
 	// slotWait is the time spent waiting for slots, over all attempts.
@@ -320,10 +323,8 @@
 	t := a.target
 	j.lastTarget, j.assignment, j.startReported = t.ID, a, false
 	j.sends++
-	maxIdle := maxIdleUnsafe
-	if j.idempotent() {
-		maxIdle = maxIdleSafe
-	}
+	maxIdle := j.maxIdle(t.ID)
+	j.sentTo = append(j.sentTo, t.ID)
 	attemptCtx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	c := n.watchSilence(attemptCtx, giveUp, j, a, cr.started)
@@ -369,6 +370,20 @@
 	return r
 }
 
+// maxIdle returns the longest idle time of a pooled connection that may carry the next
+// attempt to a target. It is 0, so that only a new connection may, if the target was sent
+// an earlier attempt: its response to that one has the same identifier.
+func (j *job) maxIdle(target string) time.Duration {
+	switch {
+	case slices.Contains(j.sentTo, target):
+		return 0
+	case j.idempotent():
+		return maxIdleSafe
+	default:
+		return maxIdleUnsafe
+	}
+}
+
 // matchesResponse returns a function that reports whether response headers
 // belong to the request of j. Headers without a request ID match every request.
 func (n *Node) matchesResponse(j *job) func(http.Header) bool {
