entry: what is no continuation does not reach a stream that has begun

Callers saw: a resumable stream broke off, and the next target answered 200 with something else than the rest of it: the text of an error that ends with a blank line, or an event without an identifier. A 200 with an empty body that is no event stream also ended it as complete.

Cause: a continuation was checked by the first identifier in it only, so that events without one passed, and nothing looked at the type of the body.

Change: the first event of a continuation, other than comments, must have the next identifier, and its Content-Type, if there is one, must be that of event streams.

--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"almondturn/pkg/fault"
@@ -103,8 +104,8 @@
 
 var (
 	// errUnusableResponse is the cause of a result whose response cannot be used: a
-	// success without a target's signature, or any other status while the response of
-	// an earlier target is being continued.
+	// success without a target's signature, or any other status or a body other than an
+	// event stream while the response of an earlier target is being continued.
 	errUnusableResponse = errors.New("response is not signed by a target, or cannot continue the stream")
 	// errUnidentifiedResponse is the cause of a result whose response has no request ID
 	// and came on a connection that had carried another request: it may be a late copy
@@ -117,7 +118,7 @@
 func (n *Node) forwardResponse(ctx context.Context, j *job, resp *upstream.Response, info ResponseInfo, cr *clientResponse, c *continuation) sendResult {
 	out := sendResult{info: info, status: resp.Status}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
-	if success && !info.Signed || cr.started && !success {
+	if success && !info.Signed || cr.started && !(success && mayBeEventStream(resp.Header)) {
 		out.kind, out.err = outcomeUnknown, errUnusableResponse
 		return out
 	}
@@ -127,6 +128,13 @@
 	return n.forwardBuffered(ctx, j, resp, cr, out)
 }
 
+// mayBeEventStream reports whether a response with the headers may have an event stream
+// as its body.
+func mayBeEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+}
+
 // forwardBuffered reads the body completely before it writes to the client. A
 // server error of an idempotent request is not written if the request may be
 // sent again; the result is then failedRun.
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -133,8 +133,9 @@
 	// resumed is true if the events have to continue after lastID of another
 	// target.
 	resumed bool
-	// idCount is the number of complete events with an ID.
-	idCount int
+	// idCount is the number of complete events with an ID, eventCount that of all
+	// complete events other than comments.
+	idCount, eventCount int
 }
 
 // eventEnd terminates an event.
@@ -164,24 +165,42 @@
 	return events, s.checkIDs(events)
 }
 
-// checkIDs updates lastID from complete events. It returns errEventOrder if the
-// first ID of a resumed stream is not the one after lastID.
+// checkIDs updates lastID and the counts from complete events. It returns errEventOrder
+// if the first event of a resumed stream, other than comments, does not have the ID after
+// lastID.
 func (s *eventSplitter) checkIDs(events []byte) error {
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		id, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
+	for event := range bytes.SplitSeq(events, eventEnd) {
+		id, hasID, comment := parseEvent(event)
+		if comment {
 			continue
 		}
-		id = bytes.TrimSpace(id)
-		if s.idCount == 0 && s.resumed && !isNextID(s.lastID, string(id)) {
+		if s.eventCount == 0 && s.resumed && !(hasID && isNextID(s.lastID, id)) {
 			return errEventOrder
 		}
-		s.idCount++
-		s.lastID = string(id)
+		s.eventCount++
+		if hasID {
+			s.idCount++
+			s.lastID = id
+		}
 	}
 	return nil
 }
 
+// parseEvent returns the ID of an event, and whether it has one. comment is true if the
+// event has no fields.
+func parseEvent(event []byte) (id string, hasID, comment bool) {
+	comment = true
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			comment = false
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, hasID = string(bytes.TrimSpace(value)), true
+		}
+	}
+	return id, hasID, comment
+}
+
 // isNextID reports whether id is the ID of the event after the one with ID
 // last. IDs that are not numbers only have to differ.
 func isNextID(last, id string) bool {
