entry: a stream that ends with its connection needs an event to be complete

Callers saw: a target sent the head of a stream without length or chunks and closed.

Cause: endStream took every end of a body that is not within an event for the end of the stream. Without a length or chunks only the end of the connection shows it, and a target that stops after the head ends it in the same way.

Change: such a stream counts as broken off if it ends before the first event: a resumable one is sent to another target, the client of another gets 502, or its started stream is cut. One with a length or chunks may still be empty.

--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -31,6 +31,7 @@
 	errEventTooLong    = errors.New("event exceeds the size limit")
 	errEventOrder      = errors.New("resumed stream does not continue after the last event")
 	errIncompleteEvent = errors.New("stream ended within an event")
+	errNoEvent         = errors.New("stream ended with its connection before the first event")
 )
 
 // forwardStream writes events to the client as they arrive. Only complete
@@ -110,11 +111,15 @@
 }
 
 // endStream completes the response after the regular end of a target's body.
-// If the body ended within an event, it returns incompleteResult instead.
+// If the body ended within an event, or with its connection before the first event, it
+// returns incompleteResult instead.
 func (n *Node) endStream(ctx context.Context, j *job, resp *upstream.Response, cr *clientResponse, s *eventSplitter, out sendResult) sendResult {
 	if len(s.partial) > 0 {
 		return incompleteResult(ctx, out, errIncompleteEvent)
 	}
+	if s.eventCount == 0 && resp.EndsWithConnection() {
+		return incompleteResult(ctx, out, errNoEvent)
+	}
 	if !cr.started {
 		cr.writeHeader(out.status, resp.Header, -1)
 	}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -173,6 +173,12 @@
 // before, so that the response may be a late copy of one to them.
 func (r *Response) Reused() bool { return r.conn.reused }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that
+// only the end of the connection shows its end.
+func (r *Response) EndsWithConnection() bool {
+	return r.Length < 0 && len(r.resp.TransferEncoding) == 0
+}
+
 // Read implements io.Reader. It returns io.EOF after a complete body, and
 // io.ErrUnexpectedEOF after a truncated one.
 func (r *Response) Read(b []byte) (int, error) {
