entry: only a stream that has begun is continued at another target

Callers saw: the answer to a request on a resumable route was no stream, too long to be held back (over 256 KiB) and cut, such as a large error page. By the code the same holds for a long completion that is not streamed (callers' listener); that was not played.

Cause: prepareRetry asked whether the route may be resumed, not whether what was started is a stream.

Change: clientResponse.streaming says that events are being written; after the start only these are continued. TestPrepareRetryDependsOnRouteAndResult has a column for it: its rows for streams set it, as forwardStream does, and a new row expects no retry without it. No row expects less than before.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -22,7 +22,7 @@
 		obstacleRepeatable: {Request: &Request{Route: &route.Route{Kind: route.Unsafe, MaxAttempts: 2}}, possibleRuns: 1},
 	} {
 		j.deadline = time.Now().Add(time.Minute)
-		assert.Equal(t, want, j.retryObstacle(t.Context(), &clientResponse{started: true}, sendResult{kind: outcomeUnknown}))
+		assert.Equal(t, want, j.retryObstacle(t.Context(), &clientResponse{started: true, streaming: true}, sendResult{kind: outcomeUnknown}))
 		j.deadline = time.Now()
 		assert.Equal(t, obstacleTime, j.retryObstacle(t.Context(), &clientResponse{}, sendResult{kind: outcomeUnknown}))
 	}
@@ -205,21 +205,23 @@
 		kind         resultKind
 		possibleRuns int
 		started      bool
+		streaming    bool
 		want         bool
 	}{
-		{"unsafe, outcome unknown", unsafe, outcomeUnknown, 1, false, false},
-		{"unsafe, not run", unsafe, notRun, 0, false, true},
-		{"unsafe, unreachable", unsafe, unreachable, 0, false, true},
-		{"safe, outcome unknown", safe, outcomeUnknown, 1, false, true},
-		{"safe, outcome unknown twice", safe, outcomeUnknown, 2, false, false},
-		{"safe, part of the response written", safe, outcomeUnknown, 1, true, false},
-		{"stream, truncated", stream, outcomeUnknown, 1, true, false},
-		{"resumable stream, truncated", resumable, outcomeUnknown, 1, true, true},
-		{"completed", safe, completed, 1, true, false},
-		{"client gone", safe, clientGone, 1, false, false},
-		{"deadline passed", safe, expired, 1, false, false},
+		{"unsafe, outcome unknown", unsafe, outcomeUnknown, 1, false, false, false},
+		{"unsafe, not run", unsafe, notRun, 0, false, false, true},
+		{"unsafe, unreachable", unsafe, unreachable, 0, false, false, true},
+		{"safe, outcome unknown", safe, outcomeUnknown, 1, false, false, true},
+		{"safe, outcome unknown twice", safe, outcomeUnknown, 2, false, false, false},
+		{"safe, part of the response written", safe, outcomeUnknown, 1, true, false, false},
+		{"stream, truncated", stream, outcomeUnknown, 1, true, true, false},
+		{"resumable stream, truncated", resumable, outcomeUnknown, 1, true, true, true},
+		{"resumable, part of another body written", resumable, outcomeUnknown, 1, true, false, false},
+		{"completed", safe, completed, 1, true, false, false},
+		{"client gone", safe, clientGone, 1, false, false, false},
+		{"deadline passed", safe, expired, 1, false, false, false},
 	} {
 		j := &job{Request: &Request{Route: c.route}, sends: 1, possibleRuns: c.possibleRuns, deadline: time.Now().Add(time.Minute)}
-		assert.Equal(t, c.want, new(Node).prepareRetry(t.Context(), j, &clientResponse{started: c.started}, sendResult{kind: c.kind}), c.name)
+		assert.Equal(t, c.want, new(Node).prepareRetry(t.Context(), j, &clientResponse{started: c.started, streaming: c.streaming}, sendResult{kind: c.kind}), c.name)
 	}
 }
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -297,18 +297,18 @@
 	case failedRun:
 		return "" // forwardBuffered returns failedRun only if another run is allowed
 	case outcomeUnknown:
-		return j.rerunObstacle(cr.started)
+		return j.rerunObstacle(cr)
 	default:
 		return obstacleResult
 	}
 }
 
 // rerunObstacle returns why the request may not run again after a run with an unknown
-// outcome, empty if it may. started is true if a part of the response was written to
-// the client.
-func (j *job) rerunObstacle(started bool) string {
+// outcome, empty if it may. A response that has begun can be continued only if it is a
+// stream.
+func (j *job) rerunObstacle(cr *clientResponse) string {
 	switch {
-	case !j.idempotent() || started && !j.Route.Resumable:
+	case !j.idempotent() || cr.started && !(cr.streaming && j.Route.Resumable):
 		return obstacleRepeatable
 	case j.possibleRuns >= j.Route.MaxAttempts:
 		return obstacleAttempts
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -34,6 +34,9 @@
 	// started is set when a target's response headers were written; they can no
 	// longer be replaced by an error.
 	started bool
+	// streaming is set when the events of a stream are written, which another target
+	// may continue.
+	streaming bool
 	// complete is set when a complete response, or an error, was written.
 	complete bool
 	// status is the HTTP status that was written, 0 before.
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -94,6 +94,7 @@
 func (n *Node) writeEvents(j *job, resp *upstream.Response, cr *clientResponse, status int, events []byte) error {
 	now := time.Now()
 	if !cr.started {
+		cr.streaming = true
 		cr.writeHeader(status, resp.Header, -1)
 		j.firstByteAfter = now.Sub(j.arrived)
 	} else {
