entry: an error event is appended to event streams only

Callers saw (callers' listener): the answer to a streamed completion was no stream, over 256 KiB and cut. The node appended an event of type error to the text that it had forwarded, and ended the body in order, so that it looked complete.

Cause: EndTruncatedResponse decides by the request, which asks for a stream, and cannot know that the answer is none.

Evidence: TestTruncatedResponseWithoutEventsIsAborted failed before: no abort, and one call of EndTruncatedResponse.

Change: abort lets the protocol end a response only if events were written.

Measured: pkg/entry and pkg/callers pass under -race.

--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -34,8 +34,8 @@
 	// started is set when a target's response headers were written; they can no
 	// longer be replaced by an error.
 	started bool
-	// streaming is set when the events of a stream are written, which another target
-	// may continue.
+	// streaming is set when the events of a stream are written: another target may
+	// continue them, and the protocol may signal an error among them.
 	streaming bool
 	// complete is set when a complete response, or an error, was written.
 	complete bool
@@ -57,7 +57,7 @@
 // connection.
 func (cr *clientResponse) abort() {
 	err := fault.New(fault.StreamBroken, "the target gave no whole answer")
-	if cr.clientDisconnected() || !cr.protocol.EndTruncatedResponse(cr.w, cr.request, err) {
+	if cr.clientDisconnected() || !cr.streaming || !cr.protocol.EndTruncatedResponse(cr.w, cr.request, err) {
 		panic(http.ErrAbortHandler)
 	}
 }
