entry: a status alone does not tell clients that an unsafe request did not run

Callers saw: a target answered an unsafe request with 503, 429 or 408 and without X-Almondturn-Not-Executed.

Cause: forwardResponse forwarded any failure as it came.

Evidence: TestRefusalWithoutPromiseIsAnUnknownOutcome failed before with each of the three statuses.

Change: ClientProtocol.DeniesRun says which statuses deny a run in its protocol. For a request that must not be repeated such an answer is an unknown outcome: 502 without the target's stamp. Idempotent requests are handled as before; callers are told by Almondturn-Run, so that their protocol has no such status.

Measured: the tests of refusals and retries pass, 3 runs under -race.

--- a/pkg/callers/callers.go
+++ b/pkg/callers/callers.go
@@ -211,6 +211,10 @@
 	return e.Kind.Response().Status
 }
 
+// DeniesRun implements entry.ClientProtocol. It returns false, because callers are told
+// by the header Almondturn-Run, and not by the status.
+func (p *Protocol) DeniesRun(int) bool { return false }
+
 // EndTruncatedResponse implements entry.ClientProtocol. It ends a stream with an event
 // that describes the error. For other responses it returns false, so that the
 // connection is closed: only this shows that the body is incomplete.
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -63,6 +63,9 @@
 	// WriteError writes an error as the complete response, and returns its
 	// status. id is empty for a request that was not parsed.
 	WriteError(w http.ResponseWriter, id string, e *ErrorResponse) int
+	// DeniesRun reports whether a status tells the client that the request did not run
+	// and will not, whoever responds with it.
+	DeniesRun(status int) bool
 	// EndTruncatedResponse ends a response that was truncated, so that the
 	// client does not take it for complete. It returns false if the connection
 	// has to be closed instead.
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -110,6 +110,9 @@
 	// success without a target's signature, or any other status or a body other than an
 	// event stream while the response of an earlier target is being continued.
 	errUnusableResponse = errors.New("response is not signed by a target, or cannot continue the stream")
+	// errUnprovenRefusal is the cause of a result whose status would tell the client that
+	// the request did not run, although the target does not say so.
+	errUnprovenRefusal = errors.New("response has the status of a refusal, but is none")
 	// errUnidentifiedResponse is the cause of a result whose response has no request ID
 	// and came on a connection that had carried another request: it may be a late copy
 	// of that one's response, also if it is a refusal.
@@ -125,6 +128,10 @@
 		out.kind, out.err = outcomeUnknown, errUnusableResponse
 		return out
 	}
+	if !j.idempotent() && cr.protocol.DeniesRun(resp.Status) {
+		out.kind, out.err = outcomeUnknown, errUnprovenRefusal
+		return out
+	}
 	if success && j.engine && !j.NonStreaming {
 		return n.forwardStream(ctx, j, resp, cr, out, c)
 	}
