entry: a stream is continued only after an event that has an identifier

Callers saw: a target wrote an event without an identifier, such as an error of its own or the events of an engine that numbers none, and broke off. The stream began anew at another target, or went on after the last identifier, so that the client got pieces of two runs as one complete stream (ORDER).

Cause: the place to continue from is the last identifier, also when later events without one have been written, or none has one at all.

Change: job.endsWithoutID says that the last event, other than comments, has no identifier. Such a stream isn't given up for being slow, nor sent elsewhere: it goes on at its target or is cut for the client.

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -101,14 +101,14 @@
 }
 
 // writeEnded records the end of a write. progress is true if an event with an ID was
-// written.
-func (c *continuation) writeEnded(progress bool) {
+// written, endsWithoutID that of job.
+func (c *continuation) writeEnded(progress, endsWithoutID bool) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = false
+	c.writing, c.job.endsWithoutID = false, endsWithoutID
 	if progress {
 		c.progress()
 		c.started, c.job.lastEventAt = true, c.progressAt
--- a/pkg/entry/continuation_test.go
+++ b/pkg/entry/continuation_test.go
@@ -37,12 +37,12 @@
 	c.writeBegins()
 	_, ctx, _ := c.begin()
 	assert.Nil(t, ctx)
-	c.writeEnded(false)
+	c.writeEnded(false, false)
 	j, ctx, _ := c.begin()
 	require.NotNil(t, ctx, "comments are no progress")
 	assert.Equal(t, []string{"silent"}, j.excluded)
 	c.writeBegins()
-	c.writeEnded(true)
+	c.writeEnded(true, false)
 	require.Error(t, ctx.Err(), "an event ends the search")
 	c.endSearch(time.Hour)
 	_, ctx, _ = c.begin()
@@ -57,7 +57,7 @@
 		givenUp bool
 	}{
 		"silent":         {func(*continuation) {}, true},
-		"event received": {func(c *continuation) { c.writeEnded(true) }, false},
+		"event received": {func(c *continuation) { c.writeEnded(true, false) }, false},
 		"being written":  {func(c *continuation) { c.writeBegins() }, false},
 		"no time left":   {func(c *continuation) { c.job.deadline = time.Now().Add(minRunTime) }, false},
 	} {
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -46,6 +46,9 @@
 	// resumeAfter is the ID of the last event that was written to the client;
 	// the next target continues the stream after it.
 	resumeAfter string
+	// endsWithoutID is true if the last event that was written has no ID, so that no
+	// target can continue after it.
+	endsWithoutID bool
 	// sentTo lists the targets of all attempts.
 	sentTo []string
 	// lastTarget is the ID of the target of the last attempt.
@@ -305,10 +308,10 @@
 
 // rerunObstacle returns why the request may not run again after a run with an unknown
 // outcome, empty if it may. A response that has begun can be continued only if it is a
-// stream.
+// stream whose last event has an ID.
 func (j *job) rerunObstacle(cr *clientResponse) string {
 	switch {
-	case !j.idempotent() || cr.started && !(cr.streaming && j.Route.Resumable):
+	case !j.idempotent() || cr.started && !(cr.streaming && j.Route.Resumable && !j.endsWithoutID):
 		return obstacleRepeatable
 	case j.possibleRuns >= j.Route.MaxAttempts:
 		return obstacleAttempts
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -54,8 +54,8 @@
 					out.kind, out.err = clientGone, writeErr
 					return out
 				}
-				j.resumeAfter = s.lastID
-				c.writeEnded(s.idCount > idCount) // other bytes, such as comments, are no progress
+				j.resumeAfter, j.endsWithoutID = s.lastID, s.endsWithoutID
+				c.writeEnded(s.idCount > idCount, s.endsWithoutID) // other bytes, such as comments, are no progress
 				idCount = s.idCount
 			}
 		}
@@ -72,7 +72,7 @@
 // the current one has stalled. runs is the number of runs that targets may have begun
 // for it, the current one included.
 func (j *job) mayResumeElsewhere(now time.Time, runs int) bool {
-	return j.Route.Resumable && !j.NonStreaming && runs < j.Route.MaxAttempts && j.sends < maxSends && j.deadline.Sub(now) > minRunTime
+	return j.Route.Resumable && !j.NonStreaming && !j.endsWithoutID && runs < j.Route.MaxAttempts && j.sends < maxSends && j.deadline.Sub(now) > minRunTime
 }
 
 // eventWait returns how long to wait for the next event of a stream before
@@ -142,6 +142,8 @@
 	// idCount is the number of complete events with an ID, eventCount that of all
 	// complete events other than comments.
 	idCount, eventCount int
+	// endsWithoutID is true if the last complete event, other than comments, has no ID.
+	endsWithoutID bool
 }
 
 // eventEnd terminates an event.
@@ -184,6 +186,7 @@
 			return errEventOrder
 		}
 		s.eventCount++
+		s.endsWithoutID = !hasID
 		if hasID {
 			s.idCount++
 			s.lastID = id
