--- a/pkg/entry/idle_test.go
+++ b/pkg/entry/idle_test.go
@@ -66,3 +66,22 @@
 		})
 	}
 }
+
+// A response was reset because the connection could no longer be closed one side first.
+func TestIdleConnCanCloseItsSendingSide(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l = newIdleConns().listen(l)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	w, ok := c.(interface{ CloseWrite() error })
+	require.True(t, ok)
+	require.NoError(t, w.CloseWrite())
+	_, err = client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/pkg/entry/idleconns.go
+++ b/pkg/entry/idleconns.go
@@ -102,3 +102,12 @@
 	}
 	return n, err
 }
+
+// CloseWrite closes the sending side, as the server does before it closes a connection
+// with unread bytes, so that the client still receives the response.
+func (c *idleConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
