entry: the objective of a continuation counts from the last event

Cause: the latency objective was sent as counted from the arrival of the request. It had passed, and an overloaded owner refuses what can no longer begin on time. TestObjectiveOfAContinuationCountsFromTheLastEvent failed before: "-9000" is not positive. Change: a started stream waits since its last event, for the objective as for the first-event timeout. Result: the tests of entry pass with -race.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -28,6 +28,19 @@
 	}
 }
 
+// A stream that broke after its latency objective was refused a slot under overload, as
+// if it had been waiting since its arrival.
+func TestObjectiveOfAContinuationCountsFromTheLastEvent(t *testing.T) {
+	n := new(Node)
+	j := &job{
+		Request: &Request{Route: &route.Route{Kind: route.Stream, Resumable: true, LatencyObjective: time.Second, FirstEventTimeout: 3 * time.Second}},
+		arrived: time.Now().Add(-10 * time.Second), deadline: time.Now().Add(time.Minute),
+	}
+	assert.Negative(t, n.slotRequest(j, false).TimeToObjectiveMillis)
+	j.lastEventAt = time.Now()
+	assert.Positive(t, n.slotRequest(j, false).TimeToObjectiveMillis)
+}
+
 // now is the fixed time of the tests.
 var now = time.Unix(1_700_000_000, 0)
 
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -97,19 +97,23 @@
 	return time.Duration(ownerTimeoutShare * float64(j.deadline.Sub(j.arrived)))
 }
 
+// waitingSince returns since when the client has been waiting for the next event: the
+// last event, or before any the arrival of the request.
+func (j *job) waitingSince() time.Time {
+	if j.lastEventAt.IsZero() {
+		return j.arrived
+	}
+	return j.lastEventAt
+}
+
 // startDeadline returns the time by which the response of the next attempt has to
 // start, since the client stops waiting then: the first-event timeout of the route, if
-// it has one, and at most the deadline. The timeout counts from the last event that
-// the client received, or before any from the arrival of the request.
+// it has one, counted by waitingSince, and at most the deadline.
 func (j *job) startDeadline() time.Time {
 	if j.Route.FirstEventTimeout <= 0 {
 		return j.deadline
 	}
-	waitingSince := j.arrived
-	if !j.lastEventAt.IsZero() {
-		waitingSince = j.lastEventAt
-	}
-	if firstEvent := waitingSince.Add(j.Route.FirstEventTimeout); firstEvent.Before(j.deadline) {
+	if firstEvent := j.waitingSince().Add(j.Route.FirstEventTimeout); firstEvent.Before(j.deadline) {
 		return firstEvent
 	}
 	return j.deadline
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -153,7 +153,7 @@
 	return &wire.SlotRequest{
 		RequestID: j.ID, Service: j.service, Model: j.Model, Adapter: j.Adapter,
 		InputTokens: j.InputTokens, OutputTokens: j.OutputTokens, Priority: j.Priority,
-		TimeToObjectiveMillis:  j.arrived.Add(j.Route.LatencyObjective).Sub(now).Milliseconds(),
+		TimeToObjectiveMillis:  j.waitingSince().Add(j.Route.LatencyObjective).Sub(now).Milliseconds(),
 		TimeToDeadlineMillis:   j.startDeadline().Sub(now).Milliseconds(),
 		LatencyObjectiveMillis: j.Route.LatencyObjective.Milliseconds(),
 		MaxEventIntervalMillis: j.Route.MaxEventInterval.Milliseconds(),
