quarantine: evidence against parts of prompts that crash targets

A part that crashes targets is held for a time that grows with each further crash, its requests are admitted one at a time after it, and a run that began after the last crash and survived clears it. Parts that are known to survive need more evidence; a part that stood beside a worse one in all its crashes is tried without it.

--- /dev/null
+++ b/pkg/quarantine/quarantine.go
@@ -0,0 +1,367 @@
+// Package quarantine decides which requests may be sent while a part of a prompt is
+// suspected of crashing the targets that answer it. It does no I/O and reads no
+// clock. A Ledger holds the evidence: crashes of targets in which a part had just
+// begun to be answered, and runs with the part that survived. Nodes exchange their
+// evidence as Records, so that all of them decide alike.
+//
+// A part with crashes since its last survival is a suspect. Its requests are refused
+// for a time that grows with each further round of crashes, and afterwards admitted
+// one at a time, as trials. A trial that survives clears all parts of its prompt.
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Times that classify a run by the time since its response began.
+const (
+	// YoungTime is the longest time for which a run whose target crashed counts as
+	// a possible cause of the crash.
+	YoungTime = 300 * time.Millisecond
+	// SurvivalTime is the time after which a run has survived.
+	SurvivalTime = 500 * time.Millisecond
+)
+
+// Limits of the evidence.
+const (
+	// roundTime is the time from the first crash of a round in which further
+	// crashes belong to it, unless a trial is awaited: runs that were sent before
+	// the first crash was known, or targets that failed together.
+	roundTime = time.Second
+	// trialTime is how long other requests with a part wait for the result of a
+	// trial.
+	trialTime = 2 * time.Second
+	// provenCrashes is the number of crashes that make a part a suspect which is
+	// known to have survived before. Other parts are suspects after one.
+	provenCrashes = 3
+	// maxSuspects and maxCrashes bound the suspects, and the crashes held for each.
+	maxSuspects = 512
+	maxCrashes  = 16
+	// forgetTime is the time without a request or a crash after which a suspect is
+	// forgotten. It doesn't end before the suspect's hold.
+	forgetTime = 10 * time.Minute
+)
+
+// holds are the times from the last crash to the next trial, by the number of rounds.
+// The last one doubles with each further round, up to maxHold.
+var holds = [...]time.Duration{0, time.Second, 30 * time.Second, 2 * time.Minute, 10 * time.Minute, time.Hour}
+
+const maxHold = 24 * time.Hour
+
+// Part identifies a part of the prompts for one service.
+type Part struct{ Service, ID string }
+
+// Crash identifies a crash of a target by the incarnation that it ended.
+type Crash struct {
+	Target      string
+	Incarnation int64
+}
+
+// Decision says whether a request may be sent.
+type Decision struct {
+	// Allowed is true if the request may be sent. Trials are the suspects among its
+	// parts, in which case the request is their trial.
+	Allowed bool
+	Trials  []Part
+	// Part is the suspect for which the request may not be sent. Crashes and Rounds
+	// count the evidence against it, and LastCrash is the time of the newest.
+	Part            Part
+	Crashes, Rounds int
+	LastCrash       time.Time
+	// RetryAfter is the time until a request with the part may be sent.
+	RetryAfter time.Duration
+}
+
+// crashedRun is a run that a crash has ended.
+type crashedRun struct {
+	request string
+	at      time.Time
+}
+
+// suspect is the evidence against a part since it last survived.
+type suspect struct {
+	// crashes holds the crashes, each with the first run with the part that had
+	// just begun.
+	crashes map[Crash]crashedRun
+	// rounds counts the rounds of crashes: a crash begins a new round if a trial was
+	// awaited, or more than roundTime after roundStart, when the current one began.
+	rounds     int
+	roundStart time.Time
+	lastCrash  time.Time
+	// trialUntil is the end of the time in which a trial is awaited.
+	trialUntil time.Time
+	// lastUsed is when a request with the part was last checked.
+	lastUsed time.Time
+}
+
+// Ledger holds the evidence about the parts of prompts. Its methods may be called
+// concurrently.
+type Ledger struct {
+	// count is the number of suspects, so that requests are not delayed by mu as
+	// long as there are none.
+	count atomic.Int32
+
+	mu       sync.Mutex // guards all below
+	suspects map[Part]*suspect
+	proven   provenParts
+}
+
+// New returns a Ledger without evidence.
+func New() *Ledger { return &Ledger{suspects: map[Part]*suspect{}} }
+
+// Suspects returns the number of parts with crashes since their last survival.
+func (l *Ledger) Suspects() int { return int(l.count.Load()) }
+
+// Check returns whether a request with the parts may be sent now. It starts no
+// trial.
+func (l *Ledger) Check(now time.Time, parts []Part) Decision {
+	if l.count.Load() == 0 {
+		return Decision{Allowed: true}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check(now, parts)
+}
+
+// Admit is Check immediately before the request is sent: if the request is a trial,
+// it starts the trial of its suspects.
+func (l *Ledger) Admit(now time.Time, parts []Part) Decision {
+	if l.count.Load() == 0 {
+		return Decision{Allowed: true}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.check(now, parts)
+	for _, p := range d.Trials {
+		l.suspects[p].trialUntil = now.Add(trialTime)
+	}
+	return d
+}
+
+// check is Check; l.mu must be held.
+func (l *Ledger) check(now time.Time, parts []Part) Decision {
+	d := Decision{Allowed: true}
+	for _, p := range parts {
+		s := l.suspects[p]
+		if s == nil {
+			continue
+		}
+		s.lastUsed = now
+		if !l.isSuspect(p, s) {
+			continue
+		}
+		if until := l.heldUntil(p, s, parts); now.Before(until) {
+			wait := until.Sub(now)
+			if d.Allowed || wait > d.RetryAfter {
+				d = Decision{Part: p, Crashes: len(s.crashes), Rounds: s.rounds, LastCrash: s.lastCrash, RetryAfter: wait}
+			}
+			continue
+		}
+		if d.Allowed {
+			d.Trials = append(d.Trials, p)
+		}
+	}
+	return d
+}
+
+// isSuspect reports whether the evidence suffices to restrict the requests with a
+// part.
+func (l *Ledger) isSuspect(p Part, s *suspect) bool {
+	return len(s.crashes) >= provenCrashes || len(s.crashes) > 0 && !l.proven.has(p)
+}
+
+// heldUntil returns the time until which no request with these parts may be sent
+// because of the suspect p.
+func (l *Ledger) heldUntil(p Part, s *suspect, parts []Part) time.Time {
+	if l.explained(s, parts) || s.rounds <= 1 && l.proven.has(p) {
+		return s.trialUntil
+	}
+	if hold := s.lastCrash.Add(holdTime(s.rounds)); hold.After(s.trialUntil) {
+		return hold
+	}
+	return s.trialUntil
+}
+
+// explained reports whether another part that is not among these stood beside the
+// suspect in all runs that crashed, and in more than one round. A request without
+// that part is no repetition of what crashed the targets.
+func (l *Ledger) explained(s *suspect, parts []Part) bool {
+	for q, other := range l.suspects {
+		if other == s || other.rounds < 2 || len(other.crashes) < len(s.crashes) || slices.Contains(parts, q) {
+			continue
+		}
+		if containsAll(other.crashes, s.crashes) {
+			return true
+		}
+	}
+	return false
+}
+
+// containsAll reports whether a has all crashes of b, with the same runs.
+func containsAll(a, b map[Crash]crashedRun) bool {
+	for c, run := range b {
+		if other, ok := a[c]; !ok || other.request != run.request {
+			return false
+		}
+	}
+	return true
+}
+
+// holdTime returns the time from the last crash to the next trial.
+func holdTime(rounds int) time.Duration {
+	last := len(holds) - 1
+	if rounds <= last {
+		return holds[max(rounds, 0)]
+	}
+	doublings := min(rounds-last, 10) // more exceed maxHold
+	return min(holds[last]<<doublings, maxHold)
+}
+
+// RunCrashed records that a target crashed while it had just begun to answer a
+// request whose prompt has the parts. It returns the parts whose evidence has changed.
+func (l *Ledger) RunCrashed(now time.Time, c Crash, request string, parts []Part) []Part {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changed []Part
+	for _, p := range parts {
+		if l.addCrash(now, p, c, crashedRun{request, now}) {
+			changed = append(changed, p)
+		}
+	}
+	return changed
+}
+
+// addCrash records a crash with its run, unless it is known or a run that began after
+// it survived. It reports whether it did. l.mu must be held.
+func (l *Ledger) addCrash(now time.Time, p Part, c Crash, run crashedRun) bool {
+	if begun, ok := l.proven.survivedAt(p); ok && !begun.Before(run.at) {
+		return false
+	}
+	s := l.suspects[p]
+	if s == nil {
+		l.makeRoom(now)
+		s = &suspect{crashes: map[Crash]crashedRun{}, lastUsed: now}
+		l.suspects[p] = s
+		l.count.Store(int32(len(l.suspects)))
+	}
+	if _, known := s.crashes[c]; known || len(s.crashes) >= maxCrashes && run.at.Before(s.lastCrash) {
+		return false
+	}
+	if len(s.crashes) >= maxCrashes {
+		delete(s.crashes, s.oldestCrash())
+	}
+	s.crashes[c] = run
+	s.countRound(run.at)
+	s.trialUntil = time.Time{}
+	return true
+}
+
+// countRound counts a crash at a time to the current round or a new one.
+func (s *suspect) countRound(at time.Time) {
+	if s.rounds == 0 || at.Sub(s.roundStart) > roundTime || at.Before(s.trialUntil) {
+		s.rounds++
+		s.roundStart = at
+	}
+	if at.After(s.lastCrash) {
+		s.lastCrash = at
+	}
+}
+
+// oldestCrash returns the crash that happened first.
+func (s *suspect) oldestCrash() Crash {
+	var oldest Crash
+	var oldestAt time.Time
+	for c, run := range s.crashes {
+		if oldestAt.IsZero() || run.at.Before(oldestAt) {
+			oldest, oldestAt = c, run.at
+		}
+	}
+	return oldest
+}
+
+// removeCrashesUntil removes the crashes up to a time and counts the rounds of the
+// others again.
+func (s *suspect) removeCrashesUntil(end time.Time) {
+	remaining := make([]time.Time, 0, len(s.crashes))
+	for c, run := range s.crashes {
+		if run.at.After(end) {
+			remaining = append(remaining, run.at)
+			continue
+		}
+		delete(s.crashes, c)
+	}
+	slices.SortFunc(remaining, time.Time.Compare)
+	s.rounds, s.roundStart, s.lastCrash = 0, time.Time{}, time.Time{}
+	for _, at := range remaining {
+		s.countRound(at)
+	}
+}
+
+// RunSurvived records that a run with the parts, whose response began at a time, has
+// survived. It returns the suspects among the parts that this clears.
+func (l *Ledger) RunSurvived(begun time.Time, parts []Part) []Part {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var cleared []Part
+	for _, p := range parts {
+		if l.survived(p, begun) {
+			cleared = append(cleared, p)
+		}
+	}
+	return cleared
+}
+
+// survived records a survival, which disproves the crashes before its run began, and
+// reports whether it cleared a suspect of all crashes. l.mu must be held.
+func (l *Ledger) survived(p Part, begun time.Time) bool {
+	l.proven.add(p, begun)
+	s := l.suspects[p]
+	if s == nil {
+		return false
+	}
+	if s.removeCrashesUntil(begun); len(s.crashes) > 0 {
+		return false
+	}
+	l.remove(p)
+	return true
+}
+
+// TrialEnded ends the trials of the parts without a result, for example because the
+// target did not run the request.
+func (l *Ledger) TrialEnded(parts []Part) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range parts {
+		if s := l.suspects[p]; s != nil {
+			s.trialUntil = time.Time{}
+		}
+	}
+}
+
+// makeRoom forgets the suspects that are no longer in use and, if there are still
+// too many, the one with the fewest rounds, the oldest of these. l.mu must be held.
+func (l *Ledger) makeRoom(now time.Time) {
+	var weakest Part
+	var w *suspect
+	for p, s := range l.suspects {
+		if now.Sub(s.lastUsed) > max(forgetTime, holdTime(s.rounds)) {
+			l.remove(p)
+			continue
+		}
+		if w == nil || s.rounds < w.rounds || s.rounds == w.rounds && s.lastCrash.Before(w.lastCrash) {
+			weakest, w = p, s
+		}
+	}
+	if len(l.suspects) >= maxSuspects {
+		l.remove(weakest)
+	}
+}
+
+// remove removes a suspect. l.mu must be held.
+func (l *Ledger) remove(p Part) {
+	delete(l.suspects, p)
+	l.count.Store(int32(len(l.suspects)))
+}
