entry: requests with a part of a prompt that crashes targets are held back

Up to 32 other runs ended with each crash; sound requests were refused because the targets had lost their models.

Cause: nothing related a crash to what had been sent. A crash counted against the target, and the request was retried like any other whose response is incomplete. Class: a request that fails its target is retried, with no bound over all targets.

Evidence goes to the owners of all zones and from them to all nodes, and to a node that connects; nothing is stored.

--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -21,6 +21,9 @@
 		n.owner.RunEnded(m)
 	case *wire.ActiveRuns:
 		n.owner.AdoptRuns(from, m)
+		n.guard.introduce(from.ID)
+	case *wire.PartEvidence:
+		n.guard.receive(from.ID, m)
 	case *wire.ZoneState:
 		if link != nil {
 			n.links.receiveZoneState(link, m)
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -10,6 +10,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/quarantine"
 	"almondturn/pkg/route"
 	"almondturn/pkg/upstream"
 	"almondturn/wire"
@@ -29,11 +30,18 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
+	// parts are the parts of the prompt that may be suspects.
+	parts []quarantine.Part
 	// assignment is that of the current attempt.
 	assignment assignment
 	// startReported is true once the start of the response of the current
 	// attempt was reported to the owner.
 	startReported bool
+	// responseBegun is when the headers of the current attempt's response were
+	// received, zero before. survived is true once it has survived, as package
+	// quarantine defines it.
+	responseBegun time.Time
+	survived      bool
 
 	// excluded lists the targets that failed this request, those that refused
 	// it and were chosen without an owner, and those that this node does not
@@ -196,6 +204,7 @@
 			return
 		}
 		last = n.send(ctx, j, a, cr)
+		n.guard.attemptEnded(j, a, last)
 		n.releaseAssignment(a, last)
 		if !n.prepareRetry(ctx, j, cr, last) {
 			if j.secured != nil {
@@ -236,19 +245,34 @@
 // findTarget returns the assignment for the next attempt, or the error for the
 // client.
 func (n *Node) findTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
-	if j.engine {
-		return n.acquireEngineSlot(ctx, j)
+	if !j.engine {
+		return n.choosePlainTarget(j)
 	}
-	return n.choosePlainTarget(j)
+	if refusal := n.guard.check(j); refusal != nil {
+		return assignment{}, refusal
+	}
+	a, refusal := n.acquireEngineSlot(ctx, j)
+	if refusal != nil {
+		return a, refusal
+	}
+	// Crashes may have happened during the wait for the slot.
+	trials, refusal := n.guard.admit(j, a.target.ID)
+	if refusal != nil {
+		n.releaseAssignment(a, sendResult{kind: expired})
+		return assignment{}, refusal
+	}
+	a.trials = trials
+	return a, nil
 }
 
 // releaseAssignment ends an assignment with the result of its attempt: it ends
 // the run that an owner granted, or updates the usage of a target that was
-// chosen without an owner. The result expired is reported to the owner as
+// chosen without an owner. A trial that is still awaited ends without a result. The result expired is reported to the owner as
 // unused. It covers both an assignment to which nothing was sent because the
 // retry budget is exhausted, and an attempt that ended at the deadline or at the
 // stop of the node; the kind does not distinguish them.
 func (n *Node) releaseAssignment(a assignment, r sendResult) {
+	n.guard.ledger.TrialEnded(a.trials)
 	if a.runID != 0 {
 		outcome := r.runOutcome()
 		if r.kind == expired {
@@ -329,6 +353,7 @@
 func (n *Node) send(ctx context.Context, j *job, a assignment, cr *clientResponse) sendResult {
 	t := a.target
 	j.lastTarget, j.assignment, j.startReported = t.ID, a, false
+	j.responseBegun, j.survived = time.Time{}, false
 	j.sends++
 	maxIdle := j.maxIdle(t.ID)
 	j.sentTo = append(j.sentTo, t.ID)
@@ -336,6 +361,10 @@
 	defer giveUp(nil)
 	c := n.watchSilence(attemptCtx, giveUp, j, a, cr.started)
 	defer func() { j.secured = c.stop() }()
+	if len(j.parts) > 0 && len(a.trials) == 0 {
+		n.guard.unbegun.add(j, giveUp)
+		defer n.guard.unbegun.remove(j)
+	}
 	resp, err := n.pool.Do(attemptCtx, t.Addr, &upstream.Request{
 		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: maxIdle,
 		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
@@ -349,6 +378,7 @@
 	}
 	defer resp.Close()
 	c.headReceived()
+	n.guard.unbegun.remove(j)
 	info := n.targetProtocol.ParseResponse(resp.Header)
 	if info.RequestID == "" && resp.Reused() {
 		j.possibleRuns++
@@ -367,6 +397,7 @@
 		return sendResult{kind: kind, info: info, status: resp.Status}
 	}
 	j.possibleRuns++
+	j.responseBegun = time.Now()
 	r := n.forwardResponse(ctx, j, resp, info, cr, c)
 	if r.kind == outcomeUnknown && errors.Is(context.Cause(attemptCtx), errStalled) {
 		r.err = errStalled
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -166,13 +166,16 @@
 }
 
 // serveOwner runs an established connection to an owner until it ends. The
-// first messages are the runs at targets of the zone and the state of this
-// node.
+// first messages are the runs at targets of the zone, the state of this node and
+// its evidence about parts of prompts.
 func (l *links) serveOwner(ctx context.Context, link *ownerLink, c *wire.Conn) {
 	stop := context.AfterFunc(ctx, func() { c.Close(wire.ErrClosed) })
 	defer stop()
 	c.Send(l.node.activeRuns(link.zone))
 	c.Send(l.node.nodeState())
+	if evidence := l.node.guard.all(); evidence != nil {
+		c.Send(evidence)
+	}
 	link.conn.Store(c)
 	event.OwnerConnected.Log(l.node.log).Str("zone", string(link.zone)).Str("owner", string(link.owner.Node)).Send()
 	err := c.Run()
@@ -351,6 +354,17 @@
 	}
 }
 
+// sendToOwners sends a message to the owners of all zones that are connected.
+func (l *links) sendToOwners(m wire.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, link := range l.owners {
+		if c := link.conn.Load(); c != nil {
+			c.Send(m)
+		}
+	}
+}
+
 // zoneState returns the state that the owner of a zone last sent, nil if the
 // owner is not connected.
 func (l *links) zoneState(zone fleet.Zone) *wire.ZoneState {
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -53,6 +53,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_refusals_total{kind=%q}`, kind.String())).Inc()
 }
 
+// countQuarantined counts a request that was not sent because a part of its prompt may
+// crash targets.
+func (m *nodeMetrics) countQuarantined(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_prompt_refusals_total{service=%q}`, service)).Inc()
+}
+
+// countPromptCrash counts a crash of a target that had just begun to respond.
+func (m *nodeMetrics) countPromptCrash(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_prompt_crashes_total{service=%q}`, service)).Inc()
+}
+
 // countStoreCall counts a call to the key-value service by the status of its
 // response.
 func (m *nodeMetrics) countStoreCall(call string, status int) {
@@ -75,6 +86,7 @@
 	n.budgets.each(func(service string, b *retryBudget) {
 		fmt.Fprintf(w, "almondturn_retry_budget_left{service=%q} %.1f\n", service, b.remaining(time.Now(), n.retryLimits()))
 	})
+	fmt.Fprintf(w, "almondturn_prompt_suspects %d\n", n.guard.ledger.Suspects())
 	fmt.Fprintf(w, "almondturn_nodes %d\n", n.links.maxNodeCount())
 	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.WaitingRequests())
 	fmt.Fprintf(w, "almondturn_requests_in_flight %d\n", n.inFlight.Load())
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -114,6 +114,7 @@
 	fallbackQuery  fallbackQuery
 	reporter       reporter
 	budgets        budgets
+	guard          *promptGuard
 	usages         targetUsages
 	started        time.Time
 	ready          atomic.Bool
@@ -197,6 +198,7 @@
 	if d.WrapHandler != nil {
 		n.handler = d.WrapHandler(n)
 	}
+	n.guard = newPromptGuard(n)
 	n.links = newLinks(n, d.Dial)
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -15,6 +15,10 @@
 	InputTokens, MaxOutputTokens int
 	// OutputTokens is the expected length of the response in tokens.
 	OutputTokens int
+	// SharedParts are the identifiers of the parts of the prompt that other requests
+	// may have in common with it, in order: all but the last part, which belongs to
+	// the request itself or to its session.
+	SharedParts []string
 	// Timeout is how long the client waits, 0 if it does not declare it.
 	Timeout time.Duration
 	// LastEventID is the ID of the event after which a stream continues, empty
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -8,6 +8,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/inventory"
+	"almondturn/pkg/quarantine"
 	"almondturn/pkg/route"
 	"almondturn/pkg/scheduler"
 	"almondturn/pkg/zoneowner"
@@ -38,6 +39,8 @@
 	// a target that was chosen without an owner.
 	zone  fleet.Zone
 	runID uint64
+	// trials are the suspect parts of the prompt whose trial the attempt is.
+	trials []quarantine.Part
 }
 
 // newErrorResponse returns an error response of a kind. retryAfter is that of
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -57,6 +57,7 @@
 				j.resumeAfter, j.endsWithoutID = s.lastID, s.endsWithoutID
 				c.writeEnded(s.idCount > idCount, s.endsWithoutID) // other bytes, such as comments, are no progress
 				idCount = s.idCount
+				n.guard.progressed(j)
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- /dev/null
+++ b/pkg/entry/unbegun.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"almondturn/pkg/event"
+	"almondturn/pkg/quarantine"
+)
+
+// errSuspended is the cause with which an attempt is ended whose prompt has a part
+// that may crash its target.
+var errSuspended = errors.New("a part of the prompt may crash the target")
+
+// unbegunAttempts holds the attempts with parts of prompts whose response has not
+// begun. Its methods may be called concurrently; its zero value is empty.
+type unbegunAttempts struct {
+	mu       sync.Mutex
+	attempts map[*job]unbegunAttempt
+}
+
+// unbegunAttempt is one attempt of a request.
+type unbegunAttempt struct {
+	request string
+	parts   []quarantine.Part
+	giveUp  context.CancelCauseFunc
+}
+
+// add adds an attempt of j that giveUp ends, until remove.
+func (u *unbegunAttempts) add(j *job, giveUp context.CancelCauseFunc) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.attempts == nil {
+		u.attempts = map[*job]unbegunAttempt{}
+	}
+	u.attempts[j] = unbegunAttempt{j.ID, j.parts, giveUp}
+}
+
+// remove removes the attempt of j. It has no effect if there is none.
+func (u *unbegunAttempts) remove(j *job) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.attempts, j)
+}
+
+// with returns the attempts whose prompts have one of the parts.
+func (u *unbegunAttempts) with(parts []quarantine.Part) []unbegunAttempt {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var found []unbegunAttempt
+	for _, a := range u.attempts {
+		if slices.ContainsFunc(a.parts, func(p quarantine.Part) bool { return slices.Contains(parts, p) }) {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// minCrashesToSuspend is the number of crashes of a suspect from which attempts that
+// were sent before are ended, too. A single crash leaves too many suspects.
+const minCrashesToSuspend = 2
+
+// suspendAttempts ends the attempts that were sent before the evidence against the
+// parts was known, if their response has not begun.
+func (g *promptGuard) suspendAttempts(parts []quarantine.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	for _, a := range g.unbegun.with(parts) {
+		d := g.ledger.Check(time.Now(), a.parts)
+		if d.Allowed || d.Crashes < minCrashesToSuspend {
+			continue
+		}
+		event.PartRefused.Log(g.node.log).Str("request", a.request).Str("service", d.Part.Service).Str("part", d.Part.ID).Int("crashes", d.Crashes).Int("rounds", d.Rounds).
+			Dur("last_crash_ms", time.Since(d.LastCrash)).Bool("sent", true).Send()
+		a.giveUp(errSuspended)
+	}
+}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -68,6 +68,8 @@
 	TimeOver
 	// HeaderTooLarge: the request headers exceed the limit. Not run.
 	HeaderTooLarge
+	// PromptSuspended: a part of the prompt may crash targets. Not run.
+	PromptSuspended
 	kindEnd
 )
 
@@ -120,6 +122,7 @@
 	StreamBroken:        {Status: http.StatusBadGateway, Code: "stream_broken", Run: RunYes},
 	HeaderTooLarge:      {Status: http.StatusRequestHeaderFieldsTooLarge, Code: "header_too_large", Run: RunNo},
 	TimeOver:            {Status: http.StatusGatewayTimeout, Code: "time_over", Run: RunUnknown},
+	PromptSuspended:     {Status: http.StatusServiceUnavailable, Code: "prompt_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
 
--- /dev/null
+++ b/wire/evidence.go
@@ -0,0 +1,33 @@
+package wire
+
+// PartEvidence is evidence about parts of prompts that may crash targets. A node
+// sends it to the owners of the zones, and an owner to the nodes. Ages are times before
+// the message was sent.
+type PartEvidence struct {
+	Parts []PartRecord `cbor:"1,keyasint,omitempty"`
+}
+
+// PartRecord is the evidence about one part of the prompts for a service.
+type PartRecord struct {
+	Service string        `cbor:"1,keyasint"`
+	Part    string        `cbor:"2,keyasint"`
+	Crashes []CrashRecord `cbor:"3,keyasint,omitempty"`
+	// Survived is true if a run with the part is known to have survived;
+	// SurvivedAgeMillis is the age of the beginning of the last one.
+	Survived          bool  `cbor:"4,keyasint,omitempty"`
+	SurvivedAgeMillis int64 `cbor:"5,keyasint,omitempty"`
+	// TrialMillis is the time for which the result of a trial is still awaited.
+	TrialMillis int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// CrashRecord is a crash of an incarnation of a target. Request identifies the request
+// whose run it ended.
+type CrashRecord struct {
+	Target      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint,omitempty"`
+	AgeMillis   int64  `cbor:"3,keyasint,omitempty"`
+	Request     string `cbor:"4,keyasint,omitempty"`
+}
+
+// Type implements Message.
+func (*PartEvidence) Type() Type { return TypePartEvidence }
--- a/wire/types.go
+++ b/wire/types.go
@@ -24,5 +24,6 @@
 	TypeEntryChanges:         func() Message { return new(EntryChanges) },
 	TypeSnapshotRequest:      func() Message { return new(SnapshotRequest) },
 	TypeSnapshot:             func() Message { return new(Snapshot) },
+	TypePartEvidence:         func() Message { return new(PartEvidence) },
 	TypeNodes:                func() Message { return new(Nodes) },
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -24,6 +24,7 @@
 	TypeSnapshot
 	TypeZoneChange
 	TypeOwnerChangesRequest
+	TypePartEvidence
 )
 
 // SlotRequest asks the owner of a zone for a slot at a target that has the
