--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -137,9 +137,9 @@
 	g.node.metrics.countPromptCrash(j.service)
 	changed := g.ledger.RunCrashed(now, quarantine.Crash{Target: a.target.ID, Incarnation: a.target.Incarnation}, j.ID, j.parts)
 	for _, p := range changed {
-		d := g.ledger.Check(now, []quarantine.Part{p})
+		crashes, rounds := g.ledger.Evidence(p)
 		event.PartSuspected.Log(g.node.log).Str("request", j.ID).Str("service", p.Service).Str("part", p.ID).Str("target", a.target.ID).
-			Dur("begun_ms", now.Sub(j.responseBegun)).Int("crashes", d.Crashes).Int("rounds", d.Rounds).Bool("held", !d.Allowed).Send()
+			Dur("begun_ms", now.Sub(j.responseBegun)).Int("crashes", crashes).Int("rounds", rounds).Send()
 	}
 	g.send(changed)
 	g.suspendAttempts(changed)
--- a/pkg/event/prompts.go
+++ b/pkg/event/prompts.go
@@ -4,7 +4,7 @@
 
 // Events about parts of prompts that may crash targets.
 var (
-	PartSuspected        = register(790, "part_suspected", zerolog.WarnLevel, "A target crashed when it had just begun to answer a prompt with this part; the field crashes counts the crashes since the part last survived, rounds those that followed one another, and held is true if requests with the part are refused now.")
+	PartSuspected        = register(790, "part_suspected", zerolog.WarnLevel, "A target crashed when it had just begun to answer a prompt with this part; the field crashes counts the crashes since the part last survived, rounds those that followed one another.")
 	PartCleared          = register(791, "part_cleared", zerolog.InfoLevel, "A run with a suspect part began after the last crash and survived; the part is no longer suspect.")
 	PartTrial            = register(792, "part_trial", zerolog.InfoLevel, "A request with a suspect part is sent as a trial; other requests with the part wait for its result.")
 	PartRefused          = register(793, "part_refused", zerolog.WarnLevel, "A request was not sent, because a part of its prompt may crash targets; the fields crashes, rounds and last_crash_ms hold the evidence and its age. With sent=true, the request was at a target and had not begun; the attempt was ended.")
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -115,6 +115,16 @@
 // Suspects returns the number of parts with crashes since their last survival.
 func (l *Ledger) Suspects() int { return int(l.count.Load()) }
 
+// Evidence returns how many crashes and rounds of crashes stand against a part.
+func (l *Ledger) Evidence(p Part) (crashes, rounds int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.suspects[p]; s != nil {
+		return len(s.crashes), s.rounds
+	}
+	return 0, 0
+}
+
 // Check returns whether a request with the parts may be sent now. It starts no
 // trial.
 func (l *Ledger) Check(now time.Time, parts []Part) Decision {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -67,6 +67,8 @@
 		l.RunCrashed(at(2000*i), crash(target), "guilty", parts("deadly"))
 		l.RunCrashed(at(2000*i), crash(target), "bystander", parts("doc"))
 	}
+	crashes, rounds := l.Evidence(parts("deadly")[0])
+	require.Equal(t, []int{2, 2}, []int{crashes, rounds})
 	require.False(t, l.Check(at(2100), parts("deadly")).Allowed)
 }
 
