--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -379,26 +379,7 @@
 	defer resp.Close()
 	c.headReceived()
 	n.guard.unbegun.remove(j)
-	info := n.targetProtocol.ParseResponse(resp.Header)
-	if info.RequestID == "" && resp.Reused() {
-		j.possibleRuns++
-		j.excluded = append(j.excluded, t.ID)
-		return sendResult{kind: outcomeUnknown, info: info, status: resp.Status, err: errUnidentifiedResponse}
-	}
-	if info.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
-		if a.runID == 0 {
-			j.excluded = append(j.excluded, t.ID) // an owner is sent the result instead
-		}
-		kind := notRun
-		if resp.Status == http.StatusMisdirectedRequest {
-			kind = notLoaded
-		}
-		discardBody(resp)
-		return sendResult{kind: kind, info: info, status: resp.Status}
-	}
-	j.possibleRuns++
-	j.responseBegun = time.Now()
-	r := n.forwardResponse(ctx, j, resp, info, cr, c)
+	r := n.receiveResponse(ctx, j, a, resp, cr, c)
 	if r.kind == outcomeUnknown && errors.Is(context.Cause(attemptCtx), errStalled) {
 		r.err = errStalled
 	}
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -119,6 +119,31 @@
 	errUnidentifiedResponse = errors.New("response without an identifier may belong to another request")
 )
 
+// receiveResponse returns the result of an attempt whose response headers have arrived.
+// It forwards the response to the client unless it is a refusal, or may belong to another
+// request. c is the continuation of the attempt, nil if there is none.
+func (n *Node) receiveResponse(ctx context.Context, j *job, a assignment, resp *upstream.Response, cr *clientResponse, c *continuation) sendResult {
+	info := n.targetProtocol.ParseResponse(resp.Header)
+	if info.RequestID == "" && resp.Reused() {
+		j.possibleRuns++
+		return sendResult{kind: outcomeUnknown, info: info, status: resp.Status, err: errUnidentifiedResponse}
+	}
+	if info.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
+		if a.runID == 0 {
+			j.excluded = append(j.excluded, a.target.ID) // an owner is sent the result instead
+		}
+		kind := notRun
+		if resp.Status == http.StatusMisdirectedRequest {
+			kind = notLoaded
+		}
+		discardBody(resp)
+		return sendResult{kind: kind, info: info, status: resp.Status}
+	}
+	j.possibleRuns++
+	j.responseBegun = time.Now()
+	return n.forwardResponse(ctx, j, resp, info, cr, c)
+}
+
 // forwardResponse forwards a target's response to the client and returns the
 // result of the attempt. c is the continuation of the attempt, nil if there is none.
 func (n *Node) forwardResponse(ctx context.Context, j *job, resp *upstream.Response, info ResponseInfo, cr *clientResponse, c *continuation) sendResult {
