quarantine: nodes end the hold of a suspect one after the other

What targets saw: at the end of a hold several nodes sent a trial each, before they had heard of one another, and each crashed a target. Cause: all nodes computed the same end, and clients return at it. TestNodesEndAHoldOneAfterTheOther is new. Change: each node lengthens its holds by up to a half, by the hash of its name and the part.

--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -45,7 +46,10 @@
 
 // newPromptGuard returns a promptGuard without evidence.
 func newPromptGuard(n *Node) *promptGuard {
-	return &promptGuard{node: n, ledger: quarantine.New()}
+	spread := func(p quarantine.Part) float64 {
+		return float64(fleet.RendezvousWeight(string(n.self.ID), p.ID)) / math.MaxUint64
+	}
+	return &promptGuard{node: n, ledger: quarantine.New(spread)}
 }
 
 // promptParts returns the parts of the prompt of j that may be suspects.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -51,6 +51,10 @@
 
 const maxHold = 24 * time.Hour
 
+// maxSpread is the largest share by which a node lengthens its holds, so that the nodes
+// don't begin a trial of the same part at the same moment.
+const maxSpread = 0.5
+
 // Part identifies a part of the prompts for one service.
 type Part struct{ Service, ID string }
 
@@ -103,14 +107,20 @@
 	// count is the number of suspects, so that requests are not delayed by mu as
 	// long as there are none.
 	count atomic.Int32
+	// spread returns the share of maxSpread by which the holds of a part are
+	// lengthened, from 0 to 1.
+	spread func(Part) float64
 
 	mu       sync.Mutex // guards all below
 	suspects map[Part]*suspect
 	proven   provenParts
 }
 
-// New returns a Ledger without evidence.
-func New() *Ledger { return &Ledger{suspects: map[Part]*suspect{}} }
+// New returns a Ledger without evidence. spread returns a number from 0 to 1 for each
+// part, which should differ between nodes.
+func New(spread func(Part) float64) *Ledger {
+	return &Ledger{spread: spread, suspects: map[Part]*suspect{}}
+}
 
 // Suspects returns the number of parts with crashes since their last survival.
 func (l *Ledger) Suspects() int { return int(l.count.Load()) }
@@ -189,8 +199,10 @@
 	if l.explained(s, parts) || s.rounds <= 1 && l.proven.has(p) {
 		return s.trialUntil
 	}
-	if hold := s.lastCrash.Add(holdTime(s.rounds)); hold.After(s.trialUntil) {
-		return hold
+	hold := holdTime(s.rounds)
+	hold += time.Duration(maxSpread * l.spread(p) * float64(hold))
+	if until := s.lastCrash.Add(hold); until.After(s.trialUntil) {
+		return until
 	}
 	return s.trialUntil
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -25,9 +25,12 @@
 // crash returns the crash of the first incarnation of a target.
 func crash(target string) Crash { return Crash{target, 1} }
 
+// newLedger returns a Ledger that lengthens all holds by the same share of maxSpread.
+func newLedger(spread float64) *Ledger { return New(func(Part) float64 { return spread }) }
+
 // Guards against one kind of request crashing target after target.
 func TestPartThatAlwaysCrashesIsSentAFewTimes(t *testing.T) {
-	l := New()
+	l := newLedger(0)
 	l.RunSurvived(at(0), parts("system"))
 	crashes := []int{}
 	for now := 1000; now < 160_000; now += 100 { // ten requests a second
@@ -44,7 +47,7 @@
 
 // Guards against a sound part being refused because it stood beside a deadly one.
 func TestPartBesideADeadlyOneIsCleared(t *testing.T) {
-	l := New()
+	l := newLedger(0)
 	l.RunCrashed(at(0), crash("t1"), "r", parts("doc", "deadly"))
 	l.RunCrashed(at(2000), crash("t2"), "r", parts("doc", "deadly"))
 	require.False(t, l.Check(at(2100), parts("doc", "deadly")).Allowed)
@@ -62,7 +65,7 @@
 // Guards against a deadly part being sent again because another request was at the
 // same targets.
 func TestPartOfAnotherRequestExplainsNothing(t *testing.T) {
-	l := New()
+	l := newLedger(0)
 	for i, target := range []string{"t1", "t2"} {
 		l.RunCrashed(at(2000*i), crash(target), "guilty", parts("deadly"))
 		l.RunCrashed(at(2000*i), crash(target), "bystander", parts("doc"))
@@ -74,7 +77,7 @@
 
 // Guards against a popular part being condemned by targets that crash for other reasons.
 func TestCrashesForOtherReasonsDoNotCondemnAPopularPart(t *testing.T) {
-	l := New()
+	l := newLedger(0)
 	l.RunSurvived(at(0), parts("system"))
 	for i := range 2 {
 		l.RunCrashed(at(1000+i), crash(fmt.Sprint("t", i)), "r", parts("system"))
@@ -90,7 +93,7 @@
 
 // Guards against a popular part that has become deadly being cleared by earlier answers.
 func TestPopularPartThatBecomesDeadlyIsHeld(t *testing.T) {
-	l := New()
+	l := newLedger(0)
 	l.RunSurvived(at(0), parts("system"))
 	sent := 0
 	for now := 1000; now < 60_000; now += 50 {
@@ -106,7 +109,7 @@
 
 // Guards against two deadly parts hiding each other.
 func TestTwoDeadlyPartsAreBothHeld(t *testing.T) {
-	l := New()
+	l := newLedger(0)
 	for i, p := range []string{"a", "b"} {
 		l.RunCrashed(at(i*10), crash(p+"1"), "r", parts(p))
 		l.RunCrashed(at(2000+i*10), crash(p+"2"), "r", parts(p))
@@ -121,7 +124,7 @@
 
 // Guards against a crash that several nodes have seen being counted several times.
 func TestMergeCountsACrashOnce(t *testing.T) {
-	a, b := New(), New()
+	a, b := newLedger(0), newLedger(0)
 	a.RunCrashed(at(0), crash("t1"), "r", parts("x"))
 	b.RunCrashed(at(5), crash("t1"), "r", parts("x"))
 	changed, _ := a.Merge(at(10), b.AllRecords(at(10)))
@@ -131,7 +134,7 @@
 
 // Guards against a node that has restarted sending what others hold back.
 func TestMergeTeachesANewNode(t *testing.T) {
-	a, b := New(), New()
+	a, b := newLedger(0), newLedger(0)
 	a.RunCrashed(at(0), crash("t1"), "r", parts("x"))
 	a.RunCrashed(at(2000), crash("t2"), "r", parts("x"))
 	changed, corrections := b.Merge(at(2500), a.AllRecords(at(2500)))
@@ -145,7 +148,7 @@
 
 // Guards against two nodes trying a suspect at the same time.
 func TestMergeAnnouncesATrial(t *testing.T) {
-	a, b := New(), New()
+	a, b := newLedger(0), newLedger(0)
 	a.RunCrashed(at(0), crash("t1"), "r", parts("x"))
 	b.Merge(at(1), a.AllRecords(at(1)))
 	require.Equal(t, parts("x"), a.Admit(at(1500), parts("x")).Trials)
@@ -155,9 +158,21 @@
 	require.False(t, b.Check(at(1502), parts("x")).Allowed)
 }
 
+// Guards against all nodes trying a suspect at the end of its hold.
+func TestNodesEndAHoldOneAfterTheOther(t *testing.T) {
+	a, b := newLedger(0), newLedger(0.5)
+	for _, l := range []*Ledger{a, b} {
+		l.RunCrashed(at(0), crash("t1"), "r", parts("x"))
+	}
+	require.Equal(t, parts("x"), a.Admit(at(1100), parts("x")).Trials)
+	require.False(t, b.Check(at(1100), parts("x")).Allowed)
+	b.Merge(at(1130), a.Records(at(1130), parts("x")))
+	require.False(t, b.Check(at(1500), parts("x")).Allowed, "the trial of the other node is awaited")
+}
+
 // Guards against a part staying suspect on a node that has not seen it survive.
 func TestMergeSpreadsASurvival(t *testing.T) {
-	a, b := New(), New()
+	a, b := newLedger(0), newLedger(0)
 	b.RunSurvived(at(0), parts("x"))
 	a.RunCrashed(at(100), crash("t1"), "r", parts("x"))
 	_, corrections := b.Merge(at(110), a.AllRecords(at(110)))
@@ -171,7 +186,7 @@
 
 // Guards against a caller who invents parts filling the memory or clearing suspects.
 func TestSuspectsAreBounded(t *testing.T) {
-	l := New()
+	l := newLedger(0)
 	l.RunCrashed(at(0), crash("t1"), "r", parts("deadly"))
 	l.RunCrashed(at(2000), crash("t2"), "r", parts("deadly"))
 	for i := range 3 * maxSuspects {
@@ -187,7 +202,7 @@
 
 // Guards against evidence that never ends: a part that is not asked for is forgotten.
 func TestSuspectIsForgotten(t *testing.T) {
-	l := New()
+	l := newLedger(0)
 	l.RunCrashed(at(0), crash("t1"), "r", parts("x"))
 	l.RunCrashed(start.Add(time.Hour), crash("t2"), "r", parts("y"))
 	require.Equal(t, 1, l.Suspects())
