entry: a crash that looks like the end of a response is evidence, and no survival

What targets saw: a deadly part crashed target after target where their responses had neither a length nor chunks. Cause: the end of the connection before the first event, or within one, had an error that promptGuard did not take for a broken connection; and a stream that ended with its connection counted as survived at once, however short, which would have cleared a part. Evidence: TestCrashWithoutLengthOrChunksIsEvidence: "33" is not less than or equal to "5", no part_suspected. Change: both errors count as a broken connection; such a stream survives by time only. Result: the test passes twice with -race. Open: a crash right after a complete event still looks like the end of the response.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -164,6 +164,9 @@
 	info ResponseInfo
 	// status is the status of the target's response, 0 without one.
 	status int
+	// endsWithConnection is true for a complete stream of which only the end of the
+	// connection showed the end, so that the target may have crashed.
+	endsWithConnection bool
 	// err is the cause of an attempt without a complete response.
 	err error
 }
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -111,7 +111,7 @@
 	}
 	begun := !j.responseBegun.IsZero() && r.status < http.StatusMultipleChoices
 	switch {
-	case begun && r.kind == completed:
+	case begun && r.kind == completed && !r.endsWithConnection:
 		g.recordSurvival(j)
 	case begun && r.kind == outcomeUnknown && connectionBroken(r.err) && time.Since(j.responseBegun) <= quarantine.YoungTime:
 		g.recordCrash(j, a)
@@ -119,9 +119,9 @@
 }
 
 // connectionBroken reports whether err says that the target closed or reset the
-// connection.
+// connection before the end of its response.
 func connectionBroken(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	return errors.Is(err, errNoEvent) || errors.Is(err, errIncompleteEvent) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // recordSurvival records that the current attempt has survived.
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -126,7 +126,7 @@
 		cr.writeHeader(out.status, resp.Header, -1)
 	}
 	cr.complete = true
-	out.kind = completed
+	out.kind, out.endsWithConnection = completed, resp.EndsWithConnection()
 	return out
 }
 
