quarantine: a crash from before a trial is no result of the trial

A crash that happened together with others, but became known only during the trial that followed them (a node that was silent or has just connected), counted as the failure of the trial and ended the wait for it. Found in review.

Cause: countRound began a new round for any crash before the end of a trial, and addCrash ended the trial, whenever the crash had happened.

Evidence: TestEarlierCrashDoesNotEndATrial failed before: rounds expected 1, actual 2.

Change: inTrial asks that the crash happened after the trial began.

Result: pkg/quarantine passes under -race.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -277,13 +277,20 @@
 	}
 	s.crashes[c] = run
 	s.countRound(run.at)
-	s.trialUntil = time.Time{}
+	if s.inTrial(run.at) {
+		s.trialUntil = time.Time{}
+	}
 	return true
 }
 
+// inTrial reports whether a trial was awaited at a time.
+func (s *suspect) inTrial(at time.Time) bool {
+	return at.After(s.trialUntil.Add(-trialTime)) && at.Before(s.trialUntil)
+}
+
 // countRound counts a crash at a time to the current round or a new one.
 func (s *suspect) countRound(at time.Time) {
-	if s.rounds == 0 || at.Sub(s.roundStart) > roundTime || at.Before(s.trialUntil) {
+	if s.rounds == 0 || at.Sub(s.roundStart) > roundTime || s.inTrial(at) {
 		s.rounds++
 		s.roundStart = at
 	}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -207,3 +207,18 @@
 	l.RunCrashed(start.Add(time.Hour), crash("t2"), "r", parts("y"))
 	require.Equal(t, 1, l.Suspects())
 }
+
+// Guards against a part being held as after a failed trial because a crash from before
+// the trial became known.
+func TestEarlierCrashDoesNotEndATrial(t *testing.T) {
+	l := newLedger(0)
+	l.RunCrashed(at(100), crash("t1"), "r", parts("x"))
+	require.Equal(t, parts("x"), l.Admit(at(1500), parts("x")).Trials)
+	other := newLedger(0)
+	other.RunCrashed(at(90), crash("t2"), "s", parts("x"))
+	l.Merge(at(1600), other.AllRecords(at(1600)))
+	d := l.Check(at(1610), parts("x"))
+	require.False(t, d.Allowed)
+	require.Equal(t, 1, d.Rounds, "the trial has not failed")
+	require.Equal(t, trialTime-110*time.Millisecond, d.RetryAfter)
+}
