quarantine: nodes count the same rounds in whatever order they hear of crashes

Callers could see: one more crash of a target with all its runs. A node that heard of an earlier crash after a later one (its own, while it connected) counted one round where the others counted two, and tried the part again after 1 s instead of 30 s. Found in review.

Cause: countRound compares with the start of the current round only; an older crash was added to it.

Evidence: TestMergeCountsRoundsInAnyOrder failed before: rounds expected 2, actual 1.

Change: a crash before the last one makes addCrash count the rounds again, in order.

Result: pkg/quarantine passes under -race.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -276,7 +276,11 @@
 		delete(s.crashes, s.oldestCrash())
 	}
 	s.crashes[c] = run
-	s.countRound(run.at)
+	if run.at.Before(s.lastCrash) {
+		s.recountRounds()
+	} else {
+		s.countRound(run.at)
+	}
 	if s.inTrial(run.at) {
 		s.trialUntil = time.Time{}
 	}
@@ -299,6 +303,21 @@
 	}
 }
 
+// recountRounds counts the rounds again after a crash that happened before others. The
+// count doesn't fall, since it includes failed trials.
+func (s *suspect) recountRounds() {
+	var counted suspect
+	times := make([]time.Time, 0, len(s.crashes))
+	for _, run := range s.crashes {
+		times = append(times, run.at)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	for _, at := range times {
+		counted.countRound(at)
+	}
+	s.rounds = max(s.rounds, counted.rounds)
+}
+
 // oldestCrash returns the crash that happened first.
 func (s *suspect) oldestCrash() Crash {
 	var oldest Crash
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -222,3 +222,15 @@
 	require.Equal(t, 1, d.Rounds, "the trial has not failed")
 	require.Equal(t, trialTime-110*time.Millisecond, d.RetryAfter)
 }
+
+// Guards against a suspect being tried too soon on a node that hears of an earlier crash
+// after a later one.
+func TestMergeCountsRoundsInAnyOrder(t *testing.T) {
+	a, b := newLedger(0), newLedger(0)
+	a.RunCrashed(at(0), crash("t1"), "r", parts("x"))
+	b.RunCrashed(at(2000), crash("t2"), "s", parts("x"))
+	b.Merge(at(2010), a.AllRecords(at(2010)))
+	a.Merge(at(2010), b.AllRecords(at(2010)))
+	require.Equal(t, 2, a.Check(at(2500), parts("x")).Rounds)
+	require.Equal(t, 2, b.Check(at(2500), parts("x")).Rounds)
+}
