entry: a silent stream is continued at its own target when its connection may be lost

What callers saw: with one target for a model, a stream whose connection went silent for good was cut at its deadline, although the target took new connections.

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -18,6 +18,9 @@
 	// minTimeToContinue is the least time that must remain until the deadline when
 	// an attempt is given up.
 	minTimeToContinue = 2 * minRunTime
+	// sameTargetWaitFactor is job.sameTargetWait as a multiple of the wait for an
+	// event, on routes whose clients have no timeout for it.
+	sameTargetWaitFactor = 2
 )
 
 // errStalled is the cause with which an attempt of a silent stream is ended after the
@@ -133,7 +136,11 @@
 		e.Log(c.node.log).Str("request", j.ID).Str("target", c.target.target.ID).Dur("silent_ms", silence).AnErr("reason", err).Send()
 	}
 	log(event.StreamSilent, nil)
-	a, err := c.node.secure(ctx, j, c.target)
+	silent := c.target.target.ID
+	if silence >= j.sameTargetWait() {
+		silent = "" // its connection may be lost while new ones work
+	}
+	a, err := c.node.secure(ctx, j, silent)
 	if err == nil && c.handOver(ctx, a) {
 		c.node.pool.CloseIdle(c.target.target.Addr) // other connections to it may be stalled, too
 		log(event.StreamGivenUp, nil)
@@ -148,6 +155,16 @@
 	c.endSearch(searchRetryDelay)
 }
 
+// sameTargetWait returns the silence after which a stream is continued at its target over
+// a new connection if no other is free: most of the time that the client waits for an
+// event.
+func (j *job) sameTargetWait() time.Duration {
+	if j.Route.FirstEventTimeout <= 0 {
+		return sameTargetWaitFactor * j.eventWait(true)
+	}
+	return j.Route.FirstEventTimeout * 3 / 4
+}
+
 // begin begins a search and returns a copy of the job and the context for it, and how
 // long the stream has been silent. The context is nil if no search is due.
 func (c *continuation) begin() (*job, context.Context, time.Duration) {
@@ -225,8 +242,9 @@
 }
 
 // secure returns an assignment for the next attempt, for which a retry of the budget is
-// spent, or an error if there is none. current is the assignment of the silent target.
-func (n *Node) secure(ctx context.Context, j *job, current assignment) (assignment, error) {
+// spent, or an error if there is none. It returns no assignment at the target with the
+// identifier silent.
+func (n *Node) secure(ctx context.Context, j *job, silent string) (assignment, error) {
 	if !n.budgetAllowsRetry(j) {
 		return assignment{}, errNoBudget
 	}
@@ -237,7 +255,7 @@
 	err := context.Cause(ctx)
 	switch {
 	case err != nil:
-	case a.target.ID == current.target.ID:
+	case a.target.ID == silent:
 		err = errSameTarget
 	case time.Until(j.deadline) < minTimeToContinue:
 		err = errTimeOver
