quarantine: the echo of a trial that has ended does not renew it

Callers saw: all requests with a shared sound part refused for 2 s. A trial went to a target without the model (421); its retry 4 ms later was refused because a trial was awaited: its own, which other nodes had announced back.

Cause: TrialEnded is known to the node of the trial only. The records of others still had the time left, and merge took it for a new trial.

Other nodes still wait up to trialTime, or until a trial of this node survives.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -97,6 +97,9 @@
 	lastCrash  time.Time
 	// trialUntil is the end of the time in which a trial is awaited.
 	trialUntil time.Time
+	// endedTrial is the trialUntil of the last trial of this node that ended without a
+	// result.
+	endedTrial time.Time
 	// lastUsed is when a request with the part was last checked.
 	lastUsed time.Time
 }
@@ -383,8 +386,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range parts {
-		if s := l.suspects[p]; s != nil {
-			s.trialUntil = time.Time{}
+		if s := l.suspects[p]; s != nil && !s.trialUntil.IsZero() {
+			s.endedTrial, s.trialUntil = s.trialUntil, time.Time{}
 		}
 	}
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -234,3 +234,16 @@
 	require.Equal(t, 2, a.Check(at(2500), parts("x")).Rounds)
 	require.Equal(t, 2, b.Check(at(2500), parts("x")).Rounds)
 }
+
+// Guards against a trial that has ended without a result being awaited because another
+// node, which doesn't know of its end, repeats the announcement.
+func TestEchoDoesNotRenewATrial(t *testing.T) {
+	a, b := newLedger(0), newLedger(0)
+	a.RunCrashed(at(0), crash("t1"), "r", parts("x"))
+	require.Equal(t, parts("x"), a.Admit(at(1500), parts("x")).Trials)
+	b.Merge(at(1510), a.AllRecords(at(1500)))
+	a.TrialEnded(parts("x"))
+	a.Merge(at(1530), b.AllRecords(at(1520)))
+	require.Equal(t, parts("x"), a.Admit(at(1540), parts("x")).Trials)
+	require.False(t, b.Check(at(1540), parts("x")).Allowed)
+}
