--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,8 @@
 	// maxSuspects and maxCrashes bound the suspects, and the crashes held for each.
 	maxSuspects = 512
 	maxCrashes  = 16
+	// maxRequestBytes bounds the identifier of a request that is held for a crash.
+	maxRequestBytes = 64
 	// forgetTime is the time without a request or a crash after which a suspect is
 	// forgotten. It doesn't end before the suspect's hold.
 	forgetTime = 10 * time.Minute
@@ -278,6 +281,7 @@
 	if len(s.crashes) >= maxCrashes {
 		delete(s.crashes, s.oldestCrash())
 	}
+	run.request = strings.ToValidUTF8(strings.Clone(run.request[:min(len(run.request), maxRequestBytes)]), "")
 	s.crashes[c] = run
 	if run.at.Before(s.lastCrash) {
 		s.recountRounds()
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -247,3 +248,13 @@
 	require.Equal(t, parts("x"), a.Admit(at(1540), parts("x")).Trials)
 	require.False(t, b.Check(at(1540), parts("x")).Allowed)
 }
+
+// Guards against callers with long identifiers making evidence too large to be sent.
+func TestIdentifiersInRecordsAreShort(t *testing.T) {
+	a, b := newLedger(0), newLedger(0)
+	long := strings.Repeat("r", 60_000)
+	a.RunCrashed(at(0), crash("t1"), long, parts("x"))
+	require.LessOrEqual(t, len(a.AllRecords(at(1))[0].Crashes[0].Request), maxRequestBytes)
+	b.Merge(at(2), []Record{{Part: parts("x")[0], Crashes: []CrashAge{{crash("t1"), long, 0}}}})
+	require.LessOrEqual(t, len(b.AllRecords(at(2))[0].Crashes[0].Request), maxRequestBytes)
+}
