quarantine: a part is explained by any of its runs that crashed

Callers could see: requests with a sound first part refused for 30 s, on some nodes. Cause: a crash held the first run with a part only. Where that was a sound run beside the guilty one, the guilty part no longer explained the crash; nodes could disagree. Change: up to four runs are held for a crash, also in records, and one in common is enough.

--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -232,7 +232,7 @@
 	for i, r := range records {
 		p := wire.PartRecord{Service: r.Part.Service, Part: r.Part.ID, Survived: r.Survived, SurvivedAgeMillis: r.SurvivedAge.Milliseconds(), TrialMillis: r.TrialLeft.Milliseconds()}
 		for _, c := range r.Crashes {
-			p.Crashes = append(p.Crashes, wire.CrashRecord{Target: c.Target, Incarnation: c.Incarnation, AgeMillis: c.Age.Milliseconds(), Request: c.Request})
+			p.Crashes = append(p.Crashes, wire.CrashRecord{Target: c.Target, Incarnation: c.Incarnation, AgeMillis: c.Age.Milliseconds(), Requests: c.Requests})
 		}
 		m.Parts[i] = p
 	}
@@ -246,7 +246,7 @@
 	for i, p := range m.Parts {
 		r := quarantine.Record{Part: quarantine.Part{Service: p.Service, ID: p.Part}, Survived: p.Survived, SurvivedAge: millis(p.SurvivedAgeMillis), TrialLeft: millis(p.TrialMillis)}
 		for _, c := range p.Crashes {
-			r.Crashes = append(r.Crashes, quarantine.CrashAge{Crash: quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}, Request: c.Request, Age: millis(c.AgeMillis)})
+			r.Crashes = append(r.Crashes, quarantine.CrashAge{Crash: quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}, Requests: c.Requests, Age: millis(c.AgeMillis)})
 		}
 		records[i] = r
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -41,7 +41,9 @@
 	// maxSuspects and maxCrashes bound the suspects, and the crashes held for each.
 	maxSuspects = 512
 	maxCrashes  = 16
-	// maxRequestBytes bounds the identifier of a request that is held for a crash.
+	// maxRuns bounds the runs held for a crash of a suspect, and maxRequestBytes the
+	// identifier of each.
+	maxRuns         = 4
 	maxRequestBytes = 64
 	// forgetTime is the time without a request or a crash after which a suspect is
 	// forgotten. It doesn't end before the suspect's hold.
@@ -82,17 +84,17 @@
 	RetryAfter time.Duration
 }
 
-// crashedRun is a run that a crash has ended.
-type crashedRun struct {
-	request string
-	at      time.Time
+// crashedRuns are the runs with a part that a crash has ended when they had just begun.
+type crashedRuns struct {
+	at time.Time
+	// requests identifies the first maxRuns of them.
+	requests []string
 }
 
 // suspect is the evidence against a part since it last survived.
 type suspect struct {
-	// crashes holds the crashes, each with the first run with the part that had
-	// just begun.
-	crashes map[Crash]crashedRun
+	// crashes holds the crashes with their runs.
+	crashes map[Crash]crashedRuns
 	// rounds counts the rounds of crashes: a crash begins a new round if a trial was
 	// awaited, or more than roundTime after roundStart, when the current one began.
 	rounds     int
@@ -214,24 +216,25 @@
 }
 
 // explained reports whether another part that is not among these stood beside the
-// suspect in all runs that crashed, and in more than one round. A request without
+// suspect in a run of each crash, and in more than one round. A request without
 // that part is no repetition of what crashed the targets.
 func (l *Ledger) explained(s *suspect, parts []Part) bool {
 	for q, other := range l.suspects {
 		if other == s || other.rounds < 2 || len(other.crashes) < len(s.crashes) || slices.Contains(parts, q) {
 			continue
 		}
-		if containsAll(other.crashes, s.crashes) {
+		if standBeside(other.crashes, s.crashes) {
 			return true
 		}
 	}
 	return false
 }
 
-// containsAll reports whether a has all crashes of b, with the same runs.
-func containsAll(a, b map[Crash]crashedRun) bool {
-	for c, run := range b {
-		if other, ok := a[c]; !ok || other.request != run.request {
+// standBeside reports whether a has all crashes of b, and a run in common with it in each.
+func standBeside(a, b map[Crash]crashedRuns) bool {
+	for c, runs := range b {
+		shared := func(request string) bool { return slices.Contains(a[c].requests, request) }
+		if !slices.ContainsFunc(runs.requests, shared) {
 			return false
 		}
 	}
@@ -255,40 +258,57 @@
 	defer l.mu.Unlock()
 	var changed []Part
 	for _, p := range parts {
-		if l.addCrash(now, p, c, crashedRun{request, now}) {
+		if l.addCrash(now, p, c, now, []string{request}) {
 			changed = append(changed, p)
 		}
 	}
 	return changed
 }
 
-// addCrash records a crash with its run, unless it is known or a run that began after
+// addRuns adds runs to those of a crash, and reports whether one was new.
+func (s *suspect) addRuns(c Crash, runs crashedRuns, requests []string) bool {
+	added := false
+	for _, r := range requests {
+		r = strings.ToValidUTF8(strings.Clone(r[:min(len(r), maxRequestBytes)]), "")
+		if len(runs.requests) < maxRuns && !slices.Contains(runs.requests, r) {
+			runs.requests = append(slices.Clone(runs.requests), r)
+			added = true
+		}
+	}
+	s.crashes[c] = runs
+	return added
+}
+
+// addCrash records a crash with its runs, unless it is known or a run that began after
 // it survived. It reports whether it did. l.mu must be held.
-func (l *Ledger) addCrash(now time.Time, p Part, c Crash, run crashedRun) bool {
-	if begun, ok := l.proven.survivedAt(p); ok && !begun.Before(run.at) {
+func (l *Ledger) addCrash(now time.Time, p Part, c Crash, at time.Time, requests []string) bool {
+	if begun, ok := l.proven.survivedAt(p); ok && !begun.Before(at) {
 		return false
 	}
 	s := l.suspects[p]
 	if s == nil {
 		l.makeRoom(now)
-		s = &suspect{crashes: map[Crash]crashedRun{}, lastUsed: now}
+		s = &suspect{crashes: map[Crash]crashedRuns{}, lastUsed: now}
 		l.suspects[p] = s
 		l.count.Store(int32(len(l.suspects)))
 	}
-	if _, known := s.crashes[c]; known || len(s.crashes) >= maxCrashes && run.at.Before(s.lastCrash) {
+	runs, known := s.crashes[c]
+	if known {
+		return s.addRuns(c, runs, requests)
+	}
+	if len(s.crashes) >= maxCrashes && at.Before(s.lastCrash) {
 		return false
 	}
 	if len(s.crashes) >= maxCrashes {
 		delete(s.crashes, s.oldestCrash())
 	}
-	run.request = strings.ToValidUTF8(strings.Clone(run.request[:min(len(run.request), maxRequestBytes)]), "")
-	s.crashes[c] = run
-	if run.at.Before(s.lastCrash) {
+	s.addRuns(c, crashedRuns{at: at}, requests)
+	if at.Before(s.lastCrash) {
 		s.recountRounds()
 	} else {
-		s.countRound(run.at)
+		s.countRound(at)
 	}
-	if s.inTrial(run.at) {
+	if s.inTrial(at) {
 		s.trialUntil = time.Time{}
 	}
 	return true
@@ -315,8 +335,8 @@
 func (s *suspect) recountRounds() {
 	var counted suspect
 	times := make([]time.Time, 0, len(s.crashes))
-	for _, run := range s.crashes {
-		times = append(times, run.at)
+	for _, runs := range s.crashes {
+		times = append(times, runs.at)
 	}
 	slices.SortFunc(times, time.Time.Compare)
 	for _, at := range times {
@@ -329,9 +349,9 @@
 func (s *suspect) oldestCrash() Crash {
 	var oldest Crash
 	var oldestAt time.Time
-	for c, run := range s.crashes {
-		if oldestAt.IsZero() || run.at.Before(oldestAt) {
-			oldest, oldestAt = c, run.at
+	for c, runs := range s.crashes {
+		if oldestAt.IsZero() || runs.at.Before(oldestAt) {
+			oldest, oldestAt = c, runs.at
 		}
 	}
 	return oldest
@@ -341,9 +361,9 @@
 // others again.
 func (s *suspect) removeCrashesUntil(end time.Time) {
 	remaining := make([]time.Time, 0, len(s.crashes))
-	for c, run := range s.crashes {
-		if run.at.After(end) {
-			remaining = append(remaining, run.at)
+	for c, runs := range s.crashes {
+		if runs.at.After(end) {
+			remaining = append(remaining, runs.at)
 			continue
 		}
 		delete(s.crashes, c)
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -18,12 +18,12 @@
 	TrialLeft time.Duration
 }
 
-// CrashAge is a crash with its age, and the identifier of the request whose run it
+// CrashAge is a crash with its age, and the identifiers of the requests whose runs it
 // ended.
 type CrashAge struct {
 	Crash
-	Request string
-	Age     time.Duration
+	Requests []string
+	Age      time.Duration
 }
 
 // Records returns the evidence about the parts.
@@ -58,8 +58,8 @@
 	if s == nil {
 		return r
 	}
-	for c, run := range s.crashes {
-		r.Crashes = append(r.Crashes, CrashAge{c, run.request, max(now.Sub(run.at), 0)})
+	for c, runs := range s.crashes {
+		r.Crashes = append(r.Crashes, CrashAge{c, runs.requests, max(now.Sub(runs.at), 0)})
 	}
 	// The oldest first, so that rounds are counted in order.
 	slices.SortFunc(r.Crashes, func(a, b CrashAge) int { return int(b.Age - a.Age) })
@@ -92,7 +92,7 @@
 	for _, c := range r.Crashes {
 		at := now.Add(-c.Age)
 		correct = correct || proven && !begun.Before(at)
-		changed = l.addCrash(now, r.Part, c.Crash, crashedRun{c.Request, at}) || changed
+		changed = l.addCrash(now, r.Part, c.Crash, at, c.Requests) || changed
 	}
 	if r.Survived {
 		changed = l.survived(r.Part, now.Add(-r.SurvivedAge)) || !proven || changed
--- a/wire/evidence.go
+++ b/wire/evidence.go
@@ -20,13 +20,13 @@
 	TrialMillis int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// CrashRecord is a crash of an incarnation of a target. Request identifies the request
-// whose run it ended.
+// CrashRecord is a crash of an incarnation of a target. Requests identifies requests whose
+// runs it ended.
 type CrashRecord struct {
-	Target      string `cbor:"1,keyasint"`
-	Incarnation int64  `cbor:"2,keyasint,omitempty"`
-	AgeMillis   int64  `cbor:"3,keyasint,omitempty"`
-	Request     string `cbor:"4,keyasint,omitempty"`
+	Target      string   `cbor:"1,keyasint"`
+	Incarnation int64    `cbor:"2,keyasint,omitempty"`
+	AgeMillis   int64    `cbor:"3,keyasint,omitempty"`
+	Requests    []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Type implements Message.
