--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -270,10 +270,11 @@
 
 // releaseAssignment ends an assignment with the result of its attempt: it ends
 // the run that an owner granted, or updates the usage of a target that was
-// chosen without an owner. A trial that is still awaited ends without a result. The result expired is reported to the owner as
-// unused. It covers both an assignment to which nothing was sent because the
-// retry budget is exhausted, and an attempt that ended at the deadline or at the
-// stop of the node; the kind does not distinguish them.
+// chosen without an owner. A trial that is still awaited ends without a result.
+// The result expired is reported to the owner as unused. It covers both an
+// assignment to which nothing was sent because the retry budget is exhausted, and
+// an attempt that ended at the deadline or at the stop of the node; the kind does
+// not distinguish them.
 func (n *Node) releaseAssignment(a assignment, r sendResult) {
 	n.guard.ledger.TrialEnded(a.trials)
 	if a.runID != 0 {
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -239,9 +239,14 @@
 	return m
 }
 
+// maxEvidenceAge is the largest age in a message; larger ones count as this.
+const maxEvidenceAge = 24 * time.Hour
+
 // evidenceRecords converts a message to records. Negative times count as 0.
 func evidenceRecords(m *wire.PartEvidence) []quarantine.Record {
-	millis := func(n int64) time.Duration { return time.Duration(max(n, 0)) * time.Millisecond }
+	millis := func(n int64) time.Duration {
+		return time.Duration(min(max(n, 0), maxEvidenceAge.Milliseconds())) * time.Millisecond
+	}
 	records := make([]quarantine.Record, len(m.Parts))
 	for i, p := range m.Parts {
 		r := quarantine.Record{Part: quarantine.Part{Service: p.Service, ID: p.Part}, Survived: p.Survived, SurvivedAge: millis(p.SurvivedAgeMillis), TrialLeft: millis(p.TrialMillis)}
