--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"almondturn/fleet"
@@ -12,7 +10,6 @@
 	"almondturn/pkg/fault"
 	"almondturn/pkg/quarantine"
 	"almondturn/pkg/route"
-	"almondturn/pkg/upstream"
 	"almondturn/wire"
 )
 
@@ -288,158 +285,6 @@
 	n.usages.release(time.Now(), a.target.ID, r)
 }
 
-// prepareRetry reports whether the request may be sent again after a result, and
-// records in j.obstacle why not. It subtracts an attempt that reached no target from
-// j.sends, unless the request has no attempts or time left.
-func (n *Node) prepareRetry(ctx context.Context, j *job, cr *clientResponse, r sendResult) bool {
-	j.obstacle = j.retryObstacle(ctx, cr, r)
-	if r.kind == unreachable && j.obstacle != obstacleTime && j.obstacle != obstacleSends {
-		j.sends-- // nothing was sent to a target
-	}
-	return j.obstacle == ""
-}
-
-// Values of job.obstacle, which the log has in the field not_retried.
-const (
-	obstacleTime       = "no time left"
-	obstacleSends      = "sent too often"
-	obstacleTargets    = "too many targets failed"
-	obstacleAttempts   = "no attempts left"
-	obstacleRepeatable = "must not run again"
-	obstacleResult     = "final result"
-	obstacleBudget     = "retry budget exhausted"
-	obstacleRefused    = "no slot"
-)
-
-// retryObstacle returns why the request may not be sent again after a result, empty
-// if it may.
-func (j *job) retryObstacle(ctx context.Context, cr *clientResponse, r sendResult) string {
-	switch {
-	case ctx.Err() != nil || time.Until(j.deadline) < minRunTime:
-		return obstacleTime
-	case j.sends >= maxSends:
-		return obstacleSends
-	}
-	switch r.kind {
-	case unreachable:
-		// j.sends does not bound such attempts, but each excludes a target.
-		if len(j.excluded) >= maxSends {
-			return obstacleTargets
-		}
-		return ""
-	case notRun, notLoaded:
-		return ""
-	case failedRun:
-		return "" // forwardBuffered returns failedRun only if another run is allowed
-	case outcomeUnknown:
-		return j.rerunObstacle(cr)
-	default:
-		return obstacleResult
-	}
-}
-
-// rerunObstacle returns why the request may not run again after a run with an unknown
-// outcome, empty if it may. A response that has begun can be continued only if it is a
-// stream whose last event has an ID.
-func (j *job) rerunObstacle(cr *clientResponse) string {
-	switch {
-	case !j.idempotent() || cr.started && !(cr.streaming && j.Route.Resumable && !j.endsWithoutID):
-		return obstacleRepeatable
-	case j.possibleRuns >= j.Route.MaxAttempts:
-		return obstacleAttempts
-	default:
-		return ""
-	}
-}
-
-// send makes one attempt: it sends the request to the assigned target and
-// forwards the response to the client.
-func (n *Node) send(ctx context.Context, j *job, a assignment, cr *clientResponse) sendResult {
-	t := a.target
-	j.lastTarget, j.assignment, j.startReported = t.ID, a, false
-	j.responseBegun, j.survived = time.Time{}, false
-	j.sends++
-	maxIdle := j.maxIdle(t.ID)
-	j.sentTo = append(j.sentTo, t.ID)
-	attemptCtx, giveUp := context.WithCancelCause(ctx)
-	defer giveUp(nil)
-	c := n.watchSilence(attemptCtx, giveUp, j, a, cr.started)
-	defer func() { j.secured = c.stop() }()
-	if len(j.parts) > 0 && len(a.trials) == 0 {
-		n.guard.unbegun.add(j, giveUp)
-		defer n.guard.unbegun.remove(j)
-	}
-	resp, err := n.pool.Do(attemptCtx, t.Addr, &upstream.Request{
-		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: maxIdle,
-		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
-		MatchesResponse: n.matchesResponse(j),
-	})
-	if isTimeout(err) {
-		n.pool.CloseIdle(t.Addr) // other connections to it may be stalled, too
-	}
-	if err != nil {
-		return n.classifySendError(ctx, j, t.ID, err)
-	}
-	defer resp.Close()
-	c.headReceived()
-	n.guard.unbegun.remove(j)
-	r := n.receiveResponse(ctx, j, a, resp, cr, c)
-	if r.kind == outcomeUnknown && errors.Is(context.Cause(attemptCtx), errStalled) {
-		r.err = errStalled
-	}
-	if r.kind == outcomeUnknown || r.kind == failedRun {
-		j.excluded = append(j.excluded, t.ID)
-	}
-	return r
-}
-
-// maxIdle returns the longest idle time of a pooled connection that may carry the next
-// attempt to a target. It is 0, so that only a new connection may, if the target was sent
-// an earlier attempt: its response to that one has the same identifier.
-func (j *job) maxIdle(target string) time.Duration {
-	switch {
-	case slices.Contains(j.sentTo, target):
-		return 0
-	case j.idempotent():
-		return maxIdleSafe
-	default:
-		return maxIdleUnsafe
-	}
-}
-
-// matchesResponse returns a function that reports whether response headers
-// belong to the request of j. Headers without a request ID match every request.
-func (n *Node) matchesResponse(j *job) func(http.Header) bool {
-	return func(h http.Header) bool {
-		id := n.targetProtocol.ParseResponse(h).RequestID
-		return id == "" || id == j.ID
-	}
-}
-
-// classifySendError returns the result of an attempt that failed before the
-// response headers arrived, and excludes the target. If the target may have
-// received the request, it also counts a possible run. The result is expired or
-// clientGone if ctx ended, and otherwise depends on whether the target may have
-// received the request.
-func (n *Node) classifySendError(ctx context.Context, j *job, target string, err error) sendResult {
-	j.excluded = append(j.excluded, target)
-	var sendErr *upstream.SendError
-	sent := !errors.As(err, &sendErr) || sendErr.Sent
-	if sent {
-		j.possibleRuns++
-	}
-	switch {
-	case endedByNode(ctx):
-		return sendResult{kind: expired, err: err}
-	case ctx.Err() != nil:
-		return sendResult{kind: clientGone, err: err}
-	case sent:
-		return sendResult{kind: outcomeUnknown, err: err}
-	default:
-		return sendResult{kind: unreachable, err: err}
-	}
-}
-
 // finish writes an error to the client unless a response was written, logs the
 // outcome and counts it. last is the result of the last attempt, the zero value
 // without one. refusal is the error that ended the search for a target, nil if
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -11,7 +11,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,31 +83,6 @@
 	RetryAfter time.Duration
 }
 
-// crashedRuns are the runs with a part that a crash has ended when they had just begun.
-type crashedRuns struct {
-	at time.Time
-	// requests identifies the first maxRuns of them.
-	requests []string
-}
-
-// suspect is the evidence against a part since it last survived.
-type suspect struct {
-	// crashes holds the crashes with their runs.
-	crashes map[Crash]crashedRuns
-	// rounds counts the rounds of crashes: a crash begins a new round if a trial was
-	// awaited, or more than roundTime after roundStart, when the current one began.
-	rounds     int
-	roundStart time.Time
-	lastCrash  time.Time
-	// trialUntil is the end of the time in which a trial is awaited.
-	trialUntil time.Time
-	// endedTrial is the trialUntil of the last trial of this node that ended without a
-	// result.
-	endedTrial time.Time
-	// lastUsed is when a request with the part was last checked.
-	lastUsed time.Time
-}
-
 // Ledger holds the evidence about the parts of prompts. Its methods may be called
 // concurrently.
 type Ledger struct {
@@ -230,17 +204,6 @@
 	return false
 }
 
-// standBeside reports whether a has all crashes of b, and a run in common with it in each.
-func standBeside(a, b map[Crash]crashedRuns) bool {
-	for c, runs := range b {
-		shared := func(request string) bool { return slices.Contains(a[c].requests, request) }
-		if !slices.ContainsFunc(runs.requests, shared) {
-			return false
-		}
-	}
-	return true
-}
-
 // holdTime returns the time from the last crash to the next trial.
 func holdTime(rounds int) time.Duration {
 	last := len(holds) - 1
@@ -265,20 +228,6 @@
 	return changed
 }
 
-// addRuns adds runs to those of a crash, and reports whether one was new.
-func (s *suspect) addRuns(c Crash, runs crashedRuns, requests []string) bool {
-	added := false
-	for _, r := range requests {
-		r = strings.ToValidUTF8(strings.Clone(r[:min(len(r), maxRequestBytes)]), "")
-		if len(runs.requests) < maxRuns && !slices.Contains(runs.requests, r) {
-			runs.requests = append(slices.Clone(runs.requests), r)
-			added = true
-		}
-	}
-	s.crashes[c] = runs
-	return added
-}
-
 // addCrash records a crash with its runs, unless it is known or a run that began after
 // it survived. It reports whether it did. l.mu must be held.
 func (l *Ledger) addCrash(now time.Time, p Part, c Crash, at time.Time, requests []string) bool {
@@ -314,67 +263,6 @@
 	return true
 }
 
-// inTrial reports whether a trial was awaited at a time.
-func (s *suspect) inTrial(at time.Time) bool {
-	return at.After(s.trialUntil.Add(-trialTime)) && at.Before(s.trialUntil)
-}
-
-// countRound counts a crash at a time to the current round or a new one.
-func (s *suspect) countRound(at time.Time) {
-	if s.rounds == 0 || at.Sub(s.roundStart) > roundTime || s.inTrial(at) {
-		s.rounds++
-		s.roundStart = at
-	}
-	if at.After(s.lastCrash) {
-		s.lastCrash = at
-	}
-}
-
-// recountRounds counts the rounds again after a crash that happened before others. The
-// count doesn't fall, since it includes failed trials.
-func (s *suspect) recountRounds() {
-	var counted suspect
-	times := make([]time.Time, 0, len(s.crashes))
-	for _, runs := range s.crashes {
-		times = append(times, runs.at)
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	for _, at := range times {
-		counted.countRound(at)
-	}
-	s.rounds = max(s.rounds, counted.rounds)
-}
-
-// oldestCrash returns the crash that happened first.
-func (s *suspect) oldestCrash() Crash {
-	var oldest Crash
-	var oldestAt time.Time
-	for c, runs := range s.crashes {
-		if oldestAt.IsZero() || runs.at.Before(oldestAt) {
-			oldest, oldestAt = c, runs.at
-		}
-	}
-	return oldest
-}
-
-// removeCrashesUntil removes the crashes up to a time and counts the rounds of the
-// others again.
-func (s *suspect) removeCrashesUntil(end time.Time) {
-	remaining := make([]time.Time, 0, len(s.crashes))
-	for c, runs := range s.crashes {
-		if runs.at.After(end) {
-			remaining = append(remaining, runs.at)
-			continue
-		}
-		delete(s.crashes, c)
-	}
-	slices.SortFunc(remaining, time.Time.Compare)
-	s.rounds, s.roundStart, s.lastCrash = 0, time.Time{}, time.Time{}
-	for _, at := range remaining {
-		s.countRound(at)
-	}
-}
-
 // RunSurvived records that a run with the parts, whose response began at a time, has
 // survived. It returns the suspects among the parts that this clears.
 func (l *Ledger) RunSurvived(begun time.Time, parts []Part) []Part {
