kv, platform: revisions and leases are ordered across restores of the service

Cause: pkg/kv called the revision a counter that only increases. A service that comes back from an older copy gives revisions and lease identifiers out again; nothing read the header Store-Era.

Change: a Revision holds the era above the counter and is compared as one number below 2^53; a LeaseID holds its era. The client reads the era of each response, also of relayed ones (StoreResponse.Era), and - makes no change whose revisions or leases are of a former era, and reports one that was applied in another era as unknown; - treats leases of a former era as expired; - ends watches when it sees, or is told of, a higher era; they list again; - counts a response of a former era as lost; - begins a list again whose pages are of two eras.

--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -214,12 +214,12 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	now := reg.now()
-	if reg.lease != 0 && now.Sub(reg.leaseGrantedAt) < leaseReusePeriod {
+	if reg.lease != (kv.LeaseID{}) && now.Sub(reg.leaseGrantedAt) < leaseReusePeriod {
 		return reg.lease, nil
 	}
 	lease, err := reg.store.GrantLease(ctx, retention+leaseReusePeriod)
 	if err != nil {
-		return 0, err
+		return kv.LeaseID{}, err
 	}
 	reg.lease, reg.leaseGrantedAt = lease, now
 	return lease, nil
@@ -231,7 +231,7 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	if reg.lease == lease {
-		reg.lease = 0
+		reg.lease = kv.LeaseID{}
 	}
 }
 
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -48,12 +48,16 @@
 	WatchStore
 	zoneowner.Store
 	// SetRelay sets the function that relays a call through other nodes if the
-	// service does not respond to this one. The function returns the HTTP
-	// status and the body of the response.
-	SetRelay(func(ctx context.Context, method, path string, body []byte) (int, []byte, error))
+	// service does not respond to this one.
+	SetRelay(func(ctx context.Context, method, path string, body []byte) (kv.Response, error))
 	// Forward makes a call that another node relays through this one; it
 	// returns status 0 if the call was not made.
-	Forward(ctx context.Context, method, path string, body []byte) (int, []byte, error)
+	Forward(ctx context.Context, method, path string, body []byte) (kv.Response, error)
+	// SetRestoreObserver sets the function that is called when the service is
+	// found to be restored from an older copy. It must not block.
+	SetRestoreObserver(func(previous, current kv.Era))
+	// AnnounceEra passes on an era that another node has seen.
+	AnnounceEra(kv.Era)
 }
 
 // Deps holds the dependencies of a node.
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -17,10 +17,10 @@
 const maxRelayAttempts = 3
 
 // relayStoreCall relays a call to the key-value service through other nodes, one
-// after the other, and returns the status and body of the first response. If the
+// after the other, and returns the first response of the service. If the
 // call may have been made without a complete response, it tries no other node and
 // returns an error that wraps kv.ErrOutcomeUnknown, unless the call only reads.
-func (l *links) relayStoreCall(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+func (l *links) relayStoreCall(ctx context.Context, method, path string, body []byte) (kv.Response, error) {
 	err := errNoConnection
 	conns := l.peerConns()
 	if len(conns) == 0 {
@@ -34,25 +34,25 @@
 		resp, err = c.Call(ctx, &wire.StoreRequest{Method: method, Path: path, Body: body})
 		storeResp, ok := resp.(*wire.StoreResponse)
 		if ok && storeResp.Status != 0 {
-			return storeResp.Status, storeResp.Body, nil
+			return kv.Response{Status: storeResp.Status, Body: storeResp.Body, Era: kv.Era(storeResp.Era)}, nil
 		}
 		unknown := errors.Is(err, wire.ErrOutcomeUnknown) || ok && storeResp.OutcomeUnknown
 		if unknown && method != http.MethodGet {
-			return 0, nil, fmt.Errorf("call through node %q without a response: %w", c.Peer().ID, errors.Join(kv.ErrOutcomeUnknown, err))
+			return kv.Response{}, fmt.Errorf("call through node %q without a response: %w", c.Peer().ID, errors.Join(kv.ErrOutcomeUnknown, err))
 		}
 	}
-	return 0, nil, err
+	return kv.Response{}, err
 }
 
 // serveRelayedCall makes a call to the key-value service that another node relays
 // through this one.
 func (n *Node) serveRelayedCall(ctx context.Context, m *wire.StoreRequest) *wire.StoreResponse {
-	status, body, err := n.store.Forward(ctx, m.Method, m.Path, m.Body)
+	resp, err := n.store.Forward(ctx, m.Method, m.Path, m.Body)
 	if err != nil {
 		var sendErr *upstream.SendError
 		return &wire.StoreResponse{OutcomeUnknown: errors.As(err, &sendErr) && sendErr.Sent}
 	}
-	return &wire.StoreResponse{Status: status, Body: body}
+	return &wire.StoreResponse{Status: resp.Status, Body: resp.Body, Era: uint64(resp.Era)}
 }
 
 // dialSeeds connects to the first seed of the settings that accepts a
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -1,24 +1,18 @@
 // Package kv holds the types of the platform's key-value service as the rest of
 // almondturn uses it: entries with revisions, leases, and transactions that
-// change several keys atomically.
+// change several keys atomically. The service may be restored from an older copy;
+// revisions are ordered across such restores.
 package kv
 
 import "errors"
 
-// Revision is the key-value service's global counter of changes. It increases
-// with every change to any key.
-type Revision uint64
-
-// LeaseID identifies a lease granted by the key-value service.
-type LeaseID uint64
-
 // Entry is one key with its value.
 type Entry struct {
 	Key   string
 	Value []byte
 	// ModRevision is the revision of the last change of this key.
 	ModRevision Revision
-	// Lease is the lease that the key is bound to; 0 for none.
+	// Lease is the lease that the key is bound to; the zero value for none.
 	Lease LeaseID
 }
 
@@ -46,8 +40,8 @@
 var (
 	// ErrNotFound means that a key does not exist.
 	ErrNotFound = errors.New("key not found")
-	// ErrConflict means that a key did not have the expected revision; nothing
-	// was changed.
+	// ErrConflict means that a key did not have the expected revision, or that
+	// this revision is one of a former era; nothing was changed.
 	ErrConflict = errors.New("revision conflict")
 	// ErrUnavailable means that the call was not executed, or that the response
 	// had an unexpected status or an invalid body. In the latter case the call
@@ -57,9 +51,11 @@
 	// have been executed. After a write, the caller has to read the key to find
 	// out.
 	ErrOutcomeUnknown = errors.New("outcome of the change is unknown")
-	// ErrLeaseExpired means that a lease no longer exists.
+	// ErrLeaseExpired means that a lease no longer exists, or was granted in a
+	// former era.
 	ErrLeaseExpired = errors.New("lease expired")
 	// ErrCompacted means that a watch asked for events that the service has
-	// discarded; the caller has to list the entries again.
+	// discarded, or for those after a revision of a former era; the caller has to
+	// list the entries again.
 	ErrCompacted = errors.New("watch start revision is compacted")
 )
--- a/pkg/kv/kvtest/kvtest.go
+++ b/pkg/kv/kvtest/kvtest.go
@@ -117,10 +117,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
-		return 0, kv.ErrUnavailable
+		return kv.LeaseID{}, kv.ErrUnavailable
 	}
 	s.revision++
-	return kv.LeaseID(s.revision), nil
+	return kv.LeaseID{Era: s.revision.Era(), ID: s.revision.Counter()}, nil
 }
 
 // CompareAndSwap writes value, bound to lease, if the key's revision is expect,
--- a/pkg/zoneowner/cluster_test.go
+++ b/pkg/zoneowner/cluster_test.go
@@ -130,7 +130,7 @@
 	if m.items[key].ModRevision != expect {
 		return 0, kv.ErrConflict
 	}
-	if _, ok := m.leases[lease]; lease != 0 && !ok {
+	if _, ok := m.leases[lease]; lease != (kv.LeaseID{}) && !ok {
 		return 0, kv.ErrLeaseExpired
 	}
 	m.revision++
@@ -146,14 +146,15 @@
 
 func (s nodeStore) GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
 	if err := s.awaitResponse(ctx); err != nil {
-		return 0, err
+		return kv.LeaseID{}, err
 	}
 	m := s.c.store
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.revision++
-	m.leases[kv.LeaseID(m.revision)] = memLease{ttl, time.Now().Add(ttl)}
-	return kv.LeaseID(m.revision), nil
+	lease := kv.LeaseID{Era: m.revision.Era(), ID: m.revision.Counter()}
+	m.leases[lease] = memLease{ttl, time.Now().Add(ttl)}
+	return lease, nil
 }
 
 func (s nodeStore) RenewLease(ctx context.Context, id kv.LeaseID) error {
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -229,7 +229,7 @@
 	if err != nil {
 		return fmt.Errorf("encode the last-owner record: %w", err)
 	}
-	if _, err := o.cfg.Store.CompareAndSwap(ctx, LastOwnerKey(o.cfg.Self.Zone), record, revision, 0); err != nil {
+	if _, err := o.cfg.Store.CompareAndSwap(ctx, LastOwnerKey(o.cfg.Self.Zone), record, revision, kv.LeaseID{}); err != nil {
 		// Without the record, the next owner would not wait for the handover
 		// delay after this one.
 		_ = o.cfg.Store.RevokeLease(ctx, lease)
@@ -399,7 +399,7 @@
 		if record, err := json.Marshal(lastOwnerRecord{Addr: o.cfg.Self.Addr, LastOrderAge: lastOrderAge}); err == nil {
 			// If the write fails, the next owner waits for the full handover
 			// delay.
-			_, _ = o.cfg.Store.CompareAndSwap(ctx, LastOwnerKey(o.cfg.Self.Zone), record, revision, 0)
+			_, _ = o.cfg.Store.CompareAndSwap(ctx, LastOwnerKey(o.cfg.Self.Zone), record, revision, kv.LeaseID{})
 		}
 	}
 	_ = o.cfg.Store.RevokeLease(ctx, lease) // if this fails, the lease expires
--- a/pkg/zoneowner/lease.go
+++ b/pkg/zoneowner/lease.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return
 	}
-	if _, err := o.cfg.Store.CompareAndSwap(t.ctx, LastOwnerKey(o.cfg.Self.Zone), record, revision, 0); err != nil {
+	if _, err := o.cfg.Store.CompareAndSwap(t.ctx, LastOwnerKey(o.cfg.Self.Zone), record, revision, kv.LeaseID{}); err != nil {
 		return
 	}
 	o.mu.Lock()
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -69,7 +69,7 @@
 // startExpiredTerm starts a term whose lease has expired.
 func (o *Owner) startExpiredTerm() *term {
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &term{token: 1, lease: 1, ctx: ctx, cancel: cancel, waiting: nil}
+	t := &term{token: 1, lease: kv.LeaseID{ID: 1}, ctx: ctx, cancel: cancel, waiting: nil}
 	o.term = t
 	return t
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -25,5 +25,6 @@
 	TypeSnapshotRequest:      func() Message { return new(SnapshotRequest) },
 	TypeSnapshot:             func() Message { return new(Snapshot) },
 	TypePartEvidence:         func() Message { return new(PartEvidence) },
+	TypeStoreEra:             func() Message { return new(StoreEra) },
 	TypeNodes:                func() Message { return new(Nodes) },
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -25,6 +25,7 @@
 	TypeZoneChange
 	TypeOwnerChangesRequest
 	TypePartEvidence
+	TypeStoreEra
 )
 
 // SlotRequest asks the owner of a zone for a slot at a target that has the
@@ -251,6 +252,16 @@
 	// OutcomeUnknown is true if the call got no complete response and may have
 	// been executed.
 	OutcomeUnknown bool `cbor:"3,keyasint,omitempty"`
+	// Era is the era of the key-value service in which the call was executed, 0 if
+	// the service reports none.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// StoreEra announces an era of the key-value service to nodes that may wait for
+// changes of a former one. A node sends it when it first sees the era, and first on
+// each new connection.
+type StoreEra struct {
+	Era uint64 `cbor:"1,keyasint"`
 }
 
 // Type implements Message.
@@ -303,3 +314,6 @@
 
 // Type implements Message.
 func (*StoreResponse) Type() Type { return TypeStoreResponse }
+
+// Type implements Message.
+func (*StoreEra) Type() Type { return TypeStoreEra }
