entry: nodes log, count and announce a restore of the key-value service

Change: store_restored with both eras and what is in force, the metrics almondturn_store_era and almondturn_store_restores_total. A node that sees an era announces it to the nodes it is connected to (StoreEra), also on new connections: a node whose watches wait on connections of the former era makes few other calls that would show it. An announcement ends the watches only; the era itself is taken from the service's responses.

--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"almondturn/fleet"
+	"almondturn/pkg/kv"
 	"almondturn/wire"
 )
 
@@ -48,6 +49,8 @@
 		if m.Leaving {
 			n.owner.NodeStopping(from.ID)
 		}
+	case *wire.StoreEra:
+		n.store.AnnounceEra(kv.Era(m.Era))
 	case *wire.StoreRequest:
 		return n.serveRelayedCall(ctx, m)
 	}
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -166,13 +166,14 @@
 }
 
 // serveOwner runs an established connection to an owner until it ends. The
-// first messages are the runs at targets of the zone, the state of this node and
-// its evidence about parts of prompts.
+// first messages are the runs at targets of the zone, the state of this node, the era
+// of the key-value service and the evidence about parts of prompts.
 func (l *links) serveOwner(ctx context.Context, link *ownerLink, c *wire.Conn) {
 	stop := context.AfterFunc(ctx, func() { c.Close(wire.ErrClosed) })
 	defer stop()
 	c.Send(l.node.activeRuns(link.zone))
 	c.Send(l.node.nodeState())
+	l.introduceEra(c)
 	if evidence := l.node.guard.all(); evidence != nil {
 		c.Send(evidence)
 	}
@@ -382,6 +383,7 @@
 
 // servePeer runs a connection that is not to an owner until it ends.
 func (l *links) servePeer(id fleet.NodeID, c *wire.Conn) {
+	l.introduceEra(c)
 	_ = c.Run() // the reason does not matter: the node that needs the connection dials again
 	l.mu.Lock()
 	current := l.peers[id] == c
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -70,6 +70,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_store_calls_total{call=%q,status="%d"}`, call, status)).Inc()
 }
 
+// countStoreRestore counts a restore of the key-value service that this node has seen.
+func (m *nodeMetrics) countStoreRestore() {
+	m.set.GetOrCreateCounter(`almondturn_store_restores_total`).Inc()
+}
+
 // WriteMetrics writes all metrics of the node in the Prometheus text format.
 func (n *Node) WriteMetrics(w io.Writer) { n.metrics.write(w, n) }
 
@@ -82,6 +87,7 @@
 		owned = 1
 	}
 	fmt.Fprintf(w, "almondturn_configuration_version %d\n", n.version())
+	fmt.Fprintf(w, "almondturn_store_era %d\n", n.store.Era())
 	fmt.Fprintf(w, "almondturn_configuration_age_seconds %.1f\n", n.configurationAge().Seconds())
 	n.budgets.each(func(service string, b *retryBudget) {
 		fmt.Fprintf(w, "almondturn_retry_budget_left{service=%q} %.1f\n", service, b.remaining(time.Now(), n.retryLimits()))
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -56,6 +56,8 @@
 	// SetRestoreObserver sets the function that is called when the service is
 	// found to be restored from an older copy. It must not block.
 	SetRestoreObserver(func(previous, current kv.Era))
+	// Era returns the era of the service as its responses have shown it, 0 for none.
+	Era() kv.Era
 	// AnnounceEra passes on an era that another node has seen.
 	AnnounceEra(kv.Era)
 }
@@ -210,6 +212,7 @@
 		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Observer: d.Metrics, ConfigurationVersion: n.version, BootClock: boottime.Now,
 	})
 	d.Store.SetRelay(n.links.relayStoreCall)
+	d.Store.SetRestoreObserver(n.storeRestored)
 	n.configurationWatch = n.newWatch(d.Decoder.ConfigurationPrefix, noFetchDelay, n.replaceConfiguration, n.applyConfigurationChanges)
 	targets := n.newWatch(d.Decoder.TargetPrefix, n.targetFetchDelay, n.replaceTargets, n.applyTargetChanges)
 	targets.changeLog, targets.peerChanges = n.targetChanges, targetChangesRequest
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -8,6 +8,7 @@
 //   - place: a slot
 //   - gone: removed or disconnected
 //   - borrowed: copied from a peer
+//   - restored: brought back from an older copy
 //   - surveyed: queried by a node itself, because no owner of the zone could be reached
 //   - to take a zone: to acquire it
 var (
@@ -28,6 +29,7 @@
 	StoreLost            = register(716, "store_lost", zerolog.WarnLevel, "The key-value service does not respond to a watch; the node continues with the last state that it received.")
 	StoreRegained        = register(717, "store_regained", zerolog.InfoLevel, "The key-value service responds to a watch again.")
 
+	StoreRestored   = register(707, "store_restored", zerolog.WarnLevel, "The key-value service came back from an older copy: what was written since the copy is gone until it is written again. The fields hold the era before and now, and the version of the configuration in force with the era and revision that it was read at.")
 	StoreBorrowed   = register(719, "store_borrowed", zerolog.WarnLevel, "The node has started while the key-value service does not respond, and uses the state copied from a peer.")
 	TargetsSurveyed = register(718, "targets_surveyed", zerolog.WarnLevel, "No owner of an availability zone could be reached for several seconds; the node has queried the targets of its own zone directly for the models that they have loaded.")
 
