entry: a confirmed configuration stays in force when the service comes back older

Cause: a revision of the service was taken for the order of the operators' writes. Across a restore it isn't; the version in the configuration is.

Change: route.Table.Supersedes orders tables within an era by revision and across eras by version. An older one is logged (configuration_kept) and not put in force. Nodes hand the configuration in force, not that of the service, to nodes that start; a node that hears of a newer version than the service holds copies it from a peer. The log gives revisions as era and counter.

Evidence: with the comparison by revision only, TestOlderConfigurationOf... and TestConfigurationSurvivesTwoRestores fail (version 12 comes into force over 16).

--- /dev/null
+++ b/pkg/entry/configuration_test.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/fleet"
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/kv"
+	"almondturn/pkg/kv/kvtest"
+	"almondturn/pkg/route"
+	"almondturn/pkg/upstream"
+)
+
+// idleStore is a key-value service that no call reaches.
+type idleStore struct{ kvtest.Store }
+
+func (*idleStore) Changes(context.Context, string, kv.Revision, time.Duration) ([]kv.WatchEvent, kv.Revision, error) {
+	return nil, 0, kv.ErrUnavailable
+}
+
+func (*idleStore) SetRelay(func(context.Context, string, string, []byte) (kv.Response, error)) {}
+
+func (*idleStore) Forward(context.Context, string, string, []byte) (kv.Response, error) {
+	return kv.Response{}, kv.ErrUnavailable
+}
+
+func (*idleStore) SetRestoreObserver(func(previous, current kv.Era)) {}
+
+func (*idleStore) Era() kv.Era { return 0 }
+
+func (*idleStore) AnnounceEra(kv.Era) {}
+
+const testConfigurationKey = "configuration"
+
+// decodeTestConfiguration decodes a configuration that is the JSON of its version.
+func decodeTestConfiguration(entries map[string]kv.Entry) (*route.Table, error) {
+	e, ok := entries[testConfigurationKey]
+	if !ok {
+		return nil, nil
+	}
+	var version int64
+	if err := json.Unmarshal(e.Value, &version); err != nil {
+		return nil, err
+	}
+	t := route.NewTable(version, nil, nil, route.RequestLimits{})
+	t.Revision = e.ModRevision
+	return t, nil
+}
+
+// decodeTestTarget decodes a target that is the JSON of inventory.Target.
+func decodeTestTarget(_ string, value []byte) (*inventory.Target, error) {
+	t := new(inventory.Target)
+	return t, json.Unmarshal(value, t)
+}
+
+// newIdleNode returns a node that has not started, and its log.
+func newIdleNode(t *testing.T) (*Node, *bytes.Buffer) {
+	t.Helper()
+	lines := new(bytes.Buffer)
+	log := zerolog.New(lines)
+	dial := new(net.Dialer).DialContext
+	n, err := New(Deps{
+		Settings: &Settings{Node: "n", Zone: "z", Zones: []fleet.Zone{"z"}},
+		Log:      &log, Dial: dial, Store: new(idleStore), Pool: upstream.NewPool(dial), Metrics: NewMetrics(),
+		Decoder: Decoder{ConfigurationPrefix: testConfigurationKey, TargetPrefix: "targets/", Configuration: decodeTestConfiguration, Target: decodeTestTarget},
+	})
+	require.NoError(t, err)
+	t.Cleanup(n.cancel)
+	return n, lines
+}
+
+// configurationEntry returns the entry of a configuration at a revision of an era.
+func configurationEntry(t *testing.T, value string, era kv.Era, counter uint64) kv.Entry {
+	t.Helper()
+	revision, err := kv.NewRevision(era, counter)
+	require.NoError(t, err)
+	return kv.Entry{Key: testConfigurationKey, Value: []byte(value), ModRevision: revision}
+}
+
+// Guards against configurations that are ignored after the key-value service came back
+// from an older copy, because the revisions that it gives out again are lower.
+func TestChangeAfterARestoreComesIntoForce(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "13", 1, 401)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "13", 2, 390)})
+	assert.EqualValues(t, 13, n.version())
+	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "16", 2, 395)}})
+	assert.EqualValues(t, 16, n.version())
+}
+
+// Guards against a confirmed configuration that is replaced by the older one with which
+// the key-value service came back, and by those that the operators write on the way to
+// the newest one.
+func TestOlderConfigurationOfARestoredServiceIsNotPutInForce(t *testing.T) {
+	n, log := newIdleNode(t)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)})
+	assert.EqualValues(t, 16, n.version())
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)})
+	assert.Equal(t, 1, strings.Count(log.String(), "configuration_kept"), "logged once: %s", log)
+	entries, ok := n.configurationInForce.get()
+	require.True(t, ok)
+	assert.Equal(t, "16", string(entries[testConfigurationKey].Value), "nodes that start now get the newer one")
+	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "14", 2, 310)}})
+	assert.EqualValues(t, 16, n.version())
+	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "16", 2, 320)}})
+	assert.Equal(t, kv.Era(2), n.table.Load().Revision.Era())
+	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "17", 2, 330)}})
+	assert.EqualValues(t, 17, n.version())
+}
+
+// Guards against an invalid configuration in a restored service that ends the one in force.
+func TestInvalidConfigurationOfARestoredServiceIsIgnored(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "{", 2, 300)})
+	assert.EqualValues(t, 16, n.version())
+	n.replaceConfiguration(nil)
+	assert.EqualValues(t, 16, n.version(), "the copy is from before the first configuration")
+	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "17", 2, 310)}})
+	assert.EqualValues(t, 17, n.version())
+}
+
+// Two restores in a row, the second to a copy from before the first.
+func TestConfigurationSurvivesTwoRestores(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "9", 3, 200)})
+	assert.EqualValues(t, 16, n.version())
+	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "20", 3, 201)}})
+	assert.EqualValues(t, 20, n.version())
+}
+
+// Within an era the later write counts, even if its version is lower.
+func TestLaterWriteOfAnEraComesIntoForce(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
+	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "15", 1, 402)}})
+	assert.EqualValues(t, 15, n.version())
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
+	assert.EqualValues(t, 15, n.version(), "a list that is older than the change")
+}
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -148,9 +148,16 @@
 	// replaces the models of its entry.
 	targetsByKey map[string]*inventory.Target
 	targetsMu    sync.Mutex // guards targetsByKey
-	// configurationEntries are the entries of the configuration as last read.
-	// Only the goroutine of configurationWatch uses it.
+	// configurationEntries are the entries of the configuration as last read from the
+	// key-value service, and keptRevision the revision of an older configuration there
+	// that was last logged. Only the goroutine of configurationWatch uses them.
 	configurationEntries map[string]kv.Entry
+	keptRevision         kv.Revision
+	// configurationInForce is a copy of the entries that table was decoded from.
+	configurationInForce entryCopy
+	// announcedVersion is the highest version of the configuration that other nodes
+	// have announced.
+	announcedVersion atomic.Int64
 
 	runsMu sync.Mutex // guards runs
 	// runs are the granted runs in progress, by run ID.
@@ -340,14 +347,6 @@
 	}
 }
 
-// observeVersion fetches the configuration if another node has a version that
-// is newer.
-func (n *Node) observeVersion(version int64) {
-	if version > n.version() {
-		n.configurationWatch.relist()
-	}
-}
-
 // retryLimits returns the limits of the retry budgets: those of the settings
 // that were last loaded, and the current number of nodes.
 func (n *Node) retryLimits() retryLimits {
--- a/pkg/entry/restore.go
+++ b/pkg/entry/restore.go
@@ -13,7 +13,7 @@
 	inForce := kv.Revision(0)
 	version := int64(0)
 	if t := n.table.Load(); t != nil {
-		inForce, version = kv.Revision(t.Revision), t.Version
+		inForce, version = t.Revision, t.Version
 	}
 	n.metrics.countStoreRestore()
 	event.StoreRestored.Log(n.log).Uint64("previous_era", uint64(previous)).Uint64("era", uint64(current)).Int64("version", version).
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -65,7 +65,8 @@
 	return out
 }
 
-// buildSnapshot returns the entries below the prefix of a watch. The response
+// buildSnapshot returns the entries below the prefix of a watch: those of the
+// configuration in force, and for the other watches those last read. The response
 // has Available false if no watch has the prefix or the entries were never read.
 func (n *Node) buildSnapshot(m *wire.SnapshotRequest) *wire.Snapshot {
 	for _, w := range n.watches {
@@ -73,6 +74,9 @@
 			continue
 		}
 		entries, ok := w.entryCopy.get()
+		if w == n.configurationWatch {
+			entries, ok = n.configurationInForce.get()
+		}
 		out := &wire.Snapshot{Available: ok}
 		for _, e := range entries {
 			out.Entries = append(out.Entries, wire.EntryChange{Key: e.Key, Value: e.Value, Revision: uint64(e.ModRevision)})
@@ -88,7 +92,7 @@
 	if _, available := w.entryCopy.get(); available {
 		return
 	}
-	entries, from, ok := w.node.links.requestSnapshot(ctx, w.prefix)
+	entries, from, ok := w.node.links.requestSnapshot(ctx, w.prefix, anyEntries)
 	if !ok {
 		return // the next failed call repeats it
 	}
@@ -97,16 +101,19 @@
 	event.StoreBorrowed.Log(w.node.log).Str("prefix", w.prefix).Str("from", from).Int("entries", len(entries)).Send()
 }
 
+// anyEntries accepts the entries of any node.
+func anyEntries([]kv.Entry) bool { return true }
+
 // requestSnapshot requests the entries below a prefix from the connected nodes,
-// and then from a seed, until one has them. from is the ID of that node. All
+// and then from a seed, until accept returns true. from is the ID of that node. All
 // requests together take at most linkSilenceTimeout, after which the connection
 // to an unresponsive node is closed anyway.
-func (l *links) requestSnapshot(ctx context.Context, prefix string) (entries []kv.Entry, from string, ok bool) {
+func (l *links) requestSnapshot(ctx context.Context, prefix string, accept func([]kv.Entry) bool) (entries []kv.Entry, from string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, linkSilenceTimeout)
 	defer cancel()
 	for _, conns := range []func() []*wire.Conn{l.peerConns, func() []*wire.Conn { return l.dialSeeds(ctx) }} {
 		for _, c := range conns() {
-			if entries, ok := requestSnapshotFrom(ctx, c, prefix); ok {
+			if entries, ok := requestSnapshotFrom(ctx, c, prefix); ok && accept(entries) {
 				return entries, string(c.Peer().ID), true
 			}
 		}
--- a/pkg/entry/updates.go
+++ b/pkg/entry/updates.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"strings"
-	"time"
 
 	"almondturn/fleet"
 	"almondturn/pkg/event"
@@ -27,84 +25,6 @@
 	Target func(key string, value []byte) (*inventory.Target, error)
 }
 
-// replaceConfiguration replaces the entries of the configuration by a complete
-// list.
-func (n *Node) replaceConfiguration(entries []kv.Entry) {
-	n.configurationEntries = make(map[string]kv.Entry, len(entries))
-	for _, e := range entries {
-		n.configurationEntries[e.Key] = e
-	}
-	n.applyConfiguration()
-}
-
-// applyConfigurationChanges applies changes to the entries of the
-// configuration.
-func (n *Node) applyConfigurationChanges(events []kv.WatchEvent) {
-	for _, e := range events {
-		if e.Deleted {
-			delete(n.configurationEntries, e.Entry.Key)
-			continue
-		}
-		n.configurationEntries[e.Entry.Key] = e.Entry
-	}
-	n.applyConfiguration()
-}
-
-// applyConfiguration decodes the entries and puts the configuration in force,
-// unless the one in force has the same or a later revision. An invalid
-// configuration is logged and ignored.
-func (n *Node) applyConfiguration() {
-	current := n.table.Load()
-	if current != nil && n.configurationRevision() <= current.Revision {
-		return
-	}
-	t, err := n.decoder.Configuration(n.configurationEntries)
-	if err != nil {
-		event.ConfigurationInvalid.Log(n.log).Err(err).Send()
-		return
-	}
-	if t == nil || current != nil && t.Revision <= current.Revision {
-		return
-	}
-	n.table.Store(t)
-	n.tableSetAfter.Store(int64(time.Since(n.started)))
-	n.owner.SetServices(t)
-	if current == nil || !maps.Equal(current.Drained, t.Drained) {
-		n.republishTargets()
-	}
-	n.links.sendNodeState()
-	event.ConfigurationInForce.Log(n.log).Int64("version", t.Version).Uint64("revision", t.Revision).Send()
-	n.updateReady()
-}
-
-// configurationRevision returns the highest revision of the entries of the
-// configuration. The removal of an entry does not raise it.
-func (n *Node) configurationRevision() uint64 {
-	latest := kv.Revision(0)
-	for _, e := range n.configurationEntries {
-		latest = max(latest, e.ModRevision)
-	}
-	return uint64(latest)
-}
-
-// configurationAge returns how long the configuration has been in force, 0 if
-// there is none.
-func (n *Node) configurationAge() time.Duration {
-	since := n.tableSetAfter.Load()
-	if since == 0 {
-		return 0
-	}
-	return time.Since(n.started) - time.Duration(since)
-}
-
-// version is the version of the configuration in force, 0 if there is none.
-func (n *Node) version() int64 {
-	if t := n.table.Load(); t != nil {
-		return t.Version
-	}
-	return 0
-}
-
 // replaceTargets replaces the list of targets by a complete list.
 func (n *Node) replaceTargets(entries []kv.Entry) {
 	n.targetsMu.Lock()
@@ -269,7 +189,3 @@
 	zone, ok := strings.CutSuffix(name, "/owner")
 	return fleet.Zone(zone), ok
 }
-
-// Version returns the version of the configuration in force, 0 if there is
-// none. It is version for other packages.
-func (n *Node) Version() int64 { return n.version() }
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -22,6 +22,7 @@
 
 	ConfigurationInForce = register(710, "configuration_in_force", zerolog.InfoLevel, "A version of the configuration came into force on this node.")
 	ConfigurationInvalid = register(711, "configuration_invalid", zerolog.ErrorLevel, "A new configuration is invalid; the previous one stays in force.")
+	ConfigurationKept    = register(708, "configuration_kept", zerolog.WarnLevel, "The key-value service came back with an older version of the configuration (stored_version); the newer one, which had been confirmed, stays in force until the operators write it again or write a newer one.")
 	TargetEntryInvalid   = register(712, "target_entry_invalid", zerolog.WarnLevel, "An entry in the list of targets is invalid and is ignored.")
 	TargetStarted        = register(713, "target_started", zerolog.InfoLevel, "A new target, or a new incarnation of a known target, is listed.")
 	TargetDraining       = register(714, "target_draining", zerolog.InfoLevel, "A target is being removed; it receives no new requests.")
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -7,6 +7,8 @@
 import (
 	"strings"
 	"time"
+
+	"almondturn/pkg/kv"
 )
 
 // Kind says how often a request of a route may run.
@@ -157,8 +159,8 @@
 type Table struct {
 	Version int64
 	// Revision is the key-value service's revision at which the configuration
-	// was written.
-	Revision uint64
+	// was written, in the era in which it was read.
+	Revision kv.Revision
 	// Services holds the services by name.
 	Services map[string]*Service
 	Limits   RequestLimits
@@ -183,6 +185,20 @@
 	return t
 }
 
+// Supersedes reports whether t replaces the configuration in force, which is nil if
+// there is none. Within an era of the key-value service, the later write replaces the
+// earlier one. Across a restore of the service from an older copy, revisions don't
+// tell which one the operators wrote later; versions, which only increase, do.
+func (t *Table) Supersedes(inForce *Table) bool {
+	if inForce == nil {
+		return true
+	}
+	if t.Revision.Era() != inForce.Revision.Era() && t.Version != inForce.Version {
+		return t.Version > inForce.Version
+	}
+	return t.Revision > inForce.Revision
+}
+
 // Model returns a model of a service, nil if the service has no such model.
 func (t *Table) Model(service, name string) *Model {
 	s := t.Services[service]
--- a/pkg/teams/decode.go
+++ b/pkg/teams/decode.go
@@ -52,7 +52,7 @@
 			snapshot.Drained[target] = true
 		}
 	}
-	return snapshot.Table(accepted.change, uint64(lastRevision)), nil
+	return snapshot.Table(accepted.change, lastRevision), nil
 }
 
 // specs returns the subtrees and their revisions, and updates the cache.
--- a/pkg/teams/table.go
+++ b/pkg/teams/table.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/kv"
 	"almondturn/pkg/route"
 )
 
@@ -30,7 +31,7 @@
 
 // Table returns the services of all teams with their replica limits as a node uses
 // them, with the given version and revision. The snapshot is the table's Extension.
-func (s *Snapshot) Table(version int64, revision uint64) *route.Table {
+func (s *Snapshot) Table(version int64, revision kv.Revision) *route.Table {
 	services := make(map[string]*route.Service, len(s.services))
 	for name, x := range s.services {
 		services[string(name)] = x.routeService()
