zoneowner: a record from before a restore is no proof of who owned the zone last

What it could do: an owner that was replaced sends orders again at once. The record of its successor is lost in the restore, a node that restarts reads the older record, and grants the former owner a peer lease.

Cause: a node that knew nothing took the first record that it read as current.

Change: a record whose token is of a former era, or that has none in an era after the first, changes nothing that a node knows; it grants peer leases again once the owner has registered in the new era. A node that registers again while the service is restored once more tries again.

Evidence: TestNoPeerLeaseIsGrantedByAnOlderRecord and TestReacquireInAnEraThatHasEndedIsRepeated fail without the two checks.

--- a/pkg/entry/updates.go
+++ b/pkg/entry/updates.go
@@ -129,7 +129,7 @@
 	seen := map[fleet.Zone]bool{}
 	for _, e := range entries {
 		if e.Key == zoneowner.LastOwnerKey(n.settings.Zone) {
-			n.owner.ObserveLastOwner(e.Value)
+			n.owner.ObserveLastOwner(e.Value, e.ModRevision)
 		}
 		if zone, ok := zoneOfOwnerKey(e.Key); ok {
 			seen[zone] = true
@@ -149,7 +149,7 @@
 		zone, ok := zoneOfOwnerKey(e.Entry.Key)
 		switch {
 		case e.Entry.Key == zoneowner.LastOwnerKey(n.settings.Zone) && !e.Deleted:
-			n.owner.ObserveLastOwner(e.Entry.Value)
+			n.owner.ObserveLastOwner(e.Entry.Value, e.Entry.ModRevision)
 		case !ok:
 		case e.Deleted:
 			n.setOwner(zone, kv.Entry{})
--- a/pkg/kv/kvtest/kvtest.go
+++ b/pkg/kv/kvtest/kvtest.go
@@ -41,8 +41,19 @@
 	s.responsesToDrop = n
 }
 
-// Era returns the era of the service: 0, it is never restored.
-func (s *Store) Era() kv.Era { return 0 }
+// SetEra sets the era of the revisions from now on.
+func (s *Store) SetEra(era kv.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = s.revision.InEra(era)
+}
+
+// Era returns the era of the service; 0 until SetEra is called.
+func (s *Store) Era() kv.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision.Era()
+}
 
 // Entries returns all entries by key.
 func (s *Store) Entries() map[string]kv.Entry {
--- a/pkg/zoneowner/cluster_test.go
+++ b/pkg/zoneowner/cluster_test.go
@@ -317,7 +317,7 @@
 func (c *cluster) watchKeys(ctx context.Context, i int, o *Owner) {
 	for ctx.Err() == nil {
 		if e, err := (nodeStore{c, i}).Get(ctx, LastOwnerKey(testZone)); err == nil {
-			o.ObserveLastOwner(e.Value)
+			o.ObserveLastOwner(e.Value, e.ModRevision)
 		}
 		o.refreshKey(ctx, OwnerKey(testZone))
 		select {
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -133,20 +133,19 @@
 	o.wakeElection()
 }
 
-// ObserveLastOwner receives the JSON record of the zone's last owner from a
-// watch. It ignores a record that is older than the last one, with which the
-// key-value service came back.
-func (o *Owner) ObserveLastOwner(value []byte) {
+// ObserveLastOwner receives the JSON record of the zone's last owner, at a revision,
+// from a watch. It ignores a record from before a restore of the key-value service: the
+// record of a later owner may have been lost, and what this node knows is as new.
+func (o *Owner) ObserveLastOwner(value []byte, revision kv.Revision) {
 	var lastOwner lastOwnerRecord
 	if err := json.Unmarshal(value, &lastOwner); err != nil {
 		lastOwner.Addr = "" // an unreadable record names nobody, so no node gets a peer lease
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if lastOwner.Token != 0 && lastOwner.Token < o.lastOwnerToken {
+	if lastOwner.outdated(revision.Era()) {
 		return
 	}
-	o.lastOwnerToken = lastOwner.Token
 	o.lastOwnerAddr, o.lastOwnerResigned = lastOwner.Addr, lastOwner.LastOrderAge > 0
 }
 
@@ -370,14 +369,11 @@
 	return o.cfg.HandoverDelay + handoverMargin + o.leaseTTL
 }
 
-// outdated reports whether the record may be older than the last owner in an era: it
-// was written before the key-value service was restored, or is missing after a
-// restore.
+// outdated reports whether the record, as read in an era, may be older than the last
+// owner: it was written before the key-value service was restored, or is missing after
+// a restore.
 func (r lastOwnerRecord) outdated(era kv.Era) bool {
-	if r.Addr == "" {
-		return era > kv.FirstEra
-	}
-	return r.Token != 0 && r.Token.Era() < era
+	return era > kv.FirstEra && r.Token.Era() < era
 }
 
 // earliestOrder returns the time of BootClock at which an owner that acquired
--- a/pkg/zoneowner/lease.go
+++ b/pkg/zoneowner/lease.go
@@ -148,6 +148,9 @@
 	if err != nil {
 		return time.Time{}, err // the term continues under peer leases, or ends without them
 	}
+	if era := o.cfg.Store.Era(); era != token.Era() {
+		return time.Time{}, fmt.Errorf("registered in era %d, it is era %d now: %w", token.Era(), era, kv.ErrConflict)
+	}
 	o.mu.Lock()
 	previous, ordersFrom, unbroken := t.token, t.ordersFrom, t.authority.unbroken(o.cfg.BootClock())
 	o.mu.Unlock()
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -140,8 +140,6 @@
 	// lastOwnerResigned reports whether the last owner released the zone
 	// itself.
 	lastOwnerResigned bool
-	// lastOwnerToken is the fencing token in that record, 0 for none.
-	lastOwnerToken kv.Revision
 	// peerLeaseUntil is the time by BootClock before which this node must not
 	// acquire the zone, because it granted a peer lease to the owner at
 	// peerLeaseOwnerAddr.
--- a/pkg/zoneowner/restore_test.go
+++ b/pkg/zoneowner/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -88,6 +89,29 @@
 	}
 }
 
+// Guards against an owner without peers that loses its authority because its lease is
+// gone, although its time is not over.
+func TestOwnerWithoutPeersKeepsItsAuthorityWhenTheServiceIsRestored(t *testing.T) {
+	runCluster(t, func(_ context.Context, c *cluster) {
+		owner := c.ownerIndex()
+		c.mu.Lock()
+		for i := range testNodes {
+			if i != owner {
+				c.partitioned[owner][i], c.partitioned[i][owner] = true, true
+				c.storePartitioned[i] = true
+			}
+		}
+		c.mu.Unlock()
+		time.Sleep(3 * time.Second) // until the peer leases have ended
+		c.store.restore(newMemStore(), false)
+		time.Sleep(time.Second)
+		assert.Equal(t, owner, c.ownerIndex())
+		before := c.orderCount()
+		time.Sleep(time.Second)
+		assert.Greater(t, c.orderCount(), before, "orders go on without a handover delay")
+	})
+}
+
 // Guards against a node that acquires the zone at once, and sends orders without a
 // handover delay, because a key and a record from before the restore name it.
 func TestNodeNamedByAnOlderKeyKeepsTheHandoverDelay(t *testing.T) {
@@ -219,8 +243,8 @@
 	assert.False(t, o.IsOwner(), "another node acquired the zone after the restore")
 
 	third := fleet.Node{ID: "n3", Zone: singleOwnerZone, Addr: "10.0.0.3:1"}
-	o.ObserveLastOwner([]byte(`{"addr":"10.0.0.3:1","token":` + fmt.Sprint(inEra(1, 150)) + `}`))
-	o.ObserveLastOwner([]byte(`{"addr":"` + otherAddr + `","token":` + fmt.Sprint(inEra(1, 100)) + `}`))
+	o.ObserveLastOwner(lastOwnerValue(t, third.Addr, inEra(1, 150)), inEra(1, 151))
+	o.ObserveLastOwner(lastOwnerValue(t, otherAddr, inEra(1, 100)), inEra(2, 101))
 	request := &wire.PeerLeaseRequest{Zone: singleOwnerZone, Token: uint64(inEra(1, 150))}
 	o.ObserveKey(earlier, inEra(2, 100))
 	assert.True(t, o.GrantPeerLease(third, request).Granted, "key and record are older than the term of the node that asks")
@@ -228,16 +252,52 @@
 	assert.False(t, o.GrantPeerLease(third, request).Granted)
 }
 
+// lastOwnerValue returns a record of the last owner, as it is stored.
+func lastOwnerValue(t *testing.T, addr string, token kv.Revision) []byte {
+	t.Helper()
+	value, err := json.Marshal(lastOwnerRecord{Addr: addr, Token: token})
+	require.NoError(t, err)
+	return value
+}
+
+// Guards against an owner that was replaced and goes on after a restore: the record of
+// its successor is lost, and a node that has started since knows the older one only.
+func TestNoPeerLeaseIsGrantedByAnOlderRecord(t *testing.T) {
+	from := fleet.Node{ID: "n2", Zone: singleOwnerZone, Addr: otherAddr}
+	request := &wire.PeerLeaseRequest{Zone: singleOwnerZone, Token: uint64(inEra(1, 100))}
+	o := newSingleOwner(new(kvtest.Store))
+	o.ObserveLastOwner(lastOwnerValue(t, otherAddr, inEra(1, 100)), inEra(2, 101))
+	assert.False(t, o.GrantPeerLease(from, request).Granted)
+	o.ObserveLastOwner(lastOwnerValue(t, otherAddr, 0), inEra(2, 101))
+	assert.False(t, o.GrantPeerLease(from, request).Granted, "a record without a token")
+	o.ObserveLastOwner(lastOwnerValue(t, otherAddr, inEra(2, 110)), inEra(2, 111))
+	assert.True(t, o.GrantPeerLease(from, request).Granted, "the owner has registered again")
+}
+
+// Guards against an owner that registers again while the service is restored once more,
+// and goes on without a delay by a record of another era.
+func TestReacquireInAnEraThatHasEndedIsRepeated(t *testing.T) {
+	s := new(kvtest.Store)
+	writeLastOwner(t, s, lastOwnerRecord{Addr: ownAddr})
+	o := newSingleOwner(s)
+	active := o.startExpiredTerm()
+	_, err := o.confirmTerm(t.Context(), active, inEra(1, 5), kv.LeaseID{Era: 1, ID: 4})
+	require.ErrorIs(t, err, kv.ErrConflict, "the service is in another era")
+	assert.True(t, o.IsOwner())
+}
+
 // Guards against an owner whose authority had ended, so that another node may have been
 // the owner before the restore, and that sends orders at once when it registers again.
 func TestOwnerWithAGapKeepsTheHandoverDelayAfterARestore(t *testing.T) {
 	for name, c := range map[string]struct {
 		leaseEnded time.Duration // before now
-		peer       bool          // a peer lease lasted meanwhile
+		peer       bool          // a peer lease is valid
+		lapsed     bool          // it was granted after a gap
 		want       time.Duration
 	}{
 		"lease valid":                  {leaseEnded: -time.Second},
 		"peer lease valid":             {leaseEnded: time.Second, peer: true},
+		"peer lease after a gap":       {leaseEnded: time.Second, peer: true, lapsed: true, want: testHandoverDelay + handoverMargin + defaultLeaseTTL},
 		"neither lease nor peer lease": {leaseEnded: time.Second, want: testHandoverDelay + handoverMargin + defaultLeaseTTL},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -245,8 +305,9 @@
 			o := newSingleOwner(s)
 			active := o.startExpiredTerm()
 			active.token = inEra(1, 150)
+			s.SetEra(2)
 			now := time.Now()
-			active.authority.leaseUntil = now.Add(-c.leaseEnded)
+			active.authority.leaseUntil, active.authority.lapsed = now.Add(-c.leaseEnded), c.lapsed
 			if c.peer {
 				active.authority.peers = map[fleet.NodeID]*peer{"n2": {peerLeaseUntil: now.Add(time.Second), lastContact: now}}
 			}
