upstream: the idle timeout in a Keep-Alive header is bounded

Operators would see a new connection for each request to a target that states an idle timeout of more than 292 years: the number of seconds overflowed to a time below 0. Evidence: TestLongIdleTimeoutIsBounded fails before with negative times. Change: a timeout counts as at most an hour; a pooled connection is used for far less. Result: it passes.

--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -23,6 +23,8 @@
 	// defaultIdleTimeout is how long a connection may stay idle and still be
 	// reused if the target sends no usable timeout in a Keep-Alive header.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout bounds the timeout of a Keep-Alive header.
+	maxIdleTimeout = time.Hour
 	// idleTimeoutMargin is subtracted from the idle timeout in a Keep-Alive
 	// header, so that a request isn't in flight when the target closes the
 	// connection.
@@ -206,7 +208,7 @@
 		if err != nil || seconds < 0 {
 			return defaultIdleTimeout
 		}
-		timeout := time.Duration(seconds) * time.Second
+		timeout := time.Duration(min(seconds, int(maxIdleTimeout/time.Second))) * time.Second
 		// For a short timeout the margin would leave little or nothing.
 		return max(timeout-idleTimeoutMargin, timeout/4)
 	}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -218,6 +218,18 @@
 	}
 }
 
+// A timeout of more than 292 years overflowed, so that no connection to the target was
+// reused.
+func TestLongIdleTimeoutIsBounded(t *testing.T) {
+	for _, seconds := range []string{"3601", "9223372037", "9999999999", "9223372036854775807"} {
+		assert.Equal(t, maxIdleTimeout-idleTimeoutMargin, parseIdleTimeout("timeout="+seconds), seconds)
+	}
+	for _, invalid := range []string{"9223372036854775808", "1e3", "-1", "1.5", ""} {
+		assert.Equal(t, defaultIdleTimeout, parseIdleTimeout("timeout="+invalid), invalid)
+	}
+	assert.Equal(t, time.Hour-idleTimeoutMargin, parseIdleTimeout("timeout=3600"))
+}
+
 func TestCloseExpiredClosesExpiredConnections(t *testing.T) {
 	p := NewPool(NewDialer(time.Second).DialContext)
 	addr, _ := startScriptedTarget(t, strings.Replace(okResponse, "\r\n", "\r\nKeep-Alive: timeout=0\r\n", 1), okResponse)
