entry: log lines about invalid entries are bounded

Operators would see the log of every node fill with target_entry_invalid: one line for each write of an odd entry, and 10,000 lines with each list of 10,000 such entries. Change: a key is logged once in ten minutes, and at most 20 lines are written per minute; the field suppressed counts the lines left out. The lines of targets now have the field key as well.

--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -142,6 +142,8 @@
 	// replaces the models of its entry.
 	targetsByKey map[string]*inventory.Target
 	targetsMu    sync.Mutex // guards targetsByKey
+	// invalidEntries bounds the log lines about entries that can't be decoded.
+	invalidEntries invalidEntryLog
 	// configurationEntries are the entries of the configuration as last read.
 	// Only the goroutine of configurationWatch uses it.
 	configurationEntries map[string]kv.Entry
--- a/pkg/entry/updates.go
+++ b/pkg/entry/updates.go
@@ -158,7 +158,7 @@
 	t, err := n.decoder.Target(e.Key, e.Value)
 	if err != nil {
 		delete(n.targetsByKey, e.Key)
-		event.TargetEntryInvalid.Log(n.log).Err(err).Send()
+		n.logInvalidEntry(e.Key, err)
 		return
 	}
 	n.targetsByKey[e.Key] = t
@@ -245,8 +245,7 @@
 	var r zoneowner.OwnerRecord
 	if e.Key != "" {
 		if err := json.Unmarshal(e.Value, &r); err != nil {
-			// This event also covers owner records; key identifies the entry.
-			event.TargetEntryInvalid.Log(n.log).Str("key", e.Key).Err(err).Send()
+			n.logInvalidEntry(e.Key, err) // the event also covers owner records
 			return
 		}
 	}
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -21,7 +21,7 @@
 
 	ConfigurationInForce = register(710, "configuration_in_force", zerolog.InfoLevel, "A version of the configuration came into force on this node.")
 	ConfigurationInvalid = register(711, "configuration_invalid", zerolog.ErrorLevel, "A new configuration is invalid; the previous one stays in force.")
-	TargetEntryInvalid   = register(712, "target_entry_invalid", zerolog.WarnLevel, "An entry in the list of targets is invalid and is ignored.")
+	TargetEntryInvalid   = register(712, "target_entry_invalid", zerolog.WarnLevel, "An entry in the list of targets is invalid and is ignored. A key is logged once in ten minutes, and at most twenty keys per minute; the field suppressed is the number of lines that were left out before this one.")
 	TargetStarted        = register(713, "target_started", zerolog.InfoLevel, "A new target, or a new incarnation of a known target, is listed.")
 	TargetDraining       = register(714, "target_draining", zerolog.InfoLevel, "A target is being removed; it receives no new requests.")
 	TargetGone           = register(715, "target_gone", zerolog.InfoLevel, "A target is no longer listed.")
