entry: a request that is not text keeps the connection to the owner

Callers could see refusals or delays for other requests of a node, and operators owner_lost: one client's request with an identifier, model or adapter that is not UTF-8 made the owner of the zone close the connection to the node, because messages between nodes are text. Evidence: TestRequestThatIsNoTextKeepsTheConnectionToTheOwner fails before: three such requests to each of two nodes closed 4 connections. Change: other bytes are replaced in the request for a slot and in the list of runs. What targets receive is unchanged. Result: it passes 3 times with -race.

--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"almondturn/fleet"
@@ -150,11 +151,12 @@
 
 // slotRequest returns the request for a slot for j. lastResort is true on the
 // second pass of requestFromOwners, after every owner that responded referred
-// to another zone.
+// to another zone. Messages between nodes are text: in what a client sent, other bytes
+// are replaced.
 func (n *Node) slotRequest(j *job, lastResort bool) *wire.SlotRequest {
 	now := time.Now()
 	return &wire.SlotRequest{
-		RequestID: j.ID, Service: j.service, Model: j.Model, Adapter: j.Adapter,
+		RequestID: text(j.ID), Service: j.service, Model: text(j.Model), Adapter: text(j.Adapter),
 		InputTokens: j.InputTokens, OutputTokens: j.OutputTokens, Priority: j.Priority,
 		TimeToObjectiveMillis:  j.waitingSince().Add(j.Route.LatencyObjective).Sub(now).Milliseconds(),
 		TimeToDeadlineMillis:   j.startDeadline().Sub(now).Milliseconds(),
@@ -164,6 +166,9 @@
 	}
 }
 
+// text returns s with bytes that are not UTF-8 replaced.
+func text(s string) string { return strings.ToValidUTF8(s, "?") }
+
 // zoneRank is the position of a zone in the order in which a request tries
 // them; lower ranks come first.
 type zoneRank struct {
@@ -318,7 +323,7 @@
 func (n *Node) recordRun(zone fleet.Zone, run uint64, t *inventory.Target, j *job) {
 	n.runsMu.Lock()
 	defer n.runsMu.Unlock()
-	n.runs[run] = zoneRun{zone, wire.Run{ID: run, Target: t.ID, Model: j.Model, Adapter: j.Adapter, Tokens: j.InputTokens + j.OutputTokens}}
+	n.runs[run] = zoneRun{zone, wire.Run{ID: run, Target: t.ID, Model: text(j.Model), Adapter: text(j.Adapter), Tokens: j.InputTokens + j.OutputTokens}}
 }
 
 // endRun removes a granted run from n.runs and reports its outcome to the owner,
