wire: numbers of messages are bounded

Operators would see requests refused as expired, or calls canceled at once, after a message between nodes with a time of more than 292 years: it overflowed to a time below 0 at the receiver. Evidence: TestNumbersOfMessagesAreBounded and TestLongTimeoutOfACallIsBounded fail before. Change: the decoder replaces numbers that are out of bounds, since a message from a client's request must not end the connection for all. Depth, lengths and counts were bounded before; TestMessagesOfAnotherWriterAreRefused and TestOddMessageEndsItsConnectionOnly keep it so. Result: the package passes with -race; TestSoundNumbersOfMessagesAreKept.

--- a/wire/envelope.go
+++ b/wire/envelope.go
@@ -148,7 +148,8 @@
 }
 
 // Message decodes the payload. It returns an *UnknownTypeError for a type that
-// constructors does not contain.
+// constructors does not contain. Numbers that are out of bounds are replaced by the
+// bound.
 func (e *Envelope) Message() (Message, error) {
 	construct := constructors[e.Type]
 	if construct == nil {
@@ -158,5 +159,8 @@
 	if err := decMode.Unmarshal(e.Payload, m); err != nil {
 		return nil, fmt.Errorf("decode message type %d: %w", e.Type, err)
 	}
+	if b, ok := m.(bounded); ok {
+		b.clamp()
+	}
 	return m, nil
 }
--- a/wire/receive.go
+++ b/wire/receive.go
@@ -125,7 +125,7 @@
 	if timeoutMillis <= 0 {
 		return context.WithCancel(c.ctx)
 	}
-	return context.WithTimeout(c.ctx, time.Duration(timeoutMillis)*time.Millisecond)
+	return context.WithTimeout(c.ctx, time.Duration(min(timeoutMillis, maxMillis))*time.Millisecond)
 }
 
 // cancelRunning cancels the context of a call in progress, if there is one.
