entry: the share of slots in use is guarded against odd numbers

Callers would see one target of a plain service get nearly all requests: with 65,536 slots in its entry it looks empty, whatever it runs. One without slots in its entry looked full with its first request, and one that reports a great number of requests was avoided more than one to which no connection can be established. Change: of the slots in a target's entry and in its responses the lower number counts; what it reports is bounded. A target whose responses do not tell its slots is bounded by its entry alone.

--- a/pkg/entry/usage.go
+++ b/pkg/entry/usage.go
@@ -23,6 +23,12 @@
 	// reportMaxAge is how long the numbers of requests that a target reported
 	// are used.
 	reportMaxAge = 500 * time.Millisecond
+	// maxReportedLoad bounds the numbers of requests that a target reported, as a
+	// multiple of its slots. It is far above a full queue.
+	maxReportedLoad = 20
+	// maxReportedRequests bounds each number that a target reports, so that sums and
+	// products of them do not overflow.
+	maxReportedRequests = 1 << 20
 	// unreachableAvoidance is how long a target is avoided after a connection
 	// to it failed.
 	unreachableAvoidance = time.Second
@@ -37,6 +43,9 @@
 	// node's, that it reported at reportedAt.
 	othersInFlight int
 	reportedAt     time.Time
+	// reportedSlots is the number of slots that the target last reported; 0 if it has
+	// reported none.
+	reportedSlots int
 	// failureShare is the moving average of the share of failed requests, 0 to
 	// 1.
 	failureShare float64
@@ -107,11 +116,12 @@
 // cost returns the cost of a target for a node in zone: the share of its slots
 // in use, plus penalties.
 func (u *targetUsage) cost(now time.Time, t *inventory.Target, zone fleet.Zone) float64 {
+	slots := u.slots(t)
 	running := u.inFlight
 	if now.Sub(u.reportedAt) < reportMaxAge {
-		running += u.othersInFlight
+		running += min(u.othersInFlight, maxReportedLoad*slots)
 	}
-	cost := float64(running)/float64(max(t.Slots, 1)) + failureWeight*u.failureShare
+	cost := float64(running)/float64(slots) + failureWeight*u.failureShare
 	if t.Zone != zone {
 		cost += otherZonePenalty
 	}
@@ -122,6 +132,17 @@
 	return cost
 }
 
+// slots returns the number of slots of a target, at least 1. If its entry and its
+// responses differ, the lower number counts, since a target with too many slots would
+// look empty.
+func (u *targetUsage) slots(t *inventory.Target) int {
+	slots := t.Slots
+	if u.reportedSlots > 0 && (slots <= 0 || u.reportedSlots < slots) {
+		slots = u.reportedSlots
+	}
+	return max(slots, 1)
+}
+
 // release ends a request that acquire counted, and updates the usage of the
 // target by its result.
 func (u *targetUsages) release(now time.Time, id string, r sendResult) {
@@ -140,7 +161,8 @@
 	if r.info.Slots > 0 {
 		// The report still counts the request that has just ended, which
 		// inFlight no longer does.
-		usage.othersInFlight = max(r.info.Running+r.info.Waiting-usage.inFlight-1, 0)
-		usage.reportedAt = now
+		reported := min(r.info.Running, maxReportedRequests) + min(r.info.Waiting, maxReportedRequests)
+		usage.othersInFlight = max(reported-usage.inFlight-1, 0)
+		usage.reportedAt, usage.reportedSlots = now, min(r.info.Slots, maxReportedRequests)
 	}
 }
