--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -148,6 +148,8 @@
 	// replaces the models of its entry.
 	targetsByKey map[string]*inventory.Target
 	targetsMu    sync.Mutex // guards targetsByKey
+	// invalidEntries bounds the log lines about entries that can't be decoded.
+	invalidEntries invalidEntryLog
 	// configurationEntries are the entries of the configuration as last read from the
 	// key-value service, and keptRevision the revision of an older configuration there
 	// that was last logged. Only the goroutine of configurationWatch uses them.
