inventory, entry: what is known of targets outlives a restore of the service

Cause: the list of a restored service was taken as the newest state of the targets.

Change: inventory.Directory holds the entries of the targets.

--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -13,7 +13,7 @@
 
 // replaceConfiguration replaces the entries of the configuration by a complete
 // list.
-func (n *Node) replaceConfiguration(entries []kv.Entry) {
+func (n *Node) replaceConfiguration(entries []kv.Entry, _ kv.Revision) {
 	n.configurationEntries = entriesByKey(entries)
 	n.applyConfiguration()
 	if n.announcedVersion.Load() > n.version() {
@@ -48,7 +48,7 @@
 // with an older version.
 func (n *Node) applyConfiguration() {
 	current := n.table.Load()
-	if current != nil && configurationRevision(n.configurationEntries) <= current.Revision {
+	if current != nil && latestRevision(maps.Values(n.configurationEntries)) <= current.Revision {
 		return
 	}
 	n.considerConfiguration(n.configurationEntries)
@@ -101,16 +101,6 @@
 		Uint64("stored_era", uint64(stored.Revision.Era())).Uint64("stored_revision", stored.Revision.Counter()).Send()
 }
 
-// configurationRevision returns the highest revision of the entries of the
-// configuration. The removal of an entry does not raise it.
-func configurationRevision(entries map[string]kv.Entry) kv.Revision {
-	latest := kv.Revision(0)
-	for _, e := range entries {
-		latest = max(latest, e.ModRevision)
-	}
-	return latest
-}
-
 // observeVersion fetches the configuration if another node has a version that
 // is newer.
 func (n *Node) observeVersion(version int64) {
--- a/pkg/entry/configuration_test.go
+++ b/pkg/entry/configuration_test.go
@@ -89,8 +89,8 @@
 // from an older copy, because the revisions that it gives out again are lower.
 func TestChangeAfterARestoreComesIntoForce(t *testing.T) {
 	n, _ := newIdleNode(t)
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "13", 1, 401)})
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "13", 2, 390)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "13", 1, 401)}, 0)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "13", 2, 390)}, 0)
 	assert.EqualValues(t, 13, n.version())
 	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "16", 2, 395)}})
 	assert.EqualValues(t, 16, n.version())
@@ -101,10 +101,10 @@
 // the newest one.
 func TestOlderConfigurationOfARestoredServiceIsNotPutInForce(t *testing.T) {
 	n, log := newIdleNode(t)
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)}, 0)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)}, 0)
 	assert.EqualValues(t, 16, n.version())
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)}, 0)
 	assert.Equal(t, 1, strings.Count(log.String(), "configuration_kept"), "logged once: %s", log)
 	entries, ok := n.configurationInForce.get()
 	require.True(t, ok)
@@ -120,10 +120,10 @@
 // Guards against an invalid configuration in a restored service that ends the one in force.
 func TestInvalidConfigurationOfARestoredServiceIsIgnored(t *testing.T) {
 	n, _ := newIdleNode(t)
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "{", 2, 300)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)}, 0)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "{", 2, 300)}, 0)
 	assert.EqualValues(t, 16, n.version())
-	n.replaceConfiguration(nil)
+	n.replaceConfiguration(nil, 0)
 	assert.EqualValues(t, 16, n.version(), "the copy is from before the first configuration")
 	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "17", 2, 310)}})
 	assert.EqualValues(t, 17, n.version())
@@ -132,9 +132,9 @@
 // Two restores in a row, the second to a copy from before the first.
 func TestConfigurationSurvivesTwoRestores(t *testing.T) {
 	n, _ := newIdleNode(t)
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)})
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "9", 3, 200)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)}, 0)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "12", 2, 300)}, 0)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "9", 3, 200)}, 0)
 	assert.EqualValues(t, 16, n.version())
 	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "20", 3, 201)}})
 	assert.EqualValues(t, 20, n.version())
@@ -143,9 +143,9 @@
 // Within an era the later write counts, even if its version is lower.
 func TestLaterWriteOfAnEraComesIntoForce(t *testing.T) {
 	n, _ := newIdleNode(t)
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)}, 0)
 	n.applyConfigurationChanges([]kv.WatchEvent{{Entry: configurationEntry(t, "15", 1, 402)}})
 	assert.EqualValues(t, 15, n.version())
-	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)})
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)}, 0)
 	assert.EqualValues(t, 15, n.version(), "a list that is older than the change")
 }
--- a/pkg/entry/fallback.go
+++ b/pkg/entry/fallback.go
@@ -84,12 +84,10 @@
 func (n *Node) mergeReports(reports map[string]inventory.Report) {
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
-	for key, t := range n.targetsByKey {
-		if r, ok := reports[t.ID]; ok {
-			merged := *t
-			merged.Models = r.Models
-			n.targetsByKey[key] = &merged
-		}
+	models := make(map[string][]inventory.LoadedModel, len(reports))
+	for id, r := range reports {
+		models[id] = r.Models
 	}
+	n.directory.SetModels(models)
 	n.publishTargets()
 }
--- a/pkg/entry/invalidentries_test.go
+++ b/pkg/entry/invalidentries_test.go
@@ -20,7 +20,7 @@
 // those with the value "sound" are valid.
 func newDecodingNode(out *bytes.Buffer) *Node {
 	log := zerolog.New(out)
-	return &Node{log: &log, targetsByKey: map[string]*inventory.Target{}, decoder: Decoder{
+	return &Node{log: &log, directory: inventory.NewDirectory(), decoder: Decoder{
 		Target: func(key string, value []byte) (*inventory.Target, error) {
 			if string(value) != "sound" {
 				return nil, fmt.Errorf("entry %q: invalid", key)
@@ -30,6 +30,9 @@
 	}}
 }
 
+// putTarget decodes and records the entry of a target.
+func (n *Node) putTarget(e kv.Entry) { n.directory.Put(e.Key, n.registration(e)) }
+
 // An invalid entry that was rewritten with each heartbeat wrote a log line each time, on
 // every node.
 func TestRewrittenInvalidEntryIsLoggedOnce(t *testing.T) {
@@ -37,13 +40,13 @@
 		var out bytes.Buffer
 		n := newDecodingNode(&out)
 		for i := range 400 {
-			n.setTarget(kv.Entry{Key: "t/odd", Value: fmt.Append(nil, i)})
+			n.putTarget(kv.Entry{Key: "t/odd", Value: fmt.Append(nil, i)})
 			time.Sleep(time.Second)
 		}
 		assert.Equal(t, 1, strings.Count(out.String(), "target_entry_invalid"))
 		assert.Contains(t, out.String(), `t/odd`)
 		time.Sleep(invalidEntryRepeat)
-		n.setTarget(kv.Entry{Key: "t/odd"})
+		n.putTarget(kv.Entry{Key: "t/odd"})
 		assert.Equal(t, 2, strings.Count(out.String(), "target_entry_invalid"), "it is logged again while it stays")
 		assert.Contains(t, out.String(), `"suppressed":399`)
 	})
@@ -57,15 +60,15 @@
 		n := newDecodingNode(&out)
 		for range lists {
 			for i := range entries {
-				n.setTarget(kv.Entry{Key: fmt.Sprint("t/odd", i)})
+				n.putTarget(kv.Entry{Key: fmt.Sprint("t/odd", i)})
 			}
-			n.setTarget(kv.Entry{Key: "t/sound", Value: []byte("sound")})
+			n.putTarget(kv.Entry{Key: "t/sound", Value: []byte("sound")})
 			time.Sleep(invalidEntryWindow)
 		}
 		lines := strings.Count(out.String(), "target_entry_invalid")
 		assert.Equal(t, lists*maxInvalidEntryLines, lines)
 		assert.LessOrEqual(t, len(n.invalidEntries.loggedAt), maxInvalidEntryKeys)
-		assert.Len(t, n.targetsByKey, 1, "the sound entry holds")
+		assert.Len(t, n.directory.Targets(), 1, "the sound entry holds")
 	})
 }
 
@@ -75,7 +78,7 @@
 		var out bytes.Buffer
 		n := newDecodingNode(&out)
 		for i := range 3 * maxInvalidEntryKeys {
-			n.setTarget(kv.Entry{Key: fmt.Sprintf("t/odd-%d-", i)})
+			n.putTarget(kv.Entry{Key: fmt.Sprintf("t/odd-%d-", i)})
 			time.Sleep(invalidEntryWindow / maxInvalidEntryLines)
 		}
 		for i := range 3 * maxInvalidEntryKeys {
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -143,11 +143,11 @@
 	// targetSet is the list of targets in force, with those that operators
 	// drained marked as draining; nil before the first.
 	targetSet atomic.Pointer[inventory.TargetSet]
-	// targetsByKey holds the decoded entries of the targets, by key, from which
-	// targetSet is built. A report that this node has requested from a target
-	// replaces the models of its entry.
-	targetsByKey map[string]*inventory.Target
-	targetsMu    sync.Mutex // guards targetsByKey
+	// directory holds the entries of the targets, from which targetSet is built. A
+	// report that this node has requested from a target replaces the models of its
+	// entry.
+	directory *inventory.Directory
+	targetsMu sync.Mutex // guards directory
 	// invalidEntries bounds the log lines about entries that can't be decoded.
 	invalidEntries invalidEntryLog
 	// configurationEntries are the entries of the configuration as last read from the
@@ -200,7 +200,7 @@
 	n := &Node{
 		settings: d.Settings, log: d.Log, clientProtocol: d.ClientProtocol, targetProtocol: d.TargetProtocol, decoder: d.Decoder, store: d.Store, pool: d.Pool,
 		reporter: d.Targets, metrics: d.Metrics, started: time.Now(), runs: map[uint64]zoneRun{}, readinessPath: d.ReadinessPath,
-		targetsByKey: map[string]*inventory.Target{}, configurationEntries: map[string]kv.Entry{}, idleClientConns: newIdleConns(), targetChanges: newChangeLog(), ownerChanges: newChangeLog(),
+		directory: inventory.NewDirectory(), configurationEntries: map[string]kv.Entry{}, idleClientConns: newIdleConns(), targetChanges: newChangeLog(), ownerChanges: newChangeLog(),
 		snapshotLimiter: limiter.New(time.Now),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
@@ -247,7 +247,7 @@
 
 // newWatch returns a watch of the entries below a prefix; see watch for the
 // functions.
-func (n *Node) newWatch(prefix string, fetchDelay func() time.Duration, onList func([]kv.Entry), onChanges func([]kv.WatchEvent)) *watch {
+func (n *Node) newWatch(prefix string, fetchDelay func() time.Duration, onList func([]kv.Entry, kv.Revision), onChanges func([]kv.WatchEvent)) *watch {
 	return &watch{store: n.store, prefix: prefix, fetchDelay: fetchDelay, onList: onList, onChanges: onChanges, node: n, relistRequests: make(chan struct{}, 1)}
 }
 
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"iter"
 	"maps"
+	"slices"
 	"sync"
 
 	"almondturn/pkg/event"
@@ -97,10 +99,20 @@
 		return // the next failed call repeats it
 	}
 	w.entryCopy.reset(entries)
-	w.onList(entries)
+	w.onList(entries, latestRevision(slices.Values(entries)))
 	event.StoreBorrowed.Log(w.node.log).Str("prefix", w.prefix).Str("from", from).Int("entries", len(entries)).Send()
 }
 
+// latestRevision returns the highest revision of the entries. The removal of an entry
+// does not raise it.
+func latestRevision(entries iter.Seq[kv.Entry]) kv.Revision {
+	latest := kv.Revision(0)
+	for e := range entries {
+		latest = max(latest, e.ModRevision)
+	}
+	return latest
+}
+
 // anyEntries accepts the entries of any node.
 func anyEntries([]kv.Entry) bool { return true }
 
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -45,9 +45,9 @@
 	// fetchDelay returns how long to wait after a fetch that returned changes,
 	// so that several changes are fetched together.
 	fetchDelay func() time.Duration
-	// onList receives all entries, onChanges single changes in order. Both are
-	// called by the goroutine of run only.
-	onList    func([]kv.Entry)
+	// onList receives all entries and the revision of the list, onChanges single
+	// changes in order. Both are called by the goroutine of run only.
+	onList    func([]kv.Entry, kv.Revision)
 	onChanges func([]kv.WatchEvent)
 	node      *Node
 	// relistRequests has a buffer of one, by which relist signals fetch to stop
@@ -98,7 +98,7 @@
 		event.StoreRegained.Log(w.node.log).Str("prefix", w.prefix).Send()
 	}
 	w.entryCopy.reset(entries)
-	w.onList(entries)
+	w.onList(entries, revision)
 	if w.changeLog != nil {
 		w.changeLog.reset(revision)
 	}
--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -41,7 +41,7 @@
 		store := new(quietStore)
 		w := &watch{
 			store: store, prefix: "a", fetchDelay: noFetchDelay, node: &Node{log: &log}, relistRequests: make(chan struct{}, 1),
-			onList: func([]kv.Entry) {}, onChanges: func([]kv.WatchEvent) {},
+			onList: func([]kv.Entry, kv.Revision) {}, onChanges: func([]kv.WatchEvent) {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -81,7 +81,7 @@
 		store := new(failingStore)
 		w := &watch{
 			store: store, prefix: "a", fetchDelay: noFetchDelay, node: &Node{log: &log}, relistRequests: make(chan struct{}, 1),
-			onList: func([]kv.Entry) {}, onChanges: func([]kv.WatchEvent) {},
+			onList: func([]kv.Entry, kv.Revision) {}, onChanges: func([]kv.WatchEvent) {},
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 		defer cancel()
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -24,6 +24,7 @@
 	ConfigurationInvalid = register(711, "configuration_invalid", zerolog.ErrorLevel, "A new configuration is invalid; the previous one stays in force.")
 	ConfigurationKept    = register(708, "configuration_kept", zerolog.WarnLevel, "The key-value service came back with an older version of the configuration (stored_version); the newer one, which had been confirmed, stays in force until the operators write it again or write a newer one.")
 	TargetEntryInvalid   = register(712, "target_entry_invalid", zerolog.WarnLevel, "An entry in the list of targets is invalid and is ignored. A key is logged once in ten minutes, and at most twenty keys per minute; the field suppressed is the number of lines that were left out before this one.")
+	TargetsKept          = register(709, "targets_kept", zerolog.WarnLevel, "The key-value service came back with an older list of targets. The node keeps what it knows of targets whose entries are older, of absent ones for some seconds, and of removed ones that are listed again, until they register again.")
 	TargetStarted        = register(713, "target_started", zerolog.InfoLevel, "A new target, or a new incarnation of a known target, is listed.")
 	TargetDraining       = register(714, "target_draining", zerolog.InfoLevel, "A target is being removed; it receives no new requests.")
 	TargetGone           = register(715, "target_gone", zerolog.InfoLevel, "A target is no longer listed.")
--- /dev/null
+++ b/pkg/inventory/directory_test.go
@@ -0,0 +1,178 @@
+package inventory
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"almondturn/pkg/kv"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+// at returns a registration at a counter of an era.
+func at(era kv.Era, counter uint64, t Target) Registration {
+	return Registration{Revision: kv.Revision(counter).InEra(era), Target: &t}
+}
+
+// only returns the single target of a directory, nil for none.
+func only(d *Directory) *Target {
+	list := d.Targets()
+	if len(list) == 0 {
+		return nil
+	}
+	return list[0]
+}
+
+// Guards against requests to a draining target, and loads on a target whose memory is
+// taken, because the restored service lists older entries.
+func TestOlderEntryOfARestoredServiceDoesNotReplaceANewerOne(t *testing.T) {
+	known := at(1, 50, Target{ID: "a", Incarnation: 7, Sequence: 3, Models: []LoadedModel{{Name: "new"}}})
+	draining := *known.Target
+	draining.Draining = true
+	for name, c := range map[string]struct {
+		known, listed Registration
+		kept          bool
+	}{
+		"fewer orders":                   {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 2}), true},
+		"the same orders, older":         {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 3}), true},
+		"ready again":                    {Registration{known.Revision, &draining}, at(2, 60, Target{ID: "a", Incarnation: 7, Sequence: 3}), true},
+		"an earlier incarnation":         {known, at(2, 60, Target{ID: "a", Incarnation: 6, Sequence: 9}), true},
+		"an invalid entry":               {known, Registration{Revision: kv.Revision(40).InEra(2)}, true},
+		"more orders, written again":     {known, at(2, 45, Target{ID: "a", Incarnation: 7, Sequence: 4}), false},
+		"the same orders, not seen yet":  {known, at(2, 60, Target{ID: "a", Incarnation: 7, Sequence: 3}), false},
+		"draining now":                   {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 3, Draining: true}), false},
+		"a later incarnation":            {known, at(2, 40, Target{ID: "a", Incarnation: 8}), false},
+		"a later incarnation than drain": {Registration{known.Revision, &draining}, at(2, 40, Target{ID: "a", Incarnation: 8}), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory()
+			d.Replace(now, 1, map[string]Registration{"a": c.known})
+			summary := d.Replace(now, 2, map[string]Registration{"a": c.listed})
+			if c.kept {
+				assert.Equal(t, RestoreSummary{Older: 1}, summary)
+				assert.Same(t, c.known.Target, only(d))
+				assert.True(t, d.NextExpiry().IsZero(), "until the target registers again")
+			} else {
+				assert.Zero(t, summary)
+				assert.Same(t, c.listed.Target, only(d))
+			}
+			again := at(2, 70, Target{ID: "a", Incarnation: 9})
+			d.Put("a", again)
+			assert.Same(t, again.Target, only(d), "the target has registered again")
+		})
+	}
+}
+
+// Guards against requests to a target that is gone, and whose address may have been
+// given to another one, because the restored service lists it again.
+func TestRemovedTargetStaysRemovedWhenTheServiceIsRestored(t *testing.T) {
+	gone := at(1, 50, Target{ID: "a", Incarnation: 7})
+	for name, remove := range map[string]func(*Directory){
+		"by a change": func(d *Directory) { d.Delete(now, "a") },
+		"by a list":   func(d *Directory) { d.Replace(now, 1, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory()
+			d.Replace(now, 1, map[string]Registration{"a": gone})
+			remove(d)
+			listed := at(2, 50, Target{ID: "a", Incarnation: 7})
+			assert.Equal(t, RestoreSummary{Removed: 1}, d.Replace(now, 2, map[string]Registration{"a": listed}))
+			assert.Nil(t, only(d))
+			d.Replace(now, 2, map[string]Registration{"a": listed})
+			assert.Nil(t, only(d), "also after another list of the same era")
+			assert.False(t, d.Expire(now.Add(hiddenTime-time.Millisecond)))
+			assert.True(t, d.Expire(now.Add(hiddenTime)))
+			assert.Same(t, listed.Target, only(d), "the service still has its entry: it is alive")
+		})
+	}
+}
+
+func TestRemovedTargetThatStartsAgainIsListed(t *testing.T) {
+	for name, restart := range map[string]func(*Directory) *Target{
+		"as another incarnation": func(d *Directory) *Target {
+			r := at(2, 40, Target{ID: "a", Incarnation: 8})
+			d.Replace(now, 2, map[string]Registration{"a": r})
+			return r.Target
+		},
+		"by a change": func(d *Directory) *Target {
+			d.Replace(now, 2, map[string]Registration{"a": at(2, 40, Target{ID: "a", Incarnation: 7})})
+			r := at(2, 60, Target{ID: "a", Incarnation: 7})
+			d.Put("a", r)
+			return r.Target
+		},
+		"by a later list": func(d *Directory) *Target {
+			d.Replace(now, 2, map[string]Registration{"a": at(2, 40, Target{ID: "a", Incarnation: 7})})
+			r := at(2, 60, Target{ID: "a", Incarnation: 7})
+			d.Replace(now, 2, map[string]Registration{"a": r})
+			return r.Target
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory()
+			d.Replace(now, 1, map[string]Registration{"a": at(1, 50, Target{ID: "a", Incarnation: 7})})
+			d.Delete(now, "a")
+			assert.Same(t, restart(d), only(d))
+		})
+	}
+}
+
+// Guards against sound targets that are not used, because they registered after the copy
+// was made and have not yet registered again.
+func TestTargetThatARestoredServiceLacksIsKeptForAWhile(t *testing.T) {
+	known := at(1, 50, Target{ID: "a", Incarnation: 7})
+	d := NewDirectory()
+	d.Replace(now, 1, map[string]Registration{"a": known})
+	assert.Equal(t, RestoreSummary{Absent: 1}, d.Replace(now, 2, nil))
+	assert.Same(t, known.Target, only(d))
+	assert.Zero(t, d.Replace(now, 2, nil))
+	assert.Same(t, known.Target, only(d), "also after another list of the same era")
+	assert.Equal(t, now.Add(absentTime), d.NextExpiry())
+	assert.True(t, d.Expire(now.Add(absentTime)))
+	assert.Nil(t, only(d), "it has not registered again: it is gone")
+	d.Replace(now, 3, map[string]Registration{"a": at(3, 50, Target{ID: "a", Incarnation: 7})})
+	assert.Nil(t, only(d), "and stays gone at the next restore")
+}
+
+// What is kept at a first restore is kept at a second one.
+func TestTwoRestoresKeepWhatIsKnown(t *testing.T) {
+	known := at(1, 50, Target{ID: "a", Incarnation: 7, Draining: true})
+	d := NewDirectory()
+	d.Replace(now, 1, map[string]Registration{"a": known, "b": at(1, 51, Target{ID: "b", Incarnation: 1})})
+	d.Delete(now, "b")
+	older := map[string]Registration{"a": at(2, 40, Target{ID: "a", Incarnation: 7}), "b": at(2, 41, Target{ID: "b", Incarnation: 1})}
+	d.Replace(now, 2, older)
+	again := map[string]Registration{"a": at(3, 40, Target{ID: "a", Incarnation: 7}), "b": at(3, 41, Target{ID: "b", Incarnation: 1})}
+	assert.Equal(t, RestoreSummary{Older: 1, Removed: 1}, d.Replace(now.Add(time.Second), 3, again))
+	assert.Same(t, known.Target, only(d))
+	assert.Len(t, d.Targets(), 1)
+}
+
+// Lists of one era replace each other, as do those of a service without eras.
+func TestListOfTheSameEraReplacesAll(t *testing.T) {
+	for _, era := range []kv.Era{0, 1} {
+		d := NewDirectory()
+		d.Replace(now, era, map[string]Registration{"a": at(era, 50, Target{ID: "a", Draining: true}), "b": at(era, 51, Target{ID: "b"})})
+		assert.Zero(t, d.Replace(now, era, map[string]Registration{"b": at(era, 40, Target{ID: "b"})}))
+		assert.Equal(t, "b", only(d).ID)
+		assert.Len(t, d.Targets(), 1)
+	}
+}
+
+func TestSetModelsReplacesThoseOfKeptTargets(t *testing.T) {
+	d := NewDirectory()
+	d.Replace(now, 1, map[string]Registration{"a": at(1, 50, Target{ID: "a"}), "b": at(1, 51, Target{ID: "b"})})
+	d.Replace(now, 2, map[string]Registration{"b": at(2, 51, Target{ID: "b"})})
+	d.SetModels(map[string][]LoadedModel{"a": {{Name: "m"}}, "b": {{Name: "m"}}})
+	for _, target := range d.Targets() {
+		assert.True(t, target.HasLoaded("m", ""), target.ID)
+	}
+	ids := map[string]bool{}
+	for _, target := range d.Targets() {
+		ids[target.ID] = true
+	}
+	assert.ElementsMatch(t, []string{"a", "b"}, slices.Collect(maps.Keys(ids)))
+}
--- a/pkg/inventory/inventory.go
+++ b/pkg/inventory/inventory.go
@@ -29,6 +29,9 @@
 	Zone fleet.Zone
 	// Incarnation changes whenever the target restarts.
 	Incarnation int64
+	// Sequence is the number of orders that the target had accepted in this
+	// incarnation when it registered.
+	Sequence uint64
 	// Draining is true if the target must get no new requests.
 	Draining bool
 	// Slots is the number of requests that the target runs concurrently.
