--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"iter"
 	"maps"
 	"time"
 
@@ -71,7 +72,7 @@
 // Replace replaces all entries by a list that was read in an era of the service. The
 // result is zero unless the service was restored since the last list.
 func (d *Directory) Replace(now time.Time, era kv.Era, list map[string]Registration) RestoreSummary {
-	before := d.current()
+	before := maps.Collect(d.all())
 	restored := d.era != 0 && era > d.era
 	d.era, d.listed = era, make(map[string]Registration, len(list))
 	maps.Copy(d.listed, list)
@@ -192,20 +193,26 @@
 	return r, ok
 }
 
-// current returns what is known of all targets, by key.
-func (d *Directory) current() map[string]Registration {
-	out := maps.Clone(d.listed)
-	for key, k := range d.kept {
-		out[key] = k.known
+// all yields what is known of all targets, by key, in no particular order.
+func (d *Directory) all() iter.Seq2[string, Registration] {
+	return func(yield func(string, Registration) bool) {
+		for key, r := range d.listed {
+			if _, ok := d.kept[key]; !ok && r.Target != nil && !yield(key, r) {
+				return
+			}
+		}
+		for key, k := range d.kept {
+			if k.known.Target != nil && !yield(key, k.known) {
+				return
+			}
+		}
 	}
-	maps.DeleteFunc(out, func(_ string, r Registration) bool { return r.Target == nil })
-	return out
 }
 
 // Targets returns the targets, in no particular order.
 func (d *Directory) Targets() []*Target {
-	var out []*Target
-	for _, r := range d.current() {
+	out := make([]*Target, 0, len(d.listed))
+	for _, r := range d.all() {
 		out = append(out, r.Target)
 	}
 	return out
@@ -214,7 +221,7 @@
 // SetModels replaces the loaded models of the targets with the given identifiers, as
 // they have reported them.
 func (d *Directory) SetModels(models map[string][]LoadedModel) {
-	for key, r := range d.current() {
+	for key, r := range maps.Collect(d.all()) {
 		loaded, ok := models[r.Target.ID]
 		if !ok {
 			continue
