--- a/wire/bounds_test.go
+++ b/wire/bounds_test.go
@@ -118,3 +118,36 @@
 	require.NoError(t, err)
 	assert.Equal(t, fleet.NodeID("b"), sound.Peer().ID)
 }
+
+// FuzzDecodePayload checks that no payload makes a decoder panic, and that every decoded
+// message stays the same when it is sent on: its numbers are within bounds.
+func FuzzDecodePayload(f *testing.F) {
+	for _, construct := range constructors {
+		payload, err := encMode.Marshal(construct())
+		require.NoError(f, err)
+		f.Add(payload)
+	}
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		for number := range constructors {
+			m, err := (&Envelope{Version: MaxVersion, Type: number, Kind: KindCall, Payload: payload}).Message()
+			if err != nil {
+				continue
+			}
+			frame, err := Encode(KindCall, 1, 0, m)
+			require.NoError(t, err)
+			e, err := DecodeEnvelope(frame)
+			require.NoError(t, err)
+			again, err := e.Message()
+			require.NoError(t, err)
+			assert.IsType(t, m, again)
+			if s, ok := again.(*SlotRequest); ok {
+				for _, n := range []int{s.InputTokens, s.OutputTokens, s.Priority} {
+					assert.True(t, n >= 0 && n <= maxCount)
+				}
+				for _, n := range []int64{s.TimeToObjectiveMillis, s.TimeToDeadlineMillis, s.LatencyObjectiveMillis, s.MaxEventIntervalMillis} {
+					assert.True(t, n >= -maxMillis && n <= maxMillis)
+				}
+			}
+		}
+	})
+}
