entry: a stopping node refuses requests that it has no time for, unsent

Callers whose request waited for a slot when a node began to stop were held until the end of the shutdown time, or their request was sent late and interrupted: a stream that cannot be resumed, or a request that must not be repeated, was lost although another node could have served it.

The node now averages how long the runs of each route take. Waiting requests are refused as soon as their latest start has passed. The times of the stop are measured by the steady clock, no longer by the time of day.

A search for a target whose context has ended no longer chooses a target without an owner.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -203,7 +203,9 @@
 			n.finish(j, cr, last, refusal)
 			return
 		}
+		sentAt := time.Now()
 		last = n.send(ctx, j, a, cr)
+		n.recordRunTime(j, last, time.Since(sentAt))
 		n.guard.attemptEnded(j, a, last)
 		n.releaseAssignment(a, last)
 		if !n.prepareRetry(ctx, j, cr, last) {
@@ -227,7 +229,7 @@
 		return a, nil, true
 	}
 	waitStart := time.Now()
-	a, refusal = n.findTarget(ctx, j)
+	a, refusal = n.searchTarget(ctx, j)
 	j.slotWait += time.Since(waitStart)
 	if refusal != nil {
 		j.obstacle = obstacleRefused
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -119,8 +119,9 @@
 	started        time.Time
 	ready          atomic.Bool
 	stopping       atomic.Bool
-	// stoppingSince is when Stop was called, in Unix nanoseconds, 0 before.
-	stoppingSince atomic.Int64
+	// stopTimes is nil before Stop is called.
+	stopTimes atomic.Pointer[stopTimes]
+	runTimes  runTimes
 	// stopDenials counts the readiness checks that were denied since Stop was
 	// called.
 	stopDenials atomic.Int32
@@ -169,6 +170,9 @@
 	// ctx ends everything that the node runs in the background.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// untilStop ends when Stop is called.
+	untilStop context.Context
+	beginStop context.CancelFunc
 	// requestsCtx ends the requests that are still in progress at the end of
 	// the shutdown time.
 	requestsCtx    context.Context
@@ -193,6 +197,7 @@
 	n.bounds.Store(&d.Settings.Bounds)
 	n.fallbackQuery.ownerReached(n.started)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.untilStop, n.beginStop = context.WithCancel(context.Background())
 	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
 	n.handler = n
 	if d.WrapHandler != nil {
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -72,7 +72,7 @@
 // the request if the node is not ready, or has been stopping for longer than
 // maxAcceptAfterStop.
 func (n *Node) acceptRequest(r *http.Request) (*job, *ErrorResponse) {
-	if since := n.stoppingSince.Load(); since != 0 && time.Since(time.Unix(0, since)) > maxAcceptAfterStop {
+	if s := n.stopTimes.Load(); s != nil && time.Since(s.begun) > maxAcceptAfterStop {
 		return nil, newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping")
 	}
 	table := n.table.Load()
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -27,14 +27,17 @@
 
 // Stop ends the node gracefully: it denies the load balancer's readiness checks,
 // resigns as owner of the zone, and serves the requests in progress while there
-// is time. The remaining ones are interrupted hardStopMargin before the end of
-// the shutdown time. Stop returns when the node has ended.
+// is time. Requests that were not sent to a target yet are refused once they are not
+// expected to end in time. The remaining ones are interrupted hardStopMargin before the
+// end of the shutdown time. Stop returns when the node has ended.
 func (n *Node) Stop() {
 	event.EntryStopping.Log(n.log).Int64("in_flight", n.inFlight.Load()).Send()
 	start := time.Now()
-	n.stoppingSince.Store(start.UnixNano())
+	end := start.Add(n.settings.ShutdownTime - hardStopMargin)
+	n.stopTimes.Store(&stopTimes{begun: start, end: end})
 	n.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTime-hardStopMargin)
+	n.beginStop()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.owner.Resign(ctx)
 	n.links.announceStop()
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -77,6 +77,8 @@
 		}
 		if reached {
 			n.fallbackQuery.ownerReached(time.Now())
+		} else if ctx.Err() != nil {
+			return assignment{}, newErrorResponse(fault.NoCapacity, defaultRetryAfter, "no owner of a zone gave a place for the model %q in time", j.Model)
 		} else if a, ok := n.chooseWithoutOwner(ctx, j); ok {
 			return a, nil
 		}
