entry: a stop answers requests whose body is incomplete or comes late

A caller whose body had not arrived completely when the node stopped found its connection closed without an answer at the end of the shutdown time.

Cause: the read of a body had no limit in a stop, and only the head of a request was compared with the time for which a stopping node accepts requests.

A stopping node now refuses, as not run, a request whose body is complete later than 2.8 s after the beginning of the stop, unless it ends by its deadline before the node interrupts it. A body that is incomplete 1 s later is no longer awaited. Until then it is received, since most clients read a refusal only after they have sent the body. The read is ended under a lock, so that a body that is complete in time is not taken for a client that has disconnected.

--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -46,11 +46,14 @@
 	j, refusal := n.acceptRequest(r)
 	if refusal == nil {
 		cr.request = j.Request
-		refusal = n.readBody(r, j)
+		refusal = n.readBody(r, j, cr.rc)
 	}
 	if refusal == nil {
 		refusal = j.prepare()
 	}
+	if refusal == nil {
+		refusal = n.refuseLateArrival(j)
+	}
 	if refusal != nil {
 		cr.writeError(refusal)
 		n.metrics.countRefusal(refusal.Kind)
@@ -137,11 +140,24 @@
 
 // readBody reads the complete body, so that sending it to a target does not
 // depend on the client. It panics with http.ErrAbortHandler if the client
-// disconnects.
-func (n *Node) readBody(r *http.Request, j *job) *ErrorResponse {
+// disconnects. A stopping node refuses the request if the body takes too long.
+func (n *Node) readBody(r *http.Request, j *job, rc *http.ResponseController) *ErrorResponse {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	inTime := n.limitBodyTime(rc)
+	refusal, err := n.readBodyUnlimited(r, j)
+	switch {
+	case !inTime():
+		return newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping and has not received the whole body")
+	case err != nil:
+		panic(http.ErrAbortHandler) // the client disconnected
+	}
+	return refusal
+}
+
+// readBodyUnlimited reads the body into j. An error means that the body is incomplete.
+func (n *Node) readBodyUnlimited(r *http.Request, j *job) (*ErrorResponse, error) {
 	limit := j.table.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -149,23 +165,18 @@
 	if r.ContentLength > limit {
 		// A client that is still writing would not read the response.
 		_, _ = io.CopyN(io.Discard, r.Body, min(r.ContentLength, maxDiscardedBytes))
-		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit)
+		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit), nil
 	}
 	if r.ContentLength > 0 {
 		j.body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, j.body); err != nil {
-			panic(http.ErrAbortHandler) // the client disconnected
-		}
-		return nil
+		_, err := io.ReadFull(r.Body, j.body)
+		return nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit)
-	}
-	if err != nil {
-		panic(http.ErrAbortHandler)
+		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit), nil
 	}
 	j.body = body
-	return nil
+	return nil, err
 }
--- a/pkg/entry/stopping.go
+++ b/pkg/entry/stopping.go
@@ -66,6 +66,56 @@
 	return newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping and has too little time left for the request")
 }
 
+// refuseLateArrival returns the refusal of a request whose body was complete only later
+// than maxAcceptAfterStop after the beginning of a stop, unless the request ends by its
+// deadline before the node interrupts it.
+func (n *Node) refuseLateArrival(j *job) *ErrorResponse {
+	s := n.stopTimes.Load()
+	if s == nil || time.Since(s.begun) <= maxAcceptAfterStop || !j.deadline.After(s.end) {
+		return nil
+	}
+	return newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping")
+}
+
+// maxBodyTimeAfterStop is how long after maxAcceptAfterStop a stopping node goes on
+// receiving the body of a request. Most clients read a refusal only after the body.
+const maxBodyTimeAfterStop = time.Second
+
+// bodyLimit returns when a stopping node refuses a request whose body is incomplete.
+func (s *stopTimes) bodyLimit() time.Time {
+	limit, last := s.begun.Add(maxAcceptAfterStop+maxBodyTimeAfterStop), s.end.Add(-minRunTime)
+	if limit.After(last) {
+		return last
+	}
+	return limit
+}
+
+// limitBodyTime makes reads of a request's body fail from bodyLimit on if the node stops.
+// The caller has to call inTime after the last read: it ends the limit and reports
+// whether the reads were in time.
+func (n *Node) limitBodyTime(rc *http.ResponseController) (inTime func() bool) {
+	var mu sync.Mutex // guards the variables below, and rc until complete is set
+	complete, late := false, false
+	interrupt := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !complete {
+			late = true
+			_ = rc.SetReadDeadline(time.Now()) // an error leaves the request to the end of the stop
+		}
+	}
+	unregister := context.AfterFunc(n.untilStop, func() {
+		time.AfterFunc(time.Until(n.stopTimes.Load().bodyLimit()), interrupt)
+	})
+	return func() bool {
+		unregister()
+		mu.Lock()
+		defer mu.Unlock()
+		complete = true
+		return !late
+	}
+}
+
 // searchTarget is findTarget for a request that does not wait for longer than a stop of
 // the node allows.
 func (n *Node) searchTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
