entry: responses that begin during a stop close the connection

Callers whose request had been accepted before a stop got an answer without Connection: close, and could send the next request on a connection that the node was about to close or to refuse requests on.

Cause: the header was decided when the request arrived. It is now decided when the response begins.

--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -41,9 +41,9 @@
 	complete bool
 	// status is the HTTP status that was written, 0 before.
 	status int
-	// closeConn makes the response close the client's connection; it is set
-	// while the node is stopping.
-	closeConn bool
+	// untilStop ends when the node begins to stop; from then on, responses close the
+	// client's connection. A response that began earlier does not announce it.
+	untilStop context.Context
 }
 
 // clientDisconnected reports whether the client closed its connection.
@@ -73,20 +73,23 @@
 	if length >= 0 {
 		h["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
-	if cr.closeConn {
-		h["Connection"] = []string{"close"}
-	}
+	cr.announceClose()
 	cr.started = true
 	cr.status = status
 	cr.w.WriteHeader(status)
 }
 
+// announceClose makes the response close the connection if the node is stopping.
+func (cr *clientResponse) announceClose() {
+	if cr.untilStop.Err() != nil {
+		cr.w.Header()["Connection"] = []string{"close"}
+	}
+}
+
 // writeError writes a refusal or another error as the complete response. Nothing
 // must have been written before.
 func (cr *clientResponse) writeError(r *ErrorResponse) {
-	if cr.closeConn {
-		cr.w.Header()["Connection"] = []string{"close"}
-	}
+	cr.announceClose()
 	id := ""
 	if cr.request != nil {
 		id = cr.request.ID
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -42,7 +42,7 @@
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	cr := &clientResponse{w: w, r: r, rc: http.NewResponseController(w), protocol: n.clientProtocol, closeConn: n.stopping.Load()}
+	cr := &clientResponse{w: w, r: r, rc: http.NewResponseController(w), protocol: n.clientProtocol, untilStop: n.untilStop}
 	j, refusal := n.acceptRequest(r)
 	if refusal == nil {
 		cr.request = j.Request
