entry, callers: keyed calls are in progress from their head on

A caller whose call had an idempotency key found its connection closed without an answer when the node stopped before the body was complete, or while the key was being claimed.

Cause: only the node itself counted requests in progress, but the handler of the callers' listener receives the body of a keyed call and claims the key before the node gets it. A stop did not wait for such calls, and the limit of bodies did not apply to them.

Requests are now counted by the handler of the listener. The limit is part of the request's body, whose reads return ErrStopping, so that it applies to all handlers.

--- a/pkg/callers/handler.go
+++ b/pkg/callers/handler.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"almondturn/pkg/claims"
+	"almondturn/pkg/entry"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/route"
@@ -102,6 +104,11 @@
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxKeyedBodyBytes))
+	if errors.Is(err, entry.ErrStopping) {
+		c.Header("Connection", "close")
+		fault.WriteHTTP(c.Writer, "", fault.New(fault.ShuttingDown, "the node is stopping and has not received the whole body"))
+		return
+	}
 	if err != nil {
 		fault.WriteHTTP(c.Writer, "", fault.New(fault.BodyTooLarge, "the body exceeds %d bytes, or broke off", maxKeyedBodyBytes))
 		return
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -127,7 +127,7 @@
 	stopDenials atomic.Int32
 	// loadBalancerSeen is true once a load balancer has made a readiness check.
 	loadBalancerSeen atomic.Bool
-	// inFlight counts the clients' requests in progress.
+	// inFlight counts the clients' requests in progress, from their heads on.
 	inFlight atomic.Int64
 
 	// table is the configuration in force, nil before the first.
@@ -252,7 +252,7 @@
 		readinessMux.HandleFunc(n.readinessPath, n.ServeReadiness)
 	}
 	readinessMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
-	n.clientServer = &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleClientConns.track, DisableGeneralOptionsHandler: true}
+	n.clientServer = &http.Server{Handler: http.HandlerFunc(n.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleClientConns.track, DisableGeneralOptionsHandler: true}
 	n.readinessServer = &http.Server{Handler: readinessMux}
 	n.innerServer = &http.Server{Handler: innerMux}
 	listeners := []struct {
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -26,27 +26,39 @@
 // and discarded.
 const maxDiscardedBytes = 16 << 20
 
-// errStopping is the cause with which a stopping node ends the requests that
-// are still in progress.
-var errStopping = errors.New("the node is stopping")
+// ErrStopping is the cause with which a stopping node ends the requests that are still in
+// progress, and the error of reads of a body that takes too long.
+var ErrStopping = errors.New("the node is stopping")
 
 // endedByNode reports whether a request was ended by its deadline or by the stop
 // of the node, and not by its client. ctx is the context of the request.
 func endedByNode(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, errStopping)
+	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, ErrStopping)
+}
+
+// serveClient serves one request on the clients' listener and counts it as in progress,
+// also while a handler around the node works on it. Reads of its body return ErrStopping
+// if the node stops and the body takes too long.
+func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	if r.ContentLength != 0 {
+		body := n.limitBody(r.Body, http.NewResponseController(w))
+		defer body.inTime()
+		r.Body = body
+	}
+	n.handler.ServeHTTP(w, r)
 }
 
 // ServeHTTP serves one request of a client. It panics with http.ErrAbortHandler
 // if the connection of the client has to be closed.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	n.inFlight.Add(1)
-	defer n.inFlight.Add(-1)
 	cr := &clientResponse{w: w, r: r, rc: http.NewResponseController(w), protocol: n.clientProtocol, untilStop: n.untilStop}
 	j, refusal := n.acceptRequest(r)
 	if refusal == nil {
 		cr.request = j.Request
-		refusal = n.readBody(r, j, cr.rc)
+		refusal = n.readBody(r, j)
 	}
 	if refusal == nil {
 		refusal = j.prepare()
@@ -66,7 +78,7 @@
 	defer cancel()
 	ctx, endRequest := context.WithCancelCause(timed)
 	defer endRequest(nil)
-	stop := context.AfterFunc(n.requestsCtx, func() { endRequest(errStopping) })
+	stop := context.AfterFunc(n.requestsCtx, func() { endRequest(ErrStopping) })
 	defer stop()
 	n.serveJob(ctx, j, cr)
 }
@@ -141,14 +153,13 @@
 // readBody reads the complete body, so that sending it to a target does not
 // depend on the client. It panics with http.ErrAbortHandler if the client
 // disconnects. A stopping node refuses the request if the body takes too long.
-func (n *Node) readBody(r *http.Request, j *job, rc *http.ResponseController) *ErrorResponse {
+func (n *Node) readBody(r *http.Request, j *job) *ErrorResponse {
 	if r.ContentLength == 0 {
 		return nil
 	}
-	inTime := n.limitBodyTime(rc)
-	refusal, err := n.readBodyUnlimited(r, j)
+	refusal, err := n.receiveBody(r, j)
 	switch {
-	case !inTime():
+	case errors.Is(err, ErrStopping):
 		return newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping and has not received the whole body")
 	case err != nil:
 		panic(http.ErrAbortHandler) // the client disconnected
@@ -156,8 +167,8 @@
 	return refusal
 }
 
-// readBodyUnlimited reads the body into j. An error means that the body is incomplete.
-func (n *Node) readBodyUnlimited(r *http.Request, j *job) (*ErrorResponse, error) {
+// receiveBody reads the body into j. An error means that the body is incomplete.
+func (n *Node) receiveBody(r *http.Request, j *job) (*ErrorResponse, error) {
 	limit := j.table.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
--- a/pkg/entry/stopping.go
+++ b/pkg/entry/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math"
 	"net/http"
 	"sync"
@@ -14,7 +15,7 @@
 const (
 	// singleRunFactor and repeatableRunFactor are the times that must be left for a
 	// request, as multiples of its expected duration. The client of one that may be
-	// repeated can continue it at another node.
+	// repeated can repeat or continue it at another node.
 	singleRunFactor     = 1.0
 	repeatableRunFactor = 0.5
 	// unknownRunShare is the expected duration of a request of a route without known
@@ -90,16 +91,34 @@
 	return limit
 }
 
-// limitBodyTime makes reads of a request's body fail from bodyLimit on if the node stops.
-// The caller has to call inTime after the last read: it ends the limit and reports
-// whether the reads were in time.
-func (n *Node) limitBodyTime(rc *http.ResponseController) (inTime func() bool) {
-	var mu sync.Mutex // guards the variables below, and rc until complete is set
-	complete, late := false, false
+// limitedBody is the body of a client's request. If the node stops, its reads return
+// ErrStopping from bodyLimit on.
+type limitedBody struct {
+	io.ReadCloser
+	// inTime ends the limit and reports whether all reads were in time. It has to be
+	// called at the end of the request at the latest.
+	inTime func() bool
+}
+
+// Read implements io.Reader. It returns ErrStopping also for the last bytes if they were
+// received when the connection had just been given up.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !b.inTime() {
+		return 0, ErrStopping
+	}
+	return n, err
+}
+
+// limitBody returns the body of a request with the limit of a stop. rc is the controller
+// of the response.
+func (n *Node) limitBody(body io.ReadCloser, rc *http.ResponseController) *limitedBody {
+	var mu sync.Mutex // guards the variables below, and rc until ended is set
+	ended, late := false, false
 	interrupt := func() {
 		mu.Lock()
 		defer mu.Unlock()
-		if !complete {
+		if !ended {
 			late = true
 			_ = rc.SetReadDeadline(time.Now()) // an error leaves the request to the end of the stop
 		}
@@ -107,13 +126,13 @@
 	unregister := context.AfterFunc(n.untilStop, func() {
 		time.AfterFunc(time.Until(n.stopTimes.Load().bodyLimit()), interrupt)
 	})
-	return func() bool {
+	return &limitedBody{body, func() bool {
 		unregister()
 		mu.Lock()
 		defer mu.Unlock()
-		complete = true
+		ended = true
 		return !late
-	}
+	}}
 }
 
 // searchTarget is findTarget for a request that does not wait for longer than a stop of
