--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -125,14 +125,15 @@
 	started        time.Time
 	ready          atomic.Bool
 	stopping       atomic.Bool
-	// stoppingSince is when Stop was called, in Unix nanoseconds, 0 before.
-	stoppingSince atomic.Int64
+	// stopTimes is nil before Stop is called.
+	stopTimes atomic.Pointer[stopTimes]
+	runTimes  runTimes
 	// stopDenials counts the readiness checks that were denied since Stop was
 	// called.
 	stopDenials atomic.Int32
 	// loadBalancerSeen is true once a load balancer has made a readiness check.
 	loadBalancerSeen atomic.Bool
-	// inFlight counts the clients' requests in progress.
+	// inFlight counts the clients' requests in progress, from their heads on.
 	inFlight atomic.Int64
 
 	// table is the configuration in force, nil before the first.
@@ -184,6 +185,9 @@
 	// ctx ends everything that the node runs in the background.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// untilStop ends when Stop is called.
+	untilStop context.Context
+	beginStop context.CancelFunc
 	// requestsCtx ends the requests that are still in progress at the end of
 	// the shutdown time.
 	requestsCtx    context.Context
@@ -208,6 +212,7 @@
 	n.bounds.Store(&d.Settings.Bounds)
 	n.fallbackQuery.ownerReached(n.started)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.untilStop, n.beginStop = context.WithCancel(context.Background())
 	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
 	n.handler = n
 	if d.WrapHandler != nil {
@@ -263,7 +268,7 @@
 		readinessMux.HandleFunc(n.readinessPath, n.ServeReadiness)
 	}
 	readinessMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
-	n.clientServer = &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleClientConns.track, DisableGeneralOptionsHandler: true}
+	n.clientServer = &http.Server{Handler: http.HandlerFunc(n.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleClientConns.track, DisableGeneralOptionsHandler: true}
 	n.readinessServer = &http.Server{Handler: readinessMux}
 	n.innerServer = &http.Server{Handler: innerMux}
 	listeners := []struct {
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -26,23 +26,35 @@
 // and discarded.
 const maxDiscardedBytes = 16 << 20
 
-// errStopping is the cause with which a stopping node ends the requests that
-// are still in progress.
-var errStopping = errors.New("the node is stopping")
+// ErrStopping is the cause with which a stopping node ends the requests that are still in
+// progress, and the error of reads of a body that takes too long.
+var ErrStopping = errors.New("the node is stopping")
 
 // endedByNode reports whether a request was ended by its deadline or by the stop
 // of the node, and not by its client. ctx is the context of the request.
 func endedByNode(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, errStopping)
+	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, ErrStopping)
+}
+
+// serveClient serves one request on the clients' listener and counts it as in progress,
+// also while a handler around the node works on it. Reads of its body return ErrStopping
+// if the node stops and the body takes too long.
+func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	if r.ContentLength != 0 {
+		body := n.limitBody(r.Body, http.NewResponseController(w))
+		defer body.inTime()
+		r.Body = body
+	}
+	n.handler.ServeHTTP(w, r)
 }
 
 // ServeHTTP serves one request of a client. It panics with http.ErrAbortHandler
 // if the connection of the client has to be closed.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	n.inFlight.Add(1)
-	defer n.inFlight.Add(-1)
-	cr := &clientResponse{w: w, r: r, rc: http.NewResponseController(w), protocol: n.clientProtocol, closeConn: n.stopping.Load()}
+	cr := &clientResponse{w: w, r: r, rc: http.NewResponseController(w), protocol: n.clientProtocol, untilStop: n.untilStop}
 	j, refusal := n.acceptRequest(r)
 	if refusal == nil {
 		cr.request = j.Request
@@ -51,6 +63,9 @@
 	if refusal == nil {
 		refusal = j.prepare()
 	}
+	if refusal == nil {
+		refusal = n.refuseLateArrival(j)
+	}
 	if refusal != nil {
 		cr.writeError(refusal)
 		n.metrics.countRefusal(refusal.Kind)
@@ -63,7 +78,7 @@
 	defer cancel()
 	ctx, endRequest := context.WithCancelCause(timed)
 	defer endRequest(nil)
-	stop := context.AfterFunc(n.requestsCtx, func() { endRequest(errStopping) })
+	stop := context.AfterFunc(n.requestsCtx, func() { endRequest(ErrStopping) })
 	defer stop()
 	n.serveJob(ctx, j, cr)
 }
@@ -72,7 +87,7 @@
 // the request if the node is not ready, or has been stopping for longer than
 // maxAcceptAfterStop.
 func (n *Node) acceptRequest(r *http.Request) (*job, *ErrorResponse) {
-	if since := n.stoppingSince.Load(); since != 0 && time.Since(time.Unix(0, since)) > maxAcceptAfterStop {
+	if s := n.stopTimes.Load(); s != nil && time.Since(s.begun) > maxAcceptAfterStop {
 		return nil, newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping")
 	}
 	table := n.table.Load()
@@ -137,11 +152,23 @@
 
 // readBody reads the complete body, so that sending it to a target does not
 // depend on the client. It panics with http.ErrAbortHandler if the client
-// disconnects.
+// disconnects. A stopping node refuses the request if the body takes too long.
 func (n *Node) readBody(r *http.Request, j *job) *ErrorResponse {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	refusal, err := n.receiveBody(r, j)
+	switch {
+	case errors.Is(err, ErrStopping):
+		return newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping and has not received the whole body")
+	case err != nil:
+		panic(http.ErrAbortHandler) // the client disconnected
+	}
+	return refusal
+}
+
+// receiveBody reads the body into j. An error means that the body is incomplete.
+func (n *Node) receiveBody(r *http.Request, j *job) (*ErrorResponse, error) {
 	limit := j.table.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -149,23 +176,18 @@
 	if r.ContentLength > limit {
 		// A client that is still writing would not read the response.
 		_, _ = io.CopyN(io.Discard, r.Body, min(r.ContentLength, maxDiscardedBytes))
-		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit)
+		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit), nil
 	}
 	if r.ContentLength > 0 {
 		j.body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, j.body); err != nil {
-			panic(http.ErrAbortHandler) // the client disconnected
-		}
-		return nil
+		_, err := io.ReadFull(r.Body, j.body)
+		return nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit)
-	}
-	if err != nil {
-		panic(http.ErrAbortHandler)
+		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit), nil
 	}
 	j.body = body
-	return nil
+	return nil, err
 }
