entry: a silent stream that ends without an identifier is not given up

Callers saw: a resumable stream fell silent, its target then wrote an event without an identifier (an error or note of its own), and the node cut the stream at that moment although the target went on.

Cause: a search for another target checks at its start that the last event has an identifier. One that was in progress when the event came still ended the attempt, which then could not be continued anywhere. Class: check and act are apart.

Evidence, on the code before: TestAttemptIsGivenUpOnlyWhileItIsSilent/event_without_identifier: expected: false, actual: true (given up) Change: handOver checks again that the stream can be continued. Result: the test passes, with -race.

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -192,11 +192,12 @@
 }
 
 // handOver makes a the assignment of the next attempt and ends the current one, unless
-// the search was ended or too little time is left; it returns false then.
+// the search was ended, too little time is left, or no target can continue the stream any
+// more; it returns false then.
 func (c *continuation) handOver(ctx context.Context, a assignment) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.writing || ctx.Err() != nil || time.Until(c.job.deadline) < minTimeToContinue {
+	if c.ended || c.writing || c.job.endsWithoutID || ctx.Err() != nil || time.Until(c.job.deadline) < minTimeToContinue {
 		return false
 	}
 	c.secured = &a
--- a/pkg/entry/continuation_test.go
+++ b/pkg/entry/continuation_test.go
@@ -59,7 +59,9 @@
 		"silent":         {func(*continuation) {}, true},
 		"event received": {func(c *continuation) { c.writeEnded(true, false) }, false},
 		"being written":  {func(c *continuation) { c.writeBegins() }, false},
-		"no time left":   {func(c *continuation) { c.job.deadline = time.Now().Add(minRunTime) }, false},
+		// It was cut, because no other target can go on after an event without identifier.
+		"event without identifier": {func(c *continuation) { c.writeEnded(false, true) }, false},
+		"no time left":             {func(c *continuation) { c.job.deadline = time.Now().Add(minRunTime) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			silent, attempt := newSilentAttempt(t)
