entry: a silent stream is given up only for a target that has not refused it

The stream was cut, although the first target would have gone on.

Cause: the next target got the request only after the attempt at the silent one had been ended; routes allow two runs, so that a failure there was final.

Change: the next target gets the request while the attempt at the silent one is still read. That one is ended when the next has begun to respond, or has had the request for 150 ms without refusing it or failing. An event from the first target meanwhile ends the attempt at the next one; a break of the first makes the next one its continuation. A slot at the silent target itself is still used only after the first attempt has ended. Attempts that came to nothing count as sends, runs and retries. Remains: a next target that fails or refuses later than 150 ms after the request.

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -34,20 +34,20 @@
 	errTimeOver   = errors.New(obstacleTime)
 )
 
-// continuation secures the next attempt of a stream that has fallen silent: a slot at
-// another target and a retry of the budget. Only with both does it end the current
-// attempt, which is read until then. Its methods may be called concurrently.
+// continuation secures the next attempt of a stream that has fallen silent: a retry of the
+// budget and a slot at another target, which has begun to respond or has had the request
+// for maxOverlap. Only with all of them does it end the current attempt, which is read
+// until then. Its methods may be called concurrently.
 type continuation struct {
 	node *Node
+	// requestCtx is the context of the request, current the exchange of the attempt.
+	requestCtx context.Context
+	current    *exchange
+
+	mu sync.Mutex // guards all below
 	// job is a copy of the request's, made at the start of the attempt, without
 	// the target of the attempt.
-	job    job
-	target assignment
-	// ctx is that of the attempt, giveUp ends it.
-	ctx    context.Context
-	giveUp context.CancelCauseFunc
-
-	mu    sync.Mutex // guards all below
+	job   job
 	timer *time.Timer
 	// progressAt is when the last event with an ID, before that the head of the
 	// response, and before that the start of the attempt was.
@@ -60,36 +60,58 @@
 	cancelSearch context.CancelFunc
 	// searched is closed when the last search has ended; nil before the first.
 	searched chan struct{}
-	// secured is the assignment for the next attempt, nil if there is none.
-	secured *assignment
+	// trying is the exchange of a next attempt that has begun and may be abandoned, nil
+	// if there is none.
+	trying *exchange
+	// next is the exchange of the next attempt, nil until it is secured.
+	next *exchange
+	// unused are the attempts that were abandoned and not added to the request's job.
+	unused []unusedAttempt
 	// ended is set at the end of the attempt.
 	ended bool
 }
 
-// watchSilence returns the continuation of the attempt that a is assigned to, nil if
+// watchSilence returns the continuation of the attempt with the exchange x, nil if
 // the request may not be continued elsewhere after it. started is true if a part of the
 // response was written to the client.
-func (n *Node) watchSilence(ctx context.Context, giveUp context.CancelCauseFunc, j *job, a assignment, started bool) *continuation {
+func (n *Node) watchSilence(ctx context.Context, x *exchange, j *job, started bool) *continuation {
 	now := time.Now()
 	if !j.mayResumeElsewhere(now, j.possibleRuns+1) {
 		return nil
 	}
-	c := &continuation{node: n, job: *j, target: a, ctx: ctx, giveUp: giveUp, progressAt: now, started: started}
-	c.job.excluded = append(slices.Clone(j.excluded), a.target.ID)
+	c := &continuation{node: n, requestCtx: ctx, current: x, job: *j, progressAt: now, started: started}
+	c.job.excluded, c.job.sentTo = append(slices.Clone(j.excluded), x.assignment.target.ID), slices.Clone(j.sentTo)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.timer = time.AfterFunc(c.job.eventWait(started), c.check)
 	return c
 }
 
-// headReceived records the head of the response as progress, which ends a search.
-func (c *continuation) headReceived() {
+// headReceived records the head of the response as progress, which ends a search. It adds
+// to j the attempts that were abandoned.
+func (c *continuation) headReceived(j *job) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.progress()
+	searched := c.searched
+	c.mu.Unlock()
+	c.settle(j, searched)
+}
+
+// settle awaits the end of the last search, which searched shows, and adds to j the
+// attempts that were abandoned. searched is nil if there was none.
+func (c *continuation) settle(j *job, searched <-chan struct{}) {
+	if searched != nil {
+		<-searched
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range c.unused {
+		j.addUnused(u)
+	}
+	c.unused = nil
 }
 
 // writeBegins records that events are being written to the client, whose slowness is
@@ -103,18 +125,19 @@
 	c.writing = true
 }
 
-// writeEnded records the end of a write. progress is true if an event with an ID was
-// written, endsWithoutID that of job.
-func (c *continuation) writeEnded(progress, endsWithoutID bool) {
+// writeEnded records the end of a write of the request's job j. progress is true if an
+// event with an ID was written.
+func (c *continuation) writeEnded(j *job, progress bool) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing, c.job.endsWithoutID = false, endsWithoutID
+	c.writing = false
+	c.job.resumeAfter, c.job.endsWithoutID, c.job.lastEventAt = j.resumeAfter, j.endsWithoutID, j.lastEventAt
 	if progress {
 		c.progress()
-		c.started, c.job.lastEventAt = true, c.progressAt
+		c.started = true
 	}
 }
 
@@ -132,22 +155,23 @@
 	if ctx == nil {
 		return
 	}
+	target := c.current.assignment.target
 	log := func(e event.Event, err error) {
-		e.Log(c.node.log).Str("request", j.ID).Str("target", c.target.target.ID).Dur("silent_ms", silence).AnErr("reason", err).Send()
+		e.Log(c.node.log).Str("request", j.ID).Str("target", target.ID).Dur("silent_ms", silence).AnErr("reason", err).Send()
 	}
 	log(event.StreamSilent, nil)
-	silent := c.target.target.ID
+	silent := target.ID
 	if silence >= j.sameTargetWait() {
 		silent = "" // its connection may be lost while new ones work
 	}
 	a, err := c.node.secure(ctx, j, silent)
-	if err == nil && c.handOver(ctx, a) {
-		c.node.pool.CloseIdle(c.target.target.Addr) // other connections to it may be stalled, too
-		log(event.StreamGivenUp, nil)
-		return
+	if err == nil {
+		err = c.try(ctx, j, c.node.newExchange(c.requestCtx, j, a))
 	}
 	if err == nil {
-		c.node.releaseSecured(j, a)
+		c.node.pool.CloseIdle(target.Addr) // other connections to it may be stalled, too
+		log(event.StreamGivenUp, nil)
+		return
 	}
 	if ctx.Err() == nil {
 		log(event.StreamNotContinued, err)
@@ -155,6 +179,42 @@
 	c.endSearch(searchRetryDelay)
 }
 
+// try makes x the exchange of the next attempt as soon as its target has accepted the
+// request, and returns nil then. The current attempt goes on if it returns an error. It
+// ends first if x has the same target, because a target may not expect a request twice at
+// the same time.
+func (c *continuation) try(ctx context.Context, j *job, x *exchange) error {
+	if x.assignment.target.ID != c.current.assignment.target.ID {
+		x.begin()
+		c.setTrying(x)
+		x.awaitAcceptance(ctx)
+	}
+	if c.handOver(ctx, x) {
+		return nil
+	}
+	if !c.setTrying(nil) {
+		return errNotNeeded
+	}
+	u := c.node.abandon(j, x)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.job.addUnused(u)
+	c.unused = append(c.unused, u)
+	return u.result.err
+}
+
+// setTrying sets the exchange that stop may return. It returns false, and changes nothing,
+// if stop has returned the last one.
+func (c *continuation) setTrying(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next != nil {
+		return false
+	}
+	c.trying = x
+	return true
+}
+
 // sameTargetWait returns the silence after which a stream is continued at its target over
 // a new connection if no other is free: most of the time that the client waits for an
 // event.
@@ -184,27 +244,27 @@
 		c.timer.Reset(wait)
 		return nil, nil, 0
 	}
-	ctx, cancel := context.WithCancel(c.ctx)
+	ctx, cancel := context.WithCancel(c.current.ctx)
 	c.cancelSearch, c.searched = cancel, make(chan struct{})
 	j := c.job
-	j.excluded = slices.Clone(j.excluded)
+	j.excluded, j.sentTo = slices.Clone(j.excluded), slices.Clone(j.sentTo)
 	return &j, ctx, silence
 }
 
-// handOver makes a the assignment of the next attempt and ends the current one, unless
-// the search was ended, too little time is left, or no target can continue the stream any
-// more; it returns false then.
-func (c *continuation) handOver(ctx context.Context, a assignment) bool {
+// handOver makes x the exchange of the next attempt and ends the current one, unless x has
+// failed, the search was ended, too little time is left, or no target can continue the
+// stream any more; it returns false then.
+func (c *continuation) handOver(ctx context.Context, x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.writing || c.job.endsWithoutID || ctx.Err() != nil || time.Until(c.job.deadline) < minTimeToContinue {
+	if c.ended || c.writing || c.job.endsWithoutID || ctx.Err() != nil || x.failedToContinue() || time.Until(c.job.deadline) < minTimeToContinue {
 		return false
 	}
-	c.secured = &a
+	c.next, c.trying = x, nil
 	c.cancelSearch()
 	c.cancelSearch = nil
 	close(c.searched)
-	c.giveUp(errStalled)
+	c.current.giveUp(errStalled)
 	return true
 }
 
@@ -220,26 +280,29 @@
 	}
 }
 
-// stop ends the checks at the end of the attempt, awaits a search in progress, and
-// returns the assignment that was secured, nil if there is none.
-func (c *continuation) stop() *assignment {
+// stop ends the checks at the end of the attempt, which has the result r, awaits a search
+// in progress, adds to j the attempts that were abandoned, and returns the exchange of the
+// next attempt, nil if there is none. If the attempt has broken, that is also one whose
+// target has not accepted the request yet.
+func (c *continuation) stop(j *job, r sendResult) *exchange {
 	if c == nil {
 		return nil
 	}
 	c.mu.Lock()
 	c.ended = true
 	c.timer.Stop()
-	searched := c.searched
+	if c.trying != nil && (r.kind == outcomeUnknown || r.kind == unreachable) {
+		c.next, c.trying = c.trying, nil
+	}
 	if c.cancelSearch != nil {
 		c.cancelSearch()
 	}
+	searched := c.searched
 	c.mu.Unlock()
-	if searched != nil {
-		<-searched
-	}
+	c.settle(j, searched)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.secured
+	return c.next
 }
 
 // secure returns an assignment for the next attempt, for which a retry of the budget is
@@ -269,8 +332,7 @@
 	return assignment{}, err
 }
 
-// releaseSecured releases an assignment that secure returned and nothing was sent to.
-func (n *Node) releaseSecured(j *job, a assignment) {
-	n.releaseAssignment(a, sendResult{kind: expired})
+// refundRetry takes back a retry that secure spent and that was not made.
+func (n *Node) refundRetry(j *job) {
 	n.budgets.forService(j.service).refund(time.Now(), n.retryLimits())
 }
--- a/pkg/entry/continuation_test.go
+++ b/pkg/entry/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -14,69 +15,70 @@
 )
 
 // newSilentAttempt returns the continuation of an attempt that has been silent for
-// longer than eventWait, and the context of the attempt.
-func newSilentAttempt(t *testing.T) (*continuation, context.Context) {
+// longer than eventWait, its job, and the context of the attempt.
+func newSilentAttempt(t *testing.T) (*continuation, *job, context.Context) {
 	log := zerolog.Nop()
 	n := &Node{log: &log}
-	ctx, giveUp := context.WithCancelCause(t.Context())
+	x := &exchange{node: n, assignment: assignment{target: &inventory.Target{ID: "silent"}}}
+	x.ctx, x.giveUp = context.WithCancelCause(t.Context())
 	now := time.Now()
 	j := &job{
-		Request: &Request{Route: &route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2, FirstEventTimeout: time.Minute}},
+		Request: &Request{Method: http.MethodPost, URI: "/", Host: "h", Route: &route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2, FirstEventTimeout: time.Minute}},
 		arrived: now, deadline: now.Add(time.Minute), sends: 1,
 	}
-	c := n.watchSilence(ctx, giveUp, j, assignment{target: &inventory.Target{ID: "silent"}}, true)
+	c := n.watchSilence(t.Context(), x, j, true)
 	require.NotNil(t, c)
 	c.timer.Stop()
 	c.progressAt = now.Add(-c.job.eventWait(true))
-	return c, ctx
+	return c, j, x.ctx
 }
 
 // A client that reads slowly is not taken for a silent target.
 func TestNoTargetIsSoughtWhileTheClientReads(t *testing.T) {
-	c, _ := newSilentAttempt(t)
+	c, own, _ := newSilentAttempt(t)
 	c.writeBegins()
 	_, ctx, _ := c.begin()
 	assert.Nil(t, ctx)
-	c.writeEnded(false, false)
+	c.writeEnded(own, false)
 	j, ctx, _ := c.begin()
 	require.NotNil(t, ctx, "comments are no progress")
 	assert.Equal(t, []string{"silent"}, j.excluded)
 	c.writeBegins()
-	c.writeEnded(true, false)
+	c.writeEnded(own, true)
 	require.Error(t, ctx.Err(), "an event ends the search")
 	c.endSearch(time.Hour)
 	_, ctx, _ = c.begin()
 	assert.Nil(t, ctx, "the stream is not silent any more")
-	assert.Nil(t, c.stop())
+	assert.Nil(t, c.stop(own, sendResult{}))
 }
 
 // An attempt that has gone on, or has ended, is not given up for what a search found.
 func TestAttemptIsGivenUpOnlyWhileItIsSilent(t *testing.T) {
 	for name, c := range map[string]struct {
-		event   func(*continuation)
+		event   func(*continuation, *job)
 		givenUp bool
 	}{
-		"silent":         {func(*continuation) {}, true},
-		"event received": {func(c *continuation) { c.writeEnded(true, false) }, false},
-		"being written":  {func(c *continuation) { c.writeBegins() }, false},
+		"silent":         {func(*continuation, *job) {}, true},
+		"event received": {func(c *continuation, j *job) { c.writeEnded(j, true) }, false},
+		"being written":  {func(c *continuation, _ *job) { c.writeBegins() }, false},
 		// It was cut, because no other target can go on after an event without identifier.
-		"event without identifier": {func(c *continuation) { c.writeEnded(false, true) }, false},
-		"no time left":             {func(c *continuation) { c.job.deadline = time.Now().Add(minRunTime) }, false},
+		"event without identifier": {func(c *continuation, j *job) { j.endsWithoutID = true; c.writeEnded(j, false) }, false},
+		"no time left":             {func(c *continuation, _ *job) { c.job.deadline = time.Now().Add(minRunTime) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			silent, attempt := newSilentAttempt(t)
+			silent, own, attempt := newSilentAttempt(t)
 			_, search, _ := silent.begin()
 			require.NotNil(t, search)
-			c.event(silent)
-			assert.Equal(t, c.givenUp, silent.handOver(search, assignment{runID: 7}))
+			c.event(silent, own)
+			assert.Equal(t, c.givenUp, silent.handOver(search, &exchange{assignment: assignment{runID: 7}}))
 			if !c.givenUp {
 				silent.endSearch(time.Hour)
 				require.NoError(t, attempt.Err())
-				assert.Nil(t, silent.stop())
+				assert.Nil(t, silent.stop(own, sendResult{}))
 				return
 			}
 			assert.ErrorIs(t, context.Cause(attempt), errStalled)
-			assert.Equal(t, uint64(7), silent.stop().runID)
+			assert.Equal(t, uint64(7), silent.stop(own, sendResult{}).assignment.runID)
 		})
 	}
 }
--- /dev/null
+++ b/pkg/entry/exchange_test.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/upstream"
+)
+
+// plainProtocol is a TargetProtocol that takes each response for a signed one.
+type plainProtocol struct{}
+
+func (plainProtocol) RequestHeader(http.Header, TargetRequestInfo) http.Header { return nil }
+
+func (plainProtocol) ParseResponse(http.Header) ResponseInfo {
+	return ResponseInfo{Signed: true}
+}
+
+// nextTarget is a target that holds its responses back.
+type nextTarget struct {
+	target *inventory.Target
+	// received and canceled are sent to when a request has been received or its
+	// connection was closed, release ends the wait for one response.
+	received, canceled, release chan struct{}
+}
+
+// newNextTarget starts a target.
+func newNextTarget(t *testing.T) *nextTarget {
+	n := &nextTarget{received: make(chan struct{}, 1), canceled: make(chan struct{}, 1), release: make(chan struct{}, 1)}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.received <- struct{}{}
+		select {
+		case <-n.release:
+			w.Header().Set("Content-Type", "text/event-stream")
+		case <-r.Context().Done():
+			n.canceled <- struct{}{}
+		}
+	}))
+	t.Cleanup(s.Close)
+	n.target = &inventory.Target{ID: "next", Addr: s.Listener.Addr().String()}
+	return n
+}
+
+// tryNext makes c try the target in the background, and returns the exchange and the
+// result of try when the target has received the request.
+func (n *nextTarget) tryNext(t *testing.T, c *continuation) (*exchange, <-chan error) {
+	node := c.node
+	node.pool, node.targetProtocol, node.settings = upstream.NewPool(upstream.NewDialer(time.Second).DialContext), plainProtocol{}, &Settings{}
+	node.bounds.Store(&Bounds{RetryWindow: time.Second})
+	node.guard, node.links = newPromptGuard(node), newLinks(node, nil)
+	j, search, _ := c.begin()
+	require.NotNil(t, search)
+	x := node.newExchange(c.requestCtx, j, assignment{target: n.target})
+	tried := make(chan error, 1)
+	go func() {
+		err := c.try(search, j, x)
+		if err != nil {
+			c.endSearch(time.Hour)
+		}
+		tried <- err
+	}()
+	<-n.received
+	return x, tried
+}
+
+// A stream that goes on while the next target has its request is not cut, and the request
+// there is ended.
+func TestNextAttemptIsAbandonedWhenTheStreamGoesOn(t *testing.T) {
+	next := newNextTarget(t)
+	c, own, attempt := newSilentAttempt(t)
+	_, tried := next.tryNext(t, c)
+	c.writeBegins()
+	c.writeEnded(own, true)
+	require.ErrorIs(t, <-tried, errNotNeeded)
+	<-next.canceled
+	require.NoError(t, attempt.Err())
+	assert.Nil(t, c.stop(own, sendResult{}))
+	assert.Equal(t, []any{1, 2, 0}, []any{own.possibleRuns, own.sends, len(own.excluded)}, "it may have run there")
+}
+
+// A stream that breaks while the next target has its request is continued there. It was
+// cut, because the request there counted as the last run that the route allows.
+func TestNextAttemptContinuesAStreamThatBreaksMeanwhile(t *testing.T) {
+	next := newNextTarget(t)
+	c, own, _ := newSilentAttempt(t)
+	x, tried := next.tryNext(t, c)
+	require.Equal(t, x, c.stop(own, sendResult{kind: outcomeUnknown}))
+	require.ErrorIs(t, <-tried, errNotNeeded)
+	next.release <- struct{}{}
+	resp, err := x.response()
+	require.NoError(t, err)
+	defer resp.Close()
+	assert.Equal(t, http.StatusOK, resp.Status)
+	assert.Zero(t, own.possibleRuns)
+}
+
+// The attempt ends when the next target has begun to respond, and no response is lost.
+func TestAttemptEndsWhenTheNextTargetResponds(t *testing.T) {
+	next := newNextTarget(t)
+	next.release <- struct{}{}
+	c, own, attempt := newSilentAttempt(t)
+	x, tried := next.tryNext(t, c)
+	require.NoError(t, <-tried)
+	require.ErrorIs(t, context.Cause(attempt), errStalled)
+	require.Equal(t, x, c.stop(own, sendResult{kind: outcomeUnknown, err: errStalled}))
+	resp, err := x.response()
+	require.NoError(t, err)
+	resp.Close()
+}
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -68,9 +68,9 @@
 	// longestInterval the longest time between two such writes.
 	lastEventAt     time.Time
 	longestInterval time.Duration
-	// secured is the assignment for the next attempt that the continuation of the
-	// last one secured, nil if there is none.
-	secured *assignment
+	// next is the exchange of the next attempt that the continuation of the last one
+	// secured, nil if there is none.
+	next *exchange
 	// obstacle is why the request was not sent again after the last attempt, empty
 	// if it was.
 	obstacle string
@@ -198,17 +198,17 @@
 	n.budgets.forService(j.service).recordRequest(time.Now(), n.retryLimits())
 	var last sendResult
 	for {
-		a, refusal, ok := n.nextAssignment(ctx, j)
+		x, refusal, ok := n.nextExchange(ctx, j)
 		if !ok {
 			n.finish(j, cr, last, refusal)
 			return
 		}
-		last = n.send(ctx, j, a, cr)
-		n.guard.attemptEnded(j, a, last)
-		n.releaseAssignment(a, last)
+		last = n.send(ctx, j, x, cr)
+		n.guard.attemptEnded(j, x.assignment, last)
+		n.releaseAssignment(x.assignment, last)
 		if !n.prepareRetry(ctx, j, cr, last) {
-			if j.secured != nil {
-				n.releaseSecured(j, *j.secured)
+			if j.next != nil {
+				j.addUnused(n.abandon(j, j.next))
 			}
 			n.finish(j, cr, last, nil)
 			return
@@ -218,28 +218,28 @@
 	}
 }
 
-// nextAssignment returns the assignment for the next attempt, which may have been
-// secured during the last one. ok is false if there is none; refusal is then the error
-// for the client, nil if the retry budget is exhausted.
-func (n *Node) nextAssignment(ctx context.Context, j *job) (a assignment, refusal *ErrorResponse, ok bool) {
-	if j.secured != nil {
-		a, j.secured = *j.secured, nil
-		return a, nil, true
+// nextExchange returns the exchange of the next attempt, which may have begun during the
+// last one. ok is false if there is none; refusal is then the error for the client, nil if
+// the retry budget is exhausted.
+func (n *Node) nextExchange(ctx context.Context, j *job) (x *exchange, refusal *ErrorResponse, ok bool) {
+	if j.next != nil {
+		x, j.next = j.next, nil
+		return x, nil, true
 	}
 	waitStart := time.Now()
-	a, refusal = n.findTarget(ctx, j)
+	a, refusal := n.findTarget(ctx, j)
 	j.slotWait += time.Since(waitStart)
 	if refusal != nil {
 		j.obstacle = obstacleRefused
-		return a, refusal, false
+		return nil, refusal, false
 	}
 	if j.sends > 0 && !n.budgets.forService(j.service).spend(time.Now(), n.retryLimits()) {
 		event.BudgetExhausted.Log(n.log).Str("request", j.ID).Str("service", j.service).Send()
 		n.releaseAssignment(a, sendResult{kind: expired})
 		j.obstacle = obstacleBudget
-		return a, nil, false
+		return nil, nil, false
 	}
-	return a, nil, true
+	return n.newExchange(ctx, j, a), nil, true
 }
 
 // findTarget returns the assignment for the next attempt, or the error for the
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -123,32 +123,45 @@
 // It forwards the response to the client unless it is a refusal, or may belong to another
 // request. c is the continuation of the attempt, nil if there is none.
 func (n *Node) receiveResponse(ctx context.Context, j *job, a assignment, resp *upstream.Response, cr *clientResponse, c *continuation) sendResult {
-	info := n.targetProtocol.ParseResponse(resp.Header)
-	if info.RequestID == "" && resp.Reused() {
-		j.possibleRuns++
-		return sendResult{kind: outcomeUnknown, info: info, status: resp.Status, err: errUnidentifiedResponse}
-	}
-	if info.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
+	r, usable := n.classifyHead(resp)
+	if !usable && r.kind != outcomeUnknown {
 		if a.runID == 0 {
 			j.excluded = append(j.excluded, a.target.ID) // an owner is sent the result instead
 		}
-		kind := notRun
-		if resp.Status == http.StatusMisdirectedRequest {
-			kind = notLoaded
-		}
 		discardBody(resp)
-		return sendResult{kind: kind, info: info, status: resp.Status}
+		return r
 	}
 	j.possibleRuns++
+	if !usable {
+		return r
+	}
 	j.responseBegun = time.Now()
-	return n.forwardResponse(ctx, j, resp, info, cr, c)
+	return n.forwardResponse(ctx, j, resp, r.info, cr, c)
+}
+
+// classifyHead returns the result of an attempt by the head of its response. usable is
+// false if the response may belong to another request, or says that the request did not
+// run; the kind is of meaning only then.
+func (n *Node) classifyHead(resp *upstream.Response) (r sendResult, usable bool) {
+	r.info, r.status = n.targetProtocol.ParseResponse(resp.Header), resp.Status
+	switch {
+	case r.info.RequestID == "" && resp.Reused():
+		r.kind, r.err = outcomeUnknown, errUnidentifiedResponse
+	case resp.Status == http.StatusMisdirectedRequest:
+		r.kind = notLoaded
+	case r.info.NotExecuted:
+		r.kind = notRun
+	default:
+		return r, true
+	}
+	return r, false
 }
 
 // forwardResponse forwards a target's response to the client and returns the
 // result of the attempt. c is the continuation of the attempt, nil if there is none.
 func (n *Node) forwardResponse(ctx context.Context, j *job, resp *upstream.Response, info ResponseInfo, cr *clientResponse, c *continuation) sendResult {
 	out := sendResult{info: info, status: resp.Status}
-	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
+	success := isSuccess(resp.Status)
 	if success && !info.Signed || cr.started && !(success && mayBeEventStream(resp.Header)) {
 		out.kind, out.err = outcomeUnknown, errUnusableResponse
 		return out
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -10,39 +10,25 @@
 	"almondturn/pkg/upstream"
 )
 
-// send makes one attempt: it sends the request to the assigned target and
-// forwards the response to the client.
-func (n *Node) send(ctx context.Context, j *job, a assignment, cr *clientResponse) sendResult {
-	t := a.target
-	j.lastTarget, j.assignment, j.startReported = t.ID, a, false
+// send makes one attempt: it sends the request to the target of x, unless that was done
+// already, and forwards the response to the client.
+func (n *Node) send(ctx context.Context, j *job, x *exchange, cr *clientResponse) (r sendResult) {
+	t := x.assignment.target
+	j.lastTarget, j.assignment, j.startReported = t.ID, x.assignment, false
 	j.responseBegun, j.survived = time.Time{}, false
 	j.sends++
-	maxIdle := j.maxIdle(t.ID)
 	j.sentTo = append(j.sentTo, t.ID)
-	attemptCtx, giveUp := context.WithCancelCause(ctx)
-	defer giveUp(nil)
-	c := n.watchSilence(attemptCtx, giveUp, j, a, cr.started)
-	defer func() { j.secured = c.stop() }()
-	if len(j.parts) > 0 && len(a.trials) == 0 {
-		n.guard.unbegun.add(j, giveUp)
-		defer n.guard.unbegun.remove(j)
-	}
-	resp, err := n.pool.Do(attemptCtx, t.Addr, &upstream.Request{
-		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: maxIdle,
-		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: t.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
-		MatchesResponse: n.matchesResponse(j),
-	})
-	if isTimeout(err) {
-		n.pool.CloseIdle(t.Addr) // other connections to it may be stalled, too
-	}
+	defer x.giveUp(nil)
+	c := n.watchSilence(ctx, x, j, cr.started)
+	defer func() { j.next = c.stop(j, r) }()
+	resp, err := x.response()
 	if err != nil {
 		return n.classifySendError(ctx, j, t.ID, err)
 	}
 	defer resp.Close()
-	c.headReceived()
-	n.guard.unbegun.remove(j)
-	r := n.receiveResponse(ctx, j, a, resp, cr, c)
-	if r.kind == outcomeUnknown && errors.Is(context.Cause(attemptCtx), errStalled) {
+	c.headReceived(j)
+	r = n.receiveResponse(ctx, j, x.assignment, resp, cr, c)
+	if r.kind == outcomeUnknown && errors.Is(context.Cause(x.ctx), errStalled) {
 		r.err = errStalled
 	}
 	if r.kind == outcomeUnknown || r.kind == failedRun {
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -55,7 +55,7 @@
 					return out
 				}
 				j.resumeAfter, j.endsWithoutID = s.lastID, s.endsWithoutID
-				c.writeEnded(s.idCount > idCount, s.endsWithoutID) // other bytes, such as comments, are no progress
+				c.writeEnded(j, s.idCount > idCount) // other bytes, such as comments, are no progress
 				idCount = s.idCount
 				n.guard.progressed(j)
 			}
@@ -73,7 +73,8 @@
 // the current one has stalled. runs is the number of runs that targets may have begun
 // for it, the current one included.
 func (j *job) mayResumeElsewhere(now time.Time, runs int) bool {
-	return j.Route.Resumable && !j.NonStreaming && !j.endsWithoutID && runs < j.Route.MaxAttempts && j.sends < maxSends && j.deadline.Sub(now) > minRunTime
+	return j.Route.Resumable && !j.NonStreaming && !j.endsWithoutID && runs < j.Route.MaxAttempts &&
+		j.sends < maxSends && len(j.excluded) < maxSends && j.deadline.Sub(now) > minRunTime
 }
 
 // eventWait returns how long to wait for the next event of a stream before
--- a/pkg/entry/unbegun.go
+++ b/pkg/entry/unbegun.go
@@ -19,7 +19,7 @@
 // begun. Its methods may be called concurrently; its zero value is empty.
 type unbegunAttempts struct {
 	mu       sync.Mutex
-	attempts map[*job]unbegunAttempt
+	attempts map[*exchange]unbegunAttempt
 }
 
 // unbegunAttempt is one attempt of a request.
@@ -29,21 +29,21 @@
 	giveUp  context.CancelCauseFunc
 }
 
-// add adds an attempt of j that giveUp ends, until remove.
-func (u *unbegunAttempts) add(j *job, giveUp context.CancelCauseFunc) {
+// add adds the attempt of an exchange, until remove.
+func (u *unbegunAttempts) add(x *exchange) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.attempts == nil {
-		u.attempts = map[*job]unbegunAttempt{}
+		u.attempts = map[*exchange]unbegunAttempt{}
 	}
-	u.attempts[j] = unbegunAttempt{j.ID, j.parts, giveUp}
+	u.attempts[x] = unbegunAttempt{x.requestID, x.parts, x.giveUp}
 }
 
-// remove removes the attempt of j. It has no effect if there is none.
-func (u *unbegunAttempts) remove(j *job) {
+// remove removes the attempt of an exchange.
+func (u *unbegunAttempts) remove(x *exchange) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.attempts, j)
+	delete(u.attempts, x)
 }
 
 // with returns the attempts whose prompts have one of the parts.
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -33,6 +33,8 @@
 	// this request; other responses are skipped. If it is nil, every response
 	// does.
 	MatchesResponse func(http.Header) bool
+	// OnSent is called when the whole request has been written; nil for no call.
+	OnSent func()
 }
 
 // SendError is the error of an exchange that failed before the response was
@@ -104,6 +106,9 @@
 		_ = c.Close()
 		return nil, &SendError{Sent: n > 0, Err: contextCauseOr(ctx, err)}
 	}
+	if r.OnSent != nil {
+		r.OnSent()
+	}
 	if r.ResponseHeaderTimeout > 0 {
 		_ = c.SetReadDeadline(time.Now().Add(r.ResponseHeaderTimeout))
 	}
