entry: a request that has arrived is served when its idle connection is closed

Cause: idle connections are closed by a deadline on the read that waits for the next request. A read whose deadline has passed fails even if bytes have arrived, and a socket that is closed with unread bytes resets the connection. Class: a decision on a state (idle) that another party has changed already.

--- a/pkg/entry/idleconns.go
+++ b/pkg/entry/idleconns.go
@@ -2,9 +2,12 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -50,6 +53,28 @@
 	}
 }
 
+// takeArrived is called when a read of c has failed at its deadline. If the deadline is that
+// of closeOlder, it reads what had arrived by then, without waiting, and records that a
+// request has begun. It returns 0 if there is nothing.
+func (ic *idleConns) takeArrived(c *idleConn, b []byte) int {
+	ic.mu.Lock()
+	defer ic.mu.Unlock()
+	if _, ok := ic.since[c]; !ok || c.raw == nil {
+		return 0
+	}
+	_ = c.SetReadDeadline(time.Time{}) // otherwise the read would fail, too
+	n := 0
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), b) // an error, such as EAGAIN, means that there is nothing
+		return true
+	})
+	if err != nil || n <= 0 {
+		return 0
+	}
+	delete(ic.since, c)
+	return n
+}
+
 // closeOlder ends the connections that have been idle for longer than d. It
 // only ends the read that waits for the next request, and the server then
 // closes the connection, so that a request that arrives at this moment still
@@ -85,20 +110,33 @@
 	if err != nil {
 		return nil, err
 	}
-	return &idleConn{c, l.conns}, nil
+	idle := &idleConn{Conn: c, conns: l.conns}
+	if sc, ok := c.(syscall.Conn); ok {
+		idle.raw, _ = sc.SyscallConn()
+	}
+	return idle, nil
 }
 
 // idleConn is a connection that idleListener accepted.
 type idleConn struct {
 	net.Conn
 	conns *idleConns
+	// raw gives access to the socket; nil if the connection has none.
+	raw syscall.RawConn
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A request that had arrived when closeOlder ended the read is
+// still returned.
 func (c *idleConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.conns.leave(c)
+		return n, err
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if n := c.conns.takeArrived(c, b); n > 0 {
+			return n, nil
+		}
 	}
 	return n, err
 }
