entry: no next target is tried when too little time remains to give the stream up

What callers saw: nothing; a target worked in vain.

Cause: secure did not count maxOverlap, for which the next target has the request first. Evidence, on the code before: TestNoTargetIsTriedWithTooLittleTime: expected error "no time left" in chain but got nil. Change: secure counts it. Result: the test passes, 3 times with -race.

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -321,7 +321,7 @@
 	case err != nil:
 	case a.target.ID == silent:
 		err = errSameTarget
-	case time.Until(j.deadline) < minTimeToContinue:
+	case time.Until(j.deadline) < minTimeToContinue+maxOverlap:
 		err = errTimeOver
 	case !n.budgets.forService(j.service).spend(time.Now(), n.retryLimits()):
 		err = errNoBudget
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -48,13 +48,18 @@
 	return n
 }
 
+// equipNode sets what a node needs to send requests to targets.
+func equipNode(n *Node) {
+	n.pool, n.targetProtocol, n.settings = upstream.NewPool(upstream.NewDialer(time.Second).DialContext), plainProtocol{}, &Settings{}
+	n.bounds.Store(&Bounds{RetryWindow: time.Second, RetrySlack: 10})
+	n.guard, n.links = newPromptGuard(n), newLinks(n, nil)
+}
+
 // tryNext makes c try the target in the background, and returns the exchange and the
 // result of try when the target has received the request.
 func (n *nextTarget) tryNext(t *testing.T, c *continuation) (*exchange, <-chan error) {
 	node := c.node
-	node.pool, node.targetProtocol, node.settings = upstream.NewPool(upstream.NewDialer(time.Second).DialContext), plainProtocol{}, &Settings{}
-	node.bounds.Store(&Bounds{RetryWindow: time.Second})
-	node.guard, node.links = newPromptGuard(node), newLinks(node, nil)
+	equipNode(node)
 	j, search, _ := c.begin()
 	require.NotNil(t, search)
 	x := node.newExchange(c.requestCtx, j, assignment{target: n.target})
@@ -114,3 +119,18 @@
 	require.NoError(t, err)
 	resp.Close()
 }
+
+// A request was sent to the next target when too little time remained to give the current
+// attempt up for it.
+func TestNoTargetIsTriedWithTooLittleTime(t *testing.T) {
+	c, own, _ := newSilentAttempt(t)
+	equipNode(c.node)
+	c.node.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{{ID: "next", Slots: 1}}))
+	own.deadline = time.Now().Add(minTimeToContinue + maxOverlap/2)
+	_, err := c.node.secure(t.Context(), own, "silent")
+	require.ErrorIs(t, err, errTimeOver)
+	own.deadline = time.Now().Add(time.Minute)
+	a, err := c.node.secure(t.Context(), own, "silent")
+	require.NoError(t, err)
+	assert.Equal(t, "next", a.target.ID)
+}
