kvtest: the in-memory service can be restored from a copy

Restore raises the era, gives revisions and lease identifiers out again and loses the leases granted since the copy; calls with revisions or leases of a former era fail as those of platform.Store do.

--- a/pkg/kv/kvtest/kvtest.go
+++ b/pkg/kv/kvtest/kvtest.go
@@ -15,9 +15,13 @@
 // Store is an in-memory key-value service. Its zero value is ready to use. Its
 // methods may be called concurrently.
 type Store struct {
-	mu       sync.Mutex // guards all below
+	mu sync.Mutex // guards all below
+	// revision is that of the last change. Its era is 0 until Restore or SetEra is called.
 	revision kv.Revision
 	entries  map[string]kv.Entry
+	// lostLeases are the leases, by identifier, that the last Restore has lost and
+	// that were not granted again since.
+	lostLeases map[uint64]bool
 	// unavailable makes all calls fail without effect.
 	unavailable bool
 	// responsesToDrop is how many of the next transactions are applied, but
@@ -48,7 +52,41 @@
 	s.revision = s.revision.InEra(era)
 }
 
-// Era returns the era of the service; 0 until SetEra is called.
+// Copy is the state of a Store at a time.
+type Copy struct {
+	revision kv.Revision
+	entries  map[string]kv.Entry
+}
+
+// Copy returns a copy of the current state, for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, maps.Clone(s.entries)}
+}
+
+// Restore brings the store back to a copy, and raises the era by one, or from 0, in
+// which a service reports no eras, to that after kv.FirstEra. Revisions and leases that
+// were given out since the copy are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := max(s.revision.Era(), kv.FirstEra) + 1
+	s.lostLeases = map[uint64]bool{}
+	for id := c.revision.Counter() + 1; id <= s.revision.Counter(); id++ {
+		s.lostLeases[id] = true
+	}
+	s.revision, s.entries = c.revision.InEra(era), make(map[string]kv.Entry, len(c.entries))
+	for key, e := range c.entries {
+		e.ModRevision = e.ModRevision.InEra(era)
+		if e.Lease != (kv.LeaseID{}) {
+			e.Lease.Era = era
+		}
+		s.entries[key] = e
+	}
+}
+
+// Era returns the current era, 0 until Restore or SetEra is called.
 func (s *Store) Era() kv.Era {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,8 +131,9 @@
 	return out, s.revision, nil
 }
 
-// Commit applies a transaction and returns its revision, or returns
-// kv.ErrConflict if a key does not have the expected revision. While the store
+// Commit applies a transaction and returns its revision. It returns kv.ErrConflict if a
+// key does not have the expected revision, also if that is one of a former era, and
+// kv.ErrLeaseExpired if a lease was granted in a former era or is lost. While the store
 // is unavailable it returns kv.ErrUnavailable. After DropWriteResponses it
 // applies the transaction and returns kv.ErrOutcomeUnknown.
 func (s *Store) Commit(_ context.Context, txn kv.Transaction) (kv.Revision, error) {
@@ -108,6 +147,11 @@
 			return 0, kv.ErrConflict
 		}
 	}
+	for _, e := range txn.Put {
+		if s.leaseLost(e.Lease) {
+			return 0, kv.ErrLeaseExpired
+		}
+	}
 	s.revision++
 	if s.entries == nil {
 		s.entries = map[string]kv.Entry{}
@@ -126,6 +170,12 @@
 	return s.revision, nil
 }
 
+// leaseLost reports whether a lease is one of a former era, or lost by Restore. s.mu
+// must be held.
+func (s *Store) leaseLost(id kv.LeaseID) bool {
+	return id != (kv.LeaseID{}) && (id.Era != s.revision.Era() || s.lostLeases[id.ID])
+}
+
 // GrantLease returns a lease that never expires.
 func (s *Store) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) {
 	s.mu.Lock()
@@ -134,6 +184,7 @@
 		return kv.LeaseID{}, kv.ErrUnavailable
 	}
 	s.revision++
+	delete(s.lostLeases, s.revision.Counter())
 	return kv.LeaseID{Era: s.revision.Era(), ID: s.revision.Counter()}, nil
 }
 
@@ -146,23 +197,30 @@
 	})
 }
 
-// RenewLease succeeds unless the service is unavailable.
-func (s *Store) RenewLease(context.Context, kv.LeaseID) error {
+// RenewLease succeeds unless the service is unavailable, or a Restore has lost the lease.
+func (s *Store) RenewLease(_ context.Context, id kv.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
 		return kv.ErrUnavailable
 	}
+	if s.leaseLost(id) {
+		return kv.ErrLeaseExpired
+	}
 	return nil
 }
 
-// RevokeLease deletes the keys that are bound to the lease.
+// RevokeLease deletes the keys that are bound to the lease. It returns
+// kv.ErrLeaseExpired if a Restore has lost the lease.
 func (s *Store) RevokeLease(_ context.Context, id kv.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
 		return kv.ErrUnavailable
 	}
+	if s.leaseLost(id) {
+		return kv.ErrLeaseExpired
+	}
 	maps.DeleteFunc(s.entries, func(_ string, e kv.Entry) bool { return e.Lease == id })
 	return nil
 }
