claims: claims that a restore of the key-value service has lost are written again

What callers would see: after the service came back from an older copy, a request that is repeated with its idempotency key runs a second time.

Cause: claims made since the copy are gone, and nobody writes them again. Complete, MarkOutcomeUnknown and Release take ErrConflict for an earlier attempt of the same write; since revisions of a former era conflict too, the outcome was lost without a log line. The shared lease of a former era failed the next request with a key.

Change: a node remembers the claims of its requests in progress, and up to 4,096 of those that ended within the last minute. When it sees a new era it writes them again, 32 in a transaction that expects them to be absent, otherwise one by one; a claim of another request stays and is logged (claim_lost). Outcomes are recorded whatever the state of the claim is, unless another request has the key (ErrLost, claim_outcome_lost). For 5 s after a node has seen an era beyond the first, it refuses keys as claim_unsettled; so does Begin if the era changes meanwhile. A lost lease is replaced once.

--- a/pkg/callers/callers_test.go
+++ b/pkg/callers/callers_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +18,7 @@
 	"almondturn/pkg/claims"
 	"almondturn/pkg/entry"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/kv"
 	"almondturn/pkg/kv/kvtest"
 	"almondturn/pkg/route"
 	"almondturn/pkg/teams"
@@ -281,6 +284,51 @@
 	assert.Equal(t, 3, n.served)
 }
 
+// lineChannel is an io.Writer that sends what is written to the channel.
+type lineChannel chan string
+
+func (c lineChannel) Write(p []byte) (int, error) {
+	c <- string(p)
+	return len(p), nil
+}
+
+// loserNode is a node during whose calls the key-value service is restored from an empty
+// copy, and another request claims the key.
+type loserNode struct {
+	fakeNode
+	store *kvtest.Store
+}
+
+func (n *loserNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	keys := slices.Collect(maps.Keys(n.store.Entries()))
+	n.store.Restore(new(kvtest.Store).Copy())
+	for _, key := range keys {
+		_, _ = n.store.CompareAndSwap(r.Context(), key, []byte(`{"request_id":"other"}`), 0, kv.LeaseID{})
+	}
+	n.fakeNode.ServeHTTP(w, r)
+}
+
+// Guards against an outcome that is taken for recorded, although another request has
+// claimed the key since the key-value service was restored from an older copy.
+func TestOutcomeOfALostClaimIsLogged(t *testing.T) {
+	lines := make(lineChannel, 1)
+	log := zerolog.New(lines)
+	n := &loserNode{fakeNode{run: fault.RunYes, status: 200}, new(kvtest.Store)}
+	h := testProtocol().Handler(n, claims.New(n.store), &log)
+	w := serve(t, h, callerRequest{"POST", "/services/bookings/seats", "key-2", "", map[string]string{headerIdempotencyKey: "k"}})
+	assert.Equal(t, 200, w.Code)
+	select {
+	case line := <-lines:
+		assert.Contains(t, line, `"name":"claim_outcome_lost"`)
+		assert.Contains(t, line, claims.ErrLost.Error())
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing was logged")
+	}
+	for _, e := range n.store.Entries() {
+		assert.JSONEq(t, `{"request_id":"other"}`, string(e.Value))
+	}
+}
+
 // TestLongResponseIsRecordedTruncated checks that no more than MaxBodyBytes of a
 // response are stored.
 func TestLongResponseIsRecordedTruncated(t *testing.T) {
--- a/pkg/callers/handler.go
+++ b/pkg/callers/handler.go
@@ -18,6 +18,7 @@
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/route"
+	"almondturn/pkg/wait"
 )
 
 // Headers of the stored response to an earlier request with the same idempotency key.
@@ -178,7 +179,7 @@
 
 // recordOutcome records how the request ended; complete is false if the response
 // was truncated. If the first attempt fails, it returns and retries in the
-// background for up to recordTimeout.
+// background for up to recordTimeout, unless another request has the key.
 func (h *Handler) recordOutcome(claim *claims.Claim, w *responseRecorder, complete bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	record := func() error {
@@ -192,18 +193,17 @@
 			return h.claims.MarkOutcomeUnknown(ctx, claim)
 		}
 	}
-	if record() == nil {
+	err := record()
+	if err == nil {
 		cancel()
 		return
 	}
 	go func() {
 		defer cancel()
-		for record() != nil {
-			select {
-			case <-ctx.Done():
-				event.ClaimOutcomeLost.Log(h.log).Send()
+		for ; err != nil; err = record() {
+			if errors.Is(err, claims.ErrLost) || !wait.Sleep(ctx, recordRetryInterval) {
+				event.ClaimOutcomeLost.Log(h.log).Str("request", claim.RequestID()).Err(err).Send()
 				return
-			case <-time.After(recordRetryInterval):
 			}
 		}
 	}()
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -1,7 +1,8 @@
 // Package claims makes requests with an idempotency key run at most once,
 // regardless of the nodes through which they arrive. A claim is one key of the
 // key-value service: it is created before the request is sent to a target, and
-// holds the outcome afterwards.
+// holds the outcome afterwards. If the service is restored from an older copy, each node
+// writes the claims again that it has written recently.
 package claims
 
 import (
@@ -40,6 +41,8 @@
 	Get(ctx context.Context, key string) (kv.Entry, error)
 	Commit(ctx context.Context, c kv.Transaction) (kv.Revision, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error)
+	// Era returns the era of the service as its responses have shown it, 0 for none.
+	Era() kv.Era
 }
 
 // Request is a request with an idempotency key.
@@ -91,6 +94,9 @@
 	lease    kv.LeaseID
 }
 
+// RequestID returns the identifier of the request that holds the claim.
+func (c *Claim) RequestID() string { return c.record.RequestID }
+
 // Registry creates claims and records their outcomes. Its methods may be called
 // concurrently.
 type Registry struct {
@@ -100,9 +106,17 @@
 	mu             sync.Mutex // guards lease and leaseGrantedAt
 	lease          kv.LeaseID
 	leaseGrantedAt time.Time
+
+	recent recentClaims
+
+	eraMu sync.Mutex // guards era and settledAt
+	// era is the highest era that was seen. Until settledAt, claims of other nodes may
+	// be missing.
+	era       kv.Era
+	settledAt time.Time
 }
 
-// New returns a registry that stores claims in a key-value service.
+// New returns a registry that stores claims in a key-value service. Run must be called.
 func New(s Store) *Registry { return &Registry{store: s, now: time.Now} }
 
 // Begin claims the key of a request. It returns a claim if the request may be
@@ -110,32 +124,44 @@
 // KeyInProgress, KeyMismatch, OutcomeUnknown or ClaimUnsettled. The caller ends a
 // returned claim with Release, Complete or MarkOutcomeUnknown.
 func (reg *Registry) Begin(ctx context.Context, r *Request) (*Claim, *Response, error) {
-	lease, err := reg.sharedLease(ctx)
+	era, err := reg.settledEra()
 	if err != nil {
 		return nil, nil, claimUnsettled(err)
 	}
-	c := &Claim{key: r.key(), lease: lease, record: record{
+	c := &Claim{key: r.key(), record: record{
 		Digest: r.Digest[:], RequestID: r.RequestID, ExpiresAt: r.Deadline.Add(claimGracePeriod).UnixMilli(),
 	}}
-	err = reg.write(ctx, c)
+	err = reg.create(ctx, c)
+	if errors.Is(err, kv.ErrLeaseExpired) {
+		err = reg.create(ctx, c) // with a new lease
+	}
 	switch {
 	case err == nil:
-		return c, nil, nil
-	case errors.Is(err, kv.ErrConflict):
-		return reg.checkExisting(ctx, c)
-	case errors.Is(err, kv.ErrOutcomeUnknown):
-		return reg.checkExisting(ctx, c)
-	case errors.Is(err, kv.ErrLeaseExpired):
-		reg.dropLease(lease)
-		return nil, nil, claimUnsettled(err)
+		return reg.confirm(ctx, c, era)
+	case errors.Is(err, kv.ErrConflict), errors.Is(err, kv.ErrOutcomeUnknown):
+		return reg.checkExisting(ctx, c, era)
 	default:
 		return nil, nil, claimUnsettled(err)
 	}
 }
 
+// confirm returns the claim, which was written after era was found settled, and
+// remembers it. If the service was restored meanwhile, the claim may be lost, or another
+// node may have had the key: the request is not run then.
+func (reg *Registry) confirm(ctx context.Context, c *Claim, era kv.Era) (*Claim, *Response, error) {
+	reg.recent.begin(c, c.revision.Era())
+	current, err := reg.settledEra()
+	if err == nil && (current == era || current == kv.FirstEra) {
+		return c, nil, nil
+	}
+	_ = reg.Release(ctx, c) // otherwise the outcome counts as unknown once the claim expires
+	return nil, nil, claimUnsettled(errRestored)
+}
+
 // checkExisting reads the claim that c conflicted with, or that c itself has
-// created if the response to its write was lost. It returns what Begin does.
-func (reg *Registry) checkExisting(ctx context.Context, c *Claim) (*Claim, *Response, error) {
+// created if the response to its write was lost. It returns what Begin does; era is the
+// one that was found settled.
+func (reg *Registry) checkExisting(ctx context.Context, c *Claim, era kv.Era) (*Claim, *Response, error) {
 	e, err := reg.store.Get(ctx, c.key)
 	if err != nil {
 		return nil, nil, claimUnsettled(err)
@@ -147,7 +173,7 @@
 	switch {
 	case existing.RequestID == c.record.RequestID:
 		c.revision = e.ModRevision // our own write: only its response was lost
-		return c, nil, nil
+		return reg.confirm(ctx, c, era)
 	case string(existing.Digest) != string(c.record.Digest):
 		return nil, nil, fault.New(fault.KeyMismatch, "the key was used for a different request; take a new key")
 	case existing.Response != nil:
@@ -162,30 +188,56 @@
 // Release deletes the claim, because the request was not run; the key can then be
 // claimed again. If it returns an error, the call may be repeated.
 func (reg *Registry) Release(ctx context.Context, c *Claim) error {
+	reg.recent.remove(c.record.RequestID)
 	_, err := reg.store.Commit(ctx, kv.Transaction{Expect: map[string]kv.Revision{c.key: c.revision}, Delete: []string{c.key}})
-	return ignoreConflict(err)
+	if errors.Is(err, kv.ErrConflict) {
+		return reg.deleteOwn(ctx, c.key, c.record.RequestID)
+	}
+	return err
 }
 
-// Complete records the response. If it returns an error, the call may be repeated.
+// Complete records the response. If it returns an error other than ErrLost, the call may
+// be repeated.
 func (reg *Registry) Complete(ctx context.Context, c *Claim, resp *Response) error {
 	c.record.Response = resp
-	return ignoreConflict(reg.write(ctx, c))
+	return reg.recordOutcome(ctx, c)
 }
 
 // MarkOutcomeUnknown records that the outcome will never be known: further
 // requests with the key get an error of kind OutcomeUnknown immediately, because the
-// claim is stored as expired and has no response. If it returns an error, the call may
-// be repeated.
+// claim is stored as expired and has no response. If it returns an error other than
+// ErrLost, the call may be repeated.
 func (reg *Registry) MarkOutcomeUnknown(ctx context.Context, c *Claim) error {
 	c.record.ExpiresAt = reg.now().Add(-time.Millisecond).UnixMilli()
-	return ignoreConflict(reg.write(ctx, c))
+	return reg.recordOutcome(ctx, c)
 }
 
-// ignoreConflict treats a conflict as success: only an earlier attempt of the same
-// write, whose response was lost, can have caused it.
-func ignoreConflict(err error) error {
-	if errors.Is(err, kv.ErrConflict) {
-		return nil
+// recordOutcome stores the record of c with the outcome. If the claim does not have the
+// revision of the last write, because the response to an earlier attempt was lost or the
+// service was restored, it is read first.
+func (reg *Registry) recordOutcome(ctx context.Context, c *Claim) error {
+	reg.recent.end(c, reg.now())
+	err := reg.write(ctx, c)
+	if errors.Is(err, kv.ErrConflict) || errors.Is(err, kv.ErrLeaseExpired) {
+		c.revision, err = reg.rewrite(ctx, c.key, &c.record)
+	}
+	if err != nil {
+		return err
+	}
+	reg.recent.setWritten(c.record.RequestID, c.revision.Era())
+	return nil
+}
+
+// create stores a new claim, bound to the shared lease.
+func (reg *Registry) create(ctx context.Context, c *Claim) error {
+	lease, err := reg.sharedLease(ctx)
+	if err != nil {
+		return err
+	}
+	c.lease = lease
+	err = reg.write(ctx, c)
+	if errors.Is(err, kv.ErrLeaseExpired) {
+		reg.dropLease(lease)
 	}
 	return err
 }
@@ -193,9 +245,9 @@
 // write stores the record of c, expecting the revision of the last write, and
 // updates that revision. An error of the store is returned as it is.
 func (reg *Registry) write(ctx context.Context, c *Claim) error {
-	value, err := json.Marshal(c.record)
+	value, err := encodeRecord(&c.record)
 	if err != nil {
-		return fmt.Errorf("encode a claim: %w", err)
+		return err
 	}
 	revision, err := reg.store.Commit(ctx, kv.Transaction{
 		Expect: map[string]kv.Revision{c.key: c.revision},
@@ -207,6 +259,15 @@
 	return err
 }
 
+// encodeRecord returns the value of a claim in the key-value service.
+func encodeRecord(r *record) ([]byte, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode a claim: %w", err)
+	}
+	return value, nil
+}
+
 // sharedLease returns the lease to which claims of this leaseReusePeriod are
 // bound. The key-value service deletes them all when the lease expires, without a
 // call for each.
@@ -214,7 +275,8 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	now := reg.now()
-	if reg.lease != (kv.LeaseID{}) && now.Sub(reg.leaseGrantedAt) < leaseReusePeriod {
+	usable := reg.lease != (kv.LeaseID{}) && reg.lease.Era == reg.store.Era() // one of a former era has expired
+	if usable && now.Sub(reg.leaseGrantedAt) < leaseReusePeriod {
 		return reg.lease, nil
 	}
 	lease, err := reg.store.GrantLease(ctx, retention+leaseReusePeriod)
@@ -225,6 +287,15 @@
 	return lease, nil
 }
 
+// hasMoreThan reports whether the record holds an outcome that another record of the same
+// request lacks. A request whose outcome is unknown expires early.
+func (r *record) hasMoreThan(other *record) bool {
+	if r.Response != nil || other.Response != nil {
+		return other.Response == nil
+	}
+	return r.ExpiresAt < other.ExpiresAt
+}
+
 // dropLease makes the next claim request a new lease, unless another goroutine
 // has already replaced the given one.
 func (reg *Registry) dropLease(lease kv.LeaseID) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -55,6 +55,11 @@
 	*entry.Node
 	config    *config.Config
 	operators *http.Server
+	claims    *claims.Registry
+	log       *zerolog.Logger
+	// ctx ends what the node runs in the background besides the entry node.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // Run runs a node that logs to standard output until ctx ends, then stops it
@@ -204,11 +209,13 @@
 
 // newNode returns the node, whose listener for operators serves their interface and
 // the metrics.
-func newNode(c *config.Config, e *entry.Node, r *teams.Repository, log *zerolog.Logger) *Node {
+func newNode(c *config.Config, e *entry.Node, r *teams.Repository, cl *claims.Registry, log *zerolog.Logger) *Node {
 	mux := http.NewServeMux()
 	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) { e.WriteMetrics(w) })
 	mux.Handle("/", operators.New(c.Operators, e, r, log))
-	return &Node{Node: e, config: c, operators: &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}}
+	n := &Node{Node: e, config: c, operators: &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}, claims: cl, log: log}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
 }
 
 // ID returns the identifier of the node.
@@ -242,6 +249,7 @@
 		return errors.Join(err, listener.Close())
 	}
 	go func() { _ = n.operators.Serve(listener) }() // returns after Close
+	go n.claims.Run(n.ctx, n.log)
 	return nil
 }
 
@@ -249,11 +257,13 @@
 // done.
 func (n *Node) Stop() {
 	n.Node.Stop()
+	n.cancel()
 	_ = n.operators.Close()
 }
 
 // Abort stops the node immediately, as a crash does: nothing is handed over.
 func (n *Node) Abort() {
 	n.Node.Abort()
+	n.cancel()
 	_ = n.operators.Close()
 }
