teams: no change gets a number again after a restore of the key-value service

What operators would see: after the service came back from an older copy, a change is accepted (`revision 2 accepted`) and never comes into force: the nodes have a configuration of that or a higher number in force, and keep it.

Cause: the number of a change is counted from the counter in the service, which went back.

Evidence: TestChangeIsRefusedWhileSettingsInForceAreMissing without the check: error kind 0x0 instead of 0xc (PlatformUnavailable), the change is accepted.

Change: Apply and Drain read what is in force on the node before they list the settings, and refuse with platform_unavailable while the service has fewer changes. The counter, records and drains hold the era beyond the first in which they were written, and the counter the targets undrained in it, so that what was changed after a restore can be told from what was copied. Values in a service that was never restored are as before.

Result: the test passes, and so do those of pkg/teams and pkg/node.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -194,9 +194,9 @@
 }
 
 // newEntry returns the entry node, which serves callers through p.
-func newEntry(s *entry.Settings, o Options, log *zerolog.Logger, store *platform.Store, pool *upstream.Pool, targets *platform.TargetClient, m *entry.Metrics, p *callers.Protocol, r *claims.Registry) (*entry.Node, error) {
+func newEntry(s *entry.Settings, o Options, log *zerolog.Logger, store *platform.Store, pool *upstream.Pool, targets *platform.TargetClient, m *entry.Metrics, p *callers.Protocol, r *claims.Registry, repository *teams.Repository) (*entry.Node, error) {
 	decoder := teams.NewDecoder()
-	return entry.New(entry.Deps{
+	e, err := entry.New(entry.Deps{
 		Settings: s, Log: log, Dial: o.Dial, Store: store, Targets: targets, Pool: pool, Metrics: m,
 		ClientProtocol: p, TargetProtocol: platform.TargetProtocol{},
 		WrapHandler: func(n *entry.Node) http.Handler { return p.Handler(n, r, log) },
@@ -205,6 +205,11 @@
 			Configuration: decoder.Decode, Target: platform.DecodeTarget,
 		},
 	})
+	if err != nil {
+		return nil, err
+	}
+	repository.RequireInForce(e.Version)
+	return e, nil
 }
 
 // newNode returns the node, whose listener for operators serves their interface and
--- a/pkg/teams/decode.go
+++ b/pkg/teams/decode.go
@@ -35,7 +35,7 @@
 	if !ok {
 		return nil, nil
 	}
-	accepted, err := decodeAccepted(map[string]kv.Entry{changeCounterKey: counterEntry})
+	counter, err := decodeChangeCounter(counterEntry)
 	if err != nil {
 		return nil, err
 	}
@@ -52,7 +52,7 @@
 			snapshot.Drained[target] = true
 		}
 	}
-	return snapshot.Table(accepted.change, lastRevision), nil
+	return snapshot.Table(counter.Change, lastRevision), nil
 }
 
 // specs returns the subtrees and their revisions, and updates the cache.
--- a/pkg/teams/repository.go
+++ b/pkg/teams/repository.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -67,6 +68,9 @@
 	// of drains.
 	ChangeNumber int64     `json:"change"`
 	Spec         *TeamSpec `json:"spec"`
+	// Era is the era of the key-value service in which the change was accepted, 0 for
+	// those up to kv.FirstEra. Records are ordered by Era and ChangeNumber.
+	Era kv.Era `json:"era,omitempty"`
 }
 
 // changeCounter is the value of changeCounterKey: it counts the changes of all teams and
@@ -75,6 +79,19 @@
 // still unique when the change takes effect.
 type changeCounter struct {
 	Change int64 `json:"change"`
+	// Era is the era in which the counter was last written, 0 up to kv.FirstEra. The
+	// fields below belong to it.
+	Era kv.Era `json:"era,omitempty"`
+	// Former is the number of the last change of former eras that the settings contain.
+	Former int64 `json:"former,omitempty"`
+	// Undrained are the targets whose drain was ended in this era.
+	Undrained []string `json:"undrained,omitempty"`
+}
+
+// drain is the value of the entry of a drained target.
+type drain struct {
+	// Era is the era in which the target was drained, 0 up to kv.FirstEra.
+	Era kv.Era `json:"era,omitempty"`
 }
 
 // Change is a change of one team's subtree that an operator requests.
@@ -93,17 +110,40 @@
 type Repository struct {
 	store Store
 	now   func() time.Time
+	// inForce returns the number of the last change in force on this node.
+	inForce func() int64
 }
 
 // NewRepository returns a repository that stores its data in a key-value service.
-func NewRepository(s Store) *Repository { return &Repository{store: s, now: time.Now} }
+func NewRepository(s Store) *Repository {
+	return &Repository{store: s, now: time.Now, inForce: func() int64 { return 0 }}
+}
+
+// RequireInForce makes Apply and Drain refuse changes while the key-value service has
+// fewer changes than inForce returns, the number of the last one in force on this node:
+// the service was restored from an older copy, and the settings that it lacks are still
+// to be written again. It must be called before all other methods.
+func (r *Repository) RequireInForce(inForce func() int64) { r.inForce = inForce }
 
 // acceptedSettings holds the decoded entries below Prefix.
 type acceptedSettings struct {
-	counterRevision kv.Revision            // of the changeCounter entry; 0 if there is none
-	change          int64                  // number of the last change
+	counterRevision kv.Revision // of the changeCounter entry; 0 if there is none
+	counter         changeCounter
 	storeRevisions  map[string]kv.Revision // of all entries, by key
 	records         map[fleet.Team]*Record
+	drains          map[string]drain // by target
+	// era is the era in which the entries were read, 0 up to kv.FirstEra.
+	era kv.Era
+}
+
+// nextCounter returns the counter after a further change.
+func (a *acceptedSettings) nextCounter() changeCounter {
+	next := a.counter
+	if next.Era != a.era { // the first change of this era
+		next = changeCounter{Change: next.Change, Era: a.era, Former: next.Change}
+	}
+	next.Change++
+	return next
 }
 
 // Apply commits a change and returns the new record. If the accepted record of the team
@@ -155,7 +195,7 @@
 	}
 	return &Record{
 		RevisionInfo: RevisionInfo{Revision: revision + 1, Author: c.Author, Time: r.now().UTC(), WriteID: c.WriteID},
-		ChangeNumber: accepted.change + 1, Spec: c.Spec,
+		ChangeNumber: accepted.counter.Change + 1, Spec: c.Spec, Era: accepted.era,
 	}, nil
 }
 
@@ -169,7 +209,7 @@
 	}
 	change := kv.Transaction{
 		Expect: map[string]kv.Revision{changeCounterKey: accepted.counterRevision, key: accepted.storeRevisions[key]},
-		Put:    []kv.Entry{{Key: key, Value: value}, {Key: changeCounterKey, Value: encodeChangeCounter(next.ChangeNumber)}},
+		Put:    []kv.Entry{{Key: key, Value: value}, {Key: changeCounterKey, Value: accepted.nextCounter().encode()}},
 	}
 	if current != nil {
 		previous, err := encodeRecord(current)
@@ -308,18 +348,21 @@
 			return storeFault(err)
 		}
 		key := drainPrefix + target
-		if _, exists := accepted.storeRevisions[key]; exists == drained {
+		if _, exists := accepted.drains[target]; exists == drained {
 			return nil
 		}
-		change := kv.Transaction{
-			Expect: map[string]kv.Revision{changeCounterKey: accepted.counterRevision},
-			Put:    []kv.Entry{{Key: changeCounterKey, Value: encodeChangeCounter(accepted.change + 1)}},
-		}
+		change := kv.Transaction{Expect: map[string]kv.Revision{changeCounterKey: accepted.counterRevision}}
+		counter := accepted.nextCounter()
+		counter.Undrained = slices.DeleteFunc(slices.Clone(counter.Undrained), func(t string) bool { return t == target })
 		if drained {
-			change.Put = append(change.Put, kv.Entry{Key: key, Value: []byte("{}")})
+			change.Put = append(change.Put, kv.Entry{Key: key, Value: drain{Era: accepted.era}.encode()})
 		} else {
 			change.Delete = []string{key}
+			if accepted.era != 0 {
+				counter.Undrained = append(counter.Undrained, target)
+			}
 		}
+		change.Put = append(change.Put, kv.Entry{Key: changeCounterKey, Value: counter.encode()})
 		_, err = r.store.Commit(ctx, change)
 		switch {
 		case err == nil:
@@ -333,43 +376,85 @@
 	return fault.New(fault.PlatformUnavailable, "the drain of target %q was not settled in %d attempts; repeat it", target, commitAttempts)
 }
 
-// readAccepted reads all entries below Prefix. Errors of the store are returned as
-// they are.
+// readAccepted reads all entries below Prefix for a change. Errors of the store are
+// returned as they are. If the store has fewer changes than are in force on this node, the
+// error is of kind PlatformUnavailable.
 func (r *Repository) readAccepted(ctx context.Context) (*acceptedSettings, error) {
-	entries, _, err := r.store.List(ctx, Prefix)
+	inForce := r.inForce() // before the list, so that the list has all changes in force
+	entries, err := r.listEntries(ctx)
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := entries.decode()
 	if err != nil {
 		return nil, err
 	}
-	byKey := make(map[string]kv.Entry, len(entries))
+	if accepted.counter.Change < inForce {
+		return nil, fault.New(fault.PlatformUnavailable,
+			"the key-value service was restored from an older copy: it has changes up to %d, and %d is in force; the nodes write the settings again, repeat the change then", accepted.counter.Change, inForce)
+	}
+	return accepted, nil
+}
+
+// entryList holds the entries below Prefix, by key.
+type entryList struct {
+	entries map[string]kv.Entry
+	// era is the era in which they were read.
+	era kv.Era
+}
+
+// listEntries reads all entries below Prefix.
+func (r *Repository) listEntries(ctx context.Context) (*entryList, error) {
+	entries, revision, err := r.store.List(ctx, Prefix)
+	if err != nil {
+		return nil, err
+	}
+	l := &entryList{make(map[string]kv.Entry, len(entries)), revision.Era()}
 	for _, e := range entries {
-		byKey[e.Key] = e
+		l.entries[e.Key] = e
 	}
-	return decodeAccepted(byKey)
+	return l, nil
 }
 
-// decodeAccepted decodes the entries below Prefix, by key.
-func decodeAccepted(entries map[string]kv.Entry) (*acceptedSettings, error) {
-	a := &acceptedSettings{storeRevisions: map[string]kv.Revision{}, records: map[fleet.Team]*Record{}}
-	for key, e := range entries {
+// decode decodes the entries.
+func (l *entryList) decode() (*acceptedSettings, error) {
+	a := &acceptedSettings{storeRevisions: map[string]kv.Revision{}, records: map[fleet.Team]*Record{}, drains: map[string]drain{}}
+	if l.era > kv.FirstEra {
+		a.era = l.era
+	}
+	for key, e := range l.entries {
 		a.storeRevisions[key] = e.ModRevision
 		switch {
 		case key == changeCounterKey:
-			var counter changeCounter
-			if err := json.Unmarshal(e.Value, &counter); err != nil {
-				return nil, fmt.Errorf("entry %q: %w", key, err)
+			counter, err := decodeChangeCounter(e)
+			if err != nil {
+				return nil, err
 			}
-			a.counterRevision, a.change = e.ModRevision, counter.Change
+			a.counterRevision, a.counter = e.ModRevision, counter
 		case strings.HasPrefix(key, teamPrefix):
 			record, err := decodeRecord(e)
 			if err != nil {
 				return nil, err
 			}
 			a.records[record.Spec.Team] = record
+		case strings.HasPrefix(key, drainPrefix):
+			var d drain
+			_ = json.Unmarshal(e.Value, &d) // a target is drained whatever the value is
+			a.drains[strings.TrimPrefix(key, drainPrefix)] = d
 		}
 	}
 	return a, nil
 }
 
+// decodeChangeCounter is the reverse of changeCounter.encode. An error names the key.
+func decodeChangeCounter(e kv.Entry) (changeCounter, error) {
+	var counter changeCounter
+	if err := json.Unmarshal(e.Value, &counter); err != nil {
+		return changeCounter{}, fmt.Errorf("entry %q: %w", e.Key, err)
+	}
+	return counter, nil
+}
+
 // teamKey returns the key of the accepted record of a team.
 func teamKey(team fleet.Team) string { return teamPrefix + string(team) }
 
@@ -379,9 +464,17 @@
 	return fmt.Sprintf("%s%s/%010d", historyPrefix, team, revision)
 }
 
-// encodeChangeCounter returns the value of changeCounterKey for the given number of the
-// last change.
-func encodeChangeCounter(change int64) []byte { return fmt.Appendf(nil, `{"change":%d}`, change) }
+// encode returns the value of changeCounterKey.
+func (c changeCounter) encode() []byte { return encodeJSON(c) }
+
+// encode returns the value of the entry of a drained target.
+func (d drain) encode() []byte { return encodeJSON(d) }
+
+// encodeJSON encodes a value of numbers and strings, which can't fail.
+func encodeJSON(v any) []byte {
+	text, _ := json.Marshal(v)
+	return text
+}
 
 // encodeRecord returns a record as compressed JSON. Without compression the subtree of
 // a team with 20,000 adapters exceeds the maximum size of a value. The error is of kind
--- a/pkg/teams/repository_test.go
+++ b/pkg/teams/repository_test.go
@@ -135,6 +135,29 @@
 	assert.Equal(t, fault.PlatformUnavailable, fault.KindOf(r.Drain(t.Context(), "t1", false)))
 }
 
+// Guards against a change that gets a number under which the nodes have another change in
+// force, because the key-value service came back from an older copy: it would never come
+// into force.
+func TestChangeIsRefusedWhileSettingsInForceAreMissing(t *testing.T) {
+	store := new(kvtest.Store)
+	r := NewRepository(store)
+	_, err := r.Apply(t.Context(), Change{Spec: teamSpec(t)})
+	require.NoError(t, err)
+	older := store.Copy()
+	require.NoError(t, r.Drain(t.Context(), "t1", true))
+	store.Restore(older)
+	inForce := int64(2)
+	r.RequireInForce(func() int64 { return inForce })
+	_, err = r.Apply(t.Context(), Change{Spec: teamSpec(t), Expect: 1})
+	assert.Equal(t, fault.PlatformUnavailable, fault.KindOf(err))
+	assert.True(t, fault.KindOf(err).Response().Retry)
+	require.ErrorContains(t, err, "restored from an older copy")
+	assert.Equal(t, fault.PlatformUnavailable, fault.KindOf(r.Drain(t.Context(), "t2", true)))
+	assert.NotContains(t, store.Entries(), drainPrefix+"t2")
+	inForce = 1
+	require.NoError(t, r.Drain(t.Context(), "t2", true))
+}
+
 // TestDecoderReflectsAppliedChanges checks that each change, drains included, is
 // decoded as a newer configuration.
 func TestDecoderReflectsAppliedChanges(t *testing.T) {
@@ -226,7 +249,7 @@
 	require.NoError(b, err)
 	b.ReportMetric(float64(len(value)), "bytes")
 	entries := map[string]kv.Entry{
-		changeCounterKey:    {Key: changeCounterKey, Value: encodeChangeCounter(1), ModRevision: 1},
+		changeCounterKey:    {Key: changeCounterKey, Value: changeCounter{Change: 1}.encode(), ModRevision: 1},
 		teamKey("listings"): {Key: teamKey("listings"), Value: value, ModRevision: 1},
 	}
 	for b.Loop() {
