teams: accepted settings that a restore of the key-value service has lost come back

What operators would see: after the service came back from an older copy, a team or drain that was accepted since the copy is gone: a node that starts does not have it, the next change is based on the older revision, and nobody is told.

Cause: the service is the only record of accepted settings, and nobody writes them again.

Change: entry.Deps.OnRestore gets the configuration in force and the one listed after a restore. teams.PlanRestore compares them and returns transactions of at most 32 entries that bring records, drains and ends of drains back, and the counter to at least its former number; changes of the new era are kept, and the former revisions that they replace are reported as lost. A Restorer executes them and begins again after a conflict, a failure or another restore. Each node waits up to a second at random first.

--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -12,8 +12,9 @@
 )
 
 // replaceConfiguration replaces the entries of the configuration by a complete
-// list.
-func (n *Node) replaceConfiguration(entries []kv.Entry, _ kv.Revision) {
+// list, which was read at a revision.
+func (n *Node) replaceConfiguration(entries []kv.Entry, revision kv.Revision) {
+	n.observeRestoredConfiguration(entries, revision.Era())
 	n.configurationEntries = entriesByKey(entries)
 	n.applyConfiguration()
 	if n.announcedVersion.Load() > n.version() {
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -77,6 +77,10 @@
 	// ReadinessPath is the path of the load balancer's readiness check; empty
 	// if the readiness listener does not serve it.
 	ReadinessPath string
+	// OnRestore is called, on a goroutine of its own, when the key-value service was
+	// restored from an older copy, with the entries of the configuration that was in force
+	// until then and those listed since. Its context ends with the node. nil for none.
+	OnRestore func(ctx context.Context, held, listed map[string]kv.Entry)
 	// WrapHandler returns the handler of the clients' listener, which forwards
 	// requests to the node. If it is nil, the node is the handler.
 	WrapHandler func(n *Node) http.Handler
@@ -158,6 +162,10 @@
 	keptRevision         kv.Revision
 	// configurationInForce is a copy of the entries that table was decoded from.
 	configurationInForce entryCopy
+	// onRestore is the OnRestore of the Deps, and restoredEra the era for which it was
+	// last called, which only the goroutine of configurationWatch uses.
+	onRestore   func(ctx context.Context, held, listed map[string]kv.Entry)
+	restoredEra kv.Era
 	// announcedVersion is the highest version of the configuration that other nodes
 	// have announced.
 	announcedVersion atomic.Int64
@@ -208,6 +216,7 @@
 		snapshotLimiter: limiter.New(time.Now),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
+	n.onRestore = d.OnRestore
 	n.usages.node = n.self.ID
 	n.bounds.Store(&d.Settings.Bounds)
 	n.fallbackQuery.ownerReached(n.started)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -204,6 +204,7 @@
 			ConfigurationPrefix: teams.Prefix, TargetPrefix: platform.TargetPrefix,
 			Configuration: decoder.Decode, Target: platform.DecodeTarget,
 		},
+		OnRestore: teams.NewRestorer(repository, log).Restore,
 	})
 	if err != nil {
 		return nil, err
