claims: a claim is written again over one of a node that has not seen the restore

What callers would see: a request that is repeated with its key soon after a restore runs a second time 5 s later, or its key is in progress until the deadline has passed.

Cause: a node that has not seen the restore yet still claims keys in the service, and only then finds that it must not run the request. If the holder of the key writes its claim again in that moment, it found the key taken and gave it up.

TestClaimIsRestoredOverThatOfANode... and TestReleasedClaimOfTheCopyDoesNotKeepTheKey fail if no claim gives way.

Change: a claim holds the last era in which its request was known to hold the key. On the way back it replaces one of its own or a former era, and gives way to one that was made in the current era, which only settled nodes make: a node that learns of the era by the lease makes no claim.

--- a/pkg/callers/callers_test.go
+++ b/pkg/callers/callers_test.go
@@ -303,7 +303,7 @@
 	keys := slices.Collect(maps.Keys(n.store.Entries()))
 	n.store.Restore(new(kvtest.Store).Copy())
 	for _, key := range keys {
-		_, _ = n.store.CompareAndSwap(r.Context(), key, []byte(`{"request_id":"other"}`), 0, kv.LeaseID{})
+		_, _ = n.store.CompareAndSwap(r.Context(), key, []byte(`{"request_id":"other","era":2}`), 0, kv.LeaseID{})
 	}
 	n.fakeNode.ServeHTTP(w, r)
 }
@@ -325,7 +325,7 @@
 		t.Fatal("nothing was logged")
 	}
 	for _, e := range n.store.Entries() {
-		assert.JSONEq(t, `{"request_id":"other"}`, string(e.Value))
+		assert.JSONEq(t, `{"request_id":"other","era":2}`, string(e.Value))
 	}
 }
 
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -84,6 +84,10 @@
 	ExpiresAt int64 `json:"until"`
 	// Response is nil until the outcome has been recorded.
 	Response *Response `json:"answer,omitempty"`
+	// Era is the last era of the key-value service in which the request was known to hold
+	// the key. A claim that was made by a node which had not seen the current era is of a
+	// former one: its request is not run.
+	Era kv.Era `json:"era,omitempty"`
 }
 
 // Claim is a claim that this node has created. It is used by one goroutine at a time.
@@ -131,9 +135,9 @@
 	c := &Claim{key: r.key(), record: record{
 		Digest: r.Digest[:], RequestID: r.RequestID, ExpiresAt: r.Deadline.Add(claimGracePeriod).UnixMilli(),
 	}}
-	err = reg.create(ctx, c)
+	err = reg.create(ctx, c, era)
 	if errors.Is(err, kv.ErrLeaseExpired) {
-		err = reg.create(ctx, c) // with a new lease
+		err = reg.create(ctx, c, era) // with a new lease
 	}
 	switch {
 	case err == nil:
@@ -216,7 +220,7 @@
 // revision of the last write, because the response to an earlier attempt was lost or the
 // service was restored, it is read first.
 func (reg *Registry) recordOutcome(ctx context.Context, c *Claim) error {
-	reg.recent.end(c, reg.now())
+	c.record.Era = reg.recent.end(c, reg.now())
 	err := reg.write(ctx, c)
 	if errors.Is(err, kv.ErrConflict) || errors.Is(err, kv.ErrLeaseExpired) {
 		c.revision, err = reg.rewrite(ctx, c.key, &c.record)
@@ -228,13 +232,17 @@
 	return nil
 }
 
-// create stores a new claim, bound to the shared lease.
-func (reg *Registry) create(ctx context.Context, c *Claim) error {
+// create stores a new claim, bound to the shared lease, which must be of the given era: a
+// later one is not settled.
+func (reg *Registry) create(ctx context.Context, c *Claim, era kv.Era) error {
 	lease, err := reg.sharedLease(ctx)
 	if err != nil {
 		return err
 	}
-	c.lease = lease
+	if lease.Era > max(era, kv.FirstEra) {
+		return errRestored
+	}
+	c.lease, c.record.Era = lease, lease.Era
 	err = reg.write(ctx, c)
 	if errors.Is(err, kv.ErrLeaseExpired) {
 		reg.dropLease(lease)
@@ -287,13 +295,17 @@
 	return lease, nil
 }
 
-// hasMoreThan reports whether the record holds an outcome that another record of the same
-// request lacks. A request whose outcome is unknown expires early.
-func (r *record) hasMoreThan(other *record) bool {
-	if r.Response != nil || other.Response != nil {
-		return other.Response == nil
-	}
-	return r.ExpiresAt < other.ExpiresAt
+// covers reports whether the record holds all that another record of the same request
+// holds. A request whose outcome is unknown expires early.
+func (r *record) covers(other *record) bool {
+	return r.Response != nil || other.Response == nil && r.ExpiresAt <= other.ExpiresAt
+}
+
+// yieldsTo reports whether a record, found in an era, is not that of the request that
+// holds the key, which is the request of other: it was released after the copy from which
+// the service was restored, or made by a node that had not seen the restore.
+func (r *record) yieldsTo(other *record, era kv.Era) bool {
+	return r.Era < era && r.Era <= other.Era
 }
 
 // dropLease makes the next claim request a new lease, unless another goroutine
--- a/pkg/claims/recent.go
+++ b/pkg/claims/recent.go
@@ -48,15 +48,18 @@
 	r.claims[c.record.RequestID] = &recentClaim{key: c.key, record: c.record, writtenIn: writtenIn}
 }
 
-// end records the outcome of the request, and forgets claims beyond the bounds.
-func (r *recentClaims) end(c *Claim, now time.Time) {
+// end records the outcome of the request, and forgets claims beyond the bounds. It returns
+// the Era of the claim's record.
+func (r *recentClaims) end(c *Claim, now time.Time) kv.Era {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	claim := r.claims[c.record.RequestID]
 	if claim == nil {
-		return
+		return c.record.Era
 	}
+	era := max(claim.record.Era, c.record.Era)
 	claim.record = c.record
+	claim.record.Era = era
 	if claim.endedAt.IsZero() {
 		claim.endedAt = now
 		r.ended = append(r.ended, c.record.RequestID)
@@ -64,11 +67,12 @@
 	for len(r.ended) > 0 {
 		oldest := r.claims[r.ended[0]]
 		if len(r.ended) <= maxRecentClaims && now.Sub(oldest.endedAt) <= recentTime {
-			return
+			break
 		}
 		delete(r.claims, r.ended[0])
 		r.ended = r.ended[1:]
 	}
+	return era
 }
 
 // remove forgets the claim of a request that was not run.
@@ -95,7 +99,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c := r.claims[requestID]; c != nil {
-		c.writtenIn = max(c.writtenIn, era)
+		c.writtenIn, c.record.Era = max(c.writtenIn, era), max(c.record.Era, era)
 	}
 }
 
--- a/pkg/claims/restore.go
+++ b/pkg/claims/restore.go
@@ -137,7 +137,7 @@
 	revision, err := reg.rewrite(ctx, c.key, &latest.record)
 	if errors.Is(err, ErrLost) {
 		event.ClaimLost.Log(log).Str("request", c.record.RequestID).Uint64("previous_era", uint64(latest.writtenIn)).Uint64("era", uint64(era)).Err(err).Send()
-		reg.recent.setWritten(c.record.RequestID, era)
+		reg.recent.remove(c.record.RequestID)
 		return nil
 	}
 	if err != nil {
@@ -157,7 +157,7 @@
 }
 
 // rewrite stores the record of a claim whatever the state of the claim is in the service,
-// and returns its revision. It returns ErrLost if the key belongs to another request. A
+// and returns its revision. It returns ErrLost if another request holds the key. A
 // record that holds an outcome is not replaced by one that holds none.
 func (reg *Registry) rewrite(ctx context.Context, key string, r *record) (kv.Revision, error) {
 	value, err := encodeRecord(r)
@@ -170,9 +170,9 @@
 		case errors.Is(err, kv.ErrNotFound):
 		case err != nil:
 			return 0, err
-		case stored.RequestID != r.RequestID:
+		case stored.RequestID != r.RequestID && !stored.yieldsTo(r, existing.ModRevision.Era()):
 			return 0, fmt.Errorf("claim of request %s: %w", r.RequestID, ErrLost)
-		case string(existing.Value) == string(value), stored.hasMoreThan(r):
+		case stored.RequestID == r.RequestID && stored.covers(r):
 			return existing.ModRevision, nil
 		}
 		lease, err := reg.sharedLease(ctx)
@@ -213,7 +213,8 @@
 }
 
 // readClaim returns the entry of a claim and its record, or kv.ErrNotFound with the zero
-// entry. A record that can't be decoded is returned as the zero record.
+// entry. A record that can't be decoded is returned as one of an unknown request that yields
+// to no other.
 func (reg *Registry) readClaim(ctx context.Context, key string) (kv.Entry, record, error) {
 	e, err := reg.store.Get(ctx, key)
 	if err != nil {
@@ -221,7 +222,7 @@
 	}
 	var stored record
 	if json.Unmarshal(e.Value, &stored) != nil {
-		stored = record{}
+		stored = record{Era: kv.MaxEra}
 	}
 	return e, stored, nil
 }
--- a/pkg/claims/restore_test.go
+++ b/pkg/claims/restore_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -156,6 +157,161 @@
 	}
 }
 
+// unawareStore is the store as a node uses it that learns of a restore by the response to
+// its next call. The service may have granted the identifiers of its leases again.
+type unawareStore struct {
+	*kvtest.Store
+	seen kv.Era
+}
+
+func (s *unawareStore) Era() kv.Era { return s.seen }
+
+func (s *unawareStore) Get(ctx context.Context, key string) (kv.Entry, error) {
+	defer func() { s.seen = s.Store.Era() }()
+	return s.Store.Get(ctx, key)
+}
+
+func (s *unawareStore) GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	defer func() { s.seen = s.Store.Era() }()
+	return s.Store.GrantLease(ctx, ttl)
+}
+
+func (s *unawareStore) Commit(ctx context.Context, txn kv.Transaction) (kv.Revision, error) {
+	era := s.Store.Era()
+	planned := s.seen
+	s.seen = era
+	for i := range txn.Put {
+		txn.Put[i].Lease.Era = era
+	}
+	revision, err := s.Store.Commit(ctx, txn)
+	if err == nil && era != planned {
+		return 0, kv.ErrOutcomeUnknown
+	}
+	return revision, err
+}
+
+// Guards against a claim that is given up because a node which has not seen the restore
+// has claimed its key for a request that it does not run.
+func TestClaimIsRestoredOverThatOfANodeThatHasNotSeenTheRestore(t *testing.T) {
+	for name, hasLease := range map[string]bool{"with a lease": true, "without a lease": false} {
+		t.Run(name, func(t *testing.T) {
+			now := testStart
+			store := new(kvtest.Store)
+			holder := newRegistry(store, &now)
+			unaware := New(&unawareStore{Store: store})
+			unaware.now = holder.now
+			if hasLease {
+				_, _, err := unaware.Begin(testCtx, keyedRequest("other", "r0"))
+				require.NoError(t, err)
+			}
+			older := store.Copy()
+			_, _, err := holder.Begin(testCtx, request("r1", "seat"))
+			require.NoError(t, err)
+			store.Restore(older)
+			blocked := &blockingStore{Store: unaware.store, blocked: make(chan struct{}), resume: make(chan struct{})}
+			unaware.store = blocked
+			result := make(chan error)
+			go func() {
+				_, _, err := unaware.Begin(testCtx, request("r2", "seat"))
+				result <- err
+			}()
+			select {
+			case <-blocked.blocked: // it has written its claim
+				assert.Empty(t, restore(newRegistry(store, &now)))
+				assert.NotContains(t, restore(holder), "claim_lost")
+				close(blocked.resume)
+				assert.Equal(t, fault.KeyInProgress, fault.KindOf(<-result), "it finds the holder's claim")
+			case err := <-result: // it has seen the restore before
+				assert.Equal(t, fault.ClaimUnsettled, fault.KindOf(err))
+				restore(holder)
+			}
+			now = now.Add(settleTime)
+			_, _, err = newRegistry(store, &now).Begin(testCtx, request("r3", "seat"))
+			assert.Equal(t, fault.ClaimUnsettled, fault.KindOf(err), "its registry is new")
+			_, _, err = holder.Begin(testCtx, request("r3", "seat"))
+			assert.Equal(t, fault.KeyInProgress, fault.KindOf(err))
+		})
+	}
+}
+
+// blockingStore blocks after the first transaction was committed.
+type blockingStore struct {
+	Store
+	once            sync.Once
+	blocked, resume chan struct{}
+}
+
+func (s *blockingStore) Commit(ctx context.Context, txn kv.Transaction) (kv.Revision, error) {
+	revision, err := s.Store.Commit(ctx, txn)
+	s.once.Do(func() {
+		close(s.blocked)
+		<-s.resume
+	})
+	return revision, err
+}
+
+// Guards against an older request whose claim was released after the copy, and has the
+// key again after the restore.
+func TestReleasedClaimOfTheCopyDoesNotKeepTheKey(t *testing.T) {
+	store, now := new(kvtest.Store), testStart
+	reg := newRegistry(store, &now)
+	released, _, err := reg.Begin(testCtx, request("r1", "seat"))
+	require.NoError(t, err)
+	older := store.Copy()
+	require.NoError(t, reg.Release(testCtx, released))
+	claim, _, err := reg.Begin(testCtx, request("r2", "seat"))
+	require.NoError(t, err)
+	require.NoError(t, reg.Complete(testCtx, claim, &Response{Status: 201}))
+	store.Restore(older)
+	assert.NotContains(t, restore(reg), "claim_lost")
+	now = now.Add(settleTime)
+	_, response, err := reg.Begin(testCtx, request("r3", "seat"))
+	require.NoError(t, err)
+	assert.Equal(t, 201, response.Status)
+}
+
+// Guards against a claim of a later era that is overwritten after another restore by the
+// one that it has replaced.
+func TestLostClaimDoesNotComeBackAfterASecondRestore(t *testing.T) {
+	store, now := new(kvtest.Store), testStart
+	late, other := newRegistry(store, &now), newRegistry(store, &now)
+	older := store.Copy()
+	first, _, err := late.Begin(testCtx, request("r1", "seat"))
+	require.NoError(t, err)
+	store.Restore(older)
+	restore(other)
+	now = now.Add(settleTime)
+	_, _, err = other.Begin(testCtx, request("r2", "seat"))
+	require.NoError(t, err)
+	store.Restore(store.Copy())
+	assert.Contains(t, restore(late), "claim_lost")
+	require.ErrorIs(t, late.Complete(testCtx, first, &Response{Status: 201}), ErrLost)
+}
+
+// Guards against an entry of a later version that is overwritten, because this one can't
+// read it.
+func TestClaimThatCannotBeReadIsNotOverwritten(t *testing.T) {
+	store, now := new(kvtest.Store), testStart
+	reg := newRegistry(store, &now)
+	older := store.Copy()
+	claim, _, err := reg.Begin(testCtx, request("r1", "seat"))
+	require.NoError(t, err)
+	store.Restore(older)
+	_, err = store.CompareAndSwap(testCtx, claim.key, []byte("?"), 0, kv.LeaseID{})
+	require.NoError(t, err)
+	assert.Contains(t, restore(reg), "claim_lost")
+	assert.Equal(t, "?", string(store.Entries()[claim.key].Value))
+}
+
+func TestRecordsYieldToThoseOfTheSameOrALaterEra(t *testing.T) {
+	for _, c := range []struct {
+		stored, own, current kv.Era
+		yields               bool
+	}{{1, 1, 2, true}, {0, 1, 2, true}, {1, 2, 3, true}, {2, 1, 3, false}, {2, 2, 2, false}, {2, 1, 2, false}} {
+		assert.Equal(t, c.yields, (&record{Era: c.stored}).yieldsTo(&record{Era: c.own}, c.current), "%+v", c)
+	}
+}
+
 // Guards against a claim that is released and comes back.
 func TestReleasedClaimIsNotRestored(t *testing.T) {
 	store, now := new(kvtest.Store), testStart
