--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -148,15 +148,28 @@
 	"up": standin.Healthy, "down": standin.DropConnections, "busy": standin.Busy, "limited": standin.RateLimited, "losing": standin.DropWriteResponses,
 }
 
-// cmdPlatform: platform up|down|busy|limited|losing|compact changes the state of
-// the key-value service, or compacts its history.
+// cmdPlatform: platform up|down|busy|limited|losing|compact|copy|restore|restore-cut changes
+// the state of the key-value service, compacts its history, copies it, or restores the last
+// copy: restore leaves waiting watches without a response, and restore-cut closes all
+// connections and expires the leases.
 func cmdPlatform(ts *testscript.TestScript, _ bool, args []string) {
-	const usage = "platform up|down|busy|limited|losing|compact"
+	const usage = "platform up|down|busy|limited|losing|compact|copy|restore|restore-cut"
 	requireUsage(ts, len(args) == 1, usage)
-	store := scriptStateOf(ts).deployment.Store
-	if args[0] == "compact" {
+	s := scriptStateOf(ts)
+	store := s.deployment.Store
+	switch args[0] {
+	case "compact":
 		store.Compact()
 		return
+	case "copy":
+		s.storeCopy = store.Copy()
+		return
+	case "restore":
+		store.Restore(s.storeCopy, standin.RestoreOptions{})
+		return
+	case "restore-cut":
+		store.Restore(s.storeCopy, standin.RestoreOptions{ExpireLeases: true, CutConnections: true})
+		return
 	}
 	f, ok := storeFaults[args[0]]
 	requireUsage(ts, ok, usage)
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"almondturn/platform/standin"
 )
 
 // TestScenarios runs the scripts in testdata.
@@ -54,6 +56,7 @@
 type scriptState struct {
 	deployment      *deployment
 	backgroundCalls map[string]chan []*call
+	storeCopy       *standin.Copy
 }
 
 func (s *scriptState) close() {
