claims: a key that was free before a restore is free after it

What callers would see: a request is refused as not run, its key is free.

Cause: a released claim was forgotten at once.

Evidence: TestReleasedClaimOfTheCopyIsReleasedAgain without the change: 'Should be empty, but was map[almondturn/claims/...]' and no claim for the next request.

Change: a released claim is remembered as those that ended are, and deleted again after a restore if the key still belongs to its request.

Result: go test -race -count=3 ./pkg/claims passes.

--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -192,7 +192,7 @@
 // Release deletes the claim, because the request was not run; the key can then be
 // claimed again. If it returns an error, the call may be repeated.
 func (reg *Registry) Release(ctx context.Context, c *Claim) error {
-	reg.recent.remove(c.record.RequestID)
+	reg.recent.release(c, reg.now())
 	_, err := reg.store.Commit(ctx, kv.Transaction{Expect: map[string]kv.Revision{c.key: c.revision}, Delete: []string{c.key}})
 	if errors.Is(err, kv.ErrConflict) {
 		return reg.deleteOwn(ctx, c.key, c.record.RequestID)
--- a/pkg/claims/recent.go
+++ b/pkg/claims/recent.go
@@ -24,8 +24,11 @@
 	record record
 	// writtenIn is the era in which the claim was last written or found in the service.
 	writtenIn kv.Era
-	// endedAt is when the outcome was first recorded; zero while the request runs.
+	// endedAt is when the outcome was first recorded or the claim released; zero while the
+	// request runs.
 	endedAt time.Time
+	// released is true if the request was not run: the key is free.
+	released bool
 }
 
 // recentClaims holds the claims of the requests that run on this node, and of those that
@@ -48,8 +51,7 @@
 	r.claims[c.record.RequestID] = &recentClaim{key: c.key, record: c.record, writtenIn: writtenIn}
 }
 
-// end records the outcome of the request, and forgets claims beyond the bounds. It returns
-// the Era of the claim's record.
+// end records the outcome of the request. It returns the Era of the claim's record.
 func (r *recentClaims) end(c *Claim, now time.Time) kv.Era {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -60,22 +62,38 @@
 	era := max(claim.record.Era, c.record.Era)
 	claim.record = c.record
 	claim.record.Era = era
-	if claim.endedAt.IsZero() {
-		claim.endedAt = now
+	r.setEnded(claim, now)
+	return era
+}
+
+// release records that the request was not run.
+func (r *recentClaims) release(c *Claim, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if claim := r.claims[c.record.RequestID]; claim != nil {
+		claim.released = true
+		r.setEnded(claim, now)
+	}
+}
+
+// setEnded records when a request has first ended, and forgets claims beyond the bounds.
+// r.mu must be held.
+func (r *recentClaims) setEnded(c *recentClaim, now time.Time) {
+	if c.endedAt.IsZero() {
+		c.endedAt = now
 		r.ended = append(r.ended, c.record.RequestID)
 	}
 	for len(r.ended) > 0 {
 		oldest := r.claims[r.ended[0]]
 		if len(r.ended) <= maxRecentClaims && now.Sub(oldest.endedAt) <= recentTime {
-			break
+			return
 		}
 		delete(r.claims, r.ended[0])
 		r.ended = r.ended[1:]
 	}
-	return era
 }
 
-// remove forgets the claim of a request that was not run.
+// remove forgets the claim of a request.
 func (r *recentClaims) remove(requestID string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/claims/restore.go
+++ b/pkg/claims/restore.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -65,7 +66,7 @@
 }
 
 // restoreClaims writes the remembered claims again that were last written in a former
-// era. Those that could not be written are left for the next call.
+// era, and deletes those again that were released. What fails is left for the next call.
 func (reg *Registry) restoreClaims(ctx context.Context, log *zerolog.Logger) {
 	era, _ := reg.settledEra() // claims are written before the era is settled
 	if era <= kv.FirstEra {
@@ -76,8 +77,14 @@
 		return
 	}
 	var err error
-	for start := 0; start < len(pending) && err == nil; start += maxEntriesPerTransaction {
-		err = reg.restoreBatch(ctx, log, era, pending[start:min(start+maxEntriesPerTransaction, len(pending))])
+	held, released := splitReleased(pending)
+	for batch := range slices.Chunk(held, maxEntriesPerTransaction) {
+		if err = reg.restoreBatch(ctx, log, era, batch); err != nil {
+			break
+		}
+	}
+	for i := 0; i < len(released) && err == nil; i++ {
+		err = reg.restoreClaim(ctx, log, era, &released[i])
 	}
 	remaining := len(reg.recent.writtenBefore(era))
 	if remaining == len(pending) {
@@ -86,6 +93,18 @@
 	event.ClaimsRestored.Log(log).Uint64("era", uint64(era)).Int("claims", len(pending)).Int("remaining", remaining).Err(err).Send()
 }
 
+// splitReleased returns the claims that are held, and those that were released.
+func splitReleased(all []recentClaim) (held, released []recentClaim) {
+	for _, c := range all {
+		if c.released {
+			released = append(released, c)
+		} else {
+			held = append(held, c)
+		}
+	}
+	return held, released
+}
+
 // restoreBatch writes claims in one transaction, or, if the service has one of them, one
 // by one.
 func (reg *Registry) restoreBatch(ctx context.Context, log *zerolog.Logger, era kv.Era, batch []recentClaim) error {
@@ -127,12 +146,19 @@
 	return nil
 }
 
-// restoreClaim writes one claim, unless the service has it. A claim whose key has been
-// claimed by another request is logged, and not written.
+// restoreClaim writes one claim, unless the service has it, or deletes it if it was
+// released. A claim whose key another request holds is logged, and not written.
 func (reg *Registry) restoreClaim(ctx context.Context, log *zerolog.Logger, era kv.Era, c *recentClaim) error {
 	latest, ok := reg.recent.get(c.record.RequestID)
 	if !ok {
-		return nil // the request ended without being run
+		return nil // it is too old by now
+	}
+	if latest.released {
+		err := reg.deleteOwn(ctx, c.key, c.record.RequestID)
+		if err == nil {
+			reg.recent.setWritten(c.record.RequestID, era)
+		}
+		return err
 	}
 	revision, err := reg.rewrite(ctx, c.key, &latest.record)
 	if errors.Is(err, ErrLost) {
@@ -147,11 +173,11 @@
 	return nil
 }
 
-// setRestored records that a claim was written in an era. If its request has been ended
-// without being run meanwhile, it deletes the claim again.
+// setRestored records that a claim was written in an era. If it was released meanwhile, it
+// deletes the claim again.
 func (reg *Registry) setRestored(ctx context.Context, c *recentClaim, era kv.Era) {
 	reg.recent.setWritten(c.record.RequestID, era)
-	if _, ok := reg.recent.get(c.record.RequestID); !ok && c.endedAt.IsZero() {
+	if latest, _ := reg.recent.get(c.record.RequestID); latest.released {
 		_ = reg.deleteOwn(ctx, c.key, c.record.RequestID) // otherwise the outcome counts as unknown
 	}
 }
--- a/pkg/claims/restore_test.go
+++ b/pkg/claims/restore_test.go
@@ -288,6 +288,33 @@
 	require.ErrorIs(t, late.Complete(testCtx, first, &Response{Status: 201}), ErrLost)
 }
 
+// Guards against a key that stays taken after a restore, although the caller was told that
+// its request was not run and the key is free.
+func TestReleasedClaimOfTheCopyIsReleasedAgain(t *testing.T) {
+	for name, fails := range map[string]bool{"at once": false, "after a failure": true} {
+		t.Run(name, func(t *testing.T) {
+			store, now := new(kvtest.Store), testStart
+			reg := newRegistry(store, &now)
+			claim, _, err := reg.Begin(testCtx, request("r1", "seat"))
+			require.NoError(t, err)
+			older := store.Copy()
+			require.NoError(t, reg.Release(testCtx, claim))
+			store.Restore(older)
+			if fails {
+				store.SetUnavailable(true)
+				restore(reg)
+				store.SetUnavailable(false)
+			}
+			restore(reg)
+			assert.Empty(t, store.Entries())
+			now = now.Add(settleTime)
+			claim, _, err = reg.Begin(testCtx, request("r2", "seat"))
+			require.NoError(t, err)
+			assert.NotNil(t, claim)
+		})
+	}
+}
+
 // Guards against an entry of a later version that is overwritten, because this one can't
 // read it.
 func TestClaimThatCannotBeReadIsNotOverwritten(t *testing.T) {
@@ -459,6 +486,9 @@
 	require.NoError(t, reg.Complete(testCtx, begin(-2), &Response{Status: 200}))
 	assert.Len(t, reg.recent.claims, 2, "the running one and the last one")
 	require.NoError(t, reg.Release(testCtx, running))
+	assert.Len(t, reg.recent.ended, 2)
+	now = now.Add(recentTime + time.Millisecond)
+	require.NoError(t, reg.Complete(testCtx, begin(-3), &Response{Status: 200}))
 	assert.Len(t, reg.recent.claims, 1)
 	assert.Len(t, reg.recent.ended, 1)
 }
