entry: settings copied from a peer after a restore are written again too

What operators would see: changes stay refused (platform_unavailable) by a node that was started after a restore and has copied the settings from a peer, if the peer dies before it has written them again.

Cause: OnRestore was called only for what was in force when the first list of the era came.

Evidence: TestOnRestoreIsCalledForACopiedConfiguration with the former condition: [15] instead of [15 16].

Change: OnRestore is called once for each configuration of a former era that is in force, also after one was copied.

--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -19,6 +19,7 @@
 	n.applyConfiguration()
 	if n.announcedVersion.Load() > n.version() {
 		n.copyNewerConfiguration()
+		n.observeRestoredConfiguration(entries, revision.Era())
 	}
 }
 
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -162,10 +162,12 @@
 	keptRevision         kv.Revision
 	// configurationInForce is a copy of the entries that table was decoded from.
 	configurationInForce entryCopy
-	// onRestore is the OnRestore of the Deps, and restoredEra the era for which it was
-	// last called, which only the goroutine of configurationWatch uses.
-	onRestore   func(ctx context.Context, held, listed map[string]kv.Entry)
-	restoredEra kv.Era
+	// onRestore is the OnRestore of the Deps. restoredEra and restoredFrom are the era and
+	// the revision of the configuration in force for which it was last called, which only
+	// the goroutine of configurationWatch uses.
+	onRestore    func(ctx context.Context, held, listed map[string]kv.Entry)
+	restoredEra  kv.Era
+	restoredFrom kv.Revision
 	// announcedVersion is the highest version of the configuration that other nodes
 	// have announced.
 	announcedVersion atomic.Int64
--- a/pkg/entry/restore_settings.go
+++ b/pkg/entry/restore_settings.go
@@ -6,9 +6,9 @@
 	"almondturn/pkg/kv"
 )
 
-// observeRestoredConfiguration calls OnRestore of the Deps if the entries of the
-// configuration listed in an era are the first of a later one than those in force. It must
-// be called before they are considered.
+// observeRestoredConfiguration calls OnRestore of the Deps if entries of the configuration
+// were listed in a later era than those in force, once for each configuration in force. It
+// must be called before the listed entries are considered.
 func (n *Node) observeRestoredConfiguration(listed []kv.Entry, era kv.Era) {
 	if n.onRestore == nil {
 		return
@@ -17,9 +17,10 @@
 	if !ok || len(held) == 0 {
 		return
 	}
-	if era <= max(latestRevision(maps.Values(held)).Era(), n.restoredEra) {
+	revision := latestRevision(maps.Values(held))
+	if era <= revision.Era() || era == n.restoredEra && revision == n.restoredFrom {
 		return
 	}
-	n.restoredEra = era
+	n.restoredEra, n.restoredFrom = era, revision
 	go n.onRestore(n.ctx, held, entriesByKey(listed))
 }
--- a/pkg/entry/restore_settings_test.go
+++ b/pkg/entry/restore_settings_test.go
@@ -31,6 +31,31 @@
 	})
 }
 
+// Guards against settings that are not written again, because the only node that is left
+// with them was started after the restore and has copied them from a peer.
+func TestOnRestoreIsCalledForACopiedConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, _ := newIdleNode(t)
+		var calls []string
+		n.onRestore = func(_ context.Context, held, _ map[string]kv.Entry) {
+			calls = append(calls, string(held[testConfigurationKey].Value))
+		}
+		listed := configurationEntry(t, "12", 2, 300)
+		list := func() {
+			n.replaceConfiguration([]kv.Entry{listed}, listed.ModRevision)
+			synctest.Wait()
+		}
+		list()
+		assert.Empty(t, calls)
+		for counter, version := range []string{"15", "16"} {
+			n.considerConfiguration(entriesByKey([]kv.Entry{configurationEntry(t, version, 1, 401+uint64(counter))}))
+			list()
+			list()
+		}
+		assert.Equal(t, []string{"15", "16"}, calls)
+	})
+}
+
 // Guards against settings that are not written again after a restore of the key-value
 // service, and against nodes that try so at each list.
 func TestOnRestoreIsCalledOncePerEraWithTheConfigurationInForce(t *testing.T) {
