scenarios: the judge checks that orders of two owners are apart

Cause: no two owners of a zone may send orders to one target within the handover delay, but the judge of the scenarios saw such orders only if they exceeded an engine's memory.

--- a/pkg/localcluster/localcluster.go
+++ b/pkg/localcluster/localcluster.go
@@ -52,13 +52,17 @@
 // secret authenticates the nodes of a local cluster to each other.
 const secret = "trial-secret-0123456789"
 
-// Times of a local cluster. The first three are shorter than the defaults of package
-// config: the first two, so that another node takes over a zone sooner, and drainTime,
-// so that drains are shorter.
+// OrderHandoverDelay is the least time between orders of two owners to one target. It is
+// shorter than the default of package config, so that another node takes over a zone
+// sooner.
+const OrderHandoverDelay = 300 * time.Millisecond
+
+// Times of a local cluster. The first two are shorter than the defaults of package
+// config: minLease, so that another node takes over a zone sooner, and drainTime, so that
+// drains are shorter.
 const (
-	orderHandoverDelay = 300 * time.Millisecond
-	minLease           = 200 * time.Millisecond
-	drainTime          = time.Second
+	minLease  = 200 * time.Millisecond
+	drainTime = time.Second
 	// refreshInterval is the time between two checks whether the targets' entries in
 	// the key-value service must be written again.
 	refreshInterval = 300 * time.Millisecond
@@ -343,7 +347,7 @@
 	cfg.Listen = config.Listen{Callers: loopbackAddr(c.opts.CallersPort, index), Operators: loopbackAddr(c.opts.OperatorsPort, index), Inner: standin.FreeAddr()}
 	c.Network.Register(cfg.Listen.Inner, string(zone))
 	cfg.Store.Address, cfg.Store.MinLease = c.storeAddr, minLease
-	cfg.Deployment.Zones, cfg.Deployment.OrderPause, cfg.Deployment.DrainTime = c.opts.Zones, orderHandoverDelay, drainTime
+	cfg.Deployment.Zones, cfg.Deployment.OrderPause, cfg.Deployment.DrainTime = c.opts.Zones, OrderHandoverDelay, drainTime
 	cfg.Operators.RootTokenSHA256 = teams.DigestKey(examples.DevRootToken)
 	if c.opts.Configure != nil {
 		c.opts.Configure(&cfg)
--- a/scenarios/judge_test.go
+++ b/scenarios/judge_test.go
@@ -4,15 +4,22 @@
 	"fmt"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+
 	"almondturn/pkg/fault"
+	"almondturn/pkg/localcluster"
 	"almondturn/platform/standin"
 )
 
 // deadlineGrace is how long after the deadline of a request its response may end.
 const deadlineGrace = 3 * time.Second
 
+// targetProxyDelay is the time by which slow connections to targets hold data back.
+const targetProxyDelay = 50 * time.Millisecond
+
 // replicaTracker counts the loaded replicas of each model over all engines, as
 // the stand-ins notify it through OnLoadChange, and records when a limit was exceeded.
 type replicaTracker struct {
@@ -88,6 +95,7 @@
 		if n := e.Overflows(); n > 0 {
 			violations = append(violations, fmt.Sprintf("engine %s was ordered to load more than its memory holds, %d times", id, n))
 		}
+		violations = append(violations, findOrdersTooClose(id, e.Orders())...)
 	}
 	bookingRuns := sumCounts(plains, (*standin.Engine).RunCounts)
 	for id, n := range bookingRuns {
@@ -107,6 +115,30 @@
 	return violations
 }
 
+// findOrdersTooClose returns the violations in the orders that an engine received from
+// two nodes within the handover delay. Proxies may have delayed the earlier one.
+func findOrdersTooClose(id string, orders []standin.Order) []string {
+	var violations []string
+	for i := 1; i < len(orders); i++ {
+		former, o := orders[i-1], orders[i]
+		if apart := o.Received.Sub(former.Received); o.Sender != former.Sender && apart < localcluster.OrderHandoverDelay-targetProxyDelay {
+			violations = append(violations, fmt.Sprintf("engine %s received an order of %s at %s, %s after one of %s", id, o.Sender, o.Received.Format(time.TimeOnly), apart, former.Sender))
+		}
+	}
+	return violations
+}
+
+// Guards against a judge that overlooks orders of two owners, or reports those of one.
+func TestOrdersTooCloseAreFound(t *testing.T) {
+	start := time.Now()
+	order := func(sender string, after time.Duration) standin.Order {
+		return standin.Order{Sender: sender, Received: start.Add(after)}
+	}
+	const tooEarly = localcluster.OrderHandoverDelay / 2
+	assert.Empty(t, findOrdersTooClose("e", []standin.Order{order("a", 0), order("a", time.Millisecond), order("b", localcluster.OrderHandoverDelay+time.Millisecond)}))
+	assert.Len(t, findOrdersTooClose("e", []standin.Order{order("a", 0), order("b", tooEarly), order("a", 2*tooEarly)}), 2)
+}
+
 // checkResponse returns the violations in the response of a request that targets ran
 // runCount times.
 func (c *call) checkResponse(runCount int) []string {
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -192,7 +192,7 @@
 		proxy.CloseConns()
 		return "reset connections of " + id, func() {}
 	default:
-		proxy.SetDelay(50 * time.Millisecond)
+		proxy.SetDelay(targetProxyDelay)
 		return "slow connections of " + id, func() { proxy.SetDelay(0) }
 	}
 }
