scenarios: the soak test changes settings through nodes and checks that they stay

Cause: the soak test wrote settings into the key-value service without a node, and no check looked at what the nodes had in force afterwards.

Change: a change goes through the operators' interface of a random node and waits until it is in force. A goroutine queries all nodes; that a process returns to a former revision is a violation. At the end every node has to have the highest revision in force that was reported as in force on all nodes, with all zones reached. SCENARIO_LOG sets the log level of the processes, as it does for the nodes in the process of the tests.

--- a/scenarios/processes_test.go
+++ b/scenarios/processes_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -113,7 +114,7 @@
 		return proxy.Addr(), nil
 	})
 	require.NoError(p.t, err)
-	c.Log.Level = "error"
+	c.Log.Level = cmp.Or(os.Getenv("SCENARIO_LOG"), "error")
 	for _, other := range p.nodeIDs {
 		c.Deployment.Seeds = append(c.Deployment.Seeds, p.configs[other].Listen.Advertise)
 	}
@@ -162,6 +163,13 @@
 	return cmd != nil && cmd.Process.Signal(s) == nil
 }
 
+// process returns the process of a node, nil if the node is not running.
+func (p *processCluster) process(id fleet.NodeID) *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running[id]
+}
+
 // suspendProcess suspends a node's process. The returned function resumes it, also
 // if the process has been told to end in the meantime.
 func (p *processCluster) suspendProcess(id fleet.NodeID) (resume func()) {
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os/exec"
 	"sync"
 	"syscall"
 	"testing"
@@ -65,22 +66,28 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	p := startProcessCluster(t, deploymentOptions{zones: 2 + rng.IntN(2), nodesPerZone: 1 + rng.IntN(3), enginesPerZone: 1 + rng.IntN(2), plainPerZone: 1})
 	require.NoError(t, p.awaitOK(ctx, "tea-small@1"))
-	injector := &faultInjector{processCluster: p, rng: rng}
+	injector := &faultInjector{processCluster: p, rng: rng, settings: settingsLog{inForce: map[*exec.Cmd]uint64{}}}
 	stopLoad := make(chan struct{})
 	load := p.startLoad(ctx, stopLoad)
+	watchCtx, endWatch := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { injector.watchSettings(watchCtx) })
 	injector.injectFaults(ctx)
 	recoveryCtx, cancelRecovery := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancelRecovery()
 	assert.NoError(t, p.awaitOK(recoveryCtx, "tea-small@1"), "all nodes serve requests again after the faults")
+	assert.NoError(t, injector.awaitSettings(recoveryCtx))
 	close(stopLoad)
 	load.Wait()
+	endWatch()
+	watch.Wait()
 	p.logCodes()
-	violations := p.findViolations()
+	violations := append(p.findViolations(), injector.settings.violations...)
 	for _, v := range violations {
 		t.Log("violation:", v)
 	}
 	if len(violations) > 0 || t.Failed() {
-		t.Logf("faults:\n%v", injector.faultLog)
+		t.Logf("faults:\n%v\nchanges of settings:\n%v", injector.faultLog, injector.settings.changes)
 	}
 	assert.Empty(t, violations)
 }
@@ -91,6 +98,7 @@
 	rng            *rand.Rand
 	faultLog       []string
 	pendingReverts sync.WaitGroup
+	settings       settingsLog
 }
 
 // injectFaults injects faults for soakDuration, each of which is reverted after a
@@ -116,7 +124,8 @@
 
 // injectFault injects one fault and returns its name, and a function that reverts
 // it. The function does nothing after a fault that is over at once. The compaction
-// of the key-value service takes place only when the function is called.
+// of the key-value service and the change of a limit take place only when the function is
+// called.
 func (f *faultInjector) injectFault(ctx context.Context) (name string, revert func()) {
 	id := f.nodeIDs[f.rng.IntN(len(f.nodeIDs))]
 	switch f.rng.IntN(12) {
@@ -155,7 +164,8 @@
 	case 10:
 		return f.injectTargetFault()
 	default:
-		return f.changeLimit(ctx)
+		limit := 1 + f.rng.IntN(2)
+		return fmt.Sprintf("limit of %d through %s", limit, id), func() { f.changeLimit(ctx, id, limit) }
 	}
 }
 
@@ -211,16 +221,3 @@
 	engine.SetFaults(fault, 1+f.rng.IntN(4))
 	return fmt.Sprintf("fault %d of %s", fault, id), func() { engine.SetFault(standin.EngineHealthy) }
 }
-
-// changeLimit changes a replica limit. That may fail while the key-value service is
-// unavailable.
-func (f *faultInjector) changeLimit(ctx context.Context) (string, func()) {
-	model := &f.teams[len(f.teams)-1].Services[0].Models[0]
-	team := f.teams[len(f.teams)-1]
-	before := model.MaxReplicas
-	model.MaxReplicas = 1 + f.rng.IntN(2)
-	f.raiseAllowedLimits(team)
-	changed := *team
-	err := f.ApplyTeam(ctx, &changed)
-	return fmt.Sprintf("limit of %s from %d to %d (%v)", model.Name, before, model.MaxReplicas, err), func() {}
-}
