scenarios: the soak test restores the key-value service from older copies

Cause: the soak test has no restore of the service, which overlaps with kills, stops, cuts and changes of settings only there.

Change: one more fault: the service is away (it refuses calls or drops connections) for 0.5 to 3.5 s and comes back from a copy that was 1 to 10 s old, with its leases or without. Bookings get a new idempotency key each second and repeat those of the last five seconds, so that keys are claimed in the span that is lost, and used after it; before, all bookings of a run had four keys. In half of the runs an engine has room for one model only.

--- a/scenarios/processes_test.go
+++ b/scenarios/processes_test.go
@@ -251,13 +251,27 @@
 				return
 			case <-time.After(requestInterval):
 			}
-			id, model := p.nodeIDs[i%len(p.nodeIDs)], requestedModels[i%len(requestedModels)]
-			wg.Go(func() { p.sendCall(ctx, id, model, 10+i%20) })
+			id, model, tokens := p.nodeIDs[i%len(p.nodeIDs)], requestedModels[i%len(requestedModels)], 10+i%20
+			if model == "" {
+				tokens = bookingKey(i)
+			}
+			wg.Go(func() { p.sendCall(ctx, id, model, tokens) })
 		}
 	})
 	return &wg
 }
 
+// bookingKey returns the number of the idempotency key of the i-th request that
+// startLoad sends: that of the current period, or of one of the former ones.
+func bookingKey(i int) int {
+	const (
+		requestsPerKey = 50 // one second
+		periods        = 6
+	)
+	age := i / len(requestedModels) % periods
+	return max(i/requestsPerKey-age, 0)
+}
+
 // requestedModels are the models that startLoad requests; an empty name is a booking.
 var requestedModels = []string{"", "tea-small@1", "tea-small@1", "tea-large@1", "tea-small@1+hobart"}
 
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -39,6 +39,9 @@
 	// faults overlap.
 	meanFaultInterval = 700 * time.Millisecond
 	maxFaultDuration  = 3 * time.Second
+	// oneModelMB is an engine's memory in which either model fits, but not both, so
+	// that the owners of the zones send many orders.
+	oneModelMB = 7 << 10
 	// recoveryTimeout is the time after the last fault within which all nodes have
 	// to serve requests again.
 	recoveryTimeout = 30 * time.Second
@@ -64,7 +67,9 @@
 	ctx, cancel := context.WithTimeout(t.Context(), *soakDuration+3*waitTimeout)
 	defer cancel()
 	rng := rand.New(rand.NewPCG(seed, 0))
-	p := startProcessCluster(t, deploymentOptions{zones: 2 + rng.IntN(2), nodesPerZone: 1 + rng.IntN(3), enginesPerZone: 1 + rng.IntN(2), plainPerZone: 1})
+	p := startProcessCluster(t, deploymentOptions{
+		zones: 2 + rng.IntN(2), nodesPerZone: 1 + rng.IntN(3), enginesPerZone: 1 + rng.IntN(2), plainPerZone: 1, engineMemoryMB: []int{0, oneModelMB}[rng.IntN(2)],
+	})
 	require.NoError(t, p.awaitOK(ctx, "tea-small@1"))
 	injector := &faultInjector{processCluster: p, rng: rng, settings: settingsLog{inForce: map[*exec.Cmd]uint64{}}}
 	stopLoad := make(chan struct{})
@@ -98,6 +103,7 @@
 	rng            *rand.Rand
 	faultLog       []string
 	pendingReverts sync.WaitGroup
+	copies         storeCopies
 	settings       settingsLog
 }
 
@@ -105,6 +111,9 @@
 // random duration. It then waits until all have been reverted and starts the nodes
 // that are not running.
 func (f *faultInjector) injectFaults(ctx context.Context) {
+	copiesCtx, endCopies := context.WithCancel(ctx)
+	defer endCopies()
+	go f.copies.takeCopies(copiesCtx, f.Store)
 	started := time.Now()
 	for time.Since(started) < *soakDuration {
 		sleep(ctx, time.Duration(f.rng.ExpFloat64()*float64(meanFaultInterval)))
@@ -125,10 +134,10 @@
 // injectFault injects one fault and returns its name, and a function that reverts
 // it. The function does nothing after a fault that is over at once. The compaction
 // of the key-value service and the change of a limit take place only when the function is
-// called.
+// called, and a restore from a copy some time after it.
 func (f *faultInjector) injectFault(ctx context.Context) (name string, revert func()) {
 	id := f.nodeIDs[f.rng.IntN(len(f.nodeIDs))]
-	switch f.rng.IntN(12) {
+	switch f.rng.IntN(13) {
 	case 0:
 		_ = f.signalAndWait(id, syscall.SIGKILL)
 		return "kill " + string(id), func() { f.startProcess(id) }
@@ -163,6 +172,8 @@
 		return f.injectConnectionFault()
 	case 10:
 		return f.injectTargetFault()
+	case 11:
+		return f.restoreStore(ctx)
 	default:
 		limit := 1 + f.rng.IntN(2)
 		return fmt.Sprintf("limit of %d through %s", limit, id), func() { f.changeLimit(ctx, id, limit) }
