--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os/exec"
 	"sync"
 	"syscall"
 	"testing"
@@ -38,6 +39,9 @@
 	// faults overlap.
 	meanFaultInterval = 700 * time.Millisecond
 	maxFaultDuration  = 3 * time.Second
+	// oneModelMB is an engine's memory in which either model fits, but not both, so
+	// that the owners of the zones send many orders.
+	oneModelMB = 7 << 10
 	// recoveryTimeout is the time after the last fault within which all nodes have
 	// to serve requests again.
 	recoveryTimeout = 30 * time.Second
@@ -63,24 +67,32 @@
 	ctx, cancel := context.WithTimeout(t.Context(), *soakDuration+3*waitTimeout)
 	defer cancel()
 	rng := rand.New(rand.NewPCG(seed, 0))
-	p := startProcessCluster(t, deploymentOptions{zones: 2 + rng.IntN(2), nodesPerZone: 1 + rng.IntN(3), enginesPerZone: 1 + rng.IntN(2), plainPerZone: 1})
+	p := startProcessCluster(t, deploymentOptions{
+		zones: 2 + rng.IntN(2), nodesPerZone: 1 + rng.IntN(3), enginesPerZone: 1 + rng.IntN(2), plainPerZone: 1, engineMemoryMB: []int{0, oneModelMB}[rng.IntN(2)],
+	})
 	require.NoError(t, p.awaitOK(ctx, "tea-small@1"))
-	injector := &faultInjector{processCluster: p, rng: rng}
+	injector := &faultInjector{processCluster: p, rng: rng, settings: settingsLog{inForce: map[*exec.Cmd]uint64{}}}
 	stopLoad := make(chan struct{})
 	load := p.startLoad(ctx, stopLoad)
+	watchCtx, endWatch := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { injector.watchSettings(watchCtx) })
 	injector.injectFaults(ctx)
 	recoveryCtx, cancelRecovery := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancelRecovery()
 	assert.NoError(t, p.awaitOK(recoveryCtx, "tea-small@1"), "all nodes serve requests again after the faults")
+	assert.NoError(t, injector.awaitSettings(recoveryCtx))
 	close(stopLoad)
 	load.Wait()
+	endWatch()
+	watch.Wait()
 	p.logCodes()
-	violations := p.findViolations()
+	violations := append(p.findViolations(), injector.settings.violations...)
 	for _, v := range violations {
 		t.Log("violation:", v)
 	}
 	if len(violations) > 0 || t.Failed() {
-		t.Logf("faults:\n%v", injector.faultLog)
+		t.Logf("faults:\n%v\nchanges of settings:\n%v", injector.faultLog, injector.settings.changes)
 	}
 	assert.Empty(t, violations)
 }
@@ -91,12 +103,17 @@
 	rng            *rand.Rand
 	faultLog       []string
 	pendingReverts sync.WaitGroup
+	copies         storeCopies
+	settings       settingsLog
 }
 
 // injectFaults injects faults for soakDuration, each of which is reverted after a
 // random duration. It then waits until all have been reverted and starts the nodes
 // that are not running.
 func (f *faultInjector) injectFaults(ctx context.Context) {
+	copiesCtx, endCopies := context.WithCancel(ctx)
+	defer endCopies()
+	go f.copies.takeCopies(copiesCtx, f.Store)
 	started := time.Now()
 	for time.Since(started) < *soakDuration {
 		sleep(ctx, time.Duration(f.rng.ExpFloat64()*float64(meanFaultInterval)))
@@ -116,10 +133,11 @@
 
 // injectFault injects one fault and returns its name, and a function that reverts
 // it. The function does nothing after a fault that is over at once. The compaction
-// of the key-value service takes place only when the function is called.
+// of the key-value service and the change of a limit take place only when the function is
+// called, and a restore from a copy some time after it.
 func (f *faultInjector) injectFault(ctx context.Context) (name string, revert func()) {
 	id := f.nodeIDs[f.rng.IntN(len(f.nodeIDs))]
-	switch f.rng.IntN(12) {
+	switch f.rng.IntN(13) {
 	case 0:
 		_ = f.signalAndWait(id, syscall.SIGKILL)
 		return "kill " + string(id), func() { f.startProcess(id) }
@@ -154,8 +172,11 @@
 		return f.injectConnectionFault()
 	case 10:
 		return f.injectTargetFault()
+	case 11:
+		return f.restoreStore(ctx)
 	default:
-		return f.changeLimit(ctx)
+		limit := 1 + f.rng.IntN(2)
+		return fmt.Sprintf("limit of %d through %s", limit, id), func() { f.changeLimit(ctx, id, limit) }
 	}
 }
 
@@ -192,7 +213,7 @@
 		proxy.CloseConns()
 		return "reset connections of " + id, func() {}
 	default:
-		proxy.SetDelay(50 * time.Millisecond)
+		proxy.SetDelay(targetProxyDelay)
 		return "slow connections of " + id, func() { proxy.SetDelay(0) }
 	}
 }
@@ -211,16 +232,3 @@
 	engine.SetFaults(fault, 1+f.rng.IntN(4))
 	return fmt.Sprintf("fault %d of %s", fault, id), func() { engine.SetFault(standin.EngineHealthy) }
 }
-
-// changeLimit changes a replica limit. That may fail while the key-value service is
-// unavailable.
-func (f *faultInjector) changeLimit(ctx context.Context) (string, func()) {
-	model := &f.teams[len(f.teams)-1].Services[0].Models[0]
-	team := f.teams[len(f.teams)-1]
-	before := model.MaxReplicas
-	model.MaxReplicas = 1 + f.rng.IntN(2)
-	f.raiseAllowedLimits(team)
-	changed := *team
-	err := f.ApplyTeam(ctx, &changed)
-	return fmt.Sprintf("limit of %s from %d to %d (%v)", model.Name, before, model.MaxReplicas, err), func() {}
-}
