inventory: a target that is listed again is no longer remembered as removed

Cause: Directory remembers the targets that were removed, so that a restored copy does not bring them back. Only Put forgot them. A target that came back by a list, whose entry outlasted hiddenTime, or that started again as another incarnation stayed in that memory; the next restore hid it for hiddenTime (10 s), although it was alive and known.

Change: after each list, and when the time of a hidden entry is over, targets whose valid entries count are forgotten as removed.

--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -85,9 +85,20 @@
 			d.remove(now, key, known)
 		}
 	}
+	d.forgetListed()
 	return RestoreSummary{}
 }
 
+// forgetListed forgets that targets were removed which are listed again and whose
+// entries count.
+func (d *Directory) forgetListed() {
+	for key, r := range d.listed {
+		if _, ok := d.kept[key]; !ok && r.Target != nil {
+			delete(d.removed, key)
+		}
+	}
+}
+
 // keepKnown keeps what was known before a restore where the list is older.
 func (d *Directory) keepKnown(now time.Time, before map[string]Registration) RestoreSummary {
 	var summary RestoreSummary
@@ -110,6 +121,7 @@
 			summary.Removed++
 		}
 	}
+	d.forgetListed()
 	return summary
 }
 
@@ -170,6 +182,7 @@
 			d.remove(now, key, k.known)
 		}
 	}
+	d.forgetListed()
 	return expired
 }
 
--- a/pkg/inventory/directory_test.go
+++ b/pkg/inventory/directory_test.go
@@ -176,3 +176,57 @@
 	}
 	assert.ElementsMatch(t, []string{"a", "b"}, slices.Collect(maps.Keys(ids)))
 }
+
+// Guards against a sound target that gets no requests for hiddenTime after a restore,
+// because it was once removed, is listed again, and was not forgotten as removed.
+func TestTargetThatIsListedAgainIsNotHiddenByALaterRestore(t *testing.T) {
+	listed := func(era kv.Era) map[string]Registration {
+		return map[string]Registration{"a": at(era, 50, Target{ID: "a", Incarnation: 7})}
+	}
+	again := func(era kv.Era) map[string]Registration {
+		return map[string]Registration{"a": at(era, 60, Target{ID: "a", Incarnation: 7})}
+	}
+	for name, relist := range map[string]func(*Directory) kv.Era{
+		"by a list after an outage": func(d *Directory) kv.Era {
+			d.Replace(now, 1, again(1))
+			return 1
+		},
+		"when its entry has outlasted a restore": func(d *Directory) kv.Era {
+			d.Replace(now, 2, listed(2))
+			assert.Nil(t, only(d))
+			assert.True(t, d.Expire(now.Add(hiddenTime)))
+			return 2
+		},
+		"by a list after a restore": func(d *Directory) kv.Era {
+			d.Replace(now, 2, listed(2))
+			assert.Nil(t, only(d))
+			d.Replace(now, 2, again(2))
+			return 2
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory()
+			d.Replace(now, 1, listed(1))
+			d.Delete(now, "a")
+			era := relist(d)
+			assert.NotNil(t, only(d))
+			summary := d.Replace(now, era+1, again(era+1))
+			assert.Zero(t, summary.Removed)
+			assert.NotNil(t, only(d))
+		})
+	}
+}
+
+// Guards against a target that started again and is hidden after a second restore, whose
+// copy is from before its removal.
+func TestTargetThatStartedAgainOutlastsASecondRestore(t *testing.T) {
+	d := NewDirectory()
+	d.Replace(now, 1, map[string]Registration{"a": at(1, 50, Target{ID: "a", Incarnation: 7})})
+	d.Delete(now, "a")
+	restarted := at(2, 40, Target{ID: "a", Incarnation: 8})
+	d.Replace(now, 2, map[string]Registration{"a": restarted})
+	assert.Same(t, restarted.Target, only(d))
+	summary := d.Replace(now, 3, map[string]Registration{"a": at(3, 30, Target{ID: "a", Incarnation: 7})})
+	assert.Equal(t, RestoreSummary{Older: 1}, summary)
+	assert.Same(t, restarted.Target, only(d))
+}
