zoneowner: a node that starts beside a restore leaves the zone to its owner

Cause: after a restore the owner registers again within 0.4 s, and other nodes wait 0.7 s for it, but only if its inherited key is there. If the leases of the copy have run out, the key is missing, and a node that has just started, and so has granted no peer lease, takes the zone within 40 ms. Its orders then pause for the longest handover delay.

Evidence: the test starts a node at 20 times before a restore.

Change: a node waits for the owner also if the last-owner record that it has seen is from before the restore, until an owner has registered.

--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -143,7 +143,8 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if lastOwner.outdated(revision.Era()) {
+	o.lastOwnerOutdated = lastOwner.outdated(revision.Era())
+	if o.lastOwnerOutdated {
 		return
 	}
 	o.lastOwnerAddr, o.lastOwnerResigned = lastOwner.Addr, lastOwner.LastOrderAge > 0
@@ -207,7 +208,7 @@
 // preferenceWindow it waits for the last owner, because that may send orders
 // without a handover delay if all nodes have restarted. It does not wait for a
 // last owner that has resigned. After a restore of the key-value service, it waits
-// for the owner to register again.
+// for the owner to register again, also if the owner's key is missing.
 func (o *Owner) electionDelay(ownKey, inherited bool) time.Duration {
 	if ownKey {
 		return 0
@@ -216,7 +217,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	inPreferenceWindow := o.cfg.BootClock().Sub(o.eligibleSince) < preferenceWindow
-	if inherited || inPreferenceWindow && o.lastOwnerAddr != "" && o.lastOwnerAddr != o.cfg.Self.Addr && !o.lastOwnerResigned {
+	if inherited || o.lastOwnerOutdated || inPreferenceWindow && o.lastOwnerAddr != "" && o.lastOwnerAddr != o.cfg.Self.Addr && !o.lastOwnerResigned {
 		wait += lastOwnerHeadStart
 	}
 	return wait
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -140,6 +140,9 @@
 	// lastOwnerResigned reports whether the last owner released the zone
 	// itself.
 	lastOwnerResigned bool
+	// lastOwnerOutdated reports whether the last-owner record, as last watched, is
+	// from before a restore of the key-value service: no owner has registered since.
+	lastOwnerOutdated bool
 	// peerLeaseUntil is the time by BootClock before which this node must not
 	// acquire the zone, because it granted a peer lease to the owner at
 	// peerLeaseOwnerAddr.
--- a/pkg/zoneowner/restore_test.go
+++ b/pkg/zoneowner/restore_test.go
@@ -138,6 +138,33 @@
 	}
 }
 
+// Guards against a node that starts beside a restore and takes the zone from its owner
+// before it has registered again, so that orders pause. The owner's key is inherited or
+// missing.
+func TestNodeThatStartsBesideARestoreLeavesTheZoneToItsOwner(t *testing.T) {
+	const starts = 20
+	for _, leasesBack := range []bool{false, true} {
+		for i := range starts {
+			t.Run(fmt.Sprintf("leases back %t, start %d", leasesBack, i), func(t *testing.T) {
+				runCluster(t, func(ctx context.Context, c *cluster) {
+					owner := c.ownerIndex()
+					older := c.store.copy()
+					c.setDown(true)
+					other := (owner + 1) % testNodes
+					c.crash(other)
+					time.Sleep(time.Second + time.Duration(i)*renewInterval/starts)
+					c.start(ctx, other)
+					time.Sleep(700 * time.Millisecond)
+					c.store.restore(older, leasesBack)
+					c.setDown(false)
+					time.Sleep(2 * time.Second)
+					assert.Equal(t, owner, c.ownerIndex())
+				})
+			})
+		}
+	}
+}
+
 // A copy from before the first owner, restored while all nodes start again.
 func TestRecordThatIsMissingAfterARestoreKeepsTheHandoverDelay(t *testing.T) {
 	runCluster(t, func(ctx context.Context, c *cluster) {
