zoneowner: tests of keys and records of former eras

Mutants of writeOwnKey (no check of the era), confirmOwnKey (accepts inherited keys) and precedes (any record precedes) passed all tests. The new tests fail for them.

--- a/pkg/zoneowner/restore_test.go
+++ b/pkg/zoneowner/restore_test.go
@@ -301,6 +301,24 @@
 	assert.True(t, o.GrantPeerLease(from, request).Granted, "the owner has registered again")
 }
 
+// Guards against a node that takes the zone by a key which it wrote under a lease of a
+// former era, whose identifier may belong to another node.
+func TestKeyThatIsWrittenInALaterEraThanItsLeaseIsNotOwned(t *testing.T) {
+	for _, responsesToDrop := range []int{0, 1} {
+		s := new(kvtest.Store)
+		s.SetEra(1)
+		lease, err := s.GrantLease(t.Context(), time.Second)
+		require.NoError(t, err)
+		s.SetEra(2)
+		s.DropWriteResponses(responsesToDrop)
+		o := newSingleOwner(s)
+		_, _, err = o.writeOwnKey(t.Context(), 0, lease)
+		require.ErrorIs(t, err, kv.ErrConflict, "%d responses dropped", responsesToDrop)
+		_, err = o.confirmOwnKey(t.Context(), OwnerKey(singleOwnerZone))
+		require.ErrorIs(t, err, kv.ErrConflict, "the key is inherited")
+	}
+}
+
 // Guards against an owner that registers again while the service is restored once more,
 // and goes on without a delay by a record of another era.
 func TestReacquireInAnEraThatHasEndedIsRepeated(t *testing.T) {
@@ -313,6 +331,21 @@
 	assert.True(t, o.IsOwner())
 }
 
+// Guards against an owner that was replaced before a restore and takes the zone back when
+// its successor's key is missing after it.
+func TestReplacedOwnerDoesNotRegisterAgainAfterARestore(t *testing.T) {
+	for name, token := range map[string]kv.Revision{"a later term": inEra(1, 200), "a record without a token": 0} {
+		s := new(kvtest.Store)
+		writeLastOwner(t, s, lastOwnerRecord{Addr: otherAddr, Token: token})
+		o := newSingleOwner(s)
+		active := o.startExpiredTerm()
+		active.token = inEra(1, 150)
+		s.SetEra(2)
+		_, err := o.confirmTerm(t.Context(), active, inEra(2, 120), kv.LeaseID{})
+		require.ErrorIs(t, err, errOtherOwner, name)
+	}
+}
+
 // Guards against an owner whose authority had ended, so that another node may have been
 // the owner before the restore, and that sends orders at once when it registers again.
 func TestOwnerWithAGapKeepsTheHandoverDelayAfterARestore(t *testing.T) {
