entry: an announced version counts for one attempt to copy it

Cause: the highest announced version was kept for ever. If operators replace it by a lower one within an era, each later list asks all nodes for a version that none has, and the watch of the configuration pauses for watchRetryDelay or longer.

Evidence: the test of one attempt fails without the change (a pause of 201 ms). A node to which a version is announced all the time that it can't copy lists the configuration 11 times in 2 s; that is measured, and bounded by a test, not changed.

Change: a failed attempt forgets the announced version; a node that has it announces it again.

Result: the tests pass, as do those of configurations and restores under the race detector.

--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -118,7 +118,8 @@
 
 // copyNewerConfiguration copies the configuration from another node that has a newer
 // version than the key-value service: the service came back from an older copy, and
-// this node has started since. Without one, it waits before the next attempt.
+// this node has started since. Without one, it waits, and the next attempt needs another
+// announcement: operators may have replaced the announced version by a lower one.
 func (n *Node) copyNewerConfiguration() {
 	wanted := n.announcedVersion.Load()
 	_, from, ok := n.links.requestSnapshot(n.ctx, n.configurationWatch.prefix, func(entries []kv.Entry) bool {
@@ -126,6 +127,7 @@
 		return n.version() >= wanted
 	})
 	if !ok {
+		n.announcedVersion.CompareAndSwap(wanted, 0)
 		wait.Sleep(n.ctx, watchRetryDelay)
 		return
 	}
--- a/pkg/entry/configuration_test.go
+++ b/pkg/entry/configuration_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"almondturn/pkg/kv/kvtest"
 	"almondturn/pkg/route"
 	"almondturn/pkg/upstream"
+	"almondturn/pkg/wait"
 )
 
 // idleStore is a key-value service that no call reaches.
@@ -149,3 +151,58 @@
 	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "16", 1, 401)}, 0)
 	assert.EqualValues(t, 15, n.version(), "a list that is older than the change")
 }
+
+// Guards against a watch that pauses after each list, to copy a version that no other
+// node has any more.
+func TestAnnouncedVersionCountsForOneAttemptToCopyIt(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.observeVersion(16)
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "15", 1, 402)}, 0)
+	assert.EqualValues(t, 15, n.version())
+	began := time.Now()
+	n.replaceConfiguration([]kv.Entry{configurationEntry(t, "15", 1, 402)}, 0)
+	assert.Less(t, time.Since(began), watchRetryDelay)
+	n.observeVersion(16)
+	assert.EqualValues(t, 16, n.announcedVersion.Load(), "a node that has it announces it again")
+}
+
+// waitingStore is a service that lists an older configuration, without changes.
+type waitingStore struct {
+	idleStore
+	list  []kv.Entry
+	lists atomic.Int32
+}
+
+func (s *waitingStore) List(context.Context, string) ([]kv.Entry, kv.Revision, error) {
+	s.lists.Add(1)
+	return s.list, s.list[0].ModRevision, nil
+}
+
+func (*waitingStore) Changes(ctx context.Context, _ string, after kv.Revision, maxWait time.Duration) ([]kv.WatchEvent, kv.Revision, error) {
+	select {
+	case <-time.After(maxWait):
+		return nil, after, nil
+	case <-ctx.Done():
+		return nil, 0, context.Cause(ctx)
+	}
+}
+
+// A node to which others announce a version that none of them hands out lists the
+// configuration at most once per watchRetryDelay.
+func TestVersionThatCannotBeCopiedCausesFewLists(t *testing.T) {
+	n, _ := newIdleNode(t)
+	store := &waitingStore{list: []kv.Entry{configurationEntry(t, "12", 2, 300)}}
+	n.configurationWatch.store = store
+	const duration = 2 * time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), duration)
+	defer cancel()
+	go func() {
+		for wait.Sleep(ctx, 20*time.Millisecond) {
+			n.observeVersion(16)
+		}
+	}()
+	n.configurationWatch.run(ctx)
+	t.Log(store.lists.Load(), "lists")
+	assert.LessOrEqual(t, int(store.lists.Load()), int(duration/watchRetryDelay)+2)
+	assert.GreaterOrEqual(t, store.lists.Load(), int32(3), "it goes on trying")
+}
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -159,7 +159,7 @@
 	// configurationInForce is a copy of the entries that table was decoded from.
 	configurationInForce entryCopy
 	// announcedVersion is the highest version of the configuration that other nodes
-	// have announced.
+	// have announced since the last failed attempt to copy it.
 	announcedVersion atomic.Int64
 
 	runsMu sync.Mutex // guards runs
