zoneowner: a stop before the first order leaves a handover delay

Cause: an owner that resigned without an order in its term recorded an age of one hour. But a node that crashes and acquires the zone again does so without a delay, and its former incarnation may have sent orders just before. The next owner then sent its own at once.

The new test fails without the change.

Change: without an order, the age counts from when the term could send orders.

Result: the test passes.

--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -476,19 +476,7 @@
 		o.mu.Unlock()
 		return
 	}
-	// If no order was sent during this term, the last one counts as older than
-	// any handover delay that the configuration allows.
-	lastOrderAge := time.Hour
-	if !t.lastOrderAt.IsZero() {
-		lastOrderAge = max(o.cfg.BootClock().Sub(t.lastOrderAt), time.Millisecond)
-	}
-	if delayLeft := t.ordersFrom.Sub(o.cfg.BootClock()); delayLeft > 0 {
-		// This owner has sent no order yet. The recorded age makes the next owner
-		// wait for the rest of this owner's handover delay. If more than
-		// HandoverDelay is left, the age is 1 ms, because 0 is no age, and the next
-		// owner may wait for less than the rest.
-		lastOrderAge = max(o.cfg.HandoverDelay-delayLeft, time.Millisecond)
-	}
+	lastOrderAge := o.lastOrderAge(t)
 	token, lease := t.token, t.lease
 	o.endTerm(t, "resigned")
 	o.mu.Unlock()
@@ -500,6 +488,21 @@
 	o.cfg.Network.Broadcast(&wire.ZoneState{Zone: o.cfg.Self.Zone, Token: uint64(token), Resigned: true})
 }
 
+// lastOrderAge returns the time since the last order at the end of a term, so that the
+// next owner waits for long enough. It is never 0, which is no age. Without an order in
+// the term, the last one may have been sent just before the term could send orders, by an
+// earlier incarnation of this node. o.mu must be held.
+func (o *Owner) lastOrderAge(t *term) time.Duration {
+	now := o.cfg.BootClock()
+	if delayLeft := t.ordersFrom.Sub(now); delayLeft > 0 {
+		// The last order was sent HandoverDelay before ordersFrom or earlier. If more
+		// than HandoverDelay is left, the age is 1 ms, and the next owner may wait for
+		// less than the rest.
+		return max(o.cfg.HandoverDelay-delayLeft, time.Millisecond)
+	}
+	return max(now.Sub(latest(t.lastOrderAt, t.ordersFrom)), time.Millisecond)
+}
+
 // Abort ends the term without releasing the lease or notifying other nodes, as
 // in a crash.
 func (o *Owner) Abort() {
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -317,3 +317,35 @@
 		assert.True(t, o.IsOwner(), "the last owner did not return")
 	})
 }
+
+// resignedRecord returns the record that an owner leaves when it resigns. set changes its
+// term.
+func resignedRecord(t *testing.T, set func(active *term, now time.Time)) lastOwnerRecord {
+	t.Helper()
+	o := newSingleOwner(new(kvtest.Store))
+	set(o.startExpiredTerm(), time.Now())
+	o.Resign(t.Context())
+	record, _, err := o.readLastOwner(t.Context())
+	require.NoError(t, err)
+	return record
+}
+
+// delayAfter returns how long a node waits with its first order after a record.
+func delayAfter(record lastOwnerRecord) time.Duration {
+	acquired := time.Now()
+	return newSingleOwner(new(kvtest.Store)).earliestOrder(record, kv.FirstEra, acquired).Sub(acquired)
+}
+
+// scheduleTolerance is how much the times of tests without virtual time may differ.
+const scheduleTolerance = 300 * time.Millisecond
+
+// Guards against an owner that crashes, acquires the zone again and resigns before its
+// first order: the next owner sent orders at once.
+func TestStopBeforeTheFirstOrderCountsFromTheStartOfTheTerm(t *testing.T) {
+	record := resignedRecord(t, func(active *term, now time.Time) { active.ordersFrom = now.Add(-time.Second) })
+	assert.InDelta(t, time.Second, record.LastOrderAge, float64(scheduleTolerance))
+	record = resignedRecord(t, func(active *term, now time.Time) {
+		active.ordersFrom, active.lastOrderAt = now.Add(-time.Minute), now.Add(-2*time.Second)
+	})
+	assert.InDelta(t, 2*time.Second, record.LastOrderAge, float64(scheduleTolerance))
+}
