zoneowner: a stop early in a handover delay leaves all of its rest

Cause: an owner that resigned with more than HandoverDelay left recorded an age of 1 ms, since 0 is no age. The next owner then waited up to a lease time too short for an owner before that may still send orders. A comment said so.

Change: the age may be negative.

--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -1,6 +1,7 @@
 package zoneowner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -93,7 +94,8 @@
 	// has not ended. If that owner restarts, the delay starts again.
 	HandoverPending bool `json:"pending,omitempty"`
 	// LastOrderAge is the time in nanoseconds since the last order when the
-	// owner resigned. It is zero if the owner has not resigned.
+	// owner resigned, negative if the owner before it may send orders after that. It
+	// is zero if the owner has not resigned.
 	LastOrderAge time.Duration `json:"age,omitempty"`
 }
 
@@ -147,7 +149,7 @@
 	if o.lastOwnerOutdated {
 		return
 	}
-	o.lastOwnerAddr, o.lastOwnerResigned = lastOwner.Addr, lastOwner.LastOrderAge > 0
+	o.lastOwnerAddr, o.lastOwnerResigned = lastOwner.Addr, lastOwner.LastOrderAge != 0
 }
 
 // isSelf reports whether a record was written by this process, not by another
@@ -387,7 +389,7 @@
 	if lastOwner.Addr == "" || lastOwner.Addr == o.cfg.Self.Addr && !lastOwner.HandoverPending {
 		return acquired
 	}
-	if lastOwner.LastOrderAge > 0 {
+	if lastOwner.LastOrderAge != 0 {
 		return acquired.Add(max(o.cfg.HandoverDelay+handoverMargin-lastOwner.LastOrderAge, 0))
 	}
 	o.mu.Lock()
@@ -495,10 +497,10 @@
 func (o *Owner) lastOrderAge(t *term) time.Duration {
 	now := o.cfg.BootClock()
 	if delayLeft := t.ordersFrom.Sub(now); delayLeft > 0 {
-		// The last order was sent HandoverDelay before ordersFrom or earlier. If more
-		// than HandoverDelay is left, the age is 1 ms, and the next owner may wait for
-		// less than the rest.
-		return max(o.cfg.HandoverDelay-delayLeft, time.Millisecond)
+		// The last order was sent HandoverDelay before ordersFrom or earlier. The
+		// owner before may still send orders, if more than HandoverDelay is left: the
+		// age is negative then.
+		return cmp.Or(o.cfg.HandoverDelay-delayLeft, time.Millisecond)
 	}
 	return max(now.Sub(latest(t.lastOrderAt, t.ordersFrom)), time.Millisecond)
 }
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -349,3 +349,13 @@
 	})
 	assert.InDelta(t, 2*time.Second, record.LastOrderAge, float64(scheduleTolerance))
 }
+
+// Guards against an owner that resigns while the owner before it may still send orders: the
+// next owner waited for less than the rest of the delay.
+func TestStopEarlyInAHandoverDelayLeavesItsRest(t *testing.T) {
+	for _, rest := range []time.Duration{time.Second, testHandoverDelay + time.Second} {
+		record := resignedRecord(t, func(active *term, now time.Time) { active.ordersFrom = now.Add(rest) })
+		record.Addr = otherAddr
+		assert.InDelta(t, rest+handoverMargin, delayAfter(record), float64(scheduleTolerance))
+	}
+}
