zoneowner: a restart in a handover delay leaves its rest

Cause: an owner that resigned during its handover delay recorded an age, but not that its delay was pending. When the same node started again and acquired the zone, it sent orders at once, because the record names itself.

Evidence: the test fails without the change: no delay instead of 2.25 s.

Change: the record says that the delay is pending.

Result: the test passes.

--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -478,13 +478,13 @@
 		o.mu.Unlock()
 		return
 	}
-	lastOrderAge := o.lastOrderAge(t)
 	token, lease := t.token, t.lease
+	record := lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, LastOrderAge: o.lastOrderAge(t), HandoverPending: t.ordersFrom.After(o.cfg.BootClock())}
 	o.endTerm(t, "resigned")
 	o.mu.Unlock()
 	if lastOwner, revision, err := o.readLastOwner(ctx); err == nil && lastOwner.Token <= token {
 		// If the write fails, the next owner waits for the full handover delay.
-		_ = o.writeLastOwner(ctx, lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, LastOrderAge: lastOrderAge}, revision)
+		_ = o.writeLastOwner(ctx, record, revision)
 	}
 	_ = o.cfg.Store.RevokeLease(ctx, lease) // if this fails, the lease expires
 	o.cfg.Network.Broadcast(&wire.ZoneState{Zone: o.cfg.Self.Zone, Token: uint64(token), Resigned: true})
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -359,3 +359,12 @@
 		assert.InDelta(t, rest+handoverMargin, delayAfter(record), float64(scheduleTolerance))
 	}
 }
+
+// Guards against a node that resigns during its handover delay, starts again and sends
+// orders at once, because the record names itself.
+func TestRestartInAHandoverDelayLeavesItsRest(t *testing.T) {
+	const rest = 2 * time.Second
+	record := resignedRecord(t, func(active *term, now time.Time) { active.ordersFrom = now.Add(rest) })
+	assert.Equal(t, ownAddr, record.Addr)
+	assert.InDelta(t, rest+handoverMargin, delayAfter(record), float64(scheduleTolerance))
+}
