--- a/pkg/inventory/directory_test.go
+++ b/pkg/inventory/directory_test.go
@@ -187,6 +187,10 @@
 		return map[string]Registration{"a": at(era, 60, Target{ID: "a", Incarnation: 7})}
 	}
 	for name, relist := range map[string]func(*Directory) kv.Era{
+		"by a change": func(d *Directory) kv.Era {
+			d.Put("a", again(1)["a"])
+			return 1
+		},
 		"by a list after an outage": func(d *Directory) kv.Era {
 			d.Replace(now, 1, again(1))
 			return 1
@@ -230,3 +234,27 @@
 	assert.Equal(t, RestoreSummary{Older: 1}, summary)
 	assert.Same(t, restarted.Target, only(d))
 }
+
+// Guards against a target that started again and is replaced by what was known of it when
+// a first restore lacked it.
+func TestSecondRestoreDecidesAnewWhatIsKept(t *testing.T) {
+	d := NewDirectory()
+	d.Replace(now, 1, map[string]Registration{"a": at(1, 50, Target{ID: "a", Incarnation: 7})})
+	assert.Equal(t, RestoreSummary{Absent: 1}, d.Replace(now, 2, nil))
+	restarted := at(3, 40, Target{ID: "a", Incarnation: 8})
+	assert.Zero(t, d.Replace(now, 3, map[string]Registration{"a": restarted}))
+	assert.Same(t, restarted.Target, only(d))
+}
+
+// Guards against a removed target that is forgotten when another one is removed.
+func TestAllTargetsThatWereRemovedStayRemoved(t *testing.T) {
+	listed := func(era kv.Era) map[string]Registration {
+		return map[string]Registration{"a": at(era, 50, Target{ID: "a"}), "b": at(era, 51, Target{ID: "b"})}
+	}
+	d := NewDirectory()
+	d.Replace(now, 1, listed(1))
+	d.Delete(now, "a")
+	d.Delete(now.Add(time.Second), "b")
+	assert.Equal(t, RestoreSummary{Removed: 2}, d.Replace(now.Add(2*time.Second), 2, listed(2)))
+	assert.Empty(t, d.Targets())
+}
--- a/pkg/zoneowner/restore_test.go
+++ b/pkg/zoneowner/restore_test.go
@@ -407,6 +407,18 @@
 	}
 }
 
+// The same, when the node without a peer lease is given up.
+func TestLapseIsRememberedWhenANodeIsGivenUp(t *testing.T) {
+	now := time.Now()
+	var a authority
+	a.leaseRenewed(now, time.Second)
+	a.nodeConnected(now, "n2")
+	later := now.Add(peerTimeout + time.Second)
+	a.peers["n3"] = &peer{peerLeaseUntil: later.Add(time.Second), lastContact: later}
+	require.True(t, a.validUntil(later).After(later))
+	assert.False(t, a.unbroken(later))
+}
+
 // Guards against runs of two terms with the same identifier, after the service has
 // given out a revision again.
 func TestRunsOfTermsWithTheSameCounterDiffer(t *testing.T) {
