--- a/pkg/zoneowner/faults_test.go
+++ b/pkg/zoneowner/faults_test.go
@@ -318,6 +318,44 @@
 	}
 }
 
+// TestOrdersAreApartWhenOwnersStop stops and crashes owners and starts them again at
+// random times, beside partitions. runCluster checks the orders.
+func TestOrdersAreApartWhenOwnersStop(t *testing.T) {
+	const schedules = 60
+	for seed := range uint64(schedules) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runCluster(t, func(ctx context.Context, c *cluster) {
+				r := rand.New(rand.NewPCG(seed, 31))
+				for range 25 {
+					c.injectStop(ctx, r)
+					time.Sleep(time.Duration(r.IntN(2500)) * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// injectStop stops or crashes the owner, or partitions a random node.
+func (c *cluster) injectStop(ctx context.Context, r *rand.Rand) {
+	node, owner := r.IntN(testNodes), c.ownerIndex()
+	switch kind := r.IntN(4); {
+	case kind == 0:
+		c.cutStore(node)
+	case kind == 1:
+		c.cutNodes(node, r.IntN(testNodes))
+	case owner < 0:
+	default:
+		if kind == 2 {
+			stopCtx, cancel := context.WithTimeout(ctx, time.Second)
+			c.owners[owner].Resign(stopCtx)
+			cancel()
+		}
+		c.crash(owner)
+		time.Sleep(time.Duration(r.IntN(1000)) * time.Millisecond)
+		c.start(ctx, owner)
+	}
+}
+
 // Guards against two owners: one that has lost the key-value service and goes on under
 // the peer leases of the nodes that it knows, and a node that it has never met, which
 // acquires the zone.
