--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -368,3 +368,17 @@
 	assert.Equal(t, ownAddr, record.Addr)
 	assert.InDelta(t, rest+handoverMargin, delayAfter(record), float64(scheduleTolerance))
 }
+
+// Guards against an owner that was replaced and, when it resigns, overwrites the record of
+// its successor, so that the next owner counts the handover delay from the wrong order.
+func TestStopLeavesTheRecordOfALaterOwner(t *testing.T) {
+	s := new(kvtest.Store)
+	later := lastOwnerRecord{Addr: otherAddr, Token: inEra(1, 200)}
+	writeLastOwner(t, s, later)
+	o := newSingleOwner(s)
+	o.startExpiredTerm().token = inEra(1, 150)
+	o.Resign(t.Context())
+	record, _, err := o.readLastOwner(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, later, record)
+}
