--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -169,7 +169,7 @@
 	restoredEra  kv.Era
 	restoredFrom kv.Revision
 	// announcedVersion is the highest version of the configuration that other nodes
-	// have announced.
+	// have announced since the last failed attempt to copy it.
 	announcedVersion atomic.Int64
 
 	runsMu sync.Mutex // guards runs
--- a/pkg/inventory/directory_test.go
+++ b/pkg/inventory/directory_test.go
@@ -176,3 +176,85 @@
 	}
 	assert.ElementsMatch(t, []string{"a", "b"}, slices.Collect(maps.Keys(ids)))
 }
+
+// Guards against a sound target that gets no requests for hiddenTime after a restore,
+// because it was once removed, is listed again, and was not forgotten as removed.
+func TestTargetThatIsListedAgainIsNotHiddenByALaterRestore(t *testing.T) {
+	listed := func(era kv.Era) map[string]Registration {
+		return map[string]Registration{"a": at(era, 50, Target{ID: "a", Incarnation: 7})}
+	}
+	again := func(era kv.Era) map[string]Registration {
+		return map[string]Registration{"a": at(era, 60, Target{ID: "a", Incarnation: 7})}
+	}
+	for name, relist := range map[string]func(*Directory) kv.Era{
+		"by a change": func(d *Directory) kv.Era {
+			d.Put("a", again(1)["a"])
+			return 1
+		},
+		"by a list after an outage": func(d *Directory) kv.Era {
+			d.Replace(now, 1, again(1))
+			return 1
+		},
+		"when its entry has outlasted a restore": func(d *Directory) kv.Era {
+			d.Replace(now, 2, listed(2))
+			assert.Nil(t, only(d))
+			assert.True(t, d.Expire(now.Add(hiddenTime)))
+			return 2
+		},
+		"by a list after a restore": func(d *Directory) kv.Era {
+			d.Replace(now, 2, listed(2))
+			assert.Nil(t, only(d))
+			d.Replace(now, 2, again(2))
+			return 2
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory()
+			d.Replace(now, 1, listed(1))
+			d.Delete(now, "a")
+			era := relist(d)
+			assert.NotNil(t, only(d))
+			summary := d.Replace(now, era+1, again(era+1))
+			assert.Zero(t, summary.Removed)
+			assert.NotNil(t, only(d))
+		})
+	}
+}
+
+// Guards against a target that started again and is hidden after a second restore, whose
+// copy is from before its removal.
+func TestTargetThatStartedAgainOutlastsASecondRestore(t *testing.T) {
+	d := NewDirectory()
+	d.Replace(now, 1, map[string]Registration{"a": at(1, 50, Target{ID: "a", Incarnation: 7})})
+	d.Delete(now, "a")
+	restarted := at(2, 40, Target{ID: "a", Incarnation: 8})
+	d.Replace(now, 2, map[string]Registration{"a": restarted})
+	assert.Same(t, restarted.Target, only(d))
+	summary := d.Replace(now, 3, map[string]Registration{"a": at(3, 30, Target{ID: "a", Incarnation: 7})})
+	assert.Equal(t, RestoreSummary{Older: 1}, summary)
+	assert.Same(t, restarted.Target, only(d))
+}
+
+// Guards against a target that started again and is replaced by what was known of it when
+// a first restore lacked it.
+func TestSecondRestoreDecidesAnewWhatIsKept(t *testing.T) {
+	d := NewDirectory()
+	d.Replace(now, 1, map[string]Registration{"a": at(1, 50, Target{ID: "a", Incarnation: 7})})
+	assert.Equal(t, RestoreSummary{Absent: 1}, d.Replace(now, 2, nil))
+	restarted := at(3, 40, Target{ID: "a", Incarnation: 8})
+	assert.Zero(t, d.Replace(now, 3, map[string]Registration{"a": restarted}))
+	assert.Same(t, restarted.Target, only(d))
+}
+
+// Guards against a removed target that is forgotten when another one is removed.
+func TestAllTargetsThatWereRemovedStayRemoved(t *testing.T) {
+	listed := func(era kv.Era) map[string]Registration {
+		return map[string]Registration{"a": at(era, 50, Target{ID: "a"}), "b": at(era, 51, Target{ID: "b"})}
+	}
+	d := NewDirectory()
+	d.Replace(now, 1, listed(1))
+	d.Delete(now, "a")
+	d.Delete(now.Add(time.Second), "b")
+	assert.Equal(t, RestoreSummary{Removed: 2}, d.Replace(now.Add(2*time.Second), 2, listed(2)))
+	assert.Empty(t, d.Targets())
+}
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -1,6 +1,7 @@
 package zoneowner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -93,7 +94,8 @@
 	// has not ended. If that owner restarts, the delay starts again.
 	HandoverPending bool `json:"pending,omitempty"`
 	// LastOrderAge is the time in nanoseconds since the last order when the
-	// owner resigned. It is zero if the owner has not resigned.
+	// owner resigned, negative if the owner before it may send orders after that. It
+	// is zero if the owner has not resigned.
 	LastOrderAge time.Duration `json:"age,omitempty"`
 }
 
@@ -143,10 +145,11 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if lastOwner.outdated(revision.Era()) {
+	o.lastOwnerOutdated = lastOwner.outdated(revision.Era())
+	if o.lastOwnerOutdated {
 		return
 	}
-	o.lastOwnerAddr, o.lastOwnerResigned = lastOwner.Addr, lastOwner.LastOrderAge > 0
+	o.lastOwnerAddr, o.lastOwnerResigned = lastOwner.Addr, lastOwner.LastOrderAge != 0
 }
 
 // isSelf reports whether a record was written by this process, not by another
@@ -207,7 +210,7 @@
 // preferenceWindow it waits for the last owner, because that may send orders
 // without a handover delay if all nodes have restarted. It does not wait for a
 // last owner that has resigned. After a restore of the key-value service, it waits
-// for the owner to register again.
+// for the owner to register again, also if the owner's key is missing.
 func (o *Owner) electionDelay(ownKey, inherited bool) time.Duration {
 	if ownKey {
 		return 0
@@ -216,7 +219,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	inPreferenceWindow := o.cfg.BootClock().Sub(o.eligibleSince) < preferenceWindow
-	if inherited || inPreferenceWindow && o.lastOwnerAddr != "" && o.lastOwnerAddr != o.cfg.Self.Addr && !o.lastOwnerResigned {
+	if inherited || o.lastOwnerOutdated || inPreferenceWindow && o.lastOwnerAddr != "" && o.lastOwnerAddr != o.cfg.Self.Addr && !o.lastOwnerResigned {
 		wait += lastOwnerHeadStart
 	}
 	return wait
@@ -386,7 +389,7 @@
 	if lastOwner.Addr == "" || lastOwner.Addr == o.cfg.Self.Addr && !lastOwner.HandoverPending {
 		return acquired
 	}
-	if lastOwner.LastOrderAge > 0 {
+	if lastOwner.LastOrderAge != 0 {
 		return acquired.Add(max(o.cfg.HandoverDelay+handoverMargin-lastOwner.LastOrderAge, 0))
 	}
 	o.mu.Lock()
@@ -475,30 +478,33 @@
 		o.mu.Unlock()
 		return
 	}
-	// If no order was sent during this term, the last one counts as older than
-	// any handover delay that the configuration allows.
-	lastOrderAge := time.Hour
-	if !t.lastOrderAt.IsZero() {
-		lastOrderAge = max(o.cfg.BootClock().Sub(t.lastOrderAt), time.Millisecond)
-	}
-	if delayLeft := t.ordersFrom.Sub(o.cfg.BootClock()); delayLeft > 0 {
-		// This owner has sent no order yet. The recorded age makes the next owner
-		// wait for the rest of this owner's handover delay. If more than
-		// HandoverDelay is left, the age is 1 ms, because 0 is no age, and the next
-		// owner may wait for less than the rest.
-		lastOrderAge = max(o.cfg.HandoverDelay-delayLeft, time.Millisecond)
-	}
 	token, lease := t.token, t.lease
+	record := lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, LastOrderAge: o.lastOrderAge(t), HandoverPending: t.ordersFrom.After(o.cfg.BootClock())}
 	o.endTerm(t, "resigned")
 	o.mu.Unlock()
 	if lastOwner, revision, err := o.readLastOwner(ctx); err == nil && lastOwner.Token <= token {
 		// If the write fails, the next owner waits for the full handover delay.
-		_ = o.writeLastOwner(ctx, lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, LastOrderAge: lastOrderAge}, revision)
+		_ = o.writeLastOwner(ctx, record, revision)
 	}
 	_ = o.cfg.Store.RevokeLease(ctx, lease) // if this fails, the lease expires
 	o.cfg.Network.Broadcast(&wire.ZoneState{Zone: o.cfg.Self.Zone, Token: uint64(token), Resigned: true})
 }
 
+// lastOrderAge returns the time since the last order at the end of a term, so that the
+// next owner waits for long enough. It is never 0, which is no age. Without an order in
+// the term, the last one may have been sent just before the term could send orders, by an
+// earlier incarnation of this node. o.mu must be held.
+func (o *Owner) lastOrderAge(t *term) time.Duration {
+	now := o.cfg.BootClock()
+	if delayLeft := t.ordersFrom.Sub(now); delayLeft > 0 {
+		// The last order was sent HandoverDelay before ordersFrom or earlier. The
+		// owner before may still send orders, if more than HandoverDelay is left: the
+		// age is negative then.
+		return cmp.Or(o.cfg.HandoverDelay-delayLeft, time.Millisecond)
+	}
+	return max(now.Sub(latest(t.lastOrderAt, t.ordersFrom)), time.Millisecond)
+}
+
 // Abort ends the term without releasing the lease or notifying other nodes, as
 // in a crash.
 func (o *Owner) Abort() {
--- a/pkg/zoneowner/restore_test.go
+++ b/pkg/zoneowner/restore_test.go
@@ -138,6 +138,33 @@
 	}
 }
 
+// Guards against a node that starts beside a restore and takes the zone from its owner
+// before it has registered again, so that orders pause. The owner's key is inherited or
+// missing.
+func TestNodeThatStartsBesideARestoreLeavesTheZoneToItsOwner(t *testing.T) {
+	const starts = 20
+	for _, leasesBack := range []bool{false, true} {
+		for i := range starts {
+			t.Run(fmt.Sprintf("leases back %t, start %d", leasesBack, i), func(t *testing.T) {
+				runCluster(t, func(ctx context.Context, c *cluster) {
+					owner := c.ownerIndex()
+					older := c.store.copy()
+					c.setDown(true)
+					other := (owner + 1) % testNodes
+					c.crash(other)
+					time.Sleep(time.Second + time.Duration(i)*renewInterval/starts)
+					c.start(ctx, other)
+					time.Sleep(700 * time.Millisecond)
+					c.store.restore(older, leasesBack)
+					c.setDown(false)
+					time.Sleep(2 * time.Second)
+					assert.Equal(t, owner, c.ownerIndex())
+				})
+			})
+		}
+	}
+}
+
 // A copy from before the first owner, restored while all nodes start again.
 func TestRecordThatIsMissingAfterARestoreKeepsTheHandoverDelay(t *testing.T) {
 	runCluster(t, func(ctx context.Context, c *cluster) {
@@ -274,6 +301,24 @@
 	assert.True(t, o.GrantPeerLease(from, request).Granted, "the owner has registered again")
 }
 
+// Guards against a node that takes the zone by a key which it wrote under a lease of a
+// former era, whose identifier may belong to another node.
+func TestKeyThatIsWrittenInALaterEraThanItsLeaseIsNotOwned(t *testing.T) {
+	for _, responsesToDrop := range []int{0, 1} {
+		s := new(kvtest.Store)
+		s.SetEra(1)
+		lease, err := s.GrantLease(t.Context(), time.Second)
+		require.NoError(t, err)
+		s.SetEra(2)
+		s.DropWriteResponses(responsesToDrop)
+		o := newSingleOwner(s)
+		_, _, err = o.writeOwnKey(t.Context(), 0, lease)
+		require.ErrorIs(t, err, kv.ErrConflict, "%d responses dropped", responsesToDrop)
+		_, err = o.confirmOwnKey(t.Context(), OwnerKey(singleOwnerZone))
+		require.ErrorIs(t, err, kv.ErrConflict, "the key is inherited")
+	}
+}
+
 // Guards against an owner that registers again while the service is restored once more,
 // and goes on without a delay by a record of another era.
 func TestReacquireInAnEraThatHasEndedIsRepeated(t *testing.T) {
@@ -286,6 +331,21 @@
 	assert.True(t, o.IsOwner())
 }
 
+// Guards against an owner that was replaced before a restore and takes the zone back when
+// its successor's key is missing after it.
+func TestReplacedOwnerDoesNotRegisterAgainAfterARestore(t *testing.T) {
+	for name, token := range map[string]kv.Revision{"a later term": inEra(1, 200), "a record without a token": 0} {
+		s := new(kvtest.Store)
+		writeLastOwner(t, s, lastOwnerRecord{Addr: otherAddr, Token: token})
+		o := newSingleOwner(s)
+		active := o.startExpiredTerm()
+		active.token = inEra(1, 150)
+		s.SetEra(2)
+		_, err := o.confirmTerm(t.Context(), active, inEra(2, 120), kv.LeaseID{})
+		require.ErrorIs(t, err, errOtherOwner, name)
+	}
+}
+
 // Guards against an owner whose authority had ended, so that another node may have been
 // the owner before the restore, and that sends orders at once when it registers again.
 func TestOwnerWithAGapKeepsTheHandoverDelayAfterARestore(t *testing.T) {
@@ -347,6 +407,18 @@
 	}
 }
 
+// The same, when the node without a peer lease is given up.
+func TestLapseIsRememberedWhenANodeIsGivenUp(t *testing.T) {
+	now := time.Now()
+	var a authority
+	a.leaseRenewed(now, time.Second)
+	a.nodeConnected(now, "n2")
+	later := now.Add(peerTimeout + time.Second)
+	a.peers["n3"] = &peer{peerLeaseUntil: later.Add(time.Second), lastContact: later}
+	require.True(t, a.validUntil(later).After(later))
+	assert.False(t, a.unbroken(later))
+}
+
 // Guards against runs of two terms with the same identifier, after the service has
 // given out a revision again.
 func TestRunsOfTermsWithTheSameCounterDiffer(t *testing.T) {
