inventory, zoneowner: an entry that may be newer is replaced for 2.5 s only; odd eras in records are ignored

Cause, found in review: of two entries of one incarnation with the same number of orders, the counter doesn't tell which is newer if one was written after a restore; the older one could stay until the target's next change, and a known target whose listed entry is invalid stayed for ever. An owner record with an era above that of the service made nodes ignore all later owners.

Change: what is kept by the counter, or instead of an invalid entry, counts for absentTime. OwnerRecord.Token ignores an era of the future.

Tests: the table of directory_test.go tells limited from unlimited rows and checks both; TestTokenIgnoresAnEraOfTheFuture.

--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -11,7 +11,8 @@
 // Times of a restore of the key-value service from an older copy.
 const (
 	// absentTime is how long a target stays listed that the restored service does not
-	// list: those that are alive have registered again by then.
+	// list, and how long an entry is replaced that may be older: targets that are alive
+	// have registered again by then.
 	absentTime = 2500 * time.Millisecond
 	// hiddenTime is how long a target stays removed that the restored service lists
 	// again. The service removes the entry of a target that sends no heartbeats, so
@@ -105,14 +106,21 @@
 	d.kept = map[string]keptTarget{}
 	for key, known := range before {
 		listed, ok := d.listed[key]
-		switch {
-		case !ok:
+		if !ok {
 			d.kept[key] = keptTarget{known: known, until: now.Add(absentTime)}
 			summary.Absent++
-		case listed.isOlder(known):
-			d.kept[key] = keptTarget{known: known, listed: listed.Revision}
-			summary.Older++
+			continue
+		}
+		older, certain := listed.isOlder(known)
+		if !older {
+			continue
+		}
+		kept := keptTarget{known: known, listed: listed.Revision}
+		if !certain {
+			kept.until = now.Add(absentTime)
 		}
+		d.kept[key] = kept
+		summary.Older++
 	}
 	for key, r := range d.removed {
 		listed, ok := d.listed[key]
@@ -127,22 +135,22 @@
 
 // isOlder reports whether an entry of a restored service is older than what is known
 // of the target. A target that drains does not become ready again in the same
-// incarnation.
-func (r Registration) isOlder(known Registration) bool {
+// incarnation. certain is false if the entry may have been written after the restore.
+func (r Registration) isOlder(known Registration) (older, certain bool) {
 	switch {
 	case known.Target == nil:
-		return false
+		return false, true
 	case r.Target == nil:
-		return true
+		return true, false
 	case r.Target.Incarnation != known.Target.Incarnation:
-		return r.Target.Incarnation < known.Target.Incarnation
+		return r.Target.Incarnation < known.Target.Incarnation, true
 	case r.Target.Draining != known.Target.Draining:
-		return known.Target.Draining
+		return known.Target.Draining, true
 	case r.Target.Sequence != known.Target.Sequence:
-		return r.Target.Sequence < known.Target.Sequence
+		return r.Target.Sequence < known.Target.Sequence, true
 	}
-	// The copy has the counters of the changes up to it.
-	return r.Revision.Counter() < known.Revision.Counter()
+	// The copy has the counters of the changes up to it; those after it count from there.
+	return r.Revision.Counter() < known.Revision.Counter(), false
 }
 
 // Put records the entry of a target.
--- a/pkg/inventory/directory_test.go
+++ b/pkg/inventory/directory_test.go
@@ -36,17 +36,18 @@
 	for name, c := range map[string]struct {
 		known, listed Registration
 		kept          bool
+		limited       bool // until the target must have registered again
 	}{
-		"fewer orders":                   {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 2}), true},
-		"the same orders, older":         {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 3}), true},
-		"ready again":                    {Registration{known.Revision, &draining}, at(2, 60, Target{ID: "a", Incarnation: 7, Sequence: 3}), true},
-		"an earlier incarnation":         {known, at(2, 60, Target{ID: "a", Incarnation: 6, Sequence: 9}), true},
-		"an invalid entry":               {known, Registration{Revision: kv.Revision(40).InEra(2)}, true},
-		"more orders, written again":     {known, at(2, 45, Target{ID: "a", Incarnation: 7, Sequence: 4}), false},
-		"the same orders, not seen yet":  {known, at(2, 60, Target{ID: "a", Incarnation: 7, Sequence: 3}), false},
-		"draining now":                   {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 3, Draining: true}), false},
-		"a later incarnation":            {known, at(2, 40, Target{ID: "a", Incarnation: 8}), false},
-		"a later incarnation than drain": {Registration{known.Revision, &draining}, at(2, 40, Target{ID: "a", Incarnation: 8}), false},
+		"fewer orders":                   {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 2}), true, false},
+		"the same orders, older":         {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 3}), true, true},
+		"ready again":                    {Registration{known.Revision, &draining}, at(2, 60, Target{ID: "a", Incarnation: 7, Sequence: 3}), true, false},
+		"an earlier incarnation":         {known, at(2, 60, Target{ID: "a", Incarnation: 6, Sequence: 9}), true, false},
+		"an invalid entry":               {known, Registration{Revision: kv.Revision(40).InEra(2)}, true, true},
+		"more orders, written again":     {known, at(2, 45, Target{ID: "a", Incarnation: 7, Sequence: 4}), false, false},
+		"the same orders, not seen yet":  {known, at(2, 60, Target{ID: "a", Incarnation: 7, Sequence: 3}), false, false},
+		"draining now":                   {known, at(2, 40, Target{ID: "a", Incarnation: 7, Sequence: 3, Draining: true}), false, false},
+		"a later incarnation":            {known, at(2, 40, Target{ID: "a", Incarnation: 8}), false, false},
+		"a later incarnation than drain": {Registration{known.Revision, &draining}, at(2, 40, Target{ID: "a", Incarnation: 8}), false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := NewDirectory()
@@ -55,7 +56,11 @@
 			if c.kept {
 				assert.Equal(t, RestoreSummary{Older: 1}, summary)
 				assert.Same(t, c.known.Target, only(d))
-				assert.True(t, d.NextExpiry().IsZero(), "until the target registers again")
+				assert.Equal(t, !c.limited, d.NextExpiry().IsZero(), "without a limit only if the entry is certainly older")
+				assert.Equal(t, c.limited, d.Expire(now.Add(absentTime)))
+				if c.limited {
+					assert.Equal(t, c.listed.Target, only(d), "the target would have registered again")
+				}
 			} else {
 				assert.Zero(t, summary)
 				assert.Same(t, c.listed.Target, only(d))
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -70,9 +70,10 @@
 }
 
 // Token returns the fencing token of the owner, given the revision of its key. If
-// the service was restored since, that is the revision in the owner's era.
+// the service was restored since, that is the revision in the owner's era. An era above
+// that of the revision is invalid and ignored.
 func (r OwnerRecord) Token(revision kv.Revision) kv.Revision {
-	if r.Era == 0 {
+	if r.Era == 0 || r.Era > revision.Era() {
 		return revision
 	}
 	return revision.InEra(r.Era)
--- a/pkg/zoneowner/restore_test.go
+++ b/pkg/zoneowner/restore_test.go
@@ -301,6 +301,15 @@
 	assert.True(t, o.GrantPeerLease(from, request).Granted, "the owner has registered again")
 }
 
+// unseenRestoreStore is a service that was restored without the client's knowledge: it
+// finds the identifier of a lease of a former era, which was granted again.
+type unseenRestoreStore struct{ *kvtest.Store }
+
+func (s unseenRestoreStore) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.LeaseID) (kv.Revision, error) {
+	lease.Era = s.Era()
+	return s.Store.CompareAndSwap(ctx, key, value, expect, lease)
+}
+
 // Guards against a node that takes the zone by a key which it wrote under a lease of a
 // former era, whose identifier may belong to another node.
 func TestKeyThatIsWrittenInALaterEraThanItsLeaseIsNotOwned(t *testing.T) {
@@ -312,6 +321,7 @@
 		s.SetEra(2)
 		s.DropWriteResponses(responsesToDrop)
 		o := newSingleOwner(s)
+		o.cfg.Store = unseenRestoreStore{s}
 		_, _, err = o.writeOwnKey(t.Context(), 0, lease)
 		require.ErrorIs(t, err, kv.ErrConflict, "%d responses dropped", responsesToDrop)
 		_, err = o.confirmOwnKey(t.Context(), OwnerKey(singleOwnerZone))
@@ -419,6 +429,13 @@
 	assert.False(t, a.unbroken(later))
 }
 
+// Guards against an odd record after which no later owner counts.
+func TestTokenIgnoresAnEraOfTheFuture(t *testing.T) {
+	assert.Equal(t, inEra(2, 7), OwnerRecord{Era: 9}.Token(inEra(2, 7)))
+	assert.Equal(t, inEra(1, 7), OwnerRecord{Era: 1}.Token(inEra(2, 7)))
+	assert.Equal(t, inEra(2, 7), OwnerRecord{}.Token(inEra(2, 7)))
+}
+
 // Guards against runs of two terms with the same identifier, after the service has
 // given out a revision again.
 func TestRunsOfTermsWithTheSameCounterDiffer(t *testing.T) {
