entry: events of an attempt that was given up are not written

What callers saw: a stream was cut in the instant in which it was continued elsewhere.

Cause: the request to the next target states the last event that was written when the search began. An event that was read just when the attempt was given up, or lay in the buffer of its connection, was still written to the client. The next target then repeated it, its events did not follow the last one, and the attempt there failed with errEventOrder. With identifiers that are not numbers, events would have come twice. Class: a decision on a state that another party has changed already.

Change: writeBegins reports whether events may still be written. Once the next attempt is secured, what arrives from the last one is dropped, and the next target sends it.

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -115,14 +115,16 @@
 }
 
 // writeBegins records that events are being written to the client, whose slowness is
-// not the target's silence.
-func (c *continuation) writeBegins() {
+// not the target's silence. It returns false if the next attempt is secured: the events
+// must not be written then, because the request to the next target asks for them.
+func (c *continuation) writeBegins() bool {
 	if c == nil {
-		return
+		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = true
+	c.writing = c.next == nil
+	return c.writing
 }
 
 // writeEnded records the end of a write of the request's job j. progress is true if an
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -81,7 +82,7 @@
 	next := newNextTarget(t)
 	c, own, attempt := newSilentAttempt(t)
 	_, tried := next.tryNext(t, c)
-	c.writeBegins()
+	require.True(t, c.writeBegins())
 	c.writeEnded(own, true)
 	require.ErrorIs(t, <-tried, errNotNeeded)
 	<-next.canceled
@@ -134,3 +135,35 @@
 	require.NoError(t, err)
 	assert.Equal(t, "next", a.target.ID)
 }
+
+// An event that arrived in the instant in which the attempt was given up was written to the
+// client, although the next target had been asked for it: that one's events did not follow
+// the last one, and the stream was cut.
+func TestEventOfAnAttemptThatWasGivenUpIsNotWritten(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, event) // arrives with the head
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(silent.Close)
+	c, own, _ := newSilentAttempt(t)
+	equipNode(c.node)
+	c.current.assignment.target.Addr = silent.Listener.Addr().String()
+	c.current.request = c.node.newExchange(t.Context(), own, c.current.assignment).request
+	resp, err := c.current.roundTrip()
+	require.NoError(t, err)
+	defer resp.Close()
+	_, search, _ := c.begin()
+	require.NotNil(t, search)
+	next := &exchange{assignment: assignment{runID: 7}}
+	require.True(t, c.handOver(search, next))
+
+	w := httptest.NewRecorder()
+	cr := &clientResponse{w: w, rc: http.NewResponseController(w), started: true, streaming: true}
+	r := c.node.forwardStream(t.Context(), own, resp, cr, sendResult{}, c)
+	assert.Equal(t, outcomeUnknown, r.kind)
+	assert.Empty(t, w.Body.String())
+	assert.Empty(t, own.resumeAfter)
+	assert.Equal(t, next, c.stop(own, r))
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -49,7 +49,9 @@
 				return incompleteResult(ctx, out, splitErr)
 			}
 			if len(events) > 0 {
-				c.writeBegins()
+				if !c.writeBegins() {
+					return incompleteResult(ctx, out, errStalled)
+				}
 				if writeErr := n.writeEvents(j, resp, cr, out.status, events); writeErr != nil {
 					out.kind, out.err = clientGone, writeErr
 					return out
