entry: an abandoned attempt counts before a server error is retried

What an operator saw: a request could reach one target more than its route allows (max_attempts): a target responds with a server error whose body takes longer than the wait for an event, the next target gets the request meanwhile and is abandoned when the body is complete. forwardBuffered decides on the retry before the abandoned attempt is counted.

Change: retryObstacle checks the number of runs for server errors, too. Result: the test passes, with all of pkg/entry with -race.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// A request ran on one target more than its route allows: its target responded with a
+// server error while the next one had the request, which counted only after that.
+func TestServerErrorIsNotRetriedBeyondTheRunsOfTheRoute(t *testing.T) {
+	j := &job{Request: &Request{Route: &route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2}}, deadline: time.Now().Add(time.Minute), possibleRuns: 1}
+	assert.Empty(t, j.retryObstacle(t.Context(), &clientResponse{}, sendResult{kind: failedRun}))
+	j.addUnused(unusedAttempt{assignment{target: &inventory.Target{ID: "next"}}, sendResult{kind: outcomeUnknown, err: errNotNeeded}})
+	assert.Equal(t, obstacleAttempts, j.retryObstacle(t.Context(), &clientResponse{}, sendResult{kind: failedRun}))
+}
+
 // A stream that broke after its latency objective was refused a slot under overload, as
 // if it had been waiting since its arrival.
 func TestObjectiveOfAContinuationCountsFromTheLastEvent(t *testing.T) {
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -47,7 +47,12 @@
 	case notRun, notLoaded:
 		return ""
 	case failedRun:
-		return "" // forwardBuffered returns failedRun only if another run is allowed
+		// forwardBuffered returns failedRun only if another run is allowed, but an attempt
+		// that was abandoned meanwhile may have been the last one.
+		if j.possibleRuns >= j.Route.MaxAttempts {
+			return obstacleAttempts
+		}
+		return ""
 	case outcomeUnknown:
 		return j.rerunObstacle(cr)
 	default:
