entry: a stream is checked again after an event without identifier

What callers saw: a stream that was resumable was not continued elsewhere when it fell silent, if its last event had no identifier at the moment of an earlier check.

Cause: the check that finds such an event sets no time for the next one, although the next event may have an identifier.

Evidence, on the code before, TestStreamIsCheckedAgainAfterAnEventWithoutIdentifier: continuation_test.go:107: Should be true (a check is due) Found by reading; the platform's targets give each event an identifier. Change: the check is repeated after the wait for an event. Result: the test passes, with all of pkg/entry with -race.

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -234,11 +234,15 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	silence := now.Sub(c.progressAt)
-	if c.ended || !c.job.mayResumeElsewhere(now, c.job.possibleRuns+1) {
-		return nil, nil, 0
-	}
 	wait := c.job.eventWait(c.started)
 	switch {
+	case c.ended:
+		return nil, nil, 0
+	case c.job.endsWithoutID: // the next event may have an identifier
+		c.timer.Reset(wait)
+		return nil, nil, 0
+	case !c.job.mayResumeElsewhere(now, c.job.possibleRuns+1):
+		return nil, nil, 0
 	case silence < wait:
 		c.timer.Reset(wait - silence)
 		return nil, nil, 0
--- a/pkg/entry/continuation_test.go
+++ b/pkg/entry/continuation_test.go
@@ -94,3 +94,23 @@
 	b.refund(now.Add(time.Hour), l)
 	assert.InDelta(t, 7, b.remaining(now.Add(time.Hour), l), 0.01, "a retry that has left the window is not refunded")
 }
+
+// A stream whose last event had no identifier when it was checked was never checked again,
+// so that it was not continued elsewhere when it fell silent later.
+func TestStreamIsCheckedAgainAfterAnEventWithoutIdentifier(t *testing.T) {
+	c, own, _ := newSilentAttempt(t)
+	own.endsWithoutID = true
+	c.writeBegins()
+	c.writeEnded(own, false)
+	_, search, _ := c.begin()
+	require.Nil(t, search, "no target can go on after it")
+	assert.True(t, c.timer.Stop(), "a check is due")
+	own.endsWithoutID = false
+	c.writeBegins()
+	c.writeEnded(own, true)
+	c.progressAt = time.Now().Add(-c.job.eventWait(true))
+	_, search, _ = c.begin()
+	assert.NotNil(t, search)
+	c.endSearch(time.Hour)
+	assert.Nil(t, c.stop(own, sendResult{}))
+}
