wire, entry: a slot that is granted in the instant of a cancellation is released

What callers saw: 429 for every request for a model, although nothing ran on its targets.

Cause: a node that no longer waits for a slot cancels its call to the owner. If the grant was on its way, the cancellation found no call to cancel at the owner, and the node dropped the grant as a late response. The slot stayed in use until the connection between the two nodes broke. Each client that leaves, each deadline, each stream that goes on during a search and each request that a stop refuses can meet this instant. Class: a grant that nobody owns.

TestNoResponseToACanceledCallIsLost: Condition never satisfied (lost) TestSlotThatIsGrantedTooLateIsReleased: the slot was not released Change: a connection passes on responses for which no call waits any more, and the node ends the run of a late grant as unused. A response that arrives in the same instant as the end of the caller's context is returned. Result: both tests pass, with -race, with all tests of wire and entry. Without the check for a response in the same instant, the first test fails.

--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -199,10 +199,21 @@
 		Handler: func(ctx context.Context, from fleet.Node, m wire.Message) wire.Message {
 			return l.node.handle(ctx, link, from, m)
 		},
-		Heartbeat: func() []byte { return frame },
+		LateResponse: func(m wire.Message) { l.releaseLateGrant(link, m) },
+		Heartbeat:    func() []byte { return frame },
 	}
 }
 
+// releaseLateGrant releases the slot that an owner granted when the request had just been
+// canceled. link is the link to the owner, nil for other nodes, which grant none.
+func (l *links) releaseLateGrant(link *ownerLink, m wire.Message) {
+	resp, ok := m.(*wire.SlotResponse)
+	if !ok || link == nil || resp.Refusal != wire.SlotGranted || l.node.hasRun(resp.Run) {
+		return
+	}
+	l.runEnded(link.zone, &wire.RunEnded{Run: resp.Run, Outcome: wire.RunUnused})
+}
+
 // handler returns the HTTP handler that accepts connections of other nodes.
 func (l *links) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/entry/links_test.go
+++ b/pkg/entry/links_test.go
@@ -1,9 +1,15 @@
 package entry
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"almondturn/fleet"
 	"almondturn/pkg/zoneowner"
@@ -30,3 +36,52 @@
 	assert.False(t, l.mayReachOwner(now, []fleet.Zone{"unknownOwner", "unknown"}))
 	assert.False(t, l.mayReachOwner(now, nil))
 }
+
+// A slot that an owner granted when the request had just been canceled was never released:
+// after some such requests, the owner refused all others for the model.
+func TestSlotThatIsGrantedTooLateIsReleased(t *testing.T) {
+	requested, granted, ended := make(chan struct{}), make(chan struct{}), make(chan *wire.RunEnded, 1)
+	self := func(id fleet.NodeID) fleet.Node {
+		return fleet.Node{ID: id, Zone: "other", Incarnation: "1", Addr: "127.0.0.1:1"}
+	}
+	secret := []byte("a shared secret of the fleet")
+	owner := wire.Config{Options: wire.DefaultOptions(), Self: self("owner"), Secret: secret, Handler: func(_ context.Context, _ fleet.Node, m wire.Message) wire.Message {
+		switch m := m.(type) {
+		case *wire.SlotRequest:
+			close(requested)
+			<-granted // the cancellation arrives too late
+			return &wire.SlotResponse{Run: 7, Target: "t"}
+		case *wire.RunEnded:
+			ended <- m
+		}
+		return nil
+	}}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, err := wire.Accept(w, r, owner); err == nil {
+			_ = c.Run()
+		}
+	}))
+	t.Cleanup(s.Close)
+	n := &Node{self: self("n"), settings: &Settings{Secret: secret}, runs: map[uint64]zoneRun{8: {}}}
+	n.links = newLinks(n, nil)
+	link := &ownerLink{zone: "z"}
+	n.links.owners["z"] = link
+	c, err := wire.Dial(t.Context(), "ws"+strings.TrimPrefix(s.URL, "http"), nil, n.links.connConfig(link))
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close(wire.ErrClosed) })
+	go func() { _ = c.Run() }()
+	link.conn.Store(c)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-requested; cancel() }()
+	_, err = n.links.requestSlot(ctx, "z", &wire.SlotRequest{})
+	require.ErrorIs(t, err, wire.ErrOutcomeUnknown)
+	n.links.releaseLateGrant(link, &wire.SlotResponse{Run: 8}) // a duplicate of one that is in use
+	close(granted)
+	select {
+	case m := <-ended:
+		assert.Equal(t, &wire.RunEnded{Run: 7, Outcome: wire.RunUnused}, m)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the slot was not released")
+	}
+}
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -328,6 +328,14 @@
 	n.runs[run] = zoneRun{zone, wire.Run{ID: run, Target: t.ID, Model: text(j.Model), Adapter: text(j.Adapter), Tokens: j.InputTokens + j.OutputTokens}}
 }
 
+// hasRun reports whether a granted run is in progress.
+func (n *Node) hasRun(run uint64) bool {
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	_, ok := n.runs[run]
+	return ok
+}
+
 // endRun removes a granted run from n.runs and reports its outcome to the owner,
 // which releases the slot.
 func (n *Node) endRun(a assignment, outcome wire.RunOutcome) {
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,6 +110,36 @@
 	<-ended
 }
 
+// A response was lost when its call was canceled while it was on its way: the slot that an
+// owner granted with it stayed in use. Each response is returned or passed on, once.
+func TestNoResponseToACanceledCallIsLost(t *testing.T) {
+	const calls = 2000
+	var cancel context.CancelFunc
+	var handled, late atomic.Int64
+	respond := func(_ context.Context, _ fleet.Node, m Message) Message {
+		cancel()
+		return &SlotResponse{Run: uint64(handled.Add(1))}
+	}
+	cfg := newTestConfig("a", acknowledge)
+	cfg.LateResponse = func(m Message) {
+		if r, ok := m.(*SlotResponse); ok && r.Run != 0 {
+			late.Add(1)
+		}
+	}
+	d, _ := connectPair(t, cfg, newTestConfig("b", respond))
+	returned := int64(0)
+	for range calls {
+		var ctx context.Context
+		ctx, cancel = context.WithCancel(t.Context())
+		if _, err := d.Call(ctx, &SlotRequest{}); err == nil {
+			returned++
+		}
+		cancel()
+		require.Eventually(t, func() bool { return returned+late.Load() == handled.Load() }, 10*time.Second, time.Microsecond*100, "lost")
+	}
+	assert.EqualValues(t, calls, handled.Load())
+}
+
 // TestCallThatWasNotWrittenReturnsErrNotSent leaves calls in the queue of a
 // connection whose loops do not run, so that they are certainly not sent.
 func TestCallThatWasNotWrittenReturnsErrNotSent(t *testing.T) {
--- a/wire/options.go
+++ b/wire/options.go
@@ -56,6 +56,9 @@
 	// Secret is the shared secret by which both ends authenticate each other.
 	Secret  []byte
 	Handler Handler
+	// LateResponse receives the responses for which no call waits any more: their calls
+	// were canceled when they were on their way. It must not block; nil ignores them.
+	LateResponse func(m Message)
 	// Heartbeat returns the encoded envelope to send at each interval; nil for
 	// none.
 	Heartbeat func() []byte
--- a/wire/receive.go
+++ b/wire/receive.go
@@ -59,25 +59,37 @@
 
 // deliverResponse passes a response, or the error of its decoding, to the call
 // that waits for it. Responses for which no call waits, such as duplicates,
-// are counted and dropped.
+// are counted and passed to Config.LateResponse.
 func (c *Conn) deliverResponse(id uint64, m Message, err error) {
+	if c.deliverToCall(id, m, err) {
+		return
+	}
+	c.cfg.Stats.LateResponses.Add(1)
+	if err == nil && c.cfg.LateResponse != nil {
+		c.cfg.LateResponse(m)
+	}
+}
+
+// deliverToCall passes a response to the call that waits for it, and returns false if
+// there is none.
+func (c *Conn) deliverToCall(id uint64, m Message, err error) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	result, ok := c.pendingCalls[id]
 	delete(c.pendingCalls, id)
-	c.mu.Unlock()
 	if !ok {
-		c.cfg.Stats.LateResponses.Add(1)
-		return
+		return false
 	}
-	if err != nil {
+	peerErr, refused := m.(*Error)
+	switch { // the channel has room for the one result
+	case err != nil:
 		result <- callResult{err: fmt.Errorf("answer of node %q: %w: %w", c.peer.ID, ErrOutcomeUnknown, err)}
-		return
-	}
-	if peerErr, ok := m.(*Error); ok {
+	case refused:
 		result <- callResult{err: peerErr}
-		return
+	default:
+		result <- callResult{message: m}
 	}
-	result <- callResult{message: m}
+	return true
 }
 
 // startCall runs the handler of a call in a goroutine and sends its response.
--- a/wire/send.go
+++ b/wire/send.go
@@ -49,6 +49,12 @@
 	case r := <-result:
 		return r.message, r.err
 	case <-ctx.Done():
+		c.removePending(id)
+		select {
+		case r := <-result: // it arrived in the same instant
+			return r.message, r.err
+		default:
+		}
 		err := c.withdraw(callState, context.Cause(ctx))
 		if errors.Is(err, ErrOutcomeUnknown) {
 			c.sendCancel(id)
