entry: the log of test nodes may be read while they write to it

The race detector found the read of a buffer beside a timer's log line in TestTargetsAreKeptForAWhileAfterARestore; the product is not concerned.

--- a/pkg/entry/configuration_test.go
+++ b/pkg/entry/configuration_test.go
@@ -63,10 +63,28 @@
 	return t, json.Unmarshal(value, t)
 }
 
+// logBuffer holds log lines. Its methods may be called concurrently.
+type logBuffer struct {
+	mu    sync.Mutex // guards lines
+	lines bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(line)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
+}
+
 // newIdleNode returns a node that has not started, and its log.
-func newIdleNode(t *testing.T) (*Node, *bytes.Buffer) {
+func newIdleNode(t *testing.T) (*Node, *logBuffer) {
 	t.Helper()
-	lines := new(bytes.Buffer)
+	lines := new(logBuffer)
 	log := zerolog.New(lines)
 	dial := new(net.Dialer).DialContext
 	n, err := New(Deps{
