--- a/pkg/entry/configuration_test.go
+++ b/pkg/entry/configuration_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
