entry: tests of the overlap at one target and of the refusals of a stop

Three mutants that no test noticed: the next request is sent to the silent target while its attempt is still read; a stop answers 503 although a target may have run the request; the search for the retry of such a request ends at the latest start.

--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -167,3 +167,15 @@
 	assert.Empty(t, own.resumeAfter)
 	assert.Equal(t, next, c.stop(own, r))
 }
+
+// Guards against two requests with one identifier at one target at the same time.
+func TestSilentTargetGetsTheNextRequestOnlyAfterTheAttempt(t *testing.T) {
+	c, own, attempt := newSilentAttempt(t)
+	equipNode(c.node)
+	j, search, _ := c.begin()
+	x := c.node.newExchange(t.Context(), j, c.current.assignment)
+	require.NoError(t, c.try(search, j, x))
+	assert.Nil(t, x.ended, "not sent yet")
+	require.ErrorIs(t, context.Cause(attempt), errStalled)
+	assert.Equal(t, x, c.stop(own, sendResult{kind: outcomeUnknown}))
+}
--- a/pkg/entry/stopping_test.go
+++ b/pkg/entry/stopping_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"almondturn/pkg/route"
 )
 
 func TestLatestStart(t *testing.T) {
@@ -48,3 +51,24 @@
 	}
 	assert.LessOrEqual(t, len(r.byRoute), maxRunTimeRoutes)
 }
+
+// Guards against a stop that tells a client that its request did not run, although a target
+// may have run it.
+func TestStopRefusesOnlyWhatNoTargetMayHaveRun(t *testing.T) {
+	n := new(Node)
+	n.untilStop, n.beginStop = context.WithCancel(t.Context())
+	n.stopTimes.Store(&stopTimes{begun: time.Now(), end: time.Now()})
+	n.beginStop()
+	j := &job{Request: &Request{Route: &route.Route{Kind: route.Stream, Resumable: true}}, deadline: time.Now().Add(time.Minute)}
+	assert.NotNil(t, n.refuseTooLate(j))
+	search, cancel := n.searchContext(t.Context(), j)
+	<-search.Done()
+	cancel()
+
+	j.possibleRuns = 1
+	assert.Nil(t, n.refuseTooLate(j))
+	search, cancel = n.searchContext(t.Context(), j)
+	defer cancel()
+	time.Sleep(50 * time.Millisecond)
+	assert.NoError(t, search.Err())
+}
