scheduler: a load that the next incarnation of a target may have accepted counts

What operators could see: a model loaded on one target more than its limit allows.

Cause: the list of targets shows a restart late, the later while the key-value service is away or was restored. An order that is sent meanwhile, or is on its way, reaches the new incarnation, which accepts it if it expects no order before it. When the list shows the restart, the scheduler began anew with the target and forgot the order; the model was loaded at another target as well, until a report showed both.

TestLoadThatTheNextIncarnationMayHaveAccepted Counts fails without the change.

Change: the new incarnation inherits such an order as unconfirmed; its reports decide.

--- a/pkg/scheduler/limits_test.go
+++ b/pkg/scheduler/limits_test.go
@@ -45,6 +45,57 @@
 	assert.Equal(t, Load, order.Operation)
 }
 
+// Guards against one replica too many: the next incarnation of a target has accepted a load
+// before the list of targets shows it, and the load was forgotten.
+func TestLoadThatTheNextIncarnationMayHaveAcceptedCounts(t *testing.T) {
+	for name, result := range map[string]OrderResult{"accepted": OrderAccepted, "no response": OrderUnknown} {
+		t.Run(name, func(t *testing.T) {
+			z := newLimitedZone(t, 1, newTestTarget("a", nil, []string{"m0"}), newTestTarget("b", nil, []string{"m0"}))
+			order := only[SendOrder](t, z.submitAndStep(z.request("m0"))).Order
+			z.OrderResultReceived(z.now, order, result)
+			z.restart(order.Target)
+			assertNone[SendOrder](t, z.submitAndStep(z.request("m0")))
+			assert.Equal(t, order.Target, only[RequestReport](t, z.stepAfter(unconfirmedWait)).Target)
+			z.ReportReceived(z.now, order.Target, inventory.Report{Incarnation: 2, Sequence: 1, OrderInProgress: true})
+			assertNone[SendOrder](t, z.submitAndStep(z.request("m0")))
+			z.now = z.now.Add(time.Second)
+			z.ReportReceived(z.now, order.Target, inventory.Report{Incarnation: 2, Sequence: 1, Models: []inventory.LoadedModel{{Name: "m0"}}})
+			actions := z.submitAndStep(z.request("m0"))
+			assertNone[SendOrder](t, actions)
+			assert.Equal(t, 4, z.Running(), "the waiting requests run at the next incarnation")
+		})
+	}
+}
+
+// A load that the next incarnation has not accepted, or can't accept, is sent again.
+func TestLoadThatWasLostInARestartIsSentAgain(t *testing.T) {
+	z := newLimitedZone(t, 1, newTestTarget("a", nil, []string{"m0"}), newTestTarget("b", nil, []string{"m0"}))
+	order := only[SendOrder](t, z.submitAndStep(z.request("m0"))).Order
+	z.restart(order.Target)
+	z.now = z.now.Add(unconfirmedWait)
+	z.ReportReceived(z.now, order.Target, inventory.Report{Incarnation: 2})
+	assert.Equal(t, Load, only[SendOrder](t, z.submitAndStep(z.request("m0"))).Order.Operation)
+
+	later := newTestZone(t, newTestTarget("a", []string{"m1", "m2"}, []string{"m0", "m1", "m2"}))
+	later.ReportReceived(later.now, "a", inventory.Report{Sequence: 5, Models: later.targets[0].Models})
+	only[SendOrder](t, later.submitAndStep(later.request("m0")))
+	later.restart("a")
+	assert.Nil(t, later.Scheduler.targets["a"].order, "the order expects five before it")
+}
+
+// restart makes the list of targets show a restart of the target, which holds no models.
+func (z *testZone) restart(id string) {
+	var list []*inventory.Target
+	for _, t := range z.targets {
+		if t.ID == id {
+			t = newTestTarget(id, nil, t.OnDisk)
+			t.Incarnation = 2
+		}
+		list = append(list, t)
+	}
+	z.SetTargets(z.now, list)
+}
+
 func TestReturnedTargetCountsOnce(t *testing.T) {
 	z := newLimitedZone(t, 2, newTestTarget("a", []string{"m0"}, nil), newTestTarget("b", nil, []string{"m0"}))
 	z.SetTargets(z.now, z.targets[1:])
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -139,7 +139,9 @@
 		seen[info.ID] = true
 		t := s.targets[info.ID]
 		if t == nil || t.info.Incarnation != info.Incarnation {
+			former := t
 			t = newTarget(info)
+			t.inheritOrder(now, former)
 			s.removeRunsOf(info.ID)
 			s.targets[info.ID] = t
 		}
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -177,6 +177,19 @@
 	return t
 }
 
+// inheritOrder keeps the order in progress of the target's former incarnation, nil for
+// none, as unconfirmed if this one may have accepted it: the list shows a restart late, and
+// an order may arrive after it. A new incarnation accepts only an order that expects none
+// before it.
+func (t *target) inheritOrder(now time.Time, former *target) {
+	if former == nil || former.order == nil || former.order.Sequence != 0 {
+		return
+	}
+	t.order, t.expectedDuration = former.order, former.expectedDuration
+	t.phase, t.orderSince = orderUnconfirmed, now
+	t.nextReportAt = now.Add(unconfirmedWait)
+}
+
 // setInfo replaces the inventory entry and derives the local copies from it.
 func (t *target) setInfo(info *inventory.Target) {
 	t.info = info
