--- a/scenarios/restore_test.go
+++ b/scenarios/restore_test.go
@@ -62,8 +62,8 @@
 
 // restoreStore makes the key-value service go away, and come back from an older copy
 // minAway after the returned function is called. Targets then write their entries again,
-// operators do not write their settings again. A service that refuses calls, instead of closing connections, leaves the
-// watches that wait then without a response.
+// operators do not write their settings again. A service that refuses calls, instead of
+// closing connections, leaves the watches that wait then without a response.
 func (f *faultInjector) restoreStore(ctx context.Context) (string, func()) {
 	age := minCopyAge + time.Duration(f.rng.Int64N(int64(maxCopyAge-minCopyAge)))
 	away := []standin.Fault{standin.DropConnections, standin.Busy}[f.rng.IntN(2)]
