--- a/pkg/entry/configuration_test.go
+++ b/pkg/entry/configuration_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	"almondturn/pkg/route"
 	"almondturn/pkg/upstream"
 	"almondturn/pkg/wait"
+	"almondturn/pkg/zoneowner"
 )
 
 // idleStore is a key-value service that no call reaches.
@@ -58,6 +60,11 @@
 	return t, nil
 }
 
+// idleTargets are targets that are never called.
+type idleTargets struct{ zoneowner.Targets }
+
+func (idleTargets) SetHeadObserver(func(*inventory.Target, string, int, http.Header)) {}
+
 // decodeTestTarget decodes a target that is the JSON of inventory.Target.
 func decodeTestTarget(_ string, value []byte) (*inventory.Target, error) {
 	t := new(inventory.Target)
@@ -90,7 +97,7 @@
 	dial := new(net.Dialer).DialContext
 	n, err := New(Deps{
 		Settings: &Settings{Node: "n", Zone: "z", Zones: []fleet.Zone{"z"}},
-		Log:      &log, Dial: dial, Store: new(idleStore), Pool: upstream.NewPool(dial), Metrics: NewMetrics(),
+		Log:      &log, Dial: dial, Store: new(idleStore), Targets: idleTargets{}, Pool: upstream.NewPool(dial), Metrics: NewMetrics(),
 		Decoder: Decoder{ConfigurationPrefix: testConfigurationKey, TargetPrefix: "targets/", Configuration: decodeTestConfiguration, Target: decodeTestTarget},
 	})
 	require.NoError(t, err)
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -43,6 +43,7 @@
 		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: j.maxIdle(a.target.ID),
 		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: a.target.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
 		MatchesResponse: n.matchesResponse(j),
+		OnHead:          func(status int, h http.Header) { n.observeHead(a.target, noticeFromRequest, status, h) },
 	}
 	return x
 }
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondturn/pkg/inventory"
+	"almondturn/pkg/notices"
 	"almondturn/pkg/upstream"
 )
 
@@ -20,6 +21,8 @@
 
 func (plainProtocol) RequestHeader(http.Header, TargetRequestInfo) http.Header { return nil }
 
+func (plainProtocol) ParseNotice(int, http.Header) notices.Notice { return notices.Notice{} }
+
 func (plainProtocol) ParseResponse(http.Header) ResponseInfo {
 	return ResponseInfo{Signed: true}
 }
@@ -53,7 +56,7 @@
 func equipNode(n *Node) {
 	n.pool, n.targetProtocol, n.settings = upstream.NewPool(upstream.NewDialer(time.Second).DialContext), plainProtocol{}, &Settings{}
 	n.bounds.Store(&Bounds{RetryWindow: time.Second, RetrySlack: 10})
-	n.guard, n.links = newPromptGuard(n), newLinks(n, nil)
+	n.guard, n.links, n.notices = newPromptGuard(n), newLinks(n, nil), notices.NewLedger(time.Now)
 }
 
 // tryNext makes c try the target in the background, and returns the exchange and the
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -70,6 +70,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_store_calls_total{call=%q,status="%d"}`, call, status)).Inc()
 }
 
+// countNotice counts a notice of a target that changed what is known of it. source is
+// where it was read.
+func (m *nodeMetrics) countNotice(notice, source string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_target_notices_total{notice=%q,source=%q}`, notice, source)).Inc()
+}
+
 // countStoreRestore counts a restore of the key-value service that this node has seen.
 func (m *nodeMetrics) countStoreRestore() {
 	m.set.GetOrCreateCounter(`almondturn_store_restores_total`).Inc()
@@ -93,6 +99,9 @@
 		fmt.Fprintf(w, "almondturn_retry_budget_left{service=%q} %.1f\n", service, b.remaining(time.Now(), n.retryLimits()))
 	})
 	fmt.Fprintf(w, "almondturn_prompt_suspects %d\n", n.guard.ledger.Suspects())
+	leaving, paused := n.notices.Counts()
+	fmt.Fprintf(w, "almondturn_targets_leaving %d\n", leaving)
+	fmt.Fprintf(w, "almondturn_targets_paused %d\n", paused)
 	fmt.Fprintf(w, "almondturn_nodes %d\n", n.links.maxNodeCount())
 	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.WaitingRequests())
 	fmt.Fprintf(w, "almondturn_requests_in_flight %d\n", n.inFlight.Load())
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -19,6 +19,7 @@
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/limiter"
+	"almondturn/pkg/notices"
 	"almondturn/pkg/route"
 	"almondturn/pkg/upstream"
 	"almondturn/pkg/wait"
@@ -62,13 +63,21 @@
 	AnnounceEra(kv.Era)
 }
 
+// Targets sends orders to targets and requests their reports.
+type Targets interface {
+	zoneowner.Targets
+	// SetHeadObserver sets the function that is called with the status and header of
+	// each response of a target; source says to what.
+	SetHeadObserver(func(t *inventory.Target, source string, status int, h http.Header))
+}
+
 // Deps holds the dependencies of a node.
 type Deps struct {
 	Settings       *Settings
 	Log            *zerolog.Logger
 	Dial           fleet.DialFunc
 	Store          Store
-	Targets        zoneowner.Targets
+	Targets        Targets
 	Pool           *upstream.Pool
 	ClientProtocol ClientProtocol
 	TargetProtocol TargetProtocol
@@ -126,6 +135,7 @@
 	budgets        budgets
 	guard          *promptGuard
 	usages         targetUsages
+	notices        *notices.Ledger
 	started        time.Time
 	ready          atomic.Bool
 	stopping       atomic.Bool
@@ -215,7 +225,7 @@
 		settings: d.Settings, log: d.Log, clientProtocol: d.ClientProtocol, targetProtocol: d.TargetProtocol, decoder: d.Decoder, store: d.Store, pool: d.Pool,
 		reporter: d.Targets, metrics: d.Metrics, started: time.Now(), runs: map[uint64]zoneRun{}, readinessPath: d.ReadinessPath,
 		directory: inventory.NewDirectory(), configurationEntries: map[string]kv.Entry{}, idleClientConns: newIdleConns(), targetChanges: newChangeLog(), ownerChanges: newChangeLog(),
-		snapshotLimiter: limiter.New(time.Now),
+		snapshotLimiter: limiter.New(time.Now), notices: notices.NewLedger(boottime.Now),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
 	n.onRestore = d.OnRestore
@@ -236,6 +246,7 @@
 		Self: n.self, Zones: d.Settings.Zones, CPUCapacity: d.Settings.CPUCapacity, MinLease: d.Settings.MinLeaseTime, HandoverDelay: d.Settings.OrderHandoverDelay,
 		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Observer: d.Metrics, ConfigurationVersion: n.version, BootClock: boottime.Now,
 	})
+	d.Targets.SetHeadObserver(n.observeHead)
 	d.Store.SetRelay(n.links.relayStoreCall)
 	d.Store.SetRestoreObserver(n.storeRestored)
 	n.configurationWatch = n.newWatch(d.Decoder.ConfigurationPrefix, noFetchDelay, n.replaceConfiguration, n.applyConfigurationChanges)
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondturn/pkg/fault"
+	"almondturn/pkg/notices"
 	"almondturn/pkg/route"
 )
 
@@ -112,4 +113,6 @@
 	RequestHeader(in http.Header, info TargetRequestInfo) http.Header
 	// ParseResponse returns what the headers of a response declare.
 	ParseResponse(h http.Header) ResponseInfo
+	// ParseNotice returns what a response with a status says about its target.
+	ParseNotice(status int, h http.Header) notices.Notice
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -33,6 +33,10 @@
 	// this request; other responses are skipped. If it is nil, every response
 	// does.
 	MatchesResponse func(http.Header) bool
+	// OnHead is called with the status and header of each final response that is read,
+	// including those that are skipped because they belong to other requests; nil for no
+	// calls.
+	OnHead func(status int, h http.Header)
 	// OnSent is called when the whole request has been written; nil for no call.
 	OnSent func()
 }
@@ -152,6 +156,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if r.OnHead != nil {
+			r.OnHead(resp.StatusCode, resp.Header)
+		}
 		if r.MatchesResponse == nil || r.MatchesResponse(resp.Header) {
 			return resp, nil
 		}
