--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -43,6 +43,7 @@
 		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: j.maxIdle(a.target.ID),
 		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: a.target.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
 		MatchesResponse: n.matchesResponse(j),
+		BeforeSend:      func() error { return n.mayStillSend(a.target) },
 		OnHead:          func(status int, h http.Header) { n.observeHead(a.target, noticeFromRequest, status, h) },
 	}
 	return x
@@ -129,7 +130,7 @@
 )
 
 // abandon ends an exchange whose response is not forwarded, and returns its result. The
-// kind is unreachable if nothing was sent, and outcomeUnknown if the request may have run.
+// kind is unreachable or withheld if nothing was sent, and outcomeUnknown if the request may have run.
 // The cause is errNotNeeded unless the target has failed to continue the stream.
 func (x *exchange) abandon() sendResult {
 	failed := x.ctx.Err() == nil && x.failedToContinue()
@@ -150,7 +151,10 @@
 func (x *exchange) result() sendResult {
 	if x.err != nil {
 		var sendErr *upstream.SendError
-		if errors.As(x.err, &sendErr) && !sendErr.Sent {
+		switch {
+		case errors.Is(x.err, errWithheld):
+			return sendResult{kind: withheld, err: x.err}
+		case errors.As(x.err, &sendErr) && !sendErr.Sent:
 			return sendResult{kind: unreachable, err: x.err}
 		}
 		return sendResult{kind: outcomeUnknown, err: x.err}
@@ -181,7 +185,7 @@
 		released = sendResult{kind: expired}
 	}
 	n.releaseAssignment(x.assignment, released)
-	if r.kind == unreachable {
+	if r.sentNothing() {
 		n.refundRetry(j)
 	}
 	return unusedAttempt{x.assignment, r}
@@ -190,7 +194,7 @@
 // addUnused adds an abandoned attempt to the attempts of the job.
 func (j *job) addUnused(u unusedAttempt) {
 	target := u.assignment.target.ID
-	if u.result.kind != unreachable {
+	if !u.result.sentNothing() {
 		j.sends++
 		j.sentTo = append(j.sentTo, target)
 	}
@@ -198,7 +202,7 @@
 		j.possibleRuns++
 	}
 	refusedOwner := u.assignment.runID != 0 && (u.result.kind == notRun || u.result.kind == notLoaded)
-	if !refusedOwner && !errors.Is(u.result.err, errNotNeeded) {
+	if u.result.kind != withheld && !refusedOwner && !errors.Is(u.result.err, errNotNeeded) {
 		j.excluded = append(j.excluded, target)
 	}
 }
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -48,6 +48,8 @@
 	// possibleRuns counts the attempts that a target may have run. sends counts
 	// attempts; prepareRetry subtracts one that reached no target.
 	possibleRuns, sends int
+	// withheldSends counts the attempts with the result withheld.
+	withheldSends int
 	// resumeAfter is the ID of the last event that was written to the client;
 	// the next target continues the stream after it.
 	resumeAfter string
@@ -147,11 +149,14 @@
 	clientGone
 	// expired: the deadline has passed, or the stopping node has no time left.
 	expired
+	// withheld: the request was not sent, because the target was found to leave after
+	// it had been chosen.
+	withheld
 )
 
 // String returns the name of the kind as it appears in the log.
 func (k resultKind) String() string {
-	return [...]string{"answered", "unreachable", "not_run", "not_loaded", "failed", "unknown", "client_gone", "expired"}[k]
+	return [...]string{"answered", "unreachable", "not_run", "not_loaded", "failed", "unknown", "client_gone", "expired", "withheld"}[k]
 }
 
 // sendResult is the result of one attempt.
@@ -187,6 +192,8 @@
 		return wire.RunNotLoaded
 	case outcomeUnknown:
 		return wire.RunFailed
+	case withheld:
+		return wire.RunUnused
 	default:
 		return wire.RunCompleted
 	}
@@ -208,6 +215,9 @@
 		n.recordRunTime(j, last, time.Since(sentAt))
 		n.guard.attemptEnded(j, x.assignment, last)
 		n.releaseAssignment(x.assignment, last)
+		if last.kind == withheld && j.sends > 1 {
+			n.refundRetry(j)
+		}
 		if !n.prepareRetry(ctx, j, cr, last) {
 			if j.next != nil {
 				j.addUnused(n.abandon(j, j.next))
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -167,7 +167,8 @@
 
 // serveOwner runs an established connection to an owner until it ends. The
 // first messages are the runs at targets of the zone, the state of this node, the era
-// of the key-value service and the evidence about parts of prompts.
+// of the key-value service, the evidence about parts of prompts and the targets of the zone
+// that leave.
 func (l *links) serveOwner(ctx context.Context, link *ownerLink, c *wire.Conn) {
 	stop := context.AfterFunc(ctx, func() { c.Close(wire.ErrClosed) })
 	defer stop()
@@ -177,6 +178,9 @@
 	if evidence := l.node.guard.all(); evidence != nil {
 		c.Send(evidence)
 	}
+	if leaving := l.node.leavingTargets(link.zone); leaving != nil {
+		c.Send(leaving)
+	}
 	link.conn.Store(c)
 	event.OwnerConnected.Log(l.node.log).Str("zone", string(link.zone)).Str("owner", string(link.owner.Node)).Send()
 	err := c.Run()
@@ -344,11 +348,7 @@
 		l.node.owner.RunStarted(m)
 		return
 	}
-	if link, _ := l.ownerLink(zone); link != nil {
-		if c := link.conn.Load(); c != nil {
-			c.Send(m)
-		}
-	}
+	l.sendToOwner(zone, m)
 }
 
 // runEnded reports the end of a run to the current owner of a zone, which may not
@@ -359,6 +359,11 @@
 		l.node.owner.RunEnded(m)
 		return
 	}
+	l.sendToOwner(zone, m)
+}
+
+// sendToOwner sends a message to the owner of a zone. Without a connection it is dropped.
+func (l *links) sendToOwner(zone fleet.Zone, m wire.Message) {
 	if link, _ := l.ownerLink(zone); link != nil {
 		if c := link.conn.Load(); c != nil {
 			c.Send(m)
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -155,8 +155,8 @@
 	// tableSetAfter is when table was set, in nanoseconds after the start of
 	// the node.
 	tableSetAfter atomic.Int64
-	// targetSet is the list of targets in force, with those that operators
-	// drained marked as draining; nil before the first.
+	// targetSet is the list of targets in force, with those that operators drained or
+	// that have said that they leave marked as draining; nil before the first.
 	targetSet atomic.Pointer[inventory.TargetSet]
 	// directory holds the entries of the targets, from which targetSet is built. A
 	// report that this node has requested from a target replaces the models of its
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
 
+	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/notices"
+	"almondturn/wire"
 )
 
 // Sources of notices: to what the response was. The log and the metrics have them.
@@ -13,6 +17,17 @@
 	noticeFromRequest = "request"
 	NoticeFromReport  = "report"
 	NoticeFromOrder   = "order"
+	// noticeFromNode is the source of what another node has heard.
+	noticeFromNode = "node"
+)
+
+// errWithheld is the cause of an attempt that was not sent, because of what is known of
+// its target by the time of the first byte.
+var errWithheld = errors.New("the request was not sent")
+
+var (
+	errTargetLeaves = fmt.Errorf("%w: the target has said that it leaves", errWithheld)
+	errTargetDrains = fmt.Errorf("%w: the target is listed as draining", errWithheld)
 )
 
 // noticeKey returns the key of a target's notices.
@@ -32,6 +47,8 @@
 	if change.Leaves {
 		n.metrics.countNotice("leaving", source)
 		event.TargetLeaves.Log(n.log).Str("target", t.ID).Int64("incarnation", t.Incarnation).Str("source", source).Int("status", status).Send()
+		n.republishTargets()
+		n.announceLeaving(t)
 	}
 	if change.Pauses {
 		n.metrics.countNotice("pause", source)
@@ -39,3 +56,94 @@
 			Dur("pause_ms", notice.Pause).Send()
 	}
 }
+
+// mayStillSend returns an error that wraps errWithheld if this node must not send a request
+// to a target that was chosen before: by an owner with an older list, or before the target
+// said that it leaves.
+func (n *Node) mayStillSend(t *inventory.Target) error {
+	if n.notices.State(noticeKey(t)).Leaving {
+		return errTargetLeaves
+	}
+	if set := n.targetSet.Load(); set != nil {
+		if listed := set.Target(t.ID); listed != nil && listed.Draining && listed.Incarnation == t.Incarnation {
+			return errTargetDrains
+		}
+	}
+	return nil
+}
+
+// unavailableTargets returns the targets of a service to which this node sends no
+// requests, so that no owner with an older list grants a slot there.
+func (n *Node) unavailableTargets(service string) []wire.UnavailableTarget {
+	set := n.targetSet.Load()
+	if set == nil {
+		return nil
+	}
+	var out []wire.UnavailableTarget
+	for _, t := range set.Service(service) {
+		if t.Draining {
+			out = append(out, wire.UnavailableTarget{Target: t.ID})
+		}
+	}
+	return out
+}
+
+// announceLeaving tells the owner of its zone that a target leaves. The owner, which may
+// be this node, tells all nodes.
+func (n *Node) announceLeaving(t *inventory.Target) {
+	m := &wire.LeavingTargets{Targets: []wire.TargetIncarnation{{Target: t.ID, Incarnation: t.Incarnation}}}
+	if t.Zone == n.self.Zone && n.owner.IsOwner() {
+		n.links.Broadcast(m)
+		return
+	}
+	n.links.sendToOwner(t.Zone, m)
+}
+
+// receiveLeaving records the targets that leave according to another node. An owner relays
+// what is new.
+func (n *Node) receiveLeaving(from fleet.NodeID, m *wire.LeavingTargets) {
+	fresh := new(wire.LeavingTargets)
+	for _, t := range m.Targets {
+		if !n.notices.Record(notices.Key{Target: t.Target, Incarnation: t.Incarnation}, notices.Notice{Leaving: true}).Leaves {
+			continue
+		}
+		fresh.Targets = append(fresh.Targets, t)
+		n.metrics.countNotice("leaving", noticeFromNode)
+		event.TargetLeaves.Log(n.log).Str("target", t.Target).Int64("incarnation", t.Incarnation).Str("source", noticeFromNode).Str("from", string(from)).Send()
+	}
+	if len(fresh.Targets) == 0 {
+		return
+	}
+	n.republishTargets()
+	if n.owner.IsOwner() {
+		n.links.Broadcast(fresh)
+	}
+}
+
+// leavingTargets returns the listed targets of a zone that have said that they leave, of
+// all zones if zone is empty; nil if there is none.
+func (n *Node) leavingTargets(zone fleet.Zone) *wire.LeavingTargets {
+	set := n.targetSet.Load()
+	if set == nil {
+		return nil
+	}
+	var m *wire.LeavingTargets
+	for _, k := range n.notices.Leaving() {
+		t := set.Target(k.Target)
+		if t == nil || t.Incarnation != k.Incarnation || zone != "" && t.Zone != zone {
+			continue
+		}
+		if m == nil {
+			m = new(wire.LeavingTargets)
+		}
+		m.Targets = append(m.Targets, wire.TargetIncarnation{Target: k.Target, Incarnation: k.Incarnation})
+	}
+	return m
+}
+
+// introduceLeaving sends a node that has connected the targets that leave.
+func (l *links) introduceLeaving(to fleet.NodeID) {
+	if m := l.node.leavingTargets(""); m != nil {
+		l.Send(to, m)
+	}
+}
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -10,12 +10,18 @@
 // j.sends, unless the request has no attempts or time left.
 func (n *Node) prepareRetry(ctx context.Context, j *job, cr *clientResponse, r sendResult) bool {
 	j.obstacle = j.retryObstacle(ctx, cr, r)
-	if r.kind == unreachable && j.obstacle != obstacleTime && j.obstacle != obstacleSends {
+	if r.kind == withheld {
+		j.withheldSends++
+	}
+	if r.sentNothing() && j.obstacle != obstacleTime && j.obstacle != obstacleSends {
 		j.sends-- // nothing was sent to a target
 	}
 	return j.obstacle == ""
 }
 
+// sentNothing reports whether nothing was sent to the target.
+func (r sendResult) sentNothing() bool { return r.kind == unreachable || r.kind == withheld }
+
 // Values of job.obstacle, which the log has in the field not_retried.
 const (
 	obstacleTime       = "no time left"
@@ -44,6 +50,12 @@
 			return obstacleTargets
 		}
 		return ""
+	case withheld:
+		// An owner that is not told may grant the same target again and again.
+		if j.withheldSends >= maxSends {
+			return obstacleTargets
+		}
+		return ""
 	case notRun, notLoaded:
 		return ""
 	case failedRun:
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -164,7 +164,7 @@
 		TimeToDeadlineMillis:   j.startDeadline().Sub(now).Milliseconds(),
 		LatencyObjectiveMillis: j.Route.LatencyObjective.Milliseconds(),
 		MaxEventIntervalMillis: j.Route.MaxEventInterval.Milliseconds(),
-		Exclude:                j.excluded, OtherZonesRefused: lastResort,
+		Exclude:                j.excluded, Unavailable: n.unavailableTargets(j.service), OtherZonesRefused: lastResort,
 	}
 }
 
--- a/pkg/entry/targets.go
+++ b/pkg/entry/targets.go
@@ -73,7 +73,7 @@
 }
 
 // republishTargets publishes the list of targets again, if there is one, after
-// operators have drained or undrained a target.
+// operators have drained or undrained a target, or one has said that it leaves.
 func (n *Node) republishTargets() {
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
@@ -82,11 +82,12 @@
 	}
 }
 
-// withOperatorDrain returns the target, or a copy marked as draining if
-// operators have drained it.
-func (n *Node) withOperatorDrain(t *inventory.Target) *inventory.Target {
+// withDraining returns the target, or a copy marked as draining if operators have
+// drained it or it has said that it leaves.
+func (n *Node) withDraining(t *inventory.Target) *inventory.Target {
 	table := n.table.Load()
-	if table == nil || !table.Drained[t.ID] || t.Draining {
+	drained := table != nil && table.Drained[t.ID]
+	if t.Draining || !drained && !n.notices.State(noticeKey(t)).Leaving {
 		return t
 	}
 	draining := *t
@@ -99,7 +100,7 @@
 func (n *Node) publishTargets() {
 	list := n.directory.Targets()
 	for i, t := range list {
-		list[i] = n.withOperatorDrain(t)
+		list[i] = n.withDraining(t)
 	}
 	before := n.targetSet.Load()
 	after := inventory.NewTargetSet(list)
--- a/pkg/entry/usage.go
+++ b/pkg/entry/usage.go
@@ -150,6 +150,9 @@
 	defer u.mu.Unlock()
 	usage := u.get(id)
 	usage.inFlight = max(usage.inFlight-1, 0)
+	if r.kind == withheld {
+		return
+	}
 	failed := 0.0
 	if r.countsAsFailure() {
 		failed = 1
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -22,7 +22,7 @@
 				s.refuse(now, w, TryOtherZone, 0, RefusalEstimate{TimeLeft: w.Deadline.Sub(now)})
 				continue
 			}
-			if len(w.Exclude) == 0 {
+			if len(w.Exclude) == 0 && !s.missesTarget(now, q.key.modelKey(), w) {
 				break // the requests behind it in the queue must not overtake it
 			}
 		}
@@ -37,11 +37,14 @@
 func (t *target) workload() int { return t.runs + t.pendingPrefillTokens/prefillTokensPerRun }
 
 // candidateTargets returns the targets that have the model loaded or plan to load
-// it. If the request excludes targets, it returns only the healthy ones of the
-// others. If there is none of these and OtherZonesRefused is true, it returns all,
-// because the cause may have been a connection and not the target.
+// it and are available to the request. If it excludes targets, it returns only the
+// healthy ones of the others. If there is none of these and OtherZonesRefused is true, it
+// returns all, because the cause may have been a connection and not the target.
 func (s *Scheduler) candidateTargets(now time.Time, k modelKey, w *waiter) []*target {
 	modelTargets := s.targetsByModel[k]
+	if len(w.Unavailable) > 0 {
+		modelTargets = slices.DeleteFunc(slices.Clone(modelTargets), func(t *target) bool { return w.isUnavailable(t) })
+	}
 	if len(w.Exclude) == 0 {
 		return modelTargets
 	}
@@ -54,6 +57,17 @@
 	return candidates
 }
 
+// isUnavailable reports whether the node of the request sends none to the target.
+func (w *waiter) isUnavailable(t *target) bool { return slices.Contains(w.Unavailable, t.info.ID) }
+
+// missesTarget reports whether a healthy target that has the model, or plans to load it,
+// takes requests of other nodes only.
+func (s *Scheduler) missesTarget(now time.Time, k modelKey, w *waiter) bool {
+	return len(w.Unavailable) > 0 && slices.ContainsFunc(s.targetsByModel[k], func(t *target) bool {
+		return t.healthy(now) && w.isUnavailable(t)
+	})
+}
+
 // chooseTarget returns the target with the smallest workload at which the request
 // can start, nil for none.
 func (s *Scheduler) chooseTarget(now time.Time, targets []*target, w *waiter) *target {
@@ -73,7 +87,7 @@
 // without runs takes a request of any size. It sets w.pacedSince at the first target
 // whose prefill budget does not allow the prompt.
 func (s *Scheduler) canStart(now time.Time, t *target, w *waiter) bool {
-	if !t.healthy(now) || now.Before(t.busyUntil) || !t.canServe(now, w.Model, w.Adapter) && !t.canProbe(now, w.Model, w.Adapter) {
+	if !t.healthy(now) || w.isUnavailable(t) || now.Before(t.busyUntil) || !t.canServe(now, w.Model, w.Adapter) && !t.canProbe(now, w.Model, w.Adapter) {
 		return false
 	}
 	e := s.services[w.Service].Engine
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -27,6 +27,8 @@
 	// failed, those that refused it after its node had chosen them without an
 	// owner, and those that its node does not know.
 	Exclude []string
+	// Unavailable lists the targets to which the node of this request sends none.
+	Unavailable []string
 	// OtherZonesRefused is true if all owners that responded referred the request
 	// to another zone, so that it must not be referred again. Owners that did not
 	// respond have refused nothing.
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -33,6 +33,9 @@
 	// this request; other responses are skipped. If it is nil, every response
 	// does.
 	MatchesResponse func(http.Header) bool
+	// BeforeSend is called when there is a connection, immediately before the first byte
+	// is written. Its error ends the exchange, and nothing is sent. nil for no call.
+	BeforeSend func() error
 	// OnHead is called with the status and header of each final response that is read,
 	// including those that are skipped because they belong to other requests; nil for no
 	// calls.
@@ -103,6 +106,12 @@
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			p.putUnused(addr, c)
+			return nil, &SendError{Err: err}
+		}
+	}
 	stopCloseOnDone := context.AfterFunc(ctx, func() { _ = c.Close() })
 	n, err := c.Write(encodeRequest(r))
 	if err != nil {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -146,6 +146,20 @@
 func (p *Pool) put(addr string, c *conn) {
 	_ = c.SetDeadline(time.Time{}) // an error means a closed connection, which alive detects
 	c.idleSince = time.Now()
+	p.store(addr, c)
+}
+
+// putUnused is put for a connection to which nothing was written since get: its idle time
+// goes on.
+func (p *Pool) putUnused(addr string, c *conn) {
+	if !c.reused {
+		c.idleSince = time.Now()
+	}
+	p.store(addr, c)
+}
+
+// store adds an idle connection to those of addr, as the one used last.
+func (p *Pool) store(addr string, c *conn) {
 	p.mu.Lock()
 	list := p.idle[addr]
 	if len(list) >= maxIdlePerTarget {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -245,3 +246,56 @@
 		assert.GreaterOrEqual(t, parseIdleTimeout(header), time.Duration(0), fmt.Sprintf("%q", header))
 	})
 }
+
+// The connection of a request that was not sent was closed, or taken for one that carried
+// a request.
+func TestWithheldRequestLeavesItsConnection(t *testing.T) {
+	requests := 0
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests++ }))
+	defer s.Close()
+	addr := s.Listener.Addr().String()
+	p := NewPool(NewDialer(time.Second).DialContext)
+	refused := errors.New("not now")
+	r := &Request{Method: http.MethodGet, Path: "/", Host: addr, MaxIdle: time.Minute, BeforeSend: func() error { return refused }}
+	for range 2 {
+		_, err := p.Do(t.Context(), addr, r)
+		var sendErr *SendError
+		require.ErrorAs(t, err, &sendErr)
+		assert.False(t, sendErr.Sent)
+		require.ErrorIs(t, err, refused)
+	}
+	assert.Zero(t, requests)
+	r.BeforeSend = nil
+	resp, err := p.Do(t.Context(), addr, r)
+	require.NoError(t, err)
+	resp.Close()
+	assert.Equal(t, 1, requests)
+	assert.EqualValues(t, 1, p.Dialed.Load(), "the connection is used again")
+}
+
+// A response that is skipped as another request's was not looked at, though it comes from
+// the same target.
+func TestHeadOfSkippedResponseIsObserved(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Read(make([]byte, 1024))
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\nX-Id: 0\r\n\r\nHTTP/1.1 503 Refused\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n")
+	}()
+	var heads []string
+	p := NewPool(NewDialer(time.Second).DialContext)
+	resp, err := p.Do(t.Context(), l.Addr().String(), &Request{
+		Method: http.MethodGet, Path: "/", Host: "h",
+		MatchesResponse: func(h http.Header) bool { return h.Get("X-Id") == "2" },
+		OnHead:          func(status int, h http.Header) { heads = append(heads, fmt.Sprint(status, " ", h.Get("X-Id"))) },
+	})
+	require.NoError(t, err)
+	resp.Close()
+	assert.Equal(t, []string{"503 1", "200 2"}, heads)
+}
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -73,10 +73,20 @@
 		LatencyObjective:  time.Duration(m.LatencyObjectiveMillis) * time.Millisecond,
 		MaxEventInterval:  time.Duration(m.MaxEventIntervalMillis) * time.Millisecond,
 		Exclude:           m.Exclude,
+		Unavailable:       unavailableTargets(m),
 		OtherZonesRefused: m.OtherZonesRefused,
 	}
 }
 
+// unavailableTargets returns the targets to which the sender of a slot request sends none.
+func unavailableTargets(m *wire.SlotRequest) []string {
+	var out []string
+	for _, u := range m.Unavailable {
+		out = append(out, u.Target)
+	}
+	return out
+}
+
 // RunEnded releases the slot of a run.
 func (o *Owner) RunEnded(m *wire.RunEnded) {
 	o.mu.Lock()
--- a/wire/types.go
+++ b/wire/types.go
@@ -26,5 +26,6 @@
 	TypeSnapshot:             func() Message { return new(Snapshot) },
 	TypePartEvidence:         func() Message { return new(PartEvidence) },
 	TypeStoreEra:             func() Message { return new(StoreEra) },
+	TypeLeavingTargets:       func() Message { return new(LeavingTargets) },
 	TypeNodes:                func() Message { return new(Nodes) },
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -26,6 +26,7 @@
 	TypeOwnerChangesRequest
 	TypePartEvidence
 	TypeStoreEra
+	TypeLeavingTargets
 )
 
 // SlotRequest asks the owner of a zone for a slot at a target that has the
@@ -61,6 +62,26 @@
 	// MaxEventIntervalMillis is the longest time allowed between two events of
 	// the response stream; 0 for no limit.
 	MaxEventIntervalMillis int64 `cbor:"13,keyasint,omitempty"`
+	// Unavailable lists the targets of the service to which the sender sends no
+	// requests, whatever the owner knows of them.
+	Unavailable []UnavailableTarget `cbor:"14,keyasint,omitempty"`
+}
+
+// UnavailableTarget is a target to which a node sends no requests.
+type UnavailableTarget struct {
+	Target string `cbor:"1,keyasint"`
+}
+
+// LeavingTargets names targets that have said that they are shutting down. A node sends it
+// to the owner of their zone, and an owner to the nodes.
+type LeavingTargets struct {
+	Targets []TargetIncarnation `cbor:"1,keyasint,omitempty"`
+}
+
+// TargetIncarnation identifies one incarnation of a target.
+type TargetIncarnation struct {
+	Target      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint,omitempty"`
 }
 
 // SlotRefusal is the reason for which an owner refused a slot request.
@@ -315,5 +336,8 @@
 // Type implements Message.
 func (*StoreResponse) Type() Type { return TypeStoreResponse }
 
+// Type implements Message.
+func (*LeavingTargets) Type() Type { return TypeLeavingTargets }
+
 // Type implements Message.
 func (*StoreEra) Type() Type { return TypeStoreEra }
