--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -41,8 +41,8 @@
 	survived      bool
 
 	// excluded lists the targets that failed this request, those that refused
-	// it and were chosen without an owner, and those that this node does not
-	// know. They are skipped, except that choosePlainTarget falls back to them
+	// it without asking for a pause and were chosen without an owner, and those that
+	// this node does not know. They are skipped, except that choosePlainTarget falls back to them
 	// for an idempotent request.
 	excluded []string
 	// possibleRuns counts the attempts that a target may have run. sends counts
@@ -149,8 +149,8 @@
 	clientGone
 	// expired: the deadline has passed, or the stopping node has no time left.
 	expired
-	// withheld: the request was not sent, because the target was found to leave after
-	// it had been chosen.
+	// withheld: the request was not sent, because the target was found to leave or to
+	// pause after it had been chosen.
 	withheld
 )
 
@@ -169,12 +169,18 @@
 	// endsWithConnection is true for a complete stream of which only the end of the
 	// connection showed the end, so that the target may have crashed.
 	endsWithConnection bool
+	// paused is true if the target refused the request and has asked for a pause, which
+	// keeps further requests from it.
+	paused bool
 	// err is the cause of an attempt without a complete response.
 	err error
 }
 
 // countsAsFailure reports whether the result counts as a failure of the target.
 func (r sendResult) countsAsFailure() bool {
+	if r.paused {
+		return false
+	}
 	return r.kind == unreachable || r.kind == outcomeUnknown || r.kind == failedRun || r.status >= http.StatusInternalServerError
 }
 
@@ -258,7 +264,7 @@
 // client.
 func (n *Node) findTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
 	if !j.engine {
-		return n.choosePlainTarget(j)
+		return n.choosePlainTarget(ctx, j)
 	}
 	if refusal := n.guard.check(j); refusal != nil {
 		return assignment{}, refusal
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"almondturn/fleet"
 	"almondturn/pkg/event"
@@ -27,6 +28,7 @@
 
 var (
 	errTargetLeaves = fmt.Errorf("%w: the target has said that it leaves", errWithheld)
+	errTargetPauses = fmt.Errorf("%w: the target has asked for a pause", errWithheld)
 	errTargetDrains = fmt.Errorf("%w: the target is listed as draining", errWithheld)
 )
 
@@ -59,11 +61,14 @@
 
 // mayStillSend returns an error that wraps errWithheld if this node must not send a request
 // to a target that was chosen before: by an owner with an older list, or before the target
-// said that it leaves.
+// said that it leaves or asked for a pause.
 func (n *Node) mayStillSend(t *inventory.Target) error {
 	if n.notices.State(noticeKey(t)).Leaving {
 		return errTargetLeaves
 	}
+	if n.notices.PauseLeft(noticeKey(t)) > 0 {
+		return errTargetPauses
+	}
 	if set := n.targetSet.Load(); set != nil {
 		if listed := set.Target(t.ID); listed != nil && listed.Draining && listed.Incarnation == t.Incarnation {
 			return errTargetDrains
@@ -72,8 +77,9 @@
 	return nil
 }
 
-// unavailableTargets returns the targets of a service to which this node sends no
-// requests, so that no owner with an older list grants a slot there.
+// unavailableTargets returns the targets of a service to which this node sends no requests
+// now, so that no owner with an older list, or that was asked for no pause, grants a slot
+// there.
 func (n *Node) unavailableTargets(service string) []wire.UnavailableTarget {
 	set := n.targetSet.Load()
 	if set == nil {
@@ -83,11 +89,35 @@
 	for _, t := range set.Service(service) {
 		if t.Draining {
 			out = append(out, wire.UnavailableTarget{Target: t.ID})
+			continue
+		}
+		if left := n.notices.PauseLeft(noticeKey(t)); left > 0 {
+			out = append(out, wire.UnavailableTarget{Target: t.ID, PauseMillis: left.Milliseconds() + 1})
 		}
 	}
 	return out
 }
 
+// withoutPaused returns the targets that have not asked this node for a pause, and how
+// long it is until the first of the others and not draining ones takes requests, 0 if there
+// is none. It does not change the list.
+func (n *Node) withoutPaused(list []*inventory.Target) (usable []*inventory.Target, next time.Duration) {
+	if n.notices.Empty() {
+		return list, 0
+	}
+	usable = make([]*inventory.Target, 0, len(list))
+	for _, t := range list {
+		left := n.notices.PauseLeft(noticeKey(t))
+		switch {
+		case left <= 0:
+			usable = append(usable, t)
+		case !t.Draining && (next == 0 || left < next):
+			next = left
+		}
+	}
+	return usable, next
+}
+
 // announceLeaving tells the owner of its zone that a target leaves. The owner, which may
 // be this node, tells all nodes.
 func (n *Node) announceLeaving(t *inventory.Target) {
--- a/pkg/entry/notices_test.go
+++ b/pkg/entry/notices_test.go
@@ -53,12 +53,15 @@
 }
 
 // A request that waited for its connection was sent although the target had said meanwhile
-// that it leaves, or was listed as draining.
-func TestRequestIsWithheldIfTheTargetLeavesWhileItConnects(t *testing.T) {
+// that it leaves or wants a pause, or was listed as draining.
+func TestRequestIsWithheldIfTheTargetIsOutWhileItConnects(t *testing.T) {
 	for name, leave := range map[string]func(n *Node, target *inventory.Target){
 		"it says so": func(n *Node, target *inventory.Target) {
 			n.notices.Record(noticeKey(target), notices.Notice{Leaving: true})
 		},
+		"it asks for a pause": func(n *Node, target *inventory.Target) {
+			n.notices.Record(noticeKey(target), notices.Notice{Pause: time.Minute})
+		},
 		"another node heard it": func(n *Node, _ *inventory.Target) { n.receiveLeaving("n2", leavingMessage("t1", 1)) },
 		"it is listed so": func(n *Node, target *inventory.Target) {
 			draining := *target
@@ -146,3 +149,32 @@
 	assert.Nil(t, n.leavingTargets("y"))
 	assert.Equal(t, leavingMessage("t1", 1), n.leavingTargets("z"))
 }
+
+// A pause of one target took others out, or was forgotten without an owner.
+func TestChoiceWithoutAnOwnerLeavesOutTargetsThatPause(t *testing.T) {
+	n, _ := newIdleNode(t)
+	paused := &inventory.Target{ID: "t1", Service: "s", Zone: "z", Incarnation: 1, Models: []inventory.LoadedModel{{Name: "m"}}}
+	other := &inventory.Target{ID: "t2", Service: "s", Zone: "y", Incarnation: 1, Models: []inventory.LoadedModel{{Name: "m"}}}
+	n.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{paused, other}))
+	n.notices.Record(noticeKey(paused), notices.Notice{Pause: time.Minute})
+	j := newIdleJob()
+	j.Model = "m"
+	for range 3 {
+		a, ok := n.chooseByLastReport(j)
+		require.True(t, ok)
+		assert.Equal(t, "t2", a.target.ID)
+	}
+	unavailable := n.unavailableTargets("s")
+	require.Len(t, unavailable, 1)
+	assert.Equal(t, "t1", unavailable[0].Target)
+	assert.InDelta(t, time.Minute.Milliseconds(), unavailable[0].PauseMillis, 2000)
+	assert.Nil(t, n.leavingTargets(""), "it binds this node alone")
+}
+
+// A target that asked for a pause counted as failed, and got no requests after it either.
+func TestRefusalWithAPauseIsNoFailure(t *testing.T) {
+	refused := sendResult{kind: notRun, status: http.StatusServiceUnavailable}
+	assert.True(t, refused.countsAsFailure())
+	refused.paused = true
+	assert.False(t, refused.countsAsFailure())
+}
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -128,7 +128,8 @@
 func (n *Node) receiveResponse(ctx context.Context, j *job, a assignment, resp *upstream.Response, cr *clientResponse, c *continuation) sendResult {
 	r, usable := n.classifyHead(resp)
 	if !usable && r.kind != outcomeUnknown {
-		if a.runID == 0 {
+		r.paused = n.notices.PauseLeft(noticeKey(a.target)) > 0
+		if a.runID == 0 && !r.paused {
 			j.excluded = append(j.excluded, a.target.ID) // an owner is sent the result instead
 		}
 		discardBody(resp)
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -12,6 +12,7 @@
 	"almondturn/pkg/quarantine"
 	"almondturn/pkg/route"
 	"almondturn/pkg/scheduler"
+	"almondturn/pkg/wait"
 	"almondturn/pkg/zoneowner"
 	"almondturn/wire"
 )
@@ -51,17 +52,30 @@
 }
 
 // choosePlainTarget chooses a target of a plain service that is not excluded.
-// If there is none, an idempotent request is sent again to an excluded one.
-func (n *Node) choosePlainTarget(j *job) (assignment, *ErrorResponse) {
-	candidates := n.targetSet.Load().Service(j.service)
+// If there is none, an idempotent request is sent again to an excluded one. While all
+// targets pause, the request waits if the first pause ends in its time.
+func (n *Node) choosePlainTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
+	for {
+		candidates, pause := n.withoutPaused(n.targetSet.Load().Service(j.service))
+		if t := n.acquirePlainTarget(j, candidates); t != nil {
+			return assignment{target: t, zone: t.Zone}, nil
+		}
+		if pause <= 0 {
+			return assignment{}, newErrorResponse(fault.NoReplica, defaultRetryAfter, "no target of the service %q is left", j.service)
+		}
+		if pause > time.Until(j.deadline)-minRunTime || !wait.Sleep(ctx, pause) {
+			return assignment{}, newErrorResponse(fault.NoReplica, pause, "the targets of the service %q have asked for a pause", j.service)
+		}
+	}
+}
+
+// acquirePlainTarget returns the best of the candidates, nil if there is none.
+func (n *Node) acquirePlainTarget(j *job, candidates []*inventory.Target) *inventory.Target {
 	t := n.usages.acquire(time.Now(), candidates, n.self.Zone, j.excluded)
 	if t == nil && len(j.excluded) > 0 && j.idempotent() {
 		t = n.usages.acquire(time.Now(), candidates, n.self.Zone, nil)
 	}
-	if t == nil {
-		return assignment{}, newErrorResponse(fault.NoReplica, defaultRetryAfter, "no target of the service %q is left", j.service)
-	}
-	return assignment{target: t, zone: t.Zone}, nil
+	return t
 }
 
 // acquireEngineSlot waits for a slot at a target that has the model loaded.
@@ -300,6 +314,7 @@
 			candidates = append(candidates, t)
 		}
 	}
+	candidates, _ = n.withoutPaused(candidates)
 	t := n.usages.acquire(time.Now(), candidates, n.self.Zone, j.excluded)
 	if t == nil {
 		return assignment{}, false
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -43,7 +43,7 @@
 func (s *Scheduler) candidateTargets(now time.Time, k modelKey, w *waiter) []*target {
 	modelTargets := s.targetsByModel[k]
 	if len(w.Unavailable) > 0 {
-		modelTargets = slices.DeleteFunc(slices.Clone(modelTargets), func(t *target) bool { return w.isUnavailable(t) })
+		modelTargets = slices.DeleteFunc(slices.Clone(modelTargets), func(t *target) bool { return w.isUnavailable(now, t) })
 	}
 	if len(w.Exclude) == 0 {
 		return modelTargets
@@ -57,17 +57,6 @@
 	return candidates
 }
 
-// isUnavailable reports whether the node of the request sends none to the target.
-func (w *waiter) isUnavailable(t *target) bool { return slices.Contains(w.Unavailable, t.info.ID) }
-
-// missesTarget reports whether a healthy target that has the model, or plans to load it,
-// takes requests of other nodes only.
-func (s *Scheduler) missesTarget(now time.Time, k modelKey, w *waiter) bool {
-	return len(w.Unavailable) > 0 && slices.ContainsFunc(s.targetsByModel[k], func(t *target) bool {
-		return t.healthy(now) && w.isUnavailable(t)
-	})
-}
-
 // chooseTarget returns the target with the smallest workload at which the request
 // can start, nil for none.
 func (s *Scheduler) chooseTarget(now time.Time, targets []*target, w *waiter) *target {
@@ -87,7 +76,7 @@
 // without runs takes a request of any size. It sets w.pacedSince at the first target
 // whose prefill budget does not allow the prompt.
 func (s *Scheduler) canStart(now time.Time, t *target, w *waiter) bool {
-	if !t.healthy(now) || w.isUnavailable(t) || now.Before(t.busyUntil) || !t.canServe(now, w.Model, w.Adapter) && !t.canProbe(now, w.Model, w.Adapter) {
+	if !t.healthy(now) || w.isUnavailable(now, t) || now.Before(t.busyUntil) || !t.canServe(now, w.Model, w.Adapter) && !t.canProbe(now, w.Model, w.Adapter) {
 		return false
 	}
 	e := s.services[w.Service].Engine
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -93,14 +93,15 @@
 		}
 		k := q.key.modelKey()
 		st := s.modelState(now, k)
-		if st.ready > 0 && (q.key.adapter != "" || s.hasFreeSlot(now, k)) {
+		paused := s.needsReplicaInPause(now, q)
+		if st.ready > 0 && !paused && (q.key.adapter != "" || s.hasFreeSlot(now, k)) {
 			continue
 		}
 		if st.loading > 0 {
 			s.moveBlockedPlan(now, k, st)
 			continue
 		}
-		s.planLoad(now, k, now.Sub(q.waiters[0].submittedAt) >= closingDelay)
+		s.planLoad(now, k, paused || now.Sub(q.waiters[0].submittedAt) >= closingDelay)
 	}
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -352,6 +352,7 @@
 		s.scaleUp(now)
 		s.unloadRetiring(now)
 	}
+	s.refusePaused(now, queues)
 	s.refuseUnservable(now, queues)
 	s.requestReports(now)
 	return s.actions
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -28,13 +28,21 @@
 	// owner, and those that its node does not know.
 	Exclude []string
 	// Unavailable lists the targets to which the node of this request sends none.
-	Unavailable []string
+	Unavailable []Unavailability
 	// OtherZonesRefused is true if all owners that responded referred the request
 	// to another zone, so that it must not be referred again. Owners that did not
 	// respond have refused nothing.
 	OtherZonesRefused bool
 }
 
+// Unavailability says that a node sends no requests to a target.
+type Unavailability struct {
+	Target string
+	// Until is the end of the pause that the target has asked the node for; zero if the
+	// target leaves.
+	Until time.Time
+}
+
 // Ticket identifies a waiting request.
 type Ticket uint64
 
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -73,16 +73,21 @@
 		LatencyObjective:  time.Duration(m.LatencyObjectiveMillis) * time.Millisecond,
 		MaxEventInterval:  time.Duration(m.MaxEventIntervalMillis) * time.Millisecond,
 		Exclude:           m.Exclude,
-		Unavailable:       unavailableTargets(m),
+		Unavailable:       unavailabilities(now, m),
 		OtherZonesRefused: m.OtherZonesRefused,
 	}
 }
 
-// unavailableTargets returns the targets to which the sender of a slot request sends none.
-func unavailableTargets(m *wire.SlotRequest) []string {
-	var out []string
+// unavailabilities returns the targets to which the sender of a slot request sends none.
+// Their pauses count from now.
+func unavailabilities(now time.Time, m *wire.SlotRequest) []scheduler.Unavailability {
+	var out []scheduler.Unavailability
 	for _, u := range m.Unavailable {
-		out = append(out, u.Target)
+		a := scheduler.Unavailability{Target: u.Target}
+		if u.PauseMillis > 0 {
+			a.Until = now.Add(time.Duration(u.PauseMillis) * time.Millisecond)
+		}
+		out = append(out, a)
 	}
 	return out
 }
--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -31,6 +31,9 @@
 	m.InputTokens, m.OutputTokens, m.Priority = clampCount(m.InputTokens), clampCount(m.OutputTokens), clampCount(m.Priority)
 	m.TimeToObjectiveMillis, m.TimeToDeadlineMillis = clampMillis(m.TimeToObjectiveMillis), clampMillis(m.TimeToDeadlineMillis)
 	m.LatencyObjectiveMillis, m.MaxEventIntervalMillis = clampDuration(m.LatencyObjectiveMillis), clampDuration(m.MaxEventIntervalMillis)
+	for i := range m.Unavailable {
+		m.Unavailable[i].PauseMillis = clampDuration(m.Unavailable[i].PauseMillis)
+	}
 }
 
 // clamp implements bounded.
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -67,9 +67,12 @@
 	Unavailable []UnavailableTarget `cbor:"14,keyasint,omitempty"`
 }
 
-// UnavailableTarget is a target to which a node sends no requests.
+// UnavailableTarget is a target to which a node sends no requests, because it leaves or has
+// asked the node for a pause.
 type UnavailableTarget struct {
 	Target string `cbor:"1,keyasint"`
+	// PauseMillis is the time left of the pause; 0 if the target leaves.
+	PauseMillis int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // LeavingTargets names targets that have said that they are shutting down. A node sends it
