--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -26,6 +26,8 @@
 	// ctx is that of the attempt, giveUp ends it.
 	ctx    context.Context
 	giveUp context.CancelCauseFunc
+	// sentAt is just before the first byte was written, on the clock of the notices.
+	sentAt time.Time
 
 	// sent and ended are nil unless begin was called. sent is closed when the whole
 	// request was written, ended when resp and err are set.
@@ -43,8 +45,13 @@
 		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: j.maxIdle(a.target.ID),
 		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: a.target.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
 		MatchesResponse: n.matchesResponse(j),
-		BeforeSend:      func() error { return n.mayStillSend(a.target) },
-		OnHead:          func(status int, h http.Header) { n.observeHead(a.target, noticeFromRequest, status, h) },
+	}
+	x.request.BeforeSend = func() error {
+		x.sentAt = n.notices.Now()
+		return n.mayStillSend(a.target)
+	}
+	x.request.OnHead = func(status int, h http.Header) {
+		n.observeRequestHead(a.target, x.requestID, x.sentAt, status, h)
 	}
 	return x
 }
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -42,9 +42,29 @@
 // one, to an order or to a request for a report. Its request's connection was to t.
 func (n *Node) observeHead(t *inventory.Target, source string, status int, h http.Header) {
 	notice := n.targetProtocol.ParseNotice(status, h)
-	if notice.IsZero() {
+	if notice.Leaving || notice.Pause > 0 {
+		n.recordNotice(t, source, status, notice)
+	}
+	if notice.Limit.Named {
+		n.recordLimit(t, source, notice.Limit, n.notices.Now())
+	}
+}
+
+// observeRequestHead is observeHead for a response to the request of an attempt that began
+// at sentAt on the clock of the notices. The response ends a limit that it does not name,
+// unless it may be that to an earlier request.
+func (n *Node) observeRequestHead(t *inventory.Target, request string, sentAt time.Time, status int, h http.Header) {
+	n.observeHead(t, noticeFromRequest, status, h)
+	if !n.notices.State(noticeKey(t)).Limit.Named || n.targetProtocol.ParseResponse(h).RequestID != request {
 		return
 	}
+	if notice := n.targetProtocol.ParseNotice(status, h); !notice.Limit.Named && !notice.LimitUnreadable {
+		n.recordLimit(t, noticeFromRequest, notices.RateLimit{}, sentAt)
+	}
+}
+
+// recordNotice records that a target leaves or asks for a pause.
+func (n *Node) recordNotice(t *inventory.Target, source string, status int, notice notices.Notice) {
 	change := n.notices.Record(noticeKey(t), notice)
 	if change.Leaves {
 		n.metrics.countNotice("leaving", source)
@@ -59,6 +79,21 @@
 	}
 }
 
+// recordLimit records the rate limit of a target, or that it has none, as of a time on the
+// clock of the notices.
+func (n *Node) recordLimit(t *inventory.Target, source string, limit notices.RateLimit, asOf time.Time) {
+	if !n.notices.RecordLimit(noticeKey(t), limit, asOf) {
+		return
+	}
+	n.metrics.countNotice("limit", source)
+	if !limit.Named {
+		event.TargetLimitEnds.Log(n.log).Str("target", t.ID).Int64("incarnation", t.Incarnation).Str("source", source).Send()
+		return
+	}
+	event.TargetLimits.Log(n.log).Str("target", t.ID).Int64("incarnation", t.Incarnation).Str("source", source).
+		Float64("per_second", limit.PerSecond).Dur("age_ms", n.notices.Now().Sub(asOf)).Send()
+}
+
 // mayStillSend returns an error that wraps errWithheld if this node must not send a request
 // to a target that was chosen before: by an owner with an older list, or before the target
 // said that it leaves or asked for a pause.
--- a/pkg/notices/notices.go
+++ b/pkg/notices/notices.go
@@ -3,7 +3,8 @@
 //
 // That a target leaves is true of one incarnation, for good, and for all nodes. A pause
 // binds the node that was asked for it, until a time on a clock that runs through
-// suspensions of the VM. Another incarnation, or another target at the same address, is
+// suspensions of the VM. A rate limit counts over all nodes, and holds until a response to a
+// request that was sent after the target last named it does not name one. Another incarnation, or another target at the same address, is
 // another key and starts without notices.
 package notices
 
@@ -23,6 +24,19 @@
 	// Pause is how long the target wants no requests from the node that got the
 	// response; 0 for no pause.
 	Pause time.Duration
+	// Limit is the rate limit that the target names.
+	Limit RateLimit
+	// LimitUnreadable is true if the response names a limit that can't be read, so that
+	// it says nothing about one.
+	LimitUnreadable bool
+}
+
+// RateLimit is the number of requests a second that a target takes from all nodes
+// together. The zero value is no limit.
+type RateLimit struct {
+	// Named is true if there is a limit; PerSecond may be 0 then.
+	Named     bool
+	PerSecond float64
 }
 
 // IsZero reports whether the response says nothing.
@@ -41,6 +55,10 @@
 	LeavingSince time.Time
 	// PausedUntil is the end of the last pause, zero for none.
 	PausedUntil time.Time
+	// Limit is the rate limit in force, and LimitAsOf when it was so: when a response that
+	// named it was read, or one that named none was requested.
+	Limit     RateLimit
+	LimitAsOf time.Time
 }
 
 // Paused reports whether the target wants no requests at a time.
@@ -110,21 +128,60 @@
 	}
 }
 
-// replace sets the state of a target, and forgets pauses that are over and the oldest
+// limitMemory is how long the end of a limit is remembered, so that older news of it which
+// arrive later do not bring it back.
+const limitMemory = 10 * time.Second
+
+// expired reports whether the state says nothing any more.
+func (s State) expired(now time.Time) bool {
+	return !s.Leaving && !s.Paused(now) && !s.Limit.Named && now.Sub(s.LimitAsOf) > limitMemory
+}
+
+// RecordLimit records the rate limit of a target, or that it has none, as of a time. What is
+// as of a later time counts. It reports whether the limit has changed.
+func (l *Ledger) RecordLimit(k Key, limit RateLimit, asOf time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := (*l.states.Load())[k]
+	if !asOf.After(before.LimitAsOf) || !limit.Named && !before.Limit.Named {
+		return false
+	}
+	after := before
+	after.Limit, after.LimitAsOf = limit, asOf
+	l.replace(l.now(), k, after)
+	return after.Limit != before.Limit
+}
+
+// replace sets the state of a target, and forgets what has ended and the oldest
 // target beyond maxStates. l.mu must be held.
 func (l *Ledger) replace(now time.Time, k Key, s State) {
 	next := maps.Clone(*l.states.Load())
-	maps.DeleteFunc(next, func(_ Key, s State) bool { return !s.Leaving && !s.Paused(now) })
+	maps.DeleteFunc(next, func(_ Key, s State) bool { return s.expired(now) })
 	next[k] = s
 	if len(next) > l.maxStates {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(next)), func(a, b Key) int {
-			return cmp.Or(next[a].LeavingSince.Compare(next[b].LeavingSince), cmp.Compare(a.Target, b.Target))
-		})
-		delete(next, oldest)
+		delete(next, oldest(next))
 	}
 	l.states.Store(&next)
 }
 
+// oldest returns the target whose state is the oldest.
+func oldest(states map[Key]State) Key {
+	return slices.MinFunc(slices.Collect(maps.Keys(states)), func(a, b Key) int {
+		return cmp.Or(states[a].since().Compare(states[b].since()), cmp.Compare(a.Target, b.Target))
+	})
+}
+
+// since returns the latest time of the state.
+func (s State) since() time.Time {
+	latest := s.LeavingSince
+	for _, t := range []time.Time{s.PausedUntil, s.LimitAsOf} {
+		if t.After(latest) {
+			latest = t
+		}
+	}
+	return latest
+}
+
 // State returns what is known of a target, the zero value for nothing.
 func (l *Ledger) State(k Key) State { return (*l.states.Load())[k] }
 
@@ -148,8 +205,22 @@
 	return max(l.State(k).PausedUntil.Sub(l.now()), 0)
 }
 
-// Counts returns the numbers of targets that leave and that are paused.
-func (l *Ledger) Counts() (leaving, paused int) {
+// Limits returns the rate limits in force.
+func (l *Ledger) Limits() map[Key]State {
+	out := map[Key]State{}
+	for k, s := range *l.states.Load() {
+		if s.Limit.Named {
+			out[k] = s
+		}
+	}
+	return out
+}
+
+// Now returns the time on the clock of the ledger.
+func (l *Ledger) Now() time.Time { return l.now() }
+
+// Counts returns the numbers of targets that leave, that are paused and that have a limit.
+func (l *Ledger) Counts() (leaving, paused, limited int) {
 	now := l.now()
 	for _, s := range *l.states.Load() {
 		if s.Leaving {
@@ -158,6 +229,9 @@
 		if s.Paused(now) {
 			paused++
 		}
+		if s.Limit.Named {
+			limited++
+		}
 	}
-	return leaving, paused
+	return leaving, paused, limited
 }
--- a/pkg/notices/notices_test.go
+++ b/pkg/notices/notices_test.go
@@ -59,7 +59,30 @@
 	assert.Len(t, l.Leaving(), l.maxStates)
 	assert.Zero(t, l.State(Key{"t0", 1}), "the oldest is forgotten")
 	assert.True(t, l.State(Key{fmt.Sprint("t", l.maxStates+9), 1}).Leaving)
-	leaving, paused := l.Counts()
+	leaving, paused, _ := l.Counts()
 	assert.Equal(t, l.maxStates, leaving)
 	assert.Zero(t, paused, "a pause that is over is forgotten")
 }
+
+// A limit stayed after the target had stopped naming it, or ended by a response to a request
+// that had been sent before the target named it.
+func TestLatestWordOnALimitCounts(t *testing.T) {
+	l, c := newTestLedger()
+	k := Key{"t1", 7}
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	c.at = at(5000)
+	assert.False(t, l.RecordLimit(k, RateLimit{}, at(0)), "no limit was known")
+	assert.True(t, l.RecordLimit(k, RateLimit{true, 5}, at(100)))
+	assert.False(t, l.RecordLimit(k, RateLimit{true, 5}, at(200)), "the same")
+	assert.False(t, l.RecordLimit(k, RateLimit{}, at(150)), "requested before it was last named")
+	assert.False(t, l.RecordLimit(k, RateLimit{true, 9}, at(120)), "older news")
+	assert.Equal(t, RateLimit{true, 5}, l.State(k).Limit)
+	assert.True(t, l.RecordLimit(k, RateLimit{true, 0}, at(300)), "a limit of 0 is one")
+	assert.True(t, l.RecordLimit(k, RateLimit{}, at(400)))
+	assert.False(t, l.RecordLimit(k, RateLimit{true, 5}, at(350)), "older news, after its end")
+	assert.Empty(t, l.Limits())
+	c.at = at(400).Add(limitMemory + time.Millisecond)
+	l.RecordLimit(Key{"t2", 7}, RateLimit{true, 1}, c.at)
+	assert.Zero(t, l.State(k), "the end is forgotten")
+	assert.Len(t, l.Limits(), 1)
+}
