--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -334,7 +334,7 @@
 	default:
 		return a, nil
 	}
-	n.releaseAssignment(a, sendResult{kind: expired})
+	n.releaseAssignment(a, sendResult{kind: withheld})
 	return assignment{}, err
 }
 
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -190,6 +190,9 @@
 	released := r
 	if errors.Is(r.err, errNotNeeded) {
 		released = sendResult{kind: expired}
+		if r.sentNothing() {
+			released.kind = withheld
+		}
 	}
 	n.releaseAssignment(x.assignment, released)
 	if r.sentNothing() {
--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -23,11 +23,15 @@
 	case *wire.ActiveRuns:
 		n.owner.AdoptRuns(from, m)
 		n.guard.introduce(from.ID)
-		n.links.introduceLeaving(from.ID)
+		n.links.introduceNotices(from.ID)
 	case *wire.PartEvidence:
 		n.guard.receive(from.ID, m)
 	case *wire.LeavingTargets:
 		n.receiveLeaving(from.ID, m)
+	case *wire.TargetLimits:
+		n.receiveLimits(from.ID, m)
+	case *wire.PermitRequest:
+		return n.owner.ReservePermit(m)
 	case *wire.ZoneState:
 		if link != nil {
 			n.links.receiveZoneState(link, m)
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -149,8 +149,8 @@
 	clientGone
 	// expired: the deadline has passed, or the stopping node has no time left.
 	expired
-	// withheld: the request was not sent, because the target was found to leave or to
-	// pause after it had been chosen.
+	// withheld: the request was not sent to the target that had been chosen, for a reason
+	// that says nothing about the target's connections.
 	withheld
 )
 
@@ -199,7 +199,7 @@
 	case outcomeUnknown:
 		return wire.RunFailed
 	case withheld:
-		return wire.RunUnused
+		return wire.RunNotSent
 	default:
 		return wire.RunCompleted
 	}
@@ -253,7 +253,7 @@
 	}
 	if j.sends > 0 && !n.budgets.forService(j.service).spend(time.Now(), n.retryLimits()) {
 		event.BudgetExhausted.Log(n.log).Str("request", j.ID).Str("service", j.service).Send()
-		n.releaseAssignment(a, sendResult{kind: expired})
+		n.releaseAssignment(a, sendResult{kind: withheld})
 		j.obstacle = obstacleBudget
 		return nil, nil, false
 	}
@@ -276,7 +276,7 @@
 	// Crashes may have happened during the wait for the slot.
 	trials, refusal := n.guard.admit(j, a.target.ID)
 	if refusal != nil {
-		n.releaseAssignment(a, sendResult{kind: expired})
+		n.releaseAssignment(a, sendResult{kind: withheld})
 		return assignment{}, refusal
 	}
 	a.trials = trials
@@ -286,10 +286,8 @@
 // releaseAssignment ends an assignment with the result of its attempt: it ends
 // the run that an owner granted, or updates the usage of a target that was
 // chosen without an owner. A trial that is still awaited ends without a result.
-// The result expired is reported to the owner as unused. It covers both an
-// assignment to which nothing was sent because the retry budget is exhausted, and
-// an attempt that ended at the deadline or at the stop of the node; the kind does
-// not distinguish them.
+// The result expired, of an attempt that ended at the deadline or at the stop of the
+// node, is reported to the owner as unused.
 func (n *Node) releaseAssignment(a assignment, r sendResult) {
 	n.guard.ledger.TrialEnded(a.trials)
 	if a.runID != 0 {
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -167,8 +167,8 @@
 
 // serveOwner runs an established connection to an owner until it ends. The
 // first messages are the runs at targets of the zone, the state of this node, the era
-// of the key-value service, the evidence about parts of prompts and the targets of the zone
-// that leave.
+// of the key-value service, the evidence about parts of prompts, the targets of the zone
+// that leave and the limits of targets.
 func (l *links) serveOwner(ctx context.Context, link *ownerLink, c *wire.Conn) {
 	stop := context.AfterFunc(ctx, func() { c.Close(wire.ErrClosed) })
 	defer stop()
@@ -181,6 +181,9 @@
 	if leaving := l.node.leavingTargets(link.zone); leaving != nil {
 		c.Send(leaving)
 	}
+	if limits := l.node.targetLimits(); limits != nil {
+		c.Send(limits)
+	}
 	link.conn.Store(c)
 	event.OwnerConnected.Log(l.node.log).Str("zone", string(link.zone)).Str("owner", string(link.owner.Node)).Send()
 	err := c.Run()
@@ -215,7 +218,7 @@
 	if !ok || link == nil || resp.Refusal != wire.SlotGranted || l.node.hasRun(resp.Run) {
 		return
 	}
-	l.runEnded(link.zone, &wire.RunEnded{Run: resp.Run, Outcome: wire.RunUnused})
+	l.runEnded(link.zone, &wire.RunEnded{Run: resp.Run, Outcome: wire.RunNotSent})
 }
 
 // handler returns the HTTP handler that accepts connections of other nodes.
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -136,6 +136,7 @@
 	guard          *promptGuard
 	usages         targetUsages
 	notices        *notices.Ledger
+	shares         limitShares
 	started        time.Time
 	ready          atomic.Bool
 	stopping       atomic.Bool
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -79,21 +79,6 @@
 	}
 }
 
-// recordLimit records the rate limit of a target, or that it has none, as of a time on the
-// clock of the notices.
-func (n *Node) recordLimit(t *inventory.Target, source string, limit notices.RateLimit, asOf time.Time) {
-	if !n.notices.RecordLimit(noticeKey(t), limit, asOf) {
-		return
-	}
-	n.metrics.countNotice("limit", source)
-	if !limit.Named {
-		event.TargetLimitEnds.Log(n.log).Str("target", t.ID).Int64("incarnation", t.Incarnation).Str("source", source).Send()
-		return
-	}
-	event.TargetLimits.Log(n.log).Str("target", t.ID).Int64("incarnation", t.Incarnation).Str("source", source).
-		Float64("per_second", limit.PerSecond).Dur("age_ms", n.notices.Now().Sub(asOf)).Send()
-}
-
 // mayStillSend returns an error that wraps errWithheld if this node must not send a request
 // to a target that was chosen before: by an owner with an older list, or before the target
 // said that it leaves or asked for a pause.
@@ -153,6 +138,22 @@
 	return usable, next
 }
 
+// withinShares returns the targets without a limit, and those at which this node's share of
+// the limit allows a request now. It does not change the list.
+func (n *Node) withinShares(list []*inventory.Target) []*inventory.Target {
+	if n.notices.Empty() {
+		return list
+	}
+	out := make([]*inventory.Target, 0, len(list))
+	for _, t := range list {
+		limit := n.notices.State(noticeKey(t)).Limit
+		if !limit.Named || n.shares.wait(n, noticeKey(t), limit) == 0 {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // announceLeaving tells the owner of its zone that a target leaves. The owner, which may
 // be this node, tells all nodes.
 func (n *Node) announceLeaving(t *inventory.Target) {
@@ -206,9 +207,12 @@
 	return m
 }
 
-// introduceLeaving sends a node that has connected the targets that leave.
-func (l *links) introduceLeaving(to fleet.NodeID) {
+// introduceNotices sends a node that has connected the targets that leave and the limits.
+func (l *links) introduceNotices(to fleet.NodeID) {
 	if m := l.node.leavingTargets(""); m != nil {
 		l.Send(to, m)
 	}
+	if m := l.node.targetLimits(); m != nil {
+		l.Send(to, m)
+	}
 }
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -12,7 +12,6 @@
 	"almondturn/pkg/quarantine"
 	"almondturn/pkg/route"
 	"almondturn/pkg/scheduler"
-	"almondturn/pkg/wait"
 	"almondturn/pkg/zoneowner"
 	"almondturn/wire"
 )
@@ -51,33 +50,6 @@
 	return &ErrorResponse{fault.New(kind, format, args...), retryAfter}
 }
 
-// choosePlainTarget chooses a target of a plain service that is not excluded.
-// If there is none, an idempotent request is sent again to an excluded one. While all
-// targets pause, the request waits if the first pause ends in its time.
-func (n *Node) choosePlainTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
-	for {
-		candidates, pause := n.withoutPaused(n.targetSet.Load().Service(j.service))
-		if t := n.acquirePlainTarget(j, candidates); t != nil {
-			return assignment{target: t, zone: t.Zone}, nil
-		}
-		if pause <= 0 {
-			return assignment{}, newErrorResponse(fault.NoReplica, defaultRetryAfter, "no target of the service %q is left", j.service)
-		}
-		if pause > time.Until(j.deadline)-minRunTime || !wait.Sleep(ctx, pause) {
-			return assignment{}, newErrorResponse(fault.NoReplica, pause, "the targets of the service %q have asked for a pause", j.service)
-		}
-	}
-}
-
-// acquirePlainTarget returns the best of the candidates, nil if there is none.
-func (n *Node) acquirePlainTarget(j *job, candidates []*inventory.Target) *inventory.Target {
-	t := n.usages.acquire(time.Now(), candidates, n.self.Zone, j.excluded)
-	if t == nil && len(j.excluded) > 0 && j.idempotent() {
-		t = n.usages.acquire(time.Now(), candidates, n.self.Zone, nil)
-	}
-	return t
-}
-
 // acquireEngineSlot waits for a slot at a target that has the model loaded.
 // While no owner responds, it may choose a target without a grant. It returns an
 // error for the client if the owners refuse the request, or if no target is
@@ -157,7 +129,7 @@
 	}
 	t := n.targetSet.Load().Target(resp.Target)
 	if t == nil {
-		n.links.runEnded(zone, &wire.RunEnded{Run: resp.Run, Outcome: wire.RunUnused})
+		n.links.runEnded(zone, &wire.RunEnded{Run: resp.Run, Outcome: wire.RunNotSent})
 		j.excluded = append(j.excluded, resp.Target)
 		return assignment{}, nil
 	}
@@ -315,10 +287,13 @@
 		}
 	}
 	candidates, _ = n.withoutPaused(candidates)
-	t := n.usages.acquire(time.Now(), candidates, n.self.Zone, j.excluded)
+	t := n.usages.acquire(time.Now(), n.withinShares(candidates), n.self.Zone, j.excluded)
 	if t == nil {
 		return assignment{}, false
 	}
+	if limit := n.notices.State(noticeKey(t)).Limit; limit.Named {
+		n.shares.reserve(n, noticeKey(t), limit, 0)
+	}
 	return assignment{target: t, zone: t.Zone}, true
 }
 
--- a/pkg/entry/stopping.go
+++ b/pkg/entry/stopping.go
@@ -149,7 +149,7 @@
 	case tooLate == nil:
 		return a, refusal
 	case refusal == nil:
-		n.releaseAssignment(a, sendResult{kind: expired})
+		n.releaseAssignment(a, sendResult{kind: withheld})
 	}
 	return assignment{}, tooLate
 }
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -68,9 +68,9 @@
 		if !t.healthy(now) {
 			continue
 		}
-		if r := t.replicas[k.model]; r != nil && !r.closing && !r.unconfirmed && !r.retiring {
+		if t.isReady(k.model) {
 			st.ready++
-			st.runs += r.runs
+			st.runs += t.replicas[k.model].runs
 			continue
 		}
 		if t.plan != nil && t.plan.model == k.model {
@@ -156,18 +156,18 @@
 }
 
 // hasFreeSlot reports whether one of the model's replicas can serve runs at a
-// healthy target with a free slot.
+// healthy target with a free slot whose limit allows one.
 func (s *Scheduler) hasFreeSlot(now time.Time, k modelKey) bool {
 	for _, t := range s.targetsByModel[k] {
-		if t.healthy(now) && t.canServe(now, k.model, "") && t.runs < s.slots(t) {
+		if t.healthy(now) && t.canServe(now, k.model, "") && t.runs < s.slots(t) && s.limitAllows(now, t) {
 			return true
 		}
 	}
 	return false
 }
 
-// scaleUp plans another replica of models whose replicas are too busy or start
-// runs too slowly.
+// scaleUp plans another replica of models whose replicas are too busy, start runs
+// too slowly, or are at targets whose limits are below the demand.
 func (s *Scheduler) scaleUp(now time.Time) {
 	if now.Sub(s.lastScaleAt) < scaleInterval {
 		return
@@ -182,6 +182,10 @@
 		}
 		d := s.demandOf(k)
 		slow := d.latencyRatio > slowStartRatio && st.runs >= minRunsToScaleOnLatency*st.ready
+		if s.limitsDemand(now, k) {
+			s.planLoad(now, k, s.hasWaiters(k.service, k.model))
+			continue
+		}
 		if slow || st.ready < s.neededReplicas(now, k, svc.Engine) || float64(st.runs) > scaleUpUtilization*float64(svc.Engine.Slots*st.ready) {
 			s.planLoad(now, k, slow || s.hasWaiters(k.service, k.model))
 			d.latencyRatio = min(d.latencyRatio, quickStartRatio) // wait for the effect of a new replica, also if none was planned
@@ -189,6 +193,10 @@
 	}
 }
 
+// limitedTargetPenalty is added to the score of a load at a target with a rate limit, whose
+// replica starts few requests. It is more than a load from disk takes.
+const limitedTargetPenalty = 3.0
+
 // candidate is one way to load a model. The lowest score is best: it is the load
 // time in seconds plus the values of the victims.
 type candidate struct {
@@ -318,6 +326,9 @@
 		if !s.chooseVictims(now, &c, m, e, allowClosing) {
 			continue
 		}
+		if s.limitOf(t) != nil {
+			c.score += limitedTargetPenalty
+		}
 		if !found || c.score < best.score {
 			best, found = c, true
 		}
@@ -432,7 +443,7 @@
 // quickStartRatio.
 func (s *Scheduler) computeReplicaValue(now time.Time, k modelKey, e *route.Engine) float64 {
 	rate := s.demandOf(k).perSecond(now)
-	if s.modelState(now, k).ready > s.neededReplicas(now, k, e) && s.demandOf(k).latencyRatio < quickStartRatio {
+	if s.unlimitedReplicas(now, k) > s.neededReplicas(now, k, e) && s.demandOf(k).latencyRatio < quickStartRatio {
 		return excessReplicaWeight * rate
 	}
 	return rate
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -150,7 +150,7 @@
 // have waited, and not because the queue has become longer.
 func (s *Scheduler) refuseBeyondCapacity(now time.Time, q *queue, st modelState) {
 	k := q.key.modelKey()
-	perSecond := s.startRate(k, st)
+	perSecond := s.startRate(now, k)
 	if perSecond <= 0 {
 		return
 	}
@@ -172,9 +172,21 @@
 }
 
 // startRate returns the number of requests per second that the replicas of the model
-// start while all their slots are in use.
-func (s *Scheduler) startRate(k modelKey, st modelState) float64 {
-	return float64(st.runs) / s.demandOf(k).runDuration().Seconds()
+// start while all their slots are in use, or the limits of their targets.
+func (s *Scheduler) startRate(now time.Time, k modelKey) float64 {
+	rate := 0.0
+	for _, t := range s.targetsByModel[k] {
+		if !t.healthy(now) || !t.isReady(k.model) {
+			continue
+		}
+		slots := t.replicas[k.model].runs
+		if s.limitOf(t) != nil {
+			slots = s.slots(t) // the limit keeps most of them free
+		}
+		starts, _ := s.startsPerSecond(t, slots, s.demandOf(k).runDuration())
+		rate += starts
+	}
+	return rate
 }
 
 // isNew reports whether the request has waited for less than a quarter of
@@ -313,6 +325,9 @@
 	}
 	if len(s.waiters) > 0 {
 		consider(now.Add(maxStepDelayWhileWaiting))
+		for _, l := range s.targetLimits {
+			consider(now.Add(l.bucket.Wait(now)))
+		}
 	}
 	return next
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -60,6 +60,10 @@
 	zone      fleet.Zone
 	allZones  []fleet.Zone
 	zoneCount int
+	// targetLimits holds the rate limits of targets by identifier; limitShare is the share of
+	// them that this scheduler gives.
+	targetLimits map[string]*targetLimit
+	limitShare   float64
 	// removedTargets are the targets removed from the list recently.
 	removedTargets []removedTarget
 	// keepalive is nil until a service with an idle weight needs it.
@@ -89,6 +93,8 @@
 		storeWanted:    map[modelKey]time.Time{},
 		eventIntervals: map[string]time.Duration{},
 		prefill:        map[string]*prefillEstimate{},
+		targetLimits:   map[string]*targetLimit{},
+		limitShare:     1,
 		lastRun:        lastRun,
 		zoneCount:      1,
 	}
@@ -288,6 +294,7 @@
 	}
 	t.removeRun(now, r)
 	t.applyOutcome(now, r, o)
+	s.returnToLimit(now, t, o)
 	d := s.demandOf(modelKey{t.info.Service, r.model})
 	d.idleSince = now
 	if o == Completed {
--- a/pkg/scheduler/store.go
+++ b/pkg/scheduler/store.go
@@ -129,7 +129,7 @@
 func (s *Scheduler) mayUseStore(now time.Time, k modelKey, e *route.Engine) bool {
 	st := s.modelState(now, k)
 	isFurther := st.ready > 0
-	if isFurther && (s.hasFreeSlot(now, k) || !s.isOverloaded(now, k, s.startRate(k, st)) || !s.mayOccupyTarget(now, k.service)) {
+	if isFurther && (s.hasFreeSlot(now, k) || !s.isOverloaded(now, k, s.startRate(now, k)) || !s.mayOccupyTarget(now, k.service)) {
 		return false
 	}
 	s.storeWanted[k] = now
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -243,6 +243,12 @@
 	}
 }
 
+// isReady reports whether the target has a replica of the model that gets new runs.
+func (t *target) isReady(model string) bool {
+	r := t.replicas[model]
+	return r != nil && !r.closing && !r.unconfirmed && !r.retiring
+}
+
 // healthy reports whether the target may get requests and orders.
 func (t *target) healthy(now time.Time) bool {
 	return !t.info.Draining && !now.Before(t.suspectUntil)
@@ -380,7 +386,7 @@
 		if !r.probe {
 			t.markUnconfirmed(now, r)
 		}
-	case Unused:
+	case Unused, NotSent:
 	}
 }
 
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -76,9 +76,11 @@
 	// Busy: the target responded that it did not run the request, for a reason
 	// other than that of NotLoaded.
 	Busy
-	// Unused: the request was not sent to the target, or the attempt ended at the
-	// deadline or at the stop of the node. It says nothing about the target.
+	// Unused: the attempt ended at the deadline or at the stop of the node. It says
+	// nothing about the target.
 	Unused
+	// NotSent: the request was not sent to the target.
+	NotSent
 )
 
 // Operation says what an order does.
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -215,6 +215,9 @@
 	t.scheduler.SetServices(o.services)
 	t.scheduler.SetZones(o.cfg.Self.Zone, o.cfg.Zones)
 	t.setTargets(o.targets)
+	for _, l := range o.limits {
+		t.scheduler.SetTargetLimit(time.Now(), l.Target, l.Incarnation, l.PerSecond)
+	}
 	o.term = t
 	o.currentEntry = entry
 	event.ZoneTaken.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Uint64("token", uint64(t.token)).
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -153,6 +153,8 @@
 	term               *term
 	targets            []*inventory.Target
 	services           map[string]*route.Service
+	// limits are the limits of targets by identifier.
+	limits map[string]TargetLimit
 }
 
 // term is the period from acquiring the zone to losing it. ctx and cancel do not
@@ -190,6 +192,7 @@
 		leaseTTL:      max(cfg.MinLease, defaultLeaseTTL),
 		electionWake:  make(chan struct{}, 1),
 		schedulerWake: make(chan struct{}, 1),
+		limits:        map[string]TargetLimit{},
 	}
 }
 
@@ -258,6 +261,7 @@
 	now, boot := time.Now(), o.cfg.BootClock()
 	until := t.authority.validUntil(boot)
 	t.scheduler.SetOrderWindow(now.Add(t.ordersFrom.Sub(boot)), now.Add(until.Sub(boot)))
+	t.scheduler.SetLimitShare(now, o.limitShare(t))
 	t.scheduler.SetOtherZoneWeightStoreLoads(o.cfg.Network.OtherZoneWeightStoreLoads())
 	for _, a := range t.scheduler.Step(now) {
 		o.execute(t, now, a)
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -55,7 +55,7 @@
 	select {
 	case resp := <-response:
 		if resp.Run != 0 {
-			t.scheduler.RunEnded(time.Now(), scheduler.RunID(resp.Run), scheduler.Unused)
+			t.scheduler.RunEnded(time.Now(), scheduler.RunID(resp.Run), scheduler.NotSent)
 		}
 	default:
 	}
--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// maxRate bounds numbers of requests per second.
+const maxRate = 1e9
+
+// clampRate returns the rate, between 0 and maxRate; maxRate for one that is no number.
+func clampRate(perSecond float64) float64 {
+	if math.IsNaN(perSecond) {
+		return maxRate
+	}
+	return min(max(perSecond, 0), maxRate)
+}
+
+// clamp implements bounded.
+func (m *TargetLimits) clamp() {
+	for i := range m.Limits {
+		l := &m.Limits[i]
+		l.PerSecond, l.AgeMillis = clampRate(l.PerSecond), clampDuration(l.AgeMillis)
+	}
+}
+
+// clamp implements bounded.
+func (m *PermitRequest) clamp() { m.MaxWaitMillis = clampDuration(m.MaxWaitMillis) }
+
+// clamp implements bounded.
+func (m *PermitResponse) clamp() { m.WaitMillis = clampDuration(m.WaitMillis) }
+
 // clamp implements bounded.
 func (m *TargetChangesRequest) clamp() { m.WaitMillis = clampDuration(m.WaitMillis) }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -27,5 +27,8 @@
 	TypePartEvidence:         func() Message { return new(PartEvidence) },
 	TypeStoreEra:             func() Message { return new(StoreEra) },
 	TypeLeavingTargets:       func() Message { return new(LeavingTargets) },
+	TypeTargetLimits:         func() Message { return new(TargetLimits) },
+	TypePermitRequest:        func() Message { return new(PermitRequest) },
+	TypePermitResponse:       func() Message { return new(PermitResponse) },
 	TypeNodes:                func() Message { return new(Nodes) },
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -27,6 +27,9 @@
 	TypePartEvidence
 	TypeStoreEra
 	TypeLeavingTargets
+	TypeTargetLimits
+	TypePermitRequest
+	TypePermitResponse
 )
 
 // SlotRequest asks the owner of a zone for a slot at a target that has the
@@ -81,6 +84,43 @@
 	Targets []TargetIncarnation `cbor:"1,keyasint,omitempty"`
 }
 
+// TargetLimits says which rate limits targets have named, or no longer name. A node sends it
+// to the owner of their zone, and an owner to the nodes.
+type TargetLimits struct {
+	Limits []TargetLimit `cbor:"1,keyasint,omitempty"`
+}
+
+// TargetLimit is the rate limit of an incarnation of a target.
+type TargetLimit struct {
+	Target      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint,omitempty"`
+	// Named is false if the target has no limit.
+	Named bool `cbor:"3,keyasint,omitempty"`
+	// PerSecond is the number of requests a second from all nodes together.
+	PerSecond float64 `cbor:"4,keyasint,omitempty"`
+	// AgeMillis is how long ago that was so.
+	AgeMillis int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// PermitRequest asks the owner of a zone for a request to a target of a plain service that
+// has a rate limit. The response is PermitResponse.
+type PermitRequest struct {
+	Target      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint,omitempty"`
+	// MaxWaitMillis is how long the request can wait.
+	MaxWaitMillis int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// PermitResponse is the response to PermitRequest.
+type PermitResponse struct {
+	// NotOwner means that the node does not own the zone.
+	NotOwner bool `cbor:"1,keyasint,omitempty"`
+	// Granted is true if the request may be sent after WaitMillis. Otherwise it would
+	// have to wait for WaitMillis.
+	Granted    bool  `cbor:"2,keyasint,omitempty"`
+	WaitMillis int64 `cbor:"3,keyasint,omitempty"`
+}
+
 // TargetIncarnation identifies one incarnation of a target.
 type TargetIncarnation struct {
 	Target      string `cbor:"1,keyasint"`
@@ -132,9 +172,11 @@
 	// RunBusy means that the target responded that it did not run the request,
 	// for a reason other than that of RunNotLoaded.
 	RunBusy
-	// RunUnused means that the request was not sent, or that the attempt ended
-	// at the deadline or at the stop of the node.
+	// RunUnused means that the attempt ended at the deadline or at the stop of the
+	// node.
 	RunUnused
+	// RunNotSent means that the request was not sent.
+	RunNotSent
 )
 
 // RunEnded notifies an owner that a granted run has ended and releases its
@@ -342,5 +384,14 @@
 // Type implements Message.
 func (*LeavingTargets) Type() Type { return TypeLeavingTargets }
 
+// Type implements Message.
+func (*TargetLimits) Type() Type { return TypeTargetLimits }
+
+// Type implements Message.
+func (*PermitRequest) Type() Type { return TypePermitRequest }
+
+// Type implements Message.
+func (*PermitResponse) Type() Type { return TypePermitResponse }
+
 // Type implements Message.
 func (*StoreEra) Type() Type { return TypeStoreEra }
