--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -6,7 +6,7 @@
 // that have the base model loaded.
 func (s *Scheduler) loadAdapters(now time.Time, queues []*queue) {
 	for _, q := range queues {
-		if q.key.adapter == "" || len(q.waiters) == 0 || s.adapterLoadedOrOrdered(now, q.key) || !s.mayLoadAdapter(q.key) {
+		if q.key.adapter == "" || len(q.waiters) == 0 || s.adapterLoadedOrOrdered(now, q) || !s.mayLoadAdapter(q.key) {
 			continue
 		}
 		if t := s.adapterTarget(now, q); t != nil {
@@ -15,11 +15,13 @@
 	}
 }
 
-// adapterLoadedOrOrdered reports whether, at a healthy target, an order for the
-// adapter is in progress or a replica that is not closing has it loaded.
-func (s *Scheduler) adapterLoadedOrOrdered(now time.Time, k queueKey) bool {
+// adapterLoadedOrOrdered reports whether, at a healthy target that takes the most urgent
+// request of the queue, an order for the adapter is in progress or a replica that is not
+// closing has it loaded.
+func (s *Scheduler) adapterLoadedOrOrdered(now time.Time, q *queue) bool {
+	k := q.key
 	for _, t := range s.targets {
-		if t.info.Service != k.service || !t.healthy(now) {
+		if t.info.Service != k.service || !t.healthy(now) || !s.takes(now, t, q.waiters[0]) {
 			continue
 		}
 		if o := t.order; o != nil && o.Model == k.model && o.Adapter == k.adapter {
@@ -32,13 +34,19 @@
 	return false
 }
 
-// adapterTarget returns the target with the fewest adapters among those that
-// have the base model loaded, a free slot and no order in progress; nil for none.
+// takes reports whether the target is not out of use for the node of the request.
+func (s *Scheduler) takes(now time.Time, t *target, w *waiter) bool {
+	return !w.isUnavailable(now, t)
+}
+
+// adapterTarget returns the target with the fewest adapters among those that take the most
+// urgent request of the queue and have the base model loaded, a free slot and no order in
+// progress; nil for none.
 func (s *Scheduler) adapterTarget(now time.Time, q *queue) *target {
 	var best *target
 	for _, t := range s.sortedTargets {
 		ok := t.info.Service == q.key.service && t.phase == noOrder && t.healthy(now) && t.canServe(now, q.key.model, "") &&
-			t.runs < s.slots(t) && !now.Before(t.nextOrderAt)
+			t.runs < s.slots(t) && !now.Before(t.nextOrderAt) && s.takes(now, t, q.waiters[0])
 		if ok && (best == nil || t.adapterCount() < best.adapterCount()) {
 			best = t
 		}
--- a/pkg/scheduler/unavailable_test.go
+++ b/pkg/scheduler/unavailable_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"almondturn/pkg/inventory"
 )
 
 // An owner granted a slot at a target to a node that had heard that the target leaves, got
@@ -113,3 +115,16 @@
 	assert.Equal(t, Overloaded, got.Reason)
 	assert.Equal(t, 30*time.Second, got.RetryAfter)
 }
+
+// Requests for an adapter that only a target which pauses for their node has loaded waited
+// until their deadline, though another target has the model.
+func TestAdapterOfAPausedTargetIsLoadedElsewhere(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil), newTestTarget("b", []string{"m0"}, nil))
+	z.targets[0].Models[0].Adapters = []string{"a1"}
+	z.ReportReceived(z.now, "a", inventory.Report{Models: z.targets[0].Models})
+	r := z.request("m0")
+	r.Adapter, r.Unavailable = "a1", []Unavailability{{Target: "a"}}
+	order := only[SendOrder](t, z.submitAndStep(r)).Order
+	assert.Equal(t, "b", order.Target)
+	assert.Equal(t, "a1", order.Adapter)
+}
