--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -82,6 +82,8 @@
 	// Target is the index of the target, modulo the number of targets.
 	Target int
 	Kind   FaultKind
+	// PerSecond is the rate limit of the kind Limited.
+	PerSecond float64
 }
 
 // FaultKind is the kind of a Fault.
@@ -100,6 +102,9 @@
 	// Unreachable makes new runs, orders and report requests fail for
 	// Fault.Duration. Runs in progress continue.
 	Unreachable
+	// Limited makes the target name a limit of Fault.PerSecond requests a second in its
+	// responses for Fault.Duration.
+	Limited
 )
 
 // Config describes one run of the emulator.
@@ -193,6 +198,7 @@
 	// the kinds OrderTimeouts and Unreachable.
 	orderTimeoutsUntil time.Time
 	unreachableUntil   time.Time
+	limit              simulatedLimit
 	// snapshots are the reports of the last reportAge, the oldest first. They
 	// let reports lag behind the actual state.
 	snapshots []snapshot
@@ -208,6 +214,7 @@
 type activeRun struct {
 	request              *request
 	model, adapter       string
+	begunAt              time.Time
 	firstEventAt, endsAt time.Time
 	started              bool // the first event was sent
 }
@@ -446,6 +453,7 @@
 		fail(scheduler.Busy)
 	default:
 		e.runs[g.Run] = s.newRun(now, e, r)
+		s.countRequest(now, e)
 	}
 }
 
@@ -460,7 +468,7 @@
 		}
 	}
 	firstEventAt = firstEventAt.Add(time.Duration(r.InputTokens) * prefillPerToken)
-	return &activeRun{request: r, model: r.Model, adapter: r.Adapter, firstEventAt: firstEventAt, endsAt: firstEventAt.Add(time.Duration(r.OutputTokens) * decodePerToken)}
+	return &activeRun{request: r, model: r.Model, adapter: r.Adapter, begunAt: now, firstEventAt: firstEventAt, endsAt: firstEventAt.Add(time.Duration(r.OutputTokens) * decodePerToken)}
 }
 
 // resubmit submits a request again that its target did not run. The latency
@@ -489,6 +497,7 @@
 		if !r.started && !now.Before(r.firstEventAt) {
 			r.started = true
 			s.recordFirstEvent(now, r)
+			s.announceLimit(now, e, r)
 			s.policy.RunStarted(now, id)
 		}
 		if !now.Before(r.endsAt) {
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -95,3 +95,30 @@
 	r := runOnce(t, "calm", 1, overcommittingPolicy{NewBaseline()})
 	assert.NotEmpty(t, r.Violations)
 }
+
+// deafPolicy is a scheduler that is not told of limits.
+type deafPolicy struct{ Policy }
+
+// TryGrant implements immediateGranter.
+func (p deafPolicy) TryGrant(now time.Time, t scheduler.Ticket) (scheduler.Grant, bool) {
+	return p.Policy.(immediateGranter).TryGrant(now, t)
+}
+
+// Limits of targets were not counted: a policy that knows none of them had no violation.
+func TestRunRecordsViolationsOfAPolicyThatKnowsNoLimits(t *testing.T) {
+	r := runOnce(t, "named-limits", 1, deafPolicy{scheduler.New(0)})
+	assert.NotEmpty(t, r.Violations)
+}
+
+// Keeping to the limits of a third of the targets cost far more requests than those targets
+// have lost capacity, as the others took no more.
+func TestLimitsCostFewRequests(t *testing.T) {
+	kept, deaf := Result{}, Result{}
+	for seed := range uint64(seedsPerPattern) {
+		kept.add(runOnce(t, "named-limits", seed, scheduler.New(0)))
+		deaf.add(runOnce(t, "named-limits", seed, deafPolicy{scheduler.New(0)}))
+	}
+	t.Logf("kept: in time %d, late %d, refused %d, lost %d; not told: in time %d, late %d, refused %d, lost %d, %d violations", kept.InTime, kept.Late, kept.Refused, kept.Lost, deaf.InTime, deaf.Late, deaf.Refused, deaf.Lost, len(deaf.Violations))
+	assert.Empty(t, kept.Violations)
+	assert.Greater(t, kept.InTime, deaf.InTime*9/10)
+}
--- a/pkg/emulator/orders.go
+++ b/pkg/emulator/orders.go
@@ -193,6 +193,8 @@
 		e.orderTimeoutsUntil = now.Add(f.Duration)
 	case Unreachable:
 		e.unreachableUntil = now.Add(f.Duration)
+	case Limited:
+		e.limit = simulatedLimit{perSecond: f.PerSecond, until: now.Add(f.Duration)}
 	}
 }
 
--- a/pkg/emulator/patterns.go
+++ b/pkg/emulator/patterns.go
@@ -97,6 +97,14 @@
 			c.Faults = append(c.Faults, Fault{At: 8 * time.Second, Duration: 5 * time.Second, Target: i, Kind: Unreachable})
 		}
 	}},
+	// A third of the targets take about a quarter of the requests that they usually get.
+	{"named-limits", func(c *Config, r *rand.Rand) {
+		c.addRareRequests(r, rareRate, 0, patternLength)
+		c.addBusyRequests(r, busyRate, 0, patternLength, 0)
+		for i := range patternTargets / 3 {
+			c.Faults = append(c.Faults, Fault{At: 8 * time.Second, Duration: 14 * time.Second, Target: i, Kind: Limited, PerSecond: 0.7})
+		}
+	}},
 }
 
 // Patterns returns the names of all patterns.
--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -34,9 +34,9 @@
 	return false
 }
 
-// takes reports whether the target is not out of use for the node of the request.
+// takes reports whether neither the target's limit nor its pause keep the request from it.
 func (s *Scheduler) takes(now time.Time, t *target, w *waiter) bool {
-	return !w.isUnavailable(now, t)
+	return s.limitAllows(now, t) && !w.isUnavailable(now, t)
 }
 
 // adapterTarget returns the target with the fewest adapters among those that take the most
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -76,7 +76,7 @@
 // without runs takes a request of any size. It sets w.pacedSince at the first target
 // whose prefill budget does not allow the prompt.
 func (s *Scheduler) canStart(now time.Time, t *target, w *waiter) bool {
-	if !t.healthy(now) || w.isUnavailable(now, t) || !s.limitAllows(now, t) || now.Before(t.busyUntil) || !t.canServe(now, w.Model, w.Adapter) && !t.canProbe(now, w.Model, w.Adapter) {
+	if !t.healthy(now) || !s.takes(now, t, w) || now.Before(t.busyUntil) || !t.canServe(now, w.Model, w.Adapter) && !t.canProbe(now, w.Model, w.Adapter) {
 		return false
 	}
 	e := s.services[w.Service].Engine
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -183,7 +183,7 @@
 		d := s.demandOf(k)
 		slow := d.latencyRatio > slowStartRatio && st.runs >= minRunsToScaleOnLatency*st.ready
 		if s.limitsDemand(now, k) {
-			s.planLoad(now, k, s.hasWaiters(k.service, k.model))
+			s.planLoad(now, k, true)
 			continue
 		}
 		if slow || st.ready < s.neededReplicas(now, k, svc.Engine) || float64(st.runs) > scaleUpUtilization*float64(svc.Engine.Slots*st.ready) {
--- a/pkg/scheduler/targetlimits.go
+++ b/pkg/scheduler/targetlimits.go
@@ -112,13 +112,27 @@
 func (s *Scheduler) limitsDemand(now time.Time, k modelKey) bool {
 	anyLimited, perSecond := false, 0.0
 	d := s.demandOf(k)
+	demand := d.perSecond(now)
 	for _, t := range s.targetsByModel[k] {
 		if !t.healthy(now) || !t.isReady(k.model) {
 			continue
 		}
 		rate, limited := s.startsPerSecond(t, s.slots(t), d.runDuration())
-		anyLimited = anyLimited || limited
+		if limited {
+			anyLimited = true
+			rate *= demand / max(s.demandAt(now, t), demand)
+		}
 		perSecond += rate
 	}
-	return anyLimited && d.perSecond(now) > perSecond
+	return anyLimited && demand > perSecond
+}
+
+// demandAt returns the requests per second for the models of a target, which share its
+// limit.
+func (s *Scheduler) demandAt(now time.Time, t *target) float64 {
+	sum := 0.0
+	for name := range t.replicas {
+		sum += s.demandOf(modelKey{t.info.Service, name}).perSecond(now)
+	}
+	return sum
 }
--- a/pkg/scheduler/targetlimits_test.go
+++ b/pkg/scheduler/targetlimits_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"almondturn/pkg/inventory"
 	"almondturn/pkg/ratelimit"
 )
 
@@ -127,3 +128,17 @@
 	}
 	assert.Greater(t, refused, 25, "one a second is served, and 5 s are left")
 }
+
+// Requests for an adapter that only a target at its limit has loaded waited there until their
+// deadline, though another target has the model.
+func TestAdapterOfALimitedTargetIsLoadedElsewhere(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil), newTestTarget("b", []string{"m0"}, nil))
+	z.targets[0].Models[0].Adapters = []string{"a1"}
+	z.ReportReceived(z.now, "a", inventory.Report{Models: z.targets[0].Models})
+	z.SetTargetLimit(z.now, "a", 0, 0)
+	r := z.request("m0")
+	r.Adapter = "a1"
+	order := only[SendOrder](t, z.submitAndStep(r)).Order
+	assert.Equal(t, "b", order.Target)
+	assert.Equal(t, "a1", order.Adapter)
+}
