--- a/pkg/notices/notices_test.go
+++ b/pkg/notices/notices_test.go
@@ -28,6 +28,7 @@
 	change := l.Record(k, Notice{Leaving: true, Pause: time.Second})
 	assert.False(t, change.Leaves, "it is known")
 	assert.True(t, change.Pauses)
+	l.Record(k, Notice{Pause: time.Minute})
 	assert.True(t, l.State(k).Leaving)
 	assert.Zero(t, l.State(Key{"t1", 8}), "a new incarnation starts without notices")
 }
--- a/pkg/ratelimit/ratelimit_test.go
+++ b/pkg/ratelimit/ratelimit_test.go
@@ -123,3 +123,9 @@
 		assert.True(t, b.Take(at))
 	}
 }
+
+// A limit of 0 sent nothing, so that nothing showed its end.
+func TestLimitOfZeroIsAskedNowAndThen(t *testing.T) {
+	assert.LessOrEqual(t, New(start, 0).Wait(start), 10*time.Second)
+	assert.Less(t, NewShare(start, 0, WithoutOwner/9, 1).Wait(start), maxWait)
+}
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -166,8 +166,8 @@
 	return false
 }
 
-// scaleUp plans another replica of models whose replicas are too busy, start runs
-// too slowly, or are at targets whose limits are below the demand.
+// scaleUp plans another replica of models whose replicas are too busy or start
+// runs too slowly.
 func (s *Scheduler) scaleUp(now time.Time) {
 	if now.Sub(s.lastScaleAt) < scaleInterval {
 		return
@@ -182,10 +182,6 @@
 		}
 		d := s.demandOf(k)
 		slow := d.latencyRatio > slowStartRatio && st.runs >= minRunsToScaleOnLatency*st.ready
-		if s.limitsDemand(now, k) {
-			s.planLoad(now, k, true)
-			continue
-		}
 		if slow || st.ready < s.neededReplicas(now, k, svc.Engine) || float64(st.runs) > scaleUpUtilization*float64(svc.Engine.Slots*st.ready) {
 			s.planLoad(now, k, slow || s.hasWaiters(k.service, k.model))
 			d.latencyRatio = min(d.latencyRatio, quickStartRatio) // wait for the effect of a new replica, also if none was planned
@@ -443,7 +439,7 @@
 // quickStartRatio.
 func (s *Scheduler) computeReplicaValue(now time.Time, k modelKey, e *route.Engine) float64 {
 	rate := s.demandOf(k).perSecond(now)
-	if s.unlimitedReplicas(now, k) > s.neededReplicas(now, k, e) && s.demandOf(k).latencyRatio < quickStartRatio {
+	if s.modelState(now, k).ready > s.neededReplicas(now, k, e) && s.demandOf(k).latencyRatio < quickStartRatio {
 		return excessReplicaWeight * rate
 	}
 	return rate
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -183,8 +183,7 @@
 		if s.limitOf(t) != nil {
 			slots = s.slots(t) // the limit keeps most of them free
 		}
-		starts, _ := s.startsPerSecond(t, slots, s.demandOf(k).runDuration())
-		rate += starts
+		rate += s.startsPerSecond(t, slots, s.demandOf(k).runDuration())
 	}
 	return rate
 }
--- a/pkg/scheduler/targetlimits.go
+++ b/pkg/scheduler/targetlimits.go
@@ -85,54 +85,11 @@
 }
 
 // startsPerSecond returns the number of requests a second that a replica starts while slots
-// of its slots are in use. limited is true if the limit of its target allows fewer; it is
-// that limit then.
-func (s *Scheduler) startsPerSecond(t *target, slots int, runDuration time.Duration) (rate float64, limited bool) {
-	rate = float64(slots) / runDuration.Seconds()
-	if l := s.limitOf(t); l != nil && l.perSecond*s.limitShare < rate {
-		return l.perSecond * s.limitShare, true
-	}
-	return rate, false
-}
-
-// unlimitedReplicas returns the number of the model's ready replicas at targets without a
-// limit.
-func (s *Scheduler) unlimitedReplicas(now time.Time, k modelKey) int {
-	n := 0
-	for _, t := range s.targetsByModel[k] {
-		if t.healthy(now) && t.isReady(k.model) && s.limitOf(t) == nil {
-			n++
-		}
-	}
-	return n
-}
-
-// limitsDemand reports whether limits of targets keep the replicas of the model from starting
-// as many requests as there is demand for.
-func (s *Scheduler) limitsDemand(now time.Time, k modelKey) bool {
-	anyLimited, perSecond := false, 0.0
-	d := s.demandOf(k)
-	demand := d.perSecond(now)
-	for _, t := range s.targetsByModel[k] {
-		if !t.healthy(now) || !t.isReady(k.model) {
-			continue
-		}
-		rate, limited := s.startsPerSecond(t, s.slots(t), d.runDuration())
-		if limited {
-			anyLimited = true
-			rate *= demand / max(s.demandAt(now, t), demand)
-		}
-		perSecond += rate
-	}
-	return anyLimited && demand > perSecond
-}
-
-// demandAt returns the requests per second for the models of a target, which share its
-// limit.
-func (s *Scheduler) demandAt(now time.Time, t *target) float64 {
-	sum := 0.0
-	for name := range t.replicas {
-		sum += s.demandOf(modelKey{t.info.Service, name}).perSecond(now)
+// of its slots are in use, at most the limit of its target.
+func (s *Scheduler) startsPerSecond(t *target, slots int, runDuration time.Duration) float64 {
+	rate := float64(slots) / runDuration.Seconds()
+	if l := s.limitOf(t); l != nil {
+		return min(rate, l.perSecond*s.limitShare)
 	}
-	return sum
+	return rate
 }
