entry, scenarios: limits of targets that are gone are forgotten; the soak has targets that leave, pause and name limits

Review of the fix: the limit of a target that is gone was kept for ever, by the ledger up to its bound and by the owner without one. It ends ten minutes after it was last heard, if the target is not listed. Heads are decoded once.

--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -36,7 +36,7 @@
 	// owns no zone fetches changes to the list of targets.
 	targetFetchesPerDrain = 5
 	// sweepInterval is the time between two checks for expired idle
-	// connections.
+	// connections and limits of targets that are gone.
 	sweepInterval = 2 * time.Second
 	// headerTimeout bounds the wait for the headers of a request.
 	headerTimeout = 10 * time.Second
@@ -313,7 +313,7 @@
 		go w.run(n.ctx)
 	}
 	go n.owner.Run(n.ctx)
-	go n.closeIdleConns()
+	go n.sweep()
 	event.EntryStarted.Log(n.log).Str("zone", string(n.self.Zone)).Str("incarnation", n.self.Incarnation).
 		Str("clients", n.settings.ClientsAddr).Str("inner", n.settings.InnerAddr).Send()
 	return nil
@@ -384,11 +384,12 @@
 	return retryLimits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.maxNodeCount()}
 }
 
-// closeIdleConns closes expired idle connections to targets and of clients
-// until the node stops.
-func (n *Node) closeIdleConns() {
+// sweep closes expired idle connections to targets and of clients, and forgets the limits
+// of targets that are gone, until the node stops.
+func (n *Node) sweep() {
 	for wait.Sleep(n.ctx, sweepInterval) {
 		n.pool.CloseExpired()
+		n.forgetLimits()
 		if t := n.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
 			n.idleClientConns.closeOlder(t.Limits.IdleTimeout)
 		}
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -20,6 +20,8 @@
 	NoticeFromOrder   = "order"
 	// noticeFromNode is the source of what another node has heard.
 	noticeFromNode = "node"
+	// noticeFromList is the source of the end of a limit whose target is gone.
+	noticeFromList = "list"
 )
 
 // errWithheld is the cause of an attempt that was not sent, because of what is known of
@@ -41,30 +43,31 @@
 // a response to a request, also of an attempt that was abandoned or continues another
 // one, to an order or to a request for a report. Its request's connection was to t.
 func (n *Node) observeHead(t *inventory.Target, source string, status int, h http.Header) {
-	notice := n.targetProtocol.ParseNotice(status, h)
-	if notice.Leaving || notice.Pause > 0 {
-		n.recordNotice(t, source, status, notice)
-	}
-	if notice.Limit.Named {
-		n.recordLimit(t, source, notice.Limit, n.notices.Now())
-	}
+	n.recordNotice(t, source, status, n.targetProtocol.ParseNotice(status, h))
 }
 
 // observeRequestHead is observeHead for a response to the request of an attempt that began
 // at sentAt on the clock of the notices. The response ends a limit that it does not name,
 // unless it may be that to an earlier request.
 func (n *Node) observeRequestHead(t *inventory.Target, request string, sentAt time.Time, status int, h http.Header) {
-	n.observeHead(t, noticeFromRequest, status, h)
-	if !n.notices.State(noticeKey(t)).Limit.Named || n.targetProtocol.ParseResponse(h).RequestID != request {
+	notice := n.targetProtocol.ParseNotice(status, h)
+	n.recordNotice(t, noticeFromRequest, status, notice)
+	if notice.Limit.Named || notice.LimitUnreadable || !n.notices.State(noticeKey(t)).Limit.Named {
 		return
 	}
-	if notice := n.targetProtocol.ParseNotice(status, h); !notice.Limit.Named && !notice.LimitUnreadable {
+	if n.targetProtocol.ParseResponse(h).RequestID == request {
 		n.recordLimit(t, noticeFromRequest, notices.RateLimit{}, sentAt)
 	}
 }
 
-// recordNotice records that a target leaves or asks for a pause.
+// recordNotice records what a response with a status says about its target.
 func (n *Node) recordNotice(t *inventory.Target, source string, status int, notice notices.Notice) {
+	if notice.Limit.Named {
+		n.recordLimit(t, source, notice.Limit, n.notices.Now())
+	}
+	if !notice.Leaving && notice.Pause <= 0 {
+		return
+	}
 	change := n.notices.Record(noticeKey(t), notice)
 	if change.Leaves {
 		n.metrics.countNotice("leaving", source)
--- a/pkg/entry/targetlimits.go
+++ b/pkg/entry/targetlimits.go
@@ -53,6 +53,21 @@
 	n.owner.SetTargetLimit(zoneowner.TargetLimit{Target: k.Target, Incarnation: k.Incarnation, PerSecond: limit.PerSecond})
 }
 
+// unheardLimitTime is how long the limit of a target that is not listed is kept. The list may
+// lack a target for a moment that is still there.
+const unheardLimitTime = 10 * time.Minute
+
+// forgetLimits ends the limits of targets that are gone.
+func (n *Node) forgetLimits() {
+	set, now := n.targetSet.Load(), n.notices.Now()
+	for k, s := range n.notices.Limits() {
+		listed := set != nil && set.Target(k.Target) != nil && set.Target(k.Target).Incarnation == k.Incarnation
+		if !listed && now.Sub(s.LimitAsOf) > unheardLimitTime && n.notices.RecordLimit(k, notices.RateLimit{}, now) {
+			n.applyLimit(k, noticeFromList, notices.RateLimit{}, now)
+		}
+	}
+}
+
 // limitMessage returns the entry of a message about a limit that is as of an age ago.
 func limitMessage(k notices.Key, limit notices.RateLimit, age time.Duration) wire.TargetLimit {
 	return wire.TargetLimit{Target: k.Target, Incarnation: k.Incarnation, Named: limit.Named, PerSecond: limit.PerSecond, AgeMillis: max(age.Milliseconds(), 0)}
--- a/pkg/entry/targetlimits_test.go
+++ b/pkg/entry/targetlimits_test.go
@@ -144,3 +144,21 @@
 	wait, ok = n.reservePermit(t.Context(), target, notices.RateLimit{}, 0)
 	assert.True(t, ok && wait == 0, "the limit has ended meanwhile")
 }
+
+// Limits of targets that were gone were kept for ever, at the owner too.
+func TestLimitsOfTargetsThatAreGoneAreForgotten(t *testing.T) {
+	n, target := newLimitNode(t)
+	now := time.Unix(1000, 0)
+	n.notices = notices.NewLedger(func() time.Time { return now })
+	gone := notices.Key{Target: "t2", Incarnation: 1}
+	for _, k := range []notices.Key{noticeKey(target), gone} {
+		n.notices.RecordLimit(k, notices.RateLimit{Named: true, PerSecond: 2}, now)
+	}
+	now = now.Add(unheardLimitTime)
+	n.forgetLimits()
+	assert.Len(t, n.notices.Limits(), 2, "the list may lack a target for a while")
+	now = now.Add(time.Second)
+	n.forgetLimits()
+	assert.Contains(t, n.notices.Limits(), noticeKey(target))
+	assert.NotContains(t, n.notices.Limits(), gone)
+}
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -79,7 +79,13 @@
 	watchCtx, endWatch := context.WithCancel(ctx)
 	var watch sync.WaitGroup
 	watch.Go(func() { injector.watchSettings(watchCtx) })
+	injector.notices = &noticeInjector{f: injector, disturbed: map[fleet.NodeID][]time.Time{}}
+	noticesCtx, endNotices := context.WithCancel(ctx)
+	var notices sync.WaitGroup
+	notices.Go(func() { injector.notices.inject(noticesCtx, seed) })
 	injector.injectFaults(ctx)
+	endNotices()
+	notices.Wait()
 	recoveryCtx, cancelRecovery := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancelRecovery()
 	assert.NoError(t, p.awaitOK(recoveryCtx, "tea-small@1"), "all nodes serve requests again after the faults")
@@ -90,6 +96,7 @@
 	watch.Wait()
 	p.logCodes()
 	violations := append(p.findViolations(), injector.settings.violations...)
+	violations = append(violations, injector.notices.violations()...)
 	for _, v := range violations {
 		t.Log("violation:", v)
 	}
@@ -107,6 +114,7 @@
 	pendingReverts sync.WaitGroup
 	copies         storeCopies
 	settings       settingsLog
+	notices        *noticeInjector
 }
 
 // injectFaults injects faults for soakDuration, each of which is reverted after a
@@ -139,6 +147,7 @@
 // called, and a restore from a copy some time after it.
 func (f *faultInjector) injectFault(ctx context.Context) (name string, revert func()) {
 	id := f.nodeIDs[f.rng.IntN(len(f.nodeIDs))]
+	f.notices.disturb(id)
 	switch f.rng.IntN(13) {
 	case 0:
 		_ = f.signalAndWait(id, syscall.SIGKILL)
