scenarios: the soak judges notices for all nodes that have not ended since they heard them

A node is excused now only if it was killed, stopped or suspended since the target told it, and from limits also if its connections had a fault.

--- a/scenarios/notices_test.go
+++ b/scenarios/notices_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -26,9 +27,6 @@
 	maxInLimitWindow = 1.5*noticeLimit*4 + 5
 	// meanNoticeInterval is the mean time between two targets that say something.
 	meanNoticeInterval = 1500 * time.Millisecond
-	// disturbedTime is how long after a disturbance of a node its requests are not judged:
-	// longer than the longest fault and the time in which a node is in touch again.
-	disturbedTime = maxFaultDuration + limitGrace
 )
 
 // Kinds of notice.
@@ -53,15 +51,28 @@
 
 	mu      sync.Mutex // guards all below
 	notices []notice
-	// disturbed holds when faults of nodes began.
-	disturbed map[fleet.NodeID][]time.Time
+	// ended and cut hold when each node was killed, stopped or suspended, and when its
+	// connections had a fault.
+	ended, cut map[fleet.NodeID][]time.Time
 }
 
-// disturb records that a fault of a node begins.
-func (n *noticeInjector) disturb(id fleet.NodeID) {
+// newNoticeInjector returns an injector that has seen no faults.
+func newNoticeInjector(f *faultInjector) *noticeInjector {
+	return &noticeInjector{f: f, ended: map[fleet.NodeID][]time.Time{}, cut: map[fleet.NodeID][]time.Time{}}
+}
+
+// nodeEnds records that a node is killed, stopped or suspended.
+func (n *noticeInjector) nodeEnds(id fleet.NodeID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ended[id] = append(n.ended[id], time.Now())
+}
+
+// nodeIsCut records that connections of a node have a fault.
+func (n *noticeInjector) nodeIsCut(id fleet.NodeID) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.disturbed[id] = append(n.disturbed[id], time.Now())
+	n.cut[id] = append(n.cut[id], time.Now())
 }
 
 // inject makes one target after the other say something until ctx ends. Its random numbers
@@ -102,7 +113,9 @@
 	}
 }
 
-// violations judges what the targets received, from nodes that were not disturbed.
+// violations judges what the targets received while they said something. A node that was
+// killed, stopped or suspended since the target told it may have forgotten; limits are not
+// judged for nodes with a fault of their connections either.
 func (n *noticeInjector) violations() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -120,24 +133,31 @@
 		var all []time.Time
 		for _, a := range e.Arrivals() {
 			node, known := nodes[a.ID]
-			if a.ID == "" || !known || a.At.Before(said.from) || a.At.After(said.to) || n.wasDisturbed(node, a.At) {
+			if a.ID == "" || !known || a.At.Before(said.from) || a.At.After(said.to) {
 				continue
 			}
-			byNode[node], all = append(byNode[node], a.At), append(all, a.At)
+			first := a.At
+			if times := byNode[node]; len(times) > 0 {
+				first = times[0]
+			}
+			if !hadFault(n.ended[node], first, a.At) {
+				byNode[node] = append(byNode[node], a.At)
+			}
+			if !hadFault(n.ended[node], said.from, a.At) && !hadFault(n.cut[node], said.from, a.At) {
+				all = append(all, a.At)
+			}
 		}
 		out = append(out, said.judge(byNode, all)...)
 	}
 	return out
 }
 
-// wasDisturbed reports whether a node was disturbed shortly before a time. n.mu must be held.
-func (n *noticeInjector) wasDisturbed(id fleet.NodeID, at time.Time) bool {
-	for _, d := range n.disturbed[id] {
-		if !d.After(at) && at.Sub(d) < disturbedTime {
-			return true
-		}
-	}
-	return false
+// hadFault reports whether one of the faults began between two times, or before and may
+// have lasted until then.
+func hadFault(begun []time.Time, from, to time.Time) bool {
+	return slices.ContainsFunc(begun, func(at time.Time) bool {
+		return at.After(from.Add(-maxFaultDuration)) && !at.After(to)
+	})
 }
 
 // judge returns the violations in the arrivals at the target while it said something. Those
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -79,7 +79,7 @@
 	watchCtx, endWatch := context.WithCancel(ctx)
 	var watch sync.WaitGroup
 	watch.Go(func() { injector.watchSettings(watchCtx) })
-	injector.notices = &noticeInjector{f: injector, disturbed: map[fleet.NodeID][]time.Time{}}
+	injector.notices = newNoticeInjector(injector)
 	noticesCtx, endNotices := context.WithCancel(ctx)
 	var notices sync.WaitGroup
 	notices.Go(func() { injector.notices.inject(noticesCtx, seed) })
@@ -147,16 +147,18 @@
 // called, and a restore from a copy some time after it.
 func (f *faultInjector) injectFault(ctx context.Context) (name string, revert func()) {
 	id := f.nodeIDs[f.rng.IntN(len(f.nodeIDs))]
-	f.notices.disturb(id)
 	switch f.rng.IntN(13) {
 	case 0:
+		f.notices.nodeEnds(id)
 		_ = f.signalAndWait(id, syscall.SIGKILL)
 		return "kill " + string(id), func() { f.startProcess(id) }
 	case 1:
+		f.notices.nodeEnds(id)
 		done := make(chan struct{})
 		go func() { _ = f.signalAndWait(id, syscall.SIGTERM); close(done) }()
 		return "stop " + string(id), func() { <-done; f.startProcess(id) }
 	case 2:
+		f.notices.nodeEnds(id)
 		return "suspend " + string(id), f.suspendProcess(id)
 	case 3:
 		f.Store.SetFault([]standin.Fault{standin.DropConnections, standin.Busy, standin.RateLimited, standin.DropWriteResponses}[f.rng.IntN(4)])
@@ -164,18 +166,22 @@
 	case 4:
 		return "compact the key-value service", f.Store.Compact
 	case 5:
+		f.notices.nodeIsCut(id)
 		f.storeProxies[id].SetRefuse(true)
 		f.storeProxies[id].CloseConns()
 		return "partitioned from the key-value service: " + string(id), func() { f.storeProxies[id].SetRefuse(false) }
 	case 6:
+		f.notices.nodeIsCut(id)
 		f.storeProxies[id].StallConns()
 		f.peerProxies[id].StallResponses()
 		return "stalled connections of " + string(id), func() {}
 	case 7:
+		f.notices.nodeIsCut(id)
 		f.peerProxies[id].SetRefuse(true)
 		f.peerProxies[id].CloseConns()
 		return "partitioned from other nodes: " + string(id), func() { f.peerProxies[id].SetRefuse(false) }
 	case 8:
+		f.notices.nodeIsCut(id)
 		f.peerProxies[id].SetDelay(80 * time.Millisecond)
 		f.storeProxies[id].SetDelay(80 * time.Millisecond)
 		return "slow connections of " + string(id), func() { f.peerProxies[id].SetDelay(0); f.storeProxies[id].SetDelay(0) }
