--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -137,8 +137,8 @@
 )
 
 // abandon ends an exchange whose response is not forwarded, and returns its result. The
-// kind is unreachable or withheld if nothing was sent, and outcomeUnknown if the request may have run.
-// The cause is errNotNeeded unless the target has failed to continue the stream.
+// kind is unreachable or withheld if nothing was sent, and outcomeUnknown if the request
+// may have run. The cause is errNotNeeded unless the target has failed to continue the stream.
 func (x *exchange) abandon() sendResult {
 	failed := x.ctx.Err() == nil && x.failedToContinue()
 	x.giveUp(errNotNeeded)
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -42,8 +42,8 @@
 
 	// excluded lists the targets that failed this request, those that refused
 	// it without asking for a pause and were chosen without an owner, and those that
-	// this node does not know. They are skipped, except that choosePlainTarget falls back to them
-	// for an idempotent request.
+	// this node does not know. They are skipped, except that choosePlainTarget falls
+	// back to them for an idempotent request.
 	excluded []string
 	// possibleRuns counts the attempts that a target may have run. sends counts
 	// attempts; prepareRetry subtracts one that reached no target.
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -231,6 +231,7 @@
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
 	n.onRestore = d.OnRestore
 	n.usages.node = n.self.ID
+	n.shares.node = n
 	n.bounds.Store(&d.Settings.Bounds)
 	n.fallbackQuery.ownerReached(n.started)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -150,7 +150,7 @@
 	out := make([]*inventory.Target, 0, len(list))
 	for _, t := range list {
 		limit := n.notices.State(noticeKey(t)).Limit
-		if !limit.Named || n.shares.wait(n, noticeKey(t), limit) == 0 {
+		if !limit.Named || n.shares.wait(noticeKey(t), limit) == 0 {
 			out = append(out, t)
 		}
 	}
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -61,9 +61,9 @@
 }
 
 // classifySendError returns the result of an attempt that failed before the
-// response headers arrived, and excludes the target unless the attempt was withheld. If the target may have
-// received the request, it also counts a possible run. The result is expired or
-// clientGone if ctx ended, and otherwise depends on whether the target may have
+// response headers arrived, and excludes the target unless the attempt was withheld. If
+// the target may have received the request, it also counts a possible run. The result is
+// expired or clientGone if ctx ended, and otherwise depends on whether the target may have
 // received the request.
 func (n *Node) classifySendError(ctx context.Context, j *job, target string, err error) sendResult {
 	if errors.Is(err, errWithheld) {
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -292,7 +292,7 @@
 		return assignment{}, false
 	}
 	if limit := n.notices.State(noticeKey(t)).Limit; limit.Named {
-		n.shares.reserve(n, noticeKey(t), limit, 0)
+		n.shares.reserve(noticeKey(t), limit, 0)
 	}
 	return assignment{target: t, zone: t.Zone}, true
 }
--- a/pkg/entry/targetlimits.go
+++ b/pkg/entry/targetlimits.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"math"
-	"sync"
 	"time"
 
 	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/notices"
-	"almondturn/pkg/ratelimit"
 	"almondturn/pkg/zoneowner"
 	"almondturn/wire"
 )
@@ -105,54 +102,6 @@
 	return m
 }
 
-// limitShares holds this node's shares of the limits of targets, for requests without an
-// owner. Its methods may be called concurrently; its zero value is empty.
-type limitShares struct {
-	mu      sync.Mutex // guards buckets
-	buckets map[notices.Key]*ratelimit.Bucket
-}
-
-// bucket returns the share of a limit, which is created with its first use. s.mu must be
-// held.
-func (s *limitShares) bucket(now time.Time, n *Node, k notices.Key, limit notices.RateLimit) *ratelimit.Bucket {
-	share := ratelimit.WithoutOwner / float64(max(n.links.maxNodeCount(), 1))
-	if b := s.buckets[k]; b != nil {
-		b.SetRate(now, limit.PerSecond, share)
-		return b
-	}
-	if s.buckets == nil {
-		s.buckets = map[notices.Key]*ratelimit.Bucket{}
-	}
-	// Nodes begin at different times, so that their first requests do not coincide.
-	debt := float64(fleet.RendezvousWeight(string(n.self.ID), k.Target)) / math.MaxUint64
-	b := ratelimit.NewShare(now, limit.PerSecond, share, debt)
-	s.buckets[k] = b
-	return b
-}
-
-// reserve reserves a request as ratelimit.Bucket does.
-func (s *limitShares) reserve(n *Node, k notices.Key, limit notices.RateLimit, most time.Duration) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := n.notices.Now()
-	return s.bucket(now, n, k, limit).Reserve(now, most)
-}
-
-// wait returns the time until there is a request in the share.
-func (s *limitShares) wait(n *Node, k notices.Key, limit notices.RateLimit) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := n.notices.Now()
-	return s.bucket(now, n, k, limit).Wait(now)
-}
-
-// remove removes the share of a limit that has ended.
-func (s *limitShares) remove(k notices.Key) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.buckets, k)
-}
-
 // reservePermit reserves a request at a target of a plain service with a limit after a wait
 // of at most most: from the owner of its zone, or from this node's share if no owner
 // responds. If that is too short, it returns the wait and false.
@@ -164,7 +113,7 @@
 	if r := n.links.requestPermit(ctx, t.Zone, m); r != nil && !r.NotOwner {
 		return time.Duration(r.WaitMillis) * time.Millisecond, r.Granted
 	}
-	return n.shares.reserve(n, noticeKey(t), limit, most)
+	return n.shares.reserve(noticeKey(t), limit, most)
 }
 
 // permitTimeout bounds the wait for an owner's response to a request for a permit.
