--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -222,6 +222,7 @@
 func (f *faultInjector) injectConnectionFault() (string, func()) {
 	id, _ := f.randomTarget()
 	proxy, _ := f.Proxy(id)
+	f.notices.targetIsCut(id)
 	switch f.rng.IntN(3) {
 	case 0:
 		proxy.StallConns()
