explain: a refused request is shown with what targets said about themselves

A request that is refused because all targets of its model pause or are at their limits names no target, so that none of their lines was shown. Those of the minute before are, for refused requests only. Tests of explain passed.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"almondturn/pkg/event"
 )
 
 // maxLineBytes is the longest line that readLines accepts.
@@ -154,8 +156,13 @@
 	// The first line of a request may be the one logged at its end, so the
 	// request may have started requestDuration earlier.
 	from, until := ofRequest[0].at.Add(-contextWindow-requestDuration(ofRequest)), ofRequest[len(ofRequest)-1].at.Add(contextWindow)
+	refused := slices.ContainsFunc(ofRequest, func(l logLine) bool { return l.eventName == event.RequestRefused.Name })
 	var out []logLine
 	for _, l := range lines {
+		if refused && isNotice(l) && !l.at.Before(from.Add(-noticeWindow)) && !l.at.After(until) {
+			out = append(out, l)
+			continue
+		}
 		if stringField(l.fields, "request") == request || isContext(l, modelsAndTargets) && !l.at.Before(from) && !l.at.After(until) {
 			out = append(out, l)
 		}
@@ -164,6 +171,21 @@
 	return out
 }
 
+// noticeWindow is the time before a request that was refused from which lines about what
+// targets said about themselves are shown: the longest pause. The request names no target
+// then.
+const noticeWindow = time.Minute
+
+// isNotice reports whether a line is about what a target said about itself.
+func isNotice(l logLine) bool {
+	switch l.eventName {
+	case event.TargetLeaves.Name, event.TargetPauses.Name, event.TargetLimits.Name, event.TargetLimitEnds.Name:
+		return true
+	default:
+		return false
+	}
+}
+
 // requestDuration returns the largest total_ms of the request's lines, 0 if none
 // has that field.
 func requestDuration(lines []logLine) time.Duration {
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -49,3 +49,19 @@
 	assert.Contains(t, errs.String(), "/no/such/file")
 	assert.Equal(t, 1, Main(t.Context(), nil, &out, &errs))
 }
+
+// A request that was refused since all targets pause names none of them: nothing showed why.
+func TestRefusedRequestIsShownWithNoticesOfTargets(t *testing.T) {
+	const notices = `{"node":"entry-a-1","name":"target_pauses","target":"t7","pause_ms":30000,"time":"2026-01-01T09:59:40Z"}
+{"node":"entry-a-1","name":"target_limits","target":"t8","per_second":0.5,"time":"2026-01-01T09:59:50Z"}
+{"node":"entry-a-1","name":"target_leaves","target":"t9","time":"2026-01-01T09:50:00Z"}
+`
+	var out bytes.Buffer
+	require.NoError(t, run(&arguments{Request: "r1"}, strings.NewReader(notices+entryLog), &out))
+	assert.Contains(t, out.String(), "pause_ms=30000")
+	assert.Contains(t, out.String(), "per_second=0.5")
+	assert.NotContains(t, out.String(), "t9", "it was long before")
+	out.Reset()
+	require.NoError(t, run(&arguments{Request: "r2"}, strings.NewReader(notices+entryLog), &out))
+	assert.NotContains(t, out.String(), "t7", "the request was served")
+}
