--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -89,7 +89,7 @@
 	if n.notices.State(noticeKey(t)).Leaving {
 		return errTargetLeaves
 	}
-	if n.notices.PauseLeft(noticeKey(t)) > 0 {
+	if n.notices.PauseLeft(t.ID) > 0 {
 		return errTargetPauses
 	}
 	if set := n.targetSet.Load(); set != nil {
@@ -114,7 +114,7 @@
 			out = append(out, wire.UnavailableTarget{Target: t.ID})
 			continue
 		}
-		if left := n.notices.PauseLeft(noticeKey(t)); left > 0 {
+		if left := n.notices.PauseLeft(t.ID); left > 0 {
 			out = append(out, wire.UnavailableTarget{Target: t.ID, PauseMillis: left.Milliseconds() + 1})
 		}
 	}
@@ -130,7 +130,7 @@
 	}
 	usable = make([]*inventory.Target, 0, len(list))
 	for _, t := range list {
-		left := n.notices.PauseLeft(noticeKey(t))
+		left := n.notices.PauseLeft(t.ID)
 		switch {
 		case left <= 0:
 			usable = append(usable, t)
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -128,7 +128,7 @@
 func (n *Node) receiveResponse(ctx context.Context, j *job, a assignment, resp *upstream.Response, cr *clientResponse, c *continuation) sendResult {
 	r, usable := n.classifyHead(resp)
 	if !usable && r.kind != outcomeUnknown {
-		r.paused = n.notices.PauseLeft(noticeKey(a.target)) > 0
+		r.paused = n.notices.PauseLeft(a.target.ID) > 0
 		if a.runID == 0 && !r.paused {
 			j.excluded = append(j.excluded, a.target.ID) // an owner is sent the result instead
 		}
--- a/pkg/notices/notices.go
+++ b/pkg/notices/notices.go
@@ -3,7 +3,8 @@
 //
 // That a target leaves is true of one incarnation, for good, and for all nodes. A pause
 // binds the node that was asked for it, until a time on a clock that runs through
-// suspensions of the VM. A rate limit counts over all nodes, and holds until a response to a
+// suspensions of the VM; it is kept by the name of the target, because the list of targets
+// shows a new incarnation late, which may be the one that asked. A rate limit counts over all nodes, and holds until a response to a
 // request that was sent after the target last named it does not name one. Another incarnation, or another target at the same address, is
 // another key and starts without notices.
 package notices
@@ -53,17 +54,12 @@
 	Leaving bool
 	// LeavingSince is when this node learned it, zero unless Leaving.
 	LeavingSince time.Time
-	// PausedUntil is the end of the last pause, zero for none.
-	PausedUntil time.Time
 	// Limit is the rate limit in force, and LimitAsOf when it was so: when a response that
 	// named it was read, or one that named none was requested.
 	Limit     RateLimit
 	LimitAsOf time.Time
 }
 
-// Paused reports whether the target wants no requests at a time.
-func (s State) Paused(now time.Time) bool { return now.Before(s.PausedUntil) }
-
 // maxLeaving is the greatest number of incarnations that are remembered as leaving. It
 // is several times the number of targets of a large deployment.
 const maxLeaving = 1 << 13
@@ -79,15 +75,22 @@
 	// maxStates is the greatest number of targets with a state.
 	maxStates int
 
-	mu     sync.Mutex // held while states is replaced
-	states atomic.Pointer[map[Key]State]
+	mu       sync.Mutex // held while contents is replaced
+	contents atomic.Pointer[contents]
+}
+
+// contents is what a ledger holds. It does not change.
+type contents struct {
+	states map[Key]State
+	// pausedUntil holds the ends of pauses by target.
+	pausedUntil map[string]time.Time
 }
 
 // NewLedger returns a ledger without notices. now must be a clock that runs through
 // suspensions.
 func NewLedger(now func() time.Time) *Ledger {
 	l := &Ledger{now: now, maxStates: maxLeaving}
-	l.states.Store(&map[Key]State{})
+	l.contents.Store(new(contents))
 	return l
 }
 
@@ -97,7 +100,6 @@
 	Leaves bool
 	// Pauses is true if the target was not paused, or the end of its pause has moved.
 	Pauses bool
-	State  State
 }
 
 // Record records a notice of a target. An earlier notice stays in force: a target that
@@ -109,23 +111,32 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	before := (*l.states.Load())[k]
-	after := before
-	if n.Leaving && !before.Leaving {
-		after.Leaving, after.LeavingSince = true, now
+	var change Change
+	state := l.State(k)
+	if n.Leaving && !state.Leaving {
+		state.Leaving, state.LeavingSince = true, now
+		change.Leaves = true
+		l.setState(now, k, state)
 	}
-	if until := now.Add(n.Pause); n.Pause > 0 && until.After(before.PausedUntil) {
-		after.PausedUntil = until
+	before := l.contents.Load().pausedUntil[k.Target]
+	if until := now.Add(n.Pause); n.Pause > 0 && until.After(before) {
+		change.Pauses = until.Sub(before) >= minPauseChange
+		l.setPause(now, k.Target, until)
 	}
-	if after == before {
-		return Change{State: after}
-	}
-	l.replace(now, k, after)
-	return Change{
-		Leaves: after.Leaving && !before.Leaving,
-		Pauses: after.PausedUntil.Sub(before.PausedUntil) >= minPauseChange,
-		State:  after,
+	return change
+}
+
+// setPause sets the end of a target's pause, and forgets pauses that are over. l.mu must be
+// held.
+func (l *Ledger) setPause(now time.Time, target string, until time.Time) {
+	next := *l.contents.Load()
+	next.pausedUntil = maps.Clone(next.pausedUntil)
+	if next.pausedUntil == nil {
+		next.pausedUntil = map[string]time.Time{}
 	}
+	maps.DeleteFunc(next.pausedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	next.pausedUntil[target] = until
+	l.contents.Store(&next)
 }
 
 // limitMemory is how long the end of a limit is remembered, so that older news of it which
@@ -134,7 +145,7 @@
 
 // expired reports whether the state says nothing any more.
 func (s State) expired(now time.Time) bool {
-	return !s.Leaving && !s.Paused(now) && !s.Limit.Named && now.Sub(s.LimitAsOf) > limitMemory
+	return !s.Leaving && !s.Limit.Named && now.Sub(s.LimitAsOf) > limitMemory
 }
 
 // RecordLimit records the rate limit of a target, or that it has none, as of a time. What is
@@ -142,26 +153,30 @@
 func (l *Ledger) RecordLimit(k Key, limit RateLimit, asOf time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := (*l.states.Load())[k]
+	before := l.State(k)
 	if !asOf.After(before.LimitAsOf) || !limit.Named && !before.Limit.Named {
 		return false
 	}
 	after := before
 	after.Limit, after.LimitAsOf = limit, asOf
-	l.replace(l.now(), k, after)
+	l.setState(l.now(), k, after)
 	return after.Limit != before.Limit
 }
 
-// replace sets the state of a target, and forgets what has ended and the oldest
-// target beyond maxStates. l.mu must be held.
-func (l *Ledger) replace(now time.Time, k Key, s State) {
-	next := maps.Clone(*l.states.Load())
-	maps.DeleteFunc(next, func(_ Key, s State) bool { return s.expired(now) })
-	next[k] = s
-	if len(next) > l.maxStates {
-		delete(next, oldest(next))
+// setState sets the state of a target, and forgets what has ended and the oldest target
+// beyond maxStates. l.mu must be held.
+func (l *Ledger) setState(now time.Time, k Key, s State) {
+	next := *l.contents.Load()
+	next.states = maps.Clone(next.states)
+	if next.states == nil {
+		next.states = map[Key]State{}
+	}
+	maps.DeleteFunc(next.states, func(_ Key, s State) bool { return s.expired(now) })
+	next.states[k] = s
+	if len(next.states) > l.maxStates {
+		delete(next.states, oldest(next.states))
 	}
-	l.states.Store(&next)
+	l.contents.Store(&next)
 }
 
 // oldest returns the target whose state is the oldest.
@@ -173,26 +188,26 @@
 
 // since returns the latest time of the state.
 func (s State) since() time.Time {
-	latest := s.LeavingSince
-	for _, t := range []time.Time{s.PausedUntil, s.LimitAsOf} {
-		if t.After(latest) {
-			latest = t
-		}
+	if s.LimitAsOf.After(s.LeavingSince) {
+		return s.LimitAsOf
 	}
-	return latest
+	return s.LeavingSince
 }
 
 // State returns what is known of a target, the zero value for nothing.
-func (l *Ledger) State(k Key) State { return (*l.states.Load())[k] }
+func (l *Ledger) State(k Key) State { return l.contents.Load().states[k] }
 
 // Empty reports whether no target has a notice in force. It may also return false
 // shortly after the last pause has ended.
-func (l *Ledger) Empty() bool { return len(*l.states.Load()) == 0 }
+func (l *Ledger) Empty() bool {
+	c := l.contents.Load()
+	return len(c.states) == 0 && len(c.pausedUntil) == 0
+}
 
 // Leaving returns the targets that leave, in no particular order.
 func (l *Ledger) Leaving() []Key {
 	var out []Key
-	for k, s := range *l.states.Load() {
+	for k, s := range l.contents.Load().states {
 		if s.Leaving {
 			out = append(out, k)
 		}
@@ -201,14 +216,18 @@
 }
 
 // PauseLeft returns how long a target still wants no requests, 0 for no pause.
-func (l *Ledger) PauseLeft(k Key) time.Duration {
-	return max(l.State(k).PausedUntil.Sub(l.now()), 0)
+func (l *Ledger) PauseLeft(target string) time.Duration {
+	until, ok := l.contents.Load().pausedUntil[target]
+	if !ok {
+		return 0
+	}
+	return max(until.Sub(l.now()), 0)
 }
 
 // Limits returns the rate limits in force.
 func (l *Ledger) Limits() map[Key]State {
 	out := map[Key]State{}
-	for k, s := range *l.states.Load() {
+	for k, s := range l.contents.Load().states {
 		if s.Limit.Named {
 			out[k] = s
 		}
@@ -222,16 +241,18 @@
 // Counts returns the numbers of targets that leave, that are paused and that have a limit.
 func (l *Ledger) Counts() (leaving, paused, limited int) {
 	now := l.now()
-	for _, s := range *l.states.Load() {
+	for _, s := range l.contents.Load().states {
 		if s.Leaving {
 			leaving++
 		}
-		if s.Paused(now) {
-			paused++
-		}
 		if s.Limit.Named {
 			limited++
 		}
 	}
+	for _, until := range l.contents.Load().pausedUntil {
+		if now.Before(until) {
+			paused++
+		}
+	}
 	return leaving, paused, limited
 }
--- a/pkg/notices/notices_test.go
+++ b/pkg/notices/notices_test.go
@@ -40,11 +40,11 @@
 	assert.True(t, l.Record(k, Notice{Pause: 5 * time.Second}).Pauses)
 	c.at = c.at.Add(time.Second)
 	assert.False(t, l.Record(k, Notice{Pause: time.Second}).Pauses)
-	assert.Equal(t, 4*time.Second, l.PauseLeft(k))
+	assert.Equal(t, 4*time.Second, l.PauseLeft(k.Target))
 	assert.True(t, l.Record(k, Notice{Pause: 5 * time.Second}).Pauses, "a longer one prolongs it")
 	c.at = c.at.Add(5 * time.Second)
-	assert.Zero(t, l.PauseLeft(k))
-	assert.False(t, l.State(k).Paused(c.at), "the pause ends with its time")
+	assert.Zero(t, l.PauseLeft(k.Target))
+	assert.Zero(t, l.PauseLeft(k.Target), "the pause ends with its time")
 }
 
 // Notices were kept for ever in a process that lives for months.
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -32,6 +32,7 @@
 }{
 	{1, "none; faults of all kinds"},
 	{5007, "of the test: both nodes that had settings in force were killed before they could write them again after a restore"},
+	{9310, "a pause was forgotten when the list showed a new incarnation of the target, probably: restarts of engine-kingston-1 and a restore"},
 	{6007, "three restores within six seconds: idempotency keys were claimed in the span that was lost, and their requests ran again"},
 }
 
