--- a/pkg/standin/faultproxy/faultproxy.go
+++ b/pkg/standin/faultproxy/faultproxy.go
@@ -1,5 +1,5 @@
 // Package faultproxy is a TCP proxy in front of a server. Tests make it delay,
-// stall, close or refuse connections.
+// stall, close or refuse connections, and hold back what clients send.
 package faultproxy
 
 import (
@@ -18,6 +18,7 @@
 
 	refuse atomic.Bool  // closes new connections
 	delay  atomic.Int64 // nanoseconds by which each piece of data is held back
+	hold   *requestHold // of what clients send
 
 	mu    sync.Mutex // guards conns
 	conns map[*forwardedConn]struct{}
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, server: server, conns: map[*forwardedConn]struct{}{}}
+	p := &Proxy{listener: l, server: server, hold: newRequestHold(), conns: map[*forwardedConn]struct{}{}}
 	go p.accept()
 	return p, nil
 }
@@ -129,7 +130,8 @@
 	p.mu.Unlock()
 	var done sync.WaitGroup
 	// The direction to the server has no flag of its own.
-	done.Go(func() { c.copy(server, client, &c.stalled, &p.delay) })
+	toServer := &heldWriter{Conn: server, client: client, hold: p.hold, closed: c.closed}
+	done.Go(func() { c.copy(toServer, client, &c.stalled, &p.delay) })
 	done.Go(func() { c.copy(client, server, &c.responsesStalled, &p.delay) })
 	done.Wait()
 	c.close()
