--- a/pkg/standin/faultproxy/hold.go
+++ b/pkg/standin/faultproxy/hold.go
@@ -1,6 +1,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"sync"
@@ -23,18 +24,20 @@
 // reset the connection.
 func (p *Proxy) DeliverHeld() { p.hold.deliver() }
 
-// HeldRequests returns the number of connections with data that is held back.
-func (p *Proxy) HeldRequests() int { return p.hold.count() }
+// HeldRequests returns the number of connections whose held data begins with prefix.
+func (p *Proxy) HeldRequests(prefix string) int { return p.hold.count(prefix) }
 
 // requestHold decides which data is held back.
 type requestHold struct {
 	mu        sync.Mutex // guards all fields
 	on        bool
-	waiting   int           // number of connections with held data
-	delivered chan struct{} // closed by deliver, which replaces it
+	held      map[*heldWriter][]byte // by connection, without what follows the first piece
+	delivered chan struct{}          // closed by deliver, which replaces it
 }
 
-func newRequestHold() *requestHold { return &requestHold{delivered: make(chan struct{})} }
+func newRequestHold() *requestHold {
+	return &requestHold{held: map[*heldWriter][]byte{}, delivered: make(chan struct{})}
+}
 
 func (h *requestHold) set(on bool) {
 	h.mu.Lock()
@@ -49,28 +52,34 @@
 	h.delivered = make(chan struct{})
 }
 
-func (h *requestHold) count() int {
+func (h *requestHold) count(prefix string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.waiting
+	n := 0
+	for _, data := range h.held {
+		if bytes.HasPrefix(data, []byte(prefix)) {
+			n++
+		}
+	}
+	return n
 }
 
-// begin returns a channel that is closed when the data is to be delivered, nil if it
+// begin returns a channel that is closed when the data of w is to be delivered, nil if it
 // isn't held back.
-func (h *requestHold) begin() <-chan struct{} {
+func (h *requestHold) begin(w *heldWriter, data []byte) <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.on {
 		return nil
 	}
-	h.waiting++
+	h.held[w] = data
 	return h.delivered
 }
 
-func (h *requestHold) end() {
+func (h *requestHold) end(w *heldWriter) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.waiting--
+	delete(h.held, w)
 }
 
 // errResetByClient means that held data was dropped, because the client had reset the
@@ -89,11 +98,11 @@
 // Write implements io.Writer. It returns errResetByClient, and sends nothing, if the
 // data was held back and the client reset the connection meanwhile.
 func (w *heldWriter) Write(b []byte) (int, error) {
-	delivered := w.hold.begin()
+	delivered := w.hold.begin(w, b)
 	if delivered == nil {
 		return w.Conn.Write(b)
 	}
-	defer w.hold.end()
+	defer w.hold.end(w)
 	select {
 	case <-delivered:
 	case <-w.closed:
