--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -106,13 +106,22 @@
 	return c
 }
 
-// dial opens a new connection to addr.
+// lingerer is a connection, such as a net.TCPConn, of which it can be chosen what becomes
+// of unsent data at its close.
+type lingerer interface{ SetLinger(sec int) error }
+
+// dial opens a new connection to addr. When it is closed, or the process ends, it is reset:
+// after an ordinary close the kernel would go on sending a request that was given up, which
+// could then arrive after later ones.
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	p.Dialed.Add(1)
 	c, err := p.dialFunc(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	if l, ok := c.(lingerer); ok {
+		_ = l.SetLinger(0) // an error means a closed connection, which the exchange detects
+	}
 	head := &headLimiter{in: c}
 	opened := &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), idleTimeout: defaultIdleTimeout}
 	if sc, ok := c.(syscall.Conn); ok {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -299,3 +300,28 @@
 	resp.Close()
 	assert.Equal(t, []string{"503 1", "200 2"}, heads)
 }
+
+// A request that was given up was still sent: the kernel goes on with what was written
+// after an ordinary close.
+func TestConnectionOfAGivenUpRequestIsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	ctx, giveUp := context.WithCancel(t.Context())
+	p := NewPool(NewDialer(time.Second).DialContext)
+	done := make(chan error)
+	go func() {
+		// More than the buffers of both ends hold.
+		_, err := p.Do(ctx, l.Addr().String(), &Request{Method: http.MethodPost, Path: "/", Host: "h", Body: make([]byte, 16<<20)})
+		done <- err
+	}()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.ReadFull(c, make([]byte, 1<<10))
+	require.NoError(t, err)
+	giveUp()
+	require.ErrorIs(t, <-done, context.Canceled)
+	_, err = io.Copy(io.Discard, c)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
