--- a/pkg/zoneowner/lastowner.go
+++ b/pkg/zoneowner/lastowner.go
@@ -121,10 +121,20 @@
 }
 
 // lastOrderAge returns the time since the last order at the end of a term, so that the
-// next owner waits for long enough. It is never 0, which is no age. Without an order in
-// the term, the last one may have been sent just before the term could send orders, by an
-// earlier incarnation of this node. o.mu must be held.
+// next owner waits for long enough. It is never 0, which is no age. An order that is in
+// flight may arrive until the end of the term abandons it. o.mu must be held.
 func (o *Owner) lastOrderAge(t *term) time.Duration {
+	age := o.finishedOrderAge(t)
+	if t.ordersInFlight > 0 {
+		return min(age, time.Millisecond)
+	}
+	return age
+}
+
+// finishedOrderAge is lastOrderAge for a term without orders in flight. Without an order
+// in the term, the last one may have been sent just before the term could send orders, by
+// an earlier incarnation of this node. o.mu must be held.
+func (o *Owner) finishedOrderAge(t *term) time.Duration {
 	now := o.cfg.BootClock()
 	if delayLeft := t.ordersFrom.Sub(now); delayLeft > 0 {
 		// The last order was sent HandoverDelay before ordersFrom or earlier. The
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -173,12 +173,15 @@
 	// handoverPending is true until the end of the handover delay is recorded
 	// in the key-value service.
 	handoverPending bool
-	lastOrderAt     time.Time
-	targetsByID     map[string]*inventory.Target
-	waiting         map[scheduler.Ticket]waitingRequest
-	ctx             context.Context
-	cancel          context.CancelFunc
-	sent            sentState
+	// ordersInFlight is the number of orders that may be on their way, lastOrderAt
+	// when the last order was answered or abandoned.
+	ordersInFlight int
+	lastOrderAt    time.Time
+	targetsByID    map[string]*inventory.Target
+	waiting        map[scheduler.Ticket]waitingRequest
+	ctx            context.Context
+	cancel         context.CancelFunc
+	sent           sentState
 }
 
 // New returns an Owner that does not take part in the election until Run is
@@ -284,8 +287,8 @@
 			Int("usable", a.Estimate.ReadyReplicas).Int("copies", a.Estimate.TargetsWithCopy).Int("backlog", a.Estimate.BacklogRank).
 			Int64("orders_after_ms", max(t.ordersFrom.Sub(o.cfg.BootClock()).Milliseconds(), 0)).Send()
 	case scheduler.SendOrder:
-		t.lastOrderAt = o.cfg.BootClock()
 		if target := t.targetsByID[a.Order.Target]; target != nil {
+			t.ordersInFlight++
 			go o.sendOrder(t, target, a.Order)
 			return
 		}
@@ -316,6 +319,10 @@
 	o.cfg.Observer.OrderResultReceived(order, result)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	t.ordersInFlight--
+	if ok {
+		t.lastOrderAt = o.cfg.BootClock()
+	}
 	if o.term != t {
 		return
 	}
