--- a/pkg/zoneowner/inflight_test.go
+++ b/pkg/zoneowner/inflight_test.go
@@ -83,3 +83,34 @@
 	r.Addr = otherAddr
 	return r
 }
+
+// An order that was on its way when the owner's authority ended could arrive 0.8 s later,
+// which the handover delay doesn't cover.
+func TestOrderIsAbandonedWhenTheAuthorityEnds(t *testing.T) {
+	const authorityLeft = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		targets := &slowTargets{responseTime: time.Second}
+		o := newSingleOwner(new(kvtest.Store))
+		o.cfg.Targets = targets
+		startOrder(o, authorityLeft)
+		time.Sleep(time.Minute)
+		assert.Equal(t, authorityLeft, targets.abandonedAfter)
+	})
+}
+
+// Guards against an order that is abandoned although the authority was extended.
+func TestOrderOutlastsAnAuthorityThatIsExtended(t *testing.T) {
+	const authorityLeft = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		targets := &slowTargets{responseTime: time.Second}
+		o := newSingleOwner(new(kvtest.Store))
+		o.cfg.Targets = targets
+		startOrder(o, authorityLeft)
+		time.Sleep(authorityLeft / 2)
+		o.mu.Lock()
+		o.term.authority.leaseRenewed(time.Now(), time.Minute)
+		o.mu.Unlock()
+		time.Sleep(time.Minute)
+		assert.Zero(t, targets.abandonedAfter)
+	})
+}
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -22,6 +22,7 @@
 	"almondturn/pkg/kv"
 	"almondturn/pkg/route"
 	"almondturn/pkg/scheduler"
+	"almondturn/pkg/wait"
 	"almondturn/wire"
 )
 
@@ -310,7 +311,10 @@
 	var err error
 	token, ok := o.orderToken(t)
 	if ok {
-		result, err = o.cfg.Targets.Order(t.ctx, target, order, token)
+		ctx, cancel := context.WithCancel(t.ctx)
+		go o.cancelWithAuthority(ctx, cancel, t)
+		result, err = o.cfg.Targets.Order(ctx, target, order, token)
+		cancel()
 	}
 	// Also logged for an order that was not sent, with the result rejected.
 	event.OrderSent.Log(o.cfg.Log).Str("target", target.ID).Stringer("operation", order.Operation).
@@ -347,6 +351,26 @@
 	return uint64(t.token), o.term == t && !o.stopping && authorized
 }
 
+// cancelWithAuthority calls cancel when the authority of a term ends, so that no order is on
+// its way after that. It returns when ctx ends.
+func (o *Owner) cancelWithAuthority(ctx context.Context, cancel context.CancelFunc, t *term) {
+	defer cancel()
+	for {
+		left := o.authorityLeft(t)
+		if left <= 0 || !wait.Sleep(ctx, left) {
+			return
+		}
+	}
+}
+
+// authorityLeft returns how long the authority of a term lasts unless it is extended.
+func (o *Owner) authorityLeft(t *term) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.cfg.BootClock()
+	return t.authority.validUntil(now).Sub(now)
+}
+
 // requestReport requests a target's report and passes the result to the
 // scheduler. It runs in a goroutine of its own. o.mu must not be held.
 func (o *Owner) requestReport(t *term, target *inventory.Target) {
