--- a/pkg/zoneowner/inflight_test.go
+++ b/pkg/zoneowner/inflight_test.go
@@ -94,6 +94,7 @@
 		o.cfg.Targets = targets
 		startOrder(o, authorityLeft)
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		assert.Equal(t, authorityLeft, targets.abandonedAfter)
 	})
 }
@@ -111,6 +112,7 @@
 		o.term.authority.leaseRenewed(time.Now(), time.Minute)
 		o.mu.Unlock()
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		assert.Zero(t, targets.abandonedAfter)
 	})
 }
