callers: an outcome that is recorded later is that of its call

Callers could see: a call with an idempotency key, sent again, runs a second time, although the first had run and was answered.

Cause: if the key-value service can't be reached when a call ends, its outcome is recorded in the background. That read the run status and the content type from the response writer, which gin had reset and given to another request by then. If that one was refused as not run, the claim was released.

Change: both are read before recordOutcome returns.

TestOutcomeThatIsRecordedLaterIsThatOfItsCall failed before in 6 of 6 runs (the call ran again), with and without the race detector.

--- a/pkg/callers/callers_test.go
+++ b/pkg/callers/callers_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -329,6 +330,42 @@
 	}
 }
 
+// cutOffNode is a node that loses the key-value service during each call that changes
+// something, and refuses all others as not run.
+type cutOffNode struct {
+	fakeNode
+	store *kvtest.Store
+}
+
+func (n *cutOffNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.run, n.status = fault.RunNo, 503
+	if r.Method == http.MethodPost {
+		n.store.SetUnavailable(true)
+		n.run, n.status = fault.RunYes, 200
+	}
+	n.fakeNode.ServeHTTP(w, r)
+}
+
+// The outcome of a call that could not be recorded at once was read later from the response
+// to another request, which reused the memory: a call that had run counted as not run,
+// and ran again.
+func TestOutcomeThatIsRecordedLaterIsThatOfItsCall(t *testing.T) {
+	log := zerolog.Nop()
+	n := &cutOffNode{store: new(kvtest.Store)}
+	h := testProtocol().Handler(n, claims.New(n.store), &log)
+	booking := callerRequest{"POST", "/services/bookings/seats", "key-2", `{"row":2}`, map[string]string{headerIdempotencyKey: "k"}}
+	assert.Equal(t, "response 1", serve(t, h, booking).Body.String())
+	created := n.store.Entries()
+	for range 20 {
+		serve(t, h, callerRequest{method: "GET", path: "/services/bookings/seats", key: "key-2"})
+	}
+	n.store.SetUnavailable(false)
+	require.Eventually(t, func() bool { return !reflect.DeepEqual(created, n.store.Entries()) }, 10*time.Second, time.Millisecond, "an outcome is recorded")
+	again := serve(t, h, booking)
+	assert.Equal(t, "true", again.Header().Get(headerReplayed))
+	assert.Equal(t, "response 1", again.Body.String())
+}
+
 // TestLongResponseIsRecordedTruncated checks that no more than MaxBodyBytes of a
 // response are stored.
 func TestLongResponseIsRecordedTruncated(t *testing.T) {
--- a/pkg/callers/handler.go
+++ b/pkg/callers/handler.go
@@ -179,16 +179,17 @@
 
 // recordOutcome records how the request ended; complete is false if the response
 // was truncated. If the first attempt fails, it returns and retries in the
-// background for up to recordTimeout, unless another request has the key.
+// background for up to recordTimeout, unless another request has the key. It reads w only
+// before it returns: gin reuses the writer for other requests.
 func (h *Handler) recordOutcome(claim *claims.Claim, w *responseRecorder, complete bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	run, response := fault.RunStatus(w.Header().Get(fault.HeaderRun)), w.response()
 	record := func() error {
-		run := fault.RunStatus(w.Header().Get(fault.HeaderRun))
 		switch {
 		case run == fault.RunNo:
 			return h.claims.Release(ctx, claim)
 		case run == fault.RunYes && complete:
-			return h.claims.Complete(ctx, claim, w.response())
+			return h.claims.Complete(ctx, claim, response)
 		default:
 			return h.claims.MarkOutcomeUnknown(ctx, claim)
 		}
