--- a/scenarios/judge_test.go
+++ b/scenarios/judge_test.go
@@ -95,7 +95,9 @@
 		if n := e.Overflows(); n > 0 {
 			violations = append(violations, fmt.Sprintf("engine %s was ordered to load more than its memory holds, %d times", id, n))
 		}
-		violations = append(violations, findOrdersTooClose(id, e.Orders())...)
+		orders := e.Orders()
+		violations = append(violations, findOrdersTooClose(id, orders)...)
+		violations = append(violations, findFallingTokens(id, orders)...)
 	}
 	bookingRuns := sumCounts(plains, (*standin.Engine).RunCounts)
 	for id, n := range bookingRuns {
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -33,6 +33,7 @@
 	{1, "none; faults of all kinds"},
 	{5007, "of the test: both nodes that had settings in force were killed before they could write them again after a restore"},
 	{9310, "a pause was forgotten when the list showed a new incarnation of the target, probably: restarts of engine-kingston-1 and a restore"},
+	{2033, "the outcome of a booking was recorded later, as that of another request, probably: it ran again"},
 	{6007, "three restores within six seconds: idempotency keys were claimed in the span that was lost, and their requests ran again"},
 }
 
@@ -81,12 +82,14 @@
 	var watch sync.WaitGroup
 	watch.Go(func() { injector.watchSettings(watchCtx) })
 	injector.notices = newNoticeInjector(injector)
-	noticesCtx, endNotices := context.WithCancel(ctx)
-	var notices sync.WaitGroup
-	notices.Go(func() { injector.notices.inject(noticesCtx, seed) })
+	injectCtx, endInjectors := context.WithCancel(ctx)
+	var injectors sync.WaitGroup
+	injectors.Go(func() { injector.notices.inject(injectCtx, seed) })
+	injector.holds = &holdInjector{f: injector}
+	injectors.Go(func() { injector.holds.inject(injectCtx, seed) })
 	injector.injectFaults(ctx)
-	endNotices()
-	notices.Wait()
+	endInjectors()
+	injectors.Wait()
 	recoveryCtx, cancelRecovery := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancelRecovery()
 	assert.NoError(t, p.awaitOK(recoveryCtx, "tea-small@1"), "all nodes serve requests again after the faults")
@@ -116,6 +119,7 @@
 	copies         storeCopies
 	settings       settingsLog
 	notices        *noticeInjector
+	holds          *holdInjector
 }
 
 // injectFaults injects faults for soakDuration, each of which is reverted after a
@@ -160,7 +164,8 @@
 		return "stop " + string(id), func() { <-done; f.startProcess(id) }
 	case 2:
 		f.notices.nodeEnds(id)
-		return "suspend " + string(id), f.suspendProcess(id)
+		resumed, resume := f.holds.suspend(), f.suspendProcess(id)
+		return "suspend " + string(id), func() { resume(); resumed() }
 	case 3:
 		f.Store.SetFault([]standin.Fault{standin.DropConnections, standin.Busy, standin.RateLimited, standin.DropWriteResponses}[f.rng.IntN(4)])
 		return "fault of the key-value service", func() { f.Store.SetFault(standin.Healthy) }
