--- a/pkg/standin/faultproxy/hold.go
+++ b/pkg/standin/faultproxy/hold.go
@@ -10,15 +10,15 @@
 	"golang.org/x/sys/unix"
 )
 
-// HoldRequests holds back what clients send from now on, on open and on new
-// connections, which stay open. Like a network that loses packets, it leaves the data to
+// HoldRequests holds back the requests that begin with prefix from now on, on open and on
+// new connections, which stay open. Like a network that loses packets, it leaves the data to
 // the client's kernel: the kernel sends it again, also after the client has closed the
 // connection or its process has ended, but drops it when it resets the connection.
-func (p *Proxy) HoldRequests() { p.hold.set(true) }
+func (p *Proxy) HoldRequests(prefix string) { p.hold.start(prefix) }
 
 // PassRequests ends HoldRequests. What is held stays so until DeliverHeld, and so does
 // what follows it on its connection.
-func (p *Proxy) PassRequests() { p.hold.set(false) }
+func (p *Proxy) PassRequests() { p.hold.end() }
 
 // DeliverHeld sends the server what has been held back until now, unless the client has
 // reset the connection.
@@ -31,6 +31,7 @@
 type requestHold struct {
 	mu        sync.Mutex // guards all fields
 	on        bool
+	prefix    []byte                 // of the data that is held back; empty for all
 	held      map[*heldWriter][]byte // by connection, without what follows the first piece
 	delivered chan struct{}          // closed by deliver, which replaces it
 }
@@ -39,10 +40,16 @@
 	return &requestHold{held: map[*heldWriter][]byte{}, delivered: make(chan struct{})}
 }
 
-func (h *requestHold) set(on bool) {
+func (h *requestHold) start(prefix string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.on = on
+	h.on, h.prefix = true, []byte(prefix)
+}
+
+func (h *requestHold) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.on = false
 }
 
 func (h *requestHold) deliver() {
@@ -69,14 +76,15 @@
 func (h *requestHold) begin(w *heldWriter, data []byte) <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.on {
+	if !h.on || !bytes.HasPrefix(data, h.prefix) {
 		return nil
 	}
 	h.held[w] = data
 	return h.delivered
 }
 
-func (h *requestHold) end(w *heldWriter) {
+// release ends what begin began.
+func (h *requestHold) release(w *heldWriter) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.held, w)
@@ -102,7 +110,7 @@
 	if delivered == nil {
 		return w.Conn.Write(b)
 	}
-	defer w.hold.end(w)
+	defer w.hold.release(w)
 	select {
 	case <-delivered:
 	case <-w.closed:
