--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -87,6 +87,9 @@
 	n.links.sendNodeState()
 	event.ConfigurationInForce.Log(n.log).Int64("version", t.Version).
 		Uint64("era", uint64(t.Revision.Era())).Uint64("revision", t.Revision.Counter()).Send()
+	for r := range t.Routes() {
+		n.metrics.addCuts(r.Name)
+	}
 	n.updateReady()
 }
 
--- a/pkg/entry/idleconns.go
+++ b/pkg/entry/idleconns.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -123,6 +125,28 @@
 	conns *idleConns
 	// raw gives access to the socket; nil if the connection has none.
 	raw syscall.RawConn
+	// readTimedOut is true if a read of the current request, or after it, has ended at a
+	// deadline.
+	readTimedOut atomic.Bool
+}
+
+// connKey is the key of the client's connection in the context of a request.
+type connKey struct{}
+
+// withClientConn is the ConnContext function of a server with the listener of
+// idleConns.listen.
+func withClientConn(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// clientConn returns the client's connection of a request with the context, nil if
+// idleConns.listen did not accept it.
+func clientConn(ctx context.Context) *idleConn {
+	c, _ := ctx.Value(connKey{}).(*idleConn)
+	return c
 }
 
 // Read implements net.Conn. A request that had arrived when closeOlder ended the read is
@@ -137,6 +161,7 @@
 		if n := c.conns.takeArrived(c, b); n > 0 {
 			return n, nil
 		}
+		c.readTimedOut.Store(true)
 	}
 	return n, err
 }
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -76,6 +76,9 @@
 	// obstacle is why the request was not sent again after the last attempt, empty
 	// if it was.
 	obstacle string
+	// givenUp is true if the node has ended an attempt by its own decision, and nothing
+	// was written to the client since.
+	givenUp bool
 }
 
 // Limits of the attempts of one request.
@@ -213,11 +216,12 @@
 	for {
 		x, refusal, ok := n.nextExchange(ctx, j)
 		if !ok {
-			n.finish(j, cr, last, refusal)
+			n.finish(ctx, j, cr, last, refusal)
 			return
 		}
 		sentAt := time.Now()
 		last = n.send(ctx, j, x, cr)
+		j.givenUp = j.givenUp || last.endedByDecision()
 		n.recordRunTime(j, last, time.Since(sentAt))
 		n.guard.attemptEnded(j, x.assignment, last)
 		n.releaseAssignment(x.assignment, last)
@@ -228,7 +232,7 @@
 			if j.next != nil {
 				j.addUnused(n.abandon(j, j.next))
 			}
-			n.finish(j, cr, last, nil)
+			n.finish(ctx, j, cr, last, nil)
 			return
 		}
 		event.RequestRetried.Log(n.log).Str("request", j.ID).Str("target", j.lastTarget).
@@ -304,8 +308,8 @@
 // finish writes an error to the client unless a response was written, logs the
 // outcome and counts it. last is the result of the last attempt, the zero value
 // without one. refusal is the error that ended the search for a target, nil if
-// there was none.
-func (n *Node) finish(j *job, cr *clientResponse, last sendResult, refusal *ErrorResponse) {
+// there was none. ctx is the context of the request.
+func (n *Node) finish(ctx context.Context, j *job, cr *clientResponse, last sendResult, refusal *ErrorResponse) {
 	outcome, truncated := event.RequestServed, false
 	switch {
 	case cr.complete:
@@ -335,6 +339,9 @@
 	if last.err != nil {
 		e = e.Stringer("result", last.kind).AnErr("cause", last.err)
 	}
+	if outcome == event.RequestBroken || outcome == event.RequestGone {
+		e = n.logCut(e, j.Route.Name, j.cutBy(ctx, cr, last))
+	}
 	e.Send()
 	n.metrics.observeRequest(j, cr, outcome.Name)
 	if truncated {
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -15,8 +15,28 @@
 // called concurrently.
 type nodeMetrics struct{ set *metrics.Set }
 
-// newMetrics returns metrics without values.
-func newMetrics() *nodeMetrics { return &nodeMetrics{set: metrics.NewSet()} }
+// newMetrics returns metrics without values, apart from those of addCuts.
+func newMetrics() *nodeMetrics {
+	m := &nodeMetrics{set: metrics.NewSet()}
+	m.addCuts("")
+	return m
+}
+
+// cutCounter returns the counter of the answers of a route that ended incomplete. route is
+// empty if it is not known.
+func (m *nodeMetrics) cutCounter(route string, by cutBy) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_answers_cut_total{route=%q,by=%q}`, route, by.String()))
+}
+
+// addCuts adds the counters of a route, so that they are 0 before the first cut answer.
+func (m *nodeMetrics) addCuts(route string) {
+	for by := range cutByCount {
+		m.cutCounter(route, by)
+	}
+}
+
+// countCut counts an answer that ended incomplete.
+func (m *nodeMetrics) countCut(route string, by cutBy) { m.cutCounter(route, by).Inc() }
 
 // observeRequest records a request that has ended, by route and outcome.
 // outcome is the name of the event that is logged for it.
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -292,7 +292,7 @@
 		readinessMux.HandleFunc(n.readinessPath, n.ServeReadiness)
 	}
 	readinessMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
-	n.clientServer = &http.Server{Handler: http.HandlerFunc(n.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleClientConns.track, DisableGeneralOptionsHandler: true}
+	n.clientServer = &http.Server{Handler: http.HandlerFunc(n.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleClientConns.track, ConnContext: withClientConn, DisableGeneralOptionsHandler: true}
 	n.readinessServer = &http.Server{Handler: readinessMux}
 	n.innerServer = &http.Server{Handler: innerMux}
 	listeners := []struct {
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -43,6 +43,10 @@
 func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	defer n.countPanic()
+	if c := clientConn(r.Context()); c != nil {
+		c.readTimedOut.Store(false) // the server ends its last read after each request
+	}
 	if r.ContentLength != 0 {
 		body := n.limitBody(r.Body, http.NewResponseController(w))
 		defer body.inTime()
@@ -162,6 +166,7 @@
 	case errors.Is(err, ErrStopping):
 		return newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping and has not received the whole body")
 	case err != nil:
+		n.bodyCut(r, j, err)
 		panic(http.ErrAbortHandler) // the client disconnected
 	}
 	return refusal
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -104,7 +104,7 @@
 	} else {
 		j.longestInterval = max(j.longestInterval, now.Sub(j.lastEventAt))
 	}
-	j.lastEventAt = now
+	j.lastEventAt, j.givenUp = now, false
 	if j.assignment.runID != 0 && !j.startReported {
 		j.startReported = true
 		n.links.runStarted(j.assignment.zone, &wire.RunStarted{Run: j.assignment.runID})
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -5,6 +5,7 @@
 package route
 
 import (
+	"iter"
 	"strings"
 	"time"
 
@@ -174,6 +175,19 @@
 	hosts map[string][]*Route
 }
 
+// Routes returns all routes, in no particular order.
+func (t *Table) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, routes := range t.hosts {
+			for _, r := range routes {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // NewTable returns a table of routes and services. The caller must not change
 // the routes and the map afterwards.
 func NewTable(version int64, routes []*Route, services map[string]*Service, limits RequestLimits) *Table {
