--- a/pkg/entry/idleconns.go
+++ b/pkg/entry/idleconns.go
@@ -37,7 +37,9 @@
 	}
 	ic.mu.Lock()
 	defer ic.mu.Unlock()
-	if s == http.StateIdle {
+	idle, ok := c.(*idleConn)
+	hasBegun := ok && idle.readAhead.Load() // the next request
+	if s == http.StateIdle && !hasBegun {
 		ic.since[c] = time.Now()
 		return
 	}
@@ -51,10 +53,18 @@
 	defer ic.mu.Unlock()
 	if _, ok := ic.since[c]; ok {
 		delete(ic.since, c)
-		_ = c.SetReadDeadline(time.Time{})
+		setReadDeadline(c, time.Time{})
 	}
 }
 
+// setReadDeadline sets the read deadline of a connection whose state doesn't change by it.
+func setReadDeadline(c net.Conn, t time.Time) {
+	if idle, ok := c.(*idleConn); ok {
+		c = idle.Conn
+	}
+	_ = c.SetReadDeadline(t)
+}
+
 // takeArrived is called when a read of c has failed at its deadline. If the deadline is that
 // of closeOlder, it reads what had arrived by then, without waiting, and records that a
 // request has begun. It returns 0 if there is nothing.
@@ -64,7 +74,7 @@
 	if _, ok := ic.since[c]; !ok || c.raw == nil {
 		return 0
 	}
-	_ = c.SetReadDeadline(time.Time{}) // otherwise the read would fail, too
+	setReadDeadline(c, time.Time{}) // otherwise the read would fail, too
 	n := 0
 	err := c.raw.Read(func(fd uintptr) bool {
 		n, _ = syscall.Read(int(fd), b) // an error, such as EAGAIN, means that there is nothing
@@ -88,7 +98,7 @@
 	now := time.Now()
 	for c, since := range ic.since {
 		if now.Sub(since) > d {
-			_ = c.SetReadDeadline(now)
+			setReadDeadline(c, now)
 		}
 	}
 }
@@ -125,6 +135,9 @@
 	conns *idleConns
 	// raw gives access to the socket; nil if the connection has none.
 	raw syscall.RawConn
+	// readAhead is true if the last read was that of a single byte, by which the server looks
+	// for the client's disconnection during a request: it belongs to the next one.
+	readAhead atomic.Bool
 	// readTimedOut is true if a read of the current request, or after it, has ended at a
 	// deadline.
 	readTimedOut atomic.Bool
@@ -154,6 +167,7 @@
 func (c *idleConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		c.readAhead.Store(len(b) == 1)
 		c.conns.leave(c)
 		return n, err
 	}
@@ -166,6 +180,15 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn. The server sets a time when it begins to read the head
+// of a request, of which it may hold all bytes already.
+func (c *idleConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		c.conns.leave(c)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // CloseWrite closes the sending side, as the server does before it closes a connection
 // with unread bytes, so that the client still receives the response.
 func (c *idleConn) CloseWrite() error {
--- a/pkg/entry/idleorders_test.go
+++ b/pkg/entry/idleorders_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 // Points of the server at which idle connections may be closed, as bits.
 const (
 	atIdle = 1 << iota
+	atRead
 	whileWaiting
 	atActive
 	atHandler
@@ -72,7 +74,7 @@
 	const peekBytes = 4
 	hidden := o.sent[0] == withFirst && o.firstPiece < peekBytes
 	begun := o.sent[0] < afterClose && !hidden || o.sent[1] < afterClose
-	return begun || o.closes&whileWaiting == 0
+	return begun || o.closes&(atRead|whileWaiting) == 0
 }
 
 // settleTime is the time that the other side gets for what it does next.
@@ -106,7 +108,13 @@
 		case <-time.After(settleTime):
 		}
 	}))
-	s.Listener = idle.listen(s.Listener)
+	waiting, written := new(atomic.Bool), make(chan struct{})
+	s.Listener = idle.listen(&hookListener{s.Listener, func() {
+		if waiting.Swap(false) {
+			<-written
+			closeAt(atRead)
+		}
+	}})
 	s.Config.ReadHeaderTimeout = headerTimeout
 	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
 		if state == http.StateActive { // the head has been read
@@ -114,12 +122,14 @@
 		}
 		idle.track(c, state)
 		if state == http.StateIdle {
+			waiting.Store(true)
 			closeAt(atIdle)
 		}
 	}
 	s.Start()
 	defer s.Close()
 	return o.send(s.Listener.Addr().String(), started, proceed, func() {
+		close(written)
 		for start := time.Now(); idle.empty() && time.Since(start) < settleTime; {
 			time.Sleep(settleTime / 10)
 		}
@@ -128,6 +138,33 @@
 	})
 }
 
+// hookListener accepts connections that call beforeRead before each read.
+type hookListener struct {
+	net.Listener
+	beforeRead func()
+}
+
+// Accept implements net.Listener.
+func (l *hookListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &hookConn{c.(*net.TCPConn), l.beforeRead}, nil
+}
+
+// hookConn is a connection that hookListener accepted.
+type hookConn struct {
+	*net.TCPConn
+	beforeRead func()
+}
+
+// Read implements net.Conn.
+func (c *hookConn) Read(b []byte) (int, error) {
+	c.beforeRead()
+	return c.TCPConn.Read(b)
+}
+
 // send sends the two requests. The first has a response once proceed is closed; closeIdle is
 // called while the server waits for the second.
 func (o idleOrder) send(addr string, started <-chan struct{}, proceed chan<- struct{}, closeIdle func()) error {
@@ -158,7 +195,6 @@
 		return fmt.Errorf("first response: %w", err)
 	}
 	_, _ = io.WriteString(c, pieces(beforeClose))
-	time.Sleep(settleTime)
 	closeIdle()
 	time.Sleep(settleTime)
 	_, _ = io.WriteString(c, pieces(afterClose))
