--- a/pkg/scheduler/bench_test.go
+++ b/pkg/scheduler/bench_test.go
@@ -74,3 +74,42 @@
 	}
 	return s, testStart
 }
+
+// BenchmarkChange measures what a change of the configuration costs the owner of a zone, and
+// for how long it holds the owner's lock: the new services, the list of targets and the next
+// step, while requests wait for models that are not loaded.
+func BenchmarkChange(b *testing.B) {
+	for _, c := range []struct{ models, targets, waiting int }{{400, 60, 0}, {400, 60, 500}, {1600, 240, 0}, {1600, 240, 500}} {
+		b.Run(fmt.Sprintf("models=%d,targets=%d,waiting=%d", c.models, c.targets, c.waiting), func(b *testing.B) {
+			s, now := largeZone(c.targets)
+			services := [2]map[string]*route.Service{}
+			for i := range services {
+				e := &route.Engine{Slots: 32, CacheTokens: 120_000, WeightsMB: 200_000, AdapterSlots: 8, LoadsPerSecond: 7, Models: map[string]*route.Model{}}
+				for k := range c.models - i { // every other change takes a model out
+					name := fmt.Sprint("m", k)
+					e.Models[name] = &route.Model{Name: name, WeightsMB: 70_000, AdapterMB: 40, WeightStoreLoadTime: 6 * time.Second, DiskLoadTime: 800 * time.Millisecond, MemoryLoadTime: 300 * time.Millisecond}
+				}
+				services[i] = map[string]*route.Service{testService: {Name: testService, Engine: e}}
+			}
+			s.SetServices(services[0])
+			var list []*inventory.Target
+			for _, t := range s.targets {
+				list = append(list, t.info)
+			}
+			for i := range c.waiting {
+				s.Submit(now, Request{
+					Service: testService, Model: fmt.Sprint("m", i*(c.models-1)/c.waiting), InputTokens: 600, OutputTokens: 300, LatencyObjective: time.Hour,
+					ObjectiveAt: now.Add(time.Hour), Deadline: now.Add(time.Hour), OtherZonesRefused: true,
+				})
+			}
+			s.Step(now)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				s.SetServices(services[i%2])
+				s.SetTargets(now, list)
+				s.Step(now)
+			}
+		})
+	}
+}
