entry: a silent stream is given up for evidence or for the event that continues it

What callers saw: a stream ended after some of its events, although its target was sound and would have gone on: it had sent nothing for 1.8 s.

Cause: after 1.2 s of silence the continuation asked the next target, and ended the attempt at the first as soon as the next had had the request for 150 ms without refusing it, whether or not it had sent anything. A next target that then never answered, answered another request or broke off cut the stream: the route had no attempt left. At 3/4 of the client's wait the attempt was ended for a new connection to the same target, with no way back either.

Change: - The way back is kept. The next exchange reads its response up to the event that continues the stream (upstream.Response.ReadPrefix); only then is the first ended. An event of the first meanwhile ends the next. The diagnoses are a closed list: unknown, working, connection_lost, run_missing, gone, unreachable. - respondToSilence, a pure function, decides. With unknown and working the last attempt is not spent, except at 3/4 of the client's wait, in a race that keeps the way back. With the others the last attempt may be spent; where nothing can arrive any more the first attempt ends at maxOverlap, and an unreachable target is still read until the next one has sent its event. - The same target is asked again, over a new connection, only if its report shows that it serves new ones and the stream's connection has failed. - stream_silent, stream_given_up and stream_not_continued name the evidence, the silence, the attempts left, the next target and what it had sent.

Weighed: an entry that is missing is no evidence (workers go on serving when theirs is removed), nor is a reset of a new connection (workers reset those beyond max_conns); a report that counts more requests than it lists, or has some waiting, denies no run. Events that a report counts may be on the way: 150 ms without one confirm the loss. To give up at 3/4 of the wait without a way back would serve clients of a hung target whose next one reads its prompt for longer than maxOverlap, and cut those of a sound target; the race was chosen.

Tests that changed: - TestSilentStreamIsGivenUpForATargetThatTakesItsTime asserted the fault: a silent target was to be ended for one that had sent nothing. Unit tests follow signatures.

--- a/pkg/entry/configuration_test.go
+++ b/pkg/entry/configuration_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
@@ -65,6 +66,10 @@
 
 func (idleTargets) SetHeadObserver(func(*inventory.Target, string, int, http.Header)) {}
 
+func (idleTargets) Probe(context.Context, *inventory.Target) (inventory.Report, error) {
+	return inventory.Report{}, errors.ErrUnsupported
+}
+
 // decodeTestTarget decodes a target that is the JSON of inventory.Target.
 func decodeTestTarget(_ string, value []byte) (*inventory.Target, error) {
 	t := new(inventory.Target)
--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -18,26 +17,12 @@
 	// minTimeToContinue is the least time that must remain until the deadline when
 	// an attempt is given up.
 	minTimeToContinue = 2 * minRunTime
-	// sameTargetWaitFactor is job.sameTargetWait as a multiple of the wait for an
-	// event, on routes whose clients have no timeout for it.
-	sameTargetWaitFactor = 2
-)
-
-// errStalled is the cause with which an attempt of a silent stream is ended after the
-// next one was secured.
-var errStalled = errors.New("the stream is silent and is continued at another target")
-
-// Reasons for which a search secured nothing, besides those of the owners.
-var (
-	errNoBudget   = errors.New(obstacleBudget)
-	errSameTarget = errors.New("only the silent target is free")
-	errTimeOver   = errors.New(obstacleTime)
 )
 
 // continuation secures the next attempt of a stream that has fallen silent: a retry of the
-// budget and a slot at another target, which has begun to respond or has had the request
-// for maxOverlap. Only with all of them does it end the current attempt, which is read
-// until then. Its methods may be called concurrently.
+// budget and a slot at another target, which has sent the event that continues the stream.
+// Only with all of them does it end the current attempt, which is read until then, unless a
+// probe has shown that its connection is lost. Its methods may be called concurrently.
 type continuation struct {
 	node *Node
 	// requestCtx is the context of the request, current the exchange of the attempt.
@@ -54,6 +39,8 @@
 	progressAt time.Time
 	// started is that of eventWait.
 	started bool
+	// eventCount is the number of events of the attempt that were written.
+	eventCount int
 	// writing is set while events are being written to the client.
 	writing bool
 	// cancelSearch ends the search in progress; nil if there is none.
@@ -127,15 +114,15 @@
 	return c.writing
 }
 
-// writeEnded records the end of a write of the request's job j. progress is true if an
-// event with an ID was written.
-func (c *continuation) writeEnded(j *job, progress bool) {
+// writeEnded records the end of a write of the request's job j, after which eventCount events
+// of the attempt have been written. progress is true if an event with an ID was written.
+func (c *continuation) writeEnded(j *job, eventCount int, progress bool) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = false
+	c.writing, c.eventCount = false, eventCount
 	c.job.resumeAfter, c.job.endsWithoutID, c.job.lastEventAt = j.resumeAfter, j.endsWithoutID, j.lastEventAt
 	if progress {
 		c.progress()
@@ -153,56 +140,20 @@
 
 // check starts a search if the stream is silent, and sets the timer for the next check.
 func (c *continuation) check() {
-	j, ctx, silence := c.begin()
-	if ctx == nil {
+	s := c.begin()
+	if s == nil {
 		return
 	}
-	target := c.current.assignment.target
-	log := func(e event.Event, err error) {
-		e.Log(c.node.log).Str("request", j.ID).Str("target", target.ID).Dur("silent_ms", silence).AnErr("reason", err).Send()
-	}
-	log(event.StreamSilent, nil)
-	silent := target.ID
-	if silence >= j.sameTargetWait() {
-		silent = "" // its connection may be lost while new ones work
-	}
-	a, err := c.node.secure(ctx, j, silent)
-	if err == nil {
-		err = c.try(ctx, j, c.node.newExchange(c.requestCtx, j, a))
-	}
-	if err == nil {
-		c.node.pool.CloseIdle(target.Addr) // other connections to it may be stalled, too
-		log(event.StreamGivenUp, nil)
+	s.log(event.StreamSilent, nil)
+	if err := s.run(); err != nil {
+		if s.ctx.Err() == nil {
+			s.log(event.StreamNotContinued, err)
+		}
+		c.endSearch(searchRetryDelay)
 		return
 	}
-	if ctx.Err() == nil {
-		log(event.StreamNotContinued, err)
-	}
-	c.endSearch(searchRetryDelay)
-}
-
-// try makes x the exchange of the next attempt as soon as its target has accepted the
-// request, and returns nil then. The current attempt goes on if it returns an error. It
-// ends first if x has the same target, because a target may not expect a request twice at
-// the same time.
-func (c *continuation) try(ctx context.Context, j *job, x *exchange) error {
-	if x.assignment.target.ID != c.current.assignment.target.ID {
-		x.begin()
-		c.setTrying(x)
-		x.awaitAcceptance(ctx)
-	}
-	if c.handOver(ctx, x) {
-		return nil
-	}
-	if !c.setTrying(nil) {
-		return errNotNeeded
-	}
-	u := c.node.abandon(j, x)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.job.addUnused(u)
-	c.unused = append(c.unused, u)
-	return u.result.err
+	c.node.pool.CloseIdle(c.current.assignment.target.Addr) // other connections to it may be stalled, too
+	s.log(event.StreamGivenUp, nil)
 }
 
 // setTrying sets the exchange that stop may return. It returns false, and changes nothing,
@@ -217,19 +168,8 @@
 	return true
 }
 
-// sameTargetWait returns the silence after which a stream is continued at its target over
-// a new connection if no other is free: most of the time that the client waits for an
-// event.
-func (j *job) sameTargetWait() time.Duration {
-	if j.Route.FirstEventTimeout <= 0 {
-		return sameTargetWaitFactor * j.eventWait(true)
-	}
-	return j.Route.FirstEventTimeout * 3 / 4
-}
-
-// begin begins a search and returns a copy of the job and the context for it, and how
-// long the stream has been silent. The context is nil if no search is due.
-func (c *continuation) begin() (*job, context.Context, time.Duration) {
+// begin begins a search, nil if none is due.
+func (c *continuation) begin() *search {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -237,24 +177,24 @@
 	wait := c.job.eventWait(c.started)
 	switch {
 	case c.ended:
-		return nil, nil, 0
+		return nil
 	case c.job.endsWithoutID: // the next event may have an identifier
 		c.timer.Reset(wait)
-		return nil, nil, 0
+		return nil
 	case !c.job.mayResumeElsewhere(now, c.job.possibleRuns+1):
-		return nil, nil, 0
+		return nil
 	case silence < wait:
 		c.timer.Reset(wait - silence)
-		return nil, nil, 0
+		return nil
 	case c.writing || c.job.startDeadline().Sub(now) < minRunTime:
 		c.timer.Reset(wait)
-		return nil, nil, 0
+		return nil
 	}
 	ctx, cancel := context.WithCancel(c.current.ctx)
 	c.cancelSearch, c.searched = cancel, make(chan struct{})
-	j := c.job
-	j.excluded, j.sentTo = slices.Clone(j.excluded), slices.Clone(j.sentTo)
-	return &j, ctx, silence
+	s := &search{c: c, ctx: ctx, job: c.job, silentSince: c.progressAt, started: c.started, eventCount: c.eventCount}
+	s.job.excluded, s.job.sentTo = slices.Clone(c.job.excluded), slices.Clone(c.job.sentTo)
+	return s
 }
 
 // handOver makes x the exchange of the next attempt and ends the current one, unless x has
--- a/pkg/entry/continuation_test.go
+++ b/pkg/entry/continuation_test.go
@@ -37,18 +37,16 @@
 func TestNoTargetIsSoughtWhileTheClientReads(t *testing.T) {
 	c, own, _ := newSilentAttempt(t)
 	c.writeBegins()
-	_, ctx, _ := c.begin()
-	assert.Nil(t, ctx)
-	c.writeEnded(own, false)
-	j, ctx, _ := c.begin()
-	require.NotNil(t, ctx, "comments are no progress")
-	assert.Equal(t, []string{"silent"}, j.excluded)
+	assert.Nil(t, c.begin())
+	c.writeEnded(own, 0, false)
+	s := c.begin()
+	require.NotNil(t, s, "comments are no progress")
+	assert.Equal(t, []string{"silent"}, s.job.excluded)
 	c.writeBegins()
-	c.writeEnded(own, true)
-	require.Error(t, ctx.Err(), "an event ends the search")
+	c.writeEnded(own, 1, true)
+	require.Error(t, s.ctx.Err(), "an event ends the search")
 	c.endSearch(time.Hour)
-	_, ctx, _ = c.begin()
-	assert.Nil(t, ctx, "the stream is not silent any more")
+	assert.Nil(t, c.begin(), "the stream is not silent any more")
 	assert.Nil(t, c.stop(own, sendResult{}))
 }
 
@@ -59,18 +57,18 @@
 		givenUp bool
 	}{
 		"silent":         {func(*continuation, *job) {}, true},
-		"event received": {func(c *continuation, j *job) { c.writeEnded(j, true) }, false},
+		"event received": {func(c *continuation, j *job) { c.writeEnded(j, 1, true) }, false},
 		"being written":  {func(c *continuation, _ *job) { c.writeBegins() }, false},
 		// It was cut, because no other target can go on after an event without identifier.
-		"event without identifier": {func(c *continuation, j *job) { j.endsWithoutID = true; c.writeEnded(j, false) }, false},
+		"event without identifier": {func(c *continuation, j *job) { j.endsWithoutID = true; c.writeEnded(j, 1, false) }, false},
 		"no time left":             {func(c *continuation, _ *job) { c.job.deadline = time.Now().Add(minRunTime) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			silent, own, attempt := newSilentAttempt(t)
-			_, search, _ := silent.begin()
+			search := silent.begin()
 			require.NotNil(t, search)
 			c.event(silent, own)
-			assert.Equal(t, c.givenUp, silent.handOver(search, &exchange{assignment: assignment{runID: 7}}))
+			assert.Equal(t, c.givenUp, silent.handOver(search.ctx, &exchange{assignment: assignment{runID: 7}}))
 			if !c.givenUp {
 				silent.endSearch(time.Hour)
 				require.NoError(t, attempt.Err())
@@ -101,16 +99,14 @@
 	c, own, _ := newSilentAttempt(t)
 	own.endsWithoutID = true
 	c.writeBegins()
-	c.writeEnded(own, false)
-	_, search, _ := c.begin()
-	require.Nil(t, search, "no target can go on after it")
+	c.writeEnded(own, 1, false)
+	require.Nil(t, c.begin(), "no target can go on after it")
 	assert.True(t, c.timer.Stop(), "a check is due")
 	own.endsWithoutID = false
 	c.writeBegins()
-	c.writeEnded(own, true)
+	c.writeEnded(own, 2, true)
 	c.progressAt = time.Now().Add(-c.job.eventWait(true))
-	_, search, _ = c.begin()
-	assert.NotNil(t, search)
+	assert.NotNil(t, c.begin())
 	c.endSearch(time.Hour)
 	assert.Nil(t, c.stop(own, sendResult{}))
 }
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -11,9 +13,10 @@
 )
 
 // maxOverlap is the longest time for which a second target may have the request of a
-// stream while the first is still at work on it: much less than the 400 ms after which
-// two targets at work on one request count as a fault.
-const maxOverlap = 150 * time.Millisecond
+// stream while the first is still at work on it: less than the 400 ms after which two
+// targets at work on one request count as a fault, by the time that an ended request takes
+// to reach its target.
+const maxOverlap = 250 * time.Millisecond
 
 // exchange is the request of one attempt and the head of its response. It is used by one
 // goroutine at a time, apart from the one that begin starts.
@@ -34,6 +37,9 @@
 	sent, ended chan struct{}
 	resp        *upstream.Response
 	err         error
+	// prefixErr is the error of the response that is to continue a stream, up to the
+	// first event; nil if it has continued it.
+	prefixErr error
 }
 
 // newExchange returns the exchange of the next attempt, of which nothing is sent yet. ctx
@@ -57,15 +63,54 @@
 }
 
 // begin sends the request in the background.
-func (x *exchange) begin() {
+func (x *exchange) begin() { x.beginThen(func() {}) }
+
+// beginContinuation is begin for a request that continues the stream of j. The exchange has
+// ended when the event has arrived that continues it. started is true if a part of the
+// stream was written to the client.
+func (x *exchange) beginContinuation(j *job, started bool) {
+	if !j.engine {
+		x.begin() // the response is not a stream of events
+		return
+	}
+	s := &eventSplitter{lastID: j.resumeAfter, resumed: started}
+	x.beginThen(func() {
+		if !x.failedHead() {
+			x.prefixErr = x.readFirstEvent(s)
+		}
+	})
+}
+
+// beginThen sends the request in the background, and calls then before it has ended.
+func (x *exchange) beginThen(then func()) {
 	x.sent, x.ended = make(chan struct{}), make(chan struct{})
 	x.request.OnSent = func() { close(x.sent) }
 	go func() {
 		defer close(x.ended)
 		x.resp, x.err = x.roundTrip()
+		then()
 	}()
 }
 
+// readFirstEvent reads the body up to its first event other than comments, which s follows.
+// It returns nil if the event continues the stream, or the body is complete without one.
+func (x *exchange) readFirstEvent(s *eventSplitter) error {
+	err := x.resp.ReadPrefix(maxEventBytes, func(part []byte) (bool, error) {
+		_, err := s.add(part)
+		return s.eventCount > 0, err
+	})
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case len(s.partial) > 0:
+		return errIncompleteEvent
+	case x.resp.EndsWithConnection():
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
 // response returns the response, for which it sends the request unless begin did. Errors
 // are those of upstream.Pool.Do.
 func (x *exchange) response() (*upstream.Response, error) {
@@ -90,21 +135,27 @@
 	return resp, err
 }
 
-// awaitAcceptance waits for the response after begin, and returns early when the target
-// has had the request for maxOverlap or ctx ends.
-func (x *exchange) awaitAcceptance(ctx context.Context) {
+// awaitContinuation waits until an exchange that has begun has ended, or ctx ends. If limit is
+// not 0, it returns errOverlap when the target has had the request for so long.
+func (x *exchange) awaitContinuation(ctx context.Context, limit time.Duration) error {
 	select {
 	case <-x.sent:
 	case <-x.ended:
 	case <-ctx.Done():
 	}
-	overlap := time.NewTimer(maxOverlap)
-	defer overlap.Stop()
+	var over <-chan time.Time // never, without a limit
+	if limit > 0 {
+		overlap := time.NewTimer(limit)
+		defer overlap.Stop()
+		over = overlap.C
+	}
 	select {
 	case <-x.ended:
-	case <-overlap.C:
+	case <-over:
+		return errOverlap
 	case <-ctx.Done():
 	}
+	return nil
 }
 
 // hasEnded reports whether begin was called and the response or an error is there.
@@ -117,12 +168,15 @@
 	}
 }
 
-// failedToContinue reports whether the exchange has ended without a response that may
-// continue a stream.
+// failedToContinue reports whether the exchange has ended without a response that continues
+// a stream.
 func (x *exchange) failedToContinue() bool {
-	if !x.hasEnded() {
-		return false
-	}
+	return x.hasEnded() && (x.failedHead() || x.prefixErr != nil)
+}
+
+// failedHead reports whether there is no response, or one that cannot continue a stream by
+// its head.
+func (x *exchange) failedHead() bool {
 	if x.err != nil {
 		return true
 	}
@@ -130,6 +184,22 @@
 	return !usable || !isSuccess(r.status) || !r.info.Signed || !mayBeEventStream(x.resp.Header)
 }
 
+// received returns what has arrived of the response, as the log names it.
+func (x *exchange) received() string {
+	switch {
+	case !x.hasEnded():
+		return "nothing usable yet"
+	case x.err != nil:
+		return x.err.Error()
+	case x.prefixErr != nil:
+		return x.prefixErr.Error()
+	case x.failedHead():
+		return errUnusableResponse.Error()
+	default:
+		return "event"
+	}
+}
+
 // Causes of an exchange that was abandoned.
 var (
 	errNextRefused = errors.New("the next target refused the stream")
@@ -170,7 +240,7 @@
 	r, usable := x.node.classifyHead(x.resp)
 	switch {
 	case usable:
-		r.kind, r.err = outcomeUnknown, errUnusableResponse
+		r.kind, r.err = outcomeUnknown, cmp.Or(x.prefixErr, errUnusableResponse)
 	case r.kind != outcomeUnknown:
 		r.err = errNextRefused
 	}
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -64,19 +64,19 @@
 func (n *nextTarget) tryNext(t *testing.T, c *continuation) (*exchange, <-chan error) {
 	node := c.node
 	equipNode(node)
-	j, search, _ := c.begin()
-	require.NotNil(t, search)
-	x := node.newExchange(c.requestCtx, j, assignment{target: n.target})
+	s := c.begin()
+	require.NotNil(t, s)
+	s.next = node.newExchange(c.requestCtx, &s.job, assignment{target: n.target})
 	tried := make(chan error, 1)
 	go func() {
-		err := c.try(search, j, x)
+		err := s.try()
 		if err != nil {
 			c.endSearch(time.Hour)
 		}
 		tried <- err
 	}()
 	<-n.received
-	return x, tried
+	return s.next, tried
 }
 
 // A stream that goes on while the next target has its request is not cut, and the request
@@ -86,7 +86,7 @@
 	c, own, attempt := newSilentAttempt(t)
 	_, tried := next.tryNext(t, c)
 	require.True(t, c.writeBegins())
-	c.writeEnded(own, true)
+	c.writeEnded(own, 1, true)
 	require.ErrorIs(t, <-tried, errNotNeeded)
 	<-next.canceled
 	require.NoError(t, attempt.Err())
@@ -157,10 +157,10 @@
 	resp, err := c.current.roundTrip()
 	require.NoError(t, err)
 	defer resp.Close()
-	_, search, _ := c.begin()
+	search := c.begin()
 	require.NotNil(t, search)
 	next := &exchange{assignment: assignment{runID: 7}}
-	require.True(t, c.handOver(search, next))
+	require.True(t, c.handOver(search.ctx, next))
 
 	w := httptest.NewRecorder()
 	cr := &clientResponse{w: w, rc: http.NewResponseController(w), started: true, streaming: true}
@@ -175,10 +175,109 @@
 func TestSilentTargetGetsTheNextRequestOnlyAfterTheAttempt(t *testing.T) {
 	c, own, attempt := newSilentAttempt(t)
 	equipNode(c.node)
-	j, search, _ := c.begin()
-	x := c.node.newExchange(t.Context(), j, c.current.assignment)
-	require.NoError(t, c.try(search, j, x))
+	search := c.begin()
+	x := c.node.newExchange(t.Context(), &search.job, c.current.assignment)
+	search.next = x
+	require.NoError(t, search.try())
 	assert.Nil(t, x.ended, "not sent yet")
 	require.ErrorIs(t, context.Cause(attempt), errStalled)
 	assert.Equal(t, x, c.stop(own, sendResult{kind: outcomeUnknown}))
 }
+
+// startNextStream starts a target that responds to requests with the head of a stream and
+// text, and sends nothing more.
+func startNextStream(t *testing.T, text string) *inventory.Target {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(s.Close)
+	return &inventory.Target{ID: "next", Addr: s.Listener.Addr().String()}
+}
+
+// newSearchBeside returns the search for the next attempt of a stream whose last event is 2,
+// at a next target.
+func newSearchBeside(t *testing.T, next *inventory.Target, d diagnosis) (s *search, attempt context.Context) {
+	c, own, attempt := newSilentAttempt(t)
+	equipNode(c.node)
+	own.resumeAfter = "2"
+	c.job.engine = true
+	c.writeBegins()
+	c.writeEnded(own, 2, false)
+	s = c.begin()
+	require.NotNil(t, s)
+	s.diagnosis = d
+	s.next = c.node.newExchange(c.requestCtx, &s.job, assignment{target: next})
+	return s, attempt
+}
+
+// A silent stream was given up for a target that had responded with a head, or had only had
+// the request for a while, and then did not continue it.
+func TestAttemptIsNotGivenUpBeforeTheNextEvent(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want error
+	}{
+		"head only":           {"", errOverlap},
+		"comment":             {": alive\n\n", errOverlap},
+		"part of an event":    {"id: 3\ndata: a", errOverlap},
+		"begins anew":         {"id: 1\ndata: a\n\n", errEventOrder},
+		"leaves an event out": {"id: 4\ndata: a\n\n", errEventOrder},
+		"no identifier":       {"data: a\n\n", errEventOrder},
+		"the next event":      {": alive\n\nid: 3\ndata: a\n\n", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, attempt := newSearchBeside(t, startNextStream(t, c.text), targetWorking)
+			err := s.try()
+			if c.want != nil {
+				require.ErrorIs(t, err, c.want)
+				require.NoError(t, attempt.Err(), "the attempt goes on")
+				assert.Equal(t, 1, s.c.job.possibleRuns, "it may have run there")
+				return
+			}
+			require.NoError(t, err)
+			require.ErrorIs(t, context.Cause(attempt), errStalled)
+			resp, err := s.next.response()
+			require.NoError(t, err)
+			defer resp.Close()
+			got := make([]byte, len(c.text))
+			_, err = io.ReadFull(resp, got)
+			require.NoError(t, err)
+			assert.Equal(t, c.text, string(got), "what was read ahead is read again")
+		})
+	}
+}
+
+// Guards against two targets at work on one request where nothing can arrive from the first,
+// and against the end of an attempt of which something may.
+func TestAttemptEndsBeforeTheNextEventIfNothingCanArrive(t *testing.T) {
+	for d, ends := range map[diagnosis]bool{
+		targetUnknown: false, targetWorking: false, connectionLost: true, runMissing: true, targetGone: true,
+	} {
+		s, attempt := newSearchBeside(t, startNextStream(t, ""), d)
+		err := s.try()
+		if ends {
+			require.NoError(t, err, d.String())
+			require.ErrorIs(t, context.Cause(attempt), errStalled)
+			s.next.giveUp(nil)
+			continue
+		}
+		require.ErrorIs(t, err, errOverlap, d.String())
+		require.NoError(t, attempt.Err())
+	}
+}
+
+// A target that cannot be reached may answer first: the attempt there goes on until the next
+// target has continued the stream, for as long as that takes.
+func TestAttemptAtAnUnreachableTargetGoesOn(t *testing.T) {
+	s, attempt := newSearchBeside(t, startNextStream(t, ""), targetUnreachable)
+	assert.Zero(t, s.raceLimit(), "no attempt would be left without the next one")
+	time.AfterFunc(2*maxOverlap, s.c.cancelSearch) // as an event does
+	require.ErrorIs(t, s.try(), errNotNeeded)
+	require.NoError(t, attempt.Err())
+	s.job.Route.MaxAttempts = 9
+	assert.Equal(t, minFirstEventWait, s.raceLimit())
+}
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -69,6 +69,7 @@
 	// SetHeadObserver sets the function that is called with the status and header of
 	// each response of a target; source says to what.
 	SetHeadObserver(func(t *inventory.Target, source string, status int, h http.Header))
+	prober
 }
 
 // Deps holds the dependencies of a node.
@@ -100,6 +101,13 @@
 	Report(ctx context.Context, t *inventory.Target) (inventory.Report, error)
 }
 
+// prober requests the state of a target over a new connection.
+type prober interface {
+	// Probe returns the report of a target. Its error is an *upstream.SendError if no
+	// connection was made, and inventory.ErrOtherTarget if another target has the address.
+	Probe(ctx context.Context, t *inventory.Target) (inventory.Report, error)
+}
+
 // Metrics is the exported name of nodeMetrics, which holds the counters and
 // histograms of one node.
 type Metrics = nodeMetrics
@@ -132,6 +140,7 @@
 	metrics        *nodeMetrics
 	fallbackQuery  fallbackQuery
 	reporter       reporter
+	probes         targetProbes
 	budgets        budgets
 	guard          *promptGuard
 	usages         targetUsages
@@ -235,6 +244,7 @@
 	n.bounds.Store(&d.Settings.Bounds)
 	n.fallbackQuery.ownerReached(n.started)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.probes.targets, n.probes.ctx = d.Targets, n.ctx
 	n.untilStop, n.beginStop = context.WithCancel(context.Background())
 	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
 	n.handler = n
--- /dev/null
+++ b/pkg/entry/silence_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/route"
+	"almondturn/pkg/upstream"
+)
+
+// Guards against streams that are given up, and last attempts that are spent, because of
+// silence alone.
+func TestSilenceAloneDoesNotSpendTheLastAttempt(t *testing.T) {
+	const lastChance = 3 * time.Second
+	for _, c := range []struct {
+		diagnosis    diagnosis
+		attemptsLeft int
+		silence      time.Duration
+		want         silenceResponse
+	}{
+		{targetUnknown, 1, lastChance - 1, stay},
+		{targetWorking, 1, lastChance - 1, stay},
+		{targetUnknown, 1, lastChance, race},
+		{targetWorking, 1, lastChance, race},
+		{targetUnknown, 2, 0, race},
+		{targetWorking, 2, 0, race},
+		{targetWorking, 2, lastChance, race},
+		{connectionLost, 1, 0, leave},
+		{runMissing, 1, 0, leave},
+		{targetGone, 1, 0, leave},
+		{targetUnreachable, 1, 0, leave},
+		{targetUnreachable, 2, lastChance, leave},
+		{targetGone, 0, lastChance, stay},
+		{targetWorking, 0, lastChance, stay},
+	} {
+		assert.Equal(t, c.want, respondToSilence(c.diagnosis, c.attemptsLeft, c.silence, lastChance), "%s, %d attempts left, silent for %s", c.diagnosis, c.attemptsLeft, c.silence)
+	}
+}
+
+// Guards against a decision so late that the client has left.
+func TestLastChanceIsBeforeTheClientLeaves(t *testing.T) {
+	j := &job{Request: &Request{Route: &route.Route{Kind: route.Stream, FirstEventTimeout: 4 * time.Second}}}
+	assert.Equal(t, 3*time.Second, j.lastChance())
+	j.Route.FirstEventTimeout = 0
+	assert.Equal(t, 2*minNextEventWait, j.lastChance())
+}
+
+// Guards against a sound target that is taken for one that has failed, and the reverse.
+func TestDiagnosisOfASilentTarget(t *testing.T) {
+	target := &inventory.Target{ID: "t", Incarnation: 7}
+	runs := func(made int) map[string]int { return map[string]int{"other": 9, "r1": made} }
+	notSent := func(err error) error { return fmt.Errorf("report: %w", &upstream.SendError{Err: err}) }
+	for name, c := range map[string]struct {
+		report inventory.Report
+		err    error
+		want   diagnosis
+	}{
+		"run with the events that arrived": {inventory.Report{Incarnation: 7, Running: 2, Runs: runs(12)}, nil, targetWorking},
+		"run with fewer events":            {inventory.Report{Incarnation: 7, Running: 2, Runs: runs(3)}, nil, targetWorking},
+		"run with more events":             {inventory.Report{Incarnation: 7, Running: 2, Runs: runs(13)}, nil, connectionLost},
+		"no such run":                      {inventory.Report{Incarnation: 7, Running: 1, Runs: map[string]int{"other": 1}}, nil, runMissing},
+		"no run at all":                    {inventory.Report{Incarnation: 7, Runs: map[string]int{}}, nil, runMissing},
+		"no such run, but one waits":       {inventory.Report{Incarnation: 7, Running: 1, Waiting: 1, Runs: map[string]int{"other": 1}}, nil, targetUnknown},
+		"no such run in a partial list":    {inventory.Report{Incarnation: 7, Running: 2, Runs: map[string]int{"other": 1}}, nil, targetUnknown},
+		"no list of runs":                  {inventory.Report{Incarnation: 7, Running: 2}, nil, targetUnknown},
+		"another incarnation":              {inventory.Report{Incarnation: 8, Runs: runs(12)}, nil, targetGone},
+		"another target":                   {inventory.Report{}, fmt.Errorf("report: %w", inventory.ErrOtherTarget), targetGone},
+		"refused":                          {inventory.Report{}, notSent(&net.OpError{Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}), targetGone},
+		"no connection in time":            {inventory.Report{}, notSent(context.DeadlineExceeded), targetUnreachable},
+		"dial timeout":                     {inventory.Report{}, notSent(&net.OpError{Err: os.ErrDeadlineExceeded}), targetUnreachable},
+		"no path":                          {inventory.Report{}, notSent(&net.OpError{Err: os.NewSyscallError("connect", syscall.EHOSTUNREACH)}), targetUnreachable},
+		"no report in time":                {inventory.Report{}, &upstream.SendError{Sent: true, Err: context.DeadlineExceeded}, targetUnknown},
+		"reset once connected":             {inventory.Report{}, &upstream.SendError{Sent: true, Err: syscall.ECONNRESET}, targetUnknown},
+		"unreadable":                       {inventory.Report{}, errors.New("decode report"), targetUnknown},
+	} {
+		assert.Equal(t, c.want, diagnose(c.report, c.err, attemptState{"r1", target, "12", 4}), name)
+	}
+}
+
+// Targets may count the events of a run that continues a stream from either beginning.
+func TestEventsOfAContinuedRunAreCountedFromEitherBeginning(t *testing.T) {
+	assert.Equal(t, 12, attemptState{lastEventID: "12", eventCount: 4}.eventsArrived())
+	assert.Equal(t, 4, attemptState{lastEventID: "x", eventCount: 4}.eventsArrived())
+	assert.Equal(t, 4, attemptState{eventCount: 4}.eventsArrived())
+}
+
+// heldProber counts its probes and holds them back.
+type heldProber struct {
+	probes  atomic.Int32
+	release chan struct{}
+}
+
+// Probe implements prober.
+func (p *heldProber) Probe(ctx context.Context, _ *inventory.Target) (inventory.Report, error) {
+	p.probes.Add(1)
+	select {
+	case <-p.release:
+		return inventory.Report{Runs: map[string]int{"r1": 0}}, nil
+	case <-ctx.Done():
+		return inventory.Report{}, &upstream.SendError{Sent: true, Err: ctx.Err()}
+	}
+}
+
+// Guards against a probe for each stream of a target that has fallen silent.
+func TestStreamsOfATargetShareItsProbe(t *testing.T) {
+	held := &heldProber{release: make(chan struct{})}
+	probes := &targetProbes{targets: held, ctx: t.Context()}
+	target := &inventory.Target{ID: "t"}
+	var wg sync.WaitGroup
+	for range 100 {
+		wg.Go(func() { probes.diagnose(t.Context(), attemptState{requestID: "r1", target: target}) })
+	}
+	require.Eventually(t, func() bool { return held.probes.Load() == 1 }, time.Minute, time.Millisecond)
+	close(held.release)
+	wg.Wait()
+	assert.Equal(t, targetWorking, probes.diagnose(t.Context(), attemptState{requestID: "r1", target: target}), "a recent result is used again")
+	assert.EqualValues(t, 1, held.probes.Load())
+	probes.recent[noticeKey(target)].ended = time.Now().Add(-probeReuse)
+	probes.diagnose(t.Context(), attemptState{requestID: "r1", target: target})
+	assert.EqualValues(t, 2, held.probes.Load(), "an old one is not")
+	probes.diagnose(t.Context(), attemptState{requestID: "r1", target: &inventory.Target{ID: "t", Incarnation: 1}})
+	assert.EqualValues(t, 3, held.probes.Load(), "nor that of another incarnation")
+}
+
+// A target that accepts a connection and never answers must not hold up the search.
+func TestProbeEndsWithoutAnAnswer(t *testing.T) {
+	probes := &targetProbes{targets: &heldProber{}, ctx: t.Context()}
+	assert.Equal(t, targetUnknown, probes.diagnose(t.Context(), attemptState{target: &inventory.Target{ID: "t"}}))
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -57,7 +57,7 @@
 					return out
 				}
 				j.resumeAfter, j.endsWithoutID = s.lastID, s.endsWithoutID
-				c.writeEnded(j, s.idCount > idCount) // other bytes, such as comments, are no progress
+				c.writeEnded(j, s.eventCount, s.idCount > idCount) // other bytes, such as comments, are no progress
 				idCount = s.idCount
 				n.guard.progressed(j)
 			}
--- a/pkg/inventory/inventory.go
+++ b/pkg/inventory/inventory.go
@@ -4,6 +4,7 @@
 package inventory
 
 import (
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -97,6 +98,10 @@
 	}
 }
 
+// ErrOtherTarget is the error of a state query that another target has answered, because
+// the one that was queried has gone and its address is in use again.
+var ErrOtherTarget = errors.New("another target has the address")
+
 // Report is the response of a target to a state query. The state in it may be
 // some hundred milliseconds old; MaxAge is the bound, where one is known.
 type Report struct {
@@ -112,6 +117,9 @@
 	// Running and Waiting are the numbers of requests that run and that wait
 	// for a slot at the target.
 	Running, Waiting int
+	// Runs holds the numbers of events that the runs in progress have made, by the
+	// identifiers of their requests; nil if the report does not list the runs.
+	Runs map[string]int
 	// InMemory and OnDisk are as in Target.
 	InMemory, OnDisk []string
 	// MaxAge is the maximum age of the state; 0 if no bound is known, as in the
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -96,6 +96,10 @@
 	stopCloseOnDone func() bool
 	// complete reports whether the body was read to its end.
 	complete bool
+	// prefix is what ReadPrefix has read and Read has not returned yet, prefixErr the
+	// error of the read after it.
+	prefix    []byte
+	prefixErr error
 }
 
 // Do sends the request to addr and returns the response headers. The end of ctx
@@ -203,6 +207,14 @@
 // Read implements io.Reader. It returns io.EOF after a complete body, and
 // io.ErrUnexpectedEOF after a truncated one.
 func (r *Response) Read(b []byte) (int, error) {
+	if n, ok, err := r.readPrefix(b); ok {
+		return n, err
+	}
+	return r.readBody(b)
+}
+
+// readBody is Read for what ReadPrefix has not read.
+func (r *Response) readBody(b []byte) (int, error) {
 	n, err := r.resp.Body.Read(b)
 	if errors.Is(err, io.EOF) {
 		r.complete = true
