--- a/scenarios/processes_test.go
+++ b/scenarios/processes_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -23,6 +24,7 @@
 	"almondturn/pkg/localcluster"
 	"almondturn/pkg/node"
 	"almondturn/pkg/standin/faultproxy"
+	"almondturn/pkg/standin/nodeoutput"
 )
 
 // configPathEnv is the environment variable that makes the test binary run one
@@ -58,6 +60,7 @@
 	// storeProxies are between each node and the key-value service, peerProxies in
 	// front of each node's listener for other nodes.
 	storeProxies, peerProxies map[fleet.NodeID]*faultproxy.Proxy
+	output                    *nodeoutput.Collector
 
 	mu sync.Mutex // guards running and exited
 	// configs is complete before the first process is started.
@@ -77,7 +80,7 @@
 	d, err := startDeployment(options)
 	require.NoError(t, err)
 	p := &processCluster{
-		deployment: d, t: t, configDir: t.TempDir(),
+		deployment: d, t: t, configDir: t.TempDir(), output: nodeoutput.New(os.Stderr),
 		storeProxies: map[fleet.NodeID]*faultproxy.Proxy{}, peerProxies: map[fleet.NodeID]*faultproxy.Proxy{},
 		configs: map[fleet.NodeID]*config.Config{}, running: map[fleet.NodeID]*exec.Cmd{}, exited: map[fleet.NodeID]chan struct{}{},
 	}
@@ -146,7 +149,7 @@
 	}
 	cmd := exec.Command(os.Args[0], "-test.run=^$")
 	cmd.Env = append(os.Environ(), configPathEnv+"="+p.configPath(id))
-	cmd.Stderr = os.Stderr
+	cmd.Stderr = p.output.Writer(string(id))
 	if err := cmd.Start(); err != nil {
 		p.t.Errorf("start node %s: %v", id, err)
 		return
@@ -198,18 +201,18 @@
 		return nil
 	}
 	defer close(done)
-	if err := cmd.Process.Signal(s); err != nil {
-		return err
-	}
-	return cmd.Wait()
+	err := cmd.Process.Signal(s) // fails if the process has ended by itself
+	return errors.Join(err, cmd.Wait())
 }
 
-// stop ends all nodes and the stand-ins.
+// stop ends all nodes and the stand-ins. The test fails if a node process has reported a
+// data race or crashed.
 func (p *processCluster) stop() {
 	for _, id := range p.nodeIDs {
 		_ = p.signalAndWait(id, syscall.SIGKILL) // also ends a suspended process
 	}
 	p.Stop()
+	assert.Empty(p.t, p.output.Faults(), "data races and crashes of node processes")
 }
 
 // awaitOK returns when every node has served a request for the model.
