--- a/pkg/standin/nodeoutput/nodeoutput.go
+++ b/pkg/standin/nodeoutput/nodeoutput.go
@@ -73,3 +73,18 @@
 	}
 	return lines
 }
+
+// Lines returns the lines that contain a text, in the order of the processes.
+func (c *Collector) Lines(text string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var lines []string
+	for _, o := range c.outputs {
+		for line := range bytes.Lines(o.text.Bytes()) {
+			if bytes.Contains(line, []byte(text)) {
+				lines = append(lines, string(line))
+			}
+		}
+	}
+	return lines
+}
--- a/pkg/standin/nodeoutput/nodeoutput_test.go
+++ b/pkg/standin/nodeoutput/nodeoutput_test.go
@@ -67,3 +67,11 @@
 	assert.Equal(t, []string{"process of node a: WARNING: DATA RACE"}, c.Faults())
 	assert.Equal(t, "==================\nWARNING: DAa line of the other node\nTA RACE\n", forwarded.String())
 }
+
+func TestLinesContainTheText(t *testing.T) {
+	c := New(io.Discard)
+	a, b := c.Writer("a"), c.Writer("b")
+	_, _ = io.WriteString(b, "r1 there\nr2\n")
+	_, _ = io.WriteString(a, "r2\nr1 here\n")
+	assert.Equal(t, []string{"r1 here\n", "r1 there\n"}, c.Lines("r1"))
+}
