--- a/pkg/inventory/inventory.go
+++ b/pkg/inventory/inventory.go
@@ -118,3 +118,13 @@
 	// platform's reports.
 	MaxAge time.Duration
 }
+
+// SplitAdapter returns the model and the name of an adapter that is given as
+// MODEL/NAME@VERSION. ok is false if the text has another form.
+func SplitAdapter(text string) (model, name string, ok bool) {
+	at, slash := strings.LastIndexByte(text, '@'), strings.LastIndexByte(text, '/')
+	if slash <= 0 || at <= slash+1 {
+		return "", "", false
+	}
+	return text[:slash], text[slash+1 : at], true
+}
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -167,6 +167,7 @@
 	t.sequence = r.Sequence
 	t.phase, t.order = noOrder, nil
 	t.setModels(r.Models)
+	t.addLoadingAdapters(now, r.AdaptersLoading)
 	info := *t.info
 	info.InMemory, info.OnDisk = r.InMemory, r.OnDisk
 	t.setInfo(&info)
@@ -178,6 +179,18 @@
 	}
 }
 
+// addLoadingAdapters adds the adapters that a report lists as being loaded. They take
+// memory and adapter slots, and get no runs until a report lists them as loaded.
+func (t *target) addLoadingAdapters(now time.Time, names []string) {
+	for _, n := range names {
+		model, name, ok := inventory.SplitAdapter(n)
+		if r := t.replicas[model]; ok && r != nil && r.adapters[name] == nil {
+			r.adapters[name] = &adapter{unconfirmed: true, lastUsed: now}
+			t.nextReportAt = now.Add(reportInterval)
+		}
+	}
+}
+
 // ReportFailed records that a requested report was not received. The target gets
 // no requests until the next one is due, unless it is loading a model.
 func (s *Scheduler) ReportFailed(now time.Time, id string) {
--- a/pkg/scheduler/orders_test.go
+++ b/pkg/scheduler/orders_test.go
@@ -226,3 +226,31 @@
 	assert.Equal(t, Load, load.Operation)
 	assert.Equal(t, "w", load.Adapter)
 }
+
+// Guards against one adapter too many at a target that is still loading another one: a
+// report lists that one apart from the loaded ones, and its slot was counted as free.
+func TestAdapterThatIsLoadingKeepsItsSlot(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil))
+	loaded := []inventory.LoadedModel{{Name: "m0", Adapters: []string{"x"}}}
+	// The second of both adapter slots is that of y, ordered by the owner before.
+	z.ReportReceived(z.now, "a", inventory.Report{Models: loaded, AdaptersLoading: []string{"m0/y@1"}, Sequence: 1})
+	r := z.request("m0")
+	r.Adapter = "w"
+	first := only[SendOrder](t, z.submitAndStep(r)).Order
+	assert.Equal(t, Order{Target: "a", Operation: Unload, Model: "m0", Adapter: "x", Sequence: 1}, first)
+	z.OrderResultReceived(z.now, first, OrderDone)
+	assert.Equal(t, Load, only[SendOrder](t, z.Step(z.now)).Order.Operation, "into the slot of x")
+}
+
+// Guards against requests for an adapter that is still being loaded, and against a second
+// order for it.
+func TestAdapterThatIsLoadingServesWhenAReportListsIt(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil))
+	z.ReportReceived(z.now, "a", inventory.Report{Models: []inventory.LoadedModel{{Name: "m0"}}, AdaptersLoading: []string{"m0/y@1", "unreadable"}, Sequence: 1})
+	r := z.request("m0")
+	r.Adapter = "y"
+	assert.Empty(t, z.submitAndStep(r), "neither a grant nor an order")
+	only[RequestReport](t, z.stepAfter(reportInterval))
+	z.ReportReceived(z.now, "a", inventory.Report{Models: []inventory.LoadedModel{{Name: "m0", Adapters: []string{"y"}}}, AdaptersLoading: []string{"m0/y@2"}, Sequence: 1})
+	only[Grant](t, z.Step(z.now)) // also while a newer version is loaded
+}
