--- a/scenarios/processes_test.go
+++ b/scenarios/processes_test.go
@@ -146,7 +146,7 @@
 	}
 	cmd := exec.Command(os.Args[0], "-test.run=^$")
 	cmd.Env = append(os.Environ(), configPathEnv+"="+p.configPath(id))
-	cmd.Stderr = os.Stderr
+	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr // log lines go to the standard output
 	if err := cmd.Start(); err != nil {
 		p.t.Errorf("start node %s: %v", id, err)
 		return
