--- a/pkg/zoneowner/authority.go
+++ b/pkg/zoneowner/authority.go
@@ -1,6 +1,8 @@
 package zoneowner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"almondturn/fleet"
@@ -20,16 +22,25 @@
 	// peerTimeout is how long after the last contact a peer still counts as
 	// able to acquire the zone.
 	peerTimeout = time.Minute
+	// maxTimeWithoutLease bounds how long an owner sends orders under peer leases
+	// alone, and how long a node that the owner has not recorded waits before it
+	// acquires the zone.
+	maxTimeWithoutLease = 2 * time.Minute
 )
 
 // authority decides until when an owner may send orders: while its lease in
 // the key-value service is valid, or while every node of the zone that could
-// acquire the zone has granted it a peer lease. Times are those of
-// Config.BootClock, which continues while the VM is suspended. It is guarded by
-// Owner.mu.
+// acquire the zone has granted it a peer lease: the nodes that the last-owner record
+// names. Another node acquires the zone only when the owner has not renewed the lease
+// for maxTimeWithoutLease. Times are those of Config.BootClock, which continues while
+// the VM is suspended. It is guarded by Owner.mu.
 type authority struct {
 	leaseUntil time.Time
-	peers      map[fleet.NodeID]*peer
+	// withoutLeaseUntil is when the authority under peer leases ends unless the lease
+	// is renewed; zero for no end.
+	withoutLeaseUntil time.Time
+	peers             map[fleet.NodeID]*peer
+	recorded          recordedPeers
 	// lapsed is true if the authority has ended at a time since the lease was last
 	// renewed. Another node may have been the owner then.
 	lapsed bool
@@ -45,6 +56,7 @@
 // request sent at the given time.
 func (a *authority) leaseRenewed(sent time.Time, ttl time.Duration) {
 	a.leaseUntil = latest(a.leaseUntil, sent.Add(ttl-leaseMargin))
+	a.withoutLeaseUntil = latest(a.withoutLeaseUntil, sent.Add(maxTimeWithoutLease-leaseMargin))
 	a.lapsed = false
 }
 
@@ -80,8 +92,8 @@
 	p.lastContact = now
 }
 
-// nodeStopped records that a node has shut down, so that it cannot acquire the
-// zone any more.
+// nodeStopped records that a node has shut down. It counts until the last-owner record
+// no longer names it: its next incarnation could acquire the zone.
 func (a *authority) nodeStopped(now time.Time, id fleet.NodeID) {
 	a.recordLapse(now)
 	delete(a.peers, id)
@@ -97,28 +109,66 @@
 	}
 }
 
-// validUntil returns when the authority ends unless it is extended. Peer
-// leases authorize an owner only if it knows of at least one other node; an
-// owner that knows of none has only its lease. Nodes without contact for
-// peerTimeout are removed.
+// peersWritten records that a last-owner record that names the nodes with the given
+// identifiers is being written.
+func (a *authority) peersWritten(ids []fleet.NodeID) { a.recorded.written(ids) }
+
+// peersRecorded records that the last-owner record names the nodes with the given
+// identifiers and no other.
+func (a *authority) peersRecorded(now time.Time, ids []fleet.NodeID) {
+	a.recordLapse(now)
+	a.recorded.confirmed(ids)
+}
+
+// peersToRecord returns the nodes that the last-owner record should name, and whether
+// it may name others.
+func (a *authority) peersToRecord() (ids []fleet.NodeID, changed bool) {
+	ids = slices.Sorted(maps.Keys(a.peers))
+	return ids, a.recorded.differ(ids)
+}
+
+// validUntil returns when the authority ends unless it is extended. Nodes without
+// contact for peerTimeout are removed.
 func (a *authority) validUntil(now time.Time) time.Time {
+	until := a.grantedUntil(now)
+	if end := a.withoutLeaseUntil; !end.IsZero() && end.Before(until) {
+		until = latest(a.leaseUntil, end)
+	}
+	return until
+}
+
+// grantedUntil is validUntil without the end of the authority under peer leases alone.
+// Peer leases authorize an owner only if the last-owner record names at least one
+// node; an owner that has recorded none has only its lease.
+func (a *authority) grantedUntil(now time.Time) time.Time {
+	a.removeSilentPeers(now)
+	if len(a.peers) == 0 || a.recorded.maybeNone {
+		return a.leaseUntil
+	}
 	peerLeasesUntil := now.Add(PeerLeaseTTL)
-	for id, p := range a.peers {
-		if now.Sub(p.lastContact) > peerTimeout {
-			delete(a.peers, id)
-			a.lapsed = a.lapsed || a.leaseUntil.Before(now)
-			continue
-		}
+	for _, p := range a.peers {
 		if p.peerLeaseUntil.Before(peerLeasesUntil) {
 			peerLeasesUntil = p.peerLeaseUntil
 		}
 	}
-	if len(a.peers) == 0 {
-		return a.leaseUntil
+	for id := range a.recorded.ids {
+		if a.peers[id] == nil {
+			return a.leaseUntil
+		}
 	}
 	return latest(a.leaseUntil, peerLeasesUntil)
 }
 
+// removeSilentPeers removes the nodes without contact for peerTimeout.
+func (a *authority) removeSilentPeers(now time.Time) {
+	for id, p := range a.peers {
+		if now.Sub(p.lastContact) > peerTimeout {
+			delete(a.peers, id)
+			a.lapsed = a.lapsed || a.leaseUntil.Before(now)
+		}
+	}
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/scheduler"
@@ -109,6 +110,9 @@
 	}
 	if err := o.acquire(ctx, current); err != nil {
 		event.ZoneTakeFailed.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Err(err).Send()
+		if errors.Is(err, errNotRecorded) {
+			return time.Second
+		}
 		return electionRetryDelay
 	}
 	return time.Second
@@ -146,15 +150,18 @@
 // content of the owner key that it overwrites: empty, inherited from before a restore,
 // or written by an earlier incarnation of this node. Errors wrap those of the key-value service.
 func (o *Owner) acquire(ctx context.Context, replaced ownerEntry) error {
+	lastOwner, revision, err := o.readLastOwner(ctx)
+	if err != nil {
+		return err
+	}
+	if err := o.checkRecorded(ctx, lastOwner, revision); err != nil {
+		return err
+	}
 	sent := o.cfg.BootClock()
 	lease, err := o.cfg.Store.GrantLease(ctx, o.leaseTTL)
 	if err != nil {
 		return fmt.Errorf("grant lease: %w", err)
 	}
-	lastOwner, revision, err := o.readLastOwner(ctx)
-	if err != nil {
-		return err
-	}
 	record, token, err := o.writeOwnKey(ctx, replaced.revision, lease)
 	if err != nil {
 		o.refreshKey(ctx, OwnerKey(o.cfg.Self.Zone))
@@ -162,14 +169,15 @@
 	}
 	acquired := o.cfg.BootClock()
 	ordersFrom := o.earliestOrder(lastOwner, token.Era(), acquired)
-	next := lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, HandoverPending: ordersFrom.After(acquired)}
+	peers := o.connectedPeers()
+	next := lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, HandoverPending: ordersFrom.After(acquired), Peers: peers}
 	if err := o.writeLastOwner(ctx, next, revision); err != nil {
 		// Without the record, the next owner would not wait for the handover
 		// delay after this one.
 		_ = o.cfg.Store.RevokeLease(ctx, lease)
 		return fmt.Errorf("write the last-owner record: %w", err)
 	}
-	if !o.beginTerm(ownerEntry{record, token}, lease, sent, ordersFrom, ordersFrom.After(acquired)) {
+	if !o.beginTerm(ownerEntry{record, token}, lease, sent, ordersFrom, ordersFrom.After(acquired), peers) {
 		_ = o.cfg.Store.RevokeLease(ctx, lease) // if this fails, the lease expires
 		return errStopping
 	}
@@ -195,10 +203,10 @@
 // leaseRequested is when the
 // request for the lease was sent, ordersFrom when the first order may be sent;
 // both are times of BootClock. handoverPending reports whether the end of the
-// handover delay must still be recorded. The term is independent of the context
-// of Run; endTerm ends it. beginTerm returns false, and starts nothing, if the node
+// handover delay must still be recorded; peers are the nodes that the last-owner record
+// names. The term is independent of the context of Run; endTerm ends it. beginTerm returns false, and starts nothing, if the node
 // is stopping.
-func (o *Owner) beginTerm(entry ownerEntry, lease kv.LeaseID, leaseRequested, ordersFrom time.Time, handoverPending bool) bool {
+func (o *Owner) beginTerm(entry ownerEntry, lease kv.LeaseID, leaseRequested, ordersFrom time.Time, handoverPending bool, peers []fleet.NodeID) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &term{
 		token: entry.revision, lease: lease, ordersFrom: ordersFrom, handoverPending: handoverPending, ctx: ctx, cancel: cancel,
@@ -206,6 +214,10 @@
 		waiting:   map[scheduler.Ticket]waitingRequest{},
 	}
 	t.authority.leaseRenewed(leaseRequested, o.leaseTTL)
+	t.authority.recorded.confirmed(peers)
+	for _, id := range peers {
+		t.authority.nodeConnected(o.cfg.BootClock(), id)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.stopping {
--- a/pkg/zoneowner/lastowner.go
+++ b/pkg/zoneowner/lastowner.go
@@ -26,6 +26,9 @@
 	// owner resigned, negative if the owner before it may send orders after that. It
 	// is zero if the owner has not resigned.
 	LastOrderAge time.Duration `json:"age,omitempty"`
+	// Peers are the nodes under whose peer leases the owner may send orders when its
+	// lease has ended. If there are none, it sends orders under its lease only.
+	Peers []fleet.NodeID `json:"peers,omitempty"`
 }
 
 // LastOwnerKey returns the key of the record of a zone's last owner.
--- a/pkg/zoneowner/lease.go
+++ b/pkg/zoneowner/lease.go
@@ -10,8 +10,8 @@
 	"almondturn/pkg/kv"
 )
 
-// renewLeaseLoop renews the term's lease until the term ends. It also records
-// the end of the handover delay, registers the owner again if the lease has
+// renewLeaseLoop renews the term's lease until the term ends. It also records the
+// peers of the term and the end of the handover delay, registers the owner again if the lease has
 // expired, and ends the term if another node became the owner in between or if
 // this node has had no authority for longer than a lease.
 func (o *Owner) renewLeaseLoop(t *term) {
@@ -30,6 +30,9 @@
 		switch {
 		case err == nil:
 			t.authority.leaseRenewed(sent, o.leaseTTL)
+			o.mu.Unlock()
+			o.recordPeers(t)
+			continue
 		case errors.Is(err, kv.ErrLeaseExpired):
 			if o.cfg.Store.Era() == t.token.Era() {
 				t.authority.leaseLost()
@@ -58,7 +61,7 @@
 	if err != nil || lastOwner.Addr != o.cfg.Self.Addr {
 		return // retried at the next renewal, which may also find another owner
 	}
-	if err := o.writeLastOwner(t.ctx, lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: lastOwner.Token}, revision); err != nil {
+	if err := o.writeTermRecord(t.ctx, t, lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: lastOwner.Token}, revision); err != nil {
 		return
 	}
 	o.mu.Lock()
@@ -66,12 +69,13 @@
 	o.mu.Unlock()
 }
 
-// endIfUnauthorized ends a term that has had no authority for longer than the
-// lease, so that the nodes of its waiting requests look for another owner. o.mu
-// must be held.
+// endIfUnauthorized ends a term that has had neither lease nor peer leases for longer
+// than the lease, so that the nodes of its waiting requests look for another owner. A
+// term whose authority has ended although its peer leases are valid goes on to grant
+// slots. o.mu must be held.
 func (o *Owner) endIfUnauthorized(t *term) {
 	boot := o.cfg.BootClock()
-	if boot.Sub(t.authority.validUntil(boot)) > o.leaseTTL {
+	if boot.Sub(t.authority.grantedUntil(boot)) > o.leaseTTL {
 		o.endTerm(t, "neither lease nor promises")
 	}
 }
@@ -160,7 +164,9 @@
 		return time.Time{}, fmt.Errorf("node at %s became the owner after the lease expired: %w", lastOwner.Addr, errOtherOwner)
 	}
 	if !restored {
-		return ordersFrom, nil
+		// A node that the record does not name waits for as long as the record is
+		// unchanged.
+		return ordersFrom, o.writeTermRecord(ctx, t, lastOwner, revision)
 	}
 	// The record of the last owner is older than this term, or names an earlier one
 	// of this node: it does not show whether another node was the owner before the
@@ -170,7 +176,7 @@
 		ordersFrom = latest(ordersFrom, now.Add(o.maxHandoverDelay()))
 	}
 	next := lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, HandoverPending: ordersFrom.After(now)}
-	return ordersFrom, o.writeLastOwner(ctx, next, revision)
+	return ordersFrom, o.writeTermRecord(ctx, t, next, revision)
 }
 
 // isCurrent reports whether the term still lasts.
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -149,6 +149,7 @@
 	// peerLeaseOwnerAddr.
 	peerLeaseUntil     time.Time
 	peerLeaseOwnerAddr string
+	unrecordedWait     unrecordedWait
 	targetsReceived    bool
 	stopping           bool
 	term               *term
--- a/pkg/zoneowner/restore_test.go
+++ b/pkg/zoneowner/restore_test.go
@@ -364,10 +364,11 @@
 		peer       bool          // a peer lease is valid
 		lapsed     bool          // it was granted after a gap
 		want       time.Duration
+		wantPeers  []fleet.NodeID // in the record
 	}{
 		"lease valid":                  {leaseEnded: -time.Second},
-		"peer lease valid":             {leaseEnded: time.Second, peer: true},
-		"peer lease after a gap":       {leaseEnded: time.Second, peer: true, lapsed: true, want: testHandoverDelay + handoverMargin + defaultLeaseTTL},
+		"peer lease valid":             {leaseEnded: time.Second, peer: true, wantPeers: []fleet.NodeID{"n2"}},
+		"peer lease after a gap":       {leaseEnded: time.Second, peer: true, lapsed: true, want: testHandoverDelay + handoverMargin + defaultLeaseTTL, wantPeers: []fleet.NodeID{"n2"}},
 		"neither lease nor peer lease": {leaseEnded: time.Second, want: testHandoverDelay + handoverMargin + defaultLeaseTTL},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -388,7 +389,7 @@
 			assert.Equal(t, c.want == 0, mayOrder, "until it is registered in the new era")
 			lastOwner, _, err := o.readLastOwner(t.Context())
 			require.NoError(t, err)
-			assert.Equal(t, lastOwnerRecord{Addr: ownAddr, Token: inEra(2, 120), HandoverPending: c.want > 0}, lastOwner)
+			assert.Equal(t, lastOwnerRecord{Addr: ownAddr, Token: inEra(2, 120), HandoverPending: c.want > 0, Peers: c.wantPeers}, lastOwner)
 		})
 	}
 }
--- a/spec/zones.pml
+++ b/spec/zones.pml
@@ -11,6 +11,11 @@
  * step. Time advances in ticks; a renewal or peer lease request that is not chosen
  * was lost.
  *
+ * With UNMET, the other nodes are those that the record of the last owner names: node
+ * 2, and the other candidate from when the owner has met it. A candidate that it does
+ * not name acquires the zone only WITHOUT_LEASE ticks after the zone became free, and
+ * the owner sends orders without a lease for as long.
+ *
  * Checked: orders of two nodes are at least HANDOVER_DELAY ticks apart.
  *
  * Mutants (spec/check runs all except NO_PROMISE_WAIT and NEWCOMER_SHORT):
@@ -28,6 +33,10 @@
  *                       not keep the delay
  *   PROMISE_UNREAD      a node grants a peer lease before it has read that the
  *                       record of the last owner names the requesting owner
+ *   UNRECORDED_AT_ONCE  a candidate that the record does not name does not wait
+ *                       (with UNMET)
+ *   NO_BOUND            an owner sends orders under peer leases for as long as they last
+ *                       (with UNMET)
  */
 /* The model is written for exactly 3 nodes. */
 #ifndef NODES
@@ -43,6 +52,10 @@
 #define LEASE_TIME 2		/* ticks until the lease of the key expires */
 #define PEER_LEASE_TIME 2	/* ticks until a peer lease expires */
 #define HANDOVER_DELAY 2	/* ticks between the orders of two owners */
+#ifndef WITHOUT_LEASE
+/* with UNMET */
+#define WITHOUT_LEASE 2		/* ticks that an owner sends orders without its lease, and that an unrecorded node waits */
+#endif
 #define LEASE_MARGIN 1		/* ticks by which an owner trusts leases for less than their time */
 
 byte now; /* time in ticks */
@@ -56,6 +69,23 @@
 /* Also in the record: set when a new owner has to keep a handover delay, cleared when
  * it records that the delay is over. */
 bit handoverPending;
+#ifdef UNMET
+/* Also in the record: whether it names the other candidate. */
+bit candidateRecorded;
+byte freeSince;			/* when the zone became free; 0 while it has an owner */
+bit metCandidate[NODES];	/* whether the owner's own record names the other candidate */
+#define MUST_GRANT(owner) metCandidate[owner]
+#define ZONE_FREED freeSince = now
+#define ZONE_KEPT freeSince = 0
+#define ZONE_TAKEN(self) ZONE_KEPT; candidateRecorded = 0; metCandidate[self] = 0
+#define TERM_ENDED(self) metCandidate[self] = 0
+#else
+#define MUST_GRANT(owner) true
+#define ZONE_FREED skip
+#define ZONE_KEPT skip
+#define ZONE_TAKEN(self) skip
+#define TERM_ENDED(self) skip
+#endif
 
 bit isOwner[NODES];
 byte leaseTrustedUntil[NODES];	/* when the owner stops trusting its lease */
@@ -105,17 +135,31 @@
 #define HAS_PEER_LEASE(owner, peer) (now < peerLeaseTrustedUntil[(owner)*NODES+(peer)])
 #endif
 
+#if !defined(UNMET) || defined(UNRECORDED_AT_ONCE)
+#define ADMITTED(self) true
+#else
+#define ADMITTED(self) (lastOwner == NOBODY || lastOwner == (self) || candidateRecorded || now >= freeSince + WITHOUT_LEASE)
+#endif
+
+#if !defined(UNMET) || defined(NO_BOUND)
+#define WITHIN_BOUND(owner) true
+#else
+#define WITHIN_BOUND(owner) (now + TRUSTED_LEASE_TIME < leaseTrustedUntil[owner] + WITHOUT_LEASE)
+#endif
+
+/* peer1 is the other candidate. */
 #define MAY_SEND_ORDER(owner, peer1, peer2) (isOwner[owner] && now >= ordersFrom[owner] && \
-	(now < leaseTrustedUntil[owner] || (HAS_PEER_LEASE(owner, peer1) && HAS_PEER_LEASE(owner, peer2))))
+	(now < leaseTrustedUntil[owner] || (WITHIN_BOUND(owner) && HAS_PEER_LEASE(owner, peer2) && \
+	(!MUST_GRANT(owner) || HAS_PEER_LEASE(owner, peer1)))))
 
 inline endTerm(self) {
 	isOwner[self] = 0;
-	leaseTrustedUntil[self] = 0;
+	leaseTrustedUntil[self] = 0; TERM_ENDED(self);
 	peerLeaseTrustedUntil[self*NODES] = 0; peerLeaseTrustedUntil[self*NODES+1] = 0; peerLeaseTrustedUntil[self*NODES+2] = 0
 }
 
 inline acquire(self) {
-	keyOwner = self; keyLeaseUntil = now + LEASE_TIME;
+	keyOwner = self; keyLeaseUntil = now + LEASE_TIME; ZONE_TAKEN(self);
 	isOwner[self] = 1;
 	leaseTrustedUntil[self] = now + TRUSTED_LEASE_TIME;
 	if
@@ -138,10 +182,15 @@
 	:: now >= END -> break
 	/* acquires the zone if nobody owns it and no peer lease that this node has
 	 * granted forbids it, or if an earlier incarnation of this node owns it */
-	:: atomic { now < END && !isOwner[self] && (keyOwner == NOBODY && MAY_ACQUIRE(self) || keyOwner == self) -> acquire(self) }
+	:: atomic { now < END && !isOwner[self] && (keyOwner == NOBODY && MAY_ACQUIRE(self) && ADMITTED(self) || keyOwner == self) -> acquire(self) }
 	/* renews the lease */
 	:: atomic { now < END && isOwner[self] && keyOwner == self && keyLeaseUntil != now + LEASE_TIME ->
 		keyLeaseUntil = now + LEASE_TIME; leaseTrustedUntil[self] = now + TRUSTED_LEASE_TIME }
+#ifdef UNMET
+	/* meets the other candidate, and records it */
+	:: atomic { now < END && isOwner[self] && keyOwner == self && lastOwner == self && !metCandidate[self] ->
+		candidateRecorded = 1; metCandidate[self] = 1 }
+#endif
 	/* registers again after its key was removed, unless another node was the
 	 * owner in between */
 	:: atomic { now < END && isOwner[self] && keyOwner == NOBODY ->
@@ -150,7 +199,7 @@
 		:: lastOwner != self -> endTerm(self)
 		:: else ->
 #endif
-			keyOwner = self; keyLeaseUntil = now + LEASE_TIME; leaseTrustedUntil[self] = now + TRUSTED_LEASE_TIME
+			keyOwner = self; keyLeaseUntil = now + LEASE_TIME; leaseTrustedUntil[self] = now + TRUSTED_LEASE_TIME; ZONE_KEPT
 #ifndef RETAKE_BLINDLY
 		fi
 #endif
@@ -181,10 +230,10 @@
 	:: now >= END -> break
 	:: atomic { now < END -> now++;
 		if
-		:: keyOwner != NOBODY && now >= keyLeaseUntil -> keyOwner = NOBODY
+		:: keyOwner != NOBODY && now >= keyLeaseUntil -> keyOwner = NOBODY; ZONE_FREED
 		:: else
 		fi }
-	:: atomic { now < END && keyOwner != NOBODY && revocations < 1 -> revocations++; keyOwner = NOBODY }
+	:: atomic { now < END && keyOwner != NOBODY && revocations < 1 -> revocations++; keyOwner = NOBODY; ZONE_FREED }
 	:: atomic { now < END && observedLastOwner[2] != lastOwner -> observedLastOwner[2] = lastOwner }
 	:: atomic { now < END && crashes < 1 -> crashes++;
 		if
