--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -105,9 +105,10 @@
 		return peerLeaseLeft
 	}
 	time.Sleep(o.electionDelay(ownKey, current.inherited()))
-	if !o.entryUnchanged(current) {
+	if !o.beginAcquire(current, ownKey) {
 		return time.Second
 	}
+	defer o.endAcquire()
 	if err := o.acquire(ctx, current); err != nil {
 		event.ZoneTakeFailed.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Err(err).Send()
 		if errors.Is(err, errNotRecorded) {
@@ -138,12 +139,22 @@
 	return wait
 }
 
-// entryUnchanged reports whether the zone's owner key still has the given
-// content and this node may still acquire the zone.
-func (o *Owner) entryUnchanged(entry ownerEntry) bool {
+// beginAcquire reports whether the zone's owner key still has the given content and this
+// node may still acquire the zone. If so, the node grants no peer leases until
+// endAcquire. ownKey is true if the key was written by an earlier incarnation of this node.
+func (o *Owner) beginAcquire(entry ownerEntry, ownKey bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.currentEntry == entry && o.term == nil && !o.stopping
+	granted := !ownKey && o.cfg.BootClock().Before(o.peerLeaseUntil)
+	o.acquiring = o.currentEntry == entry && o.term == nil && !o.stopping && !granted
+	return o.acquiring
+}
+
+// endAcquire ends what beginAcquire began.
+func (o *Owner) endAcquire() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.acquiring = false
 }
 
 // acquire registers this node as the owner and begins a term. replaced is the
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -150,11 +150,13 @@
 	peerLeaseUntil     time.Time
 	peerLeaseOwnerAddr string
 	unrecordedWait     unrecordedWait
-	targetsReceived    bool
-	stopping           bool
-	term               *term
-	targets            []*inventory.Target
-	services           map[string]*route.Service
+	// acquiring is true while this node registers as the owner.
+	acquiring       bool
+	targetsReceived bool
+	stopping        bool
+	term            *term
+	targets         []*inventory.Target
+	services        map[string]*route.Service
 	// limits are the limits of targets by identifier.
 	limits map[string]TargetLimit
 }
--- a/pkg/zoneowner/peerlease.go
+++ b/pkg/zoneowner/peerlease.go
@@ -12,7 +12,7 @@
 // this node does not acquire the zone for PeerLeaseTTL. Only the node that the
 // last-owner record names gets a lease. Without this rule, a node that has just
 // started could grant one to an earlier owner that has not noticed that it was
-// replaced.
+// replaced. A node that is acquiring the zone grants none.
 func (o *Owner) GrantPeerLease(from fleet.Node, m *wire.PeerLeaseRequest) *wire.PeerLeaseResponse {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -20,7 +20,7 @@
 	// The owner key names another node, and with a newer fencing token than
 	// that of the request.
 	outdated := o.entryObserved && o.currentEntry.record.Addr != "" && o.currentEntry.record.Addr != from.Addr && uint64(o.currentEntry.token()) > m.Token
-	if m.Zone != o.cfg.Self.Zone || o.term != nil || outdated || o.lastOwnerAddr != from.Addr {
+	if m.Zone != o.cfg.Self.Zone || o.term != nil || o.acquiring || outdated || o.lastOwnerAddr != from.Addr {
 		return response
 	}
 	response.Granted = true
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -382,3 +382,51 @@
 	require.NoError(t, err)
 	assert.Equal(t, later, record)
 }
+
+// Guards against a node that acquires the zone although it has granted a peer lease since
+// its attempt began: the owner before it could send orders within the handover delay.
+func TestPeerLeaseGrantedDuringAnElectionEndsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(kvtest.Store)
+		o := newSingleOwner(s)
+		o.cfg.CPUCapacity = 0 // waits maxCapacityDelay
+		o.lastOwnerAddr, o.entryObserved, o.targetsReceived = otherAddr, true, true
+		o.services = map[string]*route.Service{}
+		go func() {
+			time.Sleep(maxCapacityDelay / 2)
+			assert.True(t, o.GrantPeerLease(fleet.Node{Zone: singleOwnerZone, Addr: otherAddr}, &wire.PeerLeaseRequest{Zone: singleOwnerZone}).Granted)
+		}()
+		o.runElection(t.Context())
+		assert.Empty(t, s.Entries())
+		assert.False(t, o.IsOwner())
+		o.Abort()
+	})
+}
+
+// leaselessStore grants no leases, and calls onGrantLease when one is asked for.
+type leaselessStore struct {
+	*kvtest.Store
+	onGrantLease func()
+}
+
+func (s leaselessStore) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) {
+	s.onGrantLease()
+	return kv.LeaseID{}, kv.ErrUnavailable
+}
+
+// The same while the node registers as the owner, until that fails.
+func TestNodeThatRegistersAsOwnerGrantsNoPeerLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newSingleOwner(new(kvtest.Store))
+		o.lastOwnerAddr, o.entryObserved, o.targetsReceived = otherAddr, true, true
+		o.services = map[string]*route.Service{}
+		request := func() bool {
+			return o.GrantPeerLease(fleet.Node{Zone: singleOwnerZone, Addr: otherAddr}, &wire.PeerLeaseRequest{Zone: singleOwnerZone}).Granted
+		}
+		calls := 0
+		o.cfg.Store = leaselessStore{new(kvtest.Store), func() { calls++; assert.False(t, request()) }}
+		o.runElection(t.Context())
+		assert.Equal(t, 1, calls)
+		assert.True(t, request(), "the attempt is over")
+	})
+}
