entry: an incarnation that is not stated does not show that a target is gone

What callers could see: a stream at a sound target whose entry or report states no incarnation (born) was given up, with the last attempt, at the first silence. Cause: the diagnosis compared 0, which stands for none, with the one stated. Evidence: found by review; TestIncarnationThatIsNotStatedIsNoEvidence failed before (targetGone for both cases), passes now. No run of a deployment showed it.

--- a/pkg/entry/diagnosis.go
+++ b/pkg/entry/diagnosis.go
@@ -74,7 +74,7 @@
 	switch {
 	case err != nil:
 		return diagnoseError(err)
-	case r.Incarnation != s.target.Incarnation:
+	case isOtherIncarnation(r.Incarnation, s.target.Incarnation):
 		return targetGone
 	case r.Runs == nil:
 		return targetUnknown
@@ -92,6 +92,9 @@
 	}
 }
 
+// isOtherIncarnation reports whether two incarnations differ; 0 is one that is not stated.
+func isOtherIncarnation(a, b int64) bool { return a != 0 && b != 0 && a != b }
+
 // diagnoseError returns what the error of a probe shows. A connection that was reset after
 // it was made shows nothing: targets do that to connections beyond their limit.
 func diagnoseError(err error) diagnosis {
