upstream: a target has its time after a late response to another request

What callers could see: a request at a sound target ended with 502, or was sent again, 2 s after a late copy of an earlier response had arrived on its pooled connection (PROTOCOL: an extra response may arrive late where the next one is expected). Cause: the wait for the next response was bounded by skippedResponseTimeout: silence ended the attempt. It was counted as cut by the target. Change: on a connection that had carried other requests, the wait after a skipped response is that of the request. On a new one the response that was skipped can only be a faulty one to this request, and the bound of 2 s stays. The skipped body keeps its bounds of time and size. Evidence: found by review; TestTargetMayTakeItsTimeAfterALateResponse failed before ("read the head of the answer: i/o timeout" at 2.0 s) and passes; go test -race ./pkg/upstream passes. What a faulty target with wrong identifiers on pooled connections costs now: the request's deadline, except streams, which are watched.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -26,8 +26,8 @@
 	// used; 0 requires a new connection.
 	MaxIdle time.Duration
 	// ResponseHeaderTimeout bounds the wait for the response headers; with 0
-	// only the end of ctx does. After a response to another request was skipped,
-	// skippedResponseTimeout applies instead.
+	// only the end of ctx does. After a response to another request was skipped on a new
+	// connection, skippedResponseTimeout applies instead.
 	ResponseHeaderTimeout time.Duration
 	// MatchesResponse reports whether a response with this header belongs to
 	// this request; other responses are skipped. If it is nil, every response
@@ -64,8 +64,9 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// skippedResponseTimeout bounds the time to skip a response to another request, and
-// then the wait for the next response.
+// skippedResponseTimeout bounds the time to skip a response to another request. On a
+// connection that had carried no other request, it also bounds the wait for the next
+// response then: the one that was skipped can only be a faulty response to this request.
 const skippedResponseTimeout = 2 * time.Second
 
 // maxSkippedBytes is the maximum size of the body of a skipped response.
@@ -126,9 +127,6 @@
 	if r.OnSent != nil {
 		r.OnSent()
 	}
-	if r.ResponseHeaderTimeout > 0 {
-		_ = c.SetReadDeadline(time.Now().Add(r.ResponseHeaderTimeout))
-	}
 	resp, err := readResponse(c, r)
 	if err == nil {
 		err = c.SetReadDeadline(time.Time{})
@@ -159,6 +157,11 @@
 // ErrTooManySkippedResponses after it has skipped maxSkippedResponses of them.
 func readResponse(c *conn, r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
+	var headDeadline time.Time // none
+	if r.ResponseHeaderTimeout > 0 {
+		headDeadline = time.Now().Add(r.ResponseHeaderTimeout)
+	}
+	_ = c.SetReadDeadline(headDeadline)
 	for range maxSkippedResponses {
 		c.head.begin()
 		resp, err := http.ReadResponse(c.reader, req)
@@ -179,7 +182,10 @@
 		if err := skipBody(resp.Body); err != nil {
 			return nil, fmt.Errorf("skip an answer to another request: %w", err)
 		}
-		_ = c.SetReadDeadline(time.Now().Add(skippedResponseTimeout))
+		if !c.reused {
+			headDeadline = time.Now().Add(skippedResponseTimeout)
+		}
+		_ = c.SetReadDeadline(headDeadline)
 	}
 	return nil, ErrTooManySkippedResponses
 }
