--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -143,6 +143,7 @@
 
 func FuzzEventSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\n\nid: 2"), 3)
+	f.Add([]byte{}, 1)
 	f.Fuzz(func(t *testing.T, text []byte, size int) {
 		size = max(size, 1)
 		s := new(eventSplitter)
@@ -156,7 +157,8 @@
 			out = append(out, events...)
 			rest = rest[n:]
 		}
-		assert.Equal(t, text, append(out, s.partial...), "nothing is lost or added")
+		assert.Equal(t, string(text), string(append(out, s.partial...)), "nothing is lost or added")
+		assert.NotContains(t, string(s.partial), string(eventEnd), "no complete event is held back")
 	})
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -136,7 +136,8 @@
 // eventSplitter splits the body of an event stream into complete events and
 // follows their IDs.
 type eventSplitter struct {
-	// partial is the start of an event that is not complete yet.
+	// partial is the start of an event that is not complete yet. It has no end of an
+	// event, so that only what is added needs to be searched.
 	partial []byte
 	// lastID is the ID of the last complete event.
 	lastID string
@@ -159,21 +160,25 @@
 // buffered without the end of an event, and errEventOrder if a resumed stream
 // continues at another event.
 func (s *eventSplitter) add(p []byte) ([]byte, error) {
-	buffered := p
+	buffered, searched := p, 0
 	if len(s.partial) > 0 {
-		buffered = append(s.partial, p...)
+		searched = len(s.partial) - 1 // the end may have begun with the last byte
+		s.partial = append(s.partial, p...)
+		buffered = s.partial
 	}
-	end := bytes.LastIndex(buffered, eventEnd)
+	end := bytes.LastIndex(buffered[searched:], eventEnd)
 	if end < 0 {
 		if len(buffered) > maxEventBytes {
 			return nil, errEventTooLong
 		}
-		s.partial = append(s.partial, p...)
+		if len(s.partial) == 0 {
+			s.partial = append(s.partial, p...)
+		}
 		return nil, nil
 	}
-	end += len(eventEnd)
+	end += searched + len(eventEnd)
 	events := buffered[:end]
-	s.partial = append(s.partial[:0:0], buffered[end:]...)
+	s.partial = append([]byte(nil), buffered[end:]...) // events may share the former memory
 	return events, s.checkIDs(events)
 }
 
