--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -44,6 +44,10 @@
 	// capacity wait longer before they try to become the owner of the zone, so that a
 	// node with a larger capacity becomes the owner.
 	Cores float64 `yaml:"cores" validate:"gt=0"`
+	// MemoryMB is the memory that the process may use, in MiB; responses that are not
+	// complete may hold a share of it. With 0 it is the limit of the Go runtime
+	// (GOMEMLIMIT), or 512 without one.
+	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
 	// Secret authenticates nodes to each other; it is the same on all nodes.
 	Secret string `yaml:"secret" validate:"omitempty,min=16"`
 	// SecretFile is the file that holds the secret; it is read if secret is empty.
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/buffers"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/quarantine"
@@ -31,6 +32,8 @@
 	parts []quarantine.Part
 	// assignment is that of the current attempt.
 	assignment assignment
+	// held counts what the current attempt holds of an unfinished response.
+	held *buffers.Holder
 	// startReported is true once the start of the response of the current
 	// attempt was reported to the owner.
 	startReported bool
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -230,6 +230,7 @@
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
 	n.onRestore = d.OnRestore
+	d.Settings.limitTargetResponses(&d.Pool.Buffered)
 	n.usages.node = n.self.ID
 	n.shares.node = n
 	n.bounds.Store(&d.Settings.Bounds)
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"almondturn/pkg/buffers"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/upstream"
 )
@@ -187,17 +188,18 @@
 	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
 }
 
-// forwardBuffered reads the body completely before it writes to the client. A
+// forwardBuffered reads the body completely before it writes to the client, unless it is
+// longer than maxBufferedBytes or such bodies hold too much memory together. A
 // server error of an idempotent request is not written if the request may be
 // sent again; the result is then failedRun.
 func (n *Node) forwardBuffered(ctx context.Context, j *job, resp *upstream.Response, cr *clientResponse, out sendResult) sendResult {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
+	body, err := j.held.ReadAll(resp, maxBufferedBytes+1)
+	if errors.Is(err, buffers.ErrFull) || err == nil && len(body) > maxBufferedBytes {
+		return n.forwardUnbuffered(ctx, j, resp, body, cr, out)
+	}
 	if err != nil {
 		return incompleteResult(ctx, out, err)
 	}
-	if len(body) > maxBufferedBytes {
-		return n.forwardUnbuffered(ctx, resp, body, cr, out)
-	}
 	mayRetry := j.possibleRuns < j.Route.MaxAttempts && j.sends < maxSends && time.Until(j.deadline) > minRunTime
 	if out.status >= http.StatusInternalServerError && j.idempotent() && mayRetry && n.budgetAllowsRetry(j) {
 		out.kind = failedRun
@@ -214,14 +216,15 @@
 	return out
 }
 
-// forwardUnbuffered copies a body that exceeds maxBufferedBytes. read is the
+// forwardUnbuffered copies a body that can't be held until it is complete. read is the
 // part that has already been read.
-func (n *Node) forwardUnbuffered(ctx context.Context, resp *upstream.Response, read []byte, cr *clientResponse, out sendResult) sendResult {
+func (n *Node) forwardUnbuffered(ctx context.Context, j *job, resp *upstream.Response, read []byte, cr *clientResponse, out sendResult) sendResult {
 	cr.writeHeader(out.status, resp.Header, resp.Length)
 	if _, err := cr.w.Write(read); err != nil {
 		out.kind, out.err = clientGone, err
 		return out
 	}
+	j.held.Release()
 	if _, err := io.Copy(cr.w, resp); err != nil {
 		return incompleteResult(ctx, out, err)
 	}
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"almondturn/pkg/buffers"
 	"almondturn/pkg/upstream"
 )
 
@@ -19,6 +20,8 @@
 	j.sends++
 	j.sentTo = append(j.sentTo, t.ID)
 	defer x.giveUp(nil)
+	j.held = n.pool.Buffered.NewHolder(func() { x.giveUp(buffers.ErrHeldMost) })
+	defer j.held.Release()
 	c := n.watchSilence(ctx, x, j, cr.started)
 	defer func() { j.next = c.stop(j, r) }()
 	resp, err := x.response()
@@ -28,8 +31,8 @@
 	defer resp.Close()
 	c.headReceived(j)
 	r = n.receiveResponse(ctx, j, x.assignment, resp, cr, c)
-	if r.kind == outcomeUnknown && errors.Is(context.Cause(x.ctx), errStalled) {
-		r.err = errStalled
+	if cause := context.Cause(x.ctx); r.kind == outcomeUnknown && (errors.Is(cause, errStalled) || errors.Is(cause, buffers.ErrHeldMost)) {
+		r.err = cause
 	}
 	if r.kind == outcomeUnknown || r.kind == failedRun {
 		j.excluded = append(j.excluded, t.ID)
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -24,7 +24,10 @@
 	nextEventWaitFactor = 4
 )
 
-// maxEventBytes is the maximum size of one event.
+// maxEventBytes is the maximum size of one event. Most hold a few tokens in some hundred
+// bytes; the last one of a stream may repeat the whole response with the probabilities of
+// its tokens, in some hundred KB. What all unfinished events hold is bounded besides, see
+// limitTargetResponses.
 const maxEventBytes = 1 << 20
 
 var (
@@ -45,6 +48,9 @@
 		size, err := resp.Read(buf)
 		if size > 0 {
 			events, splitErr := s.add(buf[:size])
+			if splitErr == nil {
+				splitErr = j.held.HoldEvent(cap(s.partial))
+			}
 			if splitErr != nil {
 				return incompleteResult(ctx, out, splitErr)
 			}
--- a/pkg/entry/stream_bench_test.go
+++ b/pkg/entry/stream_bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"almondturn/pkg/buffers"
 	"almondturn/pkg/route"
 	"almondturn/pkg/upstream"
 )
@@ -105,7 +106,7 @@
 			for b.Loop() {
 				resp, err := n.pool.Do(b.Context(), server.Listener.Addr().String(), &upstream.Request{Method: http.MethodGet, Path: "/", Host: "h", MaxIdle: time.Minute})
 				require.NoError(b, err)
-				j := &job{Request: &Request{Route: &route.Route{Kind: route.Stream}}, arrived: time.Now()}
+				j := &job{Request: &Request{Route: &route.Route{Kind: route.Stream}}, arrived: time.Now(), held: new(buffers.Limit).NewHolder(func() {})}
 				w := discardingWriter{http.Header{}}
 				cr := &clientResponse{w: w, rc: http.NewResponseController(w), protocol: copyingProtocol{}, request: j.Request, untilStop: b.Context()}
 				r := n.forwardStream(b.Context(), j, resp, cr, sendResult{}, nil)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -124,7 +124,7 @@
 		return nil, err
 	}
 	return &entry.Settings{
-		Node: c.Node.ID, Zone: c.Node.Zone, CPUCapacity: c.Node.Cores,
+		Node: c.Node.ID, Zone: c.Node.Zone, CPUCapacity: c.Node.Cores, MemoryLimitBytes: c.Node.MemoryMB << 20,
 		ClientsAddr: c.Listen.Callers, InnerAddr: c.Listen.Inner, AdvertisedAddr: c.Listen.Advertise,
 		ClientsTLS: callersTLS, InnerTLS: innerTLS, Secret: []byte(c.Node.Secret),
 		StoreAddr: c.Store.Address, Seeds: c.Deployment.Seeds, Zones: c.Deployment.Zones,
@@ -171,7 +171,9 @@
 
 // newStore returns the client of the key-value service.
 func newStore(s *entry.Settings, o Options, m *entry.Metrics) *platform.Store {
-	return platform.NewStore(s.StoreAddr, o.Dial, m.CountStoreCall)
+	store := platform.NewStore(s.StoreAddr, o.Dial, m.CountStoreCall)
+	s.LimitStoreResponses(store.Buffered())
+	return store
 }
 
 // newPool returns the connections to targets.
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/buffers"
 )
 
 // Limits of pooled connections.
@@ -42,6 +43,8 @@
 	dialFunc fleet.DialFunc
 	// Dialed counts the attempts to open a connection.
 	Dialed atomic.Uint64
+	// Buffered bounds what callers hold of unfinished responses; it has no bound at first.
+	Buffered buffers.Limit
 
 	mu sync.Mutex // guards idle
 	// idle holds the idle connections of each address, the one used last at
