--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -32,6 +32,8 @@
 	// diagnosis is the last one, made at diagnosedAt.
 	diagnosis   diagnosis
 	diagnosedAt time.Time
+	// response is the last decision.
+	response silenceResponse
 	// next is the exchange at the next target, nil before.
 	next *exchange
 }
@@ -39,8 +41,8 @@
 // run searches, and returns nil if the stream is handed over to the next attempt. The
 // current attempt goes on if it returns an error.
 func (s *search) run() error {
-	response := s.decide()
-	if response == stay {
+	s.decide()
+	if s.response == stay {
 		return errMayGoOn
 	}
 	a, err := s.secure()
@@ -49,45 +51,49 @@
 	}
 	s.next = s.c.node.newExchange(s.c.requestCtx, &s.job, a)
 	if time.Since(s.diagnosedAt) > maxDiagnosisAge {
-		response = s.decide()
+		s.decide()
 	}
-	if response == stay || s.asksAgain() && !s.diagnosis.connectionFailed() {
+	if s.response == stay || s.asksAgain() && !s.mayAskAgain() {
 		s.abandon()
 		return errMayGoOn
 	}
 	return s.try()
 }
 
-// decide probes the target and decides what is done.
-func (s *search) decide() silenceResponse {
+// decide probes the target and sets what is done.
+func (s *search) decide() {
 	target := s.c.current.assignment.target
 	s.diagnosis = s.c.node.probes.diagnose(s.ctx, attemptState{s.job.ID, target, s.job.resumeAfter, s.eventCount})
 	if s.diagnosis.connectionFailed() {
 		wait.Sleep(s.ctx, lossConfirmTime)
 	}
 	s.diagnosedAt = time.Now()
-	return respondToSilence(s.diagnosis, s.attemptsLeft(), time.Since(s.waitSince()), s.job.lastChance())
+	s.response = respondToSilence(s.diagnosis, s.attemptsLeft(), time.Since(s.waitSince()), s.job.lastChance())
 }
 
 // waitSince returns the time from which job.lastChance counts: since when the client has
-// waited, which may be before the attempt, or if it has no timeout, since when the attempt
-// has been silent.
+// waited for the next event, which may be before the attempt. Comments are written like
+// events, but are none.
 func (s *search) waitSince() time.Time {
-	if s.job.Route.FirstEventTimeout <= 0 {
+	waiting := s.job.waitingSince()
+	if s.job.Route.FirstEventTimeout <= 0 || waiting.After(s.silentSince) {
 		return s.silentSince
 	}
-	return s.job.waitingSince()
+	return waiting
 }
 
 // secure returns an assignment for the next attempt.
 func (s *search) secure() (assignment, error) {
 	silent := s.c.current.assignment.target.ID
-	if s.diagnosis.connectionFailed() {
-		silent = "" // new connections to it work
+	if s.mayAskAgain() {
+		silent = ""
 	}
 	return s.c.node.secure(s.ctx, &s.job, silent)
 }
 
+// mayAskAgain reports whether the silent target may be the next one, over a new connection.
+func (s *search) mayAskAgain() bool { return s.response == leave && s.diagnosis.connectionFailed() }
+
 // asksAgain reports whether the next target is the silent one.
 func (s *search) asksAgain() bool {
 	return s.next.assignment.target.ID == s.c.current.assignment.target.ID
@@ -122,7 +128,8 @@
 		s.c.setTrying(s.next)
 		overlapErr = s.next.awaitContinuation(s.ctx, s.raceLimit())
 	}
-	if (overlapErr == nil || s.diagnosis.nothingToArrive()) && s.c.handOver(s.ctx, s.next) {
+	mayEnd := overlapErr == nil || s.response == leave && s.diagnosis.nothingToArrive()
+	if mayEnd && s.c.handOver(s.ctx, s.next) {
 		return nil
 	}
 	if !s.c.setTrying(nil) {
