entry: tests of the guards of a silent stream's search; what ends the wait of other requests

Mutants showed two guards without a test: that an attempt at an unreachable target is not ended when the next one's time is over, and that a connection counts as lost only when no event has followed the report. Both have one now, and so has the guard that a silent target is asked again only if its connection failed.

send's comment says what ends the wait on routes whose requests cannot be resumed: nothing but the deadline, the stop, the client or the connection.

--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -278,6 +278,44 @@
 	time.AfterFunc(2*maxOverlap, s.c.cancelSearch) // as an event does
 	require.ErrorIs(t, s.try(), errNotNeeded)
 	require.NoError(t, attempt.Err())
+}
+
+// With attempts left, a next target that is silent, too, is let go for another one.
+func TestSilentNextTargetIsLetGoForAnotherOne(t *testing.T) {
+	s, attempt := newSearchBeside(t, startNextStream(t, ""), targetUnreachable)
 	s.job.Route.MaxAttempts = 9
 	assert.Equal(t, minFirstEventWait, s.raceLimit())
+	require.ErrorIs(t, s.try(), errOverlap)
+	require.NoError(t, attempt.Err(), "it cannot be reached, and may still answer")
+}
+
+// A sound target that had just gone on was taken for one whose connection is lost, because
+// its report overtook the event.
+func TestLostConnectionIsConfirmed(t *testing.T) {
+	s, _ := newSearchBeside(t, startNextStream(t, ""), targetUnknown)
+	held := &heldProber{release: make(chan struct{})}
+	close(held.release)
+	s.c.node.probes.targets, s.c.node.probes.ctx = held, t.Context()
+	s.job.ID, s.job.resumeAfter, s.eventCount = "r1", "", -1 // one event less than the report has
+	time.AfterFunc(lossConfirmTime/3, s.c.cancelSearch)      // as an event does
+	s.decide()
+	require.Equal(t, connectionLost, s.diagnosis)
+	assert.Error(t, s.ctx.Err(), "the event has ended the search before the decision")
+}
+
+// A silent target was asked again over a new connection, although nothing showed that only
+// the one of the stream had failed.
+func TestSilentTargetIsAskedAgainOnlyIfItsConnectionFailed(t *testing.T) {
+	for d, again := range map[diagnosis]bool{targetUnknown: false, targetWorking: false, targetGone: false, targetUnreachable: false, connectionLost: true, runMissing: true} {
+		s, _ := newSearchBeside(t, startNextStream(t, ""), d)
+		s.job.engine = false // no owner is asked
+		s.c.node.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{{ID: "silent", Slots: 1}}))
+		a, err := s.secure()
+		if !again {
+			require.ErrorIs(t, err, errSameTarget, d.String())
+			continue
+		}
+		require.NoError(t, err, d.String())
+		assert.Equal(t, "silent", a.target.ID)
+	}
 }
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -12,6 +12,11 @@
 
 // send makes one attempt: it sends the request to the target of x, unless that was done
 // already, and forwards the response to the client.
+//
+// Only the attempt of a stream that can be resumed is watched for silence. Any other waits
+// for its response until the deadline, the stop of the node or the close of the client's
+// connection, unless the connection to the target fails, as TCP keep-alive shows if the path
+// is dead. An idempotent request is then sent again within the limits of its route.
 func (n *Node) send(ctx context.Context, j *job, x *exchange, cr *clientResponse) (r sendResult) {
 	t := x.assignment.target
 	j.lastTarget, j.assignment, j.startReported = t.ID, x.assignment, false
