--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -75,6 +75,7 @@
 		"no such run, but one waits":       {inventory.Report{Incarnation: 7, Running: 1, Waiting: 1, Runs: map[string]int{"other": 1}}, nil, targetUnknown},
 		"no such run in a partial list":    {inventory.Report{Incarnation: 7, Running: 2, Runs: map[string]int{"other": 1}}, nil, targetUnknown},
 		"no list of runs":                  {inventory.Report{Incarnation: 7, Running: 2}, nil, targetUnknown},
+		"nothing about runs":               {inventory.Report{Incarnation: 7}, nil, targetUnknown},
 		"another incarnation":              {inventory.Report{Incarnation: 8, Runs: runs(12)}, nil, targetGone},
 		"another target":                   {inventory.Report{}, fmt.Errorf("report: %w", inventory.ErrOtherTarget), targetGone},
 		"refused":                          {inventory.Report{}, notSent(&net.OpError{Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}), targetGone},
