--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -64,6 +64,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_prompt_crashes_total{service=%q}`, service)).Inc()
 }
 
+// countEndlessAnswer counts a response of a target of which a part exceeded its limit.
+func (m *nodeMetrics) countEndlessAnswer(service, what string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_endless_answers_total{service=%q,what=%q}`, service, what)).Inc()
+}
+
 // countStoreCall counts a call to the key-value service by the status of its
 // response.
 func (m *nodeMetrics) countStoreCall(call string, status int) {
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -26,6 +26,7 @@
 	defer func() { j.next = c.stop(j, r) }()
 	resp, err := x.response()
 	if err != nil {
+		n.observeExceeded(j, t.ID, err)
 		return n.classifySendError(ctx, j, t.ID, err)
 	}
 	defer resp.Close()
@@ -34,6 +35,7 @@
 	if cause := context.Cause(x.ctx); r.kind == outcomeUnknown && (errors.Is(cause, errStalled) || errors.Is(cause, buffers.ErrHeldMost)) {
 		r.err = cause
 	}
+	n.observeExceeded(j, t.ID, r.err)
 	if r.kind == outcomeUnknown || r.kind == failedRun {
 		j.excluded = append(j.excluded, t.ID)
 	}
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -36,6 +36,15 @@
 	assert.Contains(t, lines[2], "status=429")
 }
 
+// Nothing showed which target sent a request an answer without end.
+func TestRequestIsShownWithTheTargetOfAnEndlessAnswer(t *testing.T) {
+	const line = `{"node":"entry-a-1","name":"target_endless","request":"r1","target":"t7","service":"s","what":"event","time":"2026-01-01T10:00:02.1Z"}
+`
+	var out bytes.Buffer
+	require.NoError(t, run(&arguments{Request: "r1"}, strings.NewReader(entryLog+line), &out))
+	assert.Regexp(t, `target_endless .*target=t7 what=event`, out.String())
+}
+
 func TestOnlyFlagOmitsContextLines(t *testing.T) {
 	var out bytes.Buffer
 	require.NoError(t, run(&arguments{Request: "r1", Only: true}, strings.NewReader(entryLog+ownerLog), &out))
