--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -216,8 +216,10 @@
 	return out
 }
 
-// forwardUnbuffered copies a body that can't be held until it is complete. read is the
-// part that has already been read.
+// forwardUnbuffered copies a body that can't be held until it is complete, through a buffer
+// of fixed size. read is the part that has already been read. The body may be of any size:
+// it ends with its declared length, with the deadline of the request, or when the client
+// accepts no more bytes.
 func (n *Node) forwardUnbuffered(ctx context.Context, j *job, resp *upstream.Response, read []byte, cr *clientResponse, out sendResult) sendResult {
 	cr.writeHeader(out.status, resp.Header, resp.Length)
 	if _, err := cr.w.Write(read); err != nil {
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -37,7 +37,8 @@
 	errNoEvent         = errors.New("stream ended with its connection before the first event")
 )
 
-// forwardStream writes events to the client as they arrive. Only complete
+// forwardStream writes events to the client as they arrive. Comments and events without
+// identifiers are passed on, too, until the deadline of the request at the latest. Only complete
 // events are written, so that another target can continue after the last one. c is the
 // continuation of the attempt, nil if there is none.
 func (n *Node) forwardStream(ctx context.Context, j *job, resp *upstream.Response, cr *clientResponse, out sendResult, c *continuation) sendResult {
