--- a/pkg/entry/cut.go
+++ b/pkg/entry/cut.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"almondturn/pkg/buffers"
 	"almondturn/pkg/event"
 	"almondturn/pkg/upstream"
 )
@@ -41,7 +42,7 @@
 // nodeDecisions are the causes with which the node itself ends an attempt that the client,
 // the target and the deadline have not ended.
 var nodeDecisions = []error{
-	errStalled, errSuspended, errEventTooLong,
+	errStalled, errSuspended, errEventTooLong, buffers.ErrHeldMost,
 	upstream.ErrHeadTooLarge, upstream.ErrTooManySkippedBytes, upstream.ErrTooManySkippedResponses,
 }
 
--- a/pkg/entry/cut_test.go
+++ b/pkg/entry/cut_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"almondturn/pkg/buffers"
 	"almondturn/pkg/upstream"
 )
 
@@ -51,7 +52,7 @@
 // Each cause with which the node ends an attempt is told from the target's failures, also
 // when an error of the exchange wraps it.
 func TestDecisionsOfTheNodeAreToldFromFailures(t *testing.T) {
-	for _, cause := range []error{errStalled, errSuspended, errEventTooLong, upstream.ErrHeadTooLarge, upstream.ErrTooManySkippedBytes, upstream.ErrTooManySkippedResponses} {
+	for _, cause := range []error{errStalled, errSuspended, errEventTooLong, buffers.ErrHeldMost, upstream.ErrHeadTooLarge, upstream.ErrTooManySkippedBytes, upstream.ErrTooManySkippedResponses} {
 		assert.True(t, sendResult{err: cause}.endedByDecision(), cause)
 		assert.True(t, sendResult{err: &upstream.SendError{Sent: true, Err: fmt.Errorf("read: %w", cause)}}.endedByDecision(), cause)
 	}
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"almondturn/pkg/buffers"
 	"almondturn/pkg/quarantine"
 	"almondturn/pkg/upstream"
 )
@@ -95,9 +96,14 @@
 // readFirstEvent reads the body up to its first event other than comments, which s follows.
 // It returns nil if the event continues the stream, or the body is complete without one.
 func (x *exchange) readFirstEvent(s *eventSplitter) error {
+	held, read := x.node.pool.Buffered.NewHolder(func() { x.giveUp(buffers.ErrHeldMost) }), 0
+	defer held.Release()
 	err := x.resp.ReadPrefix(maxEventBytes, func(part []byte) (bool, error) {
-		_, err := s.add(part)
-		return s.eventCount > 0, err
+		if _, err := s.add(part); err != nil || s.eventCount > 0 {
+			return s.eventCount > 0, err
+		}
+		read += len(part)
+		return false, held.HoldEvent(read + cap(s.partial))
 	})
 	switch {
 	case !errors.Is(err, io.EOF):
@@ -135,23 +141,19 @@
 	return resp, err
 }
 
-// awaitContinuation waits until an exchange that has begun has ended, or ctx ends. If limit is
-// not 0, it returns errOverlap when the target has had the request for so long.
+// awaitContinuation waits until an exchange that has begun has ended, or ctx ends. It returns
+// errOverlap when limit has passed since the target has had the request, or since the call.
 func (x *exchange) awaitContinuation(ctx context.Context, limit time.Duration) error {
 	select {
 	case <-x.sent:
 	case <-x.ended:
 	case <-ctx.Done():
 	}
-	var over <-chan time.Time // never, without a limit
-	if limit > 0 {
-		overlap := time.NewTimer(limit)
-		defer overlap.Stop()
-		over = overlap.C
-	}
+	overlap := time.NewTimer(limit)
+	defer overlap.Stop()
 	select {
 	case <-x.ended:
-	case <-over:
+	case <-overlap.C:
 		return errOverlap
 	case <-ctx.Done():
 	}
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -281,21 +283,52 @@
 	}
 }
 
+// unreachableTargets cannot be reached until the given number of probes were made; from then
+// on, the target reports that it is at work on the run r1.
+type unreachableTargets struct {
+	probes  atomic.Int32
+	failing int32
+}
+
+// Probe implements prober.
+func (p *unreachableTargets) Probe(context.Context, *inventory.Target) (inventory.Report, error) {
+	if p.probes.Add(1) <= p.failing {
+		return inventory.Report{}, &upstream.SendError{Err: context.DeadlineExceeded}
+	}
+	return inventory.Report{Running: 1, Runs: map[string]int{"r1": 0}}, nil
+}
+
+// newSearchOfUnreachable is newSearchBeside for a target that cannot be reached for a number
+// of probes.
+func newSearchOfUnreachable(t *testing.T, probes int32) (s *search, attempt context.Context) {
+	s, attempt = newSearchBeside(t, startNextStream(t, ""), targetUnreachable)
+	s.job.ID = "r1"
+	s.c.node.probes.targets, s.c.node.probes.ctx = &unreachableTargets{failing: probes}, t.Context()
+	return s, attempt
+}
+
 // A target that cannot be reached may answer first: the attempt there goes on until the next
 // target has continued the stream, for as long as that takes.
 func TestAttemptAtAnUnreachableTargetGoesOn(t *testing.T) {
-	s, attempt := newSearchBeside(t, startNextStream(t, ""), targetUnreachable)
-	assert.Zero(t, s.raceLimit(), "no attempt would be left without the next one")
-	time.AfterFunc(2*maxOverlap, s.c.cancelSearch) // as an event does
+	s, attempt := newSearchOfUnreachable(t, math.MaxInt32)
+	time.AfterFunc(4*maxOverlap, s.c.cancelSearch) // as an event does
 	require.ErrorIs(t, s.try(), errNotNeeded)
 	require.NoError(t, attempt.Err())
 }
 
+// Two targets were at work on one request without limit, because the probe of the first had
+// failed once.
+func TestTargetThatIsReachedAgainIsNotRacedForLonger(t *testing.T) {
+	s, attempt := newSearchOfUnreachable(t, 1)
+	require.ErrorIs(t, s.try(), errOverlap)
+	require.NoError(t, attempt.Err())
+	assert.Equal(t, targetWorking, s.diagnosis)
+}
+
 // With attempts left, a next target that is silent, too, is let go for another one.
 func TestSilentNextTargetIsLetGoForAnotherOne(t *testing.T) {
-	s, attempt := newSearchBeside(t, startNextStream(t, ""), targetUnreachable)
+	s, attempt := newSearchOfUnreachable(t, math.MaxInt32)
 	s.job.Route.MaxAttempts = 9
-	assert.Equal(t, minFirstEventWait, s.raceLimit())
 	require.ErrorIs(t, s.try(), errOverlap)
 	require.NoError(t, attempt.Err(), "it cannot be reached, and may still answer")
 }
@@ -319,7 +352,7 @@
 func TestSilentTargetIsAskedAgainOnlyIfItsConnectionFailed(t *testing.T) {
 	for d, again := range map[diagnosis]bool{targetUnknown: false, targetWorking: false, targetGone: false, targetUnreachable: false, connectionLost: true, runMissing: true} {
 		s, _ := newSearchBeside(t, startNextStream(t, ""), d)
-		s.job.engine = false // no owner is asked
+		s.job.engine, s.response = false, leave // no owner is asked
 		s.c.node.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{{ID: "silent", Slots: 1}}))
 		a, err := s.secure()
 		if !again {
--- a/pkg/entry/probe.go
+++ b/pkg/entry/probe.go
@@ -15,8 +15,9 @@
 	// probeTimeout bounds one probe.
 	probeTimeout = 500 * time.Millisecond
 	// probeReuse is how long the result of a probe is used again. It bounds the rate of
-	// the probes of one target.
-	probeReuse = 300 * time.Millisecond
+	// the probes of one target, and is below maxOverlap, after which a target that could
+	// not be reached is probed again.
+	probeReuse = 200 * time.Millisecond
 )
 
 // targetProbes probes targets, each at most once at a time, and shares the results between
--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -102,23 +102,30 @@
 // attemptsLeft returns the number of attempts that the route allows after the current one.
 func (s *search) attemptsLeft() int { return s.job.Route.MaxAttempts - (s.job.possibleRuns + 1) }
 
-// raceLimit returns how long the current attempt and the next one go on together at most, 0
-// for no limit. A target that cannot be reached may answer first all the same, so that the
-// next one has the time of any attempt.
-func (s *search) raceLimit() time.Duration {
-	switch {
-	case s.diagnosis != targetUnreachable:
-		return maxOverlap
-	case s.attemptsLeft() > 1:
-		return s.job.eventWait(false)
-	default:
-		return 0
+// awaitNext waits until the next exchange has ended or the search does. It returns errOverlap
+// if the current attempt and the next one have gone on together for as long as they may: for
+// maxOverlap, unless the target of the current one cannot be reached. That one is probed again
+// after each maxOverlap, and the next one has the time of any attempt if another would be left.
+func (s *search) awaitNext() error {
+	begun := time.Now()
+	for {
+		err := s.next.awaitContinuation(s.ctx, maxOverlap)
+		if !errors.Is(err, errOverlap) || s.diagnosis != targetUnreachable {
+			return err
+		}
+		if s.attemptsLeft() > 1 && time.Since(begun) >= s.job.eventWait(false) {
+			return err
+		}
+		s.decide()
+		if s.diagnosis != targetUnreachable {
+			return err
+		}
 	}
 }
 
 // try makes the next exchange that of the next attempt as soon as its target has continued
 // the stream, and returns nil then. If a probe has shown that nothing more can arrive in the
-// current attempt, the target need not have begun at the raceLimit. The current attempt ends
+// current attempt, the target need not have begun then. The current attempt ends
 // first if it has the same target, because a target may not expect a request twice at the
 // same time.
 func (s *search) try() error {
@@ -126,7 +133,7 @@
 	if !s.asksAgain() {
 		s.next.beginContinuation(&s.job, s.started)
 		s.c.setTrying(s.next)
-		overlapErr = s.next.awaitContinuation(s.ctx, s.raceLimit())
+		overlapErr = s.awaitNext()
 	}
 	mayEnd := overlapErr == nil || s.response == leave && s.diagnosis.nothingToArrive()
 	if mayEnd && s.c.handOver(s.ctx, s.next) {
