--- a/pkg/standin/faultproxy/faultproxy.go
+++ b/pkg/standin/faultproxy/faultproxy.go
@@ -29,6 +29,7 @@
 	client, server   net.Conn
 	stalled          atomic.Bool   // both ways
 	responsesStalled atomic.Bool   // from the server to the client
+	responsesHeld    atomic.Int64  // the same, until this time in Unix nanoseconds
 	closed           chan struct{} // closed by close
 	closeOnce        sync.Once
 }
@@ -76,6 +77,20 @@
 	}
 }
 
+// HoldResponses holds back what the server sends to the client on all open connections for
+// d, and then forwards it.
+func (p *Proxy) HoldResponses(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until := time.Now().Add(d).UnixNano()
+	for c := range p.conns {
+		c.responsesHeld.Store(until)
+	}
+}
+
+// CloseListener makes the proxy refuse new connections. Open ones are served.
+func (p *Proxy) CloseListener() { _ = p.listener.Close() }
+
 // SetDelay sets the time by which each piece of data is held back, both ways.
 func (p *Proxy) SetDelay(d time.Duration) { p.delay.Store(int64(d)) }
 
@@ -131,8 +146,8 @@
 	var done sync.WaitGroup
 	// The direction to the server has no flag of its own.
 	toServer := &heldWriter{Conn: server, client: client, hold: p.hold, closed: c.closed}
-	done.Go(func() { c.copy(toServer, client, &c.stalled, &p.delay) })
-	done.Go(func() { c.copy(client, server, &c.responsesStalled, &p.delay) })
+	done.Go(func() { c.copy(toServer, client, &c.stalled, &p.delay, new(atomic.Int64)) })
+	done.Go(func() { c.copy(client, server, &c.responsesStalled, &p.delay, &c.responsesHeld) })
 	done.Wait()
 	c.close()
 	p.mu.Lock()
@@ -148,7 +163,7 @@
 // Once the connection is stalled, or directionStalled is set, it drops
 // the data read last, reads no more, and returns only after close, so that the
 // other end doesn't notice a close of src.
-func (c *forwardedConn) copy(dst io.Writer, src io.Reader, directionStalled *atomic.Bool, delay *atomic.Int64) {
+func (c *forwardedConn) copy(dst io.Writer, src io.Reader, directionStalled *atomic.Bool, delay, heldUntil *atomic.Int64) {
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := src.Read(buf)
@@ -156,6 +171,9 @@
 			<-c.closed
 			return
 		}
+		if until := heldUntil.Load(); until > 0 {
+			time.Sleep(time.Until(time.Unix(0, until)))
+		}
 		if d := delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
