entry: a refused connection does not show that a silent target is gone

What callers could see: a stream of a sound target was cut. The target accepted no new connections any more, as one that is leaving and finishes its runs, and was silent for 1.9 s. Cause: the probe was refused, the diagnosis was targetGone, and the attempt ended at maxOverlap whether or not the next target had begun (nothingToArrive). Change: a refusal is no evidence. If the process has ended, its machine ends the stream's connection, or refuses the keep-alive after 1 s (upstream.keepAliveIdle): the connection fails by itself. Weighed: a device between the two that holds the connection open and refuses new ones; such a stream goes on after the client's last chance only.

--- a/pkg/entry/diagnosis.go
+++ b/pkg/entry/diagnosis.go
@@ -25,8 +25,8 @@
 	connectionLost
 	// runMissing: the target reports its runs, and the run is not among them.
 	runMissing
-	// targetGone: nothing listens at the target's address, or another target does, or
-	// another incarnation of it.
+	// targetGone: another target listens at the target's address, or another incarnation
+	// of it.
 	targetGone
 	// targetUnreachable: no connection to the target was made in time.
 	targetUnreachable
@@ -96,7 +96,9 @@
 func isOtherIncarnation(a, b int64) bool { return a != 0 && b != 0 && a != b }
 
 // diagnoseError returns what the error of a probe shows. A connection that was reset after
-// it was made shows nothing: targets do that to connections beyond their limit.
+// it was made shows nothing: targets do that to connections beyond their limit. Nor does one
+// that was refused: a target that is leaving may accept none while it finishes its runs, and
+// the connections to one that has ended fail by themselves, at their keep-alive at the latest.
 func diagnoseError(err error) diagnosis {
 	var sendErr *upstream.SendError
 	switch {
@@ -104,8 +106,6 @@
 		return targetGone
 	case !errors.As(err, &sendErr) || sendErr.Sent:
 		return targetUnknown
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return targetGone
 	case isConnectTimeout(err):
 		return targetUnreachable
 	default:
