entry: the last chance of a silent stream counts from the client's wait

What callers could see: a stream whose first attempts had failed was not raced before its client left: the last chance, 3/4 of the client's wait, was counted from the start of the attempt, not from the request or the last event. Evidence: found by review; TestLastChanceIsCountedFromTheClientsWait failed before (stay after 46 s of 60 s) and passes. go test -race ./pkg/entry passes. No run of a deployment showed it.

--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -66,7 +66,17 @@
 		wait.Sleep(s.ctx, lossConfirmTime)
 	}
 	s.diagnosedAt = time.Now()
-	return respondToSilence(s.diagnosis, s.attemptsLeft(), time.Since(s.silentSince), s.job.lastChance())
+	return respondToSilence(s.diagnosis, s.attemptsLeft(), time.Since(s.waitSince()), s.job.lastChance())
+}
+
+// waitSince returns the time from which job.lastChance counts: since when the client has
+// waited, which may be before the attempt, or if it has no timeout, since when the attempt
+// has been silent.
+func (s *search) waitSince() time.Time {
+	if s.job.Route.FirstEventTimeout <= 0 {
+		return s.silentSince
+	}
+	return s.job.waitingSince()
 }
 
 // secure returns an assignment for the next attempt.
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -139,3 +139,29 @@
 	probes := &targetProbes{targets: &heldProber{}, ctx: t.Context()}
 	assert.Equal(t, targetUnknown, probes.diagnose(t.Context(), attemptState{target: &inventory.Target{ID: "t"}}))
 }
+
+// workingTargets reports one run, r1, of which no event was made.
+type workingTargets struct{}
+
+// Probe implements prober.
+func (workingTargets) Probe(context.Context, *inventory.Target) (inventory.Report, error) {
+	return inventory.Report{Running: 1, Runs: map[string]int{"r1": 0}}, nil
+}
+
+// Guards against a last chance that is counted from the start of an attempt, after which the
+// client has left: it has waited since its request, or the last event.
+func TestLastChanceIsCountedFromTheClientsWait(t *testing.T) {
+	for _, c := range []struct {
+		waited time.Duration
+		want   silenceResponse
+	}{{40 * time.Second, stay}, {46 * time.Second, race}} {
+		silent, own, _ := newSilentAttempt(t)
+		silent.node.probes.targets, silent.node.probes.ctx = workingTargets{}, t.Context()
+		silent.job.ID, silent.job.arrived = "r1", time.Now().Add(-c.waited)
+		s := silent.begin()
+		require.NotNil(t, s)
+		assert.Equal(t, c.want, s.decide(), "the client leaves after a minute, and has waited for %s", c.waited)
+		silent.endSearch(time.Hour)
+		assert.Nil(t, silent.stop(own, sendResult{}))
+	}
+}
