entry: comments do not put off the last chance of a silent stream

The longer of the client's wait and the silence counts now. The test passes (go test -race, once), and TestLastChanceIsCountedFromTheClientsWait, too.

--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -69,14 +69,14 @@
 	return respondToSilence(s.diagnosis, s.attemptsLeft(), time.Since(s.waitSince()), s.job.lastChance())
 }
 
-// waitSince returns the time from which job.lastChance counts: since when the client has
-// waited, which may be before the attempt, or if it has no timeout, since when the attempt
-// has been silent.
+// waitSince returns the time from which job.lastChance counts: since when the attempt has been
+// silent, or on a route whose clients have a timeout, since when the client has waited, if that
+// is longer.
 func (s *search) waitSince() time.Time {
-	if s.job.Route.FirstEventTimeout <= 0 {
-		return s.silentSince
+	if waiting := s.job.waitingSince(); s.job.Route.FirstEventTimeout > 0 && waiting.Before(s.silentSince) {
+		return waiting
 	}
-	return s.job.waitingSince()
+	return s.silentSince
 }
 
 // secure returns an assignment for the next attempt.
