--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,4 @@
 [ -x target/almondturn ] && [ -x target/review-driver ] || { echo "build first: the deploy file's line, then review/build.sh"; exit 2; }
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
-TROUBLE=${TROUBLE:-1} target/review-driver foreign-entry "$here/record.txt" "$dir"
+TROUBLE=${TROUBLE:-1} target/review-driver owner-turned-away "$here/record.txt" "$dir"
--- a/review/driver/deployment.go
+++ b/review/driver/deployment.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,25 +26,73 @@
 	deskService = "xano55b"
 )
 
-// zones are those of the small deployment; each has one node and one worker.
+// zones are those of the small deployment; each has nodesPerZone nodes and one worker.
 var zones = []string{"hobart-a", "kingston-b", "glenorchy-c"}
 
 // node is one process of the system.
 type node struct {
 	name, zone, front, ready, control string
+	gate                              *gate
 	cmd                               *exec.Cmd
 	log                               *os.File
 }
 
+// gate is the way of one node to the store. While it is shut, the store turns the node away
+// without a response: nothing that waits or comes is answered.
+type gate struct {
+	addr  string
+	store http.Handler
+	shut  atomic.Bool
+	calls atomic.Int32 // that came while it was shut
+}
+
+// newGate opens the way of a node to the store.
+func newGate(store http.Handler) (*gate, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen for the store: %w", err)
+	}
+	g := &gate{addr: l.Addr().String(), store: store}
+	go func() { _ = http.Serve(l, g) }()
+	return g, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.shut.Load() {
+		g.calls.Add(1)
+		<-r.Context().Done() // the node gives up
+		panic(http.ErrAbortHandler)
+	}
+	g.store.ServeHTTP(&gateWriter{ResponseWriter: w, gate: g, gone: r.Context().Done()}, r)
+}
+
+// gateWriter holds responses back while the gate is shut. It leaves the header Store-Era
+// out, which the users' pages do not have.
+type gateWriter struct {
+	http.ResponseWriter
+	gate *gate
+	gone <-chan struct{}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *gateWriter) WriteHeader(status int) {
+	if w.gate.shut.Load() {
+		<-w.gone
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Del("Store-Era")
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // deployment is the system with its stand-ins.
 type deployment struct {
-	dir       string
-	store     *standin.Store
-	storeAddr string
-	nodes     []*node
-	record    *record
-	beatStop  chan struct{}
-	beats     sync.WaitGroup
+	dir      string
+	store    *standin.Store
+	nodes    []*node
+	record   *record
+	beatStop chan struct{}
+	beats    sync.WaitGroup
 }
 
 // record is the file that says what was sent, answered and run.
@@ -78,28 +127,9 @@
 	_ = r.file.Close()
 }
 
-// noEra passes responses of the store on without the header Store-Era, which the users'
-// pages do not have.
-type noEra struct{ http.ResponseWriter }
-
-// WriteHeader implements http.ResponseWriter.
-func (w noEra) WriteHeader(status int) {
-	w.Header().Del("Store-Era")
-	w.ResponseWriter.WriteHeader(status)
-}
-
 // newDeployment starts the store. Its processes keep their files in dir.
-func newDeployment(dir string, r *record) (*deployment, error) {
-	d := &deployment{dir: dir, store: standin.NewStore(), record: r, beatStop: make(chan struct{})}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("listen for the store: %w", err)
-	}
-	d.storeAddr = l.Addr().String()
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.store.ServeHTTP(noEra{w}, r) }))
-	}()
-	return d, nil
+func newDeployment(dir string, r *record) *deployment {
+	return &deployment{dir: dir, store: standin.NewStore(), record: r, beatStop: make(chan struct{})}
 }
 
 // putConfiguration writes the operator's config: the routes of seat-hold (unsafe) and
@@ -118,13 +148,24 @@
 	d.store.Put("op/config", text)
 }
 
-// startNodes starts one node in each zone.
+// nodesPerZone is the number of nodes in each zone.
+const nodesPerZone = 2
+
+// startNodes starts the nodes of all zones.
 func (d *deployment) startNodes() error {
 	var seeds []string
-	for i, zone := range zones {
-		n := &node{name: fmt.Sprintf("front-%s-1", zone), zone: zone, front: standin.FreeAddr(), ready: standin.FreeAddr(), control: standin.FreeAddr()}
-		d.nodes = append(d.nodes, n)
-		seeds = append(seeds, d.nodes[i].control)
+	for _, zone := range zones {
+		for i := range nodesPerZone {
+			g, err := newGate(d.store)
+			if err != nil {
+				return err
+			}
+			n := &node{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, front: standin.FreeAddr(), ready: standin.FreeAddr(), control: standin.FreeAddr(), gate: g}
+			d.nodes = append(d.nodes, n)
+			if i == 0 {
+				seeds = append(seeds, n.control)
+			}
+		}
 	}
 	for _, n := range d.nodes {
 		if err := d.start(n, seeds); err != nil {
@@ -146,7 +187,7 @@
 		"bounds.loss_slack_ms=200", "bounds.config_apply_ms=2000", "bounds.rollback_slack_ms=250", "bounds.skew_max_ms=5000", "bounds.retry_budget_ratio=0.2",
 		"bounds.retry_window_s=10", "bounds.retry_slack=58", "bounds.recovery_s=12", "bounds.pass_ms=120", "bounds.again_s=0", "bounds.require_fence=false",
 		"bounds.lease_ms=3000", "bounds.unfreeze_ms=300", "bounds.origin_window_s=5", "bounds.origin_overage=1.1",
-		"platform.address=" + d.storeAddr, "platform.form=kv", "platform.writes_per_s=400", "platform.reads_per_s=2000", "platform.history_s=20",
+		"platform.address=" + n.gate.addr, "platform.form=kv", "platform.writes_per_s=400", "platform.reads_per_s=2000", "platform.history_s=20",
 		"platform.value_bytes=1048576", "platform.ttl_min_ms=1000",
 	}
 	for _, zone := range zones {
--- a/review/driver/foreignentry.go
+++ b/review/driver/foreignentry.go
@@ -43,14 +43,9 @@
 // fields version, slots, cold_left_ms and seq are missing. It names no worker to use.
 func foreignEntry(d *deployment, trouble bool) (int, error) {
 	d.putConfiguration()
-	var workers []*worker
-	for i, zone := range zones {
-		w, err := newWorker(fmt.Sprintf("i-%08x", 0x7f3a91c2+i), zone, d.record)
-		if err != nil {
-			return exitNotRun, err
-		}
-		workers = append(workers, w)
-		d.beat(w)
+	workers, err := d.startWorkers()
+	if err != nil {
+		return exitNotRun, err
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -14,7 +14,8 @@
 
 // cases holds the scripted cases by name. The functions return the exit code.
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
-	"foreign-entry": foreignEntry,
+	"foreign-entry":     foreignEntry,
+	"owner-turned-away": ownerTurnedAway,
 }
 
 func main() {
@@ -33,11 +34,7 @@
 		return exitNotRun
 	}
 	defer r.close()
-	d, err := newDeployment(dir, r)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitNotRun
-	}
+	d := newDeployment(dir, r)
 	defer d.stop()
 	code, err := cases[name](d, os.Getenv("TROUBLE") != "0")
 	if err != nil {
--- a/review/driver/worker.go
+++ b/review/driver/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -30,9 +31,12 @@
 	waiting        atomic.Int32
 	running        atomic.Int32
 
-	mu sync.Mutex // guards runs
-	// runs counts the runs of each request.
-	runs map[string]int
+	draining atomic.Bool
+
+	mu sync.Mutex // guards all below
+	// runs counts the runs of each request, arrivedAt is when it last arrived.
+	runs      map[string]int
+	arrivedAt map[string]time.Time
 }
 
 // newWorker starts a worker.
@@ -41,15 +45,33 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for a worker: %w", err)
 	}
-	w := &worker{id: id, zone: zone, addr: l.Addr().String(), record: r, slots: make(chan struct{}, deskSlots), runs: map[string]int{}}
+	w := &worker{id: id, zone: zone, addr: l.Addr().String(), record: r, slots: make(chan struct{}, deskSlots), runs: map[string]int{}, arrivedAt: map[string]time.Time{}}
 	go func() { _ = http.Serve(l, w) }()
 	return w, nil
 }
 
+// startWorkers starts one worker in each zone.
+func (d *deployment) startWorkers() ([]*worker, error) {
+	var workers []*worker
+	for i, zone := range zones {
+		w, err := newWorker(fmt.Sprintf("i-%08x", 0x7f3a91c2+i), zone, d.record)
+		if err != nil {
+			return nil, err
+		}
+		workers = append(workers, w)
+		d.beat(w)
+	}
+	return workers, nil
+}
+
 // entry returns the worker's entry in the store.
 func (w *worker) entry() []byte {
+	state := "ready"
+	if w.draining.Load() {
+		state = "draining"
+	}
 	text, _ := json.Marshal(map[string]any{
-		"service": deskService, "address": w.addr, "zone": w.zone, "version": "v1", "slots": deskSlots, "state": "ready", "cold_left_ms": 0, "seq": 0,
+		"service": deskService, "address": w.addr, "zone": w.zone, "version": "v1", "slots": deskSlots, "state": state, "cold_left_ms": 0, "seq": 0,
 	}) // a map of strings and numbers always encodes
 	return text
 }
@@ -103,6 +125,7 @@
 	defer w.running.Add(-1)
 	w.mu.Lock()
 	w.runs[id]++
+	w.arrivedAt[id] = time.Now()
 	w.mu.Unlock()
 	w.record.line("worker %s runs %s %s %s, %d bytes", w.id, id, r.Method, r.URL.RequestURI(), len(body))
 	time.Sleep(deskWork)
@@ -118,3 +141,10 @@
 	defer w.mu.Unlock()
 	return w.runs[id]
 }
+
+// arrivals returns when each request has arrived.
+func (w *worker) arrivals() map[string]time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.arrivedAt)
+}
