--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
 	"foreign-entry":     foreignEntry,
 	"owner-turned-away": ownerTurnedAway,
+	"slow-reader":       slowReader,
 }
 
 func main() {
--- a/review/driver/worker.go
+++ b/review/driver/worker.go
@@ -16,11 +16,11 @@
 
 // Figures of the sheet for the bookings desk.
 const (
-	deskSlots    = 6
-	deskQueue    = 24
-	deskWork     = 30 * time.Millisecond
-	answerBytes  = 800
-	beatInterval = 1200 * time.Millisecond
+	deskSlots       = 6
+	deskQueue       = 24
+	deskWork        = 30 * time.Millisecond
+	meanAnswerBytes = 800
+	beatInterval    = 1200 * time.Millisecond
 )
 
 // worker is a sound worker of the bookings desk.
@@ -32,6 +32,8 @@
 	running        atomic.Int32
 
 	draining atomic.Bool
+	// answerBytes is the size of an answer.
+	answerBytes atomic.Int64
 
 	mu sync.Mutex // guards all below
 	// runs counts the runs of each request, arrivedAt is when it last arrived.
@@ -46,6 +48,7 @@
 		return nil, fmt.Errorf("listen for a worker: %w", err)
 	}
 	w := &worker{id: id, zone: zone, addr: l.Addr().String(), record: r, slots: make(chan struct{}, deskSlots), runs: map[string]int{}, arrivedAt: map[string]time.Time{}}
+	w.answerBytes.Store(meanAnswerBytes)
 	go func() { _ = http.Serve(l, w) }()
 	return w, nil
 }
@@ -131,8 +134,9 @@
 	time.Sleep(deskWork)
 	h.Set("X-Almondturn-Instance-Load", fmt.Sprintf("%d,%d,%d", w.running.Load(), w.waiting.Load(), deskSlots))
 	h.Set("X-Almondturn-Server-Stamp", "3e1b."+w.id+"."+id)
-	h.Set("Content-Length", strconv.Itoa(answerBytes))
-	_, _ = io.WriteString(rw, strings.Repeat("a", answerBytes))
+	size := int(w.answerBytes.Load())
+	h.Set("Content-Length", strconv.Itoa(size))
+	_, _ = io.WriteString(rw, strings.Repeat("a", size))
 }
 
 // runCount returns how often the worker has run a request.
