--- a/pkg/entry/changelog.go
+++ b/pkg/entry/changelog.go
@@ -18,6 +18,12 @@
 // changeLog retains the last changes that a watch received and serves them to
 // other nodes. Its methods may be called concurrently.
 type changeLog struct {
+	// maxAge returns for how long after confirmedAt other nodes may rely on the
+	// changes.
+	maxAge func() time.Duration
+	// clock continues while the VM is suspended.
+	clock func() time.Time
+
 	mu sync.Mutex // guards all below
 	// available is false while the watch fails; other nodes must not rely on
 	// the changes then.
@@ -26,26 +32,33 @@
 	// order.
 	events      []kv.WatchEvent
 	floor, head kv.Revision
+	// confirmedAt is the last time, on clock, at which the key-value service is known
+	// to have had no changes other than these.
+	confirmedAt time.Time
 	changed     chan struct{} // closed and replaced when changes arrive or available is assigned
 }
 
 // newChangeLog returns a changeLog that is not available until reset is called.
-func newChangeLog() *changeLog { return &changeLog{changed: make(chan struct{})} }
+func newChangeLog(maxAge func() time.Duration, clock func() time.Time) *changeLog {
+	return &changeLog{maxAge: maxAge, clock: clock, changed: make(chan struct{})}
+}
 
 // reset makes the changeLog available, without the previous changes and from a
-// revision on.
-func (c *changeLog) reset(at kv.Revision) {
+// revision on that was the current one at a time.
+func (c *changeLog) reset(at kv.Revision, confirmedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.available, c.events, c.floor, c.head = true, nil, at, at
+	c.available, c.events, c.floor, c.head, c.confirmedAt = true, nil, at, at, confirmedAt
 	c.notify()
 }
 
-// add appends changes. head is the revision up to which they are complete.
-func (c *changeLog) add(events []kv.WatchEvent, head kv.Revision) {
+// add appends changes. head is the revision up to which they are complete, and
+// confirmedAt a time at which there were no others.
+func (c *changeLog) add(events []kv.WatchEvent, head kv.Revision, confirmedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = max(c.head, head)
+	c.confirmedAt = later(c.confirmedAt, confirmedAt)
 	if len(events) == 0 {
 		return
 	}
@@ -73,20 +86,26 @@
 }
 
 // changesAfter returns the last change of each key after a revision.
-// out.Available is false if c is not available, does not reach back to the
-// revision, or has not reached it yet. changed is closed when the result may
-// differ.
-func (c *changeLog) changesAfter(revision kv.Revision) (out *wire.EntryChanges, changed <-chan struct{}) {
+// out.Available is false if c is not available or was last confirmed too long ago,
+// does not reach back to the revision, or has not reached it yet. changed is closed
+// when the result may differ; it also differs after expiry unless the changes were
+// confirmed meanwhile.
+func (c *changeLog) changesAfter(revision kv.Revision) (out *wire.EntryChanges, changed <-chan struct{}, expiry time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	age := c.clock().Sub(c.confirmedAt)
+	expiry = c.maxAge() - age
 	if !c.available || revision < c.floor || revision > c.head {
-		return new(wire.EntryChanges), c.changed
+		return new(wire.EntryChanges), c.changed, 0
+	}
+	if expiry <= 0 {
+		return &wire.EntryChanges{AgeMillis: age.Milliseconds()}, c.changed, 0
 	}
-	out = &wire.EntryChanges{Available: true, Revision: uint64(c.head)}
+	out = &wire.EntryChanges{Available: true, Revision: uint64(c.head), AgeMillis: max(age.Milliseconds(), 0) + 1}
 	for _, e := range latestPerKey(c.events, revision) {
 		out.Events = append(out.Events, wire.EntryChange{Key: e.Entry.Key, Value: e.Entry.Value, Revision: uint64(e.Entry.ModRevision), Deleted: e.Deleted})
 	}
-	return out, c.changed
+	return out, c.changed, expiry
 }
 
 // latestPerKey returns the last change of each key after a revision, in order
@@ -109,21 +128,34 @@
 
 // waitForChanges returns the changes after a revision as soon as there are any,
 // and without changes after maxWait or when ctx ends. It returns a result that is
-// not available as soon as the log is unavailable.
+// not available as soon as the log is unavailable or was confirmed too long ago.
 func (c *changeLog) waitForChanges(ctx context.Context, revision kv.Revision, maxWait time.Duration) *wire.EntryChanges {
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	for {
-		out, changed := c.changesAfter(revision)
+		out, changed, expiry := c.changesAfter(revision)
 		if !out.Available || len(out.Events) > 0 {
 			return out
 		}
+		expired := time.NewTimer(expiry)
 		select {
 		case <-changed:
+		case <-expired.C:
 		case <-ctx.Done():
+			expired.Stop()
+			out, _, _ = c.changesAfter(revision)
 			return out
 		}
+		expired.Stop()
+	}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // changesRequest returns the request for the changes after a revision that waits
@@ -140,37 +172,53 @@
 	return &wire.OwnerChangesRequest{After: uint64(after), WaitMillis: wait.Milliseconds()}
 }
 
+// Reasons of a changesError, which the log and the metrics have.
+const (
+	changesOwner      = "this node is the owner"
+	changesNoOwner    = "no owner is connected"
+	changesNoResponse = "no response"
+	changesNotServed  = "the owner does not serve them"
+	changesOld        = "the owner has not heard from the key-value service for too long"
+)
+
+// changesError means that the owner of the zone does not provide changes.
+type changesError struct{ reason string }
+
+// Error implements error.
+func (e *changesError) Error() string { return "changes of the owner of the zone: " + e.reason }
+
 // requestChanges requests the changes of some entries after a revision from the
-// owner of this node's zone, which waits at most maxWait for a change. next is the
-// revision to continue from. ok is false if the changes have to be read from the
-// key-value service.
-func (l *links) requestChanges(ctx context.Context, request changesRequest, after kv.Revision, maxWait time.Duration) (events []kv.WatchEvent, next kv.Revision, ok bool) {
-	if l.node.owner.IsOwner() {
-		return nil, 0, false
-	}
+// owner of this node's zone, which waits at most maxWait for a change. age is how long
+// ago there were no others, at the time of the response. An error is a *changesError;
+// the changes have to be read from the key-value service then.
+func (l *links) requestChanges(ctx context.Context, request changesRequest, after kv.Revision, maxWait time.Duration) (fetched fetchedChanges, age time.Duration, err error) {
 	link, _ := l.ownerLink(l.node.self.Zone)
 	if link == nil {
-		return nil, 0, false
+		return fetchedChanges{}, 0, &changesError{changesNoOwner}
 	}
 	c := link.conn.Load()
 	if c == nil {
-		return nil, 0, false
+		return fetchedChanges{}, 0, &changesError{changesNoOwner}
 	}
 	resp, err := c.Call(ctx, request(after, maxWait))
 	if err != nil {
-		return nil, 0, false // the caller reads the key-value service instead
+		return fetchedChanges{}, 0, &changesError{changesNoResponse}
 	}
 	changes, ok := resp.(*wire.EntryChanges)
-	if !ok || !changes.Available {
-		return nil, 0, false
+	if !ok || changes.AgeMillis <= 0 {
+		return fetchedChanges{}, 0, &changesError{changesNotServed}
+	}
+	if !changes.Available {
+		return fetchedChanges{}, 0, &changesError{changesOld}
 	}
+	fetched.next = kv.Revision(changes.Revision)
 	for _, e := range changes.Events {
-		events = append(events, kv.WatchEvent{
+		fetched.events = append(fetched.events, kv.WatchEvent{
 			Entry:   kv.Entry{Key: e.Key, Value: e.Value, ModRevision: kv.Revision(e.Revision)},
 			Deleted: e.Deleted,
 		})
 	}
-	return events, kv.Revision(changes.Revision), true
+	return fetched, time.Duration(changes.AgeMillis) * time.Millisecond, nil
 }
 
 // serveChanges responds to requestChanges of another node from a change log. Only
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -119,6 +119,9 @@
 	}
 	fmt.Fprintf(w, "almondturn_configuration_version %d\n", n.version())
 	fmt.Fprintf(w, "almondturn_store_era %d\n", n.store.Era())
+	for _, watch := range n.watches {
+		fmt.Fprintf(w, "almondturn_entries_age_seconds{prefix=%q} %.1f\n", watch.prefix, watch.freshness.age().Seconds())
+	}
 	fmt.Fprintf(w, "almondturn_configuration_age_seconds %.1f\n", n.configurationAge().Seconds())
 	n.budgets.each(func(service string, b *retryBudget) {
 		fmt.Fprintf(w, "almondturn_retry_budget_left{service=%q} %.1f\n", service, b.remaining(time.Now(), n.retryLimits()))
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -234,7 +234,7 @@
 	n := &Node{
 		settings: d.Settings, log: d.Log, clientProtocol: d.ClientProtocol, targetProtocol: d.TargetProtocol, decoder: d.Decoder, store: d.Store, pool: d.Pool,
 		reporter: d.Targets, metrics: d.Metrics, started: time.Now(), runs: map[uint64]zoneRun{}, readinessPath: d.ReadinessPath,
-		directory: inventory.NewDirectory(), configurationEntries: map[string]kv.Entry{}, idleClientConns: newIdleConns(), targetChanges: newChangeLog(), ownerChanges: newChangeLog(),
+		directory: inventory.NewDirectory(), configurationEntries: map[string]kv.Entry{}, idleClientConns: newIdleConns(),
 		snapshotLimiter: limiter.New(time.Now), notices: notices.NewLedger(boottime.Now),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
@@ -243,6 +243,8 @@
 	n.usages.node = n.self.ID
 	n.shares.node = n
 	n.bounds.Store(&d.Settings.Bounds)
+	n.targetChanges = newChangeLog(n.maxTargetsAge, boottime.Now)
+	n.ownerChanges = newChangeLog(ownersAge, boottime.Now)
 	n.fallbackQuery.ownerReached(n.started)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.probes.targets, n.probes.ctx = d.Targets, n.ctx
@@ -264,9 +266,9 @@
 	d.Store.SetRestoreObserver(n.storeRestored)
 	n.configurationWatch = n.newWatch(d.Decoder.ConfigurationPrefix, noFetchDelay, n.replaceConfiguration, n.applyConfigurationChanges)
 	targets := n.newWatch(d.Decoder.TargetPrefix, n.targetFetchDelay, n.replaceTargets, n.applyTargetChanges)
-	targets.changeLog, targets.peerChanges = n.targetChanges, targetChangesRequest
+	targets.changeLog, targets.peerChanges, targets.freshness.maxAge = n.targetChanges, targetChangesRequest, n.maxTargetsAge
 	owners := n.newWatch(zoneowner.KeyPrefix, noFetchDelay, n.replaceOwners, n.applyOwnerChanges)
-	owners.changeLog, owners.peerChanges = n.ownerChanges, ownerChangesRequest
+	owners.changeLog, owners.peerChanges, owners.freshness.maxAge = n.ownerChanges, ownerChangesRequest, ownersAge
 	n.watches = []*watch{n.configurationWatch, targets, owners}
 	return n, nil
 }
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -27,8 +27,8 @@
 	// peerChangesWait is the longest time for which another node waits for
 	// changes.
 	peerChangesWait = 500 * time.Millisecond
-	// peerResponseGrace is how long after peerChangesWait the response of the
-	// other node may arrive.
+	// peerResponseGrace is how long after that wait the response of the other
+	// node may arrive.
 	peerResponseGrace = 300 * time.Millisecond
 	// watchRetryDelay is the wait after the first failed call. It doubles with each
 	// further one, up to maxWatchRetryDelay, once the entries were read. Each wait is
@@ -61,6 +61,9 @@
 	// peerChanges is the request for changes to the owner of the zone, which is
 	// asked before the key-value service; nil if it does not serve them.
 	peerChanges changesRequest
+	// readsFromOwner is true if the last changes were those of the owner of the zone.
+	readsFromOwner bool
+	freshness      freshness
 }
 
 // run watches the prefix until ctx ends.
@@ -89,10 +92,12 @@
 // follow lists the prefix and then fetches changes until a call fails, whose
 // error it returns. It clears unavailable once the list was read.
 func (w *watch) follow(ctx context.Context, unavailable *bool) error {
+	asked := w.freshness.clock()
 	entries, revision, err := w.store.List(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
+	w.freshness.confirm(asked)
 	if *unavailable {
 		*unavailable = false
 		event.StoreRegained.Log(w.node.log).Str("prefix", w.prefix).Send()
@@ -100,31 +105,41 @@
 	w.entryCopy.reset(entries)
 	w.onList(entries, revision)
 	if w.changeLog != nil {
-		w.changeLog.reset(revision)
+		w.changeLog.reset(revision, asked)
 	}
 	for {
-		events, next, err := w.fetch(ctx, revision)
+		fetched, err := w.fetch(ctx, revision)
 		if err != nil {
 			return err
 		}
+		w.freshness.confirm(fetched.confirmedAt)
 		if w.changeLog != nil {
-			w.changeLog.add(events, next)
+			w.changeLog.add(fetched.events, fetched.next, fetched.confirmedAt)
 		}
-		if len(events) > 0 {
-			w.entryCopy.apply(events)
-			w.onChanges(events)
+		if len(fetched.events) > 0 {
+			w.entryCopy.apply(fetched.events)
+			w.onChanges(fetched.events)
 			wait.Sleep(ctx, w.fetchDelay())
 		}
-		revision = max(revision, next)
+		revision = max(revision, fetched.next)
 	}
 }
 
 // errRelist is the cause with which relist ends a wait for changes.
 var errRelist = errors.New("newer entries exist")
 
-// fetch waits for changes after a revision, and returns them with the revision
-// to continue from. relist ends the wait with errRelist.
-func (w *watch) fetch(ctx context.Context, after kv.Revision) ([]kv.WatchEvent, kv.Revision, error) {
+// fetchedChanges are the changes after a revision.
+type fetchedChanges struct {
+	events []kv.WatchEvent
+	// next is the revision to continue from.
+	next kv.Revision
+	// confirmedAt is the last time, on the clock of the watch's freshness, at which the
+	// key-value service is known to have had no other changes.
+	confirmedAt time.Time
+}
+
+// fetch waits for changes after a revision. relist ends the wait with errRelist.
+func (w *watch) fetch(ctx context.Context, after kv.Revision) (fetchedChanges, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := make(chan struct{})
@@ -136,22 +151,79 @@
 		case <-stop:
 		}
 	}()
-	if events, next, ok := w.fetchFromPeer(ctx, after); ok {
-		return events, next, nil
+	if w.peerChanges != nil {
+		fetched, err := w.fetchFromPeer(ctx, after)
+		w.observeSource(ctx, err)
+		if err == nil {
+			return fetched, nil
+		}
 	}
-	return w.store.Changes(ctx, w.prefix, after, changesWait)
+	return w.fetchFromStore(ctx, after)
 }
 
-// fetchFromPeer requests changes from another node, if one serves them. The
-// wait is short, because a node that has stopped cannot be distinguished from
-// one without changes.
-func (w *watch) fetchFromPeer(ctx context.Context, after kv.Revision) ([]kv.WatchEvent, kv.Revision, bool) {
-	if w.peerChanges == nil {
-		return nil, 0, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerChangesWait+peerResponseGrace)
+// fetchFromPeer requests changes from another node. The wait is short, because a node that
+// has stopped cannot be distinguished from one without changes, and ends before the
+// entries are older than they may be. An error is a *changesError.
+func (w *watch) fetchFromPeer(ctx context.Context, after kv.Revision) (fetchedChanges, error) {
+	if w.node.owner.IsOwner() {
+		return fetchedChanges{}, &changesError{changesOwner}
+	}
+	timeout := min(peerChangesWait+peerResponseGrace, w.freshness.left())
+	if timeout <= 0 {
+		return fetchedChanges{}, &changesError{changesOld}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return w.node.links.requestChanges(ctx, w.peerChanges, after, peerChangesWait)
+	fetched, age, err := w.node.links.requestChanges(ctx, w.peerChanges, after, max(timeout-peerResponseGrace, 0))
+	if err != nil {
+		return fetchedChanges{}, err
+	}
+	if age > w.freshness.maxAge() {
+		return fetchedChanges{}, &changesError{changesOld}
+	}
+	fetched.confirmedAt = w.freshness.clock().Add(-age)
+	return fetched, nil
+}
+
+// fetchFromStore waits for changes at the key-value service. If the age of the copy is
+// bounded, the wait ends before the copy is too old, and a call without a response fails.
+func (w *watch) fetchFromStore(ctx context.Context, after kv.Revision) (fetchedChanges, error) {
+	maxWait := changesWait
+	if w.freshness.maxAge != nil {
+		var timeout time.Duration
+		maxWait, timeout = w.freshness.nextCall()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	asked := w.freshness.clock()
+	events, next, err := w.store.Changes(ctx, w.prefix, after, maxWait)
+	if err != nil {
+		return fetchedChanges{}, err
+	}
+	if waited := w.freshness.clock().Sub(asked); len(events) == 0 && waited >= maxWait {
+		asked = asked.Add(maxWait) // the service responds at the end of the wait
+	}
+	return fetchedChanges{events, next, asked}, nil
+}
+
+// observeSource logs that the changes are read from the key-value service from now on
+// instead of from the owner of the zone, for the reason of err, or from the owner again if
+// err is nil.
+func (w *watch) observeSource(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return // the wait was ended by this node
+	}
+	fromOwner := err == nil
+	if fromOwner == w.readsFromOwner {
+		return
+	}
+	w.readsFromOwner = fromOwner
+	line := event.ChangesSource.Log(w.node.log).Str("prefix", w.prefix).Bool("from_owner", fromOwner).Dur("age_ms", w.freshness.age())
+	if !fromOwner {
+		line = line.Err(err)
+	}
+	line.Send()
 }
 
 // relist makes run list the prefix again.
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -31,6 +31,7 @@
 	StoreLost            = register(716, "store_lost", zerolog.WarnLevel, "The key-value service does not respond to a watch; the node continues with the last state that it received.")
 	StoreRegained        = register(717, "store_regained", zerolog.InfoLevel, "The key-value service responds to a watch again.")
 
+	ChangesSource   = register(751, "changes_source", zerolog.InfoLevel, "The node reads the changes below a prefix from the owner of its availability zone (from_owner) or, for the reason in error, from the key-value service itself. age_ms is the age of its copy: the time since the service is known to have had no other changes.")
 	StoreRestored   = register(707, "store_restored", zerolog.WarnLevel, "The key-value service came back from an older copy: what was written since the copy is gone until it is written again. The fields hold the era before and now, and the version of the configuration in force with the era and revision that it was read at.")
 	StoreBorrowed   = register(719, "store_borrowed", zerolog.WarnLevel, "The node has started while the key-value service does not respond, and uses the state copied from a peer.")
 	TargetsSurveyed = register(718, "targets_surveyed", zerolog.WarnLevel, "No owner of an availability zone could be reached for several seconds; the node has queried the targets of its own zone directly for the models that they have loaded.")
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -268,14 +268,18 @@
 
 // EntryChanges is the response to TargetChangesRequest and to OwnerChangesRequest.
 type EntryChanges struct {
-	// Available is true if the owner watches the entries and its retained changes
-	// reach back to the requested revision. Otherwise the other fields have no
-	// meaning.
+	// Available is true if the owner watches the entries, has heard from the
+	// key-value service lately, and its retained changes reach back to the requested
+	// revision. Otherwise Events and Revision have no meaning.
 	Available bool `cbor:"1,keyasint,omitempty"`
 	// Events are the changes of entries, in order.
 	Events []EntryChange `cbor:"2,keyasint,omitempty"`
 	// Revision is the revision to request the next changes after.
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
+	// AgeMillis is how long ago, at the time of the response, the key-value service
+	// is known to have had no other changes. It is at least 1. It is 0 if the owner does
+	// not serve the changes; with Available false and an age, only the age is why.
+	AgeMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // SnapshotRequest asks a node for the entries of the key-value service below a
