--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -32,6 +32,7 @@
 	errTargetLeaves = fmt.Errorf("%w: the target has said that it leaves", errWithheld)
 	errTargetPauses = fmt.Errorf("%w: the target has asked for a pause", errWithheld)
 	errTargetDrains = fmt.Errorf("%w: the target is listed as draining", errWithheld)
+	errTargetGone   = fmt.Errorf("%w: the target is no longer listed", errWithheld)
 )
 
 // noticeKey returns the key of a target's notices.
@@ -84,7 +85,8 @@
 
 // mayStillSend returns an error that wraps errWithheld if this node must not send a request
 // to a target that was chosen before: by an owner with an older list, or before the target
-// said that it leaves or asked for a pause.
+// said that it leaves or asked for a pause. What this node's own list says counts, whoever
+// chose the target.
 func (n *Node) mayStillSend(t *inventory.Target) error {
 	if n.notices.State(noticeKey(t)).Leaving {
 		return errTargetLeaves
@@ -92,12 +94,18 @@
 	if n.notices.PauseLeft(t.ID) > 0 {
 		return errTargetPauses
 	}
-	if set := n.targetSet.Load(); set != nil {
-		if listed := set.Target(t.ID); listed != nil && listed.Draining && listed.Incarnation == t.Incarnation {
-			return errTargetDrains
-		}
+	set := n.targetSet.Load()
+	if set == nil {
+		return nil
+	}
+	switch listed := set.Target(t.ID); {
+	case listed == nil || listed.Incarnation != t.Incarnation:
+		return errTargetGone
+	case listed.Draining:
+		return errTargetDrains
+	default:
+		return nil
 	}
-	return nil
 }
 
 // unavailableTargets returns the targets of a service to which this node sends no requests
--- a/pkg/entry/notices_test.go
+++ b/pkg/entry/notices_test.go
@@ -53,7 +53,7 @@
 }
 
 // A request that waited for its connection was sent although the target had said meanwhile
-// that it leaves or wants a pause, or was listed as draining.
+// that it leaves or wants a pause, was listed as draining, or was removed from the list.
 func TestRequestIsWithheldIfTheTargetIsOutWhileItConnects(t *testing.T) {
 	for name, leave := range map[string]func(n *Node, target *inventory.Target){
 		"it says so": func(n *Node, target *inventory.Target) {
@@ -68,6 +68,14 @@
 			draining.Draining = true
 			n.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{&draining}))
 		},
+		"it is no longer listed": func(n *Node, _ *inventory.Target) {
+			n.targetSet.Store(inventory.NewTargetSet(nil))
+		},
+		"another incarnation is listed": func(n *Node, target *inventory.Target) {
+			restarted := *target
+			restarted.Incarnation++
+			n.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{&restarted}))
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n, _ := newIdleNode(t)
