--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -84,6 +84,9 @@
 	TargetProtocol TargetProtocol
 	Decoder        Decoder
 	Metrics        *Metrics
+	// FirstStart says that no process of this node has ended lately, so that there are no
+	// retries of a former process that count.
+	FirstStart bool
 	// ReadinessPath is the path of the load balancer's readiness check; empty
 	// if the readiness listener does not serve it.
 	ReadinessPath string
@@ -147,6 +150,7 @@
 	notices        *notices.Ledger
 	shares         limitShares
 	started        time.Time
+	firstStart     bool
 	ready          atomic.Bool
 	stopping       atomic.Bool
 	// stopTimes is nil before Stop is called.
@@ -238,7 +242,7 @@
 		snapshotLimiter: limiter.New(time.Now), notices: notices.NewLedger(boottime.Now),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
-	n.onRestore = d.OnRestore
+	n.onRestore, n.firstStart = d.OnRestore, d.FirstStart
 	d.Settings.limitTargetResponses(&d.Pool.Buffered)
 	n.usages.node = n.self.ID
 	n.shares.node = n
@@ -392,10 +396,16 @@
 }
 
 // retryLimits returns the limits of the retry budgets: those of the settings
-// that were last loaded, and the current number of nodes.
+// that were last loaded, and the current number of nodes. For one window after the start,
+// this node has no part of the shared retries: its former process may have made all of
+// them just before it ended.
 func (n *Node) retryLimits() retryLimits {
 	b := n.bounds.Load()
-	return retryLimits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.maxNodeCount()}
+	l := retryLimits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.maxNodeCount()}
+	if !n.firstStart && time.Since(n.started) < b.RetryWindow {
+		l.slack = 0
+	}
+	return l
 }
 
 // sweep closes expired idle connections to targets and of clients, and forgets the limits
--- a/pkg/localcluster/localcluster.go
+++ b/pkg/localcluster/localcluster.go
@@ -91,6 +91,8 @@
 
 	mu    sync.Mutex                  // guards nodes
 	nodes map[fleet.NodeID]*node.Node // the running ones
+	// started holds the nodes that were started at least once.
+	started map[fleet.NodeID]bool
 	// configs and startOrder are those of all nodes. They don't change after Start.
 	configs    map[fleet.NodeID]*config.Config
 	startOrder []fleet.NodeID
@@ -120,7 +122,7 @@
 	}
 	c := &Cluster{
 		Store: standin.NewStore(), Engines: map[string]*standin.Engine{}, PlainTargets: map[string]*standin.Engine{}, Network: simnet.New(),
-		opts: o, proxies: map[string]*faultproxy.Proxy{}, stop: make(chan struct{}), nodes: map[fleet.NodeID]*node.Node{}, configs: map[fleet.NodeID]*config.Config{},
+		opts: o, proxies: map[string]*faultproxy.Proxy{}, stop: make(chan struct{}), nodes: map[fleet.NodeID]*node.Node{}, started: map[fleet.NodeID]bool{}, configs: map[fleet.NodeID]*config.Config{},
 	}
 	if err := c.startStandins(); err != nil {
 		c.Stop()
@@ -278,7 +280,7 @@
 // before and a new incarnation.
 func (c *Cluster) StartNode(id fleet.NodeID) error {
 	cfg := c.configs[id]
-	n, err := node.New(cfg, node.Options{Log: c.opts.Log, Dial: withDialTimeout(c.Network.Dialer(string(cfg.Node.Zone)))})
+	n, err := node.New(cfg, node.Options{Log: c.opts.Log, Dial: withDialTimeout(c.Network.Dialer(string(cfg.Node.Zone))), FirstStart: c.beginFirstStart(id)})
 	if err != nil {
 		return fmt.Errorf("node %s: %w", id, err)
 	}
@@ -291,6 +293,15 @@
 	return nil
 }
 
+// beginFirstStart reports whether a node is started for the first time.
+func (c *Cluster) beginFirstStart(id fleet.NodeID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.started[id]
+	c.started[id] = true
+	return first
+}
+
 // withDialTimeout returns a dial function that fails after dialTimeout.
 func withDialTimeout(dial fleet.DialFunc) fleet.DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -47,6 +47,8 @@
 	// Dial opens all connections of the node. If it is nil, they are plain TCP
 	// connections with a timeout of dialTimeout.
 	Dial fleet.DialFunc
+	// FirstStart is that of entry.Deps.
+	FirstStart bool
 }
 
 // Node is an entry.Node, which listens for callers and other nodes, and in addition a
@@ -206,7 +208,8 @@
 			ConfigurationPrefix: teams.Prefix, TargetPrefix: platform.TargetPrefix,
 			Configuration: decoder.Decode, Target: platform.DecodeTarget,
 		},
-		OnRestore: teams.NewRestorer(repository, log).Restore,
+		OnRestore:  teams.NewRestorer(repository, log).Restore,
+		FirstStart: o.FirstStart,
 	})
 	if err != nil {
 		return nil, err
