--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -8,13 +8,16 @@
 )
 
 // usableBudgetShare is the share of the configured bound that is used. The
-// remainder covers nodes that this one does not know of, and requests at the
-// edges of the window, which moves by whole buckets.
+// remainder covers nodes that this one does not know of.
 const usableBudgetShare = 0.7
 
-// budgetBuckets is the number of equal parts that the sliding window of a
-// retryBudget is divided into.
-const budgetBuckets = 10
+// Parts of the sliding window of a retryBudget.
+const (
+	// budgetBuckets is the number of equal parts that the window is divided into.
+	budgetBuckets = 10
+	// ringBuckets is the number of parts that are counted.
+	ringBuckets = budgetBuckets
+)
 
 // retryBudget bounds the retries to one service within a sliding window: to a
 // share of the requests that this node received for the service, plus this
@@ -23,13 +26,15 @@
 type retryBudget struct {
 	mu sync.Mutex // guards all fields
 	// requests and retries count per bucket; bucket i is at index i modulo
-	// budgetBuckets.
-	requests [budgetBuckets]int
-	retries  [budgetBuckets]int
+	// ringBuckets.
+	requests [ringBuckets]int
+	retries  [ringBuckets]int
 	// bucket is the number of the current bucket since the Unix epoch, in units of
 	// window divided by budgetBuckets.
 	bucket int64
 	window time.Duration
+	// windows counts the changes of window.
+	windows int
 }
 
 // retryLimits are the limits of a retryBudget on one node.
@@ -42,38 +47,41 @@
 	nodes int
 }
 
+// spentRetry identifies a retry that spend counted; the zero value is none.
+type spentRetry struct {
+	bucket  int64
+	windows int
+}
+
 // recordRequest counts one request of a client, which adds to the budget.
 func (b *retryBudget) recordRequest(now time.Time, l retryLimits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now, l)
-	b.requests[b.bucket%budgetBuckets]++
+	b.requests[b.bucket%ringBuckets]++
 }
 
 // spend counts a retry and returns true if the budget allows it; otherwise it
 // counts nothing.
-func (b *retryBudget) spend(now time.Time, l retryLimits) bool {
+func (b *retryBudget) spend(now time.Time, l retryLimits) (spentRetry, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now, l)
 	if !b.allowsRetryLocked(l) {
-		return false
+		return spentRetry{}, false
 	}
-	b.retries[b.bucket%budgetBuckets]++
-	return true
+	b.retries[b.bucket%ringBuckets]++
+	return spentRetry{b.bucket, b.windows}, true
 }
 
 // refund takes back a retry that spend counted and that was not made, unless it has
-// left the window.
-func (b *retryBudget) refund(now time.Time, l retryLimits) {
+// left the window or the window has changed since.
+func (b *retryBudget) refund(now time.Time, l retryLimits, r spentRetry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now, l)
-	for i := range int64(budgetBuckets) {
-		if count := &b.retries[(b.bucket-i+budgetBuckets)%budgetBuckets]; *count > 0 {
-			*count--
-			return
-		}
+	if r.windows == b.windows && b.bucket-r.bucket < ringBuckets {
+		b.retries[r.bucket%ringBuckets]--
 	}
 }
 
@@ -84,7 +92,7 @@
 // may be negative, for example after the limits were lowered.
 func (b *retryBudget) remainingLocked(l retryLimits) float64 {
 	requests, retries := 0, 0
-	for i := range budgetBuckets {
+	for i := range ringBuckets {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
@@ -104,34 +112,31 @@
 }
 
 // advance clears the buckets that are no longer in the window. After a change of the
-// window, all counts are taken for the current bucket, so that retries of the former
-// window still count for one whole new one. b.mu must be held.
+// window, all counts are taken for the current bucket, so that retries of
+// the former window still count for one whole new one. b.mu must be held.
 func (b *retryBudget) advance(now time.Time, l retryLimits) {
-	bucket := now.UnixNano() / (int64(l.window) / budgetBuckets)
 	if l.window != b.window {
-		b.moveToBucket(bucket)
-		b.window = l.window
+		b.changeWindow(now, l.window)
+		return
 	}
-	if bucket-b.bucket >= budgetBuckets {
-		b.requests, b.retries = [budgetBuckets]int{}, [budgetBuckets]int{}
-	} else {
-		for i := b.bucket + 1; i <= bucket; i++ {
-			b.requests[i%budgetBuckets], b.retries[i%budgetBuckets] = 0, 0
-		}
+	bucket := max(now.UnixNano()/(int64(b.window)/budgetBuckets), b.bucket)
+	for i := b.bucket + 1; i <= min(bucket, b.bucket+ringBuckets); i++ {
+		b.requests[i%ringBuckets], b.retries[i%ringBuckets] = 0, 0
 	}
-	b.bucket = max(b.bucket, bucket)
+	b.bucket = bucket
 }
 
-// moveToBucket moves all counts to one bucket and makes it the current one.
-func (b *retryBudget) moveToBucket(bucket int64) {
+// changeWindow moves all counts to the current bucket of another window.
+func (b *retryBudget) changeWindow(now time.Time, window time.Duration) {
 	requests, retries := 0, 0
-	for i := range budgetBuckets {
+	for i := range ringBuckets {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	b.requests, b.retries = [budgetBuckets]int{}, [budgetBuckets]int{}
-	b.requests[bucket%budgetBuckets], b.retries[bucket%budgetBuckets] = requests, retries
-	b.bucket = bucket
+	b.bucket, b.window = now.UnixNano()/(int64(window)/budgetBuckets), window
+	b.requests, b.retries = [ringBuckets]int{}, [ringBuckets]int{}
+	b.requests[b.bucket%ringBuckets], b.retries[b.bucket%ringBuckets] = requests, retries
+	b.windows++
 }
 
 // budgets holds one retryBudget per service. Its methods may be called
--- a/pkg/entry/budget_test.go
+++ b/pkg/entry/budget_test.go
@@ -7,6 +7,18 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// spendAll spends retries until the budget allows no more.
+func (b *retryBudget) spendAll(now time.Time, l retryLimits) []spentRetry {
+	var out []spentRetry
+	for {
+		r, ok := b.spend(now, l)
+		if !ok {
+			return out
+		}
+		out = append(out, r)
+	}
+}
+
 // A process that was killed took the count of its retries with it, and the next one had its
 // whole part of the shared retries at once: with a node killed every half second, a service
 // got up to 89 more repeats in ten seconds than its budget.
@@ -16,17 +28,83 @@
 	budget := n.budgets.forService("s")
 	now := time.Now()
 	n.started = now
-	assert.False(t, budget.spend(now, n.retryLimits()), "the former process may have made all")
+	assert.Empty(t, budget.spendAll(now, n.retryLimits()), "the former process may have made all")
 	for range 100 {
 		budget.recordRequest(now, n.retryLimits())
 	}
-	spent := 0
-	for budget.spend(now, n.retryLimits()) {
-		spent++
-	}
-	assert.Equal(t, 14, spent, "what its own requests allow")
+	assert.Len(t, budget.spendAll(now, n.retryLimits()), 14, "what its own requests allow")
 	n.started = now.Add(-10 * time.Second)
-	assert.True(t, budget.spend(now, n.retryLimits()), "a window has passed since the start")
+	assert.True(t, budget.allowsRetry(now, n.retryLimits()), "a window has passed since the start")
 	n.started, n.firstStart = now, true
-	assert.True(t, budget.spend(now, n.retryLimits()), "there is no former process")
+	assert.True(t, budget.allowsRetry(now, n.retryLimits()), "there is no former process")
+}
+
+// A refund took back the newest retry instead of the one that was not made: the older
+// one left the window with it, and was counted no more although it had been made.
+func TestRefundTakesBackTheRetryThatWasNotMade(t *testing.T) {
+	l := retryLimits{slack: 30, window: 10 * time.Second, nodes: 1}
+	b := new(retryBudget)
+	first := b.spendAll(now, l)[0]
+	afterwards := now.Add(5 * time.Second)
+	b.refund(afterwards, l, first)
+	assert.Len(t, b.spendAll(afterwards, l), 1)
+	b.refund(afterwards, l, first)
+	assert.Len(t, b.spendAll(afterwards, l), 1)
+	assert.Len(t, b.spendAll(now.Add(11*time.Second), l), 19, "both retries of the sixth second count")
+}
+
+func TestRetryBudgetGrowsWithRequestsAndTime(t *testing.T) {
+	l := retryLimits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 3}
+	b := new(retryBudget)
+	spent := len(b.spendAll(now, l))
+	assert.Equal(t, 7, spent, "0.7 of a third of the slack")
+	for range 100 {
+		b.recordRequest(now, l)
+	}
+	spent += len(b.spendAll(now.Add(time.Second), l))
+	assert.Equal(t, 21, spent, "another 0.7 of a fifth of the requests")
+	assert.False(t, b.allowsRetry(now.Add(5*time.Second), l))
+	assert.NotEmpty(t, b.spendAll(now.Add(12*time.Second), l), "the window has elapsed")
+}
+
+// TestRetryBudgetHoldsInEveryWindow spends as many retries as it can for 40 s,
+// and checks the bound in every window.
+func TestRetryBudgetHoldsInEveryWindow(t *testing.T) {
+	l := retryLimits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 1}
+	b := new(retryBudget)
+	var requests, retries []time.Time
+	for at := now; at.Before(now.Add(40 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		b.recordRequest(at, l)
+		requests = append(requests, at)
+		for range b.spendAll(at, l) {
+			retries = append(retries, at)
+		}
+	}
+	for _, from := range requests {
+		inWindow := func(list []time.Time) int {
+			n := 0
+			for _, x := range list {
+				if !x.Before(from) && x.Before(from.Add(l.window)) {
+					n++
+				}
+			}
+			return n
+		}
+		// 100 requests arrive per window. Requests from before the window may
+		// also allow retries in it; usableBudgetShare leaves room for these.
+		assert.LessOrEqual(t, float64(inWindow(retries)), l.ratio*100+l.slack)
+	}
+}
+
+// After a reload with another window, old retries count for one new window and not
+// forever.
+func TestRetryBudgetRecoversAfterItsWindowChanges(t *testing.T) {
+	for _, window := range []time.Duration{time.Second, 30 * time.Second} {
+		l := retryLimits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 1}
+		b := new(retryBudget)
+		b.spendAll(now, l)
+		l.window = window
+		assert.False(t, b.allowsRetry(now.Add(time.Millisecond), l), "the retries still count")
+		assert.True(t, b.allowsRetry(now.Add(window+window/budgetBuckets), l), "a window of %s has elapsed", window)
+	}
 }
--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -269,16 +269,21 @@
 		err = errSameTarget
 	case time.Until(j.deadline) < minTimeToContinue+maxOverlap:
 		err = errTimeOver
-	case !n.budgets.forService(j.service).spend(time.Now(), n.retryLimits()):
-		err = errNoBudget
 	default:
-		return a, nil
+		var ok bool
+		if a.retry, ok = n.budgets.forService(j.service).spend(time.Now(), n.retryLimits()); ok {
+			return a, nil
+		}
+		err = errNoBudget
 	}
 	n.releaseAssignment(a, sendResult{kind: withheld})
 	return assignment{}, err
 }
 
-// refundRetry takes back a retry that secure spent and that was not made.
-func (n *Node) refundRetry(j *job) {
-	n.budgets.forService(j.service).refund(time.Now(), n.retryLimits())
+// refundRetry takes back the retry that was spent for an assignment, if one was, and that
+// was not made.
+func (n *Node) refundRetry(j *job, a assignment) {
+	if a.retry != (spentRetry{}) {
+		n.budgets.forService(j.service).refund(time.Now(), n.retryLimits(), a.retry)
+	}
 }
--- a/pkg/entry/continuation_test.go
+++ b/pkg/entry/continuation_test.go
@@ -84,12 +84,10 @@
 func TestRefundedRetryMayBeSpentAgain(t *testing.T) {
 	l := retryLimits{slack: 10, window: 10 * time.Second, nodes: 1}
 	b := new(retryBudget)
-	for b.spend(now, l) {
-	}
-	b.refund(now.Add(3*time.Second), l)
-	assert.True(t, b.spend(now.Add(3*time.Second), l))
-	assert.False(t, b.spend(now.Add(3*time.Second), l))
-	b.refund(now.Add(time.Hour), l)
+	spent := b.spendAll(now, l)
+	b.refund(now.Add(3*time.Second), l, spent[0])
+	assert.Len(t, b.spendAll(now.Add(3*time.Second), l), 1)
+	b.refund(now.Add(time.Hour), l, spent[1])
 	assert.InDelta(t, 7, b.remaining(now.Add(time.Hour), l), 0.01, "a retry that has left the window is not refunded")
 }
 
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -53,68 +53,6 @@
 // now is the fixed time of the tests.
 var now = time.Unix(1_700_000_000, 0)
 
-func TestRetryBudgetGrowsWithRequestsAndTime(t *testing.T) {
-	l := retryLimits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 3}
-	b := new(retryBudget)
-	spent := 0
-	for b.spend(now, l) {
-		spent++
-	}
-	assert.Equal(t, 7, spent, "0.7 of a third of the slack")
-	for range 100 {
-		b.recordRequest(now, l)
-	}
-	for b.spend(now.Add(time.Second), l) {
-		spent++
-	}
-	assert.Equal(t, 21, spent, "another 0.7 of a fifth of the requests")
-	assert.False(t, b.allowsRetry(now.Add(5*time.Second), l))
-	assert.True(t, b.spend(now.Add(12*time.Second), l), "the window has elapsed")
-}
-
-// TestRetryBudgetHoldsInEveryWindow spends as many retries as it can for 40 s,
-// and checks the bound in every window.
-func TestRetryBudgetHoldsInEveryWindow(t *testing.T) {
-	l := retryLimits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 1}
-	b := new(retryBudget)
-	var requests, retries []time.Time
-	for at := now; at.Before(now.Add(40 * time.Second)); at = at.Add(100 * time.Millisecond) {
-		b.recordRequest(at, l)
-		requests = append(requests, at)
-		for b.spend(at, l) {
-			retries = append(retries, at)
-		}
-	}
-	for _, from := range requests {
-		inWindow := func(list []time.Time) int {
-			n := 0
-			for _, x := range list {
-				if !x.Before(from) && x.Before(from.Add(l.window)) {
-					n++
-				}
-			}
-			return n
-		}
-		// 100 requests arrive per window. Requests from before the window may
-		// also allow retries in it; usableBudgetShare leaves room for these.
-		assert.LessOrEqual(t, float64(inWindow(retries)), l.ratio*100+l.slack)
-	}
-}
-
-// After a reload with another window, old retries count for one new window and not
-// forever.
-func TestRetryBudgetRecoversAfterItsWindowChanges(t *testing.T) {
-	for _, window := range []time.Duration{time.Second, 30 * time.Second} {
-		l := retryLimits{ratio: 0.2, slack: 30, window: 10 * time.Second, nodes: 1}
-		b := new(retryBudget)
-		for b.spend(now, l) {
-		}
-		l.window = window
-		assert.False(t, b.allowsRetry(now.Add(time.Millisecond), l), "the retries still count")
-		assert.True(t, b.allowsRetry(now.Add(window+window/budgetBuckets), l), "a window of %s has elapsed", window)
-	}
-}
-
 func TestEventSplitterReturnsCompleteEvents(t *testing.T) {
 	stream := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 	for size := 1; size <= len(stream); size++ {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -268,7 +268,7 @@
 	}
 	n.releaseAssignment(x.assignment, released)
 	if r.sentNothing() {
-		n.refundRetry(j)
+		n.refundRetry(j, x.assignment)
 	}
 	return unusedAttempt{x.assignment, r}
 }
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -228,8 +228,8 @@
 		n.recordRunTime(j, last, time.Since(sentAt))
 		n.guard.attemptEnded(j, x.assignment, last)
 		n.releaseAssignment(x.assignment, last)
-		if last.kind == withheld && j.sends > 1 {
-			n.refundRetry(j)
+		if last.kind == withheld {
+			n.refundRetry(j, x.assignment)
 		}
 		if !n.prepareRetry(ctx, j, cr, last) {
 			if j.next != nil {
@@ -258,11 +258,13 @@
 		j.obstacle = obstacleRefused
 		return nil, refusal, false
 	}
-	if j.sends > 0 && !n.budgets.forService(j.service).spend(time.Now(), n.retryLimits()) {
-		event.BudgetExhausted.Log(n.log).Str("request", j.ID).Str("service", j.service).Send()
-		n.releaseAssignment(a, sendResult{kind: withheld})
-		j.obstacle = obstacleBudget
-		return nil, nil, false
+	if j.sends > 0 {
+		if a.retry, ok = n.budgets.forService(j.service).spend(time.Now(), n.retryLimits()); !ok {
+			event.BudgetExhausted.Log(n.log).Str("request", j.ID).Str("service", j.service).Send()
+			n.releaseAssignment(a, sendResult{kind: withheld})
+			j.obstacle = obstacleBudget
+			return nil, nil, false
+		}
 	}
 	return n.newExchange(ctx, j, a), nil, true
 }
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -42,6 +42,9 @@
 	runID uint64
 	// trials are the suspect parts of the prompt whose trial the attempt is.
 	trials []quarantine.Part
+	// retry is the retry of the budget that was spent for the attempt, the zero value for
+	// none.
+	retry spentRetry
 }
 
 // newErrorResponse returns an error response of a kind. retryAfter is that of
