--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -15,8 +15,9 @@
 const (
 	// budgetBuckets is the number of equal parts that the window is divided into.
 	budgetBuckets = 10
-	// ringBuckets is the number of parts that are counted.
-	ringBuckets = budgetBuckets
+	// ringBuckets is the number of parts that are counted: those of a window that begins
+	// at any time, and the current one.
+	ringBuckets = budgetBuckets + 1
 )
 
 // retryBudget bounds the retries to one service within a sliding window: to a
@@ -89,13 +90,15 @@
 func (b *retryBudget) allowsRetryLocked(l retryLimits) bool { return b.remainingLocked(l) >= 1 }
 
 // remainingLocked is remaining without advance; b.mu must be held. The result
-// may be negative, for example after the limits were lowered.
+// may be negative, for example after the limits were lowered. The requests of the oldest
+// bucket don't count, a part of which has left the window; the retries do.
 func (b *retryBudget) remainingLocked(l retryLimits) float64 {
 	requests, retries := 0, 0
 	for i := range ringBuckets {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
+	requests -= b.requests[(b.bucket+1)%ringBuckets]
 	// The conversions round the products, so that all architectures decide alike.
 	shared := l.slack / float64(max(l.nodes, 1))
 	allowed := float64(usableBudgetShare * (float64(l.ratio*float64(requests)) + shared))
@@ -112,7 +115,7 @@
 }
 
 // advance clears the buckets that are no longer in the window. After a change of the
-// window, all counts are taken for the current bucket, so that retries of
+// window, all counts are taken for the bucket before the current one, so that retries of
 // the former window still count for one whole new one. b.mu must be held.
 func (b *retryBudget) advance(now time.Time, l retryLimits) {
 	if l.window != b.window {
@@ -126,7 +129,7 @@
 	b.bucket = bucket
 }
 
-// changeWindow moves all counts to the current bucket of another window.
+// changeWindow moves all counts to the last bucket that has ended of another window.
 func (b *retryBudget) changeWindow(now time.Time, window time.Duration) {
 	requests, retries := 0, 0
 	for i := range ringBuckets {
@@ -135,7 +138,7 @@
 	}
 	b.bucket, b.window = now.UnixNano()/(int64(window)/budgetBuckets), window
 	b.requests, b.retries = [ringBuckets]int{}, [ringBuckets]int{}
-	b.requests[b.bucket%ringBuckets], b.retries[b.bucket%ringBuckets] = requests, retries
+	b.requests[(b.bucket-1)%ringBuckets], b.retries[(b.bucket-1)%ringBuckets] = requests, retries
 	b.windows++
 }
 
--- a/pkg/entry/budget_test.go
+++ b/pkg/entry/budget_test.go
@@ -39,6 +39,38 @@
 	assert.True(t, budget.allowsRetry(now, n.retryLimits()), "there is no former process")
 }
 
+// Retries at the end of a bucket left the window a bucket too soon: up to twice the allowed
+// number fell into 9.01 seconds of a window of 10.
+func TestRetriesCountForAWholeWindow(t *testing.T) {
+	l := retryLimits{slack: 30, window: 10 * time.Second, nodes: 1}
+	for _, offset := range []time.Duration{0, time.Millisecond, 500 * time.Millisecond, 999 * time.Millisecond} {
+		b := new(retryBudget)
+		b.recordRequest(now, l) // the first bucket begins
+		spentAt := now.Add(offset)
+		assert.Len(t, b.spendAll(spentAt, l), 21)
+		for at := spentAt; at.Sub(spentAt) < l.window; at = at.Add(10 * time.Millisecond) {
+			if !assert.Empty(t, b.spendAll(at, l), "%s after retries at %s", at.Sub(spentAt), offset) {
+				break
+			}
+		}
+		assert.NotEmpty(t, b.spendAll(spentAt.Add(l.window*(budgetBuckets+1)/budgetBuckets), l), "a bucket after the window")
+	}
+}
+
+// Requests at the begin of a bucket counted for up to a bucket more than the window.
+func TestRequestsCountForAtMostAWindow(t *testing.T) {
+	l := retryLimits{ratio: 1, window: 10 * time.Second, nodes: 1}
+	for _, offset := range []time.Duration{0, time.Millisecond, 500 * time.Millisecond, 999 * time.Millisecond} {
+		b := new(retryBudget)
+		b.spendAll(now, l)
+		for range 100 {
+			b.recordRequest(now.Add(offset), l)
+		}
+		assert.True(t, b.allowsRetry(now.Add(offset+l.window*(budgetBuckets-2)/budgetBuckets), l))
+		assert.False(t, b.allowsRetry(now.Add(offset+l.window), l))
+	}
+}
+
 // A refund took back the newest retry instead of the one that was not made: the older
 // one left the window with it, and was counted no more although it had been made.
 func TestRefundTakesBackTheRetryThatWasNotMade(t *testing.T) {
