--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -30,9 +30,12 @@
 	// ringBuckets.
 	requests [ringBuckets]int
 	retries  [ringBuckets]int
-	// bucket is the number of the current bucket since the Unix epoch, in units of
-	// window divided by budgetBuckets.
+	// bucket is the number of the current bucket since begin, in units of window
+	// divided by budgetBuckets.
 	bucket int64
+	// begin is when the first bucket began. The time since then is that of the monotonic
+	// clock, which does not step as the time of day does.
+	begin  time.Time
 	window time.Duration
 	// windows counts the changes of window.
 	windows int
@@ -122,7 +125,7 @@
 		b.changeWindow(now, l.window)
 		return
 	}
-	bucket := max(now.UnixNano()/(int64(b.window)/budgetBuckets), b.bucket)
+	bucket := max(int64(now.Sub(b.begin)/(b.window/budgetBuckets)), b.bucket)
 	for i := b.bucket + 1; i <= min(bucket, b.bucket+ringBuckets); i++ {
 		b.requests[i%ringBuckets], b.retries[i%ringBuckets] = 0, 0
 	}
@@ -136,9 +139,8 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	b.bucket, b.window = now.UnixNano()/(int64(window)/budgetBuckets), window
-	b.requests, b.retries = [ringBuckets]int{}, [ringBuckets]int{}
-	b.requests[(b.bucket-1)%ringBuckets], b.retries[(b.bucket-1)%ringBuckets] = requests, retries
+	b.requests, b.retries = [ringBuckets]int{requests}, [ringBuckets]int{retries}
+	b.bucket, b.begin, b.window = 1, now.Add(-window/budgetBuckets), window
 	b.windows++
 }
 
