--- a/pkg/entry/budget_test.go
+++ b/pkg/entry/budget_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"almondturn/fleet"
 )
 
 // spendAll spends retries until the budget allows no more.
@@ -19,12 +21,23 @@
 	}
 }
 
+// newSharingNode returns a node of the zone z, with 30 shared retries in 10 s, that has not
+// heard from the owner of a zone.
+func newSharingNode(t *testing.T, zones ...fleet.Zone) *Node {
+	n, _ := newIdleNode(t)
+	equipNode(n)
+	n.self.Zone, n.settings.Zones = "z", zones
+	clear(n.links.nodeCounts)
+	n.bounds.Store(&Bounds{RetryRatio: 0.2, RetrySlack: 30, RetryWindow: 10 * time.Second})
+	return n
+}
+
 // A process that was killed took the count of its retries with it, and the next one had its
 // whole part of the shared retries at once: with a node killed every half second, a service
 // got up to 89 more repeats in ten seconds than its budget.
 func TestProcessHasNoSharedRetriesInItsFirstWindow(t *testing.T) {
-	n, _ := newIdleNode(t)
-	n.bounds.Store(&Bounds{RetryRatio: 0.2, RetrySlack: 30, RetryWindow: 10 * time.Second})
+	n := newSharingNode(t)
+	n.links.nodeCounts["z"] = 1
 	budget := n.budgets.forService("s")
 	now := time.Now()
 	n.started = now
@@ -140,3 +153,19 @@
 		assert.True(t, b.allowsRetry(now.Add(window+window/budgetBuckets), l), "a window of %s has elapsed", window)
 	}
 }
+
+// A node that was cut off from the others since its start divided the shared retries among
+// the nodes that it knew: several such nodes together had more than all of them.
+func TestNodeThatIsCutOffHasNoMoreThanItsPartOfTheSharedRetries(t *testing.T) {
+	n := newSharingNode(t, "z", "y", "x")
+	n.started = time.Now().Add(-time.Minute)
+	budget := n.budgets.forService("s")
+	assert.Empty(t, budget.spendAll(time.Now(), n.retryLimits()), "it has heard of nobody")
+	n.links.nodeCounts["z"] = 2
+	assert.Equal(t, 6, n.retryLimits().nodes, "two in its zone, as many in each of the others")
+	n.links.nodeCounts["y"] = 5
+	assert.Equal(t, 8, n.retryLimits().nodes)
+	n.links.nodeCounts["x"] = 5
+	assert.Equal(t, 5, n.retryLimits().nodes, "all zones have been heard of")
+	assert.Len(t, budget.spendAll(time.Now(), n.retryLimits()), 4)
+}
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -16,6 +16,7 @@
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/notices"
 	"almondturn/pkg/upstream"
+	"almondturn/pkg/zoneowner"
 )
 
 // plainProtocol is a TargetProtocol that takes each response for a signed one.
@@ -59,6 +60,8 @@
 	n.pool, n.targetProtocol, n.settings = upstream.NewPool(upstream.NewDialer(time.Second).DialContext), plainProtocol{}, &Settings{}
 	n.bounds.Store(&Bounds{RetryWindow: time.Second, RetrySlack: 10})
 	n.guard, n.links, n.notices = newPromptGuard(n), newLinks(n, nil), notices.NewLedger(time.Now)
+	n.owner = zoneowner.New(zoneowner.Config{})
+	n.links.nodeCounts["z"] = 1 // it knows how many nodes share the retries
 }
 
 // tryNext makes c try the target in the background, and returns the exchange and the
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -396,13 +396,14 @@
 }
 
 // retryLimits returns the limits of the retry budgets: those of the settings
-// that were last loaded, and the current number of nodes. For one window after the start,
-// this node has no part of the shared retries: its former process may have made all of
-// them just before it ended.
+// that were last loaded, and the current number of nodes. This node has no part of the
+// shared retries for one window after the start, because its former process may have made
+// all of them just before it ended, nor while it does not know how many nodes share them.
 func (n *Node) retryLimits() retryLimits {
 	b := n.bounds.Load()
-	l := retryLimits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.maxNodeCount()}
-	if !n.firstStart && time.Since(n.started) < b.RetryWindow {
+	l := retryLimits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.sharingNodes()}
+	inFirstWindow := !n.firstStart && time.Since(n.started) < b.RetryWindow
+	if inFirstWindow || l.nodes == 0 {
 		l.slack = 0
 	}
 	return l
--- a/pkg/entry/zonestate.go
+++ b/pkg/entry/zonestate.go
@@ -91,3 +91,29 @@
 	}
 	return n
 }
+
+// sharingNodes returns the number of nodes among which shared retries are divided: that of
+// maxNodeCount, and as many for each zone of which this node has not heard as for the
+// others, since it may be cut off from them. It returns 0 if it has heard of no zone.
+func (l *links) sharingNodes() int {
+	n := l.maxNodeCount()
+	zones := len(l.node.settings.Zones)
+	heard := l.zonesHeardOf()
+	if heard == 0 {
+		return 0
+	}
+	return (n*max(zones, heard) + heard - 1) / heard
+}
+
+// zonesHeardOf returns the number of zones whose owners have sent their number of nodes
+// since the start. The owner of a zone knows its own.
+func (l *links) zonesHeardOf() int {
+	owned := l.node.owner.IsOwner()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	heard := len(l.nodeCounts)
+	if _, ok := l.nodeCounts[l.node.self.Zone]; owned && !ok {
+		heard++
+	}
+	return heard
+}
