--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -316,13 +316,18 @@
 		server    *http.Server
 		addr      string
 		tlsConfig *tls.Config
+		config    net.ListenConfig
 		wrap      func(net.Listener) net.Listener
-	}{{n.innerServer, n.settings.InnerAddr, n.settings.InnerTLS, nil}, {n.readinessServer, n.settings.ReadinessAddr, nil, nil}, {n.clientServer, n.settings.ClientsAddr, n.settings.ClientsTLS, n.idleClientConns.listen}}
+	}{
+		{n.innerServer, n.settings.InnerAddr, n.settings.InnerTLS, upstream.NodeListenConfig(), nil},
+		{n.readinessServer, n.settings.ReadinessAddr, nil, upstream.NodeListenConfig(), nil},
+		{n.clientServer, n.settings.ClientsAddr, n.settings.ClientsTLS, upstream.ListenConfig(), n.idleClientConns.listen},
+	}
 	for _, l := range listeners {
 		if l.addr == "" {
 			continue
 		}
-		if err := serveOn(l.server, l.addr, l.tlsConfig, l.wrap); err != nil {
+		if err := serveOn(l.server, l.addr, l.tlsConfig, l.config, l.wrap); err != nil {
 			return err
 		}
 	}
@@ -346,15 +351,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
 	n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	if err := serveOn(n.metricsServer, n.settings.MetricsAddr, nil, nil); err != nil {
+	if err := serveOn(n.metricsServer, n.settings.MetricsAddr, nil, upstream.NodeListenConfig(), nil); err != nil {
 		event.MetricsUnavailable.Log(n.log).Err(err).Send()
 	}
 }
 
 // serveOn listens on an address and serves in the background until s is closed.
 // tlsConfig is nil for plain text; wrap wraps the listener below TLS, nil for none.
-func serveOn(s *http.Server, addr string, tlsConfig *tls.Config, wrap func(net.Listener) net.Listener) error {
-	lc := upstream.ListenConfig()
+func serveOn(s *http.Server, addr string, tlsConfig *tls.Config, lc net.ListenConfig, wrap func(net.Listener) net.Listener) error {
 	l, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", addr, err)
--- a/pkg/upstream/dial.go
+++ b/pkg/upstream/dial.go
@@ -13,9 +13,14 @@
 // Timeouts of a TCP connection. A device between the two ends may drop an open
 // connection without a reset; only these timeouts detect that.
 const (
-	// userTimeout is TCP_USER_TIMEOUT: a connection whose data stays
-	// unacknowledged for longer fails.
+	// userTimeout is TCP_USER_TIMEOUT of connections to targets, to the key-value service
+	// and between nodes: a connection whose data stays unacknowledged, or whose peer does
+	// not read, for longer fails.
 	userTimeout = 1500 * time.Millisecond
+	// clientUserTimeout is the same for connections of clients. A client may pause while it
+	// reads a response, until its deadline ends the response; this timeout ends what is
+	// left of a connection whose path is dead.
+	clientUserTimeout = 30 * time.Second
 	// keepAliveIdle is the time without traffic before the first keep-alive
 	// probe, keepAliveInterval that between two probes. keepAliveCount
 	// unacknowledged probes end the connection.
@@ -32,7 +37,7 @@
 	return &Dialer{inner: net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: KeepAlive(),
-		Control:         setUserTimeout,
+		Control:         setUserTimeout(userTimeout),
 	}}
 }
 
@@ -50,21 +55,29 @@
 	return c, nil
 }
 
-// ListenConfig returns a configuration whose accepted connections fail when the
-// path to the peer is dead.
+// ListenConfig returns a configuration whose accepted connections, those of clients, fail
+// when the path to the peer is dead, but not because the peer pauses while it reads.
 func ListenConfig() net.ListenConfig {
-	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout}
+	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout(clientUserTimeout)}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, for which the net package has no field.
-// Accepted connections inherit it from their listener.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// NodeListenConfig returns the configuration for connections of other nodes, which are to
+// fail soon when the path to the peer is dead.
+func NodeListenConfig() net.ListenConfig {
+	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout(userTimeout)}
+}
+
+// setUserTimeout returns a function that sets TCP_USER_TIMEOUT, for which the net package
+// has no field. Accepted connections inherit it from their listener.
+func setUserTimeout(timeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return setErr
 	}
-	return setErr
 }
