--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -132,7 +132,8 @@
 	b.bucket = bucket
 }
 
-// changeWindow moves all counts to the last bucket that has ended of another window.
+// changeWindow replaces the window. All counts are moved to the bucket that has just ended.
+// b.mu must be held.
 func (b *retryBudget) changeWindow(now time.Time, window time.Duration) {
 	requests, retries := 0, 0
 	for i := range ringBuckets {
--- a/pkg/entry/changelog.go
+++ b/pkg/entry/changelog.go
@@ -172,7 +172,7 @@
 	return &wire.OwnerChangesRequest{After: uint64(after), WaitMillis: wait.Milliseconds()}
 }
 
-// Reasons of a changesError, which the log and the metrics have.
+// Reasons of a changesError, as the log has them.
 const (
 	changesOwner      = "this node is the owner"
 	changesNoOwner    = "no owner is connected"
--- a/pkg/entry/freshness.go
+++ b/pkg/entry/freshness.go
@@ -42,7 +42,7 @@
 	// maxAge returns the greatest age at which the copy may be used without a call to
 	// the service; nil if no other node provides it.
 	maxAge func() time.Duration
-	// clock continues while the VM is suspended; nil for boottime.Now.
+	// now is a clock that continues while the VM is suspended; nil for boottime.Now.
 	now func() time.Time
 	// confirmedAt is the last such time, in nanoseconds since 1970 on the clock; 0 for
 	// none.
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -27,8 +27,8 @@
 	// peerChangesWait is the longest time for which another node waits for
 	// changes.
 	peerChangesWait = 500 * time.Millisecond
-	// peerResponseGrace is how long after that wait the response of the other
-	// node may arrive.
+	// peerResponseGrace is how long after the wait of the other node its response may
+	// arrive.
 	peerResponseGrace = 300 * time.Millisecond
 	// watchRetryDelay is the wait after the first failed call. It doubles with each
 	// further one, up to maxWatchRetryDelay, once the entries were read. Each wait is
