--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -179,3 +179,17 @@
 	b.advance(now, l)
 	return b.allowsRetryLocked(l)
 }
+
+// retryLimits returns the limits of the retry budgets: those of the settings
+// that were last loaded, and the current number of nodes. This node has no part of the
+// shared retries for one window after the start, because its former process may have made
+// all of them just before it ended, nor while it does not know how many nodes share them.
+func (n *Node) retryLimits() retryLimits {
+	b := n.bounds.Load()
+	l := retryLimits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.sharingNodes()}
+	inFirstWindow := !n.firstStart && time.Since(n.started) < b.RetryWindow
+	if inFirstWindow || l.nodes == 0 {
+		l.slack = 0
+	}
+	return l
+}
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -301,35 +299,8 @@
 // returns an error if an address cannot be listened on; listeners that are
 // already open then stay open until Abort or Stop.
 func (n *Node) Start() error {
-	innerMux := http.NewServeMux()
-	innerMux.Handle(innerPath, n.links.handler())
-	innerMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
-	readinessMux := http.NewServeMux()
-	if n.readinessPath != "" {
-		readinessMux.HandleFunc(n.readinessPath, n.ServeReadiness)
-	}
-	readinessMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
-	n.clientServer = &http.Server{Handler: http.HandlerFunc(n.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleClientConns.track, ConnContext: withClientConn, DisableGeneralOptionsHandler: true}
-	n.readinessServer = &http.Server{Handler: readinessMux}
-	n.innerServer = &http.Server{Handler: innerMux}
-	listeners := []struct {
-		server    *http.Server
-		addr      string
-		tlsConfig *tls.Config
-		config    net.ListenConfig
-		wrap      func(net.Listener) net.Listener
-	}{
-		{n.innerServer, n.settings.InnerAddr, n.settings.InnerTLS, upstream.NodeListenConfig(), nil},
-		{n.readinessServer, n.settings.ReadinessAddr, nil, upstream.NodeListenConfig(), nil},
-		{n.clientServer, n.settings.ClientsAddr, n.settings.ClientsTLS, upstream.ListenConfig(), n.idleClientConns.listen},
-	}
-	for _, l := range listeners {
-		if l.addr == "" {
-			continue
-		}
-		if err := serveOn(l.server, l.addr, l.tlsConfig, l.config, l.wrap); err != nil {
-			return err
-		}
+	if err := n.listen(); err != nil {
+		return err
 	}
 	n.serveMetrics()
 	for _, w := range n.watches {
@@ -342,51 +313,6 @@
 	return nil
 }
 
-// serveMetrics serves the metrics at an address of their own, if there is one.
-// The node runs without it if the address cannot be listened on.
-func (n *Node) serveMetrics() {
-	if n.settings.MetricsAddr == "" {
-		return
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
-	n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	if err := serveOn(n.metricsServer, n.settings.MetricsAddr, nil, upstream.NodeListenConfig(), nil); err != nil {
-		event.MetricsUnavailable.Log(n.log).Err(err).Send()
-	}
-}
-
-// serveOn listens on an address and serves in the background until s is closed.
-// tlsConfig is nil for plain text; wrap wraps the listener below TLS, nil for none.
-func serveOn(s *http.Server, addr string, tlsConfig *tls.Config, lc net.ListenConfig, wrap func(net.Listener) net.Listener) error {
-	l, err := lc.Listen(context.Background(), "tcp", addr)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", addr, err)
-	}
-	if wrap != nil {
-		l = wrap(l)
-	}
-	if tlsConfig != nil {
-		l = tls.NewListener(l, tlsConfig)
-	}
-	go func() { _ = s.Serve(l) }() // ends with Close
-	return nil
-}
-
-// ServeReadiness responds to the load balancer's readiness check: with status
-// 200 if the node accepts clients, and with status 503 otherwise.
-func (n *Node) ServeReadiness(w http.ResponseWriter, _ *http.Request) {
-	n.loadBalancerSeen.Store(true)
-	if n.ready.Load() && !n.stopping.Load() {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	if n.stopping.Load() {
-		n.stopDenials.Add(1)
-	}
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // updateReady makes the node accept clients once the configuration and the
 // targets are known.
 func (n *Node) updateReady() {
@@ -399,20 +325,6 @@
 	}
 }
 
-// retryLimits returns the limits of the retry budgets: those of the settings
-// that were last loaded, and the current number of nodes. This node has no part of the
-// shared retries for one window after the start, because its former process may have made
-// all of them just before it ended, nor while it does not know how many nodes share them.
-func (n *Node) retryLimits() retryLimits {
-	b := n.bounds.Load()
-	l := retryLimits{ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow, nodes: n.links.sharingNodes()}
-	inFirstWindow := !n.firstStart && time.Since(n.started) < b.RetryWindow
-	if inFirstWindow || l.nodes == 0 {
-		l.slack = 0
-	}
-	return l
-}
-
 // sweep closes expired idle connections to targets and of clients, and forgets the limits
 // of targets that are gone, until the node stops.
 func (n *Node) sweep() {
--- a/pkg/upstream/dial.go
+++ b/pkg/upstream/dial.go
@@ -61,8 +61,8 @@
 	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout(clientUserTimeout)}
 }
 
-// NodeListenConfig returns the configuration for connections of other nodes, which are to
-// fail soon when the path to the peer is dead.
+// NodeListenConfig returns the configuration for connections of other nodes and of monitoring,
+// which are to fail soon when the path to the peer is dead.
 func NodeListenConfig() net.ListenConfig {
 	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout(userTimeout)}
 }
