--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -132,6 +132,7 @@
 	fmt.Fprintf(w, "almondturn_targets_paused %d\n", paused)
 	fmt.Fprintf(w, "almondturn_targets_limited %d\n", limited)
 	fmt.Fprintf(w, "almondturn_nodes %d\n", n.links.maxNodeCount())
+	fmt.Fprintf(w, "almondturn_retry_nodes %d\n", n.links.sharingNodes())
 	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.WaitingRequests())
 	fmt.Fprintf(w, "almondturn_requests_in_flight %d\n", n.inFlight.Load())
 	fmt.Fprintf(w, "almondturn_zone_owned %d\n", owned)
--- a/pkg/entry/zonestate.go
+++ b/pkg/entry/zonestate.go
@@ -108,11 +108,11 @@
 // zonesHeardOf returns the number of zones whose owners have sent their number of nodes
 // since the start. The owner of a zone knows its own.
 func (l *links) zonesHeardOf() int {
-	owned := l.node.owner.IsOwner()
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	heard := len(l.nodeCounts)
-	if _, ok := l.nodeCounts[l.node.self.Zone]; owned && !ok {
+	_, ownHeard := l.nodeCounts[l.node.self.Zone]
+	l.mu.Unlock()
+	if !ownHeard && l.node.owner.IsOwner() {
 		heard++
 	}
 	return heard
