--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -238,7 +238,7 @@
 			n.finish(ctx, j, cr, last, nil)
 			return
 		}
-		event.RequestRetried.Log(n.log).Str("request", j.ID).Str("target", j.lastTarget).
+		withDigest(event.RequestRetried.Log(n.log).Str("request", j.ID).Str("target", j.lastTarget), j, last).
 			Stringer("cause", last.kind).Int("status", last.status).AnErr("error", last.err).Send()
 	}
 }
@@ -339,7 +339,7 @@
 		e = e.Str("reason", refusal.Message)
 	}
 	if outcome == event.RequestBroken {
-		e = e.Str("not_retried", j.obstacle)
+		e = withDigest(e.Str("not_retried", j.obstacle), j, last)
 	}
 	if last.err != nil {
 		e = e.Stringer("result", last.kind).AnErr("cause", last.err)
