--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -60,6 +60,13 @@
 	x.request.OnHead = func(status int, h http.Header) {
 		n.observeRequestHead(a.target, x.requestID, x.sentAt, status, h)
 	}
+	x.request.OnSkipped = func(status int, h http.Header, reused bool) {
+		connection := connectionNew
+		if reused {
+			connection = connectionKept
+		}
+		n.observeSkipped(a.target, noticeFromRequest, x.requestID, connection, status, h)
+	}
 	return x
 }
 
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -89,6 +89,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_endless_answers_total{service=%q,what=%q}`, service, what)).Inc()
 }
 
+// countSkippedResponse counts a response of a target that was skipped because it belongs to
+// another request. source is what was waiting for a response.
+func (m *nodeMetrics) countSkippedResponse(source string, status int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_skipped_responses_total{source=%q,status="%d"}`, source, status)).Inc()
+}
+
 // countStoreCall counts a call to the key-value service by the status of its
 // response.
 func (m *nodeMetrics) countStoreCall(call string, status int) {
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -177,6 +177,8 @@
 	targetsMu sync.Mutex // guards directory
 	// invalidEntries bounds the log lines about entries that can't be decoded.
 	invalidEntries invalidEntryLog
+	// skipped bounds the log lines about skipped responses.
+	skipped skippedLog
 	// configurationEntries are the entries of the configuration as last read from the
 	// key-value service, and keptRevision the revision of an older configuration there
 	// that was last logged. Only the goroutine of configurationWatch uses them.
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -42,8 +42,12 @@
 
 // observeHead records what the head of any response of a target says about the target:
 // a response to a request, also of an attempt that was abandoned or continues another
-// one, to an order or to a request for a report. Its request's connection was to t.
+// one, to an order or to a request for a report. Its request's connection was to t. Orders and
+// reports skip the responses that bear the identifier of a request.
 func (n *Node) observeHead(t *inventory.Target, source string, status int, h http.Header) {
+	if n.targetProtocol.ParseResponse(h).RequestID != "" {
+		n.observeSkipped(t, source, "", "", status, h)
+	}
 	n.recordNotice(t, source, status, n.targetProtocol.ParseNotice(status, h))
 }
 
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -40,6 +40,10 @@
 	// including those that are skipped because they belong to other requests; nil for no
 	// calls.
 	OnHead func(status int, h http.Header)
+	// OnSkipped is called with the status and header of each final response that is skipped
+	// because it belongs to another request. reused reports whether the connection had
+	// carried other requests. nil for no calls.
+	OnSkipped func(status int, h http.Header, reused bool)
 	// OnSent is called when the whole request has been written; nil for no call.
 	OnSent func()
 }
@@ -178,6 +182,9 @@
 		if r.MatchesResponse == nil || r.MatchesResponse(resp.Header) {
 			return resp, nil
 		}
+		if r.OnSkipped != nil {
+			r.OnSkipped(resp.StatusCode, resp.Header, c.reused)
+		}
 		_ = c.SetReadDeadline(time.Now().Add(skippedResponseTimeout))
 		if err := skipBody(resp.Body); err != nil {
 			return nil, fmt.Errorf("skip an answer to another request: %w", err)
