--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -49,7 +49,7 @@
 	x := &exchange{node: n, assignment: a, requestID: j.ID, parts: j.parts}
 	x.ctx, x.giveUp = context.WithCancelCause(ctx)
 	x.request = upstream.Request{
-		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: j.maxIdle(a.target.ID),
+		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, ID: j.ID, MaxIdle: j.maxIdle(a.target.ID),
 		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: a.target.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
 		MatchesResponse: n.matchesResponse(j),
 	}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -143,5 +143,6 @@
 	fmt.Fprintf(w, "almondturn_requests_in_flight %d\n", n.inFlight.Load())
 	fmt.Fprintf(w, "almondturn_zone_owned %d\n", owned)
 	fmt.Fprintf(w, "almondturn_target_connections_total %d\n", n.pool.Dialed.Load())
+	fmt.Fprintf(w, "almondturn_target_connections_passed_over_total %d\n", n.pool.PassedOver.Load())
 	fmt.Fprintf(w, "almondturn_uptime_seconds %.1f\n", time.Since(n.started).Seconds())
 }
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -49,7 +49,7 @@
 
 // maxIdle returns the longest idle time of a pooled connection that may carry the next
 // attempt to a target. It is 0, so that only a new connection may, if the target was sent
-// an earlier attempt: its response to that one has the same identifier.
+// an earlier attempt: whatever ended that one may have ended kept connections, too.
 func (j *job) maxIdle(target string) time.Duration {
 	switch {
 	case slices.Contains(j.sentTo, target):
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -22,6 +22,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID is the identifier that a response to the request bears, empty if it bears none. A
+	// connection never carries two requests with the same one: the target may write a response
+	// once more, late, and that of the first could not be told from that of the second.
+	ID string
 	// MaxIdle bounds how long a pooled connection may have been idle to be
 	// used; 0 requires a new connection.
 	MaxIdle time.Duration
@@ -111,7 +115,8 @@
 // closes the connection, also while the body is being read. Errors are of type
 // *SendError, which reports whether the target may have received the request.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
-	c, err := p.get(ctx, addr, r.MaxIdle)
+	hash := hashID(r.ID)
+	c, err := p.get(ctx, addr, r.MaxIdle, hash)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
@@ -121,6 +126,7 @@
 			return nil, &SendError{Err: err}
 		}
 	}
+	c.carried.add(hash)
 	stopCloseOnDone := context.AfterFunc(ctx, func() { _ = c.Close() })
 	n, err := c.Write(encodeRequest(r))
 	if err != nil {
@@ -238,11 +244,12 @@
 // SetReadDeadline bounds the wait for the next bytes of the body.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
 
-// Close returns the connection to the pool if the body was read to its end, and
-// closes it otherwise, so that the target stops processing the request.
+// Close returns the connection to the pool if the body was read to its end and the
+// connection may carry more requests, and closes it otherwise, so that the target stops
+// processing the request.
 func (r *Response) Close() {
 	contextActive := r.stopCloseOnDone()
-	reusable := r.complete && contextActive && !r.resp.Close
+	reusable := r.complete && contextActive && !r.resp.Close && !r.conn.carried.full()
 	if !reusable || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,6 +44,9 @@
 	dialFunc fleet.DialFunc
 	// Dialed counts the attempts to open a connection.
 	Dialed atomic.Uint64
+	// PassedOver counts the kept connections that were not used for a request because they
+	// had carried one with the same identifier.
+	PassedOver atomic.Uint64
 	// Buffered bounds what callers hold of unfinished responses; it has no bound at first.
 	Buffered buffers.Limit
 
@@ -67,6 +71,8 @@
 	idleTimeout time.Duration
 	// reused reports whether the connection came from the pool.
 	reused bool
+	// carried are the identifiers of the requests that were sent on it.
+	carried carriedIDs
 }
 
 // NewPool returns an empty pool that opens connections with dial.
@@ -74,11 +80,12 @@
 	return &Pool{dialFunc: dial, idle: map[string][]*conn{}}
 }
 
-// get returns a pooled connection that is still open and has been idle for less
-// than maxIdle and its own idle timeout, or a new one.
-func (p *Pool) get(ctx context.Context, addr string, maxIdle time.Duration) (*conn, error) {
+// get returns a pooled connection that is still open, has been idle for less than
+// maxIdle and its own idle timeout, and has not carried a request whose identifier has the
+// hash, or a new one.
+func (p *Pool) get(ctx context.Context, addr string, maxIdle time.Duration, hash uint64) (*conn, error) {
 	for {
-		c := p.popIdle(addr, maxIdle)
+		c := p.popIdle(addr, maxIdle, hash)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -90,23 +97,26 @@
 	}
 }
 
-// popIdle removes the most recently used connection to addr from the pool and
-// returns it. It returns nil if there is none, or if that one has been idle for
-// maxIdle or its own idle timeout.
-func (p *Pool) popIdle(addr string, maxIdle time.Duration) *conn {
+// popIdle removes the most recently used connection to addr that has not carried the
+// hash from the pool and returns it. It returns nil if there is none, or if that one has been
+// idle for maxIdle or its own idle timeout.
+func (p *Pool) popIdle(addr string, maxIdle time.Duration, hash uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	idle := time.Since(c.idleSince)
-	if idle >= min(c.idleTimeout, maxIdle) {
-		return nil // the others have been idle for longer; a longer idleTimeout of theirs is disregarded
+	for i, c := range slices.Backward(list) {
+		idle := time.Since(c.idleSince)
+		if idle >= min(c.idleTimeout, maxIdle) {
+			return nil // the others have been idle for longer; a longer idleTimeout of theirs is disregarded
+		}
+		if c.carried.contains(hash) {
+			p.PassedOver.Add(1)
+			continue
+		}
+		p.idle[addr] = slices.Delete(list, i, i+1)
+		return c
 	}
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // lingerer is a connection, such as a net.TCPConn, of which it can be chosen what becomes
