--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -49,7 +49,7 @@
 	x := &exchange{node: n, assignment: a, requestID: j.ID, parts: j.parts}
 	x.ctx, x.giveUp = context.WithCancelCause(ctx)
 	x.request = upstream.Request{
-		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, MaxIdle: j.maxIdle(a.target.ID),
+		Method: j.Method, Path: j.URI, Host: j.Host, Body: j.body, ID: j.ID, MaxIdle: j.maxIdle(a.target.ID),
 		Header:          n.targetProtocol.RequestHeader(j.Header, TargetRequestInfo{Target: a.target.ID, TimeLeft: time.Until(j.deadline), LastEventID: j.resumeAfter}),
 		MatchesResponse: n.matchesResponse(j),
 	}
@@ -60,6 +60,13 @@
 	x.request.OnHead = func(status int, h http.Header) {
 		n.observeRequestHead(a.target, x.requestID, x.sentAt, status, h)
 	}
+	x.request.OnSkipped = func(status int, h http.Header, reused bool) {
+		connection := connectionNew
+		if reused {
+			connection = connectionKept
+		}
+		n.observeSkipped(a.target, noticeFromRequest, x.requestID, connection, status, h)
+	}
 	return x
 }
 
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -22,6 +22,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID is the identifier that a response to the request bears, empty if it bears none. A
+	// connection never carries two requests with the same one: the target may write a response
+	// once more, late, and that of the first could not be told from that of the second.
+	ID string
 	// MaxIdle bounds how long a pooled connection may have been idle to be
 	// used; 0 requires a new connection.
 	MaxIdle time.Duration
@@ -40,6 +44,10 @@
 	// including those that are skipped because they belong to other requests; nil for no
 	// calls.
 	OnHead func(status int, h http.Header)
+	// OnSkipped is called with the status and header of each final response that is skipped
+	// because it belongs to another request. reused reports whether the connection had
+	// carried other requests. nil for no calls.
+	OnSkipped func(status int, h http.Header, reused bool)
 	// OnSent is called when the whole request has been written; nil for no call.
 	OnSent func()
 }
@@ -107,7 +115,8 @@
 // closes the connection, also while the body is being read. Errors are of type
 // *SendError, which reports whether the target may have received the request.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
-	c, err := p.get(ctx, addr, r.MaxIdle)
+	hash := hashID(r.ID)
+	c, err := p.get(ctx, addr, r.MaxIdle, hash)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
@@ -117,6 +126,7 @@
 			return nil, &SendError{Err: err}
 		}
 	}
+	c.carried.add(hash)
 	stopCloseOnDone := context.AfterFunc(ctx, func() { _ = c.Close() })
 	n, err := c.Write(encodeRequest(r))
 	if err != nil {
@@ -178,6 +188,9 @@
 		if r.MatchesResponse == nil || r.MatchesResponse(resp.Header) {
 			return resp, nil
 		}
+		if r.OnSkipped != nil {
+			r.OnSkipped(resp.StatusCode, resp.Header, c.reused)
+		}
 		_ = c.SetReadDeadline(time.Now().Add(skippedResponseTimeout))
 		if err := skipBody(resp.Body); err != nil {
 			return nil, fmt.Errorf("skip an answer to another request: %w", err)
@@ -231,11 +244,12 @@
 // SetReadDeadline bounds the wait for the next bytes of the body.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
 
-// Close returns the connection to the pool if the body was read to its end, and
-// closes it otherwise, so that the target stops processing the request.
+// Close returns the connection to the pool if the body was read to its end and the
+// connection may carry more requests, and closes it otherwise, so that the target stops
+// processing the request.
 func (r *Response) Close() {
 	contextActive := r.stopCloseOnDone()
-	reusable := r.complete && contextActive && !r.resp.Close
+	reusable := r.complete && contextActive && !r.resp.Close && !r.conn.carried.full()
 	if !reusable || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
