--- a/pkg/entry/digest.go
+++ b/pkg/entry/digest.go
@@ -12,10 +12,11 @@
 const digestBytes = 16
 
 // digest returns the digest in hexadecimal form of what a request has in common with its
-// repetitions: the method, the host, the path with the query, and the body.
+// repetitions: the method, the host, the path with the query, the model, the declaration of
+// the prompt, and the body.
 func (j *job) digest() string {
 	h := sha256.New()
-	for _, field := range [...]string{j.Method, j.Host, j.URI} {
+	for _, field := range [...]string{j.Method, j.Host, j.URI, j.Model, j.Adapter, j.Prompt} {
 		_, _ = io.WriteString(h, field) // a hash never fails
 		_, _ = h.Write([]byte{0})
 	}
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -136,7 +136,7 @@
 
 // roundTrip sends the request and returns the response.
 func (x *exchange) roundTrip() (*upstream.Response, error) {
-	if len(x.parts) > 0 && len(x.assignment.trials) == 0 {
+	if len(x.assignment.trials) == 0 {
 		x.node.guard.unbegun.add(x)
 		defer x.node.guard.unbegun.remove(x)
 	}
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -59,7 +59,7 @@
 func equipNode(n *Node) {
 	n.pool, n.targetProtocol, n.settings = upstream.NewPool(upstream.NewDialer(time.Second).DialContext), plainProtocol{}, &Settings{}
 	n.bounds.Store(&Bounds{RetryWindow: time.Second, RetrySlack: 10})
-	n.guard, n.links, n.notices = newPromptGuard(n), newLinks(n, nil), notices.NewLedger(time.Now)
+	n.guard, n.links, n.notices = newCrashGuard(n), newLinks(n, nil), notices.NewLedger(time.Now)
 	n.owner = zoneowner.New(zoneowner.Config{})
 	n.links.nodeCounts["z"] = 1 // it knows how many nodes share the retries
 }
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -28,7 +28,7 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
-	// parts are the parts of the prompt that may be suspects.
+	// parts are the parts of the request that may be suspects: the whole request first.
 	parts []quarantine.Part
 	// assignment is that of the current attempt.
 	assignment assignment
@@ -269,20 +269,17 @@
 	return n.newExchange(ctx, j, a), nil, true
 }
 
-// findTarget returns the assignment for the next attempt, or the error for the
-// client.
+// findTarget returns the assignment for the next attempt of a request that may be sent, or
+// the error for the client.
 func (n *Node) findTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
-	if !j.engine {
-		return n.choosePlainTarget(ctx, j)
-	}
 	if refusal := n.guard.check(j); refusal != nil {
 		return assignment{}, refusal
 	}
-	a, refusal := n.acquireEngineSlot(ctx, j)
+	a, refusal := n.chooseTarget(ctx, j)
 	if refusal != nil {
 		return a, refusal
 	}
-	// Crashes may have happened during the wait for the slot.
+	// Crashes may have happened during the wait for the target.
 	trials, refusal := n.guard.admit(j, a.target.ID)
 	if refusal != nil {
 		n.releaseAssignment(a, sendResult{kind: withheld})
@@ -292,6 +289,14 @@
 	return a, nil
 }
 
+// chooseTarget returns the assignment for the next attempt, or the error for the client.
+func (n *Node) chooseTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
+	if j.engine {
+		return n.acquireEngineSlot(ctx, j)
+	}
+	return n.choosePlainTarget(ctx, j)
+}
+
 // releaseAssignment ends an assignment with the result of its attempt: it ends
 // the run that an owner granted, or updates the usage of a target that was
 // chosen without an owner. A trial that is still awaited ends without a result.
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -143,7 +143,7 @@
 	reporter       reporter
 	probes         targetProbes
 	budgets        budgets
-	guard          *promptGuard
+	guard          *crashGuard
 	usages         targetUsages
 	notices        *notices.Ledger
 	shares         limitShares
@@ -258,7 +258,7 @@
 	if d.WrapHandler != nil {
 		n.handler = d.WrapHandler(n)
 	}
-	n.guard = newPromptGuard(n)
+	n.guard = newCrashGuard(n)
 	n.links = newLinks(n, d.Dial)
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -20,6 +20,8 @@
 	// may have in common with it, in order: all but the last part, which belongs to
 	// the request itself or to its session.
 	SharedParts []string
+	// Prompt is the declaration of all parts of the prompt, empty without one.
+	Prompt string
 	// Timeout is how long the client waits, 0 if it does not declare it.
 	Timeout time.Duration
 	// LastEventID is the ID of the event after which a stream continues, empty
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -10,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"almondturn/fleet"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
@@ -25,11 +28,11 @@
 // suspect.
 const maxSuspectRetryAfter = time.Minute
 
-// promptGuard keeps requests from targets that one of the parts of their prompts may
-// crash. It exchanges its evidence with the other nodes through the owners of the
+// crashGuard keeps requests from targets that they, or one of the parts of their prompts,
+// may crash. It exchanges its evidence with the other nodes through the owners of the
 // zones: each node sends it to all owners that it reaches, and an owner sends what is
 // new to it to all nodes that are connected to it.
-type promptGuard struct {
+type crashGuard struct {
 	node   *Node
 	ledger *quarantine.Ledger
 	// unbegun are the attempts that may still be kept from beginning at a target.
@@ -44,40 +47,42 @@
 	flushedAt         time.Time
 }
 
-// newPromptGuard returns a promptGuard without evidence.
-func newPromptGuard(n *Node) *promptGuard {
+// newCrashGuard returns a crashGuard without evidence.
+func newCrashGuard(n *Node) *crashGuard {
 	spread := func(p quarantine.Part) float64 {
 		return float64(fleet.RendezvousWeight(string(n.self.ID), p.ID)) / math.MaxUint64
 	}
-	return &promptGuard{node: n, ledger: quarantine.New(spread)}
+	return &crashGuard{node: n, ledger: quarantine.New(spread)}
 }
 
-// promptParts returns the parts of the prompt of j that may be suspects.
-func (j *job) promptParts() []quarantine.Part {
-	if len(j.SharedParts) == 0 {
-		return nil
-	}
-	parts := make([]quarantine.Part, len(j.SharedParts))
-	for i, id := range j.SharedParts {
-		parts[i] = quarantine.Part{Service: j.service, ID: id}
+// suspectParts returns the parts of j that may be suspects: the whole request, and then the
+// shared parts of its prompt.
+func (j *job) suspectParts() []quarantine.Part {
+	parts := make([]quarantine.Part, 0, 1+len(j.SharedParts))
+	parts = append(parts, quarantine.Part{Service: j.service, ID: j.digest(), Kind: quarantine.WholeRequest})
+	for _, id := range j.SharedParts {
+		parts = append(parts, quarantine.Part{Service: j.service, ID: id})
 	}
 	return parts
 }
 
+// wholeRequest returns the part of j that stands for the request itself.
+func (j *job) wholeRequest() []quarantine.Part { return j.parts[:1] }
+
 // check returns the refusal of a request that may not be sent now, nil for others.
-func (g *promptGuard) check(j *job) *ErrorResponse {
+func (g *crashGuard) check(j *job) *ErrorResponse {
 	return g.refusal(j, g.ledger.Check(time.Now(), j.parts))
 }
 
 // admit is check immediately before the request is sent to a target. If the request
 // is a trial, it returns the suspects, and announces the trial to the other nodes.
-func (g *promptGuard) admit(j *job, target string) ([]quarantine.Part, *ErrorResponse) {
+func (g *crashGuard) admit(j *job, target string) ([]quarantine.Part, *ErrorResponse) {
 	d := g.ledger.Admit(time.Now(), j.parts)
 	if r := g.refusal(j, d); r != nil {
 		return nil, r
 	}
 	for _, p := range d.Trials {
-		event.PartTrial.Log(g.node.log).Str("request", j.ID).Str("service", p.Service).Str("part", p.ID).Str("target", target).Send()
+		withPart(event.PartTrial.Log(g.node.log).Str("request", j.ID), p).Str("target", target).Send()
 	}
 	g.send(d.Trials)
 	return d.Trials, nil
@@ -85,36 +90,69 @@
 
 // refusal returns the refusal that belongs to a decision, nil if the request may be
 // sent.
-func (g *promptGuard) refusal(j *job, d quarantine.Decision) *ErrorResponse {
+func (g *crashGuard) refusal(j *job, d quarantine.Decision) *ErrorResponse {
 	if d.Allowed {
 		return nil
 	}
 	g.node.metrics.countQuarantined(d.Part.Service)
-	event.PartRefused.Log(g.node.log).Str("request", j.ID).Str("service", d.Part.Service).Str("part", d.Part.ID).Int("crashes", d.Crashes).Int("rounds", d.Rounds).
+	withPart(event.PartRefused.Log(g.node.log).Str("request", j.ID), d.Part).Int("crashes", d.Crashes).Int("rounds", d.Rounds).
 		Dur("last_crash_ms", time.Since(d.LastCrash)).Dur("retry_after_ms", d.RetryAfter).Send()
-	return newErrorResponse(fault.PromptSuspended, min(max(d.RetryAfter, defaultRetryAfter), maxSuspectRetryAfter),
-		"the part %q of the prompt may have crashed %d targets", d.Part.ID, d.Crashes)
+	retryAfter := min(max(d.RetryAfter, defaultRetryAfter), maxSuspectRetryAfter)
+	if d.Part.Kind == quarantine.WholeRequest {
+		return newErrorResponse(fault.RequestSuspended, retryAfter, "this request may have crashed %d targets", d.Crashes)
+	}
+	return newErrorResponse(fault.PromptSuspended, retryAfter, "the part %q of the prompt may have crashed %d targets", d.Part.ID, d.Crashes)
+}
+
+// withPart adds the fields of a part to a log line.
+func withPart(line *zerolog.Event, p quarantine.Part) *zerolog.Event {
+	return line.Str("service", p.Service).Stringer("kind", p.Kind).Str("part", p.ID)
 }
 
 // progressed records that the response of the current attempt goes on.
-func (g *promptGuard) progressed(j *job) {
-	if j.survived || len(j.parts) == 0 || time.Since(j.responseBegun) < quarantine.SurvivalTime {
+func (g *crashGuard) progressed(j *job) {
+	if j.survived || time.Since(j.responseBegun) < quarantine.SurvivalTime {
 		return
 	}
-	g.recordSurvival(j)
+	g.recordSurvival(j, j.parts)
 }
 
-// attemptEnded records what the end of an attempt says about the parts of the prompt.
-func (g *promptGuard) attemptEnded(j *job, a assignment, r sendResult) {
-	if len(j.parts) == 0 || j.survived {
+// attemptEnded records what the end of an attempt says about the parts of the request. A
+// failure that the target reports says nothing about the parts of the prompt, which it need
+// not have read.
+func (g *crashGuard) attemptEnded(j *job, a assignment, r sendResult) {
+	if j.survived {
 		return
 	}
-	begun := !j.responseBegun.IsZero() && r.status < http.StatusMultipleChoices
+	begun, success := !j.responseBegun.IsZero(), r.status < http.StatusMultipleChoices
+	complete := (r.kind == completed || r.kind == failedRun) && !r.endsWithConnection
+	broken := r.kind == outcomeUnknown && connectionBroken(r.err)
 	switch {
-	case begun && r.kind == completed && !r.endsWithConnection:
-		g.recordSurvival(j)
-	case begun && r.kind == outcomeUnknown && connectionBroken(r.err) && time.Since(j.responseBegun) <= quarantine.YoungTime:
-		g.recordCrash(j, a)
+	case begun && complete && success:
+		g.recordSurvival(j, j.parts)
+	case begun && complete:
+		g.recordSurvival(j, j.wholeRequest())
+	case begun && broken && success && time.Since(j.responseBegun) <= quarantine.YoungTime:
+		g.recordCrash(j, a, time.Now(), j.parts)
+	case !begun && broken:
+		g.responseMissing(j, a)
+	}
+}
+
+// crashConfirmTimeout bounds the attempt to connect to a target that has closed a
+// connection.
+const crashConfirmTimeout = 250 * time.Millisecond
+
+// responseMissing records a crash if the target of an attempt, which has closed the
+// connection before the head of a response, can't be connected to. One that can has closed
+// only this connection, for example because it was idle. The target need not have read the
+// prompt, so that only the whole request is a possible cause.
+func (g *crashGuard) responseMissing(j *job, a assignment) {
+	brokenAt := time.Now()
+	ctx, cancel := context.WithTimeout(g.node.ctx, crashConfirmTimeout)
+	defer cancel()
+	if g.node.pool.Connect(ctx, a.target.Addr) != nil && g.node.ctx.Err() == nil {
+		g.recordCrash(j, a, brokenAt, j.wholeRequest())
 	}
 }
 
@@ -124,33 +162,36 @@
 	return errors.Is(err, errNoEvent) || errors.Is(err, errIncompleteEvent) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// recordSurvival records that the current attempt has survived.
-func (g *promptGuard) recordSurvival(j *job) {
+// recordSurvival records that the current attempt, of a request with the parts, has
+// survived.
+func (g *crashGuard) recordSurvival(j *job, parts []quarantine.Part) {
 	j.survived = true
-	cleared := g.ledger.RunSurvived(j.responseBegun, j.parts)
+	cleared := g.ledger.RunSurvived(j.responseBegun, parts)
 	for _, p := range cleared {
-		event.PartCleared.Log(g.node.log).Str("request", j.ID).Str("service", p.Service).Str("part", p.ID).Str("target", j.lastTarget).Send()
+		withPart(event.PartCleared.Log(g.node.log).Str("request", j.ID), p).Str("target", j.lastTarget).Send()
 	}
 	g.send(cleared)
 }
 
-// recordCrash records that the target of the current attempt crashed when it had just
-// begun to respond.
-func (g *promptGuard) recordCrash(j *job, a assignment) {
-	now := time.Now()
+// recordCrash records that the target of the current attempt crashed at a time when it had
+// just begun to run a request with the parts, or may have.
+func (g *crashGuard) recordCrash(j *job, a assignment, at time.Time, parts []quarantine.Part) {
 	g.node.metrics.countPromptCrash(j.service)
-	changed := g.ledger.RunCrashed(now, quarantine.Crash{Target: a.target.ID, Incarnation: a.target.Incarnation}, j.ID, j.parts)
+	changed := g.ledger.RunCrashed(at, quarantine.Crash{Target: a.target.ID, Incarnation: a.target.Incarnation}, j.ID, parts)
 	for _, p := range changed {
 		crashes, rounds := g.ledger.Evidence(p)
-		event.PartSuspected.Log(g.node.log).Str("request", j.ID).Str("service", p.Service).Str("part", p.ID).Str("target", a.target.ID).
-			Dur("begun_ms", now.Sub(j.responseBegun)).Int("crashes", crashes).Int("rounds", rounds).Send()
+		line := withPart(event.PartSuspected.Log(g.node.log).Str("request", j.ID), p).Str("target", a.target.ID)
+		if !j.responseBegun.IsZero() {
+			line = line.Dur("begun_ms", at.Sub(j.responseBegun))
+		}
+		line.Int("crashes", crashes).Int("rounds", rounds).Send()
 	}
 	g.send(changed)
 	g.suspendAttempts(changed)
 }
 
 // send sends the evidence about parts to the other nodes within evidenceInterval.
-func (g *promptGuard) send(parts []quarantine.Part) {
+func (g *crashGuard) send(parts []quarantine.Part) {
 	if len(parts) == 0 {
 		return
 	}
@@ -161,7 +202,7 @@
 }
 
 // scheduleFlush makes flush run as soon as evidenceInterval allows. g.mu must be held.
-func (g *promptGuard) scheduleFlush() {
+func (g *crashGuard) scheduleFlush() {
 	if !g.flushing {
 		g.flushing = true
 		time.AfterFunc(evidenceInterval-time.Since(g.flushedAt), g.flush)
@@ -169,7 +210,7 @@
 }
 
 // flush sends the collected evidence.
-func (g *promptGuard) flush() {
+func (g *crashGuard) flush() {
 	g.mu.Lock()
 	own, foreign := g.unsent, g.unrelayed
 	now := time.Now()
@@ -184,7 +225,7 @@
 }
 
 // message returns the evidence about parts as a message.
-func (g *promptGuard) message(now time.Time, parts []quarantine.Part) *wire.PartEvidence {
+func (g *crashGuard) message(now time.Time, parts []quarantine.Part) *wire.PartEvidence {
 	unique := make([]quarantine.Part, 0, len(parts))
 	for _, p := range parts {
 		if !slices.Contains(unique, p) {
@@ -195,14 +236,14 @@
 }
 
 // introduce sends a node that has connected the evidence about all suspects.
-func (g *promptGuard) introduce(to fleet.NodeID) {
+func (g *crashGuard) introduce(to fleet.NodeID) {
 	if evidence := g.all(); evidence != nil {
 		g.node.links.Send(to, evidence)
 	}
 }
 
 // all returns the evidence about all suspects as a message, nil without any.
-func (g *promptGuard) all() *wire.PartEvidence {
+func (g *crashGuard) all() *wire.PartEvidence {
 	if records := g.ledger.AllRecords(time.Now()); len(records) > 0 {
 		return evidenceMessage(records)
 	}
@@ -210,7 +251,7 @@
 }
 
 // receive merges the evidence of another node. An owner relays what is new.
-func (g *promptGuard) receive(from fleet.NodeID, m *wire.PartEvidence) {
+func (g *crashGuard) receive(from fleet.NodeID, m *wire.PartEvidence) {
 	changed, corrections := g.ledger.Merge(time.Now(), evidenceRecords(m))
 	if len(changed) > 0 {
 		event.PartEvidenceReceived.Log(g.node.log).Str("from", string(from)).Int("parts", len(changed)).Str("first", changed[0].ID).Int("suspects", g.ledger.Suspects()).Send()
@@ -230,7 +271,7 @@
 func evidenceMessage(records []quarantine.Record) *wire.PartEvidence {
 	m := &wire.PartEvidence{Parts: make([]wire.PartRecord, len(records))}
 	for i, r := range records {
-		p := wire.PartRecord{Service: r.Part.Service, Part: r.Part.ID, Survived: r.Survived, SurvivedAgeMillis: r.SurvivedAge.Milliseconds(), TrialMillis: r.TrialLeft.Milliseconds()}
+		p := wire.PartRecord{Service: r.Part.Service, Part: r.Part.ID, Kind: uint8(r.Part.Kind), Survived: r.Survived, SurvivedAgeMillis: r.SurvivedAge.Milliseconds(), TrialMillis: r.TrialLeft.Milliseconds()}
 		for _, c := range r.Crashes {
 			p.Crashes = append(p.Crashes, wire.CrashRecord{Target: c.Target, Incarnation: c.Incarnation, AgeMillis: c.Age.Milliseconds(), Requests: c.Requests})
 		}
@@ -242,18 +283,23 @@
 // maxEvidenceAge is the largest age in a message; larger ones count as this.
 const maxEvidenceAge = 24 * time.Hour
 
-// evidenceRecords converts a message to records. Negative times count as 0.
+// evidenceRecords converts a message to records. Negative times count as 0; records of an
+// unknown kind, which a later version may send, are left out.
 func evidenceRecords(m *wire.PartEvidence) []quarantine.Record {
 	millis := func(n int64) time.Duration {
 		return time.Duration(min(max(n, 0), maxEvidenceAge.Milliseconds())) * time.Millisecond
 	}
-	records := make([]quarantine.Record, len(m.Parts))
-	for i, p := range m.Parts {
-		r := quarantine.Record{Part: quarantine.Part{Service: p.Service, ID: p.Part}, Survived: p.Survived, SurvivedAge: millis(p.SurvivedAgeMillis), TrialLeft: millis(p.TrialMillis)}
+	records := make([]quarantine.Record, 0, len(m.Parts))
+	for _, p := range m.Parts {
+		part := quarantine.Part{Service: p.Service, ID: p.Part, Kind: quarantine.Kind(p.Kind)}
+		if !part.Kind.Valid() {
+			continue
+		}
+		r := quarantine.Record{Part: part, Survived: p.Survived, SurvivedAge: millis(p.SurvivedAgeMillis), TrialLeft: millis(p.TrialMillis)}
 		for _, c := range p.Crashes {
 			r.Crashes = append(r.Crashes, quarantine.CrashAge{Crash: quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}, Requests: c.Requests, Age: millis(c.AgeMillis)})
 		}
-		records[i] = r
+		records = append(records, r)
 	}
 	return records
 }
--- a/pkg/entry/quarantine_test.go
+++ b/pkg/entry/quarantine_test.go
@@ -17,6 +17,9 @@
 		Part:     quarantine.Part{Service: "llm", ID: "a1"},
 		Crashes:  []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t1", Incarnation: 7}, Requests: []string{"r1", "r2"}, Age: 3 * time.Second}},
 		Survived: true, SurvivedAge: time.Minute, TrialLeft: time.Second,
+	}, {
+		Part:    quarantine.Part{Service: "desk", ID: "0af1", Kind: quarantine.WholeRequest},
+		Crashes: []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t2"}, Requests: []string{"r3"}, Age: time.Second}},
 	}}
 	assert.Equal(t, records, evidenceRecords(evidenceMessage(records)))
 }
@@ -29,3 +32,10 @@
 		assert.LessOrEqual(t, r[0].Crashes[0].Age, maxEvidenceAge)
 	}
 }
+
+// Guards against evidence of a kind that a later version sends being taken for one against a
+// part of prompts.
+func TestEvidenceOfAnUnknownKindIsLeftOut(t *testing.T) {
+	records := evidenceRecords(&wire.PartEvidence{Parts: []wire.PartRecord{{Part: "a", Kind: 2}, {Part: "b", Kind: 1}}})
+	assert.Equal(t, []quarantine.Record{{Part: quarantine.Part{ID: "b", Kind: quarantine.WholeRequest}}}, records)
+}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -134,7 +134,7 @@
 	}
 	j.service = j.Route.ChooseService(serviceHash(j.ID))
 	j.engine = isEngineService(j.table, j.service)
-	j.parts = j.promptParts()
+	j.parts = j.suspectParts()
 	j.resumeAfter = j.LastEventID
 	j.deadline = j.arrived.Add(j.effectiveTimeout())
 	return nil
--- a/pkg/entry/unbegun.go
+++ b/pkg/entry/unbegun.go
@@ -11,12 +11,10 @@
 	"almondturn/pkg/quarantine"
 )
 
-// errSuspended is the cause with which an attempt is ended whose prompt has a part
-// that may crash its target.
-var errSuspended = errors.New("a part of the prompt may crash the target")
+// errSuspended is the cause with which an attempt is ended that may crash its target.
+var errSuspended = errors.New("the request or a part of its prompt may crash the target")
 
-// unbegunAttempts holds the attempts with parts of prompts whose response has not
-// begun. Its methods may be called concurrently; its zero value is empty.
+// unbegunAttempts holds the attempts whose response has not begun. Its methods may be called concurrently; its zero value is empty.
 type unbegunAttempts struct {
 	mu       sync.Mutex
 	attempts map[*exchange]unbegunAttempt
@@ -46,7 +44,7 @@
 	delete(u.attempts, x)
 }
 
-// with returns the attempts whose prompts have one of the parts.
+// with returns the attempts of requests with one of the parts.
 func (u *unbegunAttempts) with(parts []quarantine.Part) []unbegunAttempt {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -65,7 +63,7 @@
 
 // suspendAttempts ends the attempts that were sent before the evidence against the
 // parts was known, if their response has not begun.
-func (g *promptGuard) suspendAttempts(parts []quarantine.Part) {
+func (g *crashGuard) suspendAttempts(parts []quarantine.Part) {
 	if len(parts) == 0 {
 		return
 	}
@@ -74,7 +72,7 @@
 		if d.Allowed || d.Crashes < minCrashesToSuspend {
 			continue
 		}
-		event.PartRefused.Log(g.node.log).Str("request", a.request).Str("service", d.Part.Service).Str("part", d.Part.ID).Int("crashes", d.Crashes).Int("rounds", d.Rounds).
+		withPart(event.PartRefused.Log(g.node.log).Str("request", a.request), d.Part).Int("crashes", d.Crashes).Int("rounds", d.Rounds).
 			Dur("last_crash_ms", time.Since(d.LastCrash)).Bool("sent", true).Send()
 		a.giveUp(errSuspended)
 	}
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -50,7 +50,7 @@
 
 	RequestServed      = register(740, "request_served", zerolog.InfoLevel, "The response to a request was sent to the client; the field status is the HTTP status of the target.")
 	RequestRefused     = register(741, "request_refused", zerolog.WarnLevel, "A request was refused and was not run.")
-	RequestBroken      = register(742, "request_broken", zerolog.WarnLevel, "A request failed after it was sent to a target, or the response was truncated; the field not_retried says why it was not sent again, cut_by who ended the answer, in_force the version of the configuration then, in_force_ms its age, and digest, if its outcome is unknown, what it has in common with its repetitions (method, host, path and body).")
+	RequestBroken      = register(742, "request_broken", zerolog.WarnLevel, "A request failed after it was sent to a target, or the response was truncated; the field not_retried says why it was not sent again, cut_by who ended the answer, in_force the version of the configuration then, in_force_ms its age, and digest, if its outcome is unknown, what it has in common with its repetitions (method, host, path, model, prompt and body).")
 	RequestGone        = register(743, "request_gone", zerolog.InfoLevel, "The client disconnected before the end of the request or of the response; if the field cut_by is node, the node has ended the connection.")
 	RequestRetried     = register(744, "request_retried", zerolog.InfoLevel, "A request is retried at another target; the field cause holds the reason, and digest, if the outcome is unknown, is that of request_broken.")
 	BudgetExhausted    = register(745, "retry_budget_exhausted", zerolog.WarnLevel, "A request is not retried, because the retry budget of its service is exhausted.")
--- a/pkg/event/prompts.go
+++ b/pkg/event/prompts.go
@@ -2,11 +2,12 @@
 
 import "github.com/rs/zerolog"
 
-// Events about parts of prompts that may crash targets.
+// Events about requests and parts of prompts that may crash targets. The field kind says which
+// of them the field part names: a request by its digest, or a part of prompts.
 var (
-	PartSuspected        = register(790, "part_suspected", zerolog.WarnLevel, "A target crashed when it had just begun to answer a prompt with this part; the field crashes counts the crashes since the part last survived, rounds those that followed one another.")
-	PartCleared          = register(791, "part_cleared", zerolog.InfoLevel, "A run with a suspect part began after the last crash and survived; the part is no longer suspect.")
-	PartTrial            = register(792, "part_trial", zerolog.InfoLevel, "A request with a suspect part is sent as a trial; other requests with the part wait for its result.")
-	PartRefused          = register(793, "part_refused", zerolog.WarnLevel, "A request was not sent, because a part of its prompt may crash targets; the fields crashes, rounds and last_crash_ms hold the evidence and its age. With sent=true, the request was at a target and had not begun; the attempt was ended.")
-	PartEvidenceReceived = register(794, "part_evidence_received", zerolog.InfoLevel, "Another node sent new evidence about parts of prompts that may crash targets.")
+	PartSuspected        = register(790, "part_suspected", zerolog.WarnLevel, "A target crashed when it had just begun to answer a prompt with this part, or may have begun to run this request (kind=request); the field crashes counts the crashes since the part last survived, rounds those that followed one another.")
+	PartCleared          = register(791, "part_cleared", zerolog.InfoLevel, "A run with a suspect part, or of a suspect request, began after the last crash and survived; it is no longer suspect.")
+	PartTrial            = register(792, "part_trial", zerolog.InfoLevel, "A suspect request, or one with a suspect part, is sent as a trial; others with the part wait for its result.")
+	PartRefused          = register(793, "part_refused", zerolog.WarnLevel, "A request was not sent, because it or a part of its prompt may crash targets; the fields crashes, rounds and last_crash_ms hold the evidence and its age. With sent=true, the request was at a target and had not begun; the attempt was ended.")
+	PartEvidenceReceived = register(794, "part_evidence_received", zerolog.InfoLevel, "Another node sent new evidence about requests or parts of prompts that may crash targets.")
 )
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -70,6 +70,8 @@
 	HeaderTooLarge
 	// PromptSuspended: a part of the prompt may crash targets. Not run.
 	PromptSuspended
+	// RequestSuspended: the same request may have crashed targets before. Not run.
+	RequestSuspended
 	kindEnd
 )
 
@@ -123,6 +125,7 @@
 	HeaderTooLarge:      {Status: http.StatusRequestHeaderFieldsTooLarge, Code: "header_too_large", Run: RunNo},
 	TimeOver:            {Status: http.StatusGatewayTimeout, Code: "time_over", Run: RunUnknown},
 	PromptSuspended:     {Status: http.StatusServiceUnavailable, Code: "prompt_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	RequestSuspended:    {Status: http.StatusServiceUnavailable, Code: "request_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
 
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,12 +1,12 @@
-// Package quarantine decides which requests may be sent while a part of a prompt is
-// suspected of crashing the targets that answer it. It does no I/O and reads no
-// clock. A Ledger holds the evidence: crashes of targets in which a part had just
-// begun to be answered, and runs with the part that survived. Nodes exchange their
-// evidence as Records, so that all of them decide alike.
+// Package quarantine decides which requests may be sent while a part of a prompt, or a
+// whole request that comes again, is suspected of crashing the targets that run it. It
+// does no I/O and reads no clock. A Ledger holds the evidence: crashes of targets that had
+// just begun to run a request with the part, and runs with the part that survived. Nodes
+// exchange their evidence as Records, so that all of them decide alike.
 //
 // A part with crashes since its last survival is a suspect. Its requests are refused
 // for a time that grows with each further round of crashes, and afterwards admitted
-// one at a time, as trials. A trial that survives clears all parts of its prompt.
+// one at a time, as trials. A trial that survives clears all parts of its request.
 package quarantine
 
 import (
@@ -35,8 +35,11 @@
 	// trial.
 	trialTime = 2 * time.Second
 	// provenCrashes is the number of crashes that make a part a suspect which is
-	// known to have survived before. Other parts are suspects after one.
+	// known to have survived before. Other parts of prompts are suspects after one.
 	provenCrashes = 3
+	// requestCrashes is the number of crashes that make a whole request a suspect. One is
+	// too few: all requests that wait at a target when it crashes have that one.
+	requestCrashes = 2
 	// maxSuspects and maxCrashes bound the suspects, and the crashes held for each.
 	maxSuspects = 512
 	maxCrashes  = 16
@@ -49,9 +52,14 @@
 	forgetTime = 10 * time.Minute
 )
 
-// holds are the times from the last crash to the next trial, by the number of rounds.
-// The last one doubles with each further round, up to maxHold.
-var holds = [...]time.Duration{0, time.Second, 30 * time.Second, 2 * time.Minute, 10 * time.Minute, time.Hour}
+// holds are the times from the last crash to the next trial, by the kind of the part and
+// the number of rounds. The last one doubles with each further round, up to maxHold. Those of
+// whole requests begin shorter, since a popular request may be at several targets that fail
+// together, and grow faster, so that at most three trials in a day follow the third crash.
+var holds = [...][]time.Duration{
+	PromptPart:   {0, time.Second, 30 * time.Second, 2 * time.Minute, 10 * time.Minute, time.Hour},
+	WholeRequest: {0, 250 * time.Millisecond, 30 * time.Second, 10 * time.Minute, maxHold},
+}
 
 const maxHold = 24 * time.Hour
 
@@ -59,8 +67,34 @@
 // don't begin a trial of the same part at the same moment.
 const maxSpread = 0.5
 
-// Part identifies a part of the prompts for one service.
-type Part struct{ Service, ID string }
+// Kind says what a Part is.
+type Kind uint8
+
+const (
+	// PromptPart is a part of the prompts of several requests.
+	PromptPart Kind = iota
+	// WholeRequest is all that a request asks for, which a repetition of it has in
+	// common with it.
+	WholeRequest
+)
+
+// String returns the name of the kind as it appears in the log.
+func (k Kind) String() string {
+	if k == WholeRequest {
+		return "request"
+	}
+	return "prompt part"
+}
+
+// Valid reports whether k is one of the kinds.
+func (k Kind) Valid() bool { return k <= WholeRequest }
+
+// Part identifies what requests to one service have in common: a part of their prompts by
+// its identifier, or the whole request by its digest.
+type Part struct {
+	Service, ID string
+	Kind        Kind
+}
 
 // Crash identifies a crash of a target by the incarnation that it ended.
 type Crash struct {
@@ -86,14 +120,15 @@
 // Ledger holds the evidence about the parts of prompts. Its methods may be called
 // concurrently.
 type Ledger struct {
-	// count is the number of suspects, so that requests are not delayed by mu as
+	// count is the number of parts in suspects, so that requests are not delayed by mu as
 	// long as there are none.
 	count atomic.Int32
 	// spread returns the share of maxSpread by which the holds of a part are
 	// lengthened, from 0 to 1.
 	spread func(Part) float64
 
-	mu       sync.Mutex // guards all below
+	mu sync.Mutex // guards all below
+	// suspects holds the evidence by part; isSuspect says whether it suffices.
 	suspects map[Part]*suspect
 	proven   provenParts
 }
@@ -104,8 +139,18 @@
 	return &Ledger{spread: spread, suspects: map[Part]*suspect{}}
 }
 
-// Suspects returns the number of parts with crashes since their last survival.
-func (l *Ledger) Suspects() int { return int(l.count.Load()) }
+// Suspects returns the number of parts whose requests are restricted.
+func (l *Ledger) Suspects() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for p, s := range l.suspects {
+		if l.isSuspect(p, s) {
+			n++
+		}
+	}
+	return n
+}
 
 // Evidence returns how many crashes and rounds of crashes stand against a part.
 func (l *Ledger) Evidence(p Part) (crashes, rounds int) {
@@ -172,7 +217,14 @@
 // isSuspect reports whether the evidence suffices to restrict the requests with a
 // part.
 func (l *Ledger) isSuspect(p Part, s *suspect) bool {
-	return len(s.crashes) >= provenCrashes || len(s.crashes) > 0 && !l.proven.has(p)
+	switch {
+	case l.proven.has(p):
+		return len(s.crashes) >= provenCrashes
+	case p.Kind == WholeRequest:
+		return len(s.crashes) >= requestCrashes
+	default:
+		return len(s.crashes) > 0
+	}
 }
 
 // heldUntil returns the time until which no request with these parts may be sent
@@ -181,7 +233,7 @@
 	if l.explained(s, parts) || s.rounds <= 1 && l.proven.has(p) {
 		return s.trialUntil
 	}
-	hold := holdTime(s.rounds)
+	hold := holdTime(p.Kind, s.rounds)
 	hold += time.Duration(maxSpread * l.spread(p) * float64(hold))
 	if until := s.lastCrash.Add(hold); until.After(s.trialUntil) {
 		return until
@@ -205,17 +257,18 @@
 }
 
 // holdTime returns the time from the last crash to the next trial.
-func holdTime(rounds int) time.Duration {
-	last := len(holds) - 1
+func holdTime(k Kind, rounds int) time.Duration {
+	times := holds[k]
+	last := len(times) - 1
 	if rounds <= last {
-		return holds[max(rounds, 0)]
+		return times[max(rounds, 0)]
 	}
 	doublings := min(rounds-last, 10) // more exceed maxHold
-	return min(holds[last]<<doublings, maxHold)
+	return min(times[last]<<doublings, maxHold)
 }
 
-// RunCrashed records that a target crashed while it had just begun to answer a
-// request whose prompt has the parts. It returns the parts whose evidence has changed.
+// RunCrashed records that a target crashed while it had just begun to run a request with
+// the parts. It returns the parts whose evidence has changed.
 func (l *Ledger) RunCrashed(now time.Time, c Crash, request string, parts []Part) []Part {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -264,12 +317,19 @@
 }
 
 // RunSurvived records that a run with the parts, whose response began at a time, has
-// survived. It returns the suspects among the parts that this clears.
+// survived. It returns the suspects among the parts that this clears. A whole request
+// against which there was no evidence is not recorded, since most don't come again.
 func (l *Ledger) RunSurvived(begun time.Time, parts []Part) []Part {
+	if l.count.Load() == 0 && !slices.ContainsFunc(parts, isPromptPart) {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var cleared []Part
 	for _, p := range parts {
+		if !isPromptPart(p) && l.suspects[p] == nil {
+			continue
+		}
 		if l.survived(p, begun) {
 			cleared = append(cleared, p)
 		}
@@ -277,6 +337,9 @@
 	return cleared
 }
 
+// isPromptPart reports whether p is a part of prompts.
+func isPromptPart(p Part) bool { return p.Kind == PromptPart }
+
 // survived records a survival, which disproves the crashes before its run began, and
 // reports whether it cleared a suspect of all crashes. l.mu must be held.
 func (l *Ledger) survived(p Part, begun time.Time) bool {
@@ -310,7 +373,7 @@
 	var weakest Part
 	var w *suspect
 	for p, s := range l.suspects {
-		if now.Sub(s.lastUsed) > max(forgetTime, holdTime(s.rounds)) {
+		if now.Sub(s.lastUsed) > max(forgetTime, holdTime(p.Kind, s.rounds)) {
 			l.remove(p)
 			continue
 		}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -18,7 +18,7 @@
 func parts(ids ...string) []Part {
 	out := make([]Part, len(ids))
 	for i, id := range ids {
-		out[i] = Part{"llm", id}
+		out[i] = Part{Service: "llm", ID: id}
 	}
 	return out
 }
@@ -158,7 +158,7 @@
 	d := b.Check(at(2500), parts("x"))
 	require.False(t, d.Allowed)
 	require.Equal(t, 2, d.Rounds)
-	require.Equal(t, holdTime(2)-500*time.Millisecond, d.RetryAfter)
+	require.Equal(t, holdTime(PromptPart, 2)-500*time.Millisecond, d.RetryAfter)
 }
 
 // Guards against two nodes trying a suspect at the same time.
--- /dev/null
+++ b/pkg/quarantine/request_test.go
@@ -0,0 +1,98 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// request returns the parts of a request without shared parts of a prompt.
+func request(digest string) []Part { return []Part{{Service: "desk", ID: digest, Kind: WholeRequest}} }
+
+// maxSendsAfterThirdCrash is the number of times that a request may be sent in a day after it
+// has crashed its third target.
+const maxSendsAfterThirdCrash = 3
+
+// Guards against a request that crashes its targets being sent again and again as it returns,
+// all day long.
+func TestRequestThatAlwaysCrashesIsSentAFewTimesADay(t *testing.T) {
+	const day, interval, runTime = 24 * time.Hour, 200 * time.Millisecond, 60 * time.Millisecond
+	l := newLedger(0)
+	sent := 0
+	for now := start; now.Before(start.Add(day)); now = now.Add(interval) {
+		if l.Admit(now, request("d")).Allowed {
+			sent++
+			l.RunCrashed(now.Add(runTime), crash(fmt.Sprint("t", sent)), "r", request("d"))
+		}
+	}
+	require.GreaterOrEqual(t, sent, requestCrashes)
+	require.LessOrEqual(t, sent, 3+maxSendsAfterThirdCrash)
+}
+
+// Guards against requests being refused that merely waited at a target as it crashed.
+func TestRequestAtOneCrashIsSentAgain(t *testing.T) {
+	l := newLedger(0)
+	l.RunCrashed(at(0), crash("t1"), "r", request("sound"))
+	d := l.Admit(at(1), request("sound"))
+	require.True(t, d.Allowed)
+	require.Empty(t, d.Trials)
+	require.Zero(t, l.Suspects())
+}
+
+// Guards against a popular request being held for crashes between which it was answered.
+func TestRequestThatIsAnsweredBetweenCrashesIsNotHeld(t *testing.T) {
+	l := newLedger(0)
+	for i := range 10 {
+		l.RunCrashed(at(1000*i), crash(fmt.Sprint("t", i)), "r", request("popular"))
+		require.True(t, l.Admit(at(1000*i+10), request("popular")).Allowed)
+		require.Equal(t, request("popular"), l.RunSurvived(at(1000*i+20), request("popular")))
+	}
+}
+
+// Guards against a verdict that an answer does not lift, or lifts at one node only.
+func TestAnswerToATrialClearsARequestAtAllNodes(t *testing.T) {
+	a, b := newLedger(0), newLedger(0)
+	for i, target := range []string{"t1", "t2"} {
+		a.RunCrashed(at(i), crash(target), "r", request("d"))
+	}
+	b.Merge(at(10), a.AllRecords(at(10)))
+	require.False(t, b.Check(at(20), request("d")).Allowed)
+	d := a.Admit(at(1500), request("d"))
+	require.Equal(t, request("d"), d.Trials)
+	require.Equal(t, request("d"), a.RunSurvived(at(1510), request("d")))
+	survival := a.Records(at(1520), request("d"))
+	changed, _ := b.Merge(at(1520), survival)
+	require.Equal(t, request("d"), changed)
+	require.True(t, b.Admit(at(1530), request("d")).Allowed)
+	changed, _ = b.Merge(at(1540), a.Records(at(1540), request("d")))
+	require.Empty(t, changed, "known already, and not to be passed on again")
+}
+
+// Guards against a part of prompts losing its good record to many requests that are sent
+// once each.
+func TestAnswersToRequestsDoNotPushOutParts(t *testing.T) {
+	l := newLedger(0)
+	l.RunSurvived(at(0), parts("system"))
+	for i := range 10 * provenPerGeneration {
+		l.RunSurvived(at(1), request(fmt.Sprint("d", i)))
+	}
+	require.True(t, l.proven.has(parts("system")[0]))
+}
+
+// Guards against the parts of its prompt being held for long along with a request that
+// crashes its targets.
+func TestPartsOfADeadlyRequestAreTriedWithoutIt(t *testing.T) {
+	l := newLedger(0)
+	deadly := append(request("d"), parts("doc")...)
+	deadly[0].Service = "llm"
+	for i, target := range []string{"t1", "t2"} {
+		l.RunCrashed(at(2000*i), crash(target), fmt.Sprint("r", i), deadly)
+	}
+	other := append([]Part{{Service: "llm", ID: "other", Kind: WholeRequest}}, parts("doc")...)
+	d := l.Admit(at(2100), other)
+	require.True(t, d.Allowed)
+	require.Equal(t, parts("doc"), d.Trials)
+	require.False(t, l.Check(at(2100), deadly).Allowed)
+}
--- a/wire/evidence.go
+++ b/wire/evidence.go
@@ -1,13 +1,13 @@
 package wire
 
-// PartEvidence is evidence about parts of prompts that may crash targets. A node
+// PartEvidence is evidence about parts of prompts, and whole requests, that may crash targets. A node
 // sends it to the owners of the zones, and an owner to the nodes. Ages are times before
 // the message was sent.
 type PartEvidence struct {
 	Parts []PartRecord `cbor:"1,keyasint,omitempty"`
 }
 
-// PartRecord is the evidence about one part of the prompts for a service.
+// PartRecord is the evidence about one part of the prompts for a service, or one request to it.
 type PartRecord struct {
 	Service string        `cbor:"1,keyasint"`
 	Part    string        `cbor:"2,keyasint"`
@@ -18,6 +18,9 @@
 	SurvivedAgeMillis int64 `cbor:"5,keyasint,omitempty"`
 	// TrialMillis is the time for which the result of a trial is still awaited.
 	TrialMillis int64 `cbor:"6,keyasint,omitempty"`
+	// Kind is 0 for a part of prompts, whose identifier Part is, and 1 for a whole request,
+	// whose digest Part is.
+	Kind uint8 `cbor:"7,keyasint,omitempty"`
 }
 
 // CrashRecord is a crash of an incarnation of a target. Requests identifies requests whose
