--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -26,6 +26,9 @@
 	// connection never carries two requests with the same one: the target may write a response
 	// once more, late, and that of the first could not be told from that of the second.
 	ID string
+	// LastOnConnection closes the connection after the response, for a request whose response
+	// bears no identifier: a late copy of it could be taken for the response to another one.
+	LastOnConnection bool
 	// MaxIdle bounds how long a pooled connection may have been idle to be
 	// used; 0 requires a new connection.
 	MaxIdle time.Duration
@@ -103,6 +106,8 @@
 	// stopCloseOnDone cancels the closing of conn at the end of the context. It
 	// returns false if the context has ended already.
 	stopCloseOnDone func() bool
+	// mayKeep reports whether the connection may carry more requests.
+	mayKeep bool
 	// complete reports whether the body was read to its end.
 	complete bool
 	// prefix is what ReadPrefix has read and Read has not returned yet, prefixErr the
@@ -149,6 +154,7 @@
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		pool: p, addr: addr, conn: c, resp: resp, stopCloseOnDone: stopCloseOnDone,
+		mayKeep: !resp.Close && !r.LastOnConnection && !c.carried.full(),
 	}, nil
 }
 
@@ -249,7 +255,7 @@
 // processing the request.
 func (r *Response) Close() {
 	contextActive := r.stopCloseOnDone()
-	reusable := r.complete && contextActive && !r.resp.Close && !r.conn.carried.full()
+	reusable := r.complete && contextActive && r.mayKeep
 	if !reusable || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
