--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -46,6 +46,8 @@
 type Store interface {
 	WatchStore
 	zoneowner.Store
+	// Commit applies a transaction atomically.
+	Commit(ctx context.Context, c kv.Transaction) (kv.Revision, error)
 	// SetRelay sets the function that relays a call through other nodes if the
 	// service does not respond to this one.
 	SetRelay(func(ctx context.Context, method, path string, body []byte) (kv.Response, error))
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -37,6 +37,8 @@
 	ledger *quarantine.Ledger
 	// unbegun are the attempts that may still be kept from beginning at a target.
 	unbegun unbegunAttempts
+	// stored is the evidence in the key-value service.
+	stored *storedEvidence
 
 	mu sync.Mutex // guards all below
 	// unsent are the parts with new evidence of this node, unrelayed those with new
@@ -52,7 +54,9 @@
 	spread := func(p quarantine.Part) float64 {
 		return float64(fleet.RendezvousWeight(string(n.self.ID), p.ID)) / math.MaxUint64
 	}
-	return &crashGuard{node: n, ledger: quarantine.New(spread)}
+	g := &crashGuard{node: n, ledger: quarantine.New(spread)}
+	g.stored = newStoredEvidence(g)
+	return g
 }
 
 // suspectParts returns the parts of j that may be suspects: the whole request, and then the
@@ -218,6 +222,7 @@
 	g.mu.Unlock()
 	if len(own) > 0 {
 		g.node.links.sendToOwners(g.message(now, own))
+		g.stored.changed(own)
 	}
 	if g.node.owner.IsOwner() {
 		g.node.links.Broadcast(g.message(now, append(own, foreign...)))
@@ -283,21 +288,24 @@
 // maxEvidenceAge is the largest age in a message; larger ones count as this.
 const maxEvidenceAge = 24 * time.Hour
 
+// evidenceAge returns the age of that many milliseconds, 0 for a negative number and at most
+// maxEvidenceAge.
+func evidenceAge(millis int64) time.Duration {
+	return time.Duration(min(max(millis, 0), maxEvidenceAge.Milliseconds())) * time.Millisecond
+}
+
 // evidenceRecords converts a message to records. Negative times count as 0; records of an
 // unknown kind, which a later version may send, are left out.
 func evidenceRecords(m *wire.PartEvidence) []quarantine.Record {
-	millis := func(n int64) time.Duration {
-		return time.Duration(min(max(n, 0), maxEvidenceAge.Milliseconds())) * time.Millisecond
-	}
 	records := make([]quarantine.Record, 0, len(m.Parts))
 	for _, p := range m.Parts {
 		part := quarantine.Part{Service: p.Service, ID: p.Part, Kind: quarantine.Kind(p.Kind)}
 		if !part.Kind.Valid() {
 			continue
 		}
-		r := quarantine.Record{Part: part, Survived: p.Survived, SurvivedAge: millis(p.SurvivedAgeMillis), TrialLeft: millis(p.TrialMillis)}
+		r := quarantine.Record{Part: part, Survived: p.Survived, SurvivedAge: evidenceAge(p.SurvivedAgeMillis), TrialLeft: evidenceAge(p.TrialMillis)}
 		for _, c := range p.Crashes {
-			r.Crashes = append(r.Crashes, quarantine.CrashAge{Crash: quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}, Requests: c.Requests, Age: millis(c.AgeMillis)})
+			r.Crashes = append(r.Crashes, quarantine.CrashAge{Crash: quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}, Requests: c.Requests, Age: evidenceAge(c.AgeMillis)})
 		}
 		records = append(records, r)
 	}
--- /dev/null
+++ b/pkg/entry/storedevidence_test.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/pkg/kv"
+	"almondturn/pkg/quarantine"
+)
+
+// requestPart returns the part that stands for a request.
+func requestPart(digest string) quarantine.Part {
+	return quarantine.Part{Service: "desk", ID: digest, Kind: quarantine.WholeRequest}
+}
+
+// crashTargets records that a request has crashed a number of targets.
+func crashTargets(n *Node, now time.Time, p quarantine.Part, count int) {
+	for i := range count {
+		n.guard.ledger.RunCrashed(now, quarantine.Crash{Target: fmt.Sprint("t", i)}, "r", []quarantine.Part{p})
+	}
+}
+
+// committingStore records the transactions, of which the first ones fail.
+type committingStore struct {
+	idleStore
+	mu        sync.Mutex // guards all below
+	failures  int
+	committed []kv.Transaction
+}
+
+// Commit implements Store.
+func (s *committingStore) Commit(_ context.Context, c kv.Transaction) (kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failures > 0 {
+		s.failures--
+		return 0, kv.ErrOutcomeUnknown
+	}
+	s.committed = append(s.committed, c)
+	return 1, nil
+}
+
+// transactions returns the transactions that did not fail.
+func (s *committingStore) transactions() []kv.Transaction {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.committed
+}
+
+// Guards against evidence that is lost because the key-value service fails while it is written.
+func TestEvidenceIsStoredAfterAFailedWrite(t *testing.T) {
+	n, log := newIdleNode(t)
+	store := &committingStore{failures: 1}
+	n.store = store
+	crashTargets(n, time.Now(), requestPart("d"), minStoredCrashes)
+	n.guard.stored.changed([]quarantine.Part{requestPart("d")})
+	require.Eventually(t, func() bool { return len(store.transactions()) == 1 }, 10*time.Second, 10*time.Millisecond)
+	put := store.transactions()[0].Put
+	require.Len(t, put, 1)
+	assert.Equal(t, suspectKey(requestPart("d")), put[0].Key)
+	assert.Contains(t, log.String(), "evidence_not_stored")
+}
+
+// Guards against a write for each target that crashes for a reason of its own.
+func TestEvidenceOfFewCrashesIsNotStored(t *testing.T) {
+	n, _ := newIdleNode(t)
+	crashTargets(n, time.Now(), requestPart("d"), minStoredCrashes-1)
+	n.guard.stored.changed([]quarantine.Part{requestPart("d")})
+	assert.Empty(t, n.guard.stored.unwritten)
+}
+
+// Guards against a node that starts without what the nodes before it knew.
+func TestStoredEvidenceHoldsARequestAtANewNode(t *testing.T) {
+	before, _ := newIdleNode(t)
+	now := time.Now()
+	crashTargets(before, now, requestPart("d"), minStoredCrashes)
+	before.guard.stored.unwritten[suspectKey(requestPart("d"))] = requestPart("d")
+	change, ok := before.guard.stored.nextChange(now)
+	require.True(t, ok)
+	after, log := newIdleNode(t)
+	after.replaceOwners(change.transaction.Put, 1)
+	assert.False(t, after.guard.ledger.Check(now, []quarantine.Part{requestPart("d")}).Allowed)
+	crashes, _ := after.guard.ledger.Evidence(requestPart("d"))
+	assert.Equal(t, minStoredCrashes, crashes)
+	assert.Contains(t, log.String(), "stored_evidence_read")
+}
+
+// Guards against a request being held after a restart although it was answered before.
+func TestStoredEvidenceIsDeletedAfterAnAnswer(t *testing.T) {
+	n, _ := newIdleNode(t)
+	store := new(committingStore)
+	n.store = store
+	now, key := time.Now(), suspectKey(requestPart("d"))
+	crashTargets(n, now, requestPart("d"), minStoredCrashes)
+	value := encodeSuspect(now, n.guard.ledger.Records(now, []quarantine.Part{requestPart("d")})[0])
+	n.applyOwnerChanges([]kv.WatchEvent{{Entry: kv.Entry{Key: key, Value: value}}})
+	n.guard.stored.changed(n.guard.ledger.RunSurvived(now.Add(time.Second), []quarantine.Part{requestPart("d")}))
+	require.Eventually(t, func() bool { return len(store.transactions()) == 1 }, 10*time.Second, 10*time.Millisecond)
+	assert.Equal(t, []string{key}, store.transactions()[0].Delete)
+	require.Eventually(t, func() bool {
+		n.guard.stored.mu.Lock()
+		defer n.guard.stored.mu.Unlock()
+		return len(n.guard.stored.entries) == 0
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
+// Guards against entries that pile up in the key-value service: old and damaged ones, and more
+// than maxStoredSuspects.
+func TestStoredEvidenceIsBounded(t *testing.T) {
+	now := time.Now()
+	entry := func(digest string, written time.Time) kv.Entry {
+		record := quarantine.Record{Part: requestPart(digest), Crashes: []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t"}}}}
+		return kv.Entry{Key: suspectKey(requestPart(digest)), Value: encodeSuspect(written, record)}
+	}
+	for name, c := range map[string]struct {
+		list    []kv.Entry
+		deleted []string
+	}{
+		"none": {nil, nil},
+		"recent, old and damaged": {
+			[]kv.Entry{entry("recent", now.Add(-time.Hour)), entry("old", now.Add(-storedTime)), {Key: suspectKeyPrefix + "damaged", Value: []byte("{")}},
+			[]string{suspectKeyPrefix + "damaged", suspectKey(requestPart("old"))},
+		},
+		"too many": {func() (list []kv.Entry) {
+			for i := range maxStoredSuspects {
+				list = append(list, entry(fmt.Sprint(i), now.Add(time.Duration(i)*time.Minute-24*time.Hour)))
+			}
+			return list
+		}(), []string{suspectKey(requestPart("0"))}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := newIdleNode(t)
+			n.replaceOwners(c.list, 1)
+			crashTargets(n, now, requestPart("new"), minStoredCrashes)
+			n.guard.stored.unwritten[suspectKey(requestPart("new"))] = requestPart("new")
+			change, ok := n.guard.stored.nextChange(now)
+			require.True(t, ok)
+			assert.Len(t, change.transaction.Put, 1)
+			assert.Equal(t, c.deleted, change.transaction.Delete)
+			n.guard.stored.finish(change, nil)
+			assert.Len(t, n.guard.stored.entries, len(c.list)+1-len(c.deleted))
+		})
+	}
+}
+
+// Guards against an entry that a later version or another writer has written stopping the node
+// or holding requests.
+func TestDamagedStoredEvidenceIsIgnored(t *testing.T) {
+	for _, value := range []string{"", "{", `[]`, `{"kind":-1}`, `{"kind":2,"part":"d"}`, `{"crashes":{}}`} {
+		n, log := newIdleNode(t)
+		n.replaceOwners([]kv.Entry{{Key: suspectKeyPrefix + "x", Value: []byte(value)}}, 1)
+		assert.Zero(t, n.guard.ledger.Suspects(), value)
+		assert.Contains(t, log.String(), suspectKeyPrefix+"x", value)
+	}
+}
+
+// Guards against a step of a clock that makes a crash lie in the future, or evidence younger
+// than it was.
+func TestAgesOfStoredEvidenceAreBounded(t *testing.T) {
+	now := time.Now()
+	for written, want := range map[time.Time]time.Duration{
+		now.Add(time.Hour):                 time.Minute,
+		now.Add(-time.Hour):                time.Hour + time.Minute,
+		now.Add(-10000 * time.Hour):        maxEvidenceAge,
+		time.UnixMilli(now.UnixMilli()):    time.Minute,
+		now.Add(-23*time.Hour - time.Hour): maxEvidenceAge,
+	} {
+		e := suspectEntry{Written: written.UnixMilli(), Crashes: []storedCrash{{AgeMillis: time.Minute.Milliseconds()}}}
+		assert.InDelta(t, want, e.record(now).Crashes[0].Age, float64(2*time.Millisecond))
+	}
+}
+
+// Guards against a failed deletion being forgotten.
+func TestFailedChangeOfStoredEvidenceIsMadeAgain(t *testing.T) {
+	n, _ := newIdleNode(t)
+	s, key := n.guard.stored, suspectKey(requestPart("d"))
+	s.entries[key] = time.Now()
+	s.unwritten[key] = requestPart("d")
+	change, ok := s.nextChange(time.Now())
+	require.True(t, ok)
+	s.finish(change, errors.New("unavailable"))
+	change, ok = s.nextChange(time.Now())
+	require.True(t, ok)
+	assert.Equal(t, []string{key}, change.transaction.Delete)
+	s.finish(change, nil)
+	_, ok = s.nextChange(time.Now())
+	assert.False(t, ok)
+}
--- a/pkg/entry/updates.go
+++ b/pkg/entry/updates.go
@@ -25,8 +25,10 @@
 	Target func(key string, value []byte) (*inventory.Target, error)
 }
 
-// replaceOwners updates the owners of all zones from a complete list.
+// replaceOwners updates the owners of all zones, and the stored evidence about requests that
+// crash targets, from a complete list.
 func (n *Node) replaceOwners(entries []kv.Entry, _ kv.Revision) {
+	n.guard.replaceStored(entries)
 	seen := map[fleet.Zone]bool{}
 	for _, e := range entries {
 		if e.Key == zoneowner.LastOwnerKey(n.settings.Zone) {
@@ -44,11 +46,13 @@
 	}
 }
 
-// applyOwnerChanges applies changes to the owners of the zones.
+// applyOwnerChanges applies changes to the owners of the zones and the stored evidence.
 func (n *Node) applyOwnerChanges(events []kv.WatchEvent) {
 	for _, e := range events {
 		zone, ok := zoneOfOwnerKey(e.Entry.Key)
 		switch {
+		case strings.HasPrefix(e.Entry.Key, suspectKeyPrefix):
+			n.guard.applyStored(e)
 		case e.Entry.Key == zoneowner.LastOwnerKey(n.settings.Zone) && !e.Deleted:
 			n.owner.ObserveLastOwner(e.Entry.Value, e.Entry.ModRevision)
 		case !ok:
