--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -242,11 +242,11 @@
 }
 
 // explained reports whether another part that is not among these stood beside the
-// suspect in a run of each crash, and in more than one round. A request without
-// that part is no repetition of what crashed the targets.
+// suspect in a run of each crash, and explains them. A request without that part is no
+// repetition of what crashed the targets.
 func (l *Ledger) explained(s *suspect, parts []Part) bool {
 	for q, other := range l.suspects {
-		if other == s || other.rounds < 2 || len(other.crashes) < len(s.crashes) || slices.Contains(parts, q) {
+		if other == s || !other.explains(q) || len(other.crashes) < len(s.crashes) || slices.Contains(parts, q) {
 			continue
 		}
 		if standBeside(other.crashes, s.crashes) {
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -81,18 +81,39 @@
 	require.True(t, l.proven.has(parts("system")[0]))
 }
 
-// Guards against the parts of its prompt being held for long along with a request that
-// crashes its targets.
+// Guards against the parts of its prompt being held along with a request that crashes its
+// targets, once two crashes have shown that it is the same request.
 func TestPartsOfADeadlyRequestAreTriedWithoutIt(t *testing.T) {
+	for name, interval := range map[string]int{"together": 10, "one after the other": 2000} {
+		t.Run(name, func(t *testing.T) {
+			l := newLedger(0)
+			deadly := append([]Part{{Service: "llm", ID: "d", Kind: WholeRequest}}, parts("doc")...)
+			other := append([]Part{{Service: "llm", ID: "other", Kind: WholeRequest}}, parts("doc")...)
+			l.RunCrashed(at(0), crash("t1"), "r1", deadly)
+			require.False(t, l.Check(at(1), other).Allowed, "the part may have crashed the target")
+			l.RunCrashed(at(interval), crash("t2"), "r2", deadly)
+			d := l.Admit(at(interval+1), other)
+			require.True(t, d.Allowed)
+			require.Equal(t, parts("doc"), d.Trials)
+			require.False(t, l.Check(at(interval+1), deadly).Allowed)
+		})
+	}
+}
+
+// Guards against a deadly part being tried again and again because each request with it is
+// one that has crashed a target.
+func TestDeadlyPartIsNotExplainedByItsRequests(t *testing.T) {
 	l := newLedger(0)
-	deadly := append(request("d"), parts("doc")...)
-	deadly[0].Service = "llm"
-	for i, target := range []string{"t1", "t2"} {
-		l.RunCrashed(at(2000*i), crash(target), fmt.Sprint("r", i), deadly)
+	with := func(digest string) []Part {
+		return append([]Part{{Service: "llm", ID: digest, Kind: WholeRequest}}, parts("deadly")...)
 	}
-	other := append([]Part{{Service: "llm", ID: "other", Kind: WholeRequest}}, parts("doc")...)
-	d := l.Admit(at(2100), other)
-	require.True(t, d.Allowed)
-	require.Equal(t, parts("doc"), d.Trials)
-	require.False(t, l.Check(at(2100), deadly).Allowed)
+	sent := 0
+	for now := 0; now < 60_000; now += 50 {
+		digest := fmt.Sprint("d", now)
+		if l.Admit(at(now), with(digest)).Allowed {
+			sent++
+			l.RunCrashed(at(now+40), crash(fmt.Sprint("t", sent)), digest, with(digest))
+		}
+	}
+	require.LessOrEqual(t, sent, 3)
 }
--- a/pkg/quarantine/suspect.go
+++ b/pkg/quarantine/suspect.go
@@ -42,6 +42,16 @@
 	return true
 }
 
+// explains reports whether the evidence against a part may explain that against others that
+// stood beside it: a part of prompts crashed targets in more than one round, so that it was
+// not there by chance; a whole request, which differs from all others, crashed requestCrashes.
+func (s *suspect) explains(p Part) bool {
+	if p.Kind == WholeRequest {
+		return len(s.crashes) >= requestCrashes
+	}
+	return s.rounds >= 2
+}
+
 // addRuns adds runs to those of a crash, and reports whether one was new.
 func (s *suspect) addRuns(c Crash, runs crashedRuns, requests []string) bool {
 	added := false
