--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -82,7 +82,7 @@
 // the current one has stalled. runs is the number of runs that targets may have begun
 // for it, the current one included.
 func (j *job) mayResumeElsewhere(now time.Time, runs int) bool {
-	return j.Route.Resumable && !j.NonStreaming && !j.endsWithoutID && runs < j.Route.MaxAttempts &&
+	return j.idempotent() && j.Route.Resumable && !j.NonStreaming && !j.endsWithoutID && runs < j.Route.MaxAttempts &&
 		j.sends < maxSends && len(j.excluded) < maxSends && j.deadline.Sub(now) > minRunTime
 }
 
