--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -255,9 +255,13 @@
 // connection.
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
+// discardTimeout bounds the wait for the rest of a refusal, which holds up the next attempt.
+const discardTimeout = 50 * time.Millisecond
+
 // discardBody reads and discards the rest of a short body, so that the
-// connection can be used again. A body longer than maxBufferedBytes makes Close
-// close the connection.
+// connection can be used again. A body longer than maxBufferedBytes, or one that takes
+// longer than discardTimeout, makes Close close the connection.
 func discardBody(resp *upstream.Response) {
+	resp.SetReadDeadline(time.Now().Add(discardTimeout))
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxBufferedBytes)) // an error closes the connection, too
 }
