--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -26,9 +26,10 @@
 	// connection never carries two requests with the same one: the target may write a response
 	// once more, late, and that of the first could not be told from that of the second.
 	ID string
-	// LastOnConnection closes the connection after the response, for a request whose response
-	// bears no identifier: a late copy of it could be taken for the response to another one.
-	LastOnConnection bool
+	// OwnConnection makes the request the only one on its connection, whatever MaxIdle is. It
+	// is for requests whose responses bear no identifier: a late copy of one could be taken
+	// for the response to another.
+	OwnConnection bool
 	// MaxIdle bounds how long a pooled connection may have been idle to be
 	// used; 0 requires a new connection.
 	MaxIdle time.Duration
@@ -121,7 +122,11 @@
 // *SendError, which reports whether the target may have received the request.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	hash := hashID(r.ID)
-	c, err := p.get(ctx, addr, r.MaxIdle, hash)
+	maxIdle := r.MaxIdle
+	if r.OwnConnection {
+		maxIdle = 0
+	}
+	c, err := p.get(ctx, addr, maxIdle, hash)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
@@ -154,7 +159,7 @@
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		pool: p, addr: addr, conn: c, resp: resp, stopCloseOnDone: stopCloseOnDone,
-		mayKeep: !resp.Close && !r.LastOnConnection && !c.carried.full(),
+		mayKeep: !resp.Close && !r.OwnConnection && !c.carried.full(),
 	}, nil
 }
 
