--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -6,7 +6,7 @@
 // that have the base model loaded.
 func (s *Scheduler) loadAdapters(now time.Time, queues []*queue) {
 	for _, q := range queues {
-		if q.key.adapter == "" || len(q.waiters) == 0 || s.adapterLoadedOrOrdered(now, q) || !s.mayLoadAdapter(q.key) {
+		if q.key.adapter == "" || len(q.waiters) == 0 || s.adapterLoadedOrOrdered(now, q) || !s.mayLoadAdapter(q.key) || s.loadHold(now, q.key) > 0 {
 			continue
 		}
 		if t := s.adapterTarget(now, q); t != nil {
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -211,7 +211,7 @@
 		return
 	}
 	m := svc.Engine.Models[k.model]
-	if m == nil || m.WeightsMB > svc.Engine.WeightsMB || !s.mayAddReplica(k) {
+	if m == nil || !s.mayLoad(now, k, m, svc.Engine) {
 		return
 	}
 	fromStore := s.needsStore(now, k) && s.mayUseStore(now, k, svc.Engine)
@@ -465,15 +465,17 @@
 
 // continuePlan unloads the plan's next victim, or loads its model once all
 // victims are unloaded. It cancels the plan if the target is draining, has the model
-// loaded already or its service has no engine, and, once the victims are unloaded,
-// if the model is not configured, does not fit into the memory or exceeds its quota.
+// loaded already or its service has no engine, if loads of the model are held, and, once
+// the victims are unloaded, if the model is not configured, does not fit into the memory
+// or exceeds its quota.
 func (s *Scheduler) continuePlan(now time.Time, t *target) {
 	if now.Before(t.nextOrderAt) || t.phase != noOrder {
 		return
 	}
 	p := t.plan
 	e := s.services[t.info.Service].Engine
-	if e == nil || t.info.Draining || t.replicas[p.model] != nil {
+	k := modelKey{t.info.Service, p.model}
+	if e == nil || t.info.Draining || t.replicas[p.model] != nil || s.loadHold(now, k.baseKey()) > 0 {
 		t.cancelPlan()
 		return
 	}
@@ -488,7 +490,7 @@
 		return
 	}
 	m := e.Models[p.model]
-	if m == nil || t.usedMB(e)+m.WeightsMB > e.WeightsMB || s.overQuota(modelKey{t.info.Service, p.model}) {
+	if m == nil || t.usedMB(e)+m.WeightsMB > e.WeightsMB || s.overQuota(k) {
 		t.cancelPlan()
 		return
 	}
@@ -501,7 +503,7 @@
 		s.weightStore.loadStarted(now)
 		t.peakWeightStoreLoads = s.weightStore.inProgress()
 	}
-	s.recordLoad(modelKey{t.info.Service, p.model}, d)
+	s.recordLoad(k, d)
 	s.sendOrder(now, t, Order{Operation: Load, Model: p.model, Source: source}, d)
 }
 
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -17,7 +17,11 @@
 	case OrderAccepted:
 		t.orderAccepted(now)
 	case OrderDone:
+		since := t.orderSince
 		t.orderDone(now)
+		if o.Operation == Load && o.Adapter == "" {
+			s.loadSucceeded(queueKey{t.info.Service, o.Model, ""}, since)
+		}
 	case OrderRejected:
 		t.orderRejected(now)
 	case OrderUnknown:
@@ -96,7 +100,7 @@
 		delete(r.adapters, o.Adapter)
 		return
 	}
-	r.adapters[o.Adapter] = &adapter{lastUsed: now, readyAt: now.Add(adapterLoadTime)}
+	r.adapters[o.Adapter] = &adapter{lastUsed: now, readyAt: now.Add(adapterLoadTime), openSince: t.orderSince}
 }
 
 // ReportReceived processes the state of a target, which was requested by a
@@ -117,10 +121,28 @@
 	if t.phase != modelLoading {
 		o = nil
 	}
+	open := t.openLoads()
 	t.applyReport(now, r)
 	if o != nil && t.phase == noOrder && t.replicas[o.Model] != nil {
 		s.weightStoreLoadFinished(now, t, o)
 	}
+	s.recordShownLoads(t, open, r)
+}
+
+// recordShownLoads records the success of the open loads whose model or adapter a report
+// lists as loaded, unless the report may be older than they are.
+func (s *Scheduler) recordShownLoads(t *target, open []openLoad, r inventory.Report) {
+	shown := inventory.Target{Models: r.Models}
+	for _, l := range open {
+		if r.Sequence < t.sequence || !shown.HasLoaded(l.key.model, l.key.adapter) {
+			continue
+		}
+		if l.key.adapter != "" {
+			s.adapterShown(t, l.key.model, l.key.adapter)
+		} else {
+			s.loadSucceeded(l.key, l.since)
+		}
+	}
 }
 
 // applyReport replaces the known state by the reported one. It ignores a report
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/keepalive"
+	"almondturn/pkg/quarantine"
 	"almondturn/pkg/route"
 )
 
@@ -42,6 +43,10 @@
 	runs        map[RunID]*run
 	demand      map[modelKey]*demand
 	weightStore weightStoreBudget
+	// loadCrashes is the evidence that loads of models and adapters crash their targets, and
+	// lostLoads counts those that may have done so; see countLostLoads.
+	loadCrashes *quarantine.Ledger
+	lostLoads   map[queueKey]int
 	// storeWanted holds when each model was last to be loaded from the weight
 	// store.
 	storeWanted map[modelKey]time.Time
@@ -80,7 +85,7 @@
 // New returns a scheduler without targets. Run identifiers start after lastRun,
 // so that they differ from those of earlier owners.
 func New(lastRun RunID) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		services:       map[string]*route.Service{},
 		targets:        map[string]*target{},
 		queues:         map[queueKey]*queue{},
@@ -97,7 +102,10 @@
 		limitShare:     1,
 		lastRun:        lastRun,
 		zoneCount:      1,
+		lostLoads:      map[queueKey]int{},
 	}
+	s.loadCrashes = s.newLoadLedger()
+	return s
 }
 
 // SetServices replaces the configuration of the services. Targets of services
@@ -146,6 +154,7 @@
 		t := s.targets[info.ID]
 		if t == nil || t.info.Incarnation != info.Incarnation {
 			former := t
+			s.recordLoadCrash(now, former)
 			t = newTarget(info)
 			t.inheritOrder(now, former)
 			s.removeRunsOf(info.ID)
@@ -155,6 +164,7 @@
 	}
 	for id, t := range s.targets {
 		if !seen[id] {
+			s.recordLoadCrash(now, t)
 			s.recordRemovedTarget(now, t)
 			delete(s.targets, id)
 			s.removeRunsOf(id)
@@ -263,7 +273,11 @@
 	}
 	t.pendingPrefillTokens = max(t.pendingPrefillTokens-r.inputTokens, 0)
 	t.refusals = 0
+	s.adapterShown(t, r.model, r.adapter)
 	if r.probe {
+		if t.phase == modelLoading && t.isLoading(r.model) {
+			s.loadSucceeded(queueKey{t.info.Service, r.model, ""}, t.orderSince)
+		}
 		if o := t.weightStoreLoad(); o != nil && t.phase == modelLoading && o.Model == r.model {
 			s.weightStoreLoadFinished(now, t, o)
 		}
@@ -347,10 +361,12 @@
 	s.refuseExpired(now)
 	s.markRetiring(now)
 	s.updateWeightStoreBudget(now)
+	s.countLostLoads(now)
 	queues := s.queuesByUrgency(now)
 	s.grantWaiting(now, queues)
 	s.findTargetsWithoutPlan(now)
 	s.refuseZeroQuota(now, queues)
+	s.refuseHeldLoads(now, queues)
 	s.redirectWithoutCopy(now, queues)
 	if s.mayOrder(now) {
 		s.continuePlans(now)
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -92,6 +92,8 @@
 	// orderSince is when it was sent or, in the phase modelLoading, accepted.
 	order      *Order
 	orderSince time.Time
+	// inherited is the order that inheritOrder took from the former incarnation, nil for none.
+	inherited *Order
 	// peakWeightStoreLoads is the largest number of concurrent loads from the weight
 	// store in all zones during this target's load.
 	peakWeightStoreLoads int
@@ -149,12 +151,14 @@
 }
 
 // adapter is an adapter loaded at a target. readyAt is when runs may use it;
-// unconfirmed has the same meaning as in replica.
+// unconfirmed has the same meaning as in replica. openSince is when its load began, zero
+// once a run or a report has shown that it succeeded.
 type adapter struct {
 	unconfirmed bool
 	runs        int
 	lastUsed    time.Time
 	readyAt     time.Time
+	openSince   time.Time
 }
 
 // loadPlan is a model to load as soon as the victims, in this order, are unloaded.
@@ -186,6 +190,7 @@
 		return
 	}
 	t.order, t.expectedDuration = former.order, former.expectedDuration
+	t.inherited = t.order
 	t.phase, t.orderSince = orderUnconfirmed, now
 	t.nextReportAt = now.Add(unconfirmedWait)
 }
--- a/pkg/scheduler/unavailable.go
+++ b/pkg/scheduler/unavailable.go
@@ -70,7 +70,7 @@
 // replicaElsewhereIn returns the time in which another target may have the model loaded, if
 // one that does not have it has a copy of its weights. ok is false without one.
 func (s *Scheduler) replicaElsewhereIn(now time.Time, k modelKey) (wait time.Duration, ok bool) {
-	if s.unloadedCopies(now, k) == 0 || !s.mayAddReplica(k) {
+	if s.unloadedCopies(now, k) == 0 || !s.mayAddReplica(k) || s.loadHold(now, k.baseKey()) > 0 {
 		return 0, false
 	}
 	return max(s.ordersFrom.Sub(now), 0) + coldStartEstimate, true
