--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -124,10 +124,12 @@
 	// store that run at full speed; more loads share that bandwidth. 0 sets no
 	// bound.
 	FullSpeedStoreLoads int
-	InitialModels       [][]string // models loaded at the start, per target
-	OnDisk              [][]string // models with a copy on disk at the start, per target
-	Arrivals            []Arrival  // in order of time
-	Faults              []Fault
+	// DeadlyModels are the models whose loads crash their targets at their end.
+	DeadlyModels  []string
+	InitialModels [][]string // models loaded at the start, per target
+	OnDisk        [][]string // models with a copy on disk at the start, per target
+	Arrivals      []Arrival  // in order of time
+	Faults        []Fault
 }
 
 // Result holds the counts and latencies of one run, or the sums over several.
@@ -144,6 +146,8 @@
 	// Loads is the number of model loads begun, StoreLoads that of loads from
 	// the weight store, Orders that of all orders sent.
 	Loads, StoreLoads, Orders int
+	// LoadCrashes is the number of targets that loads of Config.DeadlyModels crashed.
+	LoadCrashes int
 	// ColdStartLatencies are the times to the first event of those requests
 	// whose model was not loaded on arrival, sorted.
 	ColdStartLatencies []time.Duration
@@ -175,6 +179,7 @@
 	r.Loads += o.Loads
 	r.StoreLoads += o.StoreLoads
 	r.Orders += o.Orders
+	r.LoadCrashes += o.LoadCrashes
 	r.IdleTime += o.IdleTime
 	r.ColdStartLatencies = append(r.ColdStartLatencies, o.ColdStartLatencies...)
 	slices.Sort(r.ColdStartLatencies)
@@ -506,7 +511,7 @@
 		}
 	}
 	if e.activeOrder != nil && !now.Before(e.orderEndsAt) {
-		s.finishOrder(e)
+		s.finishOrder(now, e)
 	}
 	inUse := map[string]bool{}
 	for _, r := range e.runs {
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -96,6 +96,22 @@
 	assert.NotEmpty(t, r.Violations)
 }
 
+// maxLoadCrashes is the number of targets that the loads of one model may crash in a run.
+const maxLoadCrashes = 6
+
+// Guards against a model that crashes each target which loads it being loaded on target after
+// target, as long as requests wait for it.
+func TestLoadsThatCrashTheirTargetsAreBounded(t *testing.T) {
+	total := Result{}
+	for seed := range uint64(seedsPerPattern) {
+		r := runOnce(t, "deadly-loads", seed, scheduler.New(0))
+		assert.NotZero(t, r.LoadCrashes, "seed %d", seed)
+		assert.LessOrEqual(t, r.LoadCrashes, maxLoadCrashes, "seed %d", seed)
+		total.add(r)
+	}
+	t.Logf("%d crashes; in time %d, late %d, refused %d, lost %d, broken %d", total.LoadCrashes, total.InTime, total.Late, total.Refused, total.Lost, total.Broken)
+}
+
 // deafPolicy is a scheduler that is not told of limits.
 type deafPolicy struct{ Policy }
 
--- a/pkg/emulator/orders.go
+++ b/pkg/emulator/orders.go
@@ -15,6 +15,8 @@
 	// maxMemoryCopies is the number of models per target of which main memory
 	// holds a copy of the weights.
 	maxMemoryCopies = 2
+	// loadCrashDownTime is the time until a target is back that a load crashed.
+	loadCrashDownTime = 3500 * time.Millisecond
 )
 
 // handleOrder delivers an order to its target and schedules the result for the
@@ -136,14 +138,24 @@
 }
 
 // finishOrder completes the active order. A loaded model leaves a copy on disk
-// and one in main memory, which replaces the oldest copy there.
-func (s *simulation) finishOrder(e *simulatedTarget) {
+// and one in main memory, which replaces the oldest copy there. A load of one of
+// Config.DeadlyModels crashes the target.
+func (s *simulation) finishOrder(now time.Time, e *simulatedTarget) {
 	o := e.activeOrder
 	e.activeOrder = nil
 	if o.Operation == scheduler.Unload {
 		delete(e.models, o.Model)
 		return
 	}
+	if slices.Contains(s.cfg.DeadlyModels, o.Model) {
+		s.result.LoadCrashes++
+		s.crash(now, e)
+		s.schedule(now, loadCrashDownTime, func(now time.Time) {
+			e.alive, e.incarnation = true, e.incarnation+1
+			s.updateTargets(now)
+		})
+		return
+	}
 	e.models[o.Model] = map[string]bool{}
 	if !slices.Contains(e.onDisk, o.Model) {
 		e.onDisk = append(e.onDisk, o.Model)
--- a/pkg/emulator/patterns.go
+++ b/pkg/emulator/patterns.go
@@ -97,6 +97,12 @@
 			c.Faults = append(c.Faults, Fault{At: 8 * time.Second, Duration: 5 * time.Second, Target: i, Kind: Unreachable})
 		}
 	}},
+	// From 5 s on, one of the rare models crashes each target that loads it.
+	{"deadly-loads", func(c *Config, r *rand.Rand) {
+		c.addRareRequests(r, rareRate, 0, patternLength)
+		c.addBusyRequests(r, busyRate, 0, patternLength, 0)
+		c.addDeadlyModel(r, 2, 5*time.Second, patternLength)
+	}},
 	// A third of the targets take about a quarter of the requests that they usually get.
 	{"named-limits", func(c *Config, r *rand.Rand) {
 		c.addRareRequests(r, rareRate, 0, patternLength)
@@ -196,6 +202,23 @@
 	})
 }
 
+// addDeadlyModel adds requests between from and until for a model that crashes each target
+// which loads it, and of which each target has a copy on disk. rate is in requests per
+// second.
+func (c *Config) addDeadlyModel(r *rand.Rand, rate float64, from, until time.Duration) {
+	model := modelName(patternModels)
+	m := *c.EngineSettings.Models[modelName(patternModels-1)]
+	m.Name = model
+	c.EngineSettings.Models[model] = &m
+	c.DeadlyModels = append(c.DeadlyModels, model)
+	for i := range c.OnDisk {
+		c.OnDisk[i] = append(c.OnDisk[i], model)
+	}
+	c.addPoissonArrivals(r, rate, from, until, func() Arrival {
+		return Arrival{Model: model, InputTokens: 800, OutputTokens: 290, LatencyObjective: 2 * time.Second, FirstEventTimeout: 8 * time.Second, Priority: 1}
+	})
+}
+
 // addPoissonArrivals adds the arrivals of a Poisson process between from and
 // until. rate is in requests per second; newArrival returns a request, whose
 // time is set here.
--- a/pkg/scheduler/loadcrash_test.go
+++ b/pkg/scheduler/loadcrash_test.go
@@ -464,6 +464,19 @@
 	assert.Zero(t, crashes)
 }
 
+// Guards against a model that many requests use being held for two crashes of other causes.
+func TestModelThatHasLoadedBeforeIsHeldAfterThreeCrashes(t *testing.T) {
+	z := newEmptyZone(t, "a", "b", "c")
+	z.loadSucceeded(queueKey{testService, "m5", ""}, z.now.Add(-time.Second))
+	z.crashTwice("m5")
+	third := only[SendOrder](t, z.Step(z.now)).Order
+	assert.Zero(t, z.loadHold(z.now, queueKey{testService, "m5", ""}))
+	z.OrderResultReceived(z.now, third, OrderAccepted)
+	z.now = z.now.Add(2 * time.Second)
+	z.restartEmpty(third.Target)
+	assert.Greater(t, z.loadHold(z.now, queueKey{testService, "m5", ""}), 30*time.Second)
+}
+
 // Guards against a success long ago that disproves all later crashes: the model may have a
 // new version.
 func TestEarlierLoadDisprovesNoCrash(t *testing.T) {
