--- a/pkg/explain/refusals.go
+++ b/pkg/explain/refusals.go
@@ -42,6 +42,7 @@
 	causeReferred refusalCause = iota
 	causeHeld
 	causeOwnerNotReady
+	causeLoadCrashes
 	causeReplicasFull
 	causeStoreLoadLate
 	causeLocalLoadLate
@@ -50,7 +51,7 @@
 )
 
 // causeNames are the headings of the causes.
-var causeNames = [causeEnd]string{"other zone", "held", "no orders yet", "replicas full", "store load late", "local load late", "other"}
+var causeNames = [causeEnd]string{"other zone", "held", "no orders yet", "load crashes", "replicas full", "store load late", "local load late", "other"}
 
 // placeRefused holds the fields of the event place_refused that decide its cause.
 // Times are in milliseconds.
@@ -63,6 +64,7 @@
 	ReadyReplicas     int     `json:"usable"`
 	TargetsWithCopy   int     `json:"copies"`
 	OrdersAfterMillis float64 `json:"orders_after_ms"`
+	LoadCrashes       int     `json:"load_crashes"`
 }
 
 // cause returns the cause of a refusal.
@@ -70,6 +72,8 @@
 	switch {
 	case p.Reason == "elsewhere":
 		return causeReferred
+	case p.LoadCrashes > 0:
+		return causeLoadCrashes
 	case p.WaitedMillis >= heldMillis:
 		return causeHeld
 	case p.OrdersAfterMillis > 0:
--- a/pkg/scheduler/loadcrash.go
+++ b/pkg/scheduler/loadcrash.go
@@ -142,18 +142,25 @@
 	return 0
 }
 
-// holdOf returns the time for which the requests of a queue wait for a load that is held, 0
-// if they need none.
-func (s *Scheduler) holdOf(now time.Time, q *queue) time.Duration {
+// suspectedCrashes returns the number of crashes that stand against a model or an adapter,
+// with those of lost loads.
+func (s *Scheduler) suspectedCrashes(k queueKey) int {
+	crashes, _ := s.loadCrashes.Evidence(loadPart(k)[0])
+	return crashes + s.lostLoads[k]
+}
+
+// neededLoad returns the model or adapter whose load the requests of a queue wait for, false
+// if they wait for none, or for one in progress.
+func (s *Scheduler) neededLoad(now time.Time, q *queue) (queueKey, bool) {
 	k := q.key.modelKey()
 	st := s.modelState(now, k)
 	switch {
-	case st.ready > 0 && q.key.adapter != "" && !s.adapterLoadedOrOrdered(now, q):
-		return s.loadHold(now, q.key)
+	case st.ready > 0 && q.key.adapter != "":
+		return q.key, !s.adapterLoadedOrOrdered(now, q)
 	case st.ready == 0 && st.loading == 0:
-		return s.loadHold(now, k.baseKey())
+		return k.baseKey(), true
 	}
-	return 0
+	return queueKey{}, false
 }
 
 // refuseHeldLoads refuses the requests that a hold keeps beyond their deadline. They are sent
@@ -166,18 +173,24 @@
 		if len(q.waiters) == 0 {
 			continue
 		}
-		hold := s.holdOf(now, q)
-		if hold == 0 {
-			continue
+		if k, ok := s.neededLoad(now, q); ok {
+			s.refuseHeld(now, q, s.loadHold(now, k), s.suspectedCrashes(k))
 		}
-		for _, w := range slices.Clone(q.waiters) {
-			estimate := RefusalEstimate{ExpectedWait: hold, TimeLeft: w.Deadline.Sub(now)}
-			switch {
-			case !w.OtherZonesRefused:
-				s.refuse(now, w, TryOtherZone, 0, estimate)
-			case now.Add(hold).After(w.Deadline.Add(-minRunTime)):
-				s.refuse(now, w, Overloaded, hold, estimate)
-			}
+	}
+}
+
+// refuseHeld is refuseHeldLoads for one queue; a hold of 0 refuses none.
+func (s *Scheduler) refuseHeld(now time.Time, q *queue, hold time.Duration, crashes int) {
+	if hold == 0 {
+		return
+	}
+	for _, w := range slices.Clone(q.waiters) {
+		estimate := RefusalEstimate{ExpectedWait: hold, TimeLeft: w.Deadline.Sub(now), LoadCrashes: crashes}
+		switch {
+		case !w.OtherZonesRefused:
+			s.refuse(now, w, TryOtherZone, 0, estimate)
+		case now.Add(hold).After(w.Deadline.Add(-minRunTime)):
+			s.refuse(now, w, Overloaded, hold, estimate)
 		}
 	}
 }
--- a/pkg/scheduler/loadcrash_test.go
+++ b/pkg/scheduler/loadcrash_test.go
@@ -416,6 +416,7 @@
 	assertNone[SendOrder](t, actions)
 	refusal := only[Refusal](t, actions)
 	assert.Equal(t, Overloaded, refusal.Reason)
+	assert.Equal(t, 2, refusal.Estimate.LoadCrashes, "for the log")
 	assert.Greater(t, refusal.RetryAfter, 30*time.Second-suspectTime)
 	z.now = z.now.Add(refusal.RetryAfter - time.Second)
 	assertNone[SendOrder](t, z.submitAndStep(z.request("m5")))
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -164,6 +164,9 @@
 	TargetsWithCopy int
 	// BacklogRank is the rank of the model among those that wait for a load.
 	BacklogRank int
+	// LoadCrashes is the number of targets that loads of the model or adapter may have
+	// crashed, for which its loads are held.
+	LoadCrashes int
 }
 
 // SendOrder asks the caller to send an order and to pass its result to
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -288,7 +288,7 @@
 		o.cfg.Observer.SlotRequestDecided(w.service, a.Waited, a.Reason.String())
 		event.PlaceRefused.Log(o.cfg.Log).Str("request", w.requestID).Str("model", w.model).Stringer("reason", a.Reason).
 			Dur("waited_ms", a.Waited).Dur("expected_ms", a.Estimate.ExpectedWait).Dur("left_ms", a.Estimate.TimeLeft).
-			Int("usable", a.Estimate.ReadyReplicas).Int("copies", a.Estimate.TargetsWithCopy).Int("backlog", a.Estimate.BacklogRank).
+			Int("usable", a.Estimate.ReadyReplicas).Int("copies", a.Estimate.TargetsWithCopy).Int("backlog", a.Estimate.BacklogRank).Int("load_crashes", a.Estimate.LoadCrashes).
 			Int64("orders_after_ms", max(t.ordersFrom.Sub(o.cfg.BootClock()).Milliseconds(), 0)).Send()
 	case scheduler.SendOrder:
 		if target := t.targetsByID[a.Order.Target]; target != nil {
