--- a/pkg/scheduler/loadcrash_test.go
+++ b/pkg/scheduler/loadcrash_test.go
@@ -295,6 +295,18 @@
 	assert.Greater(t, z.served["m6"], 40)
 }
 
+// Guards against requests for other models being referred to another zone during a hold.
+func TestRequestForAnotherModelStaysDuringAHold(t *testing.T) {
+	z := newEmptyZone(t, "a", "b", "c")
+	z.crashTwice("m5")
+	z.Step(z.now)
+	r := z.request("m6")
+	r.OtherZonesRefused = false
+	actions := z.submitAndStep(r)
+	assertNone[Refusal](t, actions)
+	assert.Equal(t, "m6", only[SendOrder](t, actions).Order.Model)
+}
+
 // deadlyLoad submits a request, and crashes the target of the load that it causes: its runs
 // fail, and it is down for suspectTime. It returns the order.
 func (z *testZone) deadlyLoad(model string) Order {
