--- a/pkg/entry/storedevidence_test.go
+++ b/pkg/entry/storedevidence_test.go
@@ -13,6 +13,7 @@
 
 	"almondturn/pkg/kv"
 	"almondturn/pkg/quarantine"
+	"almondturn/pkg/zoneowner"
 )
 
 // requestPart returns the part that stands for a request.
@@ -193,3 +194,69 @@
 	_, ok = s.nextChange(time.Now())
 	assert.False(t, ok)
 }
+
+// Guards against a request being held after a restart although it was answered: the evidence
+// was written, at a node that did not know of the answer yet, after the answer at this one.
+func TestStoredEvidenceOfAnAnsweredRequestIsDeleted(t *testing.T) {
+	n, _ := newIdleNode(t)
+	store := new(committingStore)
+	n.store = store
+	now, key := time.Now(), suspectKey(requestPart("d"))
+	crashTargets(n, now, requestPart("d"), minStoredCrashes)
+	value := encodeSuspect(now, n.guard.ledger.Records(now, []quarantine.Part{requestPart("d")})[0])
+	n.guard.stored.changed(n.guard.ledger.RunSurvived(now.Add(time.Second), []quarantine.Part{requestPart("d")}))
+	n.applyOwnerChanges([]kv.WatchEvent{{Entry: kv.Entry{Key: key, Value: value}}})
+	require.Eventually(t, func() bool { return len(store.transactions()) == 1 }, 5*time.Second, 10*time.Millisecond)
+	assert.Equal(t, []string{key}, store.transactions()[0].Delete)
+}
+
+// Guards against evidence that all nodes write again and again, as each reads it: a part that
+// has survived before, and has crashed targets since, is neither answered nor new.
+func TestStoredEvidenceIsNotWrittenAgainWhenItIsRead(t *testing.T) {
+	n, _ := newIdleNode(t)
+	now, p := time.Now(), requestPart("d")
+	crashTargets(n, now.Add(-time.Hour), p, 1)
+	n.guard.ledger.RunSurvived(now.Add(-time.Minute), []quarantine.Part{p})
+	crashTargets(n, now, p, minStoredCrashes)
+	value := encodeSuspect(now, n.guard.ledger.Records(now, []quarantine.Part{p})[0])
+	n.applyOwnerChanges([]kv.WatchEvent{{Entry: kv.Entry{Key: suspectKey(p), Value: value}}})
+	assert.Empty(t, n.guard.stored.unwritten)
+	assert.False(t, n.guard.stored.writing)
+}
+
+// Guards against a write to the key-value service for each trial, of which a request that its
+// targets refuse begins one each time that it comes.
+func TestTrialIsNotStored(t *testing.T) {
+	n, _ := newIdleNode(t)
+	store := new(committingStore)
+	n.store = store
+	j := &job{Request: &Request{RequestInfo: RequestInfo{ID: "r"}}, parts: []quarantine.Part{requestPart("d")}}
+	crashTargets(n, time.Now().Add(-time.Minute), j.parts[0], minStoredCrashes)
+	for range 5 {
+		trials, refusal := n.guard.admit(j, "t")
+		require.Nil(t, refusal)
+		require.Equal(t, j.parts, trials)
+		n.guard.ledger.TrialEnded(trials)
+		n.guard.flush()
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Empty(t, store.transactions())
+}
+
+// Guards against the owner of a zone being taken for stored evidence, and deleted as damaged.
+func TestOwnerOfAZoneIsNoStoredEvidence(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.replaceOwners([]kv.Entry{{Key: zoneowner.OwnerKey("suspects"), Value: []byte(`{}`)}}, 1)
+	assert.Empty(t, n.guard.stored.entries)
+}
+
+// Guards against evidence that counts for ever, as the clock of its writer was ahead.
+func TestStoredEvidenceFromTheFutureEnds(t *testing.T) {
+	n, _ := newIdleNode(t)
+	now := time.Now()
+	crashTargets(n, now, requestPart("d"), minStoredCrashes)
+	value := encodeSuspect(now.Add(10*storedTime), n.guard.ledger.Records(now, []quarantine.Part{requestPart("d")})[0])
+	after, _ := newIdleNode(t)
+	after.replaceOwners([]kv.Entry{{Key: suspectKey(requestPart("d")), Value: value}}, 1)
+	assert.Zero(t, after.guard.ledger.Suspects())
+}
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -117,3 +117,21 @@
 	}
 	require.LessOrEqual(t, sent, 3)
 }
+
+// Guards against a deadly request being sent again and again during an update, as a node of an
+// older version relays the evidence against it as that against a part of prompts, which seemed to
+// explain its crashes.
+func TestRequestIsNotExplainedByItsOwnEvidenceFromAnOlderVersion(t *testing.T) {
+	l := newLedger(0)
+	sent := 0
+	for now := 0; now < 60_000; now += 200 {
+		if l.Admit(at(now), request("d")).Allowed {
+			sent++
+			l.RunCrashed(at(now+60), crash(fmt.Sprint("t", sent)), fmt.Sprint("r", sent), request("d"))
+		}
+		relayed := l.Records(at(now+80), request("d"))
+		relayed[0].Part.Kind = PromptPart
+		l.Merge(at(now+80), relayed)
+	}
+	require.LessOrEqual(t, sent, 3+1)
+}
