--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -230,7 +230,7 @@
 // heldUntil returns the time until which no request with these parts may be sent
 // because of the suspect p.
 func (l *Ledger) heldUntil(p Part, s *suspect, parts []Part) time.Time {
-	if l.explained(s, parts) || s.rounds <= 1 && l.proven.has(p) {
+	if l.explained(p, s, parts) || s.rounds <= 1 && l.proven.has(p) {
 		return s.trialUntil
 	}
 	hold := holdTime(p.Kind, s.rounds)
@@ -243,10 +243,11 @@
 
 // explained reports whether another part that is not among these stood beside the
 // suspect in a run of each crash, and explains them. A request without that part is no
-// repetition of what crashed the targets.
-func (l *Ledger) explained(s *suspect, parts []Part) bool {
+// repetition of what crashed the targets. A part of the same identifier is no other one: nodes
+// of older versions relay a whole request as a part of prompts.
+func (l *Ledger) explained(p Part, s *suspect, parts []Part) bool {
 	for q, other := range l.suspects {
-		if other == s || !other.explains(q) || len(other.crashes) < len(s.crashes) || slices.Contains(parts, q) {
+		if q.ID == p.ID || !other.explains(q) || len(other.crashes) < len(s.crashes) || slices.Contains(parts, q) {
 			continue
 		}
 		if standBeside(other.crashes, s.crashes) {
