--- a/pkg/entry/storedevidence.go
+++ b/pkg/entry/storedevidence.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// deleteAnswered deletes the entries that were read of those of the parts against which there
+// is no evidence any more.
+func (s *storedEvidence) deleteAnswered(parts []quarantine.Part) {
+	s.changed(slices.DeleteFunc(parts, func(p quarantine.Part) bool {
+		crashes, _ := s.guard.ledger.Evidence(p)
+		return crashes > 0
+	}))
+}
+
 // writeAll writes until nothing is unwritten or ctx ends.
 func (s *storedEvidence) writeAll(ctx context.Context) {
 	failing := false
@@ -217,7 +226,8 @@
 
 // mergeStored merges stored evidence, which all nodes read.
 func (g *crashGuard) mergeStored(now time.Time, records []quarantine.Record) {
-	changed, _ := g.ledger.Merge(now, records)
+	changed, disproved := g.ledger.Merge(now, records)
+	g.stored.deleteAnswered(disproved)
 	if len(changed) == 0 {
 		return
 	}
