--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -175,6 +175,7 @@
 		withPart(event.PartCleared.Log(g.node.log).Str("request", j.ID), p).Str("target", j.lastTarget).Send()
 	}
 	g.send(cleared)
+	g.stored.changed(cleared)
 }
 
 // recordCrash records that the target of the current attempt crashed at a time when it had
@@ -191,6 +192,7 @@
 		line.Int("crashes", crashes).Int("rounds", rounds).Send()
 	}
 	g.send(changed)
+	g.stored.changed(changed)
 	g.suspendAttempts(changed)
 }
 
@@ -222,7 +224,6 @@
 	g.mu.Unlock()
 	if len(own) > 0 {
 		g.node.links.sendToOwners(g.message(now, own))
-		g.stored.changed(own)
 	}
 	if g.node.owner.IsOwner() {
 		g.node.links.Broadcast(g.message(now, append(own, foreign...)))
@@ -262,6 +263,7 @@
 		event.PartEvidenceReceived.Log(g.node.log).Str("from", string(from)).Int("parts", len(changed)).Str("first", changed[0].ID).Int("suspects", g.ledger.Suspects()).Send()
 	}
 	g.send(corrections)
+	g.stored.deleteAnswered(corrections)
 	g.suspendAttempts(changed)
 	if len(changed) == 0 || !g.node.owner.IsOwner() {
 		return
