--- a/pkg/entry/storedevidence_test.go
+++ b/pkg/entry/storedevidence_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/quarantine"
 	"almondturn/pkg/zoneowner"
@@ -260,3 +261,19 @@
 	after.replaceOwners([]kv.Entry{{Key: suspectKey(requestPart("d")), Value: value}}, 1)
 	assert.Zero(t, after.guard.ledger.Suspects())
 }
+
+// Guards against evidence that no node writes, because three targets crashed at the same time
+// and each crash was seen by another node.
+func TestEvidenceThatSeveralNodesHaveSeenIsStored(t *testing.T) {
+	n, _ := newIdleNode(t)
+	store := new(committingStore)
+	n.store = store
+	p := requestPart("d")
+	own := &job{Request: &Request{RequestInfo: RequestInfo{ID: "r"}}, parts: []quarantine.Part{p}}
+	n.guard.recordCrash(own, assignment{target: &inventory.Target{ID: "own"}}, time.Now(), own.parts)
+	other, _ := newIdleNode(t)
+	crashTargets(other, time.Now(), p, minStoredCrashes-1)
+	n.guard.receive("n2", other.guard.all())
+	require.Eventually(t, func() bool { return len(store.transactions()) == 1 }, 5*time.Second, 10*time.Millisecond)
+	assert.Equal(t, suspectKey(p), store.transactions()[0].Put[0].Key)
+}
