--- a/pkg/entry/storedevidence.go
+++ b/pkg/entry/storedevidence.go
@@ -192,6 +192,9 @@
 		s.guard.node.logInvalidEntry(e.Key, err)
 	}
 	written := time.UnixMilli(suspect.Written)
+	if written.Sub(now) >= storedTime {
+		written = time.Time{} // by a clock that was wrong: it would count for ever
+	}
 	s.mu.Lock()
 	s.entries[e.Key] = written
 	s.mu.Unlock()
--- a/pkg/entry/storedevidence_test.go
+++ b/pkg/entry/storedevidence_test.go
@@ -260,6 +260,10 @@
 	after, _ := newIdleNode(t)
 	after.replaceOwners([]kv.Entry{{Key: suspectKey(requestPart("d")), Value: value}}, 1)
 	assert.Zero(t, after.guard.ledger.Suspects())
+	after.guard.stored.unwritten["new"] = requestPart("new")
+	change, ok := after.guard.stored.nextChange(now)
+	require.True(t, ok)
+	assert.Contains(t, change.transaction.Delete, suspectKey(requestPart("d")))
 }
 
 // Guards against evidence that no node writes, because three targets crashed at the same time
