--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -142,6 +143,10 @@
 	}
 	addr := x.assignment.target.Addr
 	resp, err := x.node.pool.Do(x.ctx, addr, &x.request)
+	var sendErr *upstream.SendError
+	if errors.As(err, &sendErr) && !sendErr.Sent && errors.Is(context.Cause(x.ctx), errSuspended) {
+		return nil, fmt.Errorf("%w: %w", errWithheld, errSuspended)
+	}
 	if isTimeout(err) {
 		x.node.pool.CloseIdle(addr) // other connections to it may be stalled, too
 	}
