--- a/pkg/entry/storedevidence.go
+++ b/pkg/entry/storedevidence.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -184,7 +183,7 @@
 // observe records an entry, and returns its evidence; none if it no longer counts, can't be
 // decoded or is another entry.
 func (s *storedEvidence) observe(now time.Time, e kv.Entry) []quarantine.Record {
-	if !strings.HasPrefix(e.Key, suspectKeyPrefix) {
+	if !isSuspectKey(e.Key) {
 		return nil
 	}
 	suspect, err := decodeSuspect(e.Value)
--- a/pkg/entry/suspectentry.go
+++ b/pkg/entry/suspectentry.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"almondturn/pkg/quarantine"
@@ -21,6 +22,13 @@
 	return suspectKeyPrefix + hex.EncodeToString(digest[:digestBytes])
 }
 
+// isSuspectKey reports whether a key is one of stored evidence; those of the owner of a zone
+// of that name are not.
+func isSuspectKey(key string) bool {
+	name, ok := strings.CutPrefix(key, suspectKeyPrefix)
+	return ok && name != "owner" && name != "last"
+}
+
 // suspectEntry is the JSON value of stored evidence.
 type suspectEntry struct {
 	Service string          `json:"service"`
--- a/pkg/entry/updates.go
+++ b/pkg/entry/updates.go
@@ -51,7 +51,7 @@
 	for _, e := range events {
 		zone, ok := zoneOfOwnerKey(e.Entry.Key)
 		switch {
-		case strings.HasPrefix(e.Entry.Key, suspectKeyPrefix):
+		case isSuspectKey(e.Entry.Key):
 			n.guard.applyStored(e)
 		case e.Entry.Key == zoneowner.LastOwnerKey(n.settings.Zone) && !e.Deleted:
 			n.owner.ObserveLastOwner(e.Entry.Value, e.Entry.ModRevision)
