--- a/pkg/entry/quarantine_test.go
+++ b/pkg/entry/quarantine_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"almondturn/pkg/kv"
 	"almondturn/pkg/quarantine"
 	"almondturn/wire"
 )
@@ -39,3 +40,23 @@
 	records := evidenceRecords(&wire.PartEvidence{Parts: []wire.PartRecord{{Part: "a", Kind: 2}, {Part: "b", Kind: 1}}})
 	assert.Equal(t, []quarantine.Record{{Part: quarantine.Part{ID: "b", Kind: quarantine.WholeRequest}}}, records)
 }
+
+// Guards against a request that has crashed its targets for days being sent again soon at a node
+// that starts: the ages of the older crashes were cut to one, so that all were one round.
+func TestRoundsOfOldCrashesReachANodeThatStarts(t *testing.T) {
+	p := quarantine.Part{Service: "desk", ID: "d", Kind: quarantine.WholeRequest}
+	record := quarantine.Record{Part: p}
+	for i, age := range []time.Duration{0, 30 * time.Hour, 31 * time.Hour, 32 * time.Hour, 33 * time.Hour} {
+		record.Crashes = append(record.Crashes, quarantine.CrashAge{Crash: quarantine.Crash{Target: "t", Incarnation: int64(i)}, Age: age})
+	}
+	now := time.Now()
+	sent, _ := newIdleNode(t)
+	sent.guard.receive("n2", evidenceMessage([]quarantine.Record{record}))
+	stored, _ := newIdleNode(t)
+	stored.replaceOwners([]kv.Entry{{Key: suspectKey(p), Value: encodeSuspect(now, record)}}, 1)
+	for _, n := range []*Node{sent, stored} {
+		crashes, rounds := n.guard.ledger.Evidence(p)
+		assert.Equal(t, 5, crashes)
+		assert.Equal(t, 5, rounds)
+	}
+}
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -135,3 +135,18 @@
 	}
 	require.LessOrEqual(t, sent, 3+1)
 }
+
+// Guards against several trials of a request at one time, as a slow one that ends without a
+// result ends that of another request, too.
+func TestTrialThatEndsLateDoesNotEndTheNextOne(t *testing.T) {
+	l := newLedger(0)
+	for i, target := range []string{"t1", "t2"} {
+		l.RunCrashed(at(i), crash(target), "r", request("d"))
+	}
+	slow := l.Admit(at(1500), request("d"))
+	require.Equal(t, request("d"), slow.Trials)
+	next := l.Admit(at(3600), request("d"))
+	require.Equal(t, request("d"), next.Trials)
+	l.TrialEnded(slow.Trials)
+	require.False(t, l.Check(at(3700), request("d")).Allowed)
+}
