--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -287,8 +287,9 @@
 	return m
 }
 
-// maxEvidenceAge is the largest age in a message; larger ones count as this.
-const maxEvidenceAge = 24 * time.Hour
+// maxEvidenceAge is the largest age in a message; larger ones count as this. It is more than
+// the crashes held of a suspect span at the longest hold, so that their rounds stay apart.
+const maxEvidenceAge = 30 * 24 * time.Hour
 
 // evidenceAge returns the age of that many milliseconds, 0 for a negative number and at most
 // maxEvidenceAge.
