--- a/pkg/entry/storedevidence.go
+++ b/pkg/entry/storedevidence.go
@@ -33,8 +33,8 @@
 
 // storedEvidence keeps the evidence against parts that have crashed several targets in the
 // key-value service, so that it outlasts a restart of all nodes. The node that saw a crash
-// writes it, and the one that saw a survival deletes it. All nodes watch the entries. Its
-// methods may be called concurrently.
+// writes it, and the one that saw a survival deletes it. All nodes watch the entries, and
+// delete those that they know to be disproved. Its methods may be called concurrently.
 type storedEvidence struct {
 	guard *crashGuard
 
