--- a/pkg/entry/storedevidence.go
+++ b/pkg/entry/storedevidence.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -34,8 +33,8 @@
 
 // storedEvidence keeps the evidence against parts that have crashed several targets in the
 // key-value service, so that it outlasts a restart of all nodes. The node that saw a crash
-// writes it, and the one that saw a survival deletes it. All nodes watch the entries. Its
-// methods may be called concurrently.
+// writes it, and the one that saw a survival deletes it. All nodes watch the entries, and
+// delete those that they know to be disproved. Its methods may be called concurrently.
 type storedEvidence struct {
 	guard *crashGuard
 
@@ -79,6 +78,15 @@
 	}
 }
 
+// deleteAnswered deletes the entries that were read of those of the parts against which there
+// is no evidence any more.
+func (s *storedEvidence) deleteAnswered(parts []quarantine.Part) {
+	s.changed(slices.DeleteFunc(parts, func(p quarantine.Part) bool {
+		crashes, _ := s.guard.ledger.Evidence(p)
+		return crashes > 0
+	}))
+}
+
 // writeAll writes until nothing is unwritten or ctx ends.
 func (s *storedEvidence) writeAll(ctx context.Context) {
 	failing := false
@@ -175,7 +183,7 @@
 // observe records an entry, and returns its evidence; none if it no longer counts, can't be
 // decoded or is another entry.
 func (s *storedEvidence) observe(now time.Time, e kv.Entry) []quarantine.Record {
-	if !strings.HasPrefix(e.Key, suspectKeyPrefix) {
+	if !isSuspectKey(e.Key) {
 		return nil
 	}
 	suspect, err := decodeSuspect(e.Value)
@@ -183,6 +191,9 @@
 		s.guard.node.logInvalidEntry(e.Key, err)
 	}
 	written := time.UnixMilli(suspect.Written)
+	if written.Sub(now) >= storedTime {
+		written = time.Time{} // by a clock that was wrong: it would count for ever
+	}
 	s.mu.Lock()
 	s.entries[e.Key] = written
 	s.mu.Unlock()
@@ -217,7 +228,8 @@
 
 // mergeStored merges stored evidence, which all nodes read.
 func (g *crashGuard) mergeStored(now time.Time, records []quarantine.Record) {
-	changed, _ := g.ledger.Merge(now, records)
+	changed, disproved := g.ledger.Merge(now, records)
+	g.stored.deleteAnswered(disproved)
 	if len(changed) == 0 {
 		return
 	}
