--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -285,7 +285,7 @@
 		n.releaseAssignment(a, sendResult{kind: withheld})
 		return assignment{}, refusal
 	}
-	a.trials = trials
+	a.trials, a.admittedAt = trials, time.Now()
 	return a, nil
 }
 
@@ -303,7 +303,7 @@
 // The result expired, of an attempt that ended at the deadline or at the stop of the
 // node, is reported to the owner as unused.
 func (n *Node) releaseAssignment(a assignment, r sendResult) {
-	n.guard.ledger.TrialEnded(a.trials)
+	n.guard.ledger.TrialEnded(a.admittedAt, a.trials)
 	if a.runID != 0 {
 		outcome := r.runOutcome()
 		if r.kind == expired {
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -42,6 +42,8 @@
 	runID uint64
 	// trials are the suspect parts of the prompt whose trial the attempt is.
 	trials []quarantine.Part
+	// admittedAt is when the trials were admitted.
+	admittedAt time.Time
 	// retry is the retry of the budget that was spent for the attempt, the zero value for
 	// none.
 	retry spentRetry
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -356,13 +356,13 @@
 	return true
 }
 
-// TrialEnded ends the trials of the parts without a result, for example because the
-// target did not run the request.
-func (l *Ledger) TrialEnded(parts []Part) {
+// TrialEnded ends the trials of the parts, which were admitted at a time, without a result,
+// for example because the target did not run the request. Trials that were admitted later go on.
+func (l *Ledger) TrialEnded(admitted time.Time, parts []Part) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range parts {
-		if s := l.suspects[p]; s != nil && !s.trialUntil.IsZero() {
+		if s := l.suspects[p]; s != nil && !s.trialUntil.IsZero() && !s.trialUntil.After(admitted.Add(trialTime)) {
 			s.endedTrial, s.trialUntil = s.trialUntil, time.Time{}
 		}
 	}
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -147,6 +147,6 @@
 	require.Equal(t, request("d"), slow.Trials)
 	next := l.Admit(at(3600), request("d"))
 	require.Equal(t, request("d"), next.Trials)
-	l.TrialEnded(slow.Trials)
+	l.TrialEnded(at(1500), slow.Trials)
 	require.False(t, l.Check(at(3700), request("d")).Allowed)
 }
