--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -264,6 +264,7 @@
 	}
 	g.send(corrections)
 	g.stored.deleteAnswered(corrections)
+	g.stored.completed(changed)
 	g.suspendAttempts(changed)
 	if len(changed) == 0 || !g.node.owner.IsOwner() {
 		return
--- a/pkg/entry/storedevidence.go
+++ b/pkg/entry/storedevidence.go
@@ -24,6 +24,8 @@
 	// maxChangedKeys is the number of keys that one transaction writes, and that it deletes
 	// besides. The service accepts 32 in all.
 	maxChangedKeys = 16
+	// maxSeenParts bounds the parts of which it is remembered that this node has seen a crash.
+	maxSeenParts = 512
 	// storedTime is how long stored evidence counts after it was written: the longest hold,
 	// as a node may lengthen it.
 	storedTime = 36 * time.Hour
@@ -41,6 +43,9 @@
 	mu sync.Mutex // guards all below
 	// entries holds when each entry was written that the service is known to have, by key.
 	entries map[string]time.Time
+	// seen are the parts of which this node has seen a crash since they last survived, by
+	// key, at most maxSeenParts.
+	seen map[string]bool
 	// unwritten are the parts whose entries are to be written, or deleted if there is no
 	// evidence any more, by key. writing is true while a goroutine does so.
 	unwritten map[string]quarantine.Part
@@ -56,7 +61,7 @@
 
 // newStoredEvidence returns a storedEvidence that knows of no entries.
 func newStoredEvidence(g *crashGuard) *storedEvidence {
-	return &storedEvidence{guard: g, entries: map[string]time.Time{}, unwritten: map[string]quarantine.Part{}}
+	return &storedEvidence{guard: g, entries: map[string]time.Time{}, seen: map[string]bool{}, unwritten: map[string]quarantine.Part{}}
 }
 
 // changed stores new evidence about parts that this node has seen: crashes from
@@ -68,6 +73,7 @@
 		key := suspectKey(p)
 		_, stored := s.entries[key]
 		crashes, _ := s.guard.ledger.Evidence(p)
+		s.remember(key, crashes > 0)
 		if crashes >= minStoredCrashes || stored && crashes == 0 {
 			s.unwritten[key] = p
 		}
@@ -78,6 +84,33 @@
 	}
 }
 
+// remember records whether this node has seen a crash of the part with a key. s.mu must be
+// held.
+func (s *storedEvidence) remember(key string, crashed bool) {
+	if !crashed {
+		delete(s.seen, key)
+		return
+	}
+	if len(s.seen) >= maxSeenParts {
+		clear(s.seen)
+	}
+	s.seen[key] = true
+}
+
+// completed stores the evidence about parts that other nodes have added to, if this node has
+// seen some of it: of crashes at the same time, each node may have seen one.
+func (s *storedEvidence) completed(parts []quarantine.Part) {
+	s.mu.Lock()
+	own := make([]quarantine.Part, 0, len(parts))
+	for _, p := range parts {
+		if s.seen[suspectKey(p)] {
+			own = append(own, p)
+		}
+	}
+	s.mu.Unlock()
+	s.changed(own)
+}
+
 // deleteAnswered deletes the entries that were read of those of the parts against which there
 // is no evidence any more.
 func (s *storedEvidence) deleteAnswered(parts []quarantine.Part) {
