--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -56,7 +55,7 @@
 	}
 	x.request.BeforeSend = func() error {
 		x.sentAt = n.notices.Now()
-		return n.mayStillSend(a.target)
+		return cmp.Or(n.mayStillSend(a.target), n.guard.mayStillSend(x))
 	}
 	x.request.OnHead = func(status int, h http.Header) {
 		n.observeRequestHead(a.target, x.requestID, x.sentAt, status, h)
@@ -145,7 +144,7 @@
 	resp, err := x.node.pool.Do(x.ctx, addr, &x.request)
 	var sendErr *upstream.SendError
 	if errors.As(err, &sendErr) && !sendErr.Sent && errors.Is(context.Cause(x.ctx), errSuspended) {
-		return nil, fmt.Errorf("%w: %w", errWithheld, errSuspended)
+		return nil, errWithheldSuspect
 	}
 	if isTimeout(err) {
 		x.node.pool.CloseIdle(addr) // other connections to it may be stalled, too
--- a/pkg/entry/unbegun.go
+++ b/pkg/entry/unbegun.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +15,9 @@
 // errSuspended is the cause with which an attempt is ended that may crash its target.
 var errSuspended = errors.New("the request or a part of its prompt may crash the target")
 
+// errWithheldSuspect is the cause of an attempt that was not sent for the same reason.
+var errWithheldSuspect = fmt.Errorf("%w: %w", errWithheld, errSuspended)
+
 // unbegunAttempts holds the attempts whose response has not begun. Its methods may be called concurrently; its zero value is empty.
 type unbegunAttempts struct {
 	mu       sync.Mutex
@@ -57,6 +61,19 @@
 	return found
 }
 
+// mayStillSend returns an error that wraps errWithheld if the request of an exchange may not
+// be sent by what is known now. One whose parts have become suspects since it was admitted
+// would have to be a trial.
+func (g *crashGuard) mayStillSend(x *exchange) error {
+	if len(x.assignment.trials) > 0 {
+		return nil
+	}
+	if d := g.ledger.Check(time.Now(), x.parts); !d.Allowed || len(d.Trials) > 0 {
+		return errWithheldSuspect
+	}
+	return nil
+}
+
 // minCrashesToSuspend is the number of crashes of a suspect from which attempts that
 // were sent before are ended, too. A single crash leaves too many suspects.
 const minCrashesToSuspend = 2
