--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -155,11 +155,19 @@
 	brokenAt := time.Now()
 	ctx, cancel := context.WithTimeout(g.node.ctx, crashConfirmTimeout)
 	defer cancel()
-	if g.node.pool.Connect(ctx, a.target.Addr) != nil && g.node.ctx.Err() == nil {
+	err := g.node.pool.Connect(ctx, a.target.Addr)
+	if err != nil && g.node.ctx.Err() == nil && !isOwnShortage(err) {
 		g.recordCrash(j, a, brokenAt, j.wholeRequest())
 	}
 }
 
+// isOwnShortage reports whether a connection failed because this VM lacks descriptors, ports
+// or memory, which says nothing about the target.
+func isOwnShortage(err error) bool {
+	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM},
+		func(shortage error) bool { return errors.Is(err, shortage) })
+}
+
 // connectionBroken reports whether err says that the target closed or reset the
 // connection before the end of its response.
 func connectionBroken(err error) bool {
--- a/pkg/entry/quarantine_test.go
+++ b/pkg/entry/quarantine_test.go
@@ -1,14 +1,22 @@
 package entry
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"math"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/quarantine"
+	"almondturn/pkg/upstream"
 	"almondturn/wire"
 )
 
@@ -60,3 +68,37 @@
 		assert.Equal(t, 5, rounds)
 	}
 }
+
+// Guards against requests being held because this node could not connect for lack of descriptors
+// or ports, or because their connections were closed by targets that live on.
+func TestClosedConnectionIsACrashOnlyIfTheTargetRefusesAnother(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	for name, c := range map[string]struct {
+		dialErr error
+		crashes int
+	}{
+		"accepted":          {nil, 0},
+		"refused":           {&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, 1},
+		"timed out":         {context.DeadlineExceeded, 1},
+		"no descriptors":    {&net.OpError{Op: "dial", Err: syscall.EMFILE}, 0},
+		"no ports":          {fmt.Errorf("dial: %w", syscall.EADDRNOTAVAIL), 0},
+		"no kernel buffers": {syscall.ENOBUFS, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := newIdleNode(t)
+			n.pool = upstream.NewPool(func(ctx context.Context, network, _ string) (net.Conn, error) {
+				if c.dialErr != nil {
+					return nil, c.dialErr
+				}
+				return new(net.Dialer).DialContext(ctx, network, listener.Addr().String())
+			})
+			j := newIdleJob()
+			j.parts = j.suspectParts()
+			n.guard.attemptEnded(j, assignment{target: &inventory.Target{ID: "t1"}}, sendResult{kind: outcomeUnknown, err: io.ErrUnexpectedEOF})
+			crashes, _ := n.guard.ledger.Evidence(j.parts[0])
+			assert.Equal(t, c.crashes, crashes)
+		})
+	}
+}
