--- a/pkg/entry/unbegun.go
+++ b/pkg/entry/unbegun.go
@@ -18,7 +18,8 @@
 // errWithheldSuspect is the cause of an attempt that was not sent for the same reason.
 var errWithheldSuspect = fmt.Errorf("%w: %w", errWithheld, errSuspended)
 
-// unbegunAttempts holds the attempts whose response has not begun. Its methods may be called concurrently; its zero value is empty.
+// unbegunAttempts holds the attempts whose response has not begun. Its methods may be called
+// concurrently; its zero value is empty.
 type unbegunAttempts struct {
 	mu       sync.Mutex
 	attempts map[*exchange]unbegunAttempt
