--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -249,6 +249,7 @@
 func (n *Node) nextExchange(ctx context.Context, j *job) (x *exchange, refusal *ErrorResponse, ok bool) {
 	if j.next != nil {
 		x, j.next = j.next, nil
+		n.logResumed(j, x.assignment)
 		return x, nil, true
 	}
 	waitStart := time.Now()
@@ -266,9 +267,23 @@
 			return nil, nil, false
 		}
 	}
+	n.logResumed(j, a)
 	return n.newExchange(ctx, j, a), nil, true
 }
 
+// logResumed logs that an attempt continues a stream, if it does.
+func (n *Node) logResumed(j *job, a assignment) {
+	if j.resumeAfter == "" {
+		return
+	}
+	by, resumes := "node", j.ID
+	if j.sends == 0 {
+		by, resumes = "client", j.Resumes
+	}
+	event.StreamResumed.Log(n.log).Str("request", j.ID).Str("resumes", resumes).Str("after", j.resumeAfter).Str("by", by).
+		Str("target", a.target.ID).Str("version", a.target.SoftwareVersion).Send()
+}
+
 // findTarget returns the assignment for the next attempt of a request that may be sent, or
 // the error for the client.
 func (n *Node) findTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
@@ -343,6 +358,9 @@
 	if refusal != nil {
 		e = e.Str("reason", refusal.Message)
 	}
+	if j.LastEventID != "" {
+		e = e.Str("resumes", j.Resumes).Str("after", j.LastEventID)
+	}
 	if outcome == event.RequestBroken {
 		e = withDigest(e.Str("not_retried", j.obstacle), j, last)
 	}
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -27,6 +27,9 @@
 	// LastEventID is the ID of the event after which a stream continues, empty
 	// for a new stream.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that
+	// continues after LastEventID, empty if the client does not name it.
+	Resumes string
 }
 
 // Request is a client's request as parsed by a ClientProtocol.
--- a/pkg/entry/targets.go
+++ b/pkg/entry/targets.go
@@ -121,7 +121,7 @@
 		previous := before.Target(t.ID)
 		switch {
 		case previous == nil || previous.Incarnation != t.Incarnation:
-			event.TargetStarted.Log(n.log).Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Send()
+			event.TargetStarted.Log(n.log).Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Str("version", t.SoftwareVersion).Send()
 		case t.Draining && !previous.Draining:
 			event.TargetDraining.Log(n.log).Str("target", t.ID).Send()
 		}
--- a/pkg/inventory/inventory.go
+++ b/pkg/inventory/inventory.go
@@ -28,6 +28,8 @@
 	// Addr is the host:port that accepts requests.
 	Addr string
 	Zone fleet.Zone
+	// SoftwareVersion names the version of the target's software. Versions have no order.
+	SoftwareVersion string
 	// Incarnation changes whenever the target restarts.
 	Incarnation int64
 	// Sequence is the number of orders that the target had accepted in this
