--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -156,6 +156,7 @@
 		LatencyObjectiveMillis: j.Route.LatencyObjective.Milliseconds(),
 		MaxEventIntervalMillis: j.Route.MaxEventInterval.Milliseconds(),
 		Exclude:                j.excluded, Unavailable: n.unavailableTargets(j.service), OtherZonesRefused: lastResort,
+		Continues: j.resumeAfter != "",
 	}
 }
 
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -145,7 +145,7 @@
 	}
 	served := 0.0
 	for _, w := range q.waiters {
-		if now.Add(load).Before(w.ObjectiveAt) {
+		if !w.isLate(now.Add(load)) {
 			served++
 		} else {
 			served += lateRequestWeight
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -43,14 +43,18 @@
 	}
 }
 
-// compareUrgency orders requests by priority, time of the latency objective and
-// arrival.
+// compareUrgency orders requests by priority, streams that continue before others, time of
+// the latency objective and arrival.
 func compareUrgency(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.ObjectiveAt.Compare(b.ObjectiveAt), cmp.Compare(a.ticket, b.ticket))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBool(b.Continues, a.Continues), a.ObjectiveAt.Compare(b.ObjectiveAt), cmp.Compare(a.ticket, b.ticket))
 }
 
+// isLate reports whether the request misses its latency objective if it begins at a time. A
+// stream that continues has none any more.
+func (w *waiter) isLate(at time.Time) bool { return !w.Continues && !at.Before(w.ObjectiveAt) }
+
 // urgency is the rank of a queue. Queues with a request that can still meet its
-// latency objective come before those in which all are late.
+// latency objective, or a stream that continues, come before those in which all are late.
 type urgency struct {
 	q         *queue
 	late      bool
@@ -79,7 +83,7 @@
 func (q *queue) urgency(now time.Time) urgency {
 	u := urgency{q: q, late: true}
 	for _, w := range q.waiters {
-		if w.ObjectiveAt.After(now) {
+		if !w.isLate(now) {
 			return urgency{q: q, priority: w.Priority, objective: w.ObjectiveAt}
 		}
 	}
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -160,7 +160,7 @@
 		expected := time.Duration(float64(waiting+1) / perSecond * float64(time.Second))
 		left := w.Deadline.Sub(now) - minRunTime
 		limit := time.Duration(refusalWaitRatio * float64(left))
-		if overloaded {
+		if overloaded && !w.Continues {
 			limit = min(left, max(w.ObjectiveAt.Sub(now), 0))
 		}
 		if !w.isNew(now) || expected <= limit {
@@ -200,7 +200,7 @@
 // isOverloaded reports whether more requests for the model arrive than its replicas
 // start, perSecond, not in a burst alone, and no copy of the weights allows another
 // replica soon. A longer queue would then serve no more requests, and all of them late:
-// those that miss their latency objective are refused.
+// those that miss their latency objective are refused, but for streams that continue.
 func (s *Scheduler) isOverloaded(now time.Time, k modelKey, perSecond float64) bool {
 	d := s.demandOf(k)
 	return now.Sub(d.firstAt) >= overloadAge && d.perSecond(now) > perSecond && s.unloadedCopies(now, k) == 0
@@ -219,7 +219,7 @@
 		expected := s.eventIntervals[w.Service] + withOwn/time.Duration(st.ready) // the prompts granted last take up to one interval
 		left := w.Deadline.Sub(now) - minRunTime
 		limit := left
-		if overloaded {
+		if overloaded && !w.Continues {
 			limit = min(left, max(w.ObjectiveAt.Sub(now), s.eventIntervals[w.Service]))
 		}
 		if !w.isNew(now) || expected <= limit {
--- a/pkg/scheduler/refuse_test.go
+++ b/pkg/scheduler/refuse_test.go
@@ -136,3 +136,56 @@
 	}
 	assert.Equal(t, 4, z.Waiting(), "4 run for 2 s, the others begin 1 s after their objective")
 }
+
+// A stream that broke off was refused while its model was overloaded, with most of its time
+// left: it was held to the latency objective of a new one, which its first event had met.
+func TestStreamThatContinuesIsNotHeldToTheObjective(t *testing.T) {
+	for name, continues := range map[string]bool{"new": false, "continues": true} {
+		t.Run(name, func(t *testing.T) {
+			z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil))
+			z.overload()
+			z.now = z.now.Add(10 * time.Millisecond)
+			r := z.request("m0")
+			r.Continues, r.ObjectiveAt = continues, z.now.Add(-time.Second)
+			ticket := z.Submit(z.now, r)
+			refused := false
+			for _, a := range z.Step(z.now) {
+				refusal, ok := a.(Refusal)
+				refused = refused || ok && refusal.Ticket == ticket
+			}
+			assert.Equal(t, !continues, refused)
+		})
+	}
+}
+
+// A stream that broke off waited behind new ones, whose callers have read nothing yet.
+func TestStreamThatContinuesComesFirst(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil))
+	var running []RunID
+	for range 4 {
+		running = append(running, only[Grant](t, z.submitAndStep(z.request("m0"))).Run)
+	}
+	fresh := z.Submit(z.now, z.request("m0"))
+	r := z.request("m0")
+	r.Continues, r.ObjectiveAt = true, z.now.Add(4*time.Second)
+	continues := z.Submit(z.now, r)
+	urgent := z.request("m0")
+	urgent.Priority = -1
+	first := z.Submit(z.now, urgent)
+	assertNone[Grant](t, z.Step(z.now))
+	for i, ticket := range []Ticket{first, continues, fresh} {
+		z.RunEnded(z.now, running[i], Completed)
+		assert.Equal(t, ticket, only[Grant](t, z.stepAfter(400*time.Millisecond)).Ticket)
+	}
+}
+
+// Another model's new requests were served before a stream that broke off, because the
+// objective of all requests in its queue had passed.
+func TestQueueWithAStreamThatContinuesIsNotLate(t *testing.T) {
+	z := newTestZone(t, newTestTarget("a", []string{"m0", "m1"}, nil))
+	late := z.request("m0")
+	late.Continues, late.ObjectiveAt = true, z.now.Add(-time.Second)
+	z.Submit(z.now, z.request("m1"))
+	z.Submit(z.now, late)
+	assert.Equal(t, "m0", z.queuesByUrgency(z.now)[0].key.model)
+}
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -20,6 +20,9 @@
 	// LatencyObjective is the longest time until the response begins that
 	// still meets the route's objective.
 	LatencyObjective time.Duration
+	// Continues is true for a stream that another target has begun: its latency objective is
+	// met or missed already, and its work is done in part.
+	Continues bool
 	// MaxEventInterval is the longest time allowed between two server-sent events
 	// of the response stream, called events in this package; 0 means no limit.
 	MaxEventInterval time.Duration
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -71,6 +71,7 @@
 		ObjectiveAt:       now.Add(time.Duration(m.TimeToObjectiveMillis) * time.Millisecond),
 		Deadline:          now.Add(time.Duration(m.TimeToDeadlineMillis) * time.Millisecond),
 		LatencyObjective:  time.Duration(m.LatencyObjectiveMillis) * time.Millisecond,
+		Continues:         m.Continues,
 		MaxEventInterval:  time.Duration(m.MaxEventIntervalMillis) * time.Millisecond,
 		Exclude:           m.Exclude,
 		Unavailable:       unavailabilities(now, m),
--- /dev/null
+++ b/pkg/zoneowner/slots_test.go
@@ -0,0 +1,17 @@
+package zoneowner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"almondturn/wire"
+)
+
+// The owner of a zone forgot that a stream continues, and held it to the latency objective.
+func TestSchedulerLearnsThatAStreamContinues(t *testing.T) {
+	for _, continues := range []bool{false, true} {
+		assert.Equal(t, continues, schedulerRequest(time.Now(), "n1", &wire.SlotRequest{Continues: continues}).Continues)
+	}
+}
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -68,6 +68,8 @@
 	// Unavailable lists the targets of the service to which the sender sends no
 	// requests, whatever the owner knows of them.
 	Unavailable []UnavailableTarget `cbor:"14,keyasint,omitempty"`
+	// Continues is true for a stream that another target has begun.
+	Continues bool `cbor:"15,keyasint,omitempty"`
 }
 
 // UnavailableTarget is a target to which a node sends no requests, because it leaves or has
