--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -123,7 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing, c.eventCount = false, eventCount
-	c.job.resumeAfter, c.job.endsWithoutID, c.job.lastEventAt = j.resumeAfter, j.endsWithoutID, j.lastEventAt
+	c.job.resumeAfter, c.job.endsWithoutID, c.job.lastEventAt, c.job.version = j.resumeAfter, j.endsWithoutID, j.lastEventAt, j.version
 	if progress {
 		c.progress()
 		c.started = true
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -59,6 +59,8 @@
 	// endsWithoutID is true if the last event that was written has no ID, so that no
 	// target can continue after it.
 	endsWithoutID bool
+	// version is the software version at which the stream goes on.
+	version softwareVersion
 	// sentTo lists the targets of all attempts.
 	sentTo []string
 	// lastTarget is the ID of the target of the last attempt.
@@ -281,7 +283,7 @@
 		by, resumes = "client", j.Resumes
 	}
 	event.StreamResumed.Log(n.log).Str("request", j.ID).Str("resumes", resumes).Str("after", j.resumeAfter).Str("by", by).
-		Str("target", a.target.ID).Str("version", a.target.SoftwareVersion).Send()
+		Str("target", a.target.ID).Str("version", a.target.SoftwareVersion).Str("source", j.version.source).Send()
 }
 
 // findTarget returns the assignment for the next attempt of a request that may be sent, or
@@ -290,6 +292,9 @@
 	if refusal := n.guard.check(j); refusal != nil {
 		return assignment{}, refusal
 	}
+	if refusal := n.resolveVersion(ctx, j); refusal != nil {
+		return assignment{}, refusal
+	}
 	a, refusal := n.chooseTarget(ctx, j)
 	if refusal != nil {
 		return a, refusal
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -146,6 +146,7 @@
 	probes         targetProbes
 	budgets        budgets
 	guard          *crashGuard
+	streams        *streamVersions
 	usages         targetUsages
 	notices        *notices.Ledger
 	shares         limitShares
@@ -261,6 +262,7 @@
 		n.handler = d.WrapHandler(n)
 	}
 	n.guard = newCrashGuard(n)
+	n.streams = newStreamVersions(n)
 	n.links = newLinks(n, d.Dial)
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
@@ -312,6 +314,7 @@
 	}
 	go n.owner.Run(n.ctx)
 	go n.sweep()
+	go n.streams.run(n.ctx)
 	event.EntryStarted.Log(n.log).Str("zone", string(n.self.Zone)).Str("incarnation", n.self.Incarnation).
 		Str("clients", n.settings.ClientsAddr).Str("inner", n.settings.InnerAddr).Send()
 	return nil
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -112,17 +112,17 @@
 	}
 }
 
-// unavailableTargets returns the targets of a service to which this node sends no requests
-// now, so that no owner with an older list, or that was asked for no pause, grants a slot
-// there.
-func (n *Node) unavailableTargets(service string) []wire.UnavailableTarget {
+// unavailableTargets returns the targets of a request's service to which this node does not
+// send it now, so that no owner with an older list, or that was asked for no pause, or that
+// does not know which software version began the stream, grants a slot there.
+func (n *Node) unavailableTargets(j *job) []wire.UnavailableTarget {
 	set := n.targetSet.Load()
 	if set == nil {
 		return nil
 	}
 	var out []wire.UnavailableTarget
-	for _, t := range set.Service(service) {
-		if t.Draining {
+	for _, t := range set.Service(j.service) {
+		if t.Draining || !j.version.allows(t) {
 			out = append(out, wire.UnavailableTarget{Target: t.ID})
 			continue
 		}
--- a/pkg/entry/notices_test.go
+++ b/pkg/entry/notices_test.go
@@ -153,7 +153,7 @@
 		require.True(t, ok)
 		assert.Equal(t, "t2", a.target.ID)
 	}
-	assert.Equal(t, []wire.UnavailableTarget{{Target: "t1"}}, n.unavailableTargets("s"), "owners are told")
+	assert.Equal(t, []wire.UnavailableTarget{{Target: "t1"}}, n.unavailableTargets(&job{service: "s"}), "owners are told")
 	assert.Nil(t, n.leavingTargets("y"))
 	assert.Equal(t, leavingMessage("t1", 1), n.leavingTargets("z"))
 }
@@ -172,7 +172,7 @@
 		require.True(t, ok)
 		assert.Equal(t, "t2", a.target.ID)
 	}
-	unavailable := n.unavailableTargets("s")
+	unavailable := n.unavailableTargets(&job{service: "s"})
 	require.Len(t, unavailable, 1)
 	assert.Equal(t, "t1", unavailable[0].Target)
 	assert.InDelta(t, time.Minute.Milliseconds(), unavailable[0].PauseMillis, 2000)
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -124,8 +124,9 @@
 }
 
 // acceptSlotResponse returns the assignment or the refusal of an owner's
-// response. For a grant at a target that this node does not know yet, it
-// releases the slot, excludes the target and returns neither.
+// response. For a grant at a target that this node does not know yet, or whose software
+// version did not begin the stream, it releases the slot, excludes the target and returns
+// neither.
 func (n *Node) acceptSlotResponse(j *job, zone fleet.Zone, resp *wire.SlotResponse) (assignment, *ErrorResponse) {
 	if resp.Refusal != wire.SlotGranted {
 		// The time for the client is at least half of the default.
@@ -133,7 +134,7 @@
 		return assignment{}, newErrorResponse(fault.Overloaded, after, "the model %q cannot be served in time", j.Model)
 	}
 	t := n.targetSet.Load().Target(resp.Target)
-	if t == nil {
+	if t == nil || !j.version.allows(t) {
 		n.links.runEnded(zone, &wire.RunEnded{Run: resp.Run, Outcome: wire.RunNotSent})
 		j.excluded = append(j.excluded, resp.Target)
 		return assignment{}, nil
@@ -155,7 +156,7 @@
 		TimeToDeadlineMillis:   j.startDeadline().Sub(now).Milliseconds(),
 		LatencyObjectiveMillis: j.Route.LatencyObjective.Milliseconds(),
 		MaxEventIntervalMillis: j.Route.MaxEventInterval.Milliseconds(),
-		Exclude:                j.excluded, Unavailable: n.unavailableTargets(j.service), OtherZonesRefused: lastResort,
+		Exclude:                j.excluded, Unavailable: n.unavailableTargets(j), OtherZonesRefused: lastResort,
 		Continues: j.resumeAfter != "",
 	}
 }
@@ -288,7 +289,7 @@
 func (n *Node) chooseByLastReport(j *job) (assignment, bool) {
 	var candidates []*inventory.Target
 	for _, t := range n.targetSet.Load().Service(j.service) {
-		if t.HasLoaded(j.Model, j.Adapter) {
+		if t.HasLoaded(j.Model, j.Adapter) && j.version.allows(t) {
 			candidates = append(candidates, t)
 		}
 	}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -104,6 +104,9 @@
 // means that the client accepts no more bytes.
 func (n *Node) writeEvents(j *job, resp *upstream.Response, cr *clientResponse, status int, events []byte) error {
 	now := time.Now()
+	if !j.version.known {
+		n.streams.begun(j, j.assignment.target)
+	}
 	if !cr.started {
 		cr.streaming = true
 		cr.writeHeader(status, resp.Header, -1)
--- /dev/null
+++ b/pkg/entry/streamjournal.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"almondturn/pkg/event"
+	"almondturn/pkg/kv"
+	"almondturn/pkg/streams"
+)
+
+// Limits of the entries of streams in the key-value service.
+const (
+	// journalEntryTime is how long streams are added to one entry, maxJournalEntry how many.
+	journalEntryTime = 5 * time.Second
+	maxJournalEntry  = 256
+)
+
+// streamJournal writes the origins of streams that begin at this node into the key-value
+// service, so that other nodes, and this one after a restart, know them. It is used while a
+// service has, or had lately, several versions. Its exported methods may be called
+// concurrently.
+type streamJournal struct {
+	node *Node
+
+	mu sync.Mutex // guards the fields up to failing
+	// recorded are the services whose streams are written.
+	recorded map[string]bool
+	// pending are the streams that are not known to be written.
+	pending map[string]streams.Origin
+
+	// entry is the entry that streams are added to, entries the number of entries so far.
+	// Only write uses them, and failing, which is true after a failed write.
+	entry   *journalEntry
+	entries int
+	failing bool
+}
+
+// journalEntry is an entry of streams.
+type journalEntry struct {
+	key     string
+	lease   kv.LeaseID
+	begun   time.Time
+	origins map[string]streams.Origin
+}
+
+// add records a stream that has begun at this node, if those of its service are written.
+func (j *streamJournal) add(id string, o streams.Origin) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.recorded[o.Service] {
+		j.pending[id] = o
+	}
+}
+
+// setRecorded sets whether the streams of a service are written. known returns those that
+// may still be taken up when the first ones are.
+func (j *streamJournal) setRecorded(service string, recorded bool, known func() map[string]streams.Origin) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if recorded && !j.recorded[service] {
+		maps.Copy(j.pending, known())
+	}
+	j.recorded[service] = recorded
+}
+
+// take returns up to max pending streams.
+func (j *streamJournal) take(max int) map[string]streams.Origin {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	out := make(map[string]streams.Origin, min(len(j.pending), max))
+	for id, o := range j.pending {
+		if len(out) == max {
+			break
+		}
+		out[id] = o
+	}
+	return out
+}
+
+// written removes streams from the pending ones.
+func (j *streamJournal) written(origins map[string]streams.Origin) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for id := range origins {
+		delete(j.pending, id)
+	}
+}
+
+// writeAgain makes streams pending that the service may have lost.
+func (j *streamJournal) writeAgain(origins map[string]streams.Origin) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	maps.Copy(j.pending, origins)
+}
+
+// write writes the pending streams. life is how long they count.
+func (j *streamJournal) write(ctx context.Context, life time.Duration) {
+	for {
+		batch := j.take(maxJournalEntry)
+		if len(batch) == 0 {
+			return
+		}
+		err := j.writeBatch(ctx, life, batch)
+		if err != nil && !j.failing {
+			event.StreamsNotStored.Log(j.node.log).Int("streams", len(batch)).Err(err).Send()
+		}
+		j.failing = err != nil
+		if err != nil || len(batch) < maxJournalEntry {
+			return
+		}
+	}
+}
+
+// writeBatch adds streams to the entry, or to a new one.
+func (j *streamJournal) writeBatch(ctx context.Context, life time.Duration, batch map[string]streams.Origin) error {
+	now := time.Now()
+	if e := j.entry; e == nil || now.Sub(e.begun) >= journalEntryTime || len(e.origins)+len(batch) > maxJournalEntry {
+		lease, err := j.node.store.GrantLease(ctx, life+journalEntryTime)
+		if err != nil {
+			return err
+		}
+		j.entries++
+		j.entry = &journalEntry{key: streamKey(j.node.self.Incarnation, j.entries), lease: lease, begun: now, origins: map[string]streams.Origin{}}
+	}
+	e := j.entry
+	all := maps.Clone(e.origins)
+	maps.Copy(all, batch)
+	_, err := j.node.store.Commit(ctx, kv.Transaction{Put: []kv.Entry{{Key: e.key, Value: encodeStreams(all), Lease: e.lease}}})
+	if err != nil {
+		if errors.Is(err, kv.ErrLeaseExpired) { // the service was restored from an older copy, or was away for long
+			j.entry = nil
+			j.writeAgain(e.origins)
+		}
+		return err
+	}
+	e.origins = all
+	j.written(batch)
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/streamversions_test.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/kv"
+	"almondturn/pkg/streams"
+	"almondturn/wire"
+)
+
+// versionTarget returns a target of a software version that has the model m.
+func versionTarget(id, version string) *inventory.Target {
+	return &inventory.Target{ID: id, Service: "s", Zone: "z", SoftwareVersion: version, Models: []inventory.LoadedModel{{Name: "m"}}}
+}
+
+// Owners granted slots at targets of other versions, and each cost the node a call.
+func TestOwnersLearnWhereAStreamMayGoOn(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{versionTarget("t1", "v1"), versionTarget("t2", "v2"), versionTarget("t3", "")}))
+	assert.Empty(t, n.unavailableTargets(&job{service: "s"}), "a new stream")
+	assert.Equal(t, []wire.UnavailableTarget{{Target: "t1"}, {Target: "t3"}}, n.unavailableTargets(&job{service: "s", version: softwareVersion{known: true, name: "v2"}}))
+	assert.Equal(t, []wire.UnavailableTarget{{Target: "t1"}, {Target: "t2"}}, n.unavailableTargets(&job{service: "s", version: softwareVersion{known: true}}))
+}
+
+// A node without an owner sent a stream to any version.
+func TestChoiceWithoutAnOwnerKeepsToTheVersion(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{versionTarget("t1", "v1"), versionTarget("t2", "v2")}))
+	j := newIdleJob()
+	j.Model = "m"
+	j.version = softwareVersion{known: true, name: "v2"}
+	for range 4 {
+		a, ok := n.chooseByLastReport(j)
+		require.True(t, ok)
+		assert.Equal(t, "t2", a.target.ID)
+	}
+}
+
+// Entries of other writers, or of another form, end no read.
+func TestStoredStreamsAreDecoded(t *testing.T) {
+	origins := map[string]streams.Origin{"r1": {Service: "s", Version: "v1"}, "r2": {Service: "s", Version: ""}, "r3": {Service: "t", Version: "v1"}}
+	versions := map[string][]string{"s": {"", "v1"}}
+	var invalid []string
+	out := decodeStreams([]kv.Entry{
+		{Key: streamKey("i", 1), Value: encodeStreams(origins)},
+		{Key: streamVersionKey, Value: encodeVersions(versions)},
+		{Key: streamKey("i", 2), Value: []byte("{")},
+		{Key: streamKey("i", 3), Value: []byte(`{"s":["v1"]}`)},
+		{Key: streamKey("i", 4)},
+	}, func(key string, _ error) { invalid = append(invalid, key) })
+	assert.Equal(t, storedStreams{origins, versions}, out)
+	assert.Equal(t, []string{streamKey("i", 2), streamKey("i", 3), streamKey("i", 4)}, invalid)
+}
--- a/pkg/entry/targets.go
+++ b/pkg/entry/targets.go
@@ -104,6 +104,7 @@
 	}
 	before := n.targetSet.Load()
 	after := inventory.NewTargetSet(list)
+	n.streams.observe(after)
 	n.targetSet.Store(after)
 	n.owner.SetTargets(after)
 	n.logTargetChanges(before, after)
