--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -287,7 +287,7 @@
 func evidenceMessage(records []quarantine.Record) *wire.PartEvidence {
 	m := &wire.PartEvidence{Parts: make([]wire.PartRecord, len(records))}
 	for i, r := range records {
-		p := wire.PartRecord{Service: r.Part.Service, Part: r.Part.ID, Kind: uint8(r.Part.Kind), Survived: r.Survived, SurvivedAgeMillis: r.SurvivedAge.Milliseconds(), TrialMillis: r.TrialLeft.Milliseconds()}
+		p := wire.PartRecord{Service: r.Part.Service, Part: r.Part.ID, Kind: uint8(r.Part.Kind), Rounds: r.Rounds, Survived: r.Survived, SurvivedAgeMillis: r.SurvivedAge.Milliseconds(), TrialMillis: r.TrialLeft.Milliseconds()}
 		for _, c := range r.Crashes {
 			p.Crashes = append(p.Crashes, wire.CrashRecord{Target: c.Target, Incarnation: c.Incarnation, AgeMillis: c.Age.Milliseconds(), Requests: c.Requests})
 		}
@@ -315,7 +315,7 @@
 		if !part.Kind.Valid() {
 			continue
 		}
-		r := quarantine.Record{Part: part, Survived: p.Survived, SurvivedAge: evidenceAge(p.SurvivedAgeMillis), TrialLeft: evidenceAge(p.TrialMillis)}
+		r := quarantine.Record{Part: part, Rounds: max(p.Rounds, 0), Survived: p.Survived, SurvivedAge: evidenceAge(p.SurvivedAgeMillis), TrialLeft: evidenceAge(p.TrialMillis)}
 		for _, c := range p.Crashes {
 			r.Crashes = append(r.Crashes, quarantine.CrashAge{Crash: quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}, Requests: c.Requests, Age: evidenceAge(c.AgeMillis)})
 		}
--- a/pkg/entry/quarantine_test.go
+++ b/pkg/entry/quarantine_test.go
@@ -23,9 +23,9 @@
 // Guards against evidence that changes between nodes.
 func TestEvidenceSurvivesItsEncoding(t *testing.T) {
 	records := []quarantine.Record{{
-		Part:     quarantine.Part{Service: "llm", ID: "a1"},
-		Crashes:  []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t1", Incarnation: 7}, Requests: []string{"r1", "r2"}, Age: 3 * time.Second}},
-		Survived: true, SurvivedAge: time.Minute, TrialLeft: time.Second,
+		Part:    quarantine.Part{Service: "llm", ID: "a1"},
+		Crashes: []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t1", Incarnation: 7}, Requests: []string{"r1", "r2"}, Age: 3 * time.Second}},
+		Rounds:  4, Survived: true, SurvivedAge: time.Minute, TrialLeft: time.Second,
 	}, {
 		Part:    quarantine.Part{Service: "desk", ID: "0af1", Kind: quarantine.WholeRequest},
 		Crashes: []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t2"}, Requests: []string{"r3"}, Age: time.Second}},
--- a/pkg/entry/storedevidence_test.go
+++ b/pkg/entry/storedevidence_test.go
@@ -282,3 +282,15 @@
 	require.Eventually(t, func() bool { return len(store.transactions()) == 1 }, 5*time.Second, 10*time.Millisecond)
 	assert.Equal(t, suspectKey(p), store.transactions()[0].Put[0].Key)
 }
+
+// After a restart of all nodes, the trials that had crashed their targets were counted to the
+// round before them, so that a request was sent again soon.
+func TestStoredEvidenceKeepsItsRounds(t *testing.T) {
+	now := time.Now()
+	for rounds, want := range map[int]int{3: 3, 0: 0, -1: 0} {
+		record := quarantine.Record{Part: requestPart("d"), Crashes: []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t"}}}, Rounds: rounds}
+		e, err := decodeSuspect(encodeSuspect(now, record))
+		require.NoError(t, err)
+		assert.Equal(t, want, e.record(now).Rounds)
+	}
+}
--- a/pkg/entry/suspectentry.go
+++ b/pkg/entry/suspectentry.go
@@ -35,6 +35,7 @@
 	Kind    quarantine.Kind `json:"kind"`
 	Part    string          `json:"part"`
 	Crashes []storedCrash   `json:"crashes"`
+	Rounds  int             `json:"rounds,omitempty"`
 	// Written is when the entry was written, in milliseconds since 1970.
 	Written int64 `json:"written"`
 }
@@ -50,7 +51,7 @@
 
 // encodeSuspect returns the value of the entry of a record.
 func encodeSuspect(now time.Time, r quarantine.Record) []byte {
-	e := suspectEntry{Service: r.Part.Service, Kind: r.Part.Kind, Part: r.Part.ID, Written: now.UnixMilli()}
+	e := suspectEntry{Service: r.Part.Service, Kind: r.Part.Kind, Part: r.Part.ID, Rounds: r.Rounds, Written: now.UnixMilli()}
 	for _, c := range r.Crashes {
 		e.Crashes = append(e.Crashes, storedCrash{Target: c.Target, Incarnation: c.Incarnation, Requests: c.Requests, AgeMillis: c.Age.Milliseconds()})
 	}
@@ -73,7 +74,7 @@
 // record returns the evidence with ages at a time. The clocks of the nodes that write and
 // read may differ: an age is never less than it was when the entry was written.
 func (e suspectEntry) record(now time.Time) quarantine.Record {
-	r := quarantine.Record{Part: quarantine.Part{Service: e.Service, ID: e.Part, Kind: e.Kind}}
+	r := quarantine.Record{Part: quarantine.Part{Service: e.Service, ID: e.Part, Kind: e.Kind}, Rounds: max(e.Rounds, 0)}
 	stored := max(now.Sub(time.UnixMilli(e.Written)), 0)
 	for _, c := range e.Crashes {
 		crash := quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -43,6 +43,8 @@
 	// maxSuspects and maxCrashes bound the suspects, and the crashes held for each.
 	maxSuspects = 512
 	maxCrashes  = 16
+	// maxRounds bounds the rounds that another node has counted; more lengthen no hold.
+	maxRounds = 32
 	// maxRuns bounds the runs held for a crash of a suspect, and maxRequestBytes the
 	// identifier of each.
 	maxRuns         = 4
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -10,6 +10,8 @@
 type Record struct {
 	Part    Part
 	Crashes []CrashAge
+	// Rounds counts the rounds of crashes, as the node that saw the trials counts them.
+	Rounds int
 	// Survived is true if a run with the part is known to have survived;
 	// SurvivedAge is the age of the beginning of the last one.
 	Survived    bool
@@ -63,6 +65,7 @@
 	}
 	// The oldest first, so that rounds are counted in order.
 	slices.SortFunc(r.Crashes, func(a, b CrashAge) int { return int(b.Age - a.Age) })
+	r.Rounds = s.rounds
 	r.TrialLeft = max(s.trialUntil.Sub(now), 0)
 	return r
 }
@@ -94,6 +97,9 @@
 		correct = correct || proven && !begun.Before(at)
 		changed = l.addCrash(now, r.Part, c.Crash, at, c.Requests) || changed
 	}
+	if s := l.suspects[r.Part]; s != nil && !correct {
+		changed = s.addRounds(r.Rounds) || changed
+	}
 	if r.Survived {
 		changed = l.survived(r.Part, now.Add(-r.SurvivedAge)) || !proven || changed
 	}
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -150,3 +150,38 @@
 	l.TrialEnded(at(1500), slow.Trials)
 	require.False(t, l.Check(at(3700), request("d")).Allowed)
 }
+
+// A trial crashed its target within a second of the first crashes. The other nodes, which heard
+// of the trial and its crash at once, counted it to the first round, and tried again at once.
+func TestRoundsReachTheOtherNodes(t *testing.T) {
+	a, b, c := newLedger(0), newLedger(0), newLedger(0)
+	for i, target := range []string{"t1", "t2"} {
+		a.RunCrashed(at(i), crash(target), "r", request("d"))
+	}
+	require.Equal(t, request("d"), a.Admit(at(300), request("d")).Trials)
+	a.RunCrashed(at(320), crash("t3"), "r", request("d"))
+	changed, _ := b.Merge(at(340), a.Records(at(340), request("d")))
+	require.Equal(t, request("d"), changed)
+	require.False(t, b.Check(at(2000), request("d")).Allowed)
+	c.Merge(at(360), b.Records(at(360), request("d")))
+	_, rounds := c.Evidence(request("d")[0])
+	require.Equal(t, 2, rounds)
+	changed, _ = b.Merge(at(380), c.Records(at(380), request("d")))
+	require.Empty(t, changed, "nothing goes to and fro")
+}
+
+// The number of rounds is that of crashes since the last survival: what another node counted
+// before one does not come back.
+func TestRoundsBeforeASurvivalDoNotComeBack(t *testing.T) {
+	a, b := newLedger(0), newLedger(0)
+	for i := range 4 {
+		a.RunCrashed(at(3000*i), crash(fmt.Sprint("t", i)), "r", request("d"))
+	}
+	b.Merge(at(9010), a.AllRecords(at(9010)))
+	old := a.AllRecords(at(9020))
+	require.Equal(t, request("d"), b.RunSurvived(at(9500), request("d")))
+	b.RunCrashed(at(9600), crash("t5"), "r", request("d"))
+	b.Merge(at(9620), old)
+	_, rounds := b.Evidence(request("d")[0])
+	require.Equal(t, 1, rounds)
+}
--- a/pkg/quarantine/suspect.go
+++ b/pkg/quarantine/suspect.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// addRounds takes over a number of rounds that another node has counted, which knows of trials
+// that this one has heard of too late, and reports whether it is larger.
+func (s *suspect) addRounds(rounds int) bool {
+	rounds = min(rounds, maxRounds)
+	if rounds <= s.rounds {
+		return false
+	}
+	s.rounds = rounds
+	return true
+}
+
 // recountRounds counts the rounds again after a crash that happened before others. The
 // count doesn't fall, since it includes failed trials.
 func (s *suspect) recountRounds() {
--- a/wire/evidence.go
+++ b/wire/evidence.go
@@ -21,6 +21,8 @@
 	// Kind is 0 for a part of prompts, whose identifier Part is, and 1 for a whole request,
 	// whose digest Part is.
 	Kind uint8 `cbor:"7,keyasint,omitempty"`
+	// Rounds counts the rounds of crashes.
+	Rounds int `cbor:"8,keyasint,omitempty"`
 }
 
 // CrashRecord is a crash of an incarnation of a target. Requests identifies requests whose
