--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -323,7 +323,7 @@
 // The result expired, of an attempt that ended at the deadline or at the stop of the
 // node, is reported to the owner as unused.
 func (n *Node) releaseAssignment(a assignment, r sendResult) {
-	n.guard.ledger.TrialEnded(a.admittedAt, a.trials)
+	n.guard.trialEnded(a, r)
 	if a.runID != 0 {
 		outcome := r.runOutcome()
 		if r.kind == expired {
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -143,6 +143,21 @@
 	}
 }
 
+// trialEnded ends the trials of an attempt that had no result. The other nodes learn of those
+// that a target has refused, if they count.
+func (g *crashGuard) trialEnded(a assignment, r sendResult) {
+	held := g.ledger.TrialEnded(time.Now(), a.admittedAt, a.trials, !r.sentNothing())
+	if len(held) == 0 {
+		return
+	}
+	for _, p := range held {
+		crashes, rounds := g.ledger.Evidence(p)
+		withPart(event.PartTrialRefused.Log(g.node.log), p).Str("target", a.target.ID).Stringer("result", r.kind).Int("crashes", crashes).Int("rounds", rounds).Send()
+	}
+	g.send(held)
+	g.stored.changed(held)
+}
+
 // crashConfirmTimeout bounds the attempt to connect to a target that has closed a
 // connection.
 const crashConfirmTimeout = 250 * time.Millisecond
@@ -287,7 +302,7 @@
 func evidenceMessage(records []quarantine.Record) *wire.PartEvidence {
 	m := &wire.PartEvidence{Parts: make([]wire.PartRecord, len(records))}
 	for i, r := range records {
-		p := wire.PartRecord{Service: r.Part.Service, Part: r.Part.ID, Kind: uint8(r.Part.Kind), Rounds: r.Rounds, Survived: r.Survived, SurvivedAgeMillis: r.SurvivedAge.Milliseconds(), TrialMillis: r.TrialLeft.Milliseconds()}
+		p := wire.PartRecord{Service: r.Part.Service, Part: r.Part.ID, Kind: uint8(r.Part.Kind), Rounds: r.Rounds, Refused: r.Refused, RefusedAgeMillis: r.RefusedAge.Milliseconds(), Survived: r.Survived, SurvivedAgeMillis: r.SurvivedAge.Milliseconds(), TrialMillis: r.TrialLeft.Milliseconds()}
 		for _, c := range r.Crashes {
 			p.Crashes = append(p.Crashes, wire.CrashRecord{Target: c.Target, Incarnation: c.Incarnation, AgeMillis: c.Age.Milliseconds(), Requests: c.Requests})
 		}
@@ -315,7 +330,7 @@
 		if !part.Kind.Valid() {
 			continue
 		}
-		r := quarantine.Record{Part: part, Rounds: max(p.Rounds, 0), Survived: p.Survived, SurvivedAge: evidenceAge(p.SurvivedAgeMillis), TrialLeft: evidenceAge(p.TrialMillis)}
+		r := quarantine.Record{Part: part, Rounds: max(p.Rounds, 0), Refused: p.Refused, RefusedAge: evidenceAge(p.RefusedAgeMillis), Survived: p.Survived, SurvivedAge: evidenceAge(p.SurvivedAgeMillis), TrialLeft: evidenceAge(p.TrialMillis)}
 		for _, c := range p.Crashes {
 			r.Crashes = append(r.Crashes, quarantine.CrashAge{Crash: quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}, Requests: c.Requests, Age: evidenceAge(c.AgeMillis)})
 		}
--- a/pkg/entry/quarantine_test.go
+++ b/pkg/entry/quarantine_test.go
@@ -25,7 +25,7 @@
 	records := []quarantine.Record{{
 		Part:    quarantine.Part{Service: "llm", ID: "a1"},
 		Crashes: []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t1", Incarnation: 7}, Requests: []string{"r1", "r2"}, Age: 3 * time.Second}},
-		Rounds:  4, Survived: true, SurvivedAge: time.Minute, TrialLeft: time.Second,
+		Rounds:  4, Refused: true, RefusedAge: time.Hour, Survived: true, SurvivedAge: time.Minute, TrialLeft: time.Second,
 	}, {
 		Part:    quarantine.Part{Service: "desk", ID: "0af1", Kind: quarantine.WholeRequest},
 		Crashes: []quarantine.CrashAge{{Crash: quarantine.Crash{Target: "t2"}, Requests: []string{"r3"}, Age: time.Second}},
@@ -102,3 +102,20 @@
 		})
 	}
 }
+
+// A trial that its target refused was repeated at once, one that was not sent was held.
+func TestRefusedTrialHoldsTheRequest(t *testing.T) {
+	for kind, held := range map[resultKind]bool{notRun: true, notLoaded: true, outcomeUnknown: true, withheld: false, unreachable: false} {
+		t.Run(kind.String(), func(t *testing.T) {
+			n, _ := newIdleNode(t)
+			p := []quarantine.Part{requestPart("d")}
+			for i := range 3 {
+				n.guard.ledger.RunCrashed(time.Now().Add(-time.Minute), quarantine.Crash{Target: "t", Incarnation: int64(i)}, "r", p)
+			}
+			trials := n.guard.ledger.Admit(time.Now(), p).Trials
+			require.Equal(t, p, trials)
+			n.releaseAssignment(assignment{target: &inventory.Target{ID: "t"}, trials: trials, admittedAt: time.Now()}, sendResult{kind: kind})
+			assert.Equal(t, !held, n.guard.ledger.Check(time.Now().Add(time.Second), p).Allowed)
+		})
+	}
+}
--- a/pkg/entry/storedevidence_test.go
+++ b/pkg/entry/storedevidence_test.go
@@ -238,7 +238,7 @@
 		trials, refusal := n.guard.admit(j, "t")
 		require.Nil(t, refusal)
 		require.Equal(t, j.parts, trials)
-		n.guard.ledger.TrialEnded(time.Now(), trials)
+		n.guard.ledger.TrialEnded(time.Now(), time.Now(), trials, false)
 		n.guard.flush()
 	}
 	time.Sleep(50 * time.Millisecond)
--- a/pkg/entry/suspectentry.go
+++ b/pkg/entry/suspectentry.go
@@ -36,6 +36,9 @@
 	Part    string          `json:"part"`
 	Crashes []storedCrash   `json:"crashes"`
 	Rounds  int             `json:"rounds,omitempty"`
+	// RefusedMillis is the time from the last refused trial that counts as a round to the
+	// writing, nil for none.
+	RefusedMillis *int64 `json:"refused_ms,omitempty"`
 	// Written is when the entry was written, in milliseconds since 1970.
 	Written int64 `json:"written"`
 }
@@ -52,6 +55,10 @@
 // encodeSuspect returns the value of the entry of a record.
 func encodeSuspect(now time.Time, r quarantine.Record) []byte {
 	e := suspectEntry{Service: r.Part.Service, Kind: r.Part.Kind, Part: r.Part.ID, Rounds: r.Rounds, Written: now.UnixMilli()}
+	if r.Refused {
+		millis := r.RefusedAge.Milliseconds()
+		e.RefusedMillis = &millis
+	}
 	for _, c := range r.Crashes {
 		e.Crashes = append(e.Crashes, storedCrash{Target: c.Target, Incarnation: c.Incarnation, Requests: c.Requests, AgeMillis: c.Age.Milliseconds()})
 	}
@@ -76,6 +83,9 @@
 func (e suspectEntry) record(now time.Time) quarantine.Record {
 	r := quarantine.Record{Part: quarantine.Part{Service: e.Service, ID: e.Part, Kind: e.Kind}, Rounds: max(e.Rounds, 0)}
 	stored := max(now.Sub(time.UnixMilli(e.Written)), 0)
+	if e.RefusedMillis != nil {
+		r.Refused, r.RefusedAge = true, min(evidenceAge(*e.RefusedMillis)+stored, maxEvidenceAge)
+	}
 	for _, c := range e.Crashes {
 		crash := quarantine.Crash{Target: c.Target, Incarnation: c.Incarnation}
 		r.Crashes = append(r.Crashes, quarantine.CrashAge{Crash: crash, Requests: c.Requests, Age: min(evidenceAge(c.AgeMillis)+stored, maxEvidenceAge)})
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -40,6 +40,9 @@
 	// requestCrashes is the number of crashes that make a whole request a suspect. One is
 	// too few: all requests that wait at a target when it crashes have that one.
 	requestCrashes = 2
+	// maxRefusedRounds is the number of rounds up to which refused trials count as rounds: a
+	// sound suspect is not held for a day because its targets are full.
+	maxRefusedRounds = 4
 	// maxSuspects and maxCrashes bound the suspects, and the crashes held for each.
 	maxSuspects = 512
 	maxCrashes  = 16
@@ -65,6 +68,10 @@
 
 const maxHold = 24 * time.Hour
 
+// certainCrashes are the numbers of crashes, by the kind of the part, from which a trial counts as
+// a round even if its target refuses it: what is sent then is counted whether or not it runs.
+var certainCrashes = [...]int{PromptPart: 5, WholeRequest: 3}
+
 // maxSpread is the largest share by which a node lengthens its holds, so that the nodes
 // don't begin a trial of the same part at the same moment.
 const maxSpread = 0.5
@@ -237,7 +244,7 @@
 	}
 	hold := holdTime(p.Kind, s.rounds)
 	hold += time.Duration(maxSpread * l.spread(p) * float64(hold))
-	if until := s.lastCrash.Add(hold); until.After(s.trialUntil) {
+	if until := s.heldFrom().Add(hold); until.After(s.trialUntil) {
 		return until
 	}
 	return s.trialUntil
@@ -360,14 +367,24 @@
 
 // TrialEnded ends the trials of the parts, which were admitted at a time, without a result,
 // for example because the target did not run the request. Trials that were admitted later go on.
-func (l *Ledger) TrialEnded(admitted time.Time, parts []Part) {
+// reached is true if the request reached a target: that counts as a round of suspects with
+// certainCrashes, which are returned.
+func (l *Ledger) TrialEnded(now, admitted time.Time, parts []Part, reached bool) []Part {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var held []Part
 	for _, p := range parts {
-		if s := l.suspects[p]; s != nil && !s.trialUntil.IsZero() && !s.trialUntil.After(admitted.Add(trialTime)) {
-			s.endedTrial, s.trialUntil = s.trialUntil, time.Time{}
+		s := l.suspects[p]
+		if s == nil || s.trialUntil.IsZero() || s.trialUntil.After(admitted.Add(trialTime)) {
+			continue
+		}
+		s.endedTrial, s.trialUntil = s.trialUntil, time.Time{}
+		if reached && len(s.crashes) >= certainCrashes[p.Kind] {
+			s.trialRefused(now)
+			held = append(held, p)
 		}
 	}
+	return held
 }
 
 // makeRoom forgets the suspects that are no longer in use and, if there are still
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -257,7 +257,7 @@
 	a.RunCrashed(at(0), crash("t1"), "r", parts("x"))
 	require.Equal(t, parts("x"), a.Admit(at(1500), parts("x")).Trials)
 	b.Merge(at(1510), a.AllRecords(at(1500)))
-	a.TrialEnded(at(1500), parts("x"))
+	a.TrialEnded(at(1520), at(1500), parts("x"), false)
 	a.Merge(at(1530), b.AllRecords(at(1520)))
 	require.Equal(t, parts("x"), a.Admit(at(1540), parts("x")).Trials)
 	require.False(t, b.Check(at(1540), parts("x")).Allowed)
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -12,6 +12,10 @@
 	Crashes []CrashAge
 	// Rounds counts the rounds of crashes, as the node that saw the trials counts them.
 	Rounds int
+	// Refused is true if a target refused a trial that counts as a round; RefusedAge is the
+	// age of the last one.
+	Refused    bool
+	RefusedAge time.Duration
 	// Survived is true if a run with the part is known to have survived;
 	// SurvivedAge is the age of the beginning of the last one.
 	Survived    bool
@@ -66,6 +70,9 @@
 	// The oldest first, so that rounds are counted in order.
 	slices.SortFunc(r.Crashes, func(a, b CrashAge) int { return int(b.Age - a.Age) })
 	r.Rounds = s.rounds
+	if !s.lastRefused.IsZero() {
+		r.Refused, r.RefusedAge = true, max(now.Sub(s.lastRefused), 0)
+	}
 	r.TrialLeft = max(s.trialUntil.Sub(now), 0)
 	return r
 }
@@ -99,6 +106,7 @@
 	}
 	if s := l.suspects[r.Part]; s != nil && !correct {
 		changed = s.addRounds(r.Rounds) || changed
+		changed = r.Refused && s.addRefusal(now.Add(-r.RefusedAge)) || changed
 	}
 	if r.Survived {
 		changed = l.survived(r.Part, now.Add(-r.SurvivedAge)) || !proven || changed
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -147,7 +147,7 @@
 	require.Equal(t, request("d"), slow.Trials)
 	next := l.Admit(at(3600), request("d"))
 	require.Equal(t, request("d"), next.Trials)
-	l.TrialEnded(at(1500), slow.Trials)
+	l.TrialEnded(at(3650), at(1500), slow.Trials, false)
 	require.False(t, l.Check(at(3700), request("d")).Allowed)
 }
 
@@ -185,3 +185,82 @@
 	_, rounds := b.Evidence(request("d")[0])
 	require.Equal(t, 1, rounds)
 }
+
+// Trials that their targets refused, because they were full or had asked for a pause, said
+// nothing, and the next repetition was a trial at once: a request that had crashed three targets
+// reached others again and again.
+func TestRefusedTrialsOfACertainSuspectAreFew(t *testing.T) {
+	for name, p := range map[string][]Part{"request": request("d"), "part of prompts": parts("d")} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newLedger(0), newLedger(0)
+			for i := range certainCrashes[p[0].Kind] {
+				a.RunCrashed(at(i), crash(fmt.Sprint("t", i)), "r", p)
+			}
+			b.Merge(at(10), a.AllRecords(at(10)))
+			sent := 0
+			for now := 3_600_000; now < 3_900_000; now += 50 { // an hour later, after all holds
+				for _, l := range []*Ledger{a, b} {
+					d := l.Admit(at(now), p)
+					if !d.Allowed {
+						continue
+					}
+					sent++
+					l.TrialEnded(at(now+5), at(now), d.Trials, true)
+					a.Merge(at(now+10), l.Records(at(now+10), p))
+					b.Merge(at(now+10), l.Records(at(now+10), p))
+				}
+			}
+			require.LessOrEqual(t, sent, maxSendsAfterThirdCrash, "in five minutes")
+			require.Positive(t, sent)
+			crashes, _ := a.Evidence(p[0])
+			require.Equal(t, certainCrashes[p[0].Kind], crashes, "they are no crashes")
+		})
+	}
+}
+
+// A sound request or part that few crashes have made a suspect was held for half a minute, since
+// a full target had refused its trial.
+func TestRefusedTrialOfAnUncertainSuspectIsRepeated(t *testing.T) {
+	for name, p := range map[string][]Part{"request": request("d"), "part of prompts": parts("d")} {
+		t.Run(name, func(t *testing.T) {
+			l := newLedger(0)
+			for i := range certainCrashes[p[0].Kind] - 1 {
+				l.RunCrashed(at(i), crash(fmt.Sprint("t", i)), "r", p)
+			}
+			for now := 2000; now < 3000; now += 50 {
+				d := l.Admit(at(now), p)
+				require.True(t, d.Allowed)
+				require.Empty(t, l.TrialEnded(at(now+5), at(now), d.Trials, true))
+			}
+		})
+	}
+}
+
+// A trial that did not reach its target holds nothing.
+func TestTrialThatWasNotSentIsRepeated(t *testing.T) {
+	l := newLedger(0)
+	for i := range 4 {
+		l.RunCrashed(at(i), crash(fmt.Sprint("t", i)), "r", request("d"))
+	}
+	for now := 2000; now < 3000; now += 50 {
+		d := l.Admit(at(now), request("d"))
+		require.True(t, d.Allowed)
+		require.Empty(t, l.TrialEnded(at(now+5), at(now), d.Trials, false))
+	}
+}
+
+// An answer lifts the hold after refused trials, and a node that heard of them before does not
+// bring it back.
+func TestAnswerLiftsTheHoldAfterRefusedTrials(t *testing.T) {
+	a, b := newLedger(0), newLedger(0)
+	for i := range 4 {
+		a.RunCrashed(at(i), crash(fmt.Sprint("t", i)), "r", request("d"))
+	}
+	d := a.Admit(at(2000), request("d"))
+	require.Equal(t, request("d"), a.TrialEnded(at(2005), at(2000), d.Trials, true))
+	b.Merge(at(2010), a.AllRecords(at(2010)))
+	require.False(t, b.Check(at(20_000), request("d")).Allowed)
+	b.RunSurvived(at(20_000), request("d"))
+	b.Merge(at(20_010), a.AllRecords(at(20_010)))
+	require.True(t, b.Check(at(20_020), request("d")).Allowed)
+}
--- a/pkg/quarantine/suspect.go
+++ b/pkg/quarantine/suspect.go
@@ -27,6 +27,8 @@
 	// endedTrial is the trialUntil of the last trial of this node that ended without a
 	// result.
 	endedTrial time.Time
+	// lastRefused is when the last trial that counts as a round was refused, zero for none.
+	lastRefused time.Time
 	// lastUsed is when a request with the part was last checked.
 	lastUsed time.Time
 }
@@ -93,6 +95,33 @@
 	return true
 }
 
+// heldFrom returns the time from which the hold until the next trial counts.
+func (s *suspect) heldFrom() time.Time {
+	if s.lastRefused.After(s.lastCrash) {
+		return s.lastRefused
+	}
+	return s.lastCrash
+}
+
+// trialRefused counts a trial that a target has refused at a time as a round.
+func (s *suspect) trialRefused(at time.Time) {
+	s.lastRefused = at
+	s.rounds = max(s.rounds, min(s.rounds+1, maxRefusedRounds))
+}
+
+// minRefusalChange is the least time by which a refused trial is later than the known one, so
+// that the delays of messages are no change.
+const minRefusalChange = 200 * time.Millisecond
+
+// addRefusal takes over when another node's trial was refused, and reports whether that is news.
+func (s *suspect) addRefusal(at time.Time) bool {
+	if at.Before(s.lastRefused.Add(minRefusalChange)) {
+		return false
+	}
+	s.lastRefused = at
+	return true
+}
+
 // recountRounds counts the rounds again after a crash that happened before others. The
 // count doesn't fall, since it includes failed trials.
 func (s *suspect) recountRounds() {
@@ -133,6 +162,9 @@
 	}
 	slices.SortFunc(remaining, time.Time.Compare)
 	s.rounds, s.roundStart, s.lastCrash = 0, time.Time{}, time.Time{}
+	if !s.lastRefused.After(end) {
+		s.lastRefused = time.Time{}
+	}
 	for _, at := range remaining {
 		s.countRound(at)
 	}
--- a/wire/evidence.go
+++ b/wire/evidence.go
@@ -23,6 +23,10 @@
 	Kind uint8 `cbor:"7,keyasint,omitempty"`
 	// Rounds counts the rounds of crashes.
 	Rounds int `cbor:"8,keyasint,omitempty"`
+	// Refused is true if a target refused a trial that counts as a round; RefusedAgeMillis
+	// is the age of the last one.
+	Refused          bool  `cbor:"9,keyasint,omitempty"`
+	RefusedAgeMillis int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // CrashRecord is a crash of an incarnation of a target. Requests identifies requests whose
