--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -259,8 +259,8 @@
 	d := a.Admit(at(2000), request("d"))
 	require.Equal(t, request("d"), a.TrialEnded(at(2005), at(2000), d.Trials, true))
 	b.Merge(at(2010), a.AllRecords(at(2010)))
-	require.False(t, b.Check(at(20_000), request("d")).Allowed)
-	b.RunSurvived(at(20_000), request("d"))
-	b.Merge(at(20_010), a.AllRecords(at(20_010)))
-	require.True(t, b.Check(at(20_020), request("d")).Allowed)
+	require.False(t, b.Check(at(31_000), request("d")).Allowed, "30 s after the trial")
+	b.RunSurvived(at(31_000), request("d"))
+	b.Merge(at(31_010), a.AllRecords(at(31_010)))
+	require.True(t, b.Check(at(31_020), request("d")).Allowed)
 }
