--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -123,7 +123,7 @@
 
 // attemptEnded records what the end of an attempt says about the parts of the request. A
 // failure that the target reports says nothing about the parts of the prompt, which it need
-// not have read.
+// not have read, and a server error nothing about the request, which it need not have run.
 func (g *crashGuard) attemptEnded(j *job, a assignment, r sendResult) {
 	if j.survived {
 		return
@@ -134,7 +134,7 @@
 	switch {
 	case begun && complete && success:
 		g.recordSurvival(j, j.parts)
-	case begun && complete:
+	case begun && complete && r.status < http.StatusInternalServerError:
 		g.recordSurvival(j, j.wholeRequest())
 	case begun && broken && success && time.Since(j.responseBegun) <= quarantine.YoungTime:
 		g.recordCrash(j, a, time.Now(), j.parts)
--- a/pkg/entry/quarantine_test.go
+++ b/pkg/entry/quarantine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -119,3 +120,18 @@
 		})
 	}
 }
+
+// A target that fails answered a request with a server error, without running it, and the request
+// that had crashed three others was sent again each time that it came.
+func TestServerErrorClearsNoSuspect(t *testing.T) {
+	for status, cleared := range map[int]bool{http.StatusOK: true, http.StatusBadRequest: true, http.StatusInternalServerError: false, http.StatusServiceUnavailable: false} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			n, _ := newIdleNode(t)
+			j := &job{Request: &Request{RequestInfo: RequestInfo{ID: "r"}}, parts: []quarantine.Part{requestPart("d")}, responseBegun: time.Now()}
+			crashTargets(n, time.Now().Add(-time.Minute), j.parts[0], 3)
+			n.guard.attemptEnded(j, assignment{target: &inventory.Target{ID: "t"}}, sendResult{kind: completed, status: status})
+			crashes, _ := n.guard.ledger.Evidence(j.parts[0])
+			assert.Equal(t, cleared, crashes == 0)
+		})
+	}
+}
