--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -289,24 +289,29 @@
 // findTarget returns the assignment for the next attempt of a request that may be sent, or
 // the error for the client.
 func (n *Node) findTarget(ctx context.Context, j *job) (assignment, *ErrorResponse) {
-	if refusal := n.guard.check(j); refusal != nil {
-		return assignment{}, refusal
-	}
-	if refusal := n.resolveVersion(ctx, j); refusal != nil {
-		return assignment{}, refusal
-	}
-	a, refusal := n.chooseTarget(ctx, j)
-	if refusal != nil {
-		return a, refusal
-	}
-	// Crashes may have happened during the wait for the target.
-	trials, refusal := n.guard.admit(j, a.target.ID)
-	if refusal != nil {
+	verdict := n.guard.newVerdict(j)
+	for {
+		if refusal := verdict.await(ctx); refusal != nil {
+			return assignment{}, refusal
+		}
+		if refusal := n.resolveVersion(ctx, j); refusal != nil {
+			return assignment{}, refusal
+		}
+		a, refusal := n.chooseTarget(ctx, j)
+		if refusal != nil {
+			return a, refusal
+		}
+		// Crashes may have happened during the wait for the target.
+		trials, refusal := n.guard.admit(j, a.target.ID)
+		if refusal == nil {
+			a.trials, a.admittedAt = trials, time.Now()
+			return a, nil
+		}
 		n.releaseAssignment(a, sendResult{kind: withheld})
-		return assignment{}, refusal
+		if !verdict.mayWait() {
+			return assignment{}, refusal
+		}
 	}
-	a.trials, a.admittedAt = trials, time.Now()
-	return a, nil
 }
 
 // chooseTarget returns the assignment for the next attempt, or the error for the client.
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -73,12 +73,7 @@
 // wholeRequest returns the part of j that stands for the request itself.
 func (j *job) wholeRequest() []quarantine.Part { return j.parts[:1] }
 
-// check returns the refusal of a request that may not be sent now, nil for others.
-func (g *crashGuard) check(j *job) *ErrorResponse {
-	return g.refusal(j, g.ledger.Check(time.Now(), j.parts))
-}
-
-// admit is check immediately before the request is sent to a target. If the request
+// admit decides once more, immediately before the request is sent to a target. If the request
 // is a trial, it returns the suspects, and announces the trial to the other nodes.
 func (g *crashGuard) admit(j *job, target string) ([]quarantine.Part, *ErrorResponse) {
 	d := g.ledger.Admit(time.Now(), j.parts)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -25,15 +25,16 @@
 	SurvivalTime = 500 * time.Millisecond
 )
 
+// TrialTime is how long other requests with a part wait for the result of a
+// trial.
+const TrialTime = 2 * time.Second
+
 // Limits of the evidence.
 const (
 	// roundTime is the time from the first crash of a round in which further
 	// crashes belong to it, unless a trial is awaited: runs that were sent before
 	// the first crash was known, or targets that failed together.
 	roundTime = time.Second
-	// trialTime is how long other requests with a part wait for the result of a
-	// trial.
-	trialTime = 2 * time.Second
 	// provenCrashes is the number of crashes that make a part a suspect which is
 	// known to have survived before. Other parts of prompts are suspects after one.
 	provenCrashes = 3
@@ -192,7 +193,7 @@
 	defer l.mu.Unlock()
 	d := l.check(now, parts)
 	for _, p := range d.Trials {
-		l.suspects[p].trialUntil = now.Add(trialTime)
+		l.suspects[p].trialUntil = now.Add(TrialTime)
 	}
 	return d
 }
@@ -375,7 +376,7 @@
 	var held []Part
 	for _, p := range parts {
 		s := l.suspects[p]
-		if s == nil || s.trialUntil.IsZero() || s.trialUntil.After(admitted.Add(trialTime)) {
+		if s == nil || s.trialUntil.IsZero() || s.trialUntil.After(admitted.Add(TrialTime)) {
 			continue
 		}
 		s.endedTrial, s.trialUntil = s.trialUntil, time.Time{}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -235,7 +235,7 @@
 	d := l.Check(at(1610), parts("x"))
 	require.False(t, d.Allowed)
 	require.Equal(t, 1, d.Rounds, "the trial has not failed")
-	require.Equal(t, trialTime-110*time.Millisecond, d.RetryAfter)
+	require.Equal(t, TrialTime-110*time.Millisecond, d.RetryAfter)
 }
 
 // Guards against a suspect being tried too soon on a node that hears of an earlier crash
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -112,7 +112,7 @@
 		changed = l.survived(r.Part, now.Add(-r.SurvivedAge)) || !proven || changed
 	}
 	if s := l.suspects[r.Part]; s != nil && r.TrialLeft > 0 {
-		if until := now.Add(min(r.TrialLeft, trialTime)); until.After(s.trialUntil.Add(trialTime/2)) && until.After(s.endedTrial.Add(trialTime/4)) {
+		if until := now.Add(min(r.TrialLeft, TrialTime)); until.After(s.trialUntil.Add(TrialTime/2)) && until.After(s.endedTrial.Add(TrialTime/4)) {
 			s.trialUntil, changed = until, true
 		}
 	}
--- a/pkg/quarantine/suspect.go
+++ b/pkg/quarantine/suspect.go
@@ -70,7 +70,7 @@
 
 // inTrial reports whether a trial was awaited at a time.
 func (s *suspect) inTrial(at time.Time) bool {
-	return at.After(s.trialUntil.Add(-trialTime)) && at.Before(s.trialUntil)
+	return at.After(s.trialUntil.Add(-TrialTime)) && at.Before(s.trialUntil)
 }
 
 // countRound counts a crash at a time to the current round or a new one.
