--- a/pkg/scheduler/unavailable.go
+++ b/pkg/scheduler/unavailable.go
@@ -24,7 +24,8 @@
 type pauseState struct {
 	// blocked is true if there are targets with the model and none takes it now.
 	blocked bool
-	// left is the time until the first pause ends, 0 if all targets leave.
+	// left is the time until the first pause ends, or a target recovers that takes the
+	// request, 0 if all targets leave.
 	left time.Duration
 }
 
@@ -36,13 +37,16 @@
 	}
 	p := pauseState{blocked: true}
 	for _, t := range s.targetsByModel[k] {
-		if !t.healthy(now) {
-			continue
-		}
-		if !w.isUnavailable(now, t) {
+		left := time.Duration(0)
+		switch {
+		case w.isUnavailable(now, t):
+			left = w.pauseLeft(now, t)
+		case t.healthy(now):
 			return pauseState{}
+		case !t.info.Draining:
+			left = t.suspectUntil.Sub(now)
 		}
-		if left := w.pauseLeft(now, t); left > 0 && (p.left == 0 || left < p.left) {
+		if left > 0 && (p.left == 0 || left < p.left) {
 			p.left = left
 		}
 	}
--- a/pkg/scheduler/unavailable_test.go
+++ b/pkg/scheduler/unavailable_test.go
@@ -128,3 +128,36 @@
 	assert.Equal(t, "b", order.Target)
 	assert.Equal(t, "a1", order.Adapter)
 }
+
+// A stream that may go on only at targets which had just failed was refused as if they all left,
+// although they were back in its time.
+func TestRequestWaitsForItsTargetsToRecover(t *testing.T) {
+	for name, c := range map[string]struct {
+		left time.Duration
+		want bool
+	}{"in its time": {8 * time.Second, true}, "not in its time": {suspectTime, false}} {
+		t.Run(name, func(t *testing.T) {
+			z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil), newTestTarget("b", []string{"m0"}, nil))
+			z.Scheduler.targets["b"].suspectUntil = z.now.Add(suspectTime)
+			r := z.request("m0")
+			r.Unavailable, r.Deadline = []Unavailability{{Target: "a"}}, z.now.Add(c.left)
+			ticket := z.Submit(z.now, r)
+			refused := false
+			for range int(c.left/(100*time.Millisecond)) - 3 {
+				for _, action := range z.stepAfter(100 * time.Millisecond) {
+					switch action := action.(type) {
+					case Grant:
+						assert.Equal(t, "b", action.Target)
+						assert.True(t, c.want)
+						return
+					case Refusal:
+						refused = refused || action.Ticket == ticket
+					case RequestReport:
+						z.ReportReceived(z.now, action.Target, inventory.Report{Models: []inventory.LoadedModel{{Name: "m0"}}})
+					}
+				}
+			}
+			assert.Equal(t, !c.want, refused)
+		})
+	}
+}
