--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -68,9 +68,13 @@
 }
 
 // buildSnapshot returns the entries below the prefix of a watch: those of the
-// configuration in force, and for the other watches those last read. The response
+// configuration in force, for the other watches those last read, and what this node knows about
+// streams. The response
 // has Available false if no watch has the prefix or the entries were never read.
 func (n *Node) buildSnapshot(m *wire.SnapshotRequest) *wire.Snapshot {
+	if m.Prefix == streamKeyPrefix {
+		return snapshotOf(slices.Values(n.streams.snapshot()), true)
+	}
 	for _, w := range n.watches {
 		if w.prefix != m.Prefix {
 			continue
@@ -79,15 +83,20 @@
 		if w == n.configurationWatch {
 			entries, ok = n.configurationInForce.get()
 		}
-		out := &wire.Snapshot{Available: ok}
-		for _, e := range entries {
-			out.Entries = append(out.Entries, wire.EntryChange{Key: e.Key, Value: e.Value, Revision: uint64(e.ModRevision)})
-		}
-		return out
+		return snapshotOf(maps.Values(entries), ok)
 	}
 	return new(wire.Snapshot)
 }
 
+// snapshotOf returns entries as a response.
+func snapshotOf(entries iter.Seq[kv.Entry], available bool) *wire.Snapshot {
+	out := &wire.Snapshot{Available: available}
+	for e := range entries {
+		out.Entries = append(out.Entries, wire.EntryChange{Key: e.Key, Value: e.Value, Revision: uint64(e.ModRevision)})
+	}
+	return out
+}
+
 // copyFromPeer copies the entries from another node if this one has never read
 // them. They stay in force until the key-value service responds.
 func (w *watch) copyFromPeer(ctx context.Context) {
--- a/pkg/entry/streamjournal.go
+++ b/pkg/entry/streamjournal.go
@@ -90,11 +90,19 @@
 	}
 }
 
-// writeAgain makes streams pending that the service may have lost.
-func (j *streamJournal) writeAgain(origins map[string]streams.Origin) {
+// recordAgain makes the next setRecorded write all streams again, which the service has lost.
+func (j *streamJournal) recordAgain() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	maps.Copy(j.pending, origins)
+	clear(j.recorded)
+}
+
+// forgetOld removes pending streams that known says are no longer taken up: the service may not
+// respond for long.
+func (j *streamJournal) forgetOld(known func(id string) bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	maps.DeleteFunc(j.pending, func(id string, _ streams.Origin) bool { return !known(id) })
 }
 
 // write writes the pending streams. life is how long they count.
@@ -133,7 +141,7 @@
 	if err != nil {
 		if errors.Is(err, kv.ErrLeaseExpired) { // the service was restored from an older copy, or was away for long
 			j.entry = nil
-			j.writeAgain(e.origins)
+			j.recordAgain()
 		}
 		return err
 	}
--- a/pkg/entry/streamversions.go
+++ b/pkg/entry/streamversions.go
@@ -44,7 +44,7 @@
 // Sources of the version of a stream, as they appear in the log.
 const (
 	versionFromMemory = "memory"
-	versionFromStore  = "store"
+	versionFromStore  = "store" // or from other nodes, while that does not respond
 	versionIsTheOnly  = "only"
 )
 
@@ -152,10 +152,17 @@
 	}
 }
 
-// run writes streams and versions until ctx ends.
+// run reads which versions have served lately, and writes streams and versions, until ctx ends.
 func (s *streamVersions) run(ctx context.Context) {
+	var readAt time.Time
 	for wait.Sleep(ctx, s.writeInterval()) {
-		s.chooseRecorded(time.Now())
+		now := time.Now()
+		if s.node.ready.Load() && !s.history.Complete(now) && now.Sub(readAt) >= versionRetryInterval {
+			readAt = now
+			_ = s.read(ctx, func() bool { return s.history.Complete(now) }) // tried again; a stream that is taken up reads, too
+		}
+		s.chooseRecorded(now)
+		s.journal.forgetOld(func(id string) bool { _, known := s.ledger.Get(now, id); return known })
 		s.journal.write(ctx, s.currentLife())
 		if s.node.owner.IsOwner() {
 			s.record.update(ctx, time.Now())
@@ -193,7 +200,8 @@
 		if reads == 2 || reads > 0 && !wait.Sleep(ctx, min(s.writeInterval(), time.Until(j.startDeadline())/4)) {
 			break
 		}
-		source, readErr = versionFromStore, s.read(ctx)
+		source = versionFromStore
+		readErr = s.read(ctx, func() bool { _, ok := s.known(j, source); return ok })
 	}
 	if readErr != nil {
 		return softwareVersion{}, newErrorResponse(fault.NoReplica, defaultRetryAfter, "the software version that began the stream could not be read")
@@ -214,9 +222,9 @@
 	return softwareVersion{}, false
 }
 
-// read reads what the key-value service has about streams. Calls at the same time share a
-// read.
-func (s *streamVersions) read(ctx context.Context) error {
+// read reads what the key-value service has about streams, or the other nodes if it doesn't
+// respond, one after the other until enough returns true. Calls at the same time share a read.
+func (s *streamVersions) read(ctx context.Context, enough func() bool) error {
 	s.mu.Lock()
 	if reading := s.reading; reading != nil {
 		s.mu.Unlock()
@@ -239,15 +247,47 @@
 	ctx, cancel := context.WithTimeout(ctx, streamReadTimeout)
 	defer cancel()
 	entries, _, err := s.node.store.List(ctx, streamKeyPrefix)
-	if err != nil {
-		return err
+	if err == nil {
+		stored := s.merge(entries)
+		s.history.Include(time.Now(), stored.versions)
+		return nil
 	}
+	_, _, answered := s.node.links.requestSnapshot(s.node.ctx, streamKeyPrefix, func(entries []kv.Entry) bool {
+		if stored := s.merge(entries); stored.versions != nil {
+			s.history.Include(time.Now(), stored.versions)
+		}
+		return enough()
+	})
+	if answered {
+		return nil
+	}
+	return err
+}
+
+// merge records the streams in entries, and returns what they hold.
+func (s *streamVersions) merge(entries []kv.Entry) storedStreams {
 	stored, now := decodeStreams(entries, s.node.logInvalidEntry), time.Now()
 	for id, o := range stored.origins {
 		s.ledger.Put(now, id, o)
 	}
-	s.history.Include(now, stored.versions)
-	return nil
+	return stored
+}
+
+// snapshot returns what this node knows about streams as entries, for nodes to which the
+// key-value service does not respond. Without the versions of a whole life, it leaves them out.
+func (s *streamVersions) snapshot() []kv.Entry {
+	now := time.Now()
+	versions, origins := s.history.All(now), map[string]streams.Origin{}
+	for service, list := range versions {
+		if len(list) > 1 {
+			maps.Copy(origins, s.ledger.Of(now, service))
+		}
+	}
+	entries := []kv.Entry{{Key: streamKey(s.node.self.Incarnation, 0), Value: encodeStreams(origins)}}
+	if s.history.Complete(now) {
+		entries = append(entries, kv.Entry{Key: streamVersionKey, Value: encodeVersions(versions)})
+	}
+	return entries
 }
 
 // resolveVersion finds the version of a stream that a client takes up, unless it is known. It
@@ -275,8 +315,10 @@
 type versionRecord struct {
 	node    *Node
 	history *streams.History
-	// read is true if versions and revision are those of the entry.
+	// read is true if versions and revision are those of the entry in an era of the
+	// key-value service.
 	read     bool
+	era      kv.Era
 	versions map[string][]string
 	revision kv.Revision
 	// retryAt is when a failed update may be tried again.
@@ -291,6 +333,9 @@
 	if now.Before(r.retryAt) {
 		return
 	}
+	if r.era != r.node.store.Era() {
+		r.read = false // the service was restored from an older copy
+	}
 	if !r.read && !r.fetch(ctx, now) {
 		r.retryAt = now.Add(versionRetryInterval)
 		return
@@ -320,7 +365,7 @@
 	case err != nil:
 		return false
 	}
-	r.versions, r.revision, r.read = nil, e.ModRevision, true
+	r.versions, r.revision, r.read, r.era = nil, e.ModRevision, true, r.node.store.Era()
 	if len(e.Value) > 0 {
 		r.versions = decodeStreams([]kv.Entry{e}, r.node.logInvalidEntry).versions
 	}
--- a/pkg/streams/history.go
+++ b/pkg/streams/history.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// Complete reports whether the versions of the whole last life are known.
+func (h *History) Complete(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isComplete(now)
+}
+
+// isComplete is Complete; h.mu must be held.
+func (h *History) isComplete(now time.Time) bool {
+	return !h.since.IsZero() && (h.complete || now.Sub(h.since) >= h.life)
+}
+
 // recent returns the recent versions of a service, in order, and forgets the others. h.mu
 // must be held.
 func (h *History) recent(now time.Time, v *serviceVersions) []string {
@@ -138,7 +150,7 @@
 func (h *History) Only(now time.Time, service string) (version string, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.since.IsZero() || !h.complete && now.Sub(h.since) < h.life {
+	if !h.isComplete(now) {
 		return "", false
 	}
 	versions := h.recent(now, h.service(service))
