--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -132,7 +132,7 @@
 		}
 		j.body = body
 	}
-	j.service = j.Route.ChooseService(serviceHash(j.ID))
+	j.service = j.Route.ChooseService(serviceHash(j.streamID()))
 	j.engine = isEngineService(j.table, j.service)
 	j.parts = j.suspectParts()
 	j.resumeAfter = j.LastEventID
@@ -140,6 +140,15 @@
 	return nil
 }
 
+// streamID returns the identifier of the request that brought the first event of the stream, which
+// is another one if a client takes the stream up.
+func (j *job) streamID() string {
+	if j.Resumes != "" {
+		return j.Resumes
+	}
+	return j.ID
+}
+
 // effectiveTimeout returns the timeout of the client or that of the route,
 // whichever is shorter. 0 or less means none; if both are none, the result is 0
 // or less.
--- a/pkg/entry/streamversions_test.go
+++ b/pkg/entry/streamversions_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -8,6 +9,7 @@
 
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
+	"almondturn/pkg/route"
 	"almondturn/pkg/streams"
 	"almondturn/wire"
 )
@@ -55,3 +57,18 @@
 	assert.Equal(t, storedStreams{origins, versions}, out)
 	assert.Equal(t, []string{streamKey("i", 2), streamKey("i", 3), streamKey("i", 4)}, invalid)
 }
+
+// A stream that was taken up went to another service of its route than the one that began it.
+func TestStreamThatIsTakenUpStaysAtItsService(t *testing.T) {
+	r := &route.Route{Kind: route.Stream, Resumable: true, Backends: []route.Backend{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	begun := map[string]int{}
+	for i := range 20 {
+		first := &job{Request: &Request{RequestInfo: RequestInfo{ID: fmt.Sprint("r", i)}, Route: r}, table: new(route.Table)}
+		require.Nil(t, first.prepare())
+		next := &job{Request: &Request{RequestInfo: RequestInfo{ID: fmt.Sprint("s", i), LastEventID: "3", Resumes: first.ID}, Route: r}, table: new(route.Table)}
+		require.Nil(t, next.prepare())
+		assert.Equal(t, first.service, next.service)
+		begun[first.service]++
+	}
+	assert.Len(t, begun, 2)
+}
