--- a/pkg/entry/streamversions.go
+++ b/pkg/entry/streamversions.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -27,15 +25,13 @@
 	// streamLifeFactor is that time as a multiple of the longest timeout of a route: a client
 	// may wait longer over all its attempts than the operator lets one of them take.
 	streamLifeFactor = 2
-	// minStreamWriteInterval is the least time between two writes of streams,
-	// streamWriteIntervalPerNode what each node adds to it, so that the writes of all nodes
-	// stay within the rate of the key-value service.
+	// minStreamWriteInterval is the least time between two writes of streams.
+	// streamWriteIntervalPerNode, times the number of nodes, is another lower bound, so that
+	// the writes of all nodes stay within the rate of the key-value service.
 	minStreamWriteInterval     = 250 * time.Millisecond
 	streamWriteIntervalPerNode = 5 * time.Millisecond
 	// streamReadTimeout bounds a read of the streams.
 	streamReadTimeout = time.Second
-	// versionRetryInterval is the time from a failed write of the versions to the next one.
-	versionRetryInterval = 2 * time.Second
 )
 
 // maxStreamIDBytes is the longest identifier of a request whose stream is recorded.
@@ -188,20 +184,24 @@
 	s.journal.add(id, origin)
 }
 
-// find returns the version of a stream that a client takes up, or why it can't go on. A
-// stream that began less than a write ago at another node may not be written yet.
+// maxStreamReads is the number of reads for a stream that is taken up. One that began at another
+// node less than a write interval ago is not written yet at the first.
+const maxStreamReads = 2
+
+// find returns the version of a stream that a client takes up, or why it can't go on.
 func (s *streamVersions) find(ctx context.Context, j *job) (softwareVersion, *ErrorResponse) {
-	source := versionFromMemory
+	if v, ok := s.known(j, versionFromMemory); ok {
+		return v, nil
+	}
 	var readErr error
-	for reads := 0; ; reads++ {
-		if v, ok := s.known(j, source); ok {
-			return v, nil
-		}
-		if reads == 2 || reads > 0 && !wait.Sleep(ctx, min(s.writeInterval(), time.Until(j.startDeadline())/4)) {
+	for reads := range maxStreamReads {
+		if reads > 0 && !wait.Sleep(ctx, min(s.writeInterval(), time.Until(j.startDeadline())/4)) {
 			break
 		}
-		source = versionFromStore
-		readErr = s.read(ctx, func() bool { _, ok := s.known(j, source); return ok })
+		readErr = s.read(ctx, func() bool { _, ok := s.known(j, versionFromStore); return ok })
+		if v, ok := s.known(j, versionFromStore); ok {
+			return v, nil
+		}
 	}
 	if readErr != nil {
 		return softwareVersion{}, newErrorResponse(fault.NoReplica, defaultRetryAfter, "the software version that began the stream could not be read")
@@ -309,75 +309,3 @@
 	}
 	return nil
 }
-
-// versionRecord is the entry with the versions that have served lately, as an owner of a zone
-// keeps it. It is used by one goroutine.
-type versionRecord struct {
-	node    *Node
-	history *streams.History
-	// read is true if versions and revision are those of the entry in an era of the
-	// key-value service.
-	read     bool
-	era      kv.Era
-	versions map[string][]string
-	revision kv.Revision
-	// retryAt is when a failed update may be tried again.
-	retryAt time.Time
-}
-
-// forget forgets what the entry was, which other owners may change.
-func (r *versionRecord) forget() { r.read = false }
-
-// update makes the entry list the versions that have served lately.
-func (r *versionRecord) update(ctx context.Context, now time.Time) {
-	if now.Before(r.retryAt) {
-		return
-	}
-	if r.era != r.node.store.Era() {
-		r.read = false // the service was restored from an older copy
-	}
-	if !r.read && !r.fetch(ctx, now) {
-		r.retryAt = now.Add(versionRetryInterval)
-		return
-	}
-	recent := r.history.All(now)
-	if maps.EqualFunc(recent, r.versions, slices.Equal[[]string]) {
-		return
-	}
-	revision, err := r.node.store.CompareAndSwap(ctx, streamVersionKey, encodeVersions(recent), r.revision, kv.LeaseID{})
-	if err != nil {
-		r.read = false // another owner has changed it, or may have
-		if !errors.Is(err, kv.ErrConflict) {
-			r.retryAt = now.Add(versionRetryInterval)
-		}
-		return
-	}
-	r.versions, r.revision = recent, revision
-	event.VersionsStored.Log(r.node.log).Strs("versions", describeVersions(recent)).Send()
-}
-
-// fetch reads the entry. The versions in it count as served until now.
-func (r *versionRecord) fetch(ctx context.Context, now time.Time) bool {
-	e, err := r.node.store.Get(ctx, streamVersionKey)
-	switch {
-	case errors.Is(err, kv.ErrNotFound):
-		e = kv.Entry{}
-	case err != nil:
-		return false
-	}
-	r.versions, r.revision, r.read, r.era = nil, e.ModRevision, true, r.node.store.Era()
-	if len(e.Value) > 0 {
-		r.versions = decodeStreams([]kv.Entry{e}, r.node.logInvalidEntry).versions
-	}
-	r.history.Include(now, r.versions)
-	return true
-}
-
-// describeVersions returns versions as the log has them, SERVICE=VERSION,VERSION.
-func describeVersions(versions map[string][]string) []string {
-	var out []string
-	for _, service := range slices.Sorted(maps.Keys(versions)) {
-		out = append(out, service+"="+strings.Join(versions[service], ","))
-	}
-	return out
-}
