--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -165,6 +165,15 @@
 	})
 }
 
+// lacksOwner reports whether this node is connected to no owner of a zone, and owns it not itself.
+func (l *links) lacksOwner(zone fleet.Zone) bool {
+	if zone == l.node.self.Zone && l.node.owner.IsOwner() {
+		return false
+	}
+	link, _ := l.ownerLink(zone)
+	return link == nil || link.conn.Load() == nil
+}
+
 // serveOwner runs an established connection to an owner until it ends. The
 // first messages are the runs at targets of the zone, the state of this node, the era
 // of the key-value service, the evidence about parts of prompts, the targets of the zone
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -29,6 +29,9 @@
 	// owners that are expected to reconnect, before it asks the owners that
 	// referred it to another zone a second time, as a last resort.
 	maxReconnectWait = 500 * time.Millisecond
+	// ownerDiscoveryTime is the time after the start of a node in which zones may have
+	// owners that it has not heard of, or none yet because all nodes were restarted.
+	ownerDiscoveryTime = 4 * time.Second
 )
 
 // assignment is the target of the next attempt of a request. If the owner of a
@@ -86,8 +89,9 @@
 // other, until one responds without referring it to another zone, and returns the
 // result of that response. If all owners that responded referred the request to
 // another zone, there are two cases:
-//   - Until maxReconnectWait after the arrival of the request, if an owner that did
-//     not respond may reconnect, it returns neither a target nor a refusal.
+//   - Until reconnectWait after the arrival of the request, if an owner that did
+//     not respond may reconnect, or this node may learn of one, it returns neither a
+//     target nor a refusal.
 //   - Otherwise it repeats the request to the owners that responded, as a last
 //     resort, and returns the result of the first response.
 //
@@ -109,7 +113,8 @@
 		a, refusal = n.acceptSlotResponse(j, zone, resp)
 		return a, refusal, true
 	}
-	if now := time.Now(); now.Sub(j.arrived) < maxReconnectWait && n.links.mayReachOwner(now, unreached) {
+	now := time.Now()
+	if now.Sub(j.arrived) < j.reconnectWait() && (n.links.mayReachOwner(now, unreached) || n.mayLearnOfOwner(now, j, unreached)) {
 		return assignment{}, nil, len(responded) > 0 // the caller tries again soon
 	}
 	for _, zone := range responded {
@@ -123,6 +128,26 @@
 	return assignment{}, nil, len(responded) > 0
 }
 
+// reconnectWait returns how long after its arrival the request waits for owners. A stream that
+// goes on has one try only, and waits for half of the time until its next event is missed.
+func (j *job) reconnectWait() time.Duration {
+	if j.resumeAfter == "" {
+		return maxReconnectWait
+	}
+	return max(maxReconnectWait, j.startDeadline().Sub(j.arrived)/2)
+}
+
+// mayLearnOfOwner reports whether this node has just started, is not connected to an owner of one
+// of the zones yet, and the list of targets shows that the request's model is loaded there.
+func (n *Node) mayLearnOfOwner(now time.Time, j *job, zones []fleet.Zone) bool {
+	if now.Sub(n.started) >= ownerDiscoveryTime {
+		return false
+	}
+	return slices.ContainsFunc(n.targetSet.Load().Service(j.service), func(t *inventory.Target) bool {
+		return !t.Draining && j.version.allows(t) && t.HasLoaded(j.Model, "") && slices.Contains(zones, t.Zone) && n.links.lacksOwner(t.Zone)
+	})
+}
+
 // acceptSlotResponse returns the assignment or the refusal of an owner's
 // response. For a grant at a target that this node does not know yet, or whose software
 // version did not begin the stream, it releases the slot, excludes the target and returns
