--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -369,7 +369,7 @@
 // TrialEnded ends the trials of the parts, which were admitted at a time, without a result,
 // for example because the target did not run the request. Trials that were admitted later go on.
 // reached is true if the request reached a target: that counts as a round of suspects with
-// certainCrashes, which are returned.
+// certainCrashes that are not known to have survived, which are returned.
 func (l *Ledger) TrialEnded(now, admitted time.Time, parts []Part, reached bool) []Part {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -380,7 +380,7 @@
 			continue
 		}
 		s.endedTrial, s.trialUntil = s.trialUntil, time.Time{}
-		if reached && len(s.crashes) >= certainCrashes[p.Kind] {
+		if reached && len(s.crashes) >= certainCrashes[p.Kind] && !l.proven.has(p) {
 			s.trialRefused(now)
 			held = append(held, p)
 		}
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -264,3 +264,19 @@
 	b.Merge(at(31_010), a.AllRecords(at(31_010)))
 	require.True(t, b.Check(at(31_020), request("d")).Allowed)
 }
+
+// A part of all prompts was held for half a minute: many targets had crashed together, and a full
+// one had refused its trial.
+func TestRefusedTrialHoldsNoPartThatHasSurvived(t *testing.T) {
+	l := newLedger(0)
+	l.RunSurvived(at(0), parts("system"))
+	for i := range 2 * certainCrashes[PromptPart] {
+		l.RunCrashed(at(1000+i), crash(fmt.Sprint("t", i)), fmt.Sprint("r", i), parts("system"))
+	}
+	for now := 1100; now < 2000; now += 50 {
+		d := l.Admit(at(now), parts("system"))
+		require.True(t, d.Allowed)
+		require.Equal(t, parts("system"), d.Trials)
+		require.Empty(t, l.TrialEnded(at(now+5), at(now), d.Trials, true))
+	}
+}
