--- /dev/null
+++ b/pkg/customers/customers.go
@@ -0,0 +1,118 @@
+// Package customers holds the customers of a configuration: their API keys, their rank and
+// their quota. A Directory is immutable. It holds digests of the keys and not the keys.
+package customers
+
+import (
+	"crypto/sha256"
+	"fmt"
+)
+
+// Quota bounds the requests of a customer over all nodes together.
+type Quota struct {
+	// PerSecond is the rate, and Burst what may be used beyond it at once, in requests or,
+	// if Tokens is true, in tokens. A PerSecond of 0 is no limit.
+	PerSecond, Burst float64
+	// Tokens is true if a request counts its tokens.
+	Tokens bool
+	// PlainTokens is what a request that declares no number of tokens counts.
+	PlainTokens int
+}
+
+// Limited reports whether there is a limit.
+func (q Quota) Limited() bool { return q.PerSecond > 0 }
+
+// Customer is one customer. It must not be changed.
+type Customer struct {
+	Name string
+	// Priority is the rank of the customer's requests if HasPriority is true; 0 is the most
+	// urgent.
+	Priority    int
+	HasPriority bool
+	Quota       Quota
+}
+
+// Cost returns what a request counts. tokens is the number of its input and output tokens, 0
+// if it declares none.
+func (c *Customer) Cost(tokens int) float64 {
+	switch {
+	case !c.Quota.Tokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	default:
+		return float64(c.Quota.PlainTokens)
+	}
+}
+
+// routePriorities is the number of ranks of routes within one rank of customers. Routes
+// beyond it share the last one.
+const routePriorities = 1 << 16
+
+// RequestPriority returns the rank of a request of a customer on a route with a priority. The rank
+// of the customer comes first, that of the route decides among customers of one rank. A
+// request without a customer, or of one without a rank, has the rank of its route in the
+// place of both. Ranks are comparable among requests of one configuration with customers.
+func (c *Customer) RequestPriority(routePriority int) int {
+	first := routePriority
+	if c != nil && c.HasPriority {
+		first = c.Priority
+	}
+	return first*routePriorities + min(routePriority, routePriorities-1)
+}
+
+// keyDigest is the SHA-256 digest of an API key.
+type keyDigest [sha256.Size]byte
+
+// Directory finds customers by API key and name. Lookups depend on the digest of a key only,
+// so that their duration tells nothing about the keys that there are.
+type Directory struct {
+	byKey  map[keyDigest]*Customer
+	byName map[string]*Customer
+}
+
+// Entry is a customer with the API keys that it may use.
+type Entry struct {
+	Customer
+	Keys []string
+}
+
+// NewDirectory returns a directory of the entries. It returns an error that quotes no key if two
+// entries have one name or one key, or a name is empty.
+func NewDirectory(entries []Entry) (*Directory, error) {
+	d := &Directory{byKey: map[keyDigest]*Customer{}, byName: map[string]*Customer{}}
+	for i := range entries {
+		c := &entries[i].Customer
+		if c.Name == "" {
+			return nil, fmt.Errorf("customer %d has no name", i+1)
+		}
+		if d.byName[c.Name] != nil {
+			return nil, fmt.Errorf("two customers have the name %.80q", c.Name)
+		}
+		d.byName[c.Name] = c
+		for _, key := range entries[i].Keys {
+			digest := keyDigest(sha256.Sum256([]byte(key)))
+			if other := d.byKey[digest]; other != nil && other != c {
+				return nil, fmt.Errorf("customers %.80q and %.80q have a key in common", other.Name, c.Name)
+			}
+			d.byKey[digest] = c
+		}
+	}
+	return d, nil
+}
+
+// ByKey returns the customer that holds an API key, nil if there is none.
+func (d *Directory) ByKey(key string) *Customer {
+	return d.byKey[sha256.Sum256([]byte(key))]
+}
+
+// ByName returns the customer with a name, nil if there is none.
+func (d *Directory) ByName(name string) *Customer { return d.byName[name] }
+
+// All returns all customers, in no particular order.
+func (d *Directory) All() []*Customer {
+	out := make([]*Customer, 0, len(d.byName))
+	for _, c := range d.byName {
+		out = append(out, c)
+	}
+	return out
+}
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"almondturn/pkg/customers"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/notices"
 	"almondturn/pkg/route"
@@ -36,6 +37,9 @@
 type Request struct {
 	RequestInfo
 	Route *route.Route
+	// Customer is the customer that sent the request, nil if it is not known or the
+	// configuration has none.
+	Customer *customers.Customer
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority     int
 	Method, Host string
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"almondturn/pkg/customers"
 	"almondturn/pkg/kv"
 )
 
@@ -64,6 +65,8 @@
 	MaxAttempts int
 	// Resumable reports whether another target may continue a stream.
 	Resumable bool
+	// Anonymous reports whether requests need no API key where the configuration has customers.
+	Anonymous bool
 	// Backends share the requests by weight. There is at least one.
 	Backends []Backend
 }
@@ -165,6 +168,8 @@
 	// Services holds the services by name.
 	Services map[string]*Service
 	Limits   RequestLimits
+	// Customers holds the customers and their API keys; nil if requests need no key.
+	Customers *customers.Directory
 	// Drained holds the identifiers of the targets that an operator drains,
 	// which get no new requests; nil for none.
 	Drained map[string]bool
