upstream: a response with an invalid status is no answer

Cause: readResponse took every status below 200 for an informational response and read its body as the next head; a status above 599 reached the client as that of its answer. A response of status 000, 099 or 1xx whose body looks like a response was taken for the answer of the request. Change: a response is informational only from 100 to 199, without 101 and without a declared body; final only from 200 to 599. Any other ends the attempt with an unknown outcome and its connection, before its notices are read.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -175,7 +175,8 @@
 
 // readResponse reads response headers until those of r. It skips informational
 // responses, and responses to other requests with their bodies. It returns
-// ErrTooManySkippedResponses after it has skipped maxSkippedResponses of them.
+// ErrTooManySkippedResponses after it has skipped maxSkippedResponses of them, and
+// ErrInvalidStatus after a response that is neither informational nor final.
 func readResponse(c *conn, r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	var headDeadline time.Time // none
@@ -190,9 +191,12 @@
 		if err != nil {
 			return nil, fmt.Errorf("read the head of the answer: %w", err)
 		}
-		if resp.StatusCode < http.StatusOK {
+		if isInformational(resp) {
 			continue
 		}
+		if !isFinal(resp.StatusCode) {
+			return nil, fmt.Errorf("%w: %03d", ErrInvalidStatus, resp.StatusCode)
+		}
 		if r.OnHead != nil {
 			r.OnHead(resp.StatusCode, resp.Header)
 		}
