entry: late requests that may be repeated are hedged where operators allow it

Cause: a few slow answers of plain services decide the tail; a target that does not answer holds a request until its deadline. Change: pkg/hedging decides when a request of a safe route is late (nine in ten of the recent ones of its route were answered, three quarters of the objective at most) and keeps a budget of hedge.ratio per request. The node sends it to a second target that is not under load, within max_attempts and the retry budget, forwards the first usable response and closes the other connection. Result: in a test without a network with targets of 60 ms, 5 in 100 times 600 ms, the 99th percentile falls from 600 ms to below 300 ms with at most a tenth of the requests hedged. With a target that stalls, requests of a real node are answered by the second one; unsafe requests and a ratio of 0 send nothing twice.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -29,6 +29,7 @@
 	Callers    callers.Options   `yaml:"callers"`
 	Operators  operators.Options `yaml:"operators"`
 	Retries    Retries           `yaml:"retries"`
+	Hedging    Hedging           `yaml:"hedging"`
 	Shutdown   Shutdown          `yaml:"shutdown"`
 	Log        Log               `yaml:"log"`
 }
@@ -127,6 +128,12 @@
 	Window time.Duration `yaml:"window" validate:"min=1s,max=5m"`
 }
 
+// Hedging bounds the requests that are sent to a second target because the first one is slow.
+type Hedging struct {
+	// Ratio is the number of such repetitions per request that may be repeated; 0 turns them off. They count as retries, too.
+	Ratio float64 `yaml:"ratio" validate:"min=0,max=1"`
+}
+
 // Shutdown holds the settings of a graceful shutdown.
 type Shutdown struct {
 	// Time is the longest duration of a graceful shutdown; requests that have not
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -225,6 +225,7 @@
 			return
 		}
 		sentAt := time.Now()
+		x = n.hedge(ctx, j, x)
 		last = n.send(ctx, j, x, cr)
 		j.givenUp = j.givenUp || last.endedByDecision()
 		n.recordRunTime(j, last, time.Since(sentAt))
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -66,6 +66,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`almondturn_place_granted_seconds{service=%q}`, service)).Update(waited.Seconds())
 }
 
+// countHedge counts a request that was sent to a second target because the first one was slow.
+func (m *nodeMetrics) countHedge(service string, secondWon bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_hedges_total{service=%q,second_won="%t"}`, service, secondWon)).Inc()
+}
+
 // countRefusal counts a request that was refused before a target was looked for:
 // the node is stopping or not ready, the headers or the body are too large, or
 // the client protocol refused the request, for example because it has no route.
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -14,6 +14,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/boottime"
 	"almondturn/pkg/event"
+	"almondturn/pkg/hedging"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/limiter"
@@ -145,6 +146,7 @@
 	reporter       reporter
 	probes         targetProbes
 	budgets        budgets
+	hedger         *hedging.Hedger
 	guard          *crashGuard
 	streams        *streamVersions
 	usages         targetUsages
@@ -242,7 +244,7 @@
 		settings: d.Settings, log: d.Log, clientProtocol: d.ClientProtocol, targetProtocol: d.TargetProtocol, decoder: d.Decoder, store: d.Store, pool: d.Pool,
 		reporter: d.Targets, metrics: d.Metrics, started: time.Now(), runs: map[uint64]zoneRun{}, readinessPath: d.ReadinessPath,
 		directory: inventory.NewDirectory(), configurationEntries: map[string]kv.Entry{}, idleClientConns: newIdleConns(),
-		snapshotLimiter: limiter.New(time.Now), notices: notices.NewLedger(boottime.Now),
+		snapshotLimiter: limiter.New(time.Now), notices: notices.NewLedger(boottime.Now), hedger: hedging.New(),
 	}
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
 	n.onRestore, n.firstStart = d.OnRestore, d.FirstStart
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -61,7 +61,7 @@
 }
 
 // Bounds are the limits and times that the operators set. DrainTime, RetryRatio,
-// RetrySlack and RetryWindow may change while the node runs; the others apply as
+// RetrySlack, RetryWindow and HedgeRatio may change while the node runs; the others apply as
 // they were at its start.
 type Bounds struct {
 	// DrainTime is the time after which a draining target gets no more
@@ -76,6 +76,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// HedgeRatio is the number of requests, per request that may be hedged, that a node sends to
+	// a second target because the first one is slow; 0 for none. They count as retries, too.
+	HedgeRatio float64
 	// OrderHandoverDelay is the least time between orders of two owners to one
 	// target.
 	OrderHandoverDelay time.Duration
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -132,7 +132,7 @@
 		StoreAddr: c.Store.Address, Seeds: c.Deployment.Seeds, Zones: c.Deployment.Zones,
 		Bounds: entry.Bounds{
 			DrainTime: c.Deployment.DrainTime, ShutdownTime: c.Shutdown.Time,
-			RetryRatio: c.Retries.Ratio, RetrySlack: c.Retries.Slack, RetryWindow: c.Retries.Window,
+			RetryRatio: c.Retries.Ratio, RetrySlack: c.Retries.Slack, RetryWindow: c.Retries.Window, HedgeRatio: c.Hedging.Ratio,
 			OrderHandoverDelay: c.Deployment.OrderPause, MinLeaseTime: c.Store.MinLease,
 		},
 	}, nil
