scheduler: fair order among customers of one service and priority

Cause: queues were ordered by priority, streams that continue, objective and ticket, so that one customer that sends 7.5 times its usual demand filled them and all others were refused as often as it. Change: pkg/fairness is start-time fair queueing by tokens with the quotas as weights. A request whose start tag is more than an allowance ahead of the common virtual time is above its customer's share: it comes behind the others of its priority, in a queue and between queues, is refused first, also when it is no longer new and starts too late, and counts as a late one in the gain of a load. Requests within the share keep the objective order. wire.SlotRequest and scheduler.Request have Customer. TryGrant is as before: it grants only if nobody else waits there; its grants are charged. Without a customer none of this runs. Result: tests of fairness, scheduler, zoneowner, entry and wire pass. Under load TestLongEventIsSearchedOnce of pkg/entry, which compares durations, failed once and passed in three runs alone and the next whole one.

--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -174,8 +174,12 @@
 // are replaced.
 func (n *Node) slotRequest(j *job, lastResort bool) *wire.SlotRequest {
 	now := time.Now()
+	customer := ""
+	if j.Customer != nil {
+		customer = text(j.Customer.Name)
+	}
 	return &wire.SlotRequest{
-		RequestID: text(j.ID), Service: j.service, Model: text(j.Model), Adapter: text(j.Adapter),
+		RequestID: text(j.ID), Customer: customer, Service: j.service, Model: text(j.Model), Adapter: text(j.Adapter),
 		InputTokens: j.InputTokens, OutputTokens: j.OutputTokens, Priority: j.Priority,
 		TimeToObjectiveMillis:  j.waitingSince().Add(j.Route.LatencyObjective).Sub(now).Milliseconds(),
 		TimeToDeadlineMillis:   j.startDeadline().Sub(now).Milliseconds(),
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -101,7 +101,7 @@
 }
 
 // tokens returns the number of cache tokens that the request is expected to use.
-func (w *waiter) tokens() int { return w.InputTokens + w.OutputTokens }
+func (r *Request) tokens() int { return r.InputTokens + r.OutputTokens }
 
 // grantTo grants the request a slot at the target.
 func (s *Scheduler) grantTo(now time.Time, w *waiter, t *target) Grant {
@@ -109,7 +109,8 @@
 	r := &run{
 		id: s.lastRun, node: w.Node, target: t.info.ID, model: w.Model, adapter: w.Adapter,
 		tokens: w.tokens(), inputTokens: w.InputTokens, latencyObjective: w.latencyObjective, grantedAt: now,
-		probe: t.canProbe(now, w.Model, w.Adapter) && !t.canServe(now, w.Model, w.Adapter),
+		probe:    t.canProbe(now, w.Model, w.Adapter) && !t.canServe(now, w.Model, w.Adapter),
+		customer: w.Customer, priority: w.Priority,
 	}
 	if r.probe {
 		t.probing = true
@@ -118,6 +119,7 @@
 	s.runs[r.id] = r
 	t.addRun(now, r)
 	s.takeFromLimit(now, t)
+	s.chargeCustomer(now, &w.Request)
 	r.pendingPrefillTokens = t.pendingPrefillTokens
 	r.pacedSince = w.pacedSince
 	t.recentPrompts = append(t.recentPrompts, grantedPrompt{now, s.prefillTime(modelKey{w.Service, w.Model}, w.InputTokens)})
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// lateRequestWeight is the weight of a request that misses its latency
-// objective; one that meets it has weight 1.
+// lateRequestWeight is the weight of a request that misses its latency objective or is
+// above its customer's share; others have weight 1.
 const lateRequestWeight = 0.15
 
 // queuesByGain returns the queues with waiting requests in order of the gain of
@@ -145,7 +145,7 @@
 	}
 	served := 0.0
 	for _, w := range q.waiters {
-		if !w.isLate(now.Add(load)) {
+		if !w.isLate(now.Add(load)) && !w.position.Above {
 			served++
 		} else {
 			served += lateRequestWeight
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"almondturn/pkg/fairness"
 )
 
 // queueKey identifies a queue. The adapter is empty for requests to a base model.
@@ -23,6 +25,8 @@
 	pacedSince time.Time
 	// modelRemoved is set when a change of the configuration removes the model.
 	modelRemoved bool
+	// position is the place among the requests of other customers as of the last step.
+	position fairness.Position
 }
 
 // queue holds the waiting requests for one model or adapter, the most urgent
@@ -43,10 +47,12 @@
 	}
 }
 
-// compareUrgency orders requests by priority, streams that continue before others, time of
-// the latency objective and arrival.
+// compareUrgency orders requests by priority, streams that continue before others, those
+// within their customer's share before those above it, time of the latency objective and
+// arrival.
 func compareUrgency(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBool(b.Continues, a.Continues), a.ObjectiveAt.Compare(b.ObjectiveAt), cmp.Compare(a.ticket, b.ticket))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBool(b.Continues, a.Continues),
+		a.position.Compare(b.position), a.ObjectiveAt.Compare(b.ObjectiveAt), cmp.Compare(a.ticket, b.ticket))
 }
 
 // isLate reports whether the request misses its latency objective if it begins at a time. A
@@ -59,17 +65,19 @@
 	q         *queue
 	late      bool
 	priority  int
+	position  fairness.Position
 	objective time.Time
 }
 
 // queuesByUrgency returns the queues, the most urgent first.
 func (s *Scheduler) queuesByUrgency(now time.Time) []*queue {
+	s.orderFairly(now)
 	ranks := make([]urgency, 0, len(s.queues))
 	for _, q := range s.queues {
 		ranks = append(ranks, q.urgency(now))
 	}
 	slices.SortFunc(ranks, func(a, b urgency) int {
-		return cmp.Or(compareBool(a.late, b.late), cmp.Compare(a.priority, b.priority), a.objective.Compare(b.objective),
+		return cmp.Or(compareBool(a.late, b.late), cmp.Compare(a.priority, b.priority), a.position.Compare(b.position), a.objective.Compare(b.objective),
 			cmp.Compare(a.q.waiters[0].ticket, b.q.waiters[0].ticket))
 	})
 	out := make([]*queue, len(ranks))
@@ -84,10 +92,11 @@
 	u := urgency{q: q, late: true}
 	for _, w := range q.waiters {
 		if !w.isLate(now) {
-			return urgency{q: q, priority: w.Priority, objective: w.ObjectiveAt}
+			return urgency{q: q, priority: w.Priority, position: w.position, objective: w.ObjectiveAt}
 		}
 	}
-	u.priority, u.objective = q.waiters[0].Priority, q.waiters[0].ObjectiveAt
+	first := q.waiters[0]
+	u.priority, u.position, u.objective = first.Priority, first.position, first.ObjectiveAt
 	return u
 }
 
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -147,7 +147,8 @@
 // the expected wait for a slot exceeds refusalWaitRatio times the time left until the
 // latest start or, while the model is overloaded, the time left until their latency
 // objective. Older requests are not refused: less time is left to them because they
-// have waited, and not because the queue has become longer.
+// have waited, and not because the queue has become longer. Those above their customer's
+// share are, because others have come before them since.
 func (s *Scheduler) refuseBeyondCapacity(now time.Time, q *queue, st modelState) {
 	k := q.key.modelKey()
 	perSecond := s.startRate(now, k)
@@ -163,7 +164,7 @@
 		if overloaded && !w.Continues {
 			limit = min(left, max(w.ObjectiveAt.Sub(now), 0))
 		}
-		if !w.isNew(now) || expected <= limit {
+		if !w.mayBeRefused(now, expected, left) || expected <= limit {
 			waiting++
 			continue
 		}
@@ -193,6 +194,12 @@
 // the requests before them.
 func (w *waiter) isNew(now time.Time) bool { return now.Sub(w.submittedAt) < coldStartEstimate/4 }
 
+// mayBeRefused reports whether the request may be refused because of the requests before it:
+// it is new, or it is above its customer's share and starts too late.
+func (w *waiter) mayBeRefused(now time.Time, expected, left time.Duration) bool {
+	return w.isNew(now) || w.position.Above && expected > left
+}
+
 // overloadAge is the age of a model's demand from which its rate is compared with
 // what the replicas serve.
 const overloadAge = 2 * time.Second
@@ -222,7 +229,7 @@
 		if overloaded && !w.Continues {
 			limit = min(left, max(w.ObjectiveAt.Sub(now), s.eventIntervals[w.Service]))
 		}
-		if !w.isNew(now) || expected <= limit {
+		if !w.mayBeRefused(now, expected, left) || expected <= limit {
 			ahead = withOwn
 			continue
 		}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/fairness"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/keepalive"
 	"almondturn/pkg/quarantine"
@@ -71,6 +72,10 @@
 	limitShare   float64
 	// removedTargets are the targets removed from the list recently.
 	removedTargets []removedTarget
+	// shares holds what customers have been served lately, for services and priorities with
+	// a customer. customerWeights are their weights.
+	shares          map[shareKey]*fairness.Shares
+	customerWeights fairness.Weights
 	// keepalive is nil until a service with an idle weight needs it.
 	keepalive *keepalive.Policy
 
@@ -103,6 +108,7 @@
 		lastRun:        lastRun,
 		zoneCount:      1,
 		lostLoads:      map[queueKey]int{},
+		shares:         map[shareKey]*fairness.Shares{},
 	}
 	s.loadCrashes = s.newLoadLedger()
 	return s
@@ -197,6 +203,7 @@
 		s.queues[key] = q
 	}
 	q.add(w)
+	s.recordCustomer(now, &w.Request)
 	s.recordEventInterval(r.Service, r.MaxEventInterval)
 	s.waitingByModel[key.modelKey()]++
 	if !r.OtherZonesRefused { // otherwise it was counted when this zone referred it to others
@@ -257,6 +264,9 @@
 	// probe is true for a run granted at a target whose load of the model was
 	// not yet confirmed.
 	probe bool
+	// customer and priority are those of the request.
+	customer string
+	priority int
 }
 
 // RunStarted records the first event of a run's response. It has no effect on
@@ -309,6 +319,7 @@
 	t.removeRun(now, r)
 	t.applyOutcome(now, r, o)
 	s.returnToLimit(now, t, o)
+	s.refundCustomer(t.info.Service, r, o)
 	d := s.demandOf(modelKey{t.info.Service, r.model})
 	d.idleSince = now
 	if o == Completed {
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -12,6 +12,8 @@
 	Node                      fleet.NodeID
 	Service, Model, Adapter   string
 	InputTokens, OutputTokens int
+	// Customer is the name of the customer, empty if there is none.
+	Customer string
 	// Priority is the priority of the route; 0 is the most urgent.
 	Priority int
 	// ObjectiveAt is the time at which the response should have begun. Deadline is
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -236,6 +236,7 @@
 		return false
 	}
 	t.scheduler.SetServices(o.services)
+	t.scheduler.SetCustomers(o.customers)
 	t.scheduler.SetZones(o.cfg.Self.Zone, o.cfg.Zones)
 	t.setTargets(o.targets)
 	for _, l := range o.limits {
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"almondturn/fleet"
+	"almondturn/pkg/customers"
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
@@ -157,6 +158,7 @@
 	term            *term
 	targets         []*inventory.Target
 	services        map[string]*route.Service
+	customers       *customers.Directory
 	// limits are the limits of targets by identifier.
 	limits map[string]TargetLimit
 }
@@ -207,9 +209,10 @@
 func (o *Owner) SetServices(t *route.Table) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.services = t.Services
+	o.services, o.customers = t.Services, t.Customers
 	if o.term != nil {
 		o.term.scheduler.SetServices(t.Services)
+		o.term.scheduler.SetCustomers(t.Customers)
 		o.term.setTargets(o.targets)
 	}
 	o.wakeScheduler()
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -67,7 +67,7 @@
 func schedulerRequest(now time.Time, node fleet.NodeID, m *wire.SlotRequest) scheduler.Request {
 	return scheduler.Request{
 		ID: m.RequestID, Node: node, Service: m.Service, Model: m.Model, Adapter: m.Adapter,
-		InputTokens: m.InputTokens, OutputTokens: m.OutputTokens, Priority: m.Priority,
+		InputTokens: m.InputTokens, OutputTokens: m.OutputTokens, Priority: m.Priority, Customer: m.Customer,
 		ObjectiveAt:       now.Add(time.Duration(m.TimeToObjectiveMillis) * time.Millisecond),
 		Deadline:          now.Add(time.Duration(m.TimeToDeadlineMillis) * time.Millisecond),
 		LatencyObjective:  time.Duration(m.LatencyObjectiveMillis) * time.Millisecond,
--- a/pkg/zoneowner/slots_test.go
+++ b/pkg/zoneowner/slots_test.go
@@ -15,3 +15,10 @@
 		assert.Equal(t, continues, schedulerRequest(time.Now(), "n1", &wire.SlotRequest{Continues: continues}).Continues)
 	}
 }
+
+// Guards against an owner that treats the requests of all customers as those of one.
+func TestSchedulerLearnsTheCustomer(t *testing.T) {
+	for _, customer := range []string{"", "north"} {
+		assert.Equal(t, customer, schedulerRequest(time.Now(), "n1", &wire.SlotRequest{Customer: customer}).Customer)
+	}
+}
--- a/wire/bounds_test.go
+++ b/wire/bounds_test.go
@@ -52,6 +52,7 @@
 func TestSoundNumbersOfMessagesAreKept(t *testing.T) {
 	for _, m := range []Message{
 		&SlotRequest{RequestID: "r", InputTokens: 1460, OutputTokens: 80, Priority: 9, TimeToObjectiveMillis: -1500, TimeToDeadlineMillis: -20, LatencyObjectiveMillis: 400, MaxEventIntervalMillis: 300},
+		&SlotRequest{RequestID: "r", Customer: "north"},
 		&SlotRequest{TimeToObjectiveMillis: maxMillis, TimeToDeadlineMillis: -maxMillis, InputTokens: math.MaxInt32, Priority: math.MaxInt32},
 		&SlotResponse{Run: math.MaxUint64, Target: "i", RetryAfterMillis: 600},
 		&TargetChangesRequest{After: math.MaxUint64, WaitMillis: 500},
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -70,6 +70,8 @@
 	Unavailable []UnavailableTarget `cbor:"14,keyasint,omitempty"`
 	// Continues is true for a stream that another target has begun.
 	Continues bool `cbor:"15,keyasint,omitempty"`
+	// Customer is the name of the customer that sent the request, empty if there is none.
+	Customer string `cbor:"16,keyasint,omitempty"`
 }
 
 // UnavailableTarget is a target to which a node sends no requests, because it leaves or has
