platform: the load header with a fourth figure

Cause: parseLoad expected exactly three figures. Four were read as no load, so that a full target looked empty. Change: ResponseInfo.PacePercent is the fourth figure, from 1 to 10,000 percent.

--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -111,6 +111,9 @@
 	// Running and Waiting are the numbers of requests at the target, Slots the
 	// number that it runs concurrently. Slots is 0 if the target reports none.
 	Running, Waiting, Slots int
+	// PacePercent is how long work takes at the target at this moment, in percent of the
+	// usual; 0 if the target does not report it.
+	PacePercent int
 }
 
 // TargetProtocol writes and parses the headers that are exchanged with targets.
