entry: plain targets are chosen by expected time where they report their pace

Cause: the cost of a plain target was the share of its slots in use. A slow target got as many requests as a fast one. Change: a node records the pace of each response head and multiplies it into the cost. The pace by target is among the metrics, for at most 128 targets. Targets that report three figures have the cost that they had.

--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -112,6 +112,10 @@
 	m.set.GetOrCreateCounter(`almondturn_store_restores_total`).Inc()
 }
 
+// maxPaceMetrics is the largest number of targets whose pace is among the metrics: those that
+// reported it last.
+const maxPaceMetrics = 128
+
 // WriteMetrics writes all metrics of the node in the Prometheus text format.
 func (n *Node) WriteMetrics(w io.Writer) { n.metrics.write(w, n) }
 
@@ -137,6 +141,10 @@
 	fmt.Fprintf(w, "almondturn_targets_leaving %d\n", leaving)
 	fmt.Fprintf(w, "almondturn_targets_paused %d\n", paused)
 	fmt.Fprintf(w, "almondturn_targets_limited %d\n", limited)
+	for _, f := range n.usages.paces.Latest(time.Now(), maxPaceMetrics) {
+		fmt.Fprintf(w, "almondturn_target_pace{target=%q} %.2f\n", f.Target, f.Factor)
+		fmt.Fprintf(w, "almondturn_target_pace_age_seconds{target=%q} %.1f\n", f.Target, f.Age.Seconds())
+	}
 	fmt.Fprintf(w, "almondturn_nodes %d\n", n.links.maxNodeCount())
 	fmt.Fprintf(w, "almondturn_retry_nodes %d\n", n.links.sharingNodes())
 	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.WaitingRequests())
--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -55,12 +55,14 @@
 // at sentAt on the clock of the notices. The response ends a limit that it does not name,
 // unless it may be that to an earlier request.
 func (n *Node) observeRequestHead(t *inventory.Target, request string, sentAt time.Time, status int, h http.Header) {
+	info := n.targetProtocol.ParseResponse(h)
+	n.usages.observePace(time.Now(), t.ID, info)
 	notice := n.targetProtocol.ParseNotice(status, h)
 	n.recordNotice(t, noticeFromRequest, status, notice)
 	if notice.Limit.Named || notice.LimitUnreadable || !n.notices.State(noticeKey(t)).Limit.Named {
 		return
 	}
-	if n.targetProtocol.ParseResponse(h).RequestID == request {
+	if info.RequestID == request {
 		n.recordLimit(t, noticeFromRequest, notices.RateLimit{}, sentAt)
 	}
 }
--- a/pkg/entry/usage.go
+++ b/pkg/entry/usage.go
@@ -7,6 +7,7 @@
 
 	"almondturn/fleet"
 	"almondturn/pkg/inventory"
+	"almondturn/pkg/pace"
 )
 
 // Parameters of the choice among the targets of a plain service. A cost of 1 is
@@ -43,6 +44,9 @@
 	// node's, that it reported at reportedAt.
 	othersInFlight int
 	reportedAt     time.Time
+	// expectedOthers replaces othersInFlight when that is too old, at targets that report
+	// their pace.
+	expectedOthers pace.Load
 	// reportedSlots is the number of slots that the target last reported; 0 if it has
 	// reported none.
 	reportedSlots int
@@ -61,7 +65,9 @@
 // targetUsages holds the usage of all targets. acquire, release and remove may
 // be called concurrently.
 type targetUsages struct {
-	node     fleet.NodeID
+	node fleet.NodeID
+	// paces holds how long work takes at the targets that report it.
+	paces    pace.Table
 	mu       sync.Mutex // guards byTarget and its values
 	byTarget map[string]*targetUsage
 }
@@ -80,8 +86,9 @@
 	return usage
 }
 
-// remove discards the usage of a target without requests in progress.
+// remove discards the pace of a target, and its usage if it has no requests in progress.
 func (u *targetUsages) remove(id string) {
+	u.paces.Remove(id)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if usage := u.byTarget[id]; usage != nil && usage.inFlight == 0 {
@@ -89,6 +96,13 @@
 	}
 }
 
+// observePace records the pace that the head of a response has reported, if any.
+func (u *targetUsages) observePace(now time.Time, id string, info ResponseInfo) {
+	if info.PacePercent > 0 {
+		u.paces.Observe(now, id, float64(info.PacePercent)/100)
+	}
+}
+
 // acquire chooses the candidate with the lowest cost, and counts a request
 // there. It skips draining targets and those in exclude, and returns nil if
 // none is left. zone is the zone of this node.
@@ -102,7 +116,8 @@
 			continue
 		}
 		usage := u.get(t.ID)
-		cost := usage.cost(now, t, zone)
+		factor, known := u.paces.Factor(now, t.ID)
+		cost := usage.cost(now, t, zone, factor, known)
 		if best == nil || cost < lowest || cost == lowest && usage.tieBreak > rank {
 			best, lowest, rank = t, cost, usage.tieBreak
 		}
@@ -113,15 +128,19 @@
 	return best
 }
 
-// cost returns the cost of a target for a node in zone: the share of its slots
-// in use, plus penalties.
-func (u *targetUsage) cost(now time.Time, t *inventory.Target, zone fleet.Zone) float64 {
+// cost returns the cost of a target for a node in zone: the time that a request is expected
+// to take there, as pace.Cost returns it for the share of its slots in use, plus penalties.
+// reportsPace is true if the target has reported the duration factor.
+func (u *targetUsage) cost(now time.Time, t *inventory.Target, zone fleet.Zone, factor float64, reportsPace bool) float64 {
 	slots := u.slots(t)
-	running := u.inFlight
-	if now.Sub(u.reportedAt) < reportMaxAge {
-		running += min(u.othersInFlight, maxReportedLoad*slots)
+	running := float64(u.inFlight)
+	switch {
+	case now.Sub(u.reportedAt) < reportMaxAge:
+		running += float64(min(u.othersInFlight, maxReportedLoad*slots))
+	case reportsPace:
+		running += min(u.expectedOthers.Expected(now), float64(maxReportedLoad*slots))
 	}
-	cost := float64(running)/float64(slots) + failureWeight*u.failureShare
+	cost := pace.Cost(running/float64(slots), factor) + failureWeight*u.failureShare
 	if t.Zone != zone {
 		cost += otherZonePenalty
 	}
@@ -166,6 +185,9 @@
 		// inFlight no longer does.
 		reported := min(r.info.Running, maxReportedRequests) + min(r.info.Waiting, maxReportedRequests)
 		usage.othersInFlight = max(reported-usage.inFlight-1, 0)
+		if r.info.PacePercent > 0 {
+			usage.expectedOthers.Observe(now, usage.othersInFlight)
+		}
 		usage.reportedAt, usage.reportedSlots = now, min(r.info.Slots, maxReportedRequests)
 	}
 }
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -104,13 +104,3 @@
 func halved(after, halfLife time.Duration) float64 {
 	return math.Exp2(-after.Seconds() / halfLife.Seconds())
 }
-
-// Cost returns the cost of one more request at a target with a load, the share of its slots in
-// use: the time that the request is expected to take, in units of the usual one, less 1. For the factor 1
-// it is the load.
-func Cost(load, factor float64) float64 {
-	if factor == 1 {
-		return load // the sum below would round
-	}
-	return factor*(1+load) - 1
-}
--- a/pkg/pace/table.go
+++ b/pkg/pace/table.go
@@ -35,14 +35,14 @@
 	e.Observe(now, factor)
 }
 
-// Factor returns the factor of a target, 1 if none is known.
-func (t *Table) Factor(now time.Time, target string) float64 {
+// Factor returns the factor of a target, and whether it is known; otherwise it is 1.
+func (t *Table) Factor(now time.Time, target string) (factor float64, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.byTarget[target]; e != nil {
-		return e.Factor(now)
+		return e.Factor(now), e.Known(now)
 	}
-	return 1
+	return 1, false
 }
 
 // Remove discards the estimate of a target.
