scheduler: the pace of targets in their choice and in predictions

Cause: the scheduler took all targets for equally fast. Change: nodes pass the figure of a response head to the owner in RunStarted, or in RunEnded for runs without it (optional fields; a message without a figure has the bytes that it had). The scheduler smooths it per target, chooses the target by expected time, learns run durations and prefill times at the usual pace, and scales start rate, prefill budget, and with them the rejections, by the target's factor. The start rate uses the larger of the factor of the moment and the lasting one: with the former alone, overload was underestimated. Loads prefer fast targets by up to about a second.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -334,7 +334,7 @@
 		if r.kind == expired {
 			outcome = wire.RunUnused
 		}
-		n.endRun(a, outcome)
+		n.endRun(a, outcome, r.info.PacePercent)
 		return
 	}
 	n.usages.release(time.Now(), a.target.ID, r)
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -358,13 +358,13 @@
 	return ok
 }
 
-// endRun removes a granted run from n.runs and reports its outcome to the owner,
-// which releases the slot.
-func (n *Node) endRun(a assignment, outcome wire.RunOutcome) {
+// endRun removes a granted run from n.runs and reports its outcome, and the pace that the
+// target reported, to the owner, which releases the slot.
+func (n *Node) endRun(a assignment, outcome wire.RunOutcome, pacePercent int) {
 	n.runsMu.Lock()
 	delete(n.runs, a.runID)
 	n.runsMu.Unlock()
-	n.links.runEnded(a.zone, &wire.RunEnded{Run: a.runID, Outcome: outcome})
+	n.links.runEnded(a.zone, &wire.RunEnded{Run: a.runID, Outcome: outcome, PacePercent: pacePercent})
 }
 
 // zoneRun is a run at a target of a zone.
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -117,7 +117,7 @@
 	j.lastEventAt, j.givenUp = now, false
 	if j.assignment.runID != 0 && !j.startReported {
 		j.startReported = true
-		n.links.runStarted(j.assignment.zone, &wire.RunStarted{Run: j.assignment.runID})
+		n.links.runStarted(j.assignment.zone, &wire.RunStarted{Run: j.assignment.runID, PacePercent: n.targetProtocol.ParseResponse(resp.Header).PacePercent})
 	}
 	if _, err := cr.w.Write(events); err != nil {
 		return err
--- a/pkg/scheduler/demand.go
+++ b/pkg/scheduler/demand.go
@@ -22,7 +22,8 @@
 	count     float64
 	countedAt time.Time
 	// firstAt is the time of the first request, since which the count has grown.
-	firstAt      time.Time
+	firstAt time.Time
+	// meanDuration is the mean duration of a run at the usual pace.
 	meanDuration time.Duration
 	// latencyRatio is a moving average of the time to the first event, as a share
 	// of the latency objective and at most 1. The time is counted from the grant,
@@ -57,7 +58,7 @@
 	d.meanDuration += time.Duration(durationSampleWeight * float64(took-d.meanDuration))
 }
 
-// runDuration returns the mean duration of a run.
+// runDuration returns the mean duration of a run at the usual pace.
 func (d *demand) runDuration() time.Duration {
 	if d.meanDuration == 0 {
 		return defaultRunDuration
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -57,16 +57,17 @@
 	return candidates
 }
 
-// chooseTarget returns the target with the smallest workload at which the request
-// can start, nil for none.
+// chooseTarget returns the target at which the request can start at the lowest startCost, nil
+// for none.
 func (s *Scheduler) chooseTarget(now time.Time, targets []*target, w *waiter) *target {
 	var best *target
+	lowest := 0.0
 	for _, t := range targets {
 		if !s.canStart(now, t, w) {
 			continue
 		}
-		if best == nil || t.workload() < best.workload() {
-			best = t
+		if cost := s.startCost(now, t, w); best == nil || cost < lowest {
+			best, lowest = t, cost
 		}
 	}
 	return best
@@ -109,7 +110,8 @@
 	r := &run{
 		id: s.lastRun, node: w.Node, target: t.info.ID, model: w.Model, adapter: w.Adapter,
 		tokens: w.tokens(), inputTokens: w.InputTokens, latencyObjective: w.latencyObjective, grantedAt: now,
-		probe: t.canProbe(now, w.Model, w.Adapter) && !t.canServe(now, w.Model, w.Adapter),
+		probe:  t.canProbe(now, w.Model, w.Adapter) && !t.canServe(now, w.Model, w.Adapter),
+		factor: s.factor(now, t),
 	}
 	if r.probe {
 		t.probing = true
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"almondturn/pkg/pace"
 	"almondturn/pkg/route"
 )
 
@@ -151,7 +152,7 @@
 			served += lateRequestWeight
 		}
 	}
-	occupied := load + s.demandOf(q.key.modelKey()).runDuration()
+	occupied := load + s.timeAtReplicas(now, q.key.modelKey(), s.demandOf(q.key.modelKey()).runDuration(), (*pace.Estimate).Lasting)
 	return served / (m.WeightsMB * occupied.Seconds())
 }
 
@@ -325,6 +326,7 @@
 		if s.limitOf(t) != nil {
 			c.score += limitedTargetPenalty
 		}
+		c.score += s.paceScore(now, t)
 		if !found || c.score < best.score {
 			best, found = c, true
 		}
@@ -450,7 +452,7 @@
 // mean duration.
 func (s *Scheduler) neededReplicas(now time.Time, k modelKey, e *route.Engine) int {
 	d := s.demandOf(k)
-	running := d.perSecond(now) * d.runDuration().Seconds()
+	running := d.perSecond(now) * s.timeAtReplicas(now, k, d.runDuration(), (*pace.Estimate).Lasting).Seconds()
 	return max(int(math.Ceil(running/(plannedUtilization*float64(max(e.Slots, 1))))), 1)
 }
 
--- a/pkg/scheduler/prefill.go
+++ b/pkg/scheduler/prefill.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"almondturn/pkg/pace"
+)
 
 // Pacing of prompts. A target prefills the prompts of new runs between the tokens
 // of those in progress, so that many prompts at a time delay the events of all
@@ -88,7 +92,7 @@
 	serviceEstimate.addSample(pendingTokens, took)
 }
 
-// prefillTime returns the expected prefill time of a prompt. It is estimated by
+// prefillTime returns the expected prefill time of a prompt at the usual pace. It is estimated by
 // all samples of the service if the model has too few.
 func (s *Scheduler) prefillTime(k modelKey, tokens int) time.Duration {
 	secondsPerToken := s.demandOf(k).prefill.secondsPerToken()
@@ -98,8 +102,8 @@
 	return time.Duration(secondsPerToken * float64(tokens) * float64(time.Second))
 }
 
-// grantedPrompt is the prompt of a run granted at a target, with its expected
-// prefill time.
+// grantedPrompt is the prompt of a run granted at a target, with its prefill time at the
+// usual pace.
 type grantedPrompt struct {
 	grantedAt time.Time
 	prefill   time.Duration
@@ -131,15 +135,16 @@
 	for _, p := range t.recentPrompts {
 		total += p.prefill
 	}
-	return total > time.Duration(prefillShare*float64(interval))
+	return s.timeAt(now, t, total) > time.Duration(prefillShare*float64(interval))
 }
 
 // prefillTurn returns the share of the maximum event interval that one prompt like
 // the request's takes of a replica's prefill budget: the interval divided by the
 // number of such prompts that the budget allows in it, which is at least 1.
-func (s *Scheduler) prefillTurn(w *waiter) time.Duration {
+func (s *Scheduler) prefillTurn(now time.Time, w *waiter) time.Duration {
 	interval := s.eventIntervals[w.Service]
-	own := s.prefillTime(modelKey{w.Service, w.Model}, w.InputTokens)
+	k := modelKey{w.Service, w.Model}
+	own := s.timeAtReplicas(now, k, s.prefillTime(k, w.InputTokens), (*pace.Estimate).Factor)
 	if own <= 0 {
 		return 0
 	}
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -183,7 +183,7 @@
 		if s.limitOf(t) != nil {
 			slots = s.slots(t) // the limit keeps most of them free
 		}
-		rate += s.startsPerSecond(t, slots, s.demandOf(k).runDuration())
+		rate += s.startsPerSecond(t, slots, s.sustainedTimeAt(now, t, s.demandOf(k).runDuration()))
 	}
 	return rate
 }
@@ -212,10 +212,10 @@
 // replica takes to start the requests in more urgent queues of the model; the result
 // includes those of q.
 func (s *Scheduler) refuseBeyondPrefill(now time.Time, q *queue, st modelState, ahead time.Duration) time.Duration {
-	first := s.prefillTurn(q.waiters[0])
+	first := s.prefillTurn(now, q.waiters[0])
 	overloaded := first > 0 && s.isOverloaded(now, q.key.modelKey(), float64(st.ready)/first.Seconds())
 	for _, w := range slices.Clone(q.waiters) {
-		withOwn := ahead + s.prefillTurn(w)
+		withOwn := ahead + s.prefillTurn(now, w)
 		expected := s.eventIntervals[w.Service] + withOwn/time.Duration(st.ready) // the prompts granted last take up to one interval
 		left := w.Deadline.Sub(now) - minRunTime
 		limit := left
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -69,6 +69,8 @@
 	// them that this scheduler gives.
 	targetLimits map[string]*targetLimit
 	limitShare   float64
+	// reportsPace is true once a target has reported its pace.
+	reportsPace bool
 	// removedTargets are the targets removed from the list recently.
 	removedTargets []removedTarget
 	// keepalive is nil until a service with an idle weight needs it.
@@ -257,6 +259,8 @@
 	// probe is true for a run granted at a target whose load of the model was
 	// not yet confirmed.
 	probe bool
+	// factor is the duration factor of the target at the grant, 0 for an adopted run.
+	factor float64
 }
 
 // RunStarted records the first event of a run's response. It has no effect on
@@ -291,7 +295,7 @@
 	}
 	d.observeStart(now.Sub(since), r.latencyObjective)
 	if r.pendingPrefillTokens > 0 {
-		s.recordPrefill(modelKey{t.info.Service, r.model}, r.pendingPrefillTokens, now.Sub(r.grantedAt))
+		s.recordPrefill(modelKey{t.info.Service, r.model}, r.pendingPrefillTokens, s.usualTime(now, t, r))
 	}
 }
 
@@ -312,7 +316,7 @@
 	d := s.demandOf(modelKey{t.info.Service, r.model})
 	d.idleSince = now
 	if o == Completed {
-		d.observeEnd(now.Sub(r.grantedAt))
+		d.observeEnd(s.usualTime(now, t, r))
 	}
 }
 
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondturn/pkg/inventory"
+	"almondturn/pkg/pace"
 	"almondturn/pkg/route"
 )
 
@@ -131,6 +132,8 @@
 	unknownSince time.Time
 	suspectUntil time.Time
 	busyUntil    time.Time
+	// pace is how long work takes at the target, as it reports it.
+	pace pace.Estimate
 }
 
 // replica is a model loaded at a target.
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -101,6 +101,7 @@
 		return
 	}
 	needsStep := o.term.scheduler.NeedsStepOnEnd(scheduler.RunID(m.Run))
+	o.term.scheduler.ObservePace(time.Now(), scheduler.RunID(m.Run), m.PacePercent)
 	// The values of wire.RunOutcome equal those of scheduler.Outcome.
 	o.term.scheduler.RunEnded(time.Now(), scheduler.RunID(m.Run), scheduler.Outcome(m.Outcome))
 	if needsStep {
@@ -116,6 +117,7 @@
 		return
 	}
 	needsStep := o.term.scheduler.NeedsStepOnStart(scheduler.RunID(m.Run))
+	o.term.scheduler.ObservePace(time.Now(), scheduler.RunID(m.Run), m.PacePercent)
 	o.term.scheduler.RunStarted(time.Now(), scheduler.RunID(m.Run))
 	if needsStep {
 		o.stepScheduler(o.term)
--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -39,6 +39,12 @@
 // clamp implements bounded.
 func (m *SlotResponse) clamp() { m.RetryAfterMillis = clampDuration(m.RetryAfterMillis) }
 
+// clamp implements bounded.
+func (m *RunStarted) clamp() { m.PacePercent = clampCount(m.PacePercent) }
+
+// clamp implements bounded.
+func (m *RunEnded) clamp() { m.PacePercent = clampCount(m.PacePercent) }
+
 // clamp implements bounded.
 func (m *ActiveRuns) clamp() {
 	for i := range m.Runs {
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -186,11 +186,16 @@
 type RunEnded struct {
 	Run     uint64     `cbor:"1,keyasint"`
 	Outcome RunOutcome `cbor:"2,keyasint,omitempty"`
+	// PacePercent is as in RunStarted. It counts for runs without that message.
+	PacePercent int `cbor:"3,keyasint,omitempty"`
 }
 
 // RunStarted notifies an owner that the response of a granted run has begun.
 type RunStarted struct {
 	Run uint64 `cbor:"1,keyasint"`
+	// PacePercent is how long work took at the target when it responded, in percent of the
+	// usual; 0 if it did not report that.
+	PacePercent int `cbor:"2,keyasint,omitempty"`
 }
 
 // Run is one request in progress at a target.
