--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -112,8 +112,8 @@
 	m.set.GetOrCreateCounter(`almondturn_store_restores_total`).Inc()
 }
 
-// maxPaceMetrics is the largest number of targets whose pace is among the metrics: those that
-// reported it last.
+// maxPaceMetrics is the largest number of targets whose pace, as the node or as the owner knows
+// it, is among the metrics.
 const maxPaceMetrics = 128
 
 // WriteMetrics writes all metrics of the node in the Prometheus text format.
@@ -145,6 +145,9 @@
 		fmt.Fprintf(w, "almondturn_target_pace{target=%q} %.2f\n", f.Target, f.Factor)
 		fmt.Fprintf(w, "almondturn_target_pace_age_seconds{target=%q} %.1f\n", f.Target, f.Age.Seconds())
 	}
+	for _, f := range n.owner.Paces(maxPaceMetrics) {
+		fmt.Fprintf(w, "almondturn_zone_target_pace{target=%q} %.2f\n", f.Target, f.Factor)
+	}
 	fmt.Fprintf(w, "almondturn_nodes %d\n", n.links.maxNodeCount())
 	fmt.Fprintf(w, "almondturn_retry_nodes %d\n", n.links.sharingNodes())
 	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.WaitingRequests())
--- a/pkg/scheduler/pace.go
+++ b/pkg/scheduler/pace.go
@@ -101,3 +101,15 @@
 	}
 	return paceScoreWeight * (t.pace.Lasting(now) - 1)
 }
+
+// Paces returns the duration factors of the targets that report their pace, at most limit of
+// them, in the order of their identifiers.
+func (s *Scheduler) Paces(now time.Time, limit int) []pace.TargetFactor {
+	var out []pace.TargetFactor
+	for _, t := range s.sortedTargets {
+		if len(out) < limit && t.pace.Known(now) {
+			out = append(out, pace.TargetFactor{Target: t.info.ID, Factor: t.pace.Factor(now), Age: t.pace.Age(now)})
+		}
+	}
+	return out
+}
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/pace"
 	"almondturn/pkg/scheduler"
 	"almondturn/wire"
 )
@@ -199,3 +200,14 @@
 	}
 	return o.term.scheduler.Waiting()
 }
+
+// Paces returns the duration factors of the zone's targets that report their pace, at most
+// limit of them; none if this node does not own the zone.
+func (o *Owner) Paces(limit int) []pace.TargetFactor {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == nil {
+		return nil
+	}
+	return o.term.scheduler.Paces(time.Now(), limit)
+}
