--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -70,6 +70,8 @@
 	// them that this scheduler gives.
 	targetLimits map[string]*targetLimit
 	limitShare   float64
+	// reportsPace is true once a target has reported its pace.
+	reportsPace bool
 	// removedTargets are the targets removed from the list recently.
 	removedTargets []removedTarget
 	// shares holds what customers have been served lately, for services and priorities with
@@ -267,6 +269,8 @@
 	// customer and priority are those of the request.
 	customer string
 	priority int
+	// factor is the duration factor of the target at the grant, 0 for an adopted run.
+	factor float64
 }
 
 // RunStarted records the first event of a run's response. It has no effect on
@@ -301,7 +305,7 @@
 	}
 	d.observeStart(now.Sub(since), r.latencyObjective)
 	if r.pendingPrefillTokens > 0 {
-		s.recordPrefill(modelKey{t.info.Service, r.model}, r.pendingPrefillTokens, now.Sub(r.grantedAt))
+		s.recordPrefill(modelKey{t.info.Service, r.model}, r.pendingPrefillTokens, s.usualTime(now, t, r))
 	}
 }
 
@@ -323,7 +327,7 @@
 	d := s.demandOf(modelKey{t.info.Service, r.model})
 	d.idleSince = now
 	if o == Completed {
-		d.observeEnd(now.Sub(r.grantedAt))
+		d.observeEnd(s.usualTime(now, t, r))
 	}
 }
 
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/pace"
 	"almondturn/pkg/scheduler"
 	"almondturn/wire"
 )
@@ -101,6 +102,7 @@
 		return
 	}
 	needsStep := o.term.scheduler.NeedsStepOnEnd(scheduler.RunID(m.Run))
+	o.term.scheduler.ObservePace(time.Now(), scheduler.RunID(m.Run), m.PacePercent)
 	// The values of wire.RunOutcome equal those of scheduler.Outcome.
 	o.term.scheduler.RunEnded(time.Now(), scheduler.RunID(m.Run), scheduler.Outcome(m.Outcome))
 	if needsStep {
@@ -116,6 +118,7 @@
 		return
 	}
 	needsStep := o.term.scheduler.NeedsStepOnStart(scheduler.RunID(m.Run))
+	o.term.scheduler.ObservePace(time.Now(), scheduler.RunID(m.Run), m.PacePercent)
 	o.term.scheduler.RunStarted(time.Now(), scheduler.RunID(m.Run))
 	if needsStep {
 		o.stepScheduler(o.term)
@@ -197,3 +200,14 @@
 	}
 	return o.term.scheduler.Waiting()
 }
+
+// Paces returns the duration factors of the zone's targets that report their pace, at most
+// limit of them; none if this node does not own the zone.
+func (o *Owner) Paces(limit int) []pace.TargetFactor {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == nil {
+		return nil
+	}
+	return o.term.scheduler.Paces(time.Now(), limit)
+}
