quota: token leases, the accounting of owners and the tokens of nodes

Cause: quotas in tokens have to hold over all nodes, whether or not they reach each other, and few requests below them may be rejected. Change: pkg/quota with Accounts (owner), Leases and Charge (node), messages QuotaRequests and QuotaResponses. Not called yet. An owner that begins with a full bucket, leases without end, and returned tokens without a bound fail the tests.

--- /dev/null
+++ b/pkg/quota/rule.go
@@ -0,0 +1,201 @@
+// Package quota divides the quotas of customers over availability zones and nodes. The owner of a
+// zone grants tokens from its Accounts; a node holds them in its Leases and charges requests to
+// them. All times are passed in and are those of package boottime. docs/design/quotas.md explains
+// why the sum over all nodes stays within the rule.
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Rule says what may be used beyond the limits of the customers, as the operators set it: in any
+// Window, (rate x Window + burst) x (1 + Overage) + Slack.
+type Rule struct {
+	Window         time.Duration
+	Overage, Slack float64
+}
+
+// DefaultRule is the rule if the operators set none.
+var DefaultRule = Rule{Window: 8 * time.Second, Overage: 0.1}
+
+// Limit is the limit of a customer over all nodes. The zero value is no limit.
+type Limit struct{ PerSecond, Burst float64 }
+
+// Limited reports whether there is a limit.
+func (l Limit) Limited() bool { return l.PerSecond > 0 }
+
+// Parts of the overage and of the slack, which are the bound of a window beyond the limit itself.
+// The parts of each add up to 1.
+const (
+	lateOverage     = 3.0 / 8 // tokens that are spent up to a term after their grant
+	depthOverage    = 3.0 / 8 // depth of the buckets beyond the burst
+	fallbackOverage = 1.0 / 4 // nodes that reach no owner
+	depthSlack      = 1.0 / 2
+	overdraftSlack  = 1.0 / 4
+	fallbackSlack   = 1.0 / 4
+	// prefetchOverage bounds the prefetched tokens that have not expired. They are among
+	// those that lateOverage and the depth cover.
+	prefetchOverage = 1.0 / 2
+)
+
+// Bounds of the term of a lease. A shorter one would not outlast a call to another zone; a longer
+// one would delay the effect of a lowered limit.
+const (
+	minTerm = 50 * time.Millisecond
+	maxTerm = time.Second
+)
+
+// Term returns how long after it was requested a lease lasts.
+func (r Rule) Term() time.Duration {
+	term := time.Duration(lateOverage * r.Overage * float64(r.Window))
+	return min(max(term, minTerm), maxTerm)
+}
+
+// overage returns what a window may have beyond a limit, without the slack.
+func (r Rule) overage(l Limit) float64 {
+	return r.Overage * (l.PerSecond*r.Window.Seconds() + l.Burst)
+}
+
+// Allowed returns what a customer may use in a window.
+func (r Rule) Allowed(l Limit) float64 {
+	return l.PerSecond*r.Window.Seconds() + l.Burst + r.overage(l) + r.Slack
+}
+
+// share is the part of a limit that the owner of a zone gives.
+type share struct {
+	rate, depth, overdraft float64
+	// late is what accrues within a term. prefetch bounds the prefetched tokens that have not
+	// expired.
+	late, prefetch float64
+}
+
+// zoneShare returns the share of one of a number of zones.
+func (r Rule) zoneShare(l Limit, zones int) share {
+	z, overage := float64(max(zones, 1)), r.overage(l)
+	return share{
+		rate:      l.PerSecond / z,
+		depth:     (l.Burst + depthOverage*overage + depthSlack*r.Slack) / z,
+		overdraft: overdraftSlack * r.Slack / z,
+		late:      l.PerSecond / z * r.Term().Seconds(),
+		prefetch:  prefetchOverage * overage / z,
+	}
+}
+
+// fallbackBucket returns the rate and the depth of a node that reaches no owner. Both together
+// stay within its share in a window. nodes is the number of nodes that may be alive, 0 if it is
+// not known: then there is no share.
+func (r Rule) fallbackBucket(l Limit, nodes int) (rate, depth float64) {
+	if nodes <= 0 {
+		return 0, 0
+	}
+	part := (fallbackOverage*r.overage(l) + fallbackSlack*r.Slack) / float64(nodes)
+	return part / 2 / r.Window.Seconds(), part / 2
+}
+
+// meter measures a rate as an average whose weights decay with meterTime.
+type meter struct {
+	amount float64
+	at     time.Time
+}
+
+// meterTime is the time over which demand is averaged: long against the term of a lease, short
+// against the periods of demand.
+const meterTime = time.Second
+
+// add adds an amount.
+func (m *meter) add(now time.Time, amount float64) { m.amount, m.at = m.decayed(now)+amount, now }
+
+// perSecond returns the rate.
+func (m *meter) perSecond(now time.Time) float64 { return m.decayed(now) / meterTime.Seconds() }
+
+// decayed returns the amount with its decay until now.
+func (m *meter) decayed(now time.Time) float64 {
+	if age := now.Sub(m.at); age > 0 {
+		return m.amount * math.Exp(-age.Seconds()/meterTime.Seconds())
+	}
+	return m.amount
+}
+
+// bucket is a token bucket. Its level may be negative.
+type bucket struct {
+	rate, depth, level float64
+	at                 time.Time
+}
+
+// fill adds what has accrued until now.
+func (b *bucket) fill(now time.Time) {
+	if age := now.Sub(b.at); age > 0 {
+		b.level = min(b.depth, b.level+b.rate*age.Seconds())
+		b.at = now
+	}
+}
+
+// set replaces the rate and the depth from now on.
+func (b *bucket) set(now time.Time, rate, depth float64) {
+	b.fill(now)
+	b.rate, b.depth = rate, depth
+	b.level = min(b.level, depth)
+}
+
+// lot is a number of tokens from a zone with the end of their lease. granted is the
+// GrantedAtMillis of the owner.
+type lot struct {
+	tokens  float64
+	zone    int
+	granted int64
+	expires time.Time
+}
+
+// unexpired removes the lots that have expired, and returns the rest and its sum. It reuses lots.
+func unexpired(now time.Time, lots []lot) (rest []lot, sum float64) {
+	rest = lots[:0]
+	for _, l := range lots {
+		if now.Before(l.expires) {
+			rest = append(rest, l)
+			sum += l.tokens
+		}
+	}
+	return rest, sum
+}
+
+// recentSlots is the number of parts of a recent.
+const recentSlots = 16
+
+// recent counts amounts until they are as old as a term, and up to 1/15 of it longer.
+type recent struct {
+	slots [recentSlots]float64
+	sum   float64
+	// last is the number of the slot that is filled.
+	last int64
+}
+
+// advance removes the amounts that are old enough. age is the time since the begin of all amounts.
+func (r *recent) advance(age, term time.Duration) {
+	current := int64(age / (term / (recentSlots - 1)))
+	for n := 0; r.last < current && n < recentSlots; n++ {
+		r.last++
+		r.sum -= r.slots[r.last%recentSlots]
+		r.slots[r.last%recentSlots] = 0
+	}
+	r.last = max(r.last, current)
+}
+
+// add adds an amount.
+func (r *recent) add(amount float64) {
+	r.slots[r.last%recentSlots] += amount
+	r.sum += amount
+}
+
+// remove removes at most an amount, the oldest first, and returns what it has removed.
+func (r *recent) remove(amount float64) float64 {
+	left := amount
+	for n := int64(1); n <= recentSlots && left > 0; n++ {
+		slot := &r.slots[(r.last+n)%recentSlots]
+		part := min(*slot, left)
+		*slot -= part
+		r.sum -= part
+		left -= part
+	}
+	return amount - left
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -30,5 +30,7 @@
 	TypeTargetLimits:         func() Message { return new(TargetLimits) },
 	TypePermitRequest:        func() Message { return new(PermitRequest) },
 	TypePermitResponse:       func() Message { return new(PermitResponse) },
+	TypeQuotaRequests:        func() Message { return new(QuotaRequests) },
+	TypeQuotaResponses:       func() Message { return new(QuotaResponses) },
 	TypeNodes:                func() Message { return new(Nodes) },
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -30,6 +30,8 @@
 	TypeTargetLimits
 	TypePermitRequest
 	TypePermitResponse
+	TypeQuotaRequests
+	TypeQuotaResponses
 )
 
 // SlotRequest asks the owner of a zone for a slot at a target that has the
