zoneowner: owners lease tokens of quotas

Cause: the owner of a zone accounts for the zone's share of each customer's quota. Change: Owner.LeaseQuota; the authority is that for orders (authorizedAt, taken out of orderToken) and is checked at each grant. Accounts begin empty with the authority, and again if another owner may have been in between.

--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -20,6 +20,7 @@
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
+	"almondturn/pkg/quota"
 	"almondturn/pkg/route"
 	"almondturn/pkg/scheduler"
 	"almondturn/pkg/wait"
@@ -114,6 +115,8 @@
 	// BootClock reads the clock of leases and authority. It must keep counting
 	// while the VM is suspended.
 	BootClock func() time.Time
+	// Quota is the rule for the quotas of customers.
+	Quota quota.Rule
 }
 
 // Owner takes part in the election of its zone's owner and does the owner's
@@ -159,10 +162,12 @@
 	services        map[string]*route.Service
 	// limits are the limits of targets by identifier.
 	limits map[string]TargetLimit
+	// quotaLimits are the limits of the customers by name.
+	quotaLimits map[string]quota.Limit
 }
 
 // term is the period from acquiring the zone to losing it. ctx and cancel do not
-// change after its start; Owner.mu guards the other fields. Only the goroutine of
+// change after its start, nor does begun; Owner.mu guards the other fields. Only the goroutine of
 // renewLeaseLoop changes token, lease and ordersFrom, in reacquire; it reads lease
 // without the lock. Resign reads both without the lock after it has ended
 // the term; a reacquire that has finished its calls by then may still write them.
@@ -186,6 +191,9 @@
 	ctx            context.Context
 	cancel         context.CancelFunc
 	sent           sentState
+	// begun is when the term began, by BootClock.
+	begun  time.Time
+	quotas termQuotas
 }
 
 // New returns an Owner that does not take part in the election until Run is
@@ -208,6 +216,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.services = t.Services
+	o.setQuotaLimits(t)
 	if o.term != nil {
 		o.term.scheduler.SetServices(t.Services)
 		o.term.setTargets(o.targets)
@@ -344,14 +353,7 @@
 func (o *Owner) orderToken(t *term) (uint64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	boot := o.cfg.BootClock()
-	authorized := !boot.Before(t.ordersFrom) && boot.Before(t.authority.validUntil(boot))
-	if t.token.Era() != o.cfg.Store.Era() && !t.authority.unbroken(boot) {
-		// The key-value service was restored. Another node may have been the owner
-		// before that; reacquire decides.
-		authorized = false
-	}
-	return uint64(t.token), o.term == t && !o.stopping && authorized
+	return uint64(t.token), o.authorizedAt(t, o.cfg.BootClock())
 }
 
 // cancelWithAuthority calls cancel when the authority of a term ends, so that no order is on
--- /dev/null
+++ b/pkg/zoneowner/quotas.go
@@ -0,0 +1,65 @@
+package zoneowner
+
+import (
+	"slices"
+	"time"
+
+	"almondturn/pkg/quota"
+	"almondturn/pkg/route"
+	"almondturn/wire"
+)
+
+// termQuotas are the accounts of a term for the quotas of customers.
+type termQuotas struct {
+	accounts *quota.Accounts
+	// since is when the authority began for which the accounts were made.
+	since time.Time
+}
+
+// LeaseQuota grants tokens of the quotas of customers from the zone's share. The response has
+// NotOwner set if this node has no authority at present, which it checks as for orders: two owners
+// must not grant the same share.
+func (o *Owner) LeaseQuota(m *wire.QuotaRequests) *wire.QuotaResponses {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now, t := o.cfg.BootClock(), o.term
+	if t == nil || !o.authorizedAt(t, now) || !slices.Contains(o.cfg.Zones, o.cfg.Self.Zone) {
+		return &wire.QuotaResponses{NotOwner: true}
+	}
+	// ordersFrom moves if another owner may have been in between.
+	if since := latest(t.begun, t.ordersFrom); t.quotas.accounts == nil || !t.quotas.since.Equal(since) {
+		t.quotas = termQuotas{quota.NewAccounts(o.cfg.Quota.OrDefault(), len(o.cfg.Zones), since), since}
+		t.quotas.accounts.SetLimits(now, o.quotaLimits)
+	}
+	r := &wire.QuotaResponses{Responses: make([]wire.QuotaResponse, len(m.Requests))}
+	for i := range m.Requests {
+		r.Responses[i] = t.quotas.accounts.Lease(now, &m.Requests[i])
+	}
+	return r
+}
+
+// authorizedAt reports whether a term has the authority, at a time by BootClock, to send orders and
+// to grant tokens of quotas. o.mu must be held.
+func (o *Owner) authorizedAt(t *term, boot time.Time) bool {
+	authorized := !boot.Before(t.ordersFrom) && boot.Before(t.authority.validUntil(boot))
+	if t.token.Era() != o.cfg.Store.Era() && !t.authority.unbroken(boot) {
+		// The key-value service was restored. Another node may have been the owner
+		// before that; reacquire decides.
+		authorized = false
+	}
+	return o.term == t && !o.stopping && authorized
+}
+
+// setQuotaLimits replaces the limits of the customers. o.mu must be held.
+func (o *Owner) setQuotaLimits(t *route.Table) {
+	o.quotaLimits = nil
+	if t.Customers != nil {
+		o.quotaLimits = map[string]quota.Limit{}
+		for _, c := range t.Customers.All() {
+			o.quotaLimits[c.Name] = quota.Limit{PerSecond: c.Quota.PerSecond, Burst: c.Quota.Burst}
+		}
+	}
+	if o.term != nil && o.term.quotas.accounts != nil {
+		o.term.quotas.accounts.SetLimits(o.cfg.BootClock(), o.quotaLimits)
+	}
+}
