entry: requests are charged to their customer's quota

Cause: customers of a configuration have quotas that nothing enforced. Change: pkg/entry/quota.go charges a request after its body is read and before a target is looked for, and returns the tokens if no target can have run it; fault.QuotaExceeded (429, not run), event quota_exceeded, metrics by customer, settings bounds.quota_window_s, bounds.quota_overage and bounds.quota_slack. Without customers or limits nothing is charged.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -10,6 +10,7 @@
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
 	"almondturn/pkg/quarantine"
+	"almondturn/pkg/quota"
 	"almondturn/pkg/route"
 	"almondturn/wire"
 )
@@ -32,6 +33,8 @@
 	parts []quarantine.Part
 	// assignment is that of the current attempt.
 	assignment assignment
+	// charge is the charge to the customer's quota, nil without one.
+	charge *quota.Charge
 	// held counts what the current attempt holds of an unfinished response.
 	held *buffers.Holder
 	// startReported is true once the start of the response of the current
@@ -345,6 +348,7 @@
 // without one. refusal is the error that ended the search for a target, nil if
 // there was none. ctx is the context of the request.
 func (n *Node) finish(ctx context.Context, j *job, cr *clientResponse, last sendResult, refusal *ErrorResponse) {
+	n.refundQuota(j)
 	outcome, truncated := event.RequestServed, false
 	switch {
 	case cr.complete:
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -137,6 +137,7 @@
 	fmt.Fprintf(w, "almondturn_targets_leaving %d\n", leaving)
 	fmt.Fprintf(w, "almondturn_targets_paused %d\n", paused)
 	fmt.Fprintf(w, "almondturn_targets_limited %d\n", limited)
+	n.writeQuotas(w)
 	fmt.Fprintf(w, "almondturn_nodes %d\n", n.links.maxNodeCount())
 	fmt.Fprintf(w, "almondturn_retry_nodes %d\n", n.links.sharingNodes())
 	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.WaitingRequests())
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -18,6 +18,7 @@
 	"almondturn/pkg/kv"
 	"almondturn/pkg/limiter"
 	"almondturn/pkg/notices"
+	"almondturn/pkg/quota"
 	"almondturn/pkg/route"
 	"almondturn/pkg/upstream"
 	"almondturn/pkg/wait"
@@ -150,6 +151,7 @@
 	usages         targetUsages
 	notices        *notices.Ledger
 	shares         limitShares
+	quotas         *quota.Leases
 	started        time.Time
 	firstStart     bool
 	ready          atomic.Bool
@@ -249,6 +251,7 @@
 	d.Settings.limitTargetResponses(&d.Pool.Buffered)
 	n.usages.node = n.self.ID
 	n.shares.node = n
+	n.quotas = newQuotaLeases(d.Settings)
 	n.bounds.Store(&d.Settings.Bounds)
 	n.targetChanges = newChangeLog(n.maxTargetsAge, boottime.Now)
 	n.ownerChanges = newChangeLog(ownersAge, boottime.Now)
@@ -268,6 +271,7 @@
 	n.owner = zoneowner.New(zoneowner.Config{
 		Self: n.self, Zones: d.Settings.Zones, CPUCapacity: d.Settings.CPUCapacity, MinLease: d.Settings.MinLeaseTime, HandoverDelay: d.Settings.OrderHandoverDelay,
 		Store: d.Store, Targets: d.Targets, Network: n.links, Log: d.Log, Observer: d.Metrics, ConfigurationVersion: n.version, BootClock: boottime.Now,
+		Quota: d.Settings.Quota,
 	})
 	d.Targets.SetHeadObserver(n.observeHead)
 	d.Store.SetRelay(n.links.relayStoreCall)
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -70,6 +70,9 @@
 	if refusal == nil {
 		refusal = n.refuseLateArrival(j)
 	}
+	if refusal == nil {
+		refusal = n.chargeQuota(j)
+	}
 	if refusal != nil {
 		cr.writeError(refusal)
 		n.metrics.countRefusal(refusal.Kind)
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"almondturn/fleet"
+	"almondturn/pkg/quota"
 )
 
 // Settings are the settings of a node at its start. Node.Reload replaces Bounds
@@ -81,4 +82,7 @@
 	OrderHandoverDelay time.Duration
 	// MinLeaseTime is the shortest lease that the key-value service grants.
 	MinLeaseTime time.Duration
+	// Quota is what may be used beyond the quotas of customers; its zero value is
+	// quota.DefaultRule.
+	Quota quota.Rule
 }
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -61,6 +61,7 @@
 	VersionAppeared    = register(753, "version_appeared", zerolog.InfoLevel, "A software version of a service that had no targets lately has some now. versions are those with targets now or as long ago as a stream may be taken up. While there are several, the streams that begin are written to the key-value service.")
 	VersionsStored     = register(754, "versions_stored", zerolog.InfoLevel, "The owner of an availability zone has written to the key-value service which software versions have served lately.")
 	StreamsNotStored   = register(755, "streams_not_stored", zerolog.WarnLevel, "The software versions of streams that began could not be written to the key-value service. They are written again until it succeeds; streams whose node ends before that can't be taken up while several versions serve.")
+	QuotaExceeded      = register(756, "quota_exceeded", zerolog.WarnLevel, "A request was rejected and not run, because its customer has used up its quota, or no owner of a zone could be asked (fields asked and reached are numbers of owners). tokens is what it would have counted.")
 	RequestPanicked    = register(750, "request_panicked", zerolog.ErrorLevel, "The node failed while it served a request, whose client got no answer: a fault of the node. The field cause holds the reason.")
 	LogDropped         = register(746, "log_dropped", zerolog.WarnLevel, "Log lines were dropped, those of successful requests first, because the log output was not read fast enough; the field lines is their number.")
 )
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -72,6 +72,8 @@
 	PromptSuspended
 	// RequestSuspended: the same request may have crashed targets before. Not run.
 	RequestSuspended
+	// QuotaExceeded: the customer has used up its quota. Not run.
+	QuotaExceeded
 	kindEnd
 )
 
@@ -126,6 +128,7 @@
 	TimeOver:            {Status: http.StatusGatewayTimeout, Code: "time_over", Run: RunUnknown},
 	PromptSuspended:     {Status: http.StatusServiceUnavailable, Code: "prompt_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	RequestSuspended:    {Status: http.StatusServiceUnavailable, Code: "request_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	QuotaExceeded:       {Status: http.StatusTooManyRequests, Code: "quota_exceeded", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
 
