--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -153,6 +153,7 @@
 	for _, f := range n.owner.Paces(maxPaceMetrics) {
 		fmt.Fprintf(w, "almondturn_zone_target_pace{target=%q} %.2f\n", f.Target, f.Factor)
 	}
+	n.writeQuotas(w)
 	fmt.Fprintf(w, "almondturn_nodes %d\n", n.links.maxNodeCount())
 	fmt.Fprintf(w, "almondturn_retry_nodes %d\n", n.links.sharingNodes())
 	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.WaitingRequests())
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -112,7 +112,7 @@
 		tokens: w.tokens(), inputTokens: w.InputTokens, latencyObjective: w.latencyObjective, grantedAt: now,
 		probe:    t.canProbe(now, w.Model, w.Adapter) && !t.canServe(now, w.Model, w.Adapter),
 		customer: w.Customer, priority: w.Priority,
-		factor:   s.factor(now, t),
+		factor: s.factor(now, t),
 	}
 	if r.probe {
 		t.probing = true
