--- a/pkg/quota/accounts.go
+++ b/pkg/quota/accounts.go
@@ -25,10 +25,11 @@
 // Accounts is the accounting of the owner of a zone, over one period of its authority. It is not
 // safe for concurrent use.
 type Accounts struct {
-	rule   Rule
-	zones  int
-	since  time.Time
-	byName map[string]*account
+	rule      Rule
+	zones     int
+	authority uint64
+	since     time.Time
+	byName    map[string]*account
 }
 
 // account is the account of a customer.
@@ -44,10 +45,10 @@
 	demand meter
 }
 
-// NewAccounts returns the accounts of an owner of one of a number of zones, whose authority began
-// at a time.
-func NewAccounts(rule Rule, zones int, since time.Time) *Accounts {
-	return &Accounts{rule: rule, zones: zones, since: since, byName: map[string]*account{}}
+// NewAccounts returns the accounts of an owner of one of a number of zones. authority identifies the
+// period of its authority, which began at a time, and is not 0.
+func NewAccounts(rule Rule, zones int, authority uint64, since time.Time) *Accounts {
+	return &Accounts{rule: rule, zones: zones, authority: authority, since: since, byName: map[string]*account{}}
 }
 
 // SetLimits replaces the limits of all customers by name. Accounts that are new begin empty at the
@@ -73,7 +74,7 @@
 // Lease grants tokens to a node.
 func (a *Accounts) Lease(now time.Time, m *wire.QuotaRequest) wire.QuotaResponse {
 	age, term := now.Sub(a.since), a.rule.Term()
-	response := wire.QuotaResponse{TermMillis: term.Milliseconds(), GrantedAtMillis: age.Milliseconds()}
+	response := wire.QuotaResponse{TermMillis: term.Milliseconds(), GrantedAtMillis: age.Milliseconds(), Authority: a.authority}
 	acc := a.byName[m.Customer]
 	switch {
 	case acc == nil:
@@ -84,7 +85,7 @@
 		return response
 	}
 	acc.advance(now, age, term)
-	if age-time.Duration(m.ReturnedFromMillis)*time.Millisecond <= term {
+	if m.ReturnedAuthority == a.authority && age-time.Duration(m.ReturnedFromMillis)*time.Millisecond <= term {
 		acc.acceptReturned(m.Returned)
 	}
 	if !m.Foreign {
@@ -110,8 +111,9 @@
 	acc.tokens.level = min(acc.tokens.level, max(acc.share.depth+acc.share.late-acc.granted.sum, 0))
 }
 
-// acceptReturned moves returned tokens back from the leases, which must not have expired, to the
-// bucket.
+// acceptReturned moves returned tokens back from the leases to the bucket. They must be those of
+// these accounts, and their leases must not have expired: the leases that are left would be
+// counted as returned otherwise.
 func (acc *account) acceptReturned(tokens float64) {
 	room := max(acc.tokens.depth-acc.tokens.level, 0)
 	acc.tokens.level += min(acc.granted.remove(tokens), room)
--- a/pkg/quota/charge.go
+++ b/pkg/quota/charge.go
@@ -111,14 +111,14 @@
 		c.retryAfter = after
 	}
 	b.granted += response.Granted
-	expires := l.expiry(sent, response)
-	if response.Granted <= 0 || !now.Before(expires) {
+	granted := l.lot(0, c.asked-1, sent, response)
+	if response.Granted <= 0 || !now.Before(granted.expires) {
 		return
 	}
-	used := min(response.Granted, c.cost-c.sum)
-	c.held, c.sum = append(c.held, lot{used, c.asked - 1, response.GrantedAtMillis, expires}), c.sum+used
-	if rest := response.Granted - used; rest > 0 {
-		b.put(lot{rest, c.asked - 1, response.GrantedAtMillis, expires})
+	granted.tokens = min(response.Granted, c.cost-c.sum)
+	c.held, c.sum = append(c.held, granted), c.sum+granted.tokens
+	if granted.tokens = response.Granted - granted.tokens; granted.tokens > 0 {
+		b.put(granted)
 	}
 }
 
--- a/pkg/quota/leases.go
+++ b/pkg/quota/leases.go
@@ -144,13 +144,14 @@
 	for i, response := range r.Responses {
 		b := l.balance(m.Requests[i].Customer)
 		b.granted += response.Granted
-		b.put(lot{response.Granted, 0, response.GrantedAtMillis, l.expiry(sent, response)})
+		b.put(l.lot(response.Granted, 0, sent, response))
 	}
 }
 
-// expiry returns the end of a lease that was requested at a time.
-func (l *Leases) expiry(sent time.Time, r wire.QuotaResponse) time.Time {
-	return sent.Add(min(time.Duration(r.TermMillis)*time.Millisecond, l.rule.Term()))
+// lot returns tokens of a response to a request that was sent to a zone at a time.
+func (l *Leases) lot(tokens float64, zone int, sent time.Time, r wire.QuotaResponse) lot {
+	expires := sent.Add(min(time.Duration(r.TermMillis)*time.Millisecond, l.rule.Term()))
+	return lot{tokens, zone, r.GrantedAtMillis, r.Authority, expires}
 }
 
 // Return returns tokens to the owner of a zone.
@@ -178,9 +179,11 @@
 	byZone := make([]wire.QuotaRequest, len(l.zones))
 	for _, lot := range surplus {
 		m := &byZone[lot.zone]
-		if m.Returned == 0 || lot.granted < m.ReturnedFromMillis {
-			m.ReturnedFromMillis = lot.granted
+		if lot.authority != m.ReturnedAuthority {
+			// An owner accepts only what it has granted itself.
+			*m = wire.QuotaRequest{ReturnedFromMillis: lot.granted, ReturnedAuthority: lot.authority}
 		}
+		m.ReturnedFromMillis = min(m.ReturnedFromMillis, lot.granted)
 		m.Returned += lot.tokens
 	}
 	var out []Return
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -289,7 +289,7 @@
 func TestReturnedTokensDoNotAccumulate(t *testing.T) {
 	rule, limit := Rule{8 * time.Second, 0.1, 100}, Limit{1000, 1000}
 	for name, late := range map[string]time.Duration{"before the end": -time.Millisecond, "after the end": 100 * time.Millisecond} {
-		a := NewAccounts(rule, 1, simEpoch)
+		a := NewAccounts(rule, 1, 7, simEpoch)
 		a.SetLimits(simEpoch, map[string]Limit{"c": limit})
 		now, spent, held := simEpoch, 0.0, []lot(nil)
 		step := func(keep bool) {
@@ -297,7 +297,7 @@
 			m := wire.QuotaRequest{Customer: "c", Tokens: 1e6, Minimum: 1e6}
 			for keep && len(held) > 0 && !now.Before(held[0].expires.Add(late)) {
 				if m.Returned == 0 {
-					m.ReturnedFromMillis = held[0].granted
+					m.ReturnedFromMillis, m.ReturnedAuthority = held[0].granted, 7
 				}
 				m.Returned += held[0].tokens
 				held = held[1:]
@@ -317,3 +317,18 @@
 		assert.LessOrEqual(t, spent, rule.Allowed(limit)-fallbackOverage*rule.overage(limit)-fallbackSlack*rule.Slack, name)
 	}
 }
+
+// Guards against an owner that accepts what the owner before has granted: over several changes of
+// the owner, tokens would be kept and not spent.
+func TestTokensOfAFormerOwnerAreNotReturned(t *testing.T) {
+	limits := map[string]Limit{"c": {1000, 1000}}
+	for authority, want := range map[uint64]float64{7: 300, 6: 0} {
+		a := NewAccounts(DefaultRule, 1, 7, simEpoch)
+		a.SetLimits(simEpoch, limits)
+		now := simEpoch.Add(time.Second)
+		granted := a.Lease(now, &wire.QuotaRequest{Customer: "c", Tokens: 1e6, Minimum: 1e6})
+		assert.InDelta(t, 1000, granted.Granted, 0)
+		r := a.Lease(now, &wire.QuotaRequest{Customer: "c", Tokens: 1e6, Minimum: 1e6, Returned: 300, ReturnedFromMillis: granted.GrantedAtMillis, ReturnedAuthority: authority})
+		assert.InDelta(t, want, r.Granted, 0)
+	}
+}
--- a/pkg/quota/rule.go
+++ b/pkg/quota/rule.go
@@ -146,13 +146,14 @@
 	b.level = min(b.level, depth)
 }
 
-// lot is a number of tokens from a zone with the end of their lease. granted is the
-// GrantedAtMillis of the owner.
+// lot is a number of tokens from a zone with the end of their lease. granted and authority are the
+// GrantedAtMillis and the Authority of the response.
 type lot struct {
-	tokens  float64
-	zone    int
-	granted int64
-	expires time.Time
+	tokens    float64
+	zone      int
+	granted   int64
+	authority uint64
+	expires   time.Time
 }
 
 // unexpired removes the lots that have expired, and returns the rest and its sum. It reuses lots.
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -66,6 +66,7 @@
 	notRun      float64
 	notRunAfter time.Duration
 	calls       int
+	authority   uint64
 }
 
 // simEvent is a function that runs at a time.
@@ -145,7 +146,8 @@
 
 // begin makes a new owner of a zone whose authority begins now.
 func (s *sim) begin(z int, from time.Duration) {
-	o := &simOwner{accounts: NewAccounts(s.rule, simZones, simEpoch.Add(from)), from: from, until: math.MaxInt64}
+	s.authority++
+	o := &simOwner{accounts: NewAccounts(s.rule, simZones, s.authority, simEpoch.Add(from)), from: from, until: math.MaxInt64}
 	o.accounts.SetLimits(simEpoch.Add(from), s.limits())
 	s.owners[z] = o
 }
--- a/pkg/zoneowner/quotas.go
+++ b/pkg/zoneowner/quotas.go
@@ -28,7 +28,7 @@
 	}
 	// ordersFrom moves if another owner may have been in between.
 	if since := latest(t.begun, t.ordersFrom); t.quotas.accounts == nil || !t.quotas.since.Equal(since) {
-		t.quotas = termQuotas{quota.NewAccounts(o.cfg.Quota.OrDefault(), len(o.cfg.Zones), since), since}
+		t.quotas = termQuotas{quota.NewAccounts(o.cfg.Quota.OrDefault(), len(o.cfg.Zones), uint64(t.token), since), since}
 		t.quotas.accounts.SetLimits(now, o.quotaLimits)
 	}
 	r := &wire.QuotaResponses{Responses: make([]wire.QuotaResponse, len(m.Requests))}
--- a/wire/quota.go
+++ b/wire/quota.go
@@ -20,8 +20,10 @@
 	Returned float64 `cbor:"4,keyasint,omitempty"`
 	// Foreign is true if the node is in another zone.
 	Foreign bool `cbor:"5,keyasint,omitempty"`
-	// ReturnedFromMillis is the lowest GrantedAtMillis of the returned tokens.
-	ReturnedFromMillis int64 `cbor:"6,keyasint,omitempty"`
+	// ReturnedFromMillis is the lowest GrantedAtMillis of the returned tokens, and
+	// ReturnedAuthority the Authority that has granted them.
+	ReturnedFromMillis int64  `cbor:"6,keyasint,omitempty"`
+	ReturnedAuthority  uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // QuotaResponses is the response to QuotaRequests, in the order of the requests. It is empty if
@@ -42,6 +44,8 @@
 	RetryAfterMillis int64 `cbor:"3,keyasint,omitempty"`
 	// GrantedAtMillis is the time of the grant by the owner, from the beginning of its authority.
 	GrantedAtMillis int64 `cbor:"4,keyasint,omitempty"`
+	// Authority identifies the period of the authority of the owner.
+	Authority uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Type implements Message.
