scheduler: a refused client retries when its model is likely to have a slot

Cause: a request that was refused for capacity got a RetryAfter of 0.5 s in nearly all cases, within the same peak of demand, and was refused again. Change: RetryAfter is the time in which the model's spare capacity, its starts per second less the mean rate of its grants over 15 s, does the work beyond the limit and that of the retries promised before, at most 8 s and half of the time left or 2 s. Result: tests of scheduler, zoneowner and emulator pass.

--- a/pkg/scheduler/demand.go
+++ b/pkg/scheduler/demand.go
@@ -34,6 +34,8 @@
 	// idleSince is when the last run ended, zero once the keep-alive policy has
 	// received the idle gap.
 	idleSince time.Time
+	// retries predicts when a refused request may be retried.
+	retries retryForecast
 }
 
 // latencySampleWeight is the weight of the last run in latencyRatio.
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -15,8 +15,8 @@
 const refusalWaitRatio = 1.5
 
 // maxRetryAfter is the longest RetryAfter of a request that was refused because
-// other requests have the slots. It is also the RetryAfter of requests for models
-// whose quota in the zone is 0.
+// other requests have the slots, if it can't be predicted or half of the time left is
+// shorter. It is also the RetryAfter of requests for models whose quota in the zone is 0.
 const maxRetryAfter = 2 * time.Second
 
 // refuseUnservable refuses the requests that will not be served in time, and
@@ -168,7 +168,7 @@
 			waiting++
 			continue
 		}
-		s.refuse(now, w, Overloaded, min(max(expected-left, minRetryAfter), maxRetryAfter), RefusalEstimate{ExpectedWait: expected, TimeLeft: w.Deadline.Sub(now), ReadyReplicas: st.ready})
+		s.refuse(now, w, Overloaded, s.retryAfter(now, w, perSecond, expected, limit), RefusalEstimate{ExpectedWait: expected, TimeLeft: w.Deadline.Sub(now), ReadyReplicas: st.ready})
 	}
 }
 
@@ -238,11 +238,21 @@
 			s.refuse(now, w, TryOtherZone, 0, estimate)
 			continue
 		}
-		s.refuse(now, w, Overloaded, min(max(expected-left, minRetryAfter), maxRetryAfter), estimate)
+		s.refuse(now, w, Overloaded, s.retryAfter(now, w, s.prefillRate(w, st), expected, limit), estimate)
 	}
 	return ahead
 }
 
+// prefillRate returns the number of prompts like the request's per second that the replicas
+// of its model start, 0 if their prefill time is not known.
+func (s *Scheduler) prefillRate(w *waiter, st modelState) float64 {
+	turn := s.prefillTurn(w)
+	if turn <= 0 {
+		return 0
+	}
+	return float64(st.ready) / turn.Seconds()
+}
+
 // targetRecovery says when the targets of a service can take requests.
 type targetRecovery struct {
 	// healthy is the number of healthy targets.
