zoneowner: a request that all full zones refer is queued where it is served soonest

Cause: nodes queued such a request in the first zone of their order, which for full zones is the same for all requests of a model. That queue refused requests for capacity while the other zones had none. Change: an owner whose replicas of the model are full, or have no prefill budget left, adds the expected wait to its referral (wire.SlotResponse.ExpectedWaitMillis). LastResort takes the shortest if the first zone has named one.

--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -93,20 +93,22 @@
 //     not respond may reconnect, or this node may learn of one, it returns neither a
 //     target nor a refusal.
 //   - Otherwise it repeats the request to the owners that responded, as a last
-//     resort, and returns the result of the first response.
+//     resort and in the order of zoneowner.LastResort, and returns the result of the
+//     first response.
 //
 // reached is false if no owner responded. A zero assignment without a refusal
 // means that the caller should try again.
 func (n *Node) requestFromOwners(ctx context.Context, j *job) (a assignment, refusal *ErrorResponse, reached bool) {
 	zones := n.zoneOrder(j)
-	var responded, unreached []fleet.Zone
+	var unreached []fleet.Zone
+	var responded []zoneowner.Referral
 	for _, zone := range zones {
 		resp, err := n.links.requestSlot(ctx, zone, n.slotRequest(j, false))
 		if err != nil || resp.Refusal == wire.SlotNotOwner {
 			unreached = append(unreached, zone)
 			continue
 		}
-		responded = append(responded, zone)
+		responded = append(responded, zoneowner.Referral{Zone: zone, Response: resp})
 		if resp.Refusal == wire.SlotTryOtherZone {
 			continue
 		}
@@ -117,7 +119,7 @@
 	if now.Sub(j.arrived) < j.reconnectWait() && (n.links.mayReachOwner(now, unreached) || n.mayLearnOfOwner(now, j, unreached)) {
 		return assignment{}, nil, len(responded) > 0 // the caller tries again soon
 	}
-	for _, zone := range responded {
+	for _, zone := range zoneowner.LastResort(responded) {
 		resp, err := n.links.requestSlot(ctx, zone, n.slotRequest(j, true))
 		if err != nil || resp.Refusal == wire.SlotNotOwner {
 			continue
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -32,7 +32,7 @@
 		k := q.key.modelKey()
 		st := s.modelState(now, k)
 		if st.ready > 0 && st.loading == 0 && !s.hasFreeSlot(now, k) {
-			s.redirectToOtherZone(now, q, RefusalEstimate{ReadyReplicas: st.ready})
+			s.redirectToOtherZone(now, q, RefusalEstimate{ReadyReplicas: st.ready, ExpectedWait: s.queueWait(now, q)})
 			s.refuseBeyondCapacity(now, q, st)
 			continue
 		}
@@ -133,10 +133,30 @@
 	}
 }
 
+// queueWait returns the expected wait for a slot behind the requests for the model that
+// are not sent to another zone, 0 if it is not known.
+func (s *Scheduler) queueWait(now time.Time, q *queue) time.Duration {
+	k := q.key.modelKey()
+	perSecond := s.startRate(now, k)
+	if perSecond <= 0 {
+		return 0
+	}
+	staying := s.waitingByModel[k] + 1
+	for _, w := range q.waiters {
+		if w.mayBeRedirected(now) {
+			staying--
+		}
+	}
+	return time.Duration(float64(staying) / perSecond * float64(time.Second))
+}
+
+// mayBeRedirected reports whether the request may be sent to another zone.
+func (w *waiter) mayBeRedirected(now time.Time) bool { return !w.OtherZonesRefused && w.isNew(now) }
+
 // redirectToOtherZone refuses new requests so that another zone is tried.
 func (s *Scheduler) redirectToOtherZone(now time.Time, q *queue, estimate RefusalEstimate) {
 	for _, w := range slices.Clone(q.waiters) {
-		if !w.OtherZonesRefused && w.isNew(now) {
+		if w.mayBeRedirected(now) {
 			estimate.TimeLeft = w.Deadline.Sub(now)
 			s.refuse(now, w, TryOtherZone, 0, estimate)
 		}
--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -37,7 +37,9 @@
 }
 
 // clamp implements bounded.
-func (m *SlotResponse) clamp() { m.RetryAfterMillis = clampDuration(m.RetryAfterMillis) }
+func (m *SlotResponse) clamp() {
+	m.RetryAfterMillis, m.ExpectedWaitMillis = clampDuration(m.RetryAfterMillis), clampDuration(m.ExpectedWaitMillis)
+}
 
 // clamp implements bounded.
 func (m *ActiveRuns) clamp() {
--- a/wire/bounds_test.go
+++ b/wire/bounds_test.go
@@ -38,6 +38,7 @@
 		}, slot)
 		assert.True(t, time.Now().Add(time.Duration(slot.TimeToDeadlineMillis)*time.Millisecond).After(time.Now()))
 		assert.EqualValues(t, maxMillis, roundTrip(t, &SlotResponse{RetryAfterMillis: n}).(*SlotResponse).RetryAfterMillis)
+		assert.Equal(t, &SlotResponse{ExpectedWaitMillis: maxMillis}, roundTrip(t, &SlotResponse{RetryAfterMillis: -n, ExpectedWaitMillis: n}))
 		assert.EqualValues(t, maxMillis, roundTrip(t, &TargetChangesRequest{WaitMillis: n}).(*TargetChangesRequest).WaitMillis)
 		assert.Zero(t, roundTrip(t, &OwnerChangesRequest{WaitMillis: -n}).(*OwnerChangesRequest).WaitMillis)
 		assert.Equal(t, math.MaxInt32, roundTrip(t, &ActiveRuns{Runs: []Run{{Tokens: int(n)}}}).(*ActiveRuns).Runs[0].Tokens)
@@ -54,7 +55,7 @@
 		&SlotRequest{RequestID: "r", InputTokens: 1460, OutputTokens: 80, Priority: 9, TimeToObjectiveMillis: -1500, TimeToDeadlineMillis: -20, LatencyObjectiveMillis: 400, MaxEventIntervalMillis: 300},
 		&SlotRequest{RequestID: "r", Customer: "north"},
 		&SlotRequest{TimeToObjectiveMillis: maxMillis, TimeToDeadlineMillis: -maxMillis, InputTokens: math.MaxInt32, Priority: math.MaxInt32},
-		&SlotResponse{Run: math.MaxUint64, Target: "i", RetryAfterMillis: 600},
+		&SlotResponse{Run: math.MaxUint64, Target: "i", RetryAfterMillis: 600, ExpectedWaitMillis: 40},
 		&TargetChangesRequest{After: math.MaxUint64, WaitMillis: 500},
 		&ActiveRuns{Runs: []Run{{ID: 1, Target: "t", Model: "m", Adapter: "a", Tokens: 5}}},
 		&ZoneState{Zone: "z", Token: 3, Backlog: 7, NodeCount: 9, WeightStoreLoads: 2, OrdersAfterMillis: 3000, ConfigurationVersion: math.MaxInt64},
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -156,6 +156,10 @@
 	// RetryAfterMillis is the time after which a refused request may be
 	// retried.
 	RetryAfterMillis int64 `cbor:"4,keyasint,omitempty"`
+	// ExpectedWaitMillis is, with SlotTryOtherZone, the time in which a request that the zone
+	// queues all the same would get a slot; 0 if the zone has no replica of the model or the
+	// time is not known.
+	ExpectedWaitMillis int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // RunOutcome is the result of a granted run. Its values equal those of
