--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -15,8 +15,8 @@
 const refusalWaitRatio = 1.5
 
 // maxRetryAfter is the longest RetryAfter of a request that was refused because
-// other requests have the slots. It is also the RetryAfter of requests for models
-// whose quota in the zone is 0.
+// other requests have the slots, if it can't be predicted or half of the time left is
+// shorter. It is also the RetryAfter of requests for models whose quota in the zone is 0.
 const maxRetryAfter = 2 * time.Second
 
 // refuseUnservable refuses the requests that will not be served in time, and
@@ -32,7 +32,7 @@
 		k := q.key.modelKey()
 		st := s.modelState(now, k)
 		if st.ready > 0 && st.loading == 0 && !s.hasFreeSlot(now, k) {
-			s.redirectToOtherZone(now, q, RefusalEstimate{ReadyReplicas: st.ready})
+			s.redirectToOtherZone(now, q, RefusalEstimate{ReadyReplicas: st.ready, ExpectedWait: s.queueWait(now, q)})
 			s.refuseBeyondCapacity(now, q, st)
 			continue
 		}
@@ -133,10 +133,30 @@
 	}
 }
 
+// queueWait returns the expected wait for a slot behind the requests for the model that
+// are not sent to another zone, 0 if it is not known.
+func (s *Scheduler) queueWait(now time.Time, q *queue) time.Duration {
+	k := q.key.modelKey()
+	perSecond := s.startRate(now, k)
+	if perSecond <= 0 {
+		return 0
+	}
+	staying := s.waitingByModel[k] + 1
+	for _, w := range q.waiters {
+		if w.mayBeRedirected(now) {
+			staying--
+		}
+	}
+	return time.Duration(float64(staying) / perSecond * float64(time.Second))
+}
+
+// mayBeRedirected reports whether the request may be sent to another zone.
+func (w *waiter) mayBeRedirected(now time.Time) bool { return !w.OtherZonesRefused && w.isNew(now) }
+
 // redirectToOtherZone refuses new requests so that another zone is tried.
 func (s *Scheduler) redirectToOtherZone(now time.Time, q *queue, estimate RefusalEstimate) {
 	for _, w := range slices.Clone(q.waiters) {
-		if !w.OtherZonesRefused && w.isNew(now) {
+		if w.mayBeRedirected(now) {
 			estimate.TimeLeft = w.Deadline.Sub(now)
 			s.refuse(now, w, TryOtherZone, 0, estimate)
 		}
@@ -168,7 +188,7 @@
 			waiting++
 			continue
 		}
-		s.refuse(now, w, Overloaded, min(max(expected-left, minRetryAfter), maxRetryAfter), RefusalEstimate{ExpectedWait: expected, TimeLeft: w.Deadline.Sub(now), ReadyReplicas: st.ready})
+		s.refuse(now, w, Overloaded, s.retryAfter(now, w, perSecond, expected, limit), RefusalEstimate{ExpectedWait: expected, TimeLeft: w.Deadline.Sub(now), ReadyReplicas: st.ready})
 	}
 }
 
@@ -238,11 +258,21 @@
 			s.refuse(now, w, TryOtherZone, 0, estimate)
 			continue
 		}
-		s.refuse(now, w, Overloaded, min(max(expected-left, minRetryAfter), maxRetryAfter), estimate)
+		s.refuse(now, w, Overloaded, s.retryAfter(now, w, s.prefillRate(w, st), expected, limit), estimate)
 	}
 	return ahead
 }
 
+// prefillRate returns the number of prompts like the request's per second that the replicas
+// of its model start, 0 if their prefill time is not known.
+func (s *Scheduler) prefillRate(w *waiter, st modelState) float64 {
+	turn := s.prefillTurn(w)
+	if turn <= 0 {
+		return 0
+	}
+	return float64(st.ready) / turn.Seconds()
+}
+
 // targetRecovery says when the targets of a service can take requests.
 type targetRecovery struct {
 	// healthy is the number of healthy targets.
