scheduler: the retry time uses the pace of the replicas

Change: prefillRate passes the time to prefillTurn, which asks for the pace. Result: builds; the tests of the scheduler and the zone owner pass.

--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -258,15 +258,15 @@
 			s.refuse(now, w, TryOtherZone, 0, estimate)
 			continue
 		}
-		s.refuse(now, w, Overloaded, s.retryAfter(now, w, s.prefillRate(w, st), expected, limit), estimate)
+		s.refuse(now, w, Overloaded, s.retryAfter(now, w, s.prefillRate(now, w, st), expected, limit), estimate)
 	}
 	return ahead
 }
 
 // prefillRate returns the number of prompts like the request's per second that the replicas
 // of its model start, 0 if their prefill time is not known.
-func (s *Scheduler) prefillRate(w *waiter, st modelState) float64 {
-	turn := s.prefillTurn(w)
+func (s *Scheduler) prefillRate(now time.Time, w *waiter, st modelState) float64 {
+	turn := s.prefillTurn(now, w)
 	if turn <= 0 {
 		return 0
 	}
