pace, wire: a full table drops old targets; the test of bounds decodes what was sent

Cause: a response head that arrives after the removal of its target adds it again; such entries stayed for ever. The test of bounds of the messages applied the bounds before it encoded them, so that it could not fail. The test encodes the numbers as they are.

--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -113,7 +113,8 @@
 	}
 }
 
-// Guards against a table that grows without bound and against metrics that do.
+// Guards against a table that grows without bound, or is full of removed targets, and against
+// metrics that grow without bound.
 func TestTableIsBounded(t *testing.T) {
 	var table Table
 	for i := range 2 * maxTargets {
@@ -130,6 +131,8 @@
 	latest := table.Latest(start.Add(time.Second), 3)
 	assert.Len(t, latest, 3)
 	assert.Equal(t, "77", latest[2].Target, "the latest report is among them")
+	table.Observe(start.Add(maxAge), "new", 2)
+	assert.Len(t, table.byTarget, 2, "the old ones were dropped")
 	table.Remove("77")
 	assertUnknown("77")
 }
--- a/pkg/pace/table.go
+++ b/pkg/pace/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 	defer t.mu.Unlock()
 	e := t.byTarget[target]
 	if e == nil {
+		if len(t.byTarget) >= maxTargets {
+			maps.DeleteFunc(t.byTarget, func(_ string, e *Estimate) bool { return !e.Known(now) })
+		}
 		if len(t.byTarget) >= maxTargets {
 			return
 		}
--- a/wire/pace_test.go
+++ b/wire/pace_test.go
@@ -36,13 +36,9 @@
 	}
 }
 
-// An owner multiplied times by a pace that another node had sent, without a bound.
+// Guards against a pace below 0 that another node has sent.
 func TestPaceOfMessagesIsBounded(t *testing.T) {
-	for _, m := range []interface {
-		Message
-		bounded
-	}{&RunStarted{PacePercent: -1 << 62}, &RunEnded{PacePercent: -1}} {
-		m.clamp()
+	for _, m := range []Message{&RunStarted{PacePercent: -1 << 62}, &RunEnded{PacePercent: -1}} {
 		b, err := encMode.Marshal(m)
 		require.NoError(t, err)
 		e := Envelope{Type: m.Type(), Payload: b}
