scheduler: at most four adapters in transit to one target

Cause: an order for an adapter is answered at once and the adapter loads for 5 to 14 ms, so that an owner could send a target one adapter after the other. Adapters that a report lists as being loaded were counted for slots only.

Change: a target with four adapters in transit gets no further one; another target with the model does, or the load waits for the first of the four.

--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -39,14 +39,32 @@
 	return s.limitAllows(now, t) && !w.isUnavailable(now, t)
 }
 
+// maxAdaptersInTransit is the largest number of adapters that one target loads concurrently.
+const maxAdaptersInTransit = 4
+
+// adaptersInTransit returns the number of adapters that the target is loading: those whose
+// load was accepted less than adapterLoadTime ago, those that a run has found missing and no
+// report has listed since, and those that the last report listed as being loaded.
+func (t *target) adaptersInTransit(now time.Time) int {
+	n := 0
+	for _, r := range t.replicas {
+		for _, a := range r.adapters {
+			if now.Before(a.readyAt) || a.loading || a.unconfirmed && !a.openSince.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // adapterTarget returns the target with the fewest adapters among those that take the most
-// urgent request of the queue and have the base model loaded, a free slot and no order in
-// progress; nil for none.
+// urgent request of the queue and have the base model loaded, a free slot, no order in
+// progress and fewer than maxAdaptersInTransit; nil for none.
 func (s *Scheduler) adapterTarget(now time.Time, q *queue) *target {
 	var best *target
 	for _, t := range s.sortedTargets {
 		ok := t.info.Service == q.key.service && t.phase == noOrder && t.healthy(now) && t.canServe(now, q.key.model, "") &&
-			t.runs < s.slots(t) && !now.Before(t.nextOrderAt) && s.takes(now, t, q.waiters[0])
+			t.runs < s.slots(t) && !now.Before(t.nextOrderAt) && s.takes(now, t, q.waiters[0]) && t.adaptersInTransit(now) < maxAdaptersInTransit
 		if ok && (best == nil || t.adapterCount() < best.adapterCount()) {
 			best = t
 		}
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -214,7 +214,7 @@
 	for _, n := range names {
 		model, name, ok := inventory.SplitAdapter(n)
 		if r := t.replicas[model]; ok && r != nil && r.adapters[name] == nil {
-			r.adapters[name] = &adapter{unconfirmed: true, lastUsed: now}
+			r.adapters[name] = &adapter{unconfirmed: true, loading: true, lastUsed: now}
 			t.nextReportAt = now.Add(reportInterval)
 		}
 	}
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -160,9 +160,11 @@
 
 // adapter is an adapter loaded at a target. readyAt is when runs may use it;
 // unconfirmed has the same meaning as in replica. openSince is when its load began, zero
-// once a run or a report has shown that it succeeded.
+// once a run or a report has shown that it succeeded. loading is true if a report lists the
+// adapter as being loaded.
 type adapter struct {
 	unconfirmed bool
+	loading     bool
 	runs        int
 	lastUsed    time.Time
 	readyAt     time.Time
@@ -241,7 +243,7 @@
 			if r.adapters[name] == nil {
 				r.adapters[name] = new(adapter)
 			}
-			r.adapters[name].unconfirmed = false
+			r.adapters[name].unconfirmed, r.adapters[name].loading = false, false
 		}
 		for name, a := range r.adapters {
 			if a.runs == 0 && !slices.Contains(m.Adapters, name) {
