--- a/pkg/entry/quota.go
+++ b/pkg/entry/quota.go
@@ -57,13 +57,17 @@
 		}
 		charge.Answer(sent, boottime.Now(), n.links.requestQuota(ctx, zone, n.quotaTerm()/2, m))
 	}
-	after, ok := charge.Settle(boottime.Now(), n.links.sharingNodes())
+	asked, reached := charge.Owners()
+	nodes := 0
+	if asked > 0 && reached == 0 {
+		nodes = n.links.sharingNodes()
+	}
+	after, ok := charge.Settle(boottime.Now(), nodes)
 	if ok {
 		j.charge = charge
 		return nil
 	}
 	go n.returnQuota(c.Name, true)
-	asked, reached := charge.Owners()
 	event.QuotaExceeded.Log(n.log).Str("request", j.ID).Str("customer", c.Name).Float64("tokens", cost).
 		Int("asked", asked).Int("reached", reached).Dur("retry_after_ms", after).Send()
 	return newErrorResponse(fault.QuotaExceeded, after, "the quota of the customer is used up")
--- a/pkg/quota/charge.go
+++ b/pkg/quota/charge.go
@@ -123,7 +123,8 @@
 }
 
 // Settle ends the charge. It returns true if the request may run, and otherwise the time after
-// which to retry. nodes is the number of nodes that may be alive.
+// which to retry. nodes is the number of nodes that may be alive; it is used if no owner has
+// responded.
 func (c *Charge) Settle(now time.Time, nodes int) (retryAfter time.Duration, ok bool) {
 	l := c.leases
 	l.mu.Lock()
