zoneowner: a new owner grants tokens of quotas during the handover delay of orders

Cause: after a change of the owner its zone granted no tokens until the handover delay of orders (3 s and a margin) had ended; requests below the quota were rejected meanwhile. Reason that it is safe: the delay guards against orders that are still on their way. Grants count from when they are given, the former owner's authority has ended when the zone is acquired, and the new accounts start empty, also when another owner may have been in between (ordersFrom moves).

--- a/pkg/zoneowner/quotas.go
+++ b/pkg/zoneowner/quotas.go
@@ -12,23 +12,25 @@
 // termQuotas are the accounts of a term for the quotas of customers.
 type termQuotas struct {
 	accounts *quota.Accounts
-	// since is when the authority began for which the accounts were made.
-	since time.Time
+	// ordersFrom is that of the term when the accounts were made. It moves if another owner may
+	// have been in between.
+	ordersFrom time.Time
 }
 
 // LeaseQuota grants tokens of the quotas of customers from the zone's share. The response has
-// NotOwner set if this node has no authority at present, which it checks as for orders: two owners
-// must not grant the same share.
+// NotOwner set if this node has no authority at present: two owners must not grant the same share.
+// It grants during the handover delay of orders, too, which guards against orders that are still on
+// their way: the authority of the former owner has ended before the zone is acquired, what it has
+// granted counts as of then, and the accounts start empty.
 func (o *Owner) LeaseQuota(m *wire.QuotaRequests) *wire.QuotaResponses {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now, t := o.cfg.BootClock(), o.term
-	if t == nil || !o.authorizedAt(t, now) || !slices.Contains(o.cfg.Zones, o.cfg.Self.Zone) {
+	if t == nil || !o.hasAuthority(t, now) || !slices.Contains(o.cfg.Zones, o.cfg.Self.Zone) {
 		return &wire.QuotaResponses{NotOwner: true}
 	}
-	// ordersFrom moves if another owner may have been in between.
-	if since := latest(t.begun, t.ordersFrom); t.quotas.accounts == nil || !t.quotas.since.Equal(since) {
-		t.quotas = termQuotas{quota.NewAccounts(o.cfg.Quota.OrDefault(), len(o.cfg.Zones), uint64(t.token), since), since}
+	if t.quotas.accounts == nil || !t.quotas.ordersFrom.Equal(t.ordersFrom) {
+		t.quotas = termQuotas{quota.NewAccounts(o.cfg.Quota.OrDefault(), len(o.cfg.Zones), uint64(t.token), now), t.ordersFrom}
 		t.quotas.accounts.SetLimits(now, o.quotaLimits)
 	}
 	r := &wire.QuotaResponses{Responses: make([]wire.QuotaResponse, len(m.Requests))}
@@ -38,10 +40,16 @@
 	return r
 }
 
-// authorizedAt reports whether a term has the authority, at a time by BootClock, to send orders and
-// to grant tokens of quotas. o.mu must be held.
+// authorizedAt reports whether a term has the authority, at a time by BootClock, to send orders. o.mu
+// must be held.
 func (o *Owner) authorizedAt(t *term, boot time.Time) bool {
-	authorized := !boot.Before(t.ordersFrom) && boot.Before(t.authority.validUntil(boot))
+	return o.hasAuthority(t, boot) && !boot.Before(t.ordersFrom)
+}
+
+// hasAuthority reports whether a term is the zone's owner at a time by BootClock, also during the
+// handover delay of its orders. o.mu must be held.
+func (o *Owner) hasAuthority(t *term, boot time.Time) bool {
+	authorized := boot.Before(t.authority.validUntil(boot))
 	if t.token.Era() != o.cfg.Store.Era() && !t.authority.unbroken(boot) {
 		// The key-value service was restored. Another node may have been the owner
 		// before that; reacquire decides.
