scheduler: retry times and waits in referrals only where there are customers

Cause: predicted retry times and the choice of the zone that queues a request took effect on all deployments, also those that do not ask for them. Change: both need a configuration with customers.

--- a/pkg/scheduler/fair.go
+++ b/pkg/scheduler/fair.go
@@ -28,6 +28,9 @@
 	}
 }
 
+// hasCustomers reports whether the configuration has customers.
+func (s *Scheduler) hasCustomers() bool { return s.customerWeights != nil }
+
 // recordCustomer records that a customer has a request. Without one, nothing is recorded until
 // a request of the same service and priority has one.
 func (s *Scheduler) recordCustomer(now time.Time, r *Request) {
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -122,7 +122,9 @@
 	t.addRun(now, r)
 	s.takeFromLimit(now, t)
 	s.chargeCustomer(now, &w.Request)
-	s.demandOf(modelKey{w.Service, w.Model}).retries.addGrant(now)
+	if s.hasCustomers() {
+		s.demandOf(modelKey{w.Service, w.Model}).retries.addGrant(now)
+	}
 	r.pendingPrefillTokens = t.pendingPrefillTokens
 	r.pacedSince = w.pacedSince
 	t.recentPrompts = append(t.recentPrompts, grantedPrompt{now, s.prefillTime(modelKey{w.Service, w.Model}, w.InputTokens)})
--- a/pkg/scheduler/refuse.go
+++ b/pkg/scheduler/refuse.go
@@ -32,7 +32,7 @@
 		k := q.key.modelKey()
 		st := s.modelState(now, k)
 		if st.ready > 0 && st.loading == 0 && !s.hasFreeSlot(now, k) {
-			s.redirectToOtherZone(now, q, RefusalEstimate{ReadyReplicas: st.ready, ExpectedWait: s.queueWait(now, q)})
+			s.redirectToOtherZone(now, q, RefusalEstimate{ReadyReplicas: st.ready, ReferralWait: s.queueWait(now, q)})
 			s.refuseBeyondCapacity(now, q, st)
 			continue
 		}
@@ -134,8 +134,11 @@
 }
 
 // queueWait returns the expected wait for a slot behind the requests for the model that
-// are not sent to another zone, 0 if it is not known.
+// are not sent to another zone, 0 if it is not known or the configuration has no customers.
 func (s *Scheduler) queueWait(now time.Time, q *queue) time.Duration {
+	if !s.hasCustomers() {
+		return 0
+	}
 	k := q.key.modelKey()
 	perSecond := s.startRate(now, k)
 	if perSecond <= 0 {
@@ -255,6 +258,9 @@
 		}
 		estimate := RefusalEstimate{ExpectedWait: expected, TimeLeft: w.Deadline.Sub(now), ReadyReplicas: st.ready}
 		if !w.OtherZonesRefused {
+			if s.hasCustomers() {
+				estimate.ReferralWait = expected
+			}
 			s.refuse(now, w, TryOtherZone, 0, estimate)
 			continue
 		}
--- a/pkg/scheduler/retry.go
+++ b/pkg/scheduler/retry.go
@@ -69,10 +69,11 @@
 
 // retryAfter returns the RetryAfter of a request that is refused because its expected wait is
 // longer than limit, at a model that starts perSecond requests, 0 if that is not known. Half of the
-// time until the deadline, or maxRetryAfter, is left for the retry.
+// time until the deadline, or maxRetryAfter, is left for the retry. The time is predicted where the
+// configuration has customers, who compete for the slots.
 func (s *Scheduler) retryAfter(now time.Time, w *waiter, perSecond float64, expected, limit time.Duration) time.Duration {
 	left := w.Deadline.Sub(now) - minRunTime
-	if perSecond <= 0 {
+	if perSecond <= 0 || !s.hasCustomers() {
 		return min(max(expected-left, minRetryAfter), maxRetryAfter)
 	}
 	f := &s.demandOf(modelKey{w.Service, w.Model}).retries
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -162,6 +162,9 @@
 type RefusalEstimate struct {
 	// ExpectedWait is the estimated time until a slot is free.
 	ExpectedWait time.Duration
+	// ReferralWait is ExpectedWait for a request that is referred to other zones because the
+	// replicas are full, where the configuration has customers.
+	ReferralWait time.Duration
 	// TimeLeft is the time until the request's deadline.
 	TimeLeft time.Duration
 	// ReadyReplicas is the number of ready replicas of the model in the zone.
--- a/pkg/zoneowner/referral_load_test.go
+++ b/pkg/zoneowner/referral_load_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"almondturn/fleet"
+	"almondturn/pkg/customers"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/route"
 	"almondturn/pkg/scheduler"
@@ -37,6 +38,7 @@
 	e := &route.Engine{Slots: 16, CacheTokens: 1_000_000, WeightsMB: 100, Models: map[string]*route.Model{"m": {Name: "m", WeightsMB: 40, WeightStoreLoadTime: time.Minute}}}
 	for i := range 3 {
 		s := scheduler.New(0)
+		s.SetCustomers(new(customers.Directory)) // the wait is named where the configuration has customers
 		s.SetServices(map[string]*route.Service{"s": {Name: "s", Engine: e}})
 		s.SetTargets(z.now, []*inventory.Target{{ID: fmt.Sprint(i), Service: "s", Slots: 16, Models: []inventory.LoadedModel{{Name: "m"}}}})
 		s.ReportReceived(z.now, fmt.Sprint(i), inventory.Report{Models: []inventory.LoadedModel{{Name: "m"}}})
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -174,8 +174,8 @@
 	resp := &wire.SlotResponse{Refusal: wire.SlotOverloaded, RetryAfterMillis: a.RetryAfter.Milliseconds()}
 	if a.Reason == scheduler.TryOtherZone {
 		resp.Refusal = wire.SlotTryOtherZone
-		if a.Estimate.ReadyReplicas > 0 && a.Estimate.ExpectedWait > 0 {
-			resp.ExpectedWaitMillis = max(a.Estimate.ExpectedWait.Milliseconds(), 1)
+		if a.Estimate.ReferralWait > 0 {
+			resp.ExpectedWaitMillis = max(a.Estimate.ReferralWait.Milliseconds(), 1)
 		}
 	}
 	return resp
