intake: bodies, heads and connections of clients are bounded

Cause: a node allocated the declared length of a body before a byte had arrived, and nothing bounded the bodies of requests together, what a head within the HTTP server's 64 KB may be, or connections. A connection whose next request stopped within its first four bytes had no time limit. header_timeout_ms was not read.

Change: package intake. Bodies count, as they arrive, against a sixth of the node's memory; at the bound, the incomplete one that has stood still the longest, for a second at least, is refused (503 bodies_full), or else the one that grows. Bodies over 64 KB may hold three quarters, the rest is a reserve. A body that stands still for 10 s or takes a minute is refused (408 body_stalled). Heads, empty lines included, are bounded by max_header_bytes and 8 KB, header_timeout_ms and 1 s, and together by a sixteenth of the memory. Of limits.max_fds less 200, clients' connections may have two thirds; at that bound a new one replaces one that stands still in a head or body, or is idle. limits.client_conns_per_address bounds one address; the default is the bound of all. Without limits.max_fds connections are not bounded, as before. Event 756, almondturn_clients_limited_total, almondturn_request_body_bytes, almondturn_client_connections.

Not bounded yet: bodies of calls with an idempotency key (pkg/callers reads them itself, up to 4 MB each).

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -45,9 +45,17 @@
 	// node with a larger capacity becomes the owner.
 	Cores float64 `yaml:"cores" validate:"gt=0"`
 	// MemoryMB is the memory that the process may use, in MiB; responses that are not
-	// complete may hold a share of it. With 0 it is the limit of the Go runtime
+	// complete, the bodies of requests under way, and incomplete heads may each hold a
+	// share of it. With 0 it is the limit of the Go runtime
 	// (GOMEMLIMIT), or 512 without one.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
+	// MaxFDs is the number of descriptors that the process may have open. 200 are for files;
+	// callers' connections may have two thirds of the others, and at that bound a new one
+	// replaces one that stands still or is idle. With 0 they are not bounded.
+	MaxFDs int `yaml:"max_fds" validate:"min=0"`
+	// ClientConnsPerAddress is the largest number of callers' connections from one address.
+	// With 0 it is that of all callers' connections, which may come from one forwarder.
+	ClientConnsPerAddress int `yaml:"client_conns_per_address" validate:"min=0"`
 	// Secret authenticates nodes to each other; it is the same on all nodes.
 	Secret string `yaml:"secret" validate:"omitempty,min=16"`
 	// SecretFile is the file that holds the secret; it is read if secret is empty.
--- a/pkg/entry/cut.go
+++ b/pkg/entry/cut.go
@@ -12,6 +12,7 @@
 
 	"almondturn/pkg/buffers"
 	"almondturn/pkg/event"
+	"almondturn/pkg/intake"
 	"almondturn/pkg/upstream"
 )
 
@@ -90,7 +91,7 @@
 // ended.
 func (n *Node) bodyCut(r *http.Request, j *job, cause error) {
 	by := cutByClient
-	if c := clientConn(r.Context()); c != nil && c.readTimedOut.Load() {
+	if c := clientConn(r.Context()); c != nil && c.readTimedOut.Load() || errors.Is(cause, intake.ErrEvicted) {
 		by = cutByNode
 	}
 	e := event.RequestGone.Log(n.log).Str("request", j.ID).Str("route", j.Route.Name).
--- a/pkg/entry/idleconns.go
+++ b/pkg/entry/idleconns.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"almondturn/pkg/intake"
 )
 
 // idleConns holds the clients' connections that wait for their next request.
@@ -39,6 +41,9 @@
 	defer ic.mu.Unlock()
 	idle, ok := c.(*idleConn)
 	hasBegun := ok && idle.readAhead.Load() // the next request
+	if ok && s == http.StateIdle {
+		idle.bounded().EndRequest(hasBegun)
+	}
 	if s == http.StateIdle && !hasBegun {
 		ic.since[c] = time.Now()
 		return
@@ -143,6 +148,14 @@
 	readTimedOut atomic.Bool
 }
 
+// bounded returns the connection with the limits of package intake, nil if it has none.
+func (c *idleConn) bounded() *intake.Conn {
+	if c == nil {
+		return nil
+	}
+	return intake.ConnOf(c.Conn)
+}
+
 // connKey is the key of the client's connection in the context of a request.
 type connKey struct{}
 
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -9,6 +9,7 @@
 	"almondturn/pkg/buffers"
 	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/intake"
 	"almondturn/pkg/quarantine"
 	"almondturn/pkg/route"
 	"almondturn/wire"
@@ -24,8 +25,10 @@
 	service string
 	// engine is true if the service runs models, so that the owner of a zone
 	// grants a slot for each attempt, unless no owner responds.
-	engine   bool
-	body     []byte
+	engine bool
+	body   []byte
+	// received counts what the node holds of the body; nil without one.
+	received *intake.Body
 	arrived  time.Time
 	deadline time.Time
 	// parts are the parts of the request that may be suspects: the whole request first.
--- a/pkg/entry/listeners.go
+++ b/pkg/entry/listeners.go
@@ -34,7 +34,7 @@
 	}{
 		{n.innerServer, n.settings.InnerAddr, n.settings.InnerTLS, upstream.NodeListenConfig(), nil},
 		{n.readinessServer, n.settings.ReadinessAddr, nil, upstream.NodeListenConfig(), nil},
-		{n.clientServer, n.settings.ClientsAddr, n.settings.ClientsTLS, upstream.ListenConfig(), n.idleClientConns.listen},
+		{n.clientServer, n.settings.ClientsAddr, n.settings.ClientsTLS, upstream.ListenConfig(), n.listenToClients},
 	}
 	for _, l := range listeners {
 		if l.addr == "" {
@@ -47,6 +47,11 @@
 	return nil
 }
 
+// listenToClients returns the listener for clients, whose connections are bounded.
+func (n *Node) listenToClients(l net.Listener) net.Listener {
+	return n.idleClientConns.listen(n.intake.Listen(l, n.settings.ClientsTLS != nil))
+}
+
 // serveMetrics serves the metrics at an address of their own, if there is one.
 // The node runs without it if the address cannot be listened on.
 func (n *Node) serveMetrics() {
--- a/pkg/entry/memory.go
+++ b/pkg/entry/memory.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"almondturn/pkg/buffers"
+	"almondturn/pkg/intake"
 )
 
 // Shares of the node's memory that unfinished responses may hold. The rest is for the state
@@ -35,14 +36,19 @@
 
 // limitTargetResponses sets the bounds of what responses of targets hold together.
 //
-// The bodies of clients' requests are not in this sum. Each is bounded by the configuration
-// (MaxBodyBytes) and is needed until the end of its request, for another attempt. Ending the
-// largest would end requests at sound targets for the fault of another.
+// The bodies of clients' requests are not in this sum, but in that of package intake. Each is
+// needed until the end of its request, for another attempt. Ending the largest would end
+// requests at sound targets for the fault of another.
 func (s *Settings) limitTargetResponses(l *buffers.Limit) {
 	most := int(targetResponseShare * s.memoryBytes())
 	l.SetMax(most, most/2)
 }
 
+// intakeLimits returns the limits of what clients make the node hold.
+func (s *Settings) intakeLimits() intake.Limits {
+	return intake.NewLimits(s.memoryBytes(), s.MaxDescriptors, s.ClientConnsPerAddress)
+}
+
 // LimitStoreResponses sets the bounds of what responses of the key-value service hold
 // together.
 func (s *Settings) LimitStoreResponses(l *buffers.Limit) {
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -95,6 +95,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_skipped_responses_total{source=%q,status="%d"}`, source, status)).Inc()
 }
 
+// countLimitedClient counts a client that was refused, or whose connection was closed, at a
+// limit of package intake.
+func (m *nodeMetrics) countLimitedClient(limit string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`almondturn_clients_limited_total{limit=%q}`, limit)).Inc()
+}
+
 // countStoreCall counts a call to the key-value service by the status of its
 // response.
 func (m *nodeMetrics) countStoreCall(call string, status int) {
@@ -141,6 +147,8 @@
 	fmt.Fprintf(w, "almondturn_retry_nodes %d\n", n.links.sharingNodes())
 	fmt.Fprintf(w, "almondturn_requests_waiting %d\n", n.owner.WaitingRequests())
 	fmt.Fprintf(w, "almondturn_requests_in_flight %d\n", n.inFlight.Load())
+	fmt.Fprintf(w, "almondturn_request_body_bytes %d\n", n.intake.Held())
+	fmt.Fprintf(w, "almondturn_client_connections %d\n", n.intake.Count())
 	fmt.Fprintf(w, "almondturn_zone_owned %d\n", owned)
 	fmt.Fprintf(w, "almondturn_target_connections_total %d\n", n.pool.Dialed.Load())
 	fmt.Fprintf(w, "almondturn_target_connections_passed_over_total %d\n", n.pool.PassedOver.Load())
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -14,6 +14,7 @@
 	"almondturn/fleet"
 	"almondturn/pkg/boottime"
 	"almondturn/pkg/event"
+	"almondturn/pkg/intake"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/limiter"
@@ -182,6 +183,9 @@
 	invalidEntries invalidEntryLog
 	// skipped bounds the log lines about skipped responses.
 	skipped skippedLog
+	// intake bounds what clients make the node hold, intakeLog the log lines about that.
+	intake    *intake.Intake
+	intakeLog skippedLog
 	// configurationEntries are the entries of the configuration as last read from the
 	// key-value service, and keptRevision the revision of an older configuration there
 	// that was last logged. Only the goroutine of configurationWatch uses them.
@@ -247,6 +251,7 @@
 	n.self = fleet.Node{ID: d.Settings.Node, Zone: d.Settings.Zone, Incarnation: id.String(), Addr: d.Settings.advertisedAddr()}
 	n.onRestore, n.firstStart = d.OnRestore, d.FirstStart
 	d.Settings.limitTargetResponses(&d.Pool.Buffered)
+	n.intake = intake.New(d.Settings.intakeLimits(), n.headLimits, n.clientLimited)
 	n.usages.node = n.self.ID
 	n.shares.node = n
 	n.bounds.Store(&d.Settings.Bounds)
@@ -337,6 +342,7 @@
 func (n *Node) sweep() {
 	for wait.Sleep(n.ctx, sweepInterval) {
 		n.pool.CloseExpired()
+		n.intake.EndStalled(time.Now())
 		n.forgetLimits()
 		if t := n.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
 			n.idleClientConns.closeOlder(t.Limits.IdleTimeout)
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
+	"almondturn/pkg/event"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/intake"
 )
 
 // defaultMaxBodyBytes bounds the body of a request if the configuration has no
@@ -46,6 +47,7 @@
 	defer n.countPanic()
 	if c := clientConn(r.Context()); c != nil {
 		c.readTimedOut.Store(false) // the server ends its last read after each request
+		c.bounded().BeginRequest()
 	}
 	if r.ContentLength != 0 {
 		body := n.limitBody(r.Body, http.NewResponseController(w))
@@ -62,7 +64,8 @@
 	j, refusal := n.acceptRequest(r)
 	if refusal == nil {
 		cr.request = j.Request
-		refusal = n.readBody(r, j)
+		refusal = n.readBody(cr, j)
+		defer j.received.Release()
 	}
 	if refusal == nil {
 		refusal = j.prepare()
@@ -166,11 +169,12 @@
 // readBody reads the complete body, so that sending it to a target does not
 // depend on the client. It panics with http.ErrAbortHandler if the client
 // disconnects. A stopping node refuses the request if the body takes too long.
-func (n *Node) readBody(r *http.Request, j *job) *ErrorResponse {
+func (n *Node) readBody(cr *clientResponse, j *job) *ErrorResponse {
+	r := cr.r
 	if r.ContentLength == 0 {
 		return nil
 	}
-	refusal, err := n.receiveBody(r, j)
+	refusal, err := n.receiveBody(cr, j)
 	switch {
 	case errors.Is(err, ErrStopping):
 		return newErrorResponse(fault.ShuttingDown, stopRetryAfter, "the node is stopping and has not received the whole body")
@@ -181,27 +185,57 @@
 	return refusal
 }
 
-// receiveBody reads the body into j. An error means that the body is incomplete.
-func (n *Node) receiveBody(r *http.Request, j *job) (*ErrorResponse, error) {
+// receiveBody reads the body into j. An error means that the body is incomplete. A body that
+// may not be received is refused.
+func (n *Node) receiveBody(cr *clientResponse, j *job) (*ErrorResponse, error) {
 	limit := j.table.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if r.ContentLength > limit {
-		// A client that is still writing would not read the response.
-		_, _ = io.CopyN(io.Discard, r.Body, min(r.ContentLength, maxDiscardedBytes))
-		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit), nil
-	}
-	if r.ContentLength > 0 {
-		j.body = make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, j.body)
-		return nil, err
+	if largest := n.intake.Largest(); largest > 0 {
+		limit = min(limit, largest)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	conn := clientConn(cr.r.Context()).bounded()
+	conn.SetBodyIncomplete(true)
+	defer conn.SetBodyIncomplete(false)
+	interrupt := func() { _ = cr.rc.SetReadDeadline(time.Now()) } // an error leaves the body to the limits of its connection
+	j.received = n.intake.Receive(cr.r.Body, interrupt, time.Now)
+	body, err := j.received.ReadAll(cr.r.ContentLength, limit, maxDiscardedBytes)
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
 		return newErrorResponse(fault.BodyTooLarge, 0, "the body is larger than %d bytes", limit), nil
+	case errors.Is(err, intake.ErrFull):
+		n.clientLimited(intake.BodyMemory, cr.r.RemoteAddr)
+		return cr.refuseBody(fault.BodiesFull, "the node holds too much of the bodies of requests"), nil
+	case errors.Is(err, intake.ErrStalled):
+		n.clientLimited(intake.BodyStalled, cr.r.RemoteAddr)
+		return cr.refuseBody(fault.BodyStalled, "the body has not arrived in time"), nil
 	}
 	j.body = body
 	return nil, err
 }
+
+// refuseBody returns the refusal of a request whose body was not received. The connection
+// is closed after it, since its reads may have been ended.
+func (cr *clientResponse) refuseBody(kind fault.Kind, message string) *ErrorResponse {
+	cr.w.Header()["Connection"] = []string{"close"}
+	return newErrorResponse(kind, kind.Response().RetryAfter, "%s", message)
+}
+
+// headLimits returns the limits of heads of the configuration in force.
+func (n *Node) headLimits() intake.HeadLimits {
+	t := n.table.Load()
+	if t == nil {
+		return intake.HeadLimits{}
+	}
+	return intake.HeadLimits{Bytes: t.Limits.MaxHeaderBytes, Time: t.Limits.HeaderTimeout}
+}
+
+// clientLimited counts and logs a client that was refused, or whose connection was closed, at
+// a limit.
+func (n *Node) clientLimited(reason intake.Reason, address string) {
+	n.metrics.countLimitedClient(string(reason))
+	if suppressed, ok := n.intakeLog.admit(time.Now()); ok {
+		event.ClientLimited.Log(n.log).Str("limit", string(reason)).Str("address", address).Int("suppressed", suppressed).Send()
+	}
+}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -47,6 +47,12 @@
 	// MemoryLimitBytes is the memory that the process may use, in bytes, 0 for
 	// no bound. The platform kills a process that exceeds it.
 	MemoryLimitBytes int64
+	// MaxDescriptors is the number of descriptors that the process may have open, of which
+	// package intake leaves a share to clients; 0 for no bound.
+	MaxDescriptors int
+	// ClientConnsPerAddress bounds the connections of clients from one address; 0 for the
+	// bound of all clients' connections.
+	ClientConnsPerAddress int
 	// CPUCapacity is the number of processor cores that the process may use; it
 	// may be a fraction.
 	CPUCapacity float64
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -72,6 +72,10 @@
 	PromptSuspended
 	// RequestSuspended: the same request may have crashed targets before. Not run.
 	RequestSuspended
+	// BodiesFull: the bodies of requests hold as much memory as they may. Not run.
+	BodiesFull
+	// BodyStalled: the body has stood still or taken too long. Not run.
+	BodyStalled
 	kindEnd
 )
 
@@ -126,6 +130,8 @@
 	TimeOver:            {Status: http.StatusGatewayTimeout, Code: "time_over", Run: RunUnknown},
 	PromptSuspended:     {Status: http.StatusServiceUnavailable, Code: "prompt_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	RequestSuspended:    {Status: http.StatusServiceUnavailable, Code: "request_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	BodiesFull:          {Status: http.StatusServiceUnavailable, Code: "bodies_full", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	BodyStalled:         {Status: http.StatusRequestTimeout, Code: "body_stalled", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
 
--- /dev/null
+++ b/pkg/intake/conns_test.go
@@ -0,0 +1,165 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeConn is a connection of an address without a peer.
+type fakeConn struct {
+	net.Conn
+	address string
+	closed  bool
+	// readEnds is the read deadline.
+	readEnds time.Time
+}
+
+func (c *fakeConn) RemoteAddr() net.Addr              { return &net.TCPAddr{IP: net.ParseIP(c.address), Port: 1} }
+func (c *fakeConn) Close() error                      { c.closed = true; return nil }
+func (c *fakeConn) SetReadDeadline(t time.Time) error { c.readEnds = t; return nil }
+func (c *fakeConn) Read([]byte) (int, error)          { return 1, nil }
+
+// newTestConns returns Conns with the limits, and the reasons that they report.
+func newTestConns(l Limits, c *clock) (*Conns, *[]Reason) {
+	var reasons []Reason
+	return NewConns(l, func() HeadLimits { return HeadLimits{1000, 3 * time.Second} }, func(r Reason, _ string) { reasons = append(reasons, r) }, c.now), &reasons
+}
+
+// connect returns a new connection that was admitted, nil if it was not.
+func connect(l *Conns, address string) (*Conn, *fakeConn) {
+	inner := &fakeConn{address: address}
+	return l.admit(inner, false), inner
+}
+
+// Guards against descriptors that clients use up: connections which stand still in a head or
+// body make room first, idle ones next, and those that are served never.
+func TestConnectionThatStandsStillMakesRoom(t *testing.T) {
+	c := &clock{time.Now()}
+	l, reasons := newTestConns(Limits{Conns: 4}, c)
+	served, _ := connect(l, "10.0.0.1")
+	served.BeginRequest()
+	idle, idleInner := connect(l, "10.0.0.1")
+	inHead, inHeadInner := connect(l, "10.0.0.1")
+	_, _ = inHead.Read(nil)
+	inBody, inBodyInner := connect(l, "10.0.0.1")
+	inBody.BeginRequest()
+	inBody.SetBodyIncomplete(true)
+	none, _ := connect(l, "10.0.0.1")
+	assert.Nil(t, none, "none has stood still for minEvictStall")
+	c.Time = c.Add(minEvictStall)
+	_, _ = inBody.Read(nil)
+	c.Time = c.Add(minEvictStall)
+	for range 3 {
+		next, _ := connect(l, "10.0.0.1")
+		require.NotNil(t, next)
+		next.BeginRequest()
+	}
+	assert.True(t, inHeadInner.closed)
+	assert.True(t, inBodyInner.closed)
+	assert.Equal(t, c.Time, idleInner.readEnds, "an idle connection ends at its next read")
+	require.NoError(t, idle.Close())
+	none, _ = connect(l, "10.0.0.1")
+	assert.Nil(t, none, "the others are served")
+	assert.Equal(t, 4, l.Count())
+	assert.Equal(t, []Reason{Connections, Connections, Connections, Connections, Connections}, *reasons)
+}
+
+// Guards against one address that takes the connections of all others, if operators have set
+// a bound; without one a forwarder may have all.
+func TestConnectionsOfOneAddressAreBounded(t *testing.T) {
+	c := &clock{time.Now()}
+	l, reasons := newTestConns(Limits{Conns: 10, ConnsPerAddress: 2}, c)
+	first, _ := connect(l, "10.0.0.1")
+	_, _ = connect(l, "10.0.0.1")
+	none, _ := connect(l, "10.0.0.1")
+	assert.Nil(t, none)
+	other, _ := connect(l, "10.0.0.2")
+	assert.NotNil(t, other)
+	require.NoError(t, first.Close())
+	require.NoError(t, first.Close()) // the HTTP server closes twice
+	next, _ := connect(l, "10.0.0.1")
+	assert.NotNil(t, next)
+	assert.Equal(t, []Reason{AddressConnections}, *reasons)
+}
+
+// The time of a head began anew with each call of the HTTP server, and a further request had
+// none up to its fourth byte.
+func TestTimeOfAHeadCountsFromItsFirstByte(t *testing.T) {
+	c := &clock{time.Now()}
+	l, _ := newTestConns(Limits{}, c)
+	conn, inner := connect(l, "10.0.0.1")
+	openedAhead := c.Add(10 * time.Second)
+	require.NoError(t, conn.SetReadDeadline(openedAhead))
+	assert.Equal(t, openedAhead, inner.readEnds, "a connection may be opened ahead")
+	for range 2 {
+		_, _ = conn.Read(nil)
+		ends := c.Add(3*time.Second + headMarginTime)
+		c.Time = c.Add(time.Second)
+		for _, t0 := range []time.Time{{}, c.Add(10 * time.Second)} {
+			require.NoError(t, conn.SetReadDeadline(t0))
+			assert.Equal(t, ends, inner.readEnds)
+		}
+		conn.BeginRequest()
+		assert.Zero(t, inner.readEnds, "the body has limits of its own")
+		conn.EndRequest(false)
+		require.NoError(t, conn.SetReadDeadline(time.Time{}))
+		assert.Zero(t, inner.readEnds, "an idle connection has none")
+	}
+	conn.EndRequest(true)
+	assert.Equal(t, c.Add(3*time.Second+headMarginTime), inner.readEnds, "a byte of the next head has arrived")
+}
+
+// readHead connects over loopback, sends text, and returns what the connection has read
+// until its end and the response.
+func readHead(t *testing.T, l *Conns, text string) (size int64, response string, err error) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := l.Listen(tcp, false)
+	defer listener.Close()
+	client, err := net.Dial("tcp", tcp.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	go func() {
+		_, _ = io.WriteString(client, text)
+		_ = client.(*net.TCPConn).CloseWrite()
+	}()
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	size, err = io.Copy(io.Discard, conn)
+	_ = conn.Close()
+	got, _ := io.ReadAll(client)
+	return size, string(got), err
+}
+
+// Heads and empty lines without end were read up to four times the limit of the configuration.
+func TestHeadsAndEmptyLinesAreBounded(t *testing.T) {
+	l, reasons := newTestConns(Limits{}, &clock{time.Now()})
+	for _, text := range []string{strings.Repeat("A: b\r\n", 5000), strings.Repeat("\r\n", 15000)} {
+		size, response, err := readHead(t, l, text)
+		require.ErrorIs(t, err, errHead)
+		assert.LessOrEqual(t, size, int64(1000+headMarginBytes))
+		assert.Contains(t, response, "431 Request Header Fields Too Large")
+	}
+	assert.Equal(t, []Reason{HeadBytes, HeadBytes}, *reasons)
+	_, _, err := readHead(t, l, strings.Repeat("A: b\r\n", 150))
+	require.NoError(t, err)
+	assert.Zero(t, l.Count())
+}
+
+// Guards against many heads that are each within the limit and hold too much together.
+func TestHeadsTogetherAreBounded(t *testing.T) {
+	l, reasons := newTestConns(Limits{HeadBytes: 1000}, &clock{time.Now()})
+	_, _, err := readHead(t, l, strings.Repeat("A: b\r\n", 1000))
+	require.ErrorIs(t, err, errHead)
+	assert.Equal(t, []Reason{HeadMemory}, *reasons)
+	assert.Zero(t, l.heads.Load(), "given back")
+	_, _, err = readHead(t, l, strings.Repeat("A: b\r\n", 600))
+	require.False(t, errors.Is(err, errHead), "a small head is not counted")
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -127,6 +127,7 @@
 	}
 	return &entry.Settings{
 		Node: c.Node.ID, Zone: c.Node.Zone, CPUCapacity: c.Node.Cores, MemoryLimitBytes: c.Node.MemoryMB << 20,
+		MaxDescriptors: c.Node.MaxFDs, ClientConnsPerAddress: c.Node.ClientConnsPerAddress,
 		ClientsAddr: c.Listen.Callers, InnerAddr: c.Listen.Inner, AdvertisedAddr: c.Listen.Advertise,
 		ClientsTLS: callersTLS, InnerTLS: innerTLS, Secret: []byte(c.Node.Secret),
 		StoreAddr: c.Store.Address, Seeds: c.Deployment.Seeds, Zones: c.Deployment.Zones,
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -154,6 +154,9 @@
 	// MaxBodyBytes bounds the body of a request; 0 for the default of package
 	// entry.
 	MaxBodyBytes int64
+	// HeaderTimeout is how long a client may take for the head of a request; 0 for the limit
+	// of the HTTP server.
+	HeaderTimeout time.Duration
 	// IdleTimeout is how long a client's connection may be idle; 0 for no
 	// limit.
 	IdleTimeout time.Duration
