intake: responses are read ahead of slow clients within bounds, and the slowest ends

Cause: a node read a response only as fast as its client did. While a client did not read, its target had to hold the rest, for up to the 30 s of TCP_USER_TIMEOUT or the deadline of the request. The node's own memory was bounded already (one read of 4 or 32 KB, or a counted body of up to 256 KB).

Evidence: TestSlowReaderIsEndedAndNotOthersOfItsTarget: 8 clients that do not read 32 MB each.

Change: while a write to a client waits for more than 0.1 s, a second goroutine reads the response ahead, up to 256 KB, and up to a sixteenth of the node's memory for all and half of that for each target. At the bound of the node or of a target the response whose client has kept a write waiting the longest, for a second at least, is ended; it counts as cut by the node and not as a failure of the target. A write that waits for 10 s ends its response, too. Of limits.max_fds at most half, instead of 200 always, are for files, so that small limits leave connections. The optional settings have a test.

Changes to existing tests: equipNode of pkg/entry sets the node's intake, which forwardStream uses now; TestConfigurationIsDecoded also checks header_timeout_ms.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -49,7 +49,7 @@
 	// share of it. With 0 it is the limit of the Go runtime
 	// (GOMEMLIMIT), or 512 without one.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
-	// MaxFDs is the number of descriptors that the process may have open. 200 are for files;
+	// MaxFDs is the number of descriptors that the process may have open. 200, at most half, are for files;
 	// callers' connections may have two thirds of the others, and at that bound a new one
 	// replaces one that stands still or is idle. With 0 they are not bounded.
 	MaxFDs int `yaml:"max_fds" validate:"min=0"`
--- a/pkg/entry/cut.go
+++ b/pkg/entry/cut.go
@@ -43,7 +43,7 @@
 // nodeDecisions are the causes with which the node itself ends an attempt that the client,
 // the target and the deadline have not ended.
 var nodeDecisions = []error{
-	errStalled, errSuspended, errEventTooLong, buffers.ErrHeldMost,
+	errStalled, errSuspended, intake.ErrSlowReader, errEventTooLong, buffers.ErrHeldMost,
 	upstream.ErrHeadTooLarge, upstream.ErrTooManySkippedBytes, upstream.ErrTooManySkippedResponses,
 }
 
@@ -59,6 +59,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), ErrStopping) && last.kind != outcomeUnknown:
 		return cutByStop
+	case errors.Is(last.err, intake.ErrSlowReader):
+		return cutByNode
 	case last.kind == clientGone || cr.clientDisconnected():
 		if cr.connectionTimedOut() {
 			return cutByNode
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"almondturn/pkg/intake"
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/notices"
 	"almondturn/pkg/upstream"
@@ -61,6 +62,7 @@
 	n.bounds.Store(&Bounds{RetryWindow: time.Second, RetrySlack: 10})
 	n.guard, n.links, n.notices = newCrashGuard(n), newLinks(n, nil), notices.NewLedger(time.Now)
 	n.owner = zoneowner.New(zoneowner.Config{})
+	n.intake = intake.New(intake.Limits{}, n.headLimits, n.clientLimited)
 	n.links.nodeCounts["z"] = 1 // it knows how many nodes share the retries
 }
 
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -12,6 +12,7 @@
 
 	"almondturn/pkg/buffers"
 	"almondturn/pkg/fault"
+	"almondturn/pkg/intake"
 	"almondturn/pkg/upstream"
 )
 
@@ -20,6 +21,9 @@
 // response can be replaced by that of another attempt.
 const maxBufferedBytes = 256 << 10
 
+// copyBufferBytes is the size of the buffer through which a longer body is copied.
+const copyBufferBytes = 32 << 10
+
 // streamBufferBytes is the size of the read buffer of an event stream.
 const streamBufferBytes = 4 << 10
 
@@ -221,18 +225,65 @@
 // it ends with its declared length, with the deadline of the request, or when the client
 // accepts no more bytes.
 func (n *Node) forwardUnbuffered(ctx context.Context, j *job, resp *upstream.Response, read []byte, cr *clientResponse, out sendResult) sendResult {
+	body := n.readAhead(j, resp, cr)
+	defer body.Close()
 	cr.writeHeader(out.status, resp.Header, resp.Length)
-	if _, err := cr.w.Write(read); err != nil {
+	if err := n.write(j, cr, body, func() error { _, err := cr.w.Write(read); return err }); err != nil {
 		out.kind, out.err = clientGone, err
 		return out
 	}
 	j.held.Release()
-	if _, err := io.Copy(cr.w, resp); err != nil {
-		return incompleteResult(ctx, out, err)
+	buf := make([]byte, copyBufferBytes)
+	for {
+		size, readErr := body.Read(buf)
+		if size > 0 {
+			err := n.write(j, cr, body, func() error { _, err := cr.w.Write(buf[:size]); return err })
+			if errors.Is(err, intake.ErrSlowReader) {
+				out.kind, out.err = clientGone, err
+				return out
+			}
+			if err != nil {
+				return incompleteResult(ctx, out, err)
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			cr.complete = true
+			out.kind = completed
+			return out
+		}
+		if readErr != nil {
+			return incompleteResult(ctx, out, readErr)
+		}
 	}
-	cr.complete = true
-	out.kind = completed
-	return out
+}
+
+// readAhead returns the reader of a response, which is also read, within the bounds of package
+// intake, while a write to the client waits.
+func (n *Node) readAhead(j *job, resp *upstream.Response, cr *clientResponse) *intake.Ahead {
+	return n.intake.NewAhead(resp, j.lastTarget,
+		func() { resp.SetReadDeadline(time.Now()) },
+		func() { _ = cr.rc.SetWriteDeadline(time.Now()) }) // an error leaves the response to its deadline
+}
+
+// write calls f, which writes a part of the response to the client. It returns
+// intake.ErrSlowReader if the client does not read for too long, or is the slowest of too many.
+func (n *Node) write(j *job, cr *clientResponse, body *intake.Ahead, f func() error) error {
+	end := j.deadline.Add(writeGrace)
+	if latest := time.Now().Add(intake.MaxWriteStall); latest.Before(end) {
+		_ = cr.rc.SetWriteDeadline(latest) // an error leaves the response to its deadline
+	}
+	body.WriteBegins()
+	err := f()
+	slow := body.WriteEnds()
+	if isTimeout(err) && time.Now().Before(j.deadline) {
+		slow = intake.ErrSlowReader
+	}
+	if slow != nil {
+		n.clientLimited(intake.SlowReader, cr.r.RemoteAddr)
+		return slow
+	}
+	_ = cr.rc.SetWriteDeadline(end) // for what is written without this function, such as errors
+	return err
 }
 
 // incompleteResult completes out for a response that was not read to its end,
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -43,10 +43,12 @@
 // continuation of the attempt, nil if there is none.
 func (n *Node) forwardStream(ctx context.Context, j *job, resp *upstream.Response, cr *clientResponse, out sendResult, c *continuation) sendResult {
 	s := &eventSplitter{lastID: j.resumeAfter, resumed: cr.started}
+	body := n.readAhead(j, resp, cr)
+	defer body.Close()
 	buf := make([]byte, streamBufferBytes)
 	idCount := 0
 	for {
-		size, err := resp.Read(buf)
+		size, err := body.Read(buf)
 		if size > 0 {
 			events, splitErr := s.add(buf[:size])
 			if splitErr == nil {
@@ -59,7 +61,7 @@
 				if !c.writeBegins() {
 					return incompleteResult(ctx, out, errStalled)
 				}
-				if writeErr := n.writeEvents(j, resp, cr, out.status, events); writeErr != nil {
+				if writeErr := n.write(j, cr, body, func() error { return n.writeEvents(j, resp, cr, out.status, events) }); writeErr != nil {
 					out.kind, out.err = clientGone, writeErr
 					return out
 				}
--- a/pkg/intake/limits.go
+++ b/pkg/intake/limits.go
@@ -10,7 +10,8 @@
 	bodyShare = 1.0 / 6
 	// headShare is the share of the memory that incomplete heads may hold together.
 	headShare = 1.0 / 16
-	// fileDescriptors is the number of descriptors that are not for sockets.
+	// fileDescriptors is the number of descriptors that are not for sockets, half of all at
+	// most.
 	fileDescriptors = 200
 	// clientShare is the share of the sockets that clients' connections may have. The rest is
 	// for targets, other nodes and the key-value service.
@@ -22,6 +23,8 @@
 	// BodyBytes bounds what the bodies of requests hold together, HeadBytes what incomplete
 	// heads hold together.
 	BodyBytes, HeadBytes int64
+	// BacklogBytes bounds what is read of responses ahead of clients that read slowly.
+	BacklogBytes int64
 	// Conns bounds the connections of clients, ConnsPerAddress those of one address.
 	Conns, ConnsPerAddress int
 }
@@ -30,9 +33,9 @@
 // descriptors, 0 if that is not known. perAddress bounds the connections of one
 // address; 0 for the bound of all connections.
 func NewLimits(memory float64, descriptors, perAddress int) Limits {
-	l := Limits{BodyBytes: int64(bodyShare * memory), HeadBytes: int64(headShare * memory), ConnsPerAddress: perAddress}
+	l := Limits{BodyBytes: int64(bodyShare * memory), HeadBytes: int64(headShare * memory), BacklogBytes: int64(backlogShare * memory), ConnsPerAddress: perAddress}
 	if descriptors > 0 {
-		l.Conns = max(int(clientShare*float64(descriptors-fileDescriptors)), 1)
+		l.Conns = max(int(clientShare*float64(descriptors-min(fileDescriptors, descriptors/2))), 1)
 	}
 	return l
 }
@@ -63,6 +66,8 @@
 	HeadTime Reason = "head_time"
 	// HeadMemory: incomplete heads hold as much memory as they may.
 	HeadMemory Reason = "head_memory"
+	// SlowReader: a client does not read its response, or reads it too slowly.
+	SlowReader Reason = "slow_reader"
 	// Connections: clients have as many connections as they may.
 	Connections Reason = "connections"
 	// AddressConnections: one address has as many connections as it may.
