intake: the time of a head ends with the head

Cause: a connection kept the end of its head as the read deadline until the request reached the node, although the HTTP server takes the deadline back before. A process that is paused or starved for seconds in between would have taken the client for disconnected. Found by reading; no failure was seen.

Change: the deadline is only kept where the server takes it back while a byte of the next head is there already, that is before it reads the next head.

Result: the tests of intake, entry and the tests of idle, pipelined and paused connections in platform pass.

--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -65,6 +65,9 @@
 	since time.Time
 	// headEnds is when the head must be complete; zero for no bound.
 	headEnds time.Time
+	// readAhead is true if a byte of the head arrived before the last response was complete,
+	// until the HTTP server sets the next deadline.
+	readAhead bool
 	// headBytes is what has arrived of the head, counted the part of it that is in Conns.heads.
 	headBytes, counted int64
 	// bodyIncomplete is true while the body of a request is being received.
@@ -149,13 +152,15 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
 
-// SetReadDeadline implements net.Conn. While a head arrives, its end is a bound.
+// SetReadDeadline implements net.Conn. While a head arrives, its end is a bound. The HTTP server
+// takes the deadline back at the end of each head, and once before it reads the next.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == inHead && !c.headEnds.IsZero() && (t.IsZero() || t.After(c.headEnds)) {
+	if c.phase == inHead && !c.headEnds.IsZero() && (t.IsZero() && c.readAhead || t.After(c.headEnds)) {
 		t = c.headEnds
 	}
+	c.readAhead = false
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -192,7 +197,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.bodyIncomplete, c.headBytes, c.since = waiting, false, 0, c.conns.now()
-	if hasBegun {
+	if c.readAhead = hasBegun; hasBegun {
 		c.beginHead(c.since, c.conns.headLimits())
 	}
 }
