--- a/pkg/entry/cut.go
+++ b/pkg/entry/cut.go
@@ -12,6 +12,7 @@
 
 	"almondturn/pkg/buffers"
 	"almondturn/pkg/event"
+	"almondturn/pkg/intake"
 	"almondturn/pkg/upstream"
 )
 
@@ -42,7 +43,7 @@
 // nodeDecisions are the causes with which the node itself ends an attempt that the client,
 // the target and the deadline have not ended.
 var nodeDecisions = []error{
-	errStalled, errSuspended, errEventTooLong, buffers.ErrHeldMost,
+	errStalled, errSuspended, intake.ErrSlowReader, errEventTooLong, buffers.ErrHeldMost,
 	upstream.ErrHeadTooLarge, upstream.ErrTooManySkippedBytes, upstream.ErrTooManySkippedResponses,
 }
 
@@ -58,6 +59,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), ErrStopping) && last.kind != outcomeUnknown:
 		return cutByStop
+	case errors.Is(last.err, intake.ErrSlowReader):
+		return cutByNode
 	case last.kind == clientGone || cr.clientDisconnected():
 		if cr.connectionTimedOut() {
 			return cutByNode
@@ -90,7 +93,7 @@
 // ended.
 func (n *Node) bodyCut(r *http.Request, j *job, cause error) {
 	by := cutByClient
-	if c := clientConn(r.Context()); c != nil && c.readTimedOut.Load() {
+	if c := clientConn(r.Context()); c != nil && c.readTimedOut.Load() || errors.Is(cause, intake.ErrEvicted) {
 		by = cutByNode
 	}
 	e := event.RequestGone.Log(n.log).Str("request", j.ID).Str("route", j.Route.Name).
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -74,6 +74,10 @@
 	RequestSuspended
 	// QuotaExceeded: the customer has used up its quota. Not run.
 	QuotaExceeded
+	// BodiesFull: the bodies of requests hold as much memory as they may. Not run.
+	BodiesFull
+	// BodyStalled: the body has stood still or taken too long. Not run.
+	BodyStalled
 	kindEnd
 )
 
@@ -129,6 +133,8 @@
 	PromptSuspended:     {Status: http.StatusServiceUnavailable, Code: "prompt_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	RequestSuspended:    {Status: http.StatusServiceUnavailable, Code: "request_suspended", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	QuotaExceeded:       {Status: http.StatusTooManyRequests, Code: "quota_exceeded", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	BodiesFull:          {Status: http.StatusServiceUnavailable, Code: "bodies_full", Run: RunNo, Retry: true, RetryAfter: time.Second},
+	BodyStalled:         {Status: http.StatusRequestTimeout, Code: "body_stalled", Run: RunNo, Retry: true, RetryAfter: time.Second},
 	NotReady:            {Status: http.StatusServiceUnavailable, Code: "not_ready", Run: RunNo, Retry: true, RetryAfter: time.Second},
 }
 
--- /dev/null
+++ b/pkg/intake/conns.go
@@ -0,0 +1,174 @@
+package intake
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxEndingConns is how many idle connections may be ending, which give up their
+	// descriptors a little later than new ones take theirs.
+	maxEndingConns = 8
+	// fruitlessPause is how long no connection is looked for that can be ended after there
+	// was none.
+	fruitlessPause = 50 * time.Millisecond
+)
+
+// HeadLimits bound the head of one request; 0 for no bound.
+type HeadLimits struct {
+	Bytes int
+	Time  time.Duration
+}
+
+// Conns bounds the connections of clients, and the heads that are received on them. Its
+// methods may be called concurrently.
+type Conns struct {
+	limits Limits
+	// headLimits returns the limits in force.
+	headLimits func() HeadLimits
+	// report is called for each client that is refused, or whose connection is closed.
+	report func(reason Reason, address string)
+	now    func() time.Time
+	// heads is what incomplete heads hold together, beyond uncountedHeadBytes each.
+	heads atomic.Int64
+
+	mu        sync.Mutex // guards all below; it is locked before that of a Conn
+	conns     map[*Conn]struct{}
+	byAddress map[string]int
+	// fruitless is when no connection was found last that could be ended.
+	fruitless time.Time
+}
+
+// NewConns returns Conns without a connection.
+func NewConns(limits Limits, headLimits func() HeadLimits, report func(Reason, string), now func() time.Time) *Conns {
+	return &Conns{limits: limits, headLimits: headLimits, report: report, now: now, conns: map[*Conn]struct{}{}, byAddress: map[string]int{}}
+}
+
+// Count returns the number of open connections.
+func (l *Conns) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// Listen returns a listener whose connections are bounded. withTLS is true if the
+// connections carry TLS.
+func (l *Conns) Listen(inner net.Listener, withTLS bool) net.Listener {
+	return &listener{inner, l, withTLS}
+}
+
+// listener is the listener that Conns.Listen returns.
+type listener struct {
+	net.Listener
+	conns   *Conns
+	withTLS bool
+}
+
+// Accept implements net.Listener. Connections beyond the bounds are closed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := l.conns.admit(c, l.withTLS); conn != nil {
+			return conn, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// admit returns the connection, or nil if it must be closed. At a bound it ends another one.
+func (l *Conns) admit(c net.Conn, withTLS bool) *Conn {
+	address, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	conn := &Conn{Conn: c, conns: l, address: address, withTLS: withTLS, since: l.now()}
+	victim, reason, ok := l.add(conn)
+	if reason != "" {
+		l.report(reason, address)
+	}
+	if victim != nil {
+		victim.evict()
+	}
+	if !ok {
+		return nil
+	}
+	return conn
+}
+
+// add counts a connection unless a bound forbids that; ok is then false. reason is the bound
+// that was reached, victim the connection that has to be evicted to keep it.
+func (l *Conns) add(c *Conn) (victim *Conn, reason Reason, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sameAddress := l.limits.ConnsPerAddress > 0 && l.byAddress[c.address] >= l.limits.ConnsPerAddress
+	switch {
+	case sameAddress:
+		reason = AddressConnections
+	case l.limits.Conns > 0 && len(l.conns) >= l.limits.Conns:
+		reason = Connections
+	}
+	if reason != "" {
+		now := l.now()
+		if !sameAddress && now.Sub(l.fruitless) < fruitlessPause {
+			return nil, reason, false
+		}
+		address := ""
+		if sameAddress {
+			address = c.address
+		}
+		if victim = l.chooseVictim(address, now); victim == nil {
+			if !sameAddress {
+				l.fruitless = now
+			}
+			return nil, reason, false
+		}
+	}
+	l.conns[c] = struct{}{}
+	l.byAddress[c.address]++
+	return victim, reason, true
+}
+
+// chooseVictim returns the connection of an address, empty for all, that has stood still the
+// longest in the middle of a head or body, or else has been idle the longest, and marks it
+// as ending; nil if there is none. mu must be held.
+func (l *Conns) chooseVictim(address string, now time.Time) *Conn {
+	var stalled, idle *Conn
+	stalledFor, idleFor, ending := minEvictStall, minEvictStall, 0
+	for c := range l.conns {
+		c.mu.Lock()
+		still := now.Sub(c.since)
+		switch {
+		case c.ending:
+			ending++
+		case address != "" && c.address != address:
+		case c.phase == waiting && still >= idleFor:
+			idle, idleFor = c, still
+		case (c.phase == inHead || c.phase == serving && c.bodyIncomplete) && still >= stalledFor:
+			stalled, stalledFor = c, still
+		}
+		c.mu.Unlock()
+	}
+	victim := stalled
+	if victim == nil {
+		victim = idle
+	}
+	if victim == nil || ending >= maxEndingConns {
+		return nil
+	}
+	victim.mu.Lock()
+	victim.ending = true
+	victim.mu.Unlock()
+	return victim
+}
+
+// remove forgets a closed connection.
+func (l *Conns) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	if l.byAddress[c.address]--; l.byAddress[c.address] <= 0 {
+		delete(l.byAddress, c.address)
+	}
+}
