entry, quota: split decisions from what they take

Cause: an explanation of a route has to use the functions that decide on requests, and these take slots and tokens in the same step. Change: rankZones returns the reasons of zoneOrder; targetUsage.costParts returns the parts of cost, precedes and takesRequests are the rest of the choice of acquire; reportedTargets is the first part of chooseByLastReport; balance.denies and lacking are part of Begin. Links record when a zone state was received, balances when tokens were denied. Result: requests are decided as before: the terms of the cost are summed in the same order.

--- a/pkg/entry/fallback.go
+++ b/pkg/entry/fallback.go
@@ -91,3 +91,15 @@
 	n.directory.SetModels(models)
 	n.publishTargets()
 }
+
+// reportedTargets returns the targets whose last report lists the model and its adapter as
+// loaded.
+func (n *Node) reportedTargets(j *job) []*inventory.Target {
+	var out []*inventory.Target
+	for _, t := range n.targetSet.Load().Service(j.service) {
+		if t.HasLoaded(j.Model, j.Adapter) && j.version.allows(t) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
--- a/pkg/entry/limitshares.go
+++ b/pkg/entry/limitshares.go
@@ -53,6 +53,19 @@
 	return s.bucket(now, k, limit).Wait(now)
 }
 
+// peek returns the time until there is a request in the share as it was last used, and false if
+// it was not used yet. It changes nothing.
+func (s *limitShares) peek(k notices.Key) (wait time.Duration, used bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.buckets[k]
+	if b == nil {
+		return 0, false
+	}
+	c := *b
+	return c.Wait(s.node.notices.Now()), true
+}
+
 // remove removes the share of a limit that has ended.
 func (s *limitShares) remove(k notices.Key) {
 	s.mu.Lock()
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -78,6 +78,8 @@
 	conn atomic.Pointer[wire.Conn]
 	// state is the last state of the zone that the owner sent, nil before.
 	state atomic.Pointer[wire.ZoneState]
+	// stateAt is when state was received.
+	stateAt atomic.Pointer[time.Time]
 	// downSince is when the connection was lost, or when the link was created.
 	downSince atomic.Pointer[time.Time]
 	// cancel ends the link.
--- a/pkg/entry/slot.go
+++ b/pkg/entry/slot.go
@@ -208,6 +208,8 @@
 	// weight is the rendezvous weight of the zone for the model. The highest
 	// comes first, so that all nodes choose the same zone.
 	weight uint64
+	// state is the state of the zone that the rank is based on, nil for none.
+	state *wire.ZoneState
 }
 
 // Values of zoneRank.preference, best first.
@@ -234,13 +236,23 @@
 // zoneRank.preference. Requests for one model that is not loaded are sent to the
 // same zone by all nodes, so that they wait for one load.
 func (n *Node) zoneOrder(j *job) []fleet.Zone {
+	ranks := n.rankZones(j)
+	out := make([]fleet.Zone, len(ranks))
+	for i, r := range ranks {
+		out[i] = r.zone
+	}
+	return out
+}
+
+// rankZones returns the zones in the order of zoneOrder, with its reasons.
+func (n *Node) rankZones(j *job) []zoneRank {
 	key := scheduler.LimitName(j.service, j.Model, "")
 	ranks := make([]zoneRank, 0, len(n.settings.Zones))
 	copies := n.zonesWithCopy(j)
 	model := j.table.Model(j.service, j.Model)
 	for _, zone := range n.settings.Zones {
-		r := zoneRank{zone: zone, preference: noCopy, weight: fleet.RendezvousWeight(string(zone), key)}
 		state := n.links.zoneState(zone)
+		r := zoneRank{zone: zone, preference: noCopy, weight: fleet.RendezvousWeight(string(zone), key), state: state}
 		switch {
 		case state != nil && slices.Contains(state.Full[j.service], j.Model):
 			r.preference = loadedFull
@@ -271,11 +283,7 @@
 		}
 		return 0
 	})
-	out := make([]fleet.Zone, len(ranks))
-	for i, r := range ranks {
-		out[i] = r.zone
-	}
-	return out
+	return ranks
 }
 
 // mayLoad reports whether the zone may hold a replica of the model, by its
@@ -318,13 +326,7 @@
 // chooseByLastReport chooses among the targets whose last report lists the
 // model and its adapter as loaded.
 func (n *Node) chooseByLastReport(j *job) (assignment, bool) {
-	var candidates []*inventory.Target
-	for _, t := range n.targetSet.Load().Service(j.service) {
-		if t.HasLoaded(j.Model, j.Adapter) && j.version.allows(t) {
-			candidates = append(candidates, t)
-		}
-	}
-	candidates, _ = n.withoutPaused(candidates)
+	candidates, _ := n.withoutPaused(n.reportedTargets(j))
 	t := n.usages.acquire(time.Now(), n.withinShares(candidates), n.self.Zone, j.excluded)
 	if t == nil {
 		return assignment{}, false
--- a/pkg/entry/usage.go
+++ b/pkg/entry/usage.go
@@ -80,12 +80,17 @@
 	}
 	usage := u.byTarget[id]
 	if usage == nil {
-		usage = &targetUsage{tieBreak: fleet.RendezvousWeight(string(u.node), id)}
+		usage = u.unused(id)
 		u.byTarget[id] = usage
 	}
 	return usage
 }
 
+// unused returns the usage of a target without requests.
+func (u *targetUsages) unused(id string) *targetUsage {
+	return &targetUsage{tieBreak: fleet.RendezvousWeight(string(u.node), id)}
+}
+
 // remove discards the pace of a target, and its usage if it has no requests in progress.
 func (u *targetUsages) remove(id string) {
 	u.paces.Remove(id)
@@ -112,13 +117,13 @@
 	var best *inventory.Target
 	lowest, rank := 0.0, uint64(0)
 	for _, t := range candidates {
-		if t.Draining || slices.Contains(exclude, t.ID) {
+		if !takesRequests(t, exclude) {
 			continue
 		}
 		usage := u.get(t.ID)
 		factor, known := u.paces.Factor(now, t.ID)
 		cost := usage.cost(now, t, zone, factor, known)
-		if best == nil || cost < lowest || cost == lowest && usage.tieBreak > rank {
+		if best == nil || precedes(cost, usage.tieBreak, lowest, rank) {
 			best, lowest, rank = t, cost, usage.tieBreak
 		}
 	}
@@ -128,27 +133,53 @@
 	return best
 }
 
+// takesRequests reports whether a target is among those that acquire chooses from.
+func takesRequests(t *inventory.Target, exclude []string) bool {
+	return !t.Draining && !slices.Contains(exclude, t.ID)
+}
+
+// precedes reports whether a target with a cost and a tieBreak comes before another one.
+func precedes(cost float64, tieBreak uint64, otherCost float64, otherTieBreak uint64) bool {
+	return cost < otherCost || cost == otherCost && tieBreak > otherTieBreak
+}
+
+// targetCost is the cost of a target by its parts.
+type targetCost struct {
+	slots int
+	// others is the number of requests of other nodes that counts.
+	others float64
+	// load is the cost of the slots in use at the target's pace.
+	load, failures, otherZone, unreachable float64
+}
+
+// total returns the cost that is compared.
+func (c targetCost) total() float64 { return c.load + c.failures + c.otherZone + c.unreachable }
+
 // cost returns the cost of a target for a node in zone: the time that a request is expected
 // to take there, as pace.Cost returns it for the share of its slots in use, plus penalties.
 // reportsPace is true if the target has reported the duration factor.
 func (u *targetUsage) cost(now time.Time, t *inventory.Target, zone fleet.Zone, factor float64, reportsPace bool) float64 {
-	slots := u.slots(t)
-	running := float64(u.inFlight)
+	return u.costParts(now, t, zone, factor, reportsPace).total()
+}
+
+// costParts returns the parts of cost.
+func (u *targetUsage) costParts(now time.Time, t *inventory.Target, zone fleet.Zone, factor float64, reportsPace bool) targetCost {
+	c := targetCost{slots: u.slots(t), failures: failureWeight * u.failureShare}
 	switch {
 	case now.Sub(u.reportedAt) < reportMaxAge:
-		running += float64(min(u.othersInFlight, maxReportedLoad*slots))
+		c.others = float64(min(u.othersInFlight, maxReportedLoad*c.slots))
 	case reportsPace:
-		running += min(u.expectedOthers.Expected(now), float64(maxReportedLoad*slots))
+		c.others = min(u.expectedOthers.Expected(now), float64(maxReportedLoad*c.slots))
 	}
-	cost := pace.Cost(running/float64(slots), factor) + failureWeight*u.failureShare
+	c.load = pace.Cost((float64(u.inFlight)+c.others)/float64(c.slots), factor)
 	if t.Zone != zone {
-		cost += otherZonePenalty
+		c.otherZone = otherZonePenalty
 	}
 	if now.Before(u.avoidUntil) {
 		const avoidedPenalty = 100 // above every other cost
-		cost += avoidedPenalty
+		c.unreachable = avoidedPenalty
 	}
-	return cost
+	return c
 }
 
 // slots returns the number of slots of a target, at least 1. If its entry and its
--- a/pkg/entry/zonestate.go
+++ b/pkg/entry/zonestate.go
@@ -36,6 +36,8 @@
 // the owner has a newer one.
 func (l *links) storeZoneState(link *ownerLink, s *wire.ZoneState) {
 	link.state.Store(s)
+	now := time.Now()
+	link.stateAt.Store(&now)
 	l.mu.Lock()
 	l.nodeCounts[link.zone] = s.NodeCount
 	l.mu.Unlock()
--- a/pkg/quota/charge.go
+++ b/pkg/quota/charge.go
@@ -41,7 +41,7 @@
 	b.requests.add(now, 1)
 	c.held, c.sum = b.take(now, cost)
 	switch {
-	case c.lacks() > 0 && now.Before(b.deniedUntil) && c.lacks() >= b.deniedTokens:
+	case b.denies(now, c.lacks()):
 		c.denied, c.retryAfter = true, b.retryAt.Sub(now)
 	case c.lacks() == 0:
 		l.markDue(now, b, name)
@@ -49,6 +49,11 @@
 	return c
 }
 
+// denies reports whether a denial of the owners holds for a request that lacks tokens.
+func (b *balance) denies(now time.Time, missing float64) bool {
+	return missing > 0 && now.Before(b.deniedUntil) && missing >= b.deniedTokens
+}
+
 // markDue marks a customer for the next prefetch if its tokens are used up soon. l.mu must be
 // held.
 func (l *Leases) markDue(now time.Time, b *balance, name string) {
@@ -66,8 +71,11 @@
 }
 
 // lacks returns how many tokens are missing.
-func (c *Charge) lacks() float64 {
-	if missing := c.cost - c.sum; missing > c.cost*roundingError {
+func (c *Charge) lacks() float64 { return lacking(c.cost, c.sum) }
+
+// lacking returns how many tokens a sum lacks of the cost of a request.
+func lacking(cost, sum float64) float64 {
+	if missing := cost - sum; missing > cost*roundingError {
 		return missing
 	}
 	return 0
@@ -143,7 +151,7 @@
 	c.held = nil
 	c.retryAfter = max(c.retryAfter/time.Duration(max(c.reached, 1)), time.Millisecond)
 	if !c.denied {
-		b.retryAt, b.deniedTokens = now.Add(c.retryAfter), missing
+		b.deniedAt, b.retryAt, b.deniedTokens = now, now.Add(c.retryAfter), missing
 		b.deniedUntil = now.Add(min(c.retryAfter, maxDenialTime))
 	}
 	return c.retryAfter, false
--- a/pkg/quota/leases.go
+++ b/pkg/quota/leases.go
@@ -40,10 +40,10 @@
 	lots []lot
 	// demand is that of the requests, and requests their number.
 	demand, requests meter
-	// deniedUntil is when the owners are asked again for deniedTokens or more; retryAt is when
-	// the tokens are there.
-	deniedUntil, retryAt time.Time
-	deniedTokens         float64
+	// deniedAt is the time of the last denial, zero for none. deniedUntil is when the owners are
+	// asked again for deniedTokens or more; retryAt is when the tokens are there.
+	deniedAt, deniedUntil, retryAt time.Time
+	deniedTokens                   float64
 	// prefetching is true while a charge asks for prefetched tokens, too.
 	prefetching bool
 	// fallback is the node's share without owners; nil before it is needed.
--- a/pkg/zoneowner/zonestate.go
+++ b/pkg/zoneowner/zonestate.go
@@ -85,3 +85,13 @@
 // LastZoneState returns the last zone state that was broadcast, nil if this
 // node does not own its zone.
 func (o *Owner) LastZoneState() *wire.ZoneState { return o.lastSent.Load() }
+
+// LastZoneStateAge returns how long ago LastZoneState was broadcast, and false if there is none.
+func (o *Owner) LastZoneStateAge(now time.Time) (time.Duration, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == nil || o.term.sent.zoneState == nil {
+		return 0, false
+	}
+	return now.Sub(o.term.sent.at), true
+}
