ctl, entry: route-plan shows where a request would go

Change: package routeplan with the query, the typed plan, its text and the handler; entry.planRoute fills the plan from the functions that decide on requests; GET /route-plan beside each /metrics of an entry node; almondturnctl route-plan. Each part has the age of its state. The operator's token is not sent to that address. Evidence: a test compares all that a node reaches before and after 101 plans; plans that create an entry of a target, fill a token bucket or count demand (three mutants) fail it. Table tests compare the whole order with the targets of the requests that follow, and the zones with zoneOrder. Over a real node 6 plans name the targets that the next 6 requests get, and nothing is sent for them; once under the race detector. Result: plain services, quotas and the order of zones are explained; not the choice of an owner.

--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -21,7 +21,7 @@
 // responds.
 type client struct {
 	servers []string // URLs
-	token   string   // of the operator
+	token   string   // of the operator, empty for none
 	author  string   // recorded with changes
 	http    *http.Client
 }
@@ -104,7 +104,9 @@
 	if err != nil {
 		return nil, &usageError{fmt.Errorf("--server %q: %w", server, err)}
 	}
-	req.Header.Set("Authorization", "Bearer "+c.token)
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	req.Header.Set(operators.HeaderAuthor, c.author)
 	for k, v := range r.header {
 		req.Header.Set(k, v)
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -65,6 +65,8 @@
 		return r.setDrain(ctx, a.Drain.Target, "drain")
 	case a.Undrain != nil:
 		return r.setDrain(ctx, a.Undrain.Target, "undrain")
+	case a.RoutePlan != nil:
+		return r.routePlan(ctx, a.RoutePlan)
 	}
 	return &usageError{errors.New("this program was built without this subcommand")}
 }
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -51,18 +51,19 @@
 
 // arguments holds the flags and the subcommand, which is the pointer that isn't nil.
 type arguments struct {
-	Apply    *applyCmd    `arg:"subcommand:apply" help:"replace a team's settings by those in a file"`
-	Get      *getCmd      `arg:"subcommand:get" help:"print a team's settings"`
-	Diff     *diffCmd     `arg:"subcommand:diff" help:"compare a file with the accepted settings"`
-	History  *historyCmd  `arg:"subcommand:history" help:"list the revisions of a team's settings, newest first"`
-	Status   *statusCmd   `arg:"subcommand:status" help:"show nodes, zones and revisions in force"`
-	Targets  *targetsCmd  `arg:"subcommand:targets" help:"list the targets"`
-	Drain    *drainCmd    `arg:"subcommand:drain" help:"stop sending new requests to a target"`
-	Undrain  *undrainCmd  `arg:"subcommand:undrain" help:"send requests to a drained target again"`
-	Bench    *externalCmd `arg:"subcommand:bench" help:"send load to a deployment; see bench --help"`
-	Emulate  *externalCmd `arg:"subcommand:emulate" help:"simulate the placement of models on targets; see emulate --help"`
-	Explain  *externalCmd `arg:"subcommand:explain" help:"print what the logs say about one request; see explain --help"`
-	Refusals *externalCmd `arg:"subcommand:refusals" help:"sum the refusals in logs by cause and model; see refusals --help"`
+	Apply     *applyCmd     `arg:"subcommand:apply" help:"replace a team's settings by those in a file"`
+	Get       *getCmd       `arg:"subcommand:get" help:"print a team's settings"`
+	Diff      *diffCmd      `arg:"subcommand:diff" help:"compare a file with the accepted settings"`
+	History   *historyCmd   `arg:"subcommand:history" help:"list the revisions of a team's settings, newest first"`
+	Status    *statusCmd    `arg:"subcommand:status" help:"show nodes, zones and revisions in force"`
+	Targets   *targetsCmd   `arg:"subcommand:targets" help:"list the targets"`
+	Drain     *drainCmd     `arg:"subcommand:drain" help:"stop sending new requests to a target"`
+	Undrain   *undrainCmd   `arg:"subcommand:undrain" help:"send requests to a drained target again"`
+	RoutePlan *routePlanCmd `arg:"subcommand:route-plan" help:"show where a request would go now, and why, without sending it; --server is the URL of a node's metrics"`
+	Bench     *externalCmd  `arg:"subcommand:bench" help:"send load to a deployment; see bench --help"`
+	Emulate   *externalCmd  `arg:"subcommand:emulate" help:"simulate the placement of models on targets; see emulate --help"`
+	Explain   *externalCmd  `arg:"subcommand:explain" help:"print what the logs say about one request; see explain --help"`
+	Refusals  *externalCmd  `arg:"subcommand:refusals" help:"sum the refusals in logs by cause and model; see refusals --help"`
 
 	Server    []string      `arg:"--server,separate,env:ALMONDTURN_SERVER" help:"URL of a node's operators' listener; give it several times to name nodes to try in turn"`
 	Token     string        `arg:"--token,env:ALMONDTURN_TOKEN" help:"operator token"`
@@ -119,6 +120,19 @@
 	Target string `arg:"positional,required"`
 }
 
+// routePlanCmd holds the arguments of the subcommand route-plan.
+type routePlanCmd struct {
+	Host         string `arg:"--host" help:"host of the request"`
+	Path         string `arg:"--path" help:"path of the request"`
+	Method       string `arg:"--method" default:"POST" help:"method of the request"`
+	Route        string `arg:"--route" help:"name of the route, in place of --host and --path"`
+	Request      string `arg:"--request" help:"identifier of the request, which decides among several services"`
+	Model        string `arg:"--model" help:"model, or model/adapter"`
+	InputTokens  int    `arg:"--input-tokens"`
+	OutputTokens int    `arg:"--output-tokens" help:"maximum number of tokens of the response"`
+	Customer     string `arg:"--customer" help:"name of the customer; API keys are neither needed nor accepted"`
+}
+
 // externalCmd is a subcommand that Env.Subcommands runs. It is listed in arguments for
 // --help only.
 type externalCmd struct {
--- a/pkg/entry/listeners.go
+++ b/pkg/entry/listeners.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"almondturn/pkg/event"
+	"almondturn/pkg/routeplan"
 	"almondturn/pkg/upstream"
 )
 
@@ -16,12 +17,12 @@
 func (n *Node) listen() error {
 	innerMux := http.NewServeMux()
 	innerMux.Handle(innerPath, n.links.handler())
-	innerMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
+	n.handleReadOnly(innerMux)
 	readinessMux := http.NewServeMux()
 	if n.readinessPath != "" {
 		readinessMux.HandleFunc(n.readinessPath, n.ServeReadiness)
 	}
-	readinessMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
+	n.handleReadOnly(readinessMux)
 	n.clientServer = &http.Server{Handler: http.HandlerFunc(n.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleClientConns.track, ConnContext: withClientConn, DisableGeneralOptionsHandler: true}
 	n.readinessServer = &http.Server{Handler: readinessMux}
 	n.innerServer = &http.Server{Handler: innerMux}
@@ -47,6 +48,13 @@
 	return nil
 }
 
+// handleReadOnly adds what shows the state of the node and does not change it: the metrics, and
+// where a request would go.
+func (n *Node) handleReadOnly(mux *http.ServeMux) {
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
+	mux.Handle("GET "+routeplan.Path, routeplan.Handler(n.planRoute))
+}
+
 // serveMetrics serves the metrics at an address of their own, if there is one.
 // The node runs without it if the address cannot be listened on.
 func (n *Node) serveMetrics() {
@@ -54,7 +62,7 @@
 		return
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w, n) })
+	n.handleReadOnly(mux)
 	n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	if err := serveOn(n.metricsServer, n.settings.MetricsAddr, nil, upstream.NodeListenConfig(), nil); err != nil {
 		event.MetricsUnavailable.Log(n.log).Err(err).Send()
--- /dev/null
+++ b/pkg/routeplan/text.go
@@ -0,0 +1,200 @@
+package routeplan
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// WriteText writes the plan for a terminal. Control characters in names are escaped.
+func (p *Plan) WriteText(w io.Writer) error {
+	var out bytes.Buffer
+	line := func(format string, args ...any) { fmt.Fprintf(&out, format+"\n", args...) }
+	line("node %s in zone %s, %s; nothing was sent", plain(p.Node), plain(p.Zone), readiness(p.Ready))
+	line("configuration: version %d, in force for %s, copy confirmed %s ago", p.Configuration.Version, millis(p.Configuration.InForceMillis), millis(p.Configuration.AgeMillis))
+	line("target list: copy confirmed %s ago", millis(p.List.AgeMillis))
+	if r := p.Route; r != nil {
+		line("route: %s, %s, timeout %s, objective %s, attempts %d, priority %d, rank %d%s", plain(r.Name), r.Kind, millis(r.TimeoutMillis), millis(r.ObjectiveMillis), r.MaxAttempts, r.Priority, r.Rank, resumable(r.Resumable))
+	}
+	if c := p.Customer; c != nil {
+		line("customer: %s", c.text())
+	}
+	if p.Service != "" {
+		line("service: %s, %s%s", plain(p.Service), kind(p.Engine), p.weights())
+	}
+	for _, write := range []func(io.Writer){p.writeZones, p.writeTargets, p.writeLeftOut} {
+		t := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
+		write(t)
+		_ = t.Flush() // writes to a buffer
+	}
+	for _, note := range p.Notes {
+		line("note: %s", note)
+	}
+	line("result: %s", p.result())
+	_, err := w.Write(out.Bytes())
+	return err
+}
+
+// result returns where the request goes first.
+func (p *Plan) result() string {
+	switch {
+	case p.Refusal != "":
+		return "rejected: " + p.Refusal
+	case !p.Engine && len(p.Targets) > 0 && p.Targets[0].Limit != nil:
+		return fmt.Sprintf("target %s, if its limit permits; otherwise the next one", plain(p.Targets[0].Target))
+	case !p.Engine && len(p.Targets) > 0:
+		return "target " + plain(p.Targets[0].Target)
+	}
+	for _, z := range p.Zones {
+		if z.Reachable {
+			return fmt.Sprintf("the owner of zone %s is asked first, and chooses the target", plain(z.Zone))
+		}
+	}
+	if len(p.Targets) > 0 {
+		return "no owner is reachable: after a wait for one, target " + plain(p.Targets[0].Target)
+	}
+	return "waits for an owner or a target"
+}
+
+// writeZones writes the zones, in the order in which they are asked for an engine service.
+func (p *Plan) writeZones(w io.Writer) {
+	if len(p.Zones) == 0 {
+		return
+	}
+	if p.Engine {
+		fmt.Fprintln(w, "ZONE\tOWNER\tREACHABLE\tSTATE AGE\tBACKLOG STEPS\tREASON")
+	} else {
+		fmt.Fprintln(w, "ZONE\tOWNER\tREACHABLE\tSTATE AGE")
+	}
+	for _, z := range p.Zones {
+		owner, reachable, reason := z.Owner, "yes", z.Reason
+		if owner == "" {
+			owner = "unknown"
+		}
+		if !z.Reachable {
+			reachable = "no"
+			if z.DownMillis > 0 {
+				reachable = "no, for " + millis(z.DownMillis)
+			}
+		}
+		if z.OrdersAfterMillis > 0 {
+			reason = strings.TrimPrefix(fmt.Sprintf("%s; may order loads after %s", reason, millis(z.OrdersAfterMillis)), "; ")
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s", plain(z.Zone), plain(owner), reachable, millis(z.AgeMillis))
+		if p.Engine {
+			fmt.Fprintf(w, "\t%d\t%s", z.BacklogSteps, reason)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// writeTargets writes the targets that may get the request.
+func (p *Plan) writeTargets(w io.Writer) {
+	if len(p.Targets) > 0 {
+		fmt.Fprintln(w, "TARGET\tZONE\tCOST\t= LOAD\t+ FAILURES\t+ OTHER ZONE\t+ UNREACHABLE\tIN USE\tSLOTS\tREPORT AGE\tPACE\tLIMIT")
+	}
+	for _, t := range p.Targets {
+		pace, limit := "-", "-"
+		if t.Pace != nil {
+			pace = fmt.Sprintf("%.2f", *t.Pace)
+		}
+		if l := t.Limit; l != nil {
+			limit = fmt.Sprintf("%g/s, named %s ago", l.PerSecond, millis(l.AgeMillis))
+			if l.ShareWaitMillis > 0 {
+				limit += ", without an owner in " + millis(l.ShareWaitMillis)
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%d + %.1f\t%d\t%s\t%s\t%s\n", plain(t.Target), plain(t.Zone), t.Cost, t.Load, t.Failures, t.OtherZone, t.Unreachable,
+			t.InFlight, t.Others, t.Slots, millis(t.ReportAgeMillis), pace, limit)
+	}
+}
+
+// writeLeftOut writes the targets that get no request.
+func (p *Plan) writeLeftOut(w io.Writer) {
+	if len(p.LeftOut) > 0 {
+		fmt.Fprintln(w, "LEFT OUT\tZONE\tKNOWN FOR\tREASON")
+	}
+	for _, t := range p.LeftOut {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", plain(t.Target), plain(t.Zone), millis(t.AgeMillis), t.Reason)
+	}
+}
+
+// text returns the customer and its quota in one line.
+func (c *Customer) text() string {
+	name := plain(c.Name)
+	if c.Priority != nil {
+		name += fmt.Sprintf(", priority %d", *c.Priority)
+	}
+	if !c.Limited {
+		return name + ", no limit"
+	}
+	s := fmt.Sprintf("%s, %.0f %s/s and a burst of %.0f over all nodes; the request counts %.0f, %.0f held here", name, c.PerSecond, c.Unit, c.Burst, c.Cost, c.Held)
+	if len(c.AsksZones) > 0 {
+		s += fmt.Sprintf(", asks the owners of %s for %.0f", plain(strings.Join(c.AsksZones, ", ")), c.Missing)
+	}
+	if d := c.LastDenial; d != nil {
+		s += fmt.Sprintf("; last denial %s ago of %.0f", millis(d.AgeMillis), d.Missing)
+		if d.RetryAfterMillis > 0 {
+			s += ", retry after " + millis(d.RetryAfterMillis)
+		}
+	}
+	return s
+}
+
+// weights returns the services of a route that has several.
+func (p *Plan) weights() string {
+	if p.Route == nil || len(p.Route.Services) < 2 {
+		return ""
+	}
+	var parts []string
+	for _, b := range p.Route.Services {
+		parts = append(parts, fmt.Sprintf("%s %d", plain(b.Service), b.Weight))
+	}
+	return "; by weight among " + strings.Join(parts, ", ")
+}
+
+func readiness(ready bool) string {
+	if ready {
+		return "ready"
+	}
+	return "not ready for clients"
+}
+
+func resumable(yes bool) string {
+	if yes {
+		return ", resumable"
+	}
+	return ""
+}
+
+func kind(engine bool) string {
+	if engine {
+		return "engine"
+	}
+	return "plain"
+}
+
+// millis returns a duration for people.
+func millis(ms int64) string {
+	switch {
+	case ms < 0:
+		return "-"
+	case ms < 10_000:
+		return fmt.Sprintf("%d ms", ms)
+	default:
+		return fmt.Sprintf("%d s", ms/1000)
+	}
+}
+
+// plain returns a name with control characters escaped, so that it does not change the terminal
+// or the table.
+func plain(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r >= 0x7f && r <= 0x9f {
+			return '?'
+		}
+		return r
+	}, s)
+}
