scheduler, entry: route-plan shows what the owner would find

Cause: for model services the plan ended at the owner's zone; the slots and the queue are known to the owner only. Change: canStart is split into startObstacle, which names the reason, and the note of the prefill budget. Evidence: a table test compares the view with the grant that follows, and the scheduler's state before and after; over a real node the view names the target. Tests of pkg/scheduler, entry, routeplan, ctl and quota pass, none of the existing ones changed. Not measured: the time of canStart, whose checks are the same in the same order. Result: plain services, quotas, zones and the owner's targets are explained.

--- a/pkg/entry/routeplan.go
+++ b/pkg/entry/routeplan.go
@@ -53,6 +53,8 @@
 		p.Notes = append(p.Notes, "the request identifier decides among the services; shown is the one with the largest weight")
 	}
 	j.engine = isEngineService(table, j.service)
+	j.arrived = time.Now()
+	j.deadline = j.arrived.Add(j.effectiveTimeout())
 	p.Service, p.Engine = j.service, j.engine
 	if p.Refusal != "" {
 		return p
@@ -146,10 +148,31 @@
 		if rank.state != nil {
 			z.OrdersAfterMillis = rank.state.OrdersAfterMillis
 		}
+		if rank.zone == n.self.Zone {
+			z.View = n.ownerView(j)
+		}
 		p.Zones = append(p.Zones, z)
 	}
 	n.planTargets(p, j, n.reportedTargets(j))
-	p.Notes = append(p.Notes, "the owner of the zone knows the slots and the queue; the targets are those that have the model by their last report, and are used without the owners only")
+	if !slices.ContainsFunc(p.Zones, func(z routeplan.Zone) bool { return z.View != nil }) {
+		p.Notes = append(p.Notes, "only the owner of a zone knows its slots and queue: ask that node")
+	}
+}
+
+// ownerView returns what the request would find at this node as the owner of its zone, nil if it
+// is not the owner.
+func (n *Node) ownerView(j *job) *routeplan.View {
+	v, ok := n.owner.View(n.self.ID, n.slotRequest(j, false))
+	if !ok {
+		return nil
+	}
+	out := &routeplan.View{Waiting: v.Waiting, AgeMillis: v.SinceStep.Milliseconds()}
+	for _, c := range v.Candidates {
+		out.Targets = append(out.Targets, routeplan.Candidate{
+			Target: c.Target, Cost: c.Cost, Running: c.Runs, Slots: c.Slots, PendingPrefillTokens: c.PendingPrefillTokens, Obstacle: c.Obstacle,
+		})
+	}
+	return out
 }
 
 // planPlain sets the targets of a plain service in the order in which a request tries them.
--- a/pkg/routeplan/plan.go
+++ b/pkg/routeplan/plan.go
@@ -206,6 +206,31 @@
 	// AgeMillis is how long ago the owner sent its state, UnknownAge without one.
 	AgeMillis         int64 `json:"age_ms"`
 	OrdersAfterMillis int64 `json:"orders_after_ms,omitempty"`
+	// View is what the owner would find, nil unless the node that is asked is the owner.
+	View *View `json:"view,omitempty"`
+}
+
+// View is what a request would find at the owner of a zone.
+type View struct {
+	// Waiting is the number of requests that wait for the model.
+	Waiting int `json:"waiting"`
+	// AgeMillis is the age of the list of targets with the model.
+	AgeMillis int64 `json:"age_ms"`
+	// Targets holds those at which the request can start in the order of preference, and then
+	// the others.
+	Targets []Candidate `json:"targets"`
+}
+
+// Candidate is a target that has the model or is to load it.
+type Candidate struct {
+	Target string `json:"target"`
+	// Cost is the work there, in requests, at the target's pace.
+	Cost                 float64 `json:"cost"`
+	Running              int     `json:"running"`
+	Slots                int     `json:"slots"`
+	PendingPrefillTokens int     `json:"pending_prefill_tokens"`
+	// Obstacle is why the request can't start there now, empty if it can.
+	Obstacle string `json:"obstacle,omitempty"`
 }
 
 // Target is a target that may get the request.
--- a/pkg/routeplan/text.go
+++ b/pkg/routeplan/text.go
@@ -24,7 +24,7 @@
 	if p.Service != "" {
 		line("service: %s, %s%s", plain(p.Service), kind(p.Engine), p.weights())
 	}
-	for _, write := range []func(io.Writer){p.writeZones, p.writeTargets, p.writeLeftOut} {
+	for _, write := range []func(io.Writer){p.writeZones, p.writeViews, p.writeTargets, p.writeLeftOut} {
 		t := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
 		write(t)
 		_ = t.Flush() // writes to a buffer
@@ -48,6 +48,9 @@
 		return "target " + plain(p.Targets[0].Target)
 	}
 	for _, z := range p.Zones {
+		if z.Reachable && z.View != nil && len(z.View.Targets) > 0 && z.View.Targets[0].Obstacle == "" {
+			return fmt.Sprintf("the owner of zone %s, this node, grants a slot at target %s unless others wait", plain(z.Zone), plain(z.View.Targets[0].Target))
+		}
 		if z.Reachable {
 			return fmt.Sprintf("the owner of zone %s is asked first, and chooses the target", plain(z.Zone))
 		}
@@ -90,8 +93,31 @@
 	}
 }
 
+// writeViews writes what the owners of zones would find.
+func (p *Plan) writeViews(w io.Writer) {
+	for _, z := range p.Zones {
+		if z.View == nil {
+			continue
+		}
+		fmt.Fprintf(w, "owner of zone %s: %d requests wait for the model, list of its targets %s old\n", plain(z.Zone), z.View.Waiting, millis(z.View.AgeMillis))
+		if len(z.View.Targets) > 0 {
+			fmt.Fprintln(w, "TARGET\tCOST\tRUNNING\tSLOTS\tPENDING PREFILL\tOBSTACLE")
+		}
+		for _, t := range z.View.Targets {
+			obstacle := t.Obstacle
+			if obstacle == "" {
+				obstacle = "-"
+			}
+			fmt.Fprintf(w, "%s\t%.1f\t%d\t%d\t%d\t%s\n", plain(t.Target), t.Cost, t.Running, t.Slots, t.PendingPrefillTokens, obstacle)
+		}
+	}
+}
+
 // writeTargets writes the targets that may get the request.
 func (p *Plan) writeTargets(w io.Writer) {
+	if len(p.Targets) > 0 && p.Engine {
+		fmt.Fprintln(w, "without an owner, by the last reports:")
+	}
 	if len(p.Targets) > 0 {
 		fmt.Fprintln(w, "TARGET\tZONE\tCOST\t= LOAD\t+ FAILURES\t+ OTHER ZONE\t+ UNREACHABLE\tIN USE\tSLOTS\tREPORT AGE\tPACE\tLIMIT")
 	}
@@ -135,7 +161,7 @@
 		s += fmt.Sprintf(", asks the owners of %s for %.0f", plain(strings.Join(c.AsksZones, ", ")), c.Missing)
 	}
 	if d := c.LastDenial; d != nil {
-		s += fmt.Sprintf("; last denial %s ago of %.0f", millis(d.AgeMillis), d.Missing)
+		s += fmt.Sprintf("; last denial %s ago, %.0f missing", millis(d.AgeMillis), d.Missing)
 		if d.RetryAfterMillis > 0 {
 			s += ", retry after " + millis(d.RetryAfterMillis)
 		}
--- a/pkg/scheduler/grant.go
+++ b/pkg/scheduler/grant.go
@@ -77,20 +77,54 @@
 // without runs takes a request of any size. It sets w.pacedSince at the first target
 // whose prefill budget does not allow the prompt.
 func (s *Scheduler) canStart(now time.Time, t *target, w *waiter) bool {
-	if !t.healthy(now) || !s.takes(now, t, w) || now.Before(t.busyUntil) || !t.canServe(now, w.Model, w.Adapter) && !t.canProbe(now, w.Model, w.Adapter) {
-		return false
+	o := s.startObstacle(now, t, w)
+	if o == prefillExceeded && w.pacedSince.IsZero() {
+		w.pacedSince = now
 	}
-	e := s.services[w.Service].Engine
-	if t.runs >= s.slots(t) {
-		return false
-	}
-	if t.runs > 0 && s.exceedsPrefillBudget(now, t, w) {
-		if w.pacedSince.IsZero() {
-			w.pacedSince = now
-		}
-		return false
+	return o == noObstacle
+}
+
+// obstacle is why a request can't start at a target now.
+type obstacle uint8
+
+const (
+	noObstacle obstacle = iota
+	unhealthy
+	withheldOrLimited
+	busy
+	notServing
+	noSlot
+	prefillExceeded
+	cacheFull
+)
+
+// String returns the reason for operators, empty for noObstacle.
+func (o obstacle) String() string {
+	return [...]string{
+		"", "draining or suspect", "paused for the node, leaving, or at its rate limit", "has just refused a request as full",
+		"model or adapter not ready", "no free slot", "prefill budget used up", "cache full",
+	}[o]
+}
+
+// startObstacle returns why the request can't start at the target now.
+func (s *Scheduler) startObstacle(now time.Time, t *target, w *waiter) obstacle {
+	switch {
+	case !t.healthy(now):
+		return unhealthy
+	case !s.takes(now, t, w):
+		return withheldOrLimited
+	case now.Before(t.busyUntil):
+		return busy
+	case !t.canServe(now, w.Model, w.Adapter) && !t.canProbe(now, w.Model, w.Adapter):
+		return notServing
+	case t.runs >= s.slots(t):
+		return noSlot
+	case t.runs > 0 && s.exceedsPrefillBudget(now, t, w):
+		return prefillExceeded
+	case t.runs > 0 && float64(t.tokens+w.tokens()) > maxCacheUtilization*float64(s.services[w.Service].Engine.CacheTokens):
+		return cacheFull
 	}
-	return t.runs == 0 || float64(t.tokens+w.tokens()) <= maxCacheUtilization*float64(e.CacheTokens)
+	return noObstacle
 }
 
 // slots returns the number of requests that the target can run concurrently.
--- a/pkg/zoneowner/slots.go
+++ b/pkg/zoneowner/slots.go
@@ -46,6 +46,18 @@
 	return o.cancelRequest(t, ticket, response)
 }
 
+// View returns what a slot request of a node would find at this owner, and false if this node does
+// not own the zone. It changes nothing.
+func (o *Owner) View(node fleet.NodeID, m *wire.SlotRequest) (scheduler.View, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == nil {
+		return scheduler.View{}, false
+	}
+	now := time.Now()
+	return o.term.scheduler.View(now, schedulerRequest(now, node, m)), true
+}
+
 // cancelRequest removes a slot request whose node no longer waits, and
 // releases a slot that was granted in the meantime.
 func (o *Owner) cancelRequest(t *term, ticket scheduler.Ticket, response chan *wire.SlotResponse) *wire.SlotResponse {
