--- a/pkg/fairness/fairness.go
+++ b/pkg/fairness/fairness.go
@@ -31,6 +31,10 @@
 	forgetAfter = 5 * time.Second
 	// costSampleWeight is the weight of the last request in the mean cost.
 	costSampleWeight = 0.1
+	// maxCostRatio bounds what one customer's mean cost counts in the mean over all, as a
+	// multiple of the median, and that of a new customer, as a multiple of the mean. A request
+	// that declares a huge number of tokens would raise the allowance of everyone.
+	maxCostRatio = 8
 )
 
 // Weights holds the weights of customers by name. A customer that is not listed has weight 1.
@@ -107,6 +111,9 @@
 	// meanCost is the mean of the accounts' meanCost, and weight the sum of their weights,
 	// as of the last update.
 	meanCost, weight float64
+	// meanTokens is a moving average of the tokens of the granted requests that declare them. It
+	// is what a request counts that declares none.
+	meanTokens float64
 	// round is the number of the current ranking.
 	round uint64
 }
@@ -122,7 +129,15 @@
 
 // cost returns the cost of a request in virtual time.
 func (s *Shares) cost(customer string, tokens int) float64 {
-	return float64(max(tokens, 1)) / s.weights.of(customer)
+	return s.counted(tokens) / s.weights.of(customer)
+}
+
+// counted returns the number of tokens that a request counts.
+func (s *Shares) counted(tokens int) float64 {
+	if tokens > 0 {
+		return float64(tokens)
+	}
+	return max(s.meanTokens, 1)
 }
 
 // Touch records that a customer has a request, granted or waiting, so that it is active. The
@@ -135,6 +150,9 @@
 	a := s.accounts[customer]
 	if a == nil {
 		a = &account{meanCost: s.cost(customer, tokens)}
+		if len(s.accounts) > 0 {
+			a.meanCost = min(a.meanCost, maxCostRatio*s.meanCost)
+		}
 		s.accounts[customer] = a
 		s.update()
 	}
@@ -147,13 +165,27 @@
 // decided equally: the rounding of a sum depends on its order.
 func (s *Shares) update() {
 	s.meanCost, s.weight = 0, 0
+	most := maxCostRatio * s.medianCost()
 	for _, name := range slices.Sorted(maps.Keys(s.accounts)) {
-		s.meanCost += s.accounts[name].meanCost
+		s.meanCost += min(s.accounts[name].meanCost, most)
 		s.weight += s.weights.of(name)
 	}
 	s.meanCost /= float64(max(len(s.accounts), 1))
 }
 
+// medianCost returns the median of the accounts' mean costs, 0 without accounts.
+func (s *Shares) medianCost() float64 {
+	if len(s.accounts) == 0 {
+		return 0
+	}
+	costs := make([]float64, 0, len(s.accounts))
+	for _, a := range s.accounts {
+		costs = append(costs, a.meanCost)
+	}
+	slices.Sort(costs)
+	return costs[len(costs)/2]
+}
+
 // Forget removes the customers that are no longer active, and has to be called regularly. It
 // reports whether a customer with a name is left.
 func (s *Shares) Forget(now time.Time) bool {
@@ -178,10 +210,22 @@
 	cost := s.cost(customer, tokens)
 	a.meanCost += costSampleWeight * (cost - a.meanCost)
 	a.virtual += cost
-	s.common += headroom * float64(max(tokens, 1)) / s.weight
+	s.common += headroom * s.counted(tokens) / s.weight
+	if tokens > 0 {
+		s.addTokens(float64(tokens))
+	}
 	s.common = max(s.common, a.virtual-maxLead*s.allowance(a))
 }
 
+// addTokens adds the tokens of a request to their moving average.
+func (s *Shares) addTokens(tokens float64) {
+	if s.meanTokens == 0 {
+		s.meanTokens = tokens
+		return
+	}
+	s.meanTokens += costSampleWeight * (tokens - s.meanTokens)
+}
+
 // Refund takes back the charge of a request that was granted and did not run.
 func (s *Shares) Refund(customer string, tokens int) {
 	if a := s.accounts[customer]; a != nil {
--- a/pkg/fairness/fairness_test.go
+++ b/pkg/fairness/fairness_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"almondturn/pkg/customers"
 )
@@ -157,3 +158,38 @@
 	assert.InDelta(t, 1, w.of("d"), 0)
 	assert.InDelta(t, 1, w.of(""), 0)
 }
+
+// Guards against a request that declares a huge number of tokens, and was never granted, after which
+// nobody counted as above its share.
+func TestHugeDeclaredCostDoesNotRaiseTheAllowanceOfOthers(t *testing.T) {
+	s := New(nil)
+	for range 50 {
+		s.Charge(start, "large", 100)
+	}
+	for range 5 {
+		s.Charge(start, "a", 100)
+		s.Charge(start, "b", 100)
+	}
+	above := func() int {
+		n := 0
+		for _, p := range positions(s, queue("large", 40)) {
+			if p.Above {
+				n++
+			}
+		}
+		return n
+	}
+	before := above()
+	require.Positive(t, before)
+	s.Touch(start, "huge", 1_000_000_000)
+	assert.InDelta(t, before, above(), 3)
+}
+
+// Guards against a customer that declares no tokens and is therefore never above its share.
+func TestUndeclaredTokensCountAsTheMean(t *testing.T) {
+	s := New(nil)
+	for range 20 {
+		s.Charge(start, "declares", 600)
+	}
+	assert.InDelta(t, s.cost("declares", 600), s.cost("silent", 0), 1)
+}
--- a/pkg/scheduler/fair.go
+++ b/pkg/scheduler/fair.go
@@ -55,7 +55,7 @@
 // refundCustomer takes back the charge of a run that its target did not execute.
 func (s *Scheduler) refundCustomer(service string, r *run, o Outcome) {
 	shares := s.shares[shareKey{service, r.priority}]
-	if shares == nil {
+	if shares == nil || r.adopted {
 		return
 	}
 	switch o {
@@ -64,12 +64,18 @@
 	}
 }
 
+// fairOrderInterval is the least time between two computations of the fair order, which visit all
+// waiting requests. Steps may follow each other sooner.
+const fairOrderInterval = 10 * time.Millisecond
+
 // orderFairly sets the position of each waiting request among those of other customers, and
-// sorts the queues by it. Requests for one model compete for the same replicas.
+// sorts the queues by it. Requests for one model compete for the same replicas. A request that came
+// since the last computation counts as within its customer's share until the next one.
 func (s *Scheduler) orderFairly(now time.Time) {
-	if len(s.shares) == 0 {
+	if len(s.shares) == 0 || now.Sub(s.fairlyOrderedAt) < fairOrderInterval {
 		return
 	}
+	s.fairlyOrderedAt = now
 	type rankKey struct {
 		shares *fairness.Shares
 		model  string
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -40,7 +40,7 @@
 // orderAccepted handles an order that the target has accepted.
 func (t *target) orderAccepted(now time.Time) {
 	o := t.order
-	t.rejections = 0
+	t.rejections, t.unsentOrders = 0, 0
 	t.sequence = o.Sequence + 1
 	if o.Adapter != "" && o.Operation == Unload {
 		t.adapterUnloadPending(now, o)
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -80,6 +80,8 @@
 	// a customer. customerWeights are their weights.
 	shares          map[shareKey]*fairness.Shares
 	customerWeights fairness.Weights
+	// fairlyOrderedAt is when orderFairly last set the order.
+	fairlyOrderedAt time.Time
 	// keepalive is nil until a service with an idle weight needs it.
 	keepalive *keepalive.Policy
 
@@ -269,9 +271,11 @@
 	// probe is true for a run granted at a target whose load of the model was
 	// not yet confirmed.
 	probe bool
-	// customer and priority are those of the request.
+	// customer and priority are those of the request. They are not known for an adopted run,
+	// which an earlier owner granted.
 	customer string
 	priority int
+	adopted  bool
 	// factor is the duration factor of the target at the grant, 0 for an adopted run.
 	factor float64
 }
@@ -343,7 +347,7 @@
 		if t == nil {
 			continue
 		}
-		r := &run{id: a.ID, node: node, target: a.Target, model: a.Model, adapter: a.Adapter, tokens: a.Tokens, grantedAt: now}
+		r := &run{id: a.ID, node: node, target: a.Target, model: a.Model, adapter: a.Adapter, tokens: a.Tokens, grantedAt: now, adopted: true}
 		s.runs[r.id] = r
 		t.addRun(now, r)
 	}
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -130,9 +130,11 @@
 	probing bool
 	probes  int // since the load was accepted
 	probeAt time.Time
-	// failures and rejections count consecutive failed runs and rejected orders.
-	failures   int
-	rejections int
+	// failures, rejections and unsentOrders count consecutive failed runs, rejected orders and
+	// orders without a connection.
+	failures     int
+	rejections   int
+	unsentOrders int
 	// refusals counts the requests that the target refused as full since a run
 	// last began.
 	refusals int
@@ -456,6 +458,7 @@
 // the target accepts the next one.
 func (t *target) orderRejected(now time.Time) {
 	t.orderAfterUnloadRejected()
+	t.unsentOrders = 0
 	t.rejections++
 	if t.rejections > maxRejections {
 		t.markUnknown(now)
@@ -465,12 +468,19 @@
 	t.nextOrderAt = now.Add(rejectedDelay << (t.rejections - 1))
 }
 
-// orderNotSent handles an order for which no connection to the target was established.
-// As after a run with this outcome, the target is not healthy for a while.
+// unsentOrderDelay is the time until the next order after one that was not sent.
+const unsentOrderDelay = 100 * time.Millisecond
+
+// orderNotSent handles an order for which no connection to the target was established. A single
+// one may be the owner's own fault; after a second one in a row the target is not healthy for a
+// while, as after a run with this outcome.
 func (t *target) orderNotSent(now time.Time) {
 	t.phase, t.order = noOrder, nil
-	t.suspectUntil = now.Add(suspectTime)
-	t.nextOrderAt = t.suspectUntil
+	t.nextOrderAt = now.Add(unsentOrderDelay)
+	if t.unsentOrders++; t.unsentOrders > 1 {
+		t.suspectUntil = now.Add(suspectTime)
+		t.nextOrderAt = t.suspectUntil
+	}
 }
 
 // unknownReportInterval returns the time until the next report of a target in an unknown
--- a/pkg/scheduler/unloads.go
+++ b/pkg/scheduler/unloads.go
@@ -8,9 +8,11 @@
 
 // Estimate of the time that targets take to unload a model.
 const (
-	// unloadDelayRaise is what a rejected order adds to the delay with which it was sent.
-	// On deployment B, unloads take 47 to 54 ms.
+	// unloadDelayRaise is what a rejected order adds to the delay with which it was sent. The
+	// times of unloads scatter by some milliseconds.
 	unloadDelayRaise = 4 * time.Millisecond
+	// maxUnloadDelay bounds the delay: orders may be rejected for other reasons, too.
+	maxUnloadDelay = 500 * time.Millisecond
 	// minUnloadDelayStep and maxUnloadDelayStep bound how much an accepted order lowers
 	// the delay. The step doubles after each acceptedOrdersPerStep orders without a
 	// rejection, so that about one order in thirty is rejected.
@@ -61,7 +63,7 @@
 
 func (e *unloadEstimate) raise(elapsed time.Duration) {
 	e.accepted = 0
-	e.delay = max(e.delay, elapsed+unloadDelayRaise)
+	e.delay = max(e.delay, min(elapsed+unloadDelayRaise, maxUnloadDelay))
 }
 
 // unloadEstimate returns the estimate of a service.
--- a/pkg/scheduler/unloads_test.go
+++ b/pkg/scheduler/unloads_test.go
@@ -154,10 +154,26 @@
 	assert.LessOrEqual(t, e.rejected, 8*(maxRejections+1))
 }
 
+// Guards against orders repeated many times to a target without a connection, and against one failed
+// connection that takes a sound target from all requests.
 func TestTargetWithoutConnectionGetsNoOrdersForAWhile(t *testing.T) {
 	z := newTestZone(t, newTestTarget("a", []string{"m0", "m1"}, []string{"m5"}))
 	o := only[SendOrder](t, z.submitAndStep(z.request("m5"))).Order
 	z.OrderResultReceived(z.now, o, OrderNotSent)
+	assert.True(t, z.Scheduler.targets["a"].healthy(z.now))
+	assertNone[SendOrder](t, z.stepAfter(unsentOrderDelay-time.Millisecond))
+	assert.Equal(t, o, only[SendOrder](t, z.stepAfter(time.Millisecond)).Order)
+	z.OrderResultReceived(z.now, o, OrderNotSent)
+	assert.False(t, z.Scheduler.targets["a"].healthy(z.now))
 	assertNone[SendOrder](t, z.stepAfter(suspectTime-time.Millisecond))
 	assert.Equal(t, o, only[SendOrder](t, z.stepAfter(time.Millisecond)).Order)
 }
+
+// Guards against a delay that grows without end when orders are rejected for other reasons.
+func TestLearnedUnloadDelayIsBounded(t *testing.T) {
+	e := &unloadEstimate{delay: unloadDelay}
+	for range 100 {
+		e.orderRejected(e.delay + 50*time.Millisecond)
+	}
+	assert.Equal(t, maxUnloadDelay, e.delay)
+}
--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -223,6 +223,7 @@
 		token: entry.revision, lease: lease, ordersFrom: ordersFrom, handoverPending: handoverPending, ctx: ctx, cancel: cancel,
 		scheduler: scheduler.New(firstRunID(entry.revision)),
 		waiting:   map[scheduler.Ticket]waitingRequest{},
+		begun:     o.cfg.BootClock(),
 	}
 	t.authority.leaseRenewed(leaseRequested, o.leaseTTL)
 	t.authority.recorded.confirmed(peers)
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -169,7 +169,7 @@
 }
 
 // term is the period from acquiring the zone to losing it. ctx and cancel do not
-// change after its start; Owner.mu guards the other fields. Only the goroutine of
+// change after its start, nor does begun; Owner.mu guards the other fields. Only the goroutine of
 // renewLeaseLoop changes token, lease and ordersFrom, in reacquire; it reads lease
 // without the lock. Resign reads both without the lock after it has ended
 // the term; a reacquire that has finished its calls by then may still write them.
@@ -193,7 +193,9 @@
 	ctx            context.Context
 	cancel         context.CancelFunc
 	sent           sentState
-	quotas         termQuotas
+	// begun is when the term began, by BootClock.
+	begun  time.Time
+	quotas termQuotas
 }
 
 // New returns an Owner that does not take part in the election until Run is
--- a/pkg/zoneowner/quotas.go
+++ b/pkg/zoneowner/quotas.go
@@ -19,18 +19,18 @@
 
 // LeaseQuota grants tokens of the quotas of customers from the zone's share. The response has
 // NotOwner set if this node has no authority at present: two owners must not grant the same share.
-// It grants during the handover delay of orders, too, which guards against orders that are still on
-// their way: the authority of the former owner has ended before the zone is acquired, what it has
-// granted counts as of then, and the accounts start empty.
+// It does not wait for the whole handover delay of orders, which guards against orders that are still
+// on their way, but for the part of it in which a former owner may still have authority: its lease may
+// have been revoked, or the record of the last owner may be outdated.
 func (o *Owner) LeaseQuota(m *wire.QuotaRequests) *wire.QuotaResponses {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now, t := o.cfg.BootClock(), o.term
-	if t == nil || !o.hasAuthority(t, now) || !slices.Contains(o.cfg.Zones, o.cfg.Self.Zone) {
+	if t == nil || !o.hasAuthority(t, now) || now.Before(o.quotasFrom(t)) || !slices.Contains(o.cfg.Zones, o.cfg.Self.Zone) {
 		return &wire.QuotaResponses{NotOwner: true}
 	}
 	if t.quotas.accounts == nil || !t.quotas.ordersFrom.Equal(t.ordersFrom) {
-		t.quotas = termQuotas{quota.NewAccounts(o.cfg.Quota.OrDefault(), len(o.cfg.Zones), uint64(t.token), now), t.ordersFrom}
+		t.quotas = termQuotas{quota.NewAccounts(o.cfg.Quota.OrDefault(), len(o.cfg.Zones), uint64(t.token), o.quotasFrom(t)), t.ordersFrom}
 		t.quotas.accounts.SetLimits(now, o.quotaLimits)
 	}
 	r := &wire.QuotaResponses{Responses: make([]wire.QuotaResponse, len(m.Requests))}
@@ -40,6 +40,12 @@
 	return r
 }
 
+// quotasFrom returns when a term may begin to grant tokens: the end of the authority of former
+// owners, and not before its own begin.
+func (o *Owner) quotasFrom(t *term) time.Time {
+	return latest(t.begun, t.ordersFrom.Add(-o.cfg.HandoverDelay-handoverMargin))
+}
+
 // authorizedAt reports whether a term has the authority, at a time by BootClock, to send orders. o.mu
 // must be held.
 func (o *Owner) authorizedAt(t *term, boot time.Time) bool {
