--- a/pkg/customers/customers.go
+++ b/pkg/customers/customers.go
@@ -40,7 +40,7 @@
 	case tokens > 0:
 		return float64(tokens)
 	default:
-		return float64(c.Quota.PlainTokens)
+		return float64(max(c.Quota.PlainTokens, 1)) // without a number, such requests would have no limit
 	}
 }
 
--- a/pkg/customers/customers_test.go
+++ b/pkg/customers/customers_test.go
@@ -55,6 +55,8 @@
 	tokens := Customer{Quota: Quota{Tokens: true, PlainTokens: 200}}
 	assert.InDelta(t, 1540, tokens.Cost(1540), 0)
 	assert.InDelta(t, 200, tokens.Cost(0), 0)
+	unset := Customer{Quota: Quota{Tokens: true}}
+	assert.InDelta(t, 1, unset.Cost(0), 0, "a request that counts nothing would have no limit")
 	requests := Customer{}
 	assert.InDelta(t, 1, requests.Cost(1540), 0)
 }
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -124,14 +125,33 @@
 // endLoser ends the exchange whose response is not forwarded, and adds it to the attempts of the
 // job. A target that was only slower is not taken for one that failed.
 func (n *Node) endLoser(j *job, x *exchange) {
-	if !x.hasEnded() || !x.answers() {
-		j.addUnused(n.abandon(j, x))
-		return
-	}
-	x.resp.Close()
+	endedByItself := x.hasEnded()
 	x.giveUp(errNotNeeded)
-	n.releaseAssignment(x.assignment, sendResult{kind: expired})
-	j.addUnused(unusedAttempt{x.assignment, sendResult{kind: outcomeUnknown, err: errNotNeeded}})
+	<-x.ended
+	answered := x.answers()
+	r := x.result()
+	if answered || !endedByItself {
+		r = notNeeded(r)
+	}
+	released := r
+	switch {
+	case r.sentNothing():
+		n.refundRetry(j, x.assignment)
+	case errors.Is(r.err, errNotNeeded):
+		released = sendResult{kind: expired}
+	default:
+		n.guard.attemptEnded(j, x.assignment, r)
+	}
+	n.releaseAssignment(x.assignment, released)
+	j.addUnused(unusedAttempt{x.assignment, r})
+}
+
+// notNeeded returns the result of an exchange that was ended because the other one has answered.
+func notNeeded(r sendResult) sendResult {
+	if r.sentNothing() {
+		return sendResult{kind: withheld, err: errNotNeeded}
+	}
+	return sendResult{kind: outcomeUnknown, err: errNotNeeded}
 }
 
 // awaitFirst waits for the first response that may be forwarded, or the end of ctx, and returns its
--- a/pkg/entry/quota.go
+++ b/pkg/entry/quota.go
@@ -67,7 +67,9 @@
 		j.charge = charge
 		return nil
 	}
-	go n.returnQuota(c.Name, true)
+	if asked > 0 { // otherwise a former denial holds, after which the tokens were returned
+		go n.returnQuota(c.Name, true)
+	}
 	event.QuotaExceeded.Log(n.log).Str("request", j.ID).Str("customer", c.Name).Float64("tokens", cost).
 		Int("asked", asked).Int("reached", reached).Dur("retry_after_ms", after).Send()
 	return newErrorResponse(fault.QuotaExceeded, after, "the quota of the customer is used up")
--- a/pkg/quota/accounts.go
+++ b/pkg/quota/accounts.go
@@ -30,6 +30,8 @@
 	authority uint64
 	since     time.Time
 	byName    map[string]*account
+	// limited is true once there were customers.
+	limited bool
 }
 
 // account is the account of a customer.
@@ -55,8 +57,8 @@
 // beginning of the authority with the first limits, and now with later ones.
 func (a *Accounts) SetLimits(now time.Time, limits map[string]Limit) {
 	begin := now
-	if len(a.byName) == 0 {
-		begin = a.since
+	if !a.limited {
+		begin, a.limited = a.since, len(limits) > 0
 	}
 	next := make(map[string]*account, len(limits))
 	for name, l := range limits {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -336,3 +336,15 @@
 		assert.InDelta(t, want, r.Granted, 0)
 	}
 }
+
+// Guards against full buckets for customers that a configuration removed and a later one added again.
+func TestCustomersThatReturnBeginEmpty(t *testing.T) {
+	a := NewAccounts(DefaultRule, 1, 7, simEpoch)
+	limits := map[string]Limit{"c": {PerSecond: 1000, Burst: 10_000}}
+	now := simEpoch.Add(time.Minute)
+	a.SetLimits(now, limits)
+	a.SetLimits(now, nil)
+	now = now.Add(time.Second)
+	a.SetLimits(now, limits)
+	assert.Zero(t, a.Lease(now, &wire.QuotaRequest{Customer: "c", Tokens: 5000, Minimum: 5000}).Granted)
+}
