--- a/pkg/scheduler/view_test.go
+++ b/pkg/scheduler/view_test.go
@@ -39,6 +39,19 @@
 			}
 		}, map[string]string{"a": "no free slot", "b": "no free slot"}},
 		{"limit", "m0", func(z *testZone) { z.SetTargetLimit(z.now, "a", 0, 2) }, map[string]string{"a": withheldOrLimited.String(), "b": ""}},
+		{"old prompts", "m0", func(z *testZone) {
+			r := z.request("m0")
+			r.MaxEventInterval = maxStepAge / 10
+			only[Grant](z.t, z.submitAndStep(r))
+			only[Grant](z.t, z.submitAndStep(r))
+		}, map[string]string{"a": "", "b": ""}},
+		{"no demand yet", "m0", func(z *testZone) {
+			r := z.request("m0")
+			r.MaxEventInterval = time.Second
+			only[Grant](z.t, z.submitAndStep(r))
+			only[Grant](z.t, z.submitAndStep(r))
+			clear(z.demand)
+		}, map[string]string{"a": "", "b": ""}},
 		{"not loaded", "m5", func(*testZone) {}, map[string]string{}},
 	} {
 		z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil), newTestTarget("b", []string{"m0"}, nil))
