--- a/pkg/fairness/fairness.go
+++ b/pkg/fairness/fairness.go
@@ -24,7 +24,7 @@
 	// burst is the number of its mean requests that a customer may be ahead and is still
 	// within its share.
 	burst = 6
-	// maxLead bounds the lead of a customer, as a multiple of its allowance. Beyond it the
+	// maxLead bounds the lead of a customer, as a multiple of its slack. Beyond it the
 	// common time advances with the customer.
 	maxLead = 2
 	// forgetAfter is how long after its last request a customer counts as active.
@@ -33,7 +33,7 @@
 	costSampleWeight = 0.1
 	// maxCostRatio bounds what one customer's mean cost counts in the mean over all, as a
 	// multiple of the median, and that of a new customer, as a multiple of the mean. A request
-	// that declares a huge number of tokens would raise the allowance of everyone.
+	// that declares a huge number of tokens would raise the slack of everyone.
 	maxCostRatio = 8
 )
 
@@ -201,8 +201,8 @@
 	return named
 }
 
-// allowance returns the lead up to which a customer is within its share.
-func (s *Shares) allowance(a *account) float64 { return max(burst*a.meanCost, s.meanCost) }
+// slack returns the lead up to which a customer is within its share.
+func (s *Shares) slack(a *account) float64 { return max(burst*a.meanCost, s.meanCost) }
 
 // Charge records the grant of a request.
 func (s *Shares) Charge(now time.Time, customer string, tokens int) {
@@ -214,7 +214,7 @@
 	if tokens > 0 {
 		s.addTokens(float64(tokens))
 	}
-	s.common = max(s.common, a.virtual-maxLead*s.allowance(a))
+	s.common = max(s.common, a.virtual-maxLead*s.slack(a))
 }
 
 // addTokens adds the tokens of a request to their moving average.
@@ -249,7 +249,7 @@
 	}
 	tag := a.next
 	a.next += s.cost(customer, tokens)
-	if tag <= s.allowance(a) {
+	if tag <= s.slack(a) {
 		return Position{}
 	}
 	return Position{Above: true, Tag: tag}
