--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -51,7 +51,7 @@
 	// (GOMEMLIMIT), or 512 without one.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
 	// MaxFDs is the number of descriptors that the process may have open. 200, at most half, are for files;
-	// callers' connections may have two thirds of the others, and at that bound a new one
+	// callers' connections may have 45 in 100 of the others, and at that bound a new one
 	// replaces one that stands still or is idle. With 0 they are not bounded.
 	MaxFDs int `yaml:"max_fds" validate:"min=0"`
 	// ClientConnsPerAddress is the largest number of callers' connections from one address.
--- a/pkg/entry/cut_test.go
+++ b/pkg/entry/cut_test.go
@@ -138,6 +138,6 @@
 	w := httptest.NewRecorder()
 	cr := &clientResponse{w: w, rc: http.NewResponseController(w), started: true}
 	j := &job{givenUp: true, version: softwareVersion{known: true}}
-	require.NoError(t, new(Node).writeEvents(j, nil, cr, http.StatusOK, []byte("id: 3\n\n")))
+	require.NoError(t, new(Node).writeEvents(j, nil, cr, cr.w, http.StatusOK, []byte("id: 3\n\n")))
 	assert.False(t, j.givenUp)
 }
--- a/pkg/entry/idleconns.go
+++ b/pkg/entry/idleconns.go
@@ -89,6 +89,7 @@
 		return 0
 	}
 	delete(ic.since, c)
+	c.bounded().Arrived(n)
 	return n
 }
 
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -28,7 +28,11 @@
 	// grants a slot for each attempt, unless no owner responds.
 	engine bool
 	body   []byte
-	// received counts what the node holds of the body; nil without one.
+	// bodyRead is true once the whole body was read.
+	bodyRead bool
+	// head counts what the node holds of the head, received what it holds of the body, nil
+	// without one.
+	head     *intake.Head
 	received *intake.Body
 	arrived  time.Time
 	deadline time.Time
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -228,7 +228,7 @@
 	body := n.readAhead(j, resp, cr)
 	defer body.Close()
 	cr.writeHeader(out.status, resp.Header, resp.Length)
-	if err := n.write(j, cr, body, func() error { _, err := cr.w.Write(read); return err }); err != nil {
+	if err := n.write(j, cr, body, func(w io.Writer) error { _, err := w.Write(read); return err }); err != nil {
 		out.kind, out.err = clientGone, err
 		return out
 	}
@@ -237,7 +237,7 @@
 	for {
 		size, readErr := body.Read(buf)
 		if size > 0 {
-			err := n.write(j, cr, body, func() error { _, err := cr.w.Write(buf[:size]); return err })
+			err := n.write(j, cr, body, func(w io.Writer) error { _, err := w.Write(buf[:size]); return err })
 			if errors.Is(err, intake.ErrSlowReader) {
 				out.kind, out.err = clientGone, err
 				return out
@@ -265,15 +265,44 @@
 		func() { _ = cr.rc.SetWriteDeadline(time.Now()) }) // an error leaves the response to its deadline
 }
 
+// pieceWriter writes to a client in pieces, each of which may wait for intake.MaxWriteStall.
+type pieceWriter struct {
+	cr   *clientResponse
+	body *intake.Ahead
+	// end is the write deadline of the response.
+	end time.Time
+}
+
+// Write implements io.Writer.
+func (w pieceWriter) Write(b []byte) (int, error) {
+	written := 0
+	for len(b) > 0 {
+		w.begin()
+		n, err := w.cr.w.Write(b[:min(len(b), intake.WritePieceBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		b = b[n:]
+	}
+	return written, nil
+}
+
+// begin begins a piece.
+func (w pieceWriter) begin() {
+	if latest := time.Now().Add(intake.MaxWriteStall); latest.Before(w.end) {
+		_ = w.cr.rc.SetWriteDeadline(latest) // an error leaves the response to its deadline
+	}
+	w.body.WriteBegins()
+}
+
 // write calls f, which writes a part of the response to the client. It returns
 // intake.ErrSlowReader if the client does not read for too long, or is the slowest of too many.
-func (n *Node) write(j *job, cr *clientResponse, body *intake.Ahead, f func() error) error {
+func (n *Node) write(j *job, cr *clientResponse, body *intake.Ahead, f func(w io.Writer) error) error {
 	end := j.deadline.Add(writeGrace)
-	if latest := time.Now().Add(intake.MaxWriteStall); latest.Before(end) {
-		_ = cr.rc.SetWriteDeadline(latest) // an error leaves the response to its deadline
-	}
-	body.WriteBegins()
-	err := f()
+	w := pieceWriter{cr, body, end}
+	w.begin()
+	err := f(w)
 	slow := body.WriteEnds()
 	if isTimeout(err) && time.Now().Before(j.deadline) {
 		slow = intake.ErrSlowReader
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -61,9 +61,18 @@
 // if the connection of the client has to be closed.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	cr := &clientResponse{w: w, r: r, rc: http.NewResponseController(w), protocol: n.clientProtocol, untilStop: n.untilStop}
+	head := n.intake.HoldHead(headMemory(r), time.Now)
+	defer head.Release()
+	if head == nil {
+		n.clientLimited(intake.HeadMemory, r.RemoteAddr)
+		cr.writeError(cr.refuseBody(fault.BodiesFull, "the node holds too much of requests"))
+		n.metrics.countRefusal(fault.BodiesFull)
+		r.Header = nil // the HTTP server keeps the request for a while after it closes the connection
+		return
+	}
 	j, refusal := n.acceptRequest(r)
 	if refusal == nil {
-		cr.request = j.Request
+		cr.request, j.head = j.Request, head
 		refusal = n.readBody(cr, j)
 		defer j.received.Release()
 	}
@@ -77,8 +86,10 @@
 		refusal = n.chargeQuota(j)
 	}
 	if refusal != nil {
+		cr.endUnreadBody(j)
 		cr.writeError(refusal)
 		n.metrics.countRefusal(refusal.Kind)
+		r.Header = nil // the HTTP server keeps the request until it has read or closed the rest
 		return
 	}
 	// The deadline also ends a response that the client does not read.
@@ -93,6 +104,37 @@
 	n.serveJob(ctx, j, cr)
 }
 
+// unreadBodyTime bounds how long the rest of a body is read after a refusal.
+const unreadBodyTime = time.Second
+
+// endUnreadBody bounds the time for which the HTTP server reads the rest of the body of a refused request
+// before it writes the response. A client that waits with its body for the response gets it at
+// once.
+func (cr *clientResponse) endUnreadBody(j *job) {
+	if cr.r.ContentLength == 0 || j != nil && j.bodyRead {
+		return
+	}
+	if cr.r.Header.Get("Expect") != "" {
+		cr.w.Header()["Connection"] = []string{"close"}
+	}
+	_ = cr.rc.SetReadDeadline(time.Now().Add(unreadBodyTime)) // an error leaves the body to the limits of its connection
+}
+
+// fieldMemory is what a field of a head holds beside its bytes: its slice, strings and place in a map.
+const fieldMemory = 100
+
+// headMemory returns an estimate of what the parsed head of a request holds.
+func headMemory(r *http.Request) int64 {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		size += fieldMemory + len(name)
+		for _, v := range values {
+			size += fieldMemory + len(v)
+		}
+	}
+	return int64(size)
+}
+
 // acceptRequest finds the route of a request and parses its headers. It refuses
 // the request if the node is not ready, or has been stopping for longer than
 // maxAcceptAfterStop.
@@ -202,7 +244,7 @@
 	conn.SetBodyIncomplete(true)
 	defer conn.SetBodyIncomplete(false)
 	interrupt := func() { _ = cr.rc.SetReadDeadline(time.Now()) } // an error leaves the body to the limits of its connection
-	j.received = n.intake.Receive(cr.r.Body, interrupt, time.Now)
+	j.received = n.intake.Receive(j.head, cr.r.Body, interrupt, time.Now)
 	body, err := j.received.ReadAll(cr.r.ContentLength, limit, maxDiscardedBytes)
 	switch {
 	case errors.Is(err, intake.ErrTooLarge):
@@ -214,7 +256,7 @@
 		n.clientLimited(intake.BodyStalled, cr.r.RemoteAddr)
 		return cr.refuseBody(fault.BodyStalled, "the body has not arrived in time"), nil
 	}
-	j.body = body
+	j.body, j.bodyRead = body, err == nil
 	return nil, err
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -61,7 +61,7 @@
 				if !c.writeBegins() {
 					return incompleteResult(ctx, out, errStalled)
 				}
-				if writeErr := n.write(j, cr, body, func() error { return n.writeEvents(j, resp, cr, out.status, events) }); writeErr != nil {
+				if writeErr := n.write(j, cr, body, func(w io.Writer) error { return n.writeEvents(j, resp, cr, w, out.status, events) }); writeErr != nil {
 					out.kind, out.err = clientGone, writeErr
 					return out
 				}
@@ -104,7 +104,7 @@
 // writeEvents writes complete events to the client, after the headers if they
 // are still missing, and reports the start of the run to its owner. An error
 // means that the client accepts no more bytes.
-func (n *Node) writeEvents(j *job, resp *upstream.Response, cr *clientResponse, status int, events []byte) error {
+func (n *Node) writeEvents(j *job, resp *upstream.Response, cr *clientResponse, w io.Writer, status int, events []byte) error {
 	now := time.Now()
 	if !j.version.known {
 		n.streams.begun(j, j.assignment.target)
@@ -121,7 +121,7 @@
 		j.startReported = true
 		n.links.runStarted(j.assignment.zone, &wire.RunStarted{Run: j.assignment.runID, PacePercent: n.targetProtocol.ParseResponse(resp.Header).PacePercent})
 	}
-	if _, err := cr.w.Write(events); err != nil {
+	if _, err := w.Write(events); err != nil {
 		return err
 	}
 	return cr.rc.Flush()
--- a/pkg/intake/backlog.go
+++ b/pkg/intake/backlog.go
@@ -25,9 +25,13 @@
 	aheadRetry = 500 * time.Millisecond
 )
 
-// MaxWriteStall is how long one write to a client may wait.
+// MaxWriteStall is how long a write of WritePieceBytes to a client may wait.
 const MaxWriteStall = 10 * time.Second
 
+// WritePieceBytes is the size of the pieces in which a response is written: a client that reads slowly
+// and steadily is not ended.
+const WritePieceBytes = 16 << 10
+
 // ErrSlowReader means that a response was ended because its client reads too slowly.
 var ErrSlowReader = errors.New("the client reads the response too slowly")
 
@@ -115,12 +119,15 @@
 	return a.source.Read(p)
 }
 
-// WriteBegins records that a write to the client begins.
+// WriteBegins records that a write to the client begins, or its next piece.
 func (a *Ahead) WriteBegins() {
 	l := a.backlogs
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a.writing, a.writingSince = true, time.Now()
+	if a.reading {
+		l.readers[a] = struct{}{}
+	}
 	if a.timer == nil {
 		a.timer = time.AfterFunc(aheadDelay, a.readAhead)
 		return
--- a/pkg/intake/bodies.go
+++ b/pkg/intake/bodies.go
@@ -57,6 +57,43 @@
 	return b.held + b.ending
 }
 
+// Head is what the parsed head of a request holds until the request has ended. Its fields hold more
+// memory than they had bytes on the wire.
+type Head struct {
+	bodies *Bodies
+	size   int64
+	// ended is true once the body of the request was ended; bodies.mu guards it.
+	ended bool
+}
+
+// HoldHead counts size bytes for a head. If too much is held, it ends the bodies that have stood still
+// the longest, with their heads. It returns nil if that does not suffice. now is the clock.
+func (l *Bodies) HoldHead(size int64, now func() time.Time) *Head {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.max > 0 && l.held+size > l.max {
+		if !l.endLongestStalled(nil, now()) {
+			return nil
+		}
+	}
+	l.held += size
+	return &Head{bodies: l, size: size}
+}
+
+// Release records that the head is not needed any more. A nil Head is none.
+func (h *Head) Release() {
+	if h == nil {
+		return
+	}
+	h.bodies.mu.Lock()
+	defer h.bodies.mu.Unlock()
+	if h.ended {
+		h.bodies.ending -= h.size
+	} else {
+		h.bodies.held -= h.size
+	}
+}
+
 // Body is the body of one request. Its methods are called by the goroutine of the request.
 type Body struct {
 	bodies *Bodies
@@ -72,12 +109,15 @@
 	// guards them, and cause, which is why it was ended.
 	held, ending int64
 	cause        error
+	// head is that of the request, nil for none.
+	head *Head
 }
 
 // Receive returns the body that is read from source. Another goroutine may call interrupt,
-// until Complete or Release, to end a read that waits. now is the clock.
-func (b *Bodies) Receive(source io.Reader, interrupt func(), now func() time.Time) *Body {
-	body := &Body{bodies: b, source: source, interrupt: interrupt, begun: now(), now: now}
+// until Complete or Release, to end a read that waits. head is that of the request, nil for none. now
+// is the clock.
+func (b *Bodies) Receive(head *Head, source io.Reader, interrupt func(), now func() time.Time) *Body {
+	body := &Body{bodies: b, head: head, source: source, interrupt: interrupt, begun: now(), now: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.receiving[body] = struct{}{}
@@ -180,11 +220,9 @@
 		return b.cause
 	}
 	for l.max > 0 && size > b.held && !l.hasRoom(b, size) {
-		victim := l.longestStalled(b)
-		if victim == nil || float64(l.ending+victim.held) > maxEndingShare*float64(l.max) {
+		if !l.endLongestStalled(b, b.now()) {
 			return ErrFull
 		}
-		l.end(victim, ErrFull)
 	}
 	l.set(b, size)
 	return nil
@@ -213,14 +251,32 @@
 	b.held = size
 }
 
+// endLongestStalled ends the body that longestStalled returns, and returns false if there is none or
+// those that are being ended hold too much. mu must be held.
+func (l *Bodies) endLongestStalled(except *Body, now time.Time) bool {
+	victim := l.longestStalled(except, now)
+	if victim == nil || l.ending > 0 && float64(l.ending+victim.total()) > maxEndingShare*float64(l.max) {
+		return false
+	}
+	l.end(victim, ErrFull)
+	return true
+}
+
+// total returns what a body and its head hold. mu must be held.
+func (b *Body) total() int64 {
+	if b.head == nil {
+		return b.held
+	}
+	return b.held + b.head.size
+}
+
 // longestStalled returns the incomplete body that has stood still the longest among those
 // that hold bytes, nil if none has for minEvictStall. mu must be held.
-func (l *Bodies) longestStalled(except *Body) *Body {
-	now := except.now()
+func (l *Bodies) longestStalled(except *Body, now time.Time) *Body {
 	var longest *Body
 	longestStall := minEvictStall
 	for b := range l.receiving {
-		if b == except || b.held == 0 || b.cause != nil {
+		if b == except || b.total() == 0 || b.cause != nil {
 			continue
 		}
 		if stall := b.stall(now); stall >= longestStall {
@@ -241,6 +297,11 @@
 	b.ending = b.held
 	l.ending += b.held
 	l.set(b, 0)
+	if h := b.head; h != nil && !h.ended {
+		h.ended = true
+		l.held -= h.size
+		l.ending += h.size
+	}
 	b.interrupt()
 }
 
--- a/pkg/intake/bodies_test.go
+++ b/pkg/intake/bodies_test.go
@@ -48,7 +48,7 @@
 // returns the channel for the error.
 func receiveStalled(b *Bodies, c *clock, size int) <-chan error {
 	s := newStalledSource(size - 1)
-	body := b.Receive(s, func() { close(s.interrupted) }, c.now)
+	body := b.Receive(nil, s, func() { close(s.interrupted) }, c.now)
 	done := make(chan error, 1)
 	go func() {
 		_, err := body.ReadAll(int64(size), 1<<20, 1<<20)
@@ -61,7 +61,7 @@
 
 // receive receives a complete body, which is not released.
 func receive(b *Bodies, c *clock, size int) (*Body, error) {
-	body := b.Receive(bytes.NewReader(make([]byte, size)), func() {}, c.now)
+	body := b.Receive(nil, bytes.NewReader(make([]byte, size)), func() {}, c.now)
 	got, err := body.ReadAll(int64(size), 1<<20, 1<<20)
 	if err == nil && len(got) != size {
 		err = io.ErrUnexpectedEOF
@@ -75,7 +75,7 @@
 	done := receiveStalled(b, c, 1<<20)
 	assert.LessOrEqual(t, b.Held(), int64(1<<20))
 	s := newStalledSource(0)
-	body := b.Receive(s, func() { close(s.interrupted) }, c.now)
+	body := b.Receive(nil, s, func() { close(s.interrupted) }, c.now)
 	go func() { _, _ = body.ReadAll(1<<20, 1<<20, 0) }()
 	<-s.waits
 	assert.LessOrEqual(t, b.Held(), int64(1<<20+firstBufferBytes))
@@ -136,7 +136,7 @@
 func TestBodyThatTakesTooLongEnds(t *testing.T) {
 	b, c := NewBodies(0), &clock{time.Now()}
 	r, w := io.Pipe()
-	body := b.Receive(r, func() { _ = w.CloseWithError(errors.New("interrupted")) }, c.now)
+	body := b.Receive(nil, r, func() { _ = w.CloseWithError(errors.New("interrupted")) }, c.now)
 	done := make(chan error, 1)
 	go func() {
 		_, err := body.ReadAll(-1, 1<<20, 0)
@@ -156,7 +156,7 @@
 func TestBodyOverTheLimitIsTooLarge(t *testing.T) {
 	b, c := NewBodies(0), &clock{time.Now()}
 	for _, size := range []int{99, 100, 101} {
-		body := b.Receive(bytes.NewReader(make([]byte, size)), func() {}, c.now)
+		body := b.Receive(nil, bytes.NewReader(make([]byte, size)), func() {}, c.now)
 		got, err := body.ReadAll(-1, 100, 0)
 		body.Release()
 		if size > 100 {
@@ -167,3 +167,27 @@
 		assert.Len(t, got, size)
 	}
 }
+
+// Guards against parsed heads with many fields that hold memory beyond any bound while their bodies
+// stand still, and against ordinary requests that they keep out.
+func TestHeadsCountAndEndWithTheirStalledBodies(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	b := NewBodies(1 << 20)
+	var heads []*Head
+	for i := range 4 {
+		h := b.HoldHead(256<<10, c.now)
+		require.NotNil(t, h, i)
+		r, w := io.Pipe()
+		b.Receive(h, r, func() { _ = w.CloseWithError(errors.New("interrupted")) }, c.now)
+		heads = append(heads, h)
+	}
+	assert.Nil(t, b.HoldHead(2000, c.now), "none has stood still for long enough")
+	c.Time = c.Add(2 * time.Second)
+	h := b.HoldHead(2000, c.now)
+	require.NotNil(t, h)
+	h.Release()
+	for _, h := range heads {
+		h.Release()
+	}
+	assert.Zero(t, b.Held())
+}
--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -72,6 +72,8 @@
 	headBytes, counted int64
 	// bodyIncomplete is true while the body of a request is being received.
 	bodyIncomplete bool
+	// endingSince is when ending was set.
+	endingSince time.Time
 	// ending is true if the connection was chosen to make room, evicted if it was closed for
 	// that, closed once Close was called.
 	ending, evicted, closed bool
@@ -100,6 +102,13 @@
 	return n, err
 }
 
+// Arrived records n bytes that were read past Read.
+func (c *Conn) Arrived(n int) {
+	if c != nil {
+		_ = c.arrived(n, c.conns.now()) // the few bytes are within any limit
+	}
+}
+
 // arrived records n bytes and returns the limit that they exceed, empty for none.
 func (c *Conn) arrived(n int, now time.Time) Reason {
 	c.mu.Lock()
@@ -185,7 +194,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bodyIncomplete, c.since = incomplete, c.conns.now()
+	c.bodyIncomplete, c.since, c.ending = incomplete, c.conns.now(), false
 }
 
 // EndRequest records that the response is complete. hasBegun is true if a byte of the next
@@ -212,6 +221,10 @@
 // that a request that arrives at this moment is still served, any other at once.
 func (c *Conn) evict() {
 	c.mu.Lock()
+	if !c.ending { // its request has gone on since it was chosen
+		c.mu.Unlock()
+		return
+	}
 	if c.phase == waiting {
 		_ = c.Conn.SetReadDeadline(c.conns.now()) // fails only if the connection is closed
 		c.mu.Unlock()
--- a/pkg/intake/conns.go
+++ b/pkg/intake/conns.go
@@ -139,6 +139,9 @@
 	for c := range l.conns {
 		c.mu.Lock()
 		still := now.Sub(c.since)
+		if c.ending && now.Sub(c.endingSince) >= minEvictStall {
+			c.ending = false // it went on, or has to be chosen again
+		}
 		switch {
 		case c.ending:
 			ending++
@@ -158,7 +161,7 @@
 		return nil
 	}
 	victim.mu.Lock()
-	victim.ending = true
+	victim.ending, victim.endingSince = true, now
 	victim.mu.Unlock()
 	return victim
 }
--- a/pkg/intake/limits.go
+++ b/pkg/intake/limits.go
@@ -13,9 +13,9 @@
 	// fileDescriptors is the number of descriptors that are not for sockets, half of all at
 	// most.
 	fileDescriptors = 200
-	// clientShare is the share of the sockets that clients' connections may have. The rest is
-	// for targets, other nodes and the key-value service.
-	clientShare = 2.0 / 3
+	// clientShare is the share of the sockets that clients' connections may have. Each request
+	// may need a connection to a target, too; the rest is for other nodes and the key-value service.
+	clientShare = 0.45
 )
 
 // Limits are the bounds of one node. A bound of 0 is none.
