zoneowner: the handover delay begins when the last owner's lease can no longer be trusted

Cause: an owner trusts its lease until the time of its last renewal has passed, also if the lease was revoked meanwhile and the owner does not reach the key-value service. earliestOrder added the lease time for such a lease only if the new owner had never granted the last one a peer lease. A peer lease that ended long ago counted, although it shows nothing about renewals since.

Change: a node remembers when it saw that the owner key was gone, as long as the last-owner record is unchanged (vacancy), and when it granted the last peer lease. The handover delay begins - at once if the key was deleted 1.5 s (the lease time) +- 0.65 s after the last peer lease, as after a crash of the owner, or the lease time or longer ago; - the lease time after the key was deleted otherwise; - the lease time after the acquisition if the record has changed or the node granted the last owner no peer lease. zones.pml and restore.pml have the rule in ticks.

What remains: the service does not show whether a lease expired or was revoked. If a node is cut off from an owner that goes on to renew, and the lease is revoked in the 1.3 s in which a crash would have ended it, while the owner does not notice, the orders are 1.9 s apart as before (docs/design/specifications.md).

--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -61,6 +61,7 @@
 	defer o.mu.Unlock()
 	o.currentEntry = ownerEntry{record, revision}
 	o.entryObserved = true
+	o.vacancy.observeKey(o.cfg.BootClock(), record.Addr != "")
 	t := o.term
 	if t != nil && record.Addr != "" && !o.isSelf(record) && o.currentEntry.token() > t.token {
 		o.endTerm(t, "another node took the zone")
@@ -179,7 +180,7 @@
 		return fmt.Errorf("acquire the owner key: %w", err)
 	}
 	acquired := o.cfg.BootClock()
-	ordersFrom := o.earliestOrder(lastOwner, token.Era(), acquired)
+	ordersFrom := o.earliestOrder(lastOwner, revision, token.Era(), acquired)
 	peers := o.connectedPeers()
 	next := lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, HandoverPending: ordersFrom.After(acquired), Peers: peers}
 	if err := o.writeLastOwner(ctx, next, revision); err != nil {
@@ -245,6 +246,7 @@
 	}
 	o.term = t
 	o.currentEntry = entry
+	o.vacancy.observeKey(t.begun, true)
 	event.ZoneTaken.Log(o.cfg.Log).Str("zone", string(o.cfg.Self.Zone)).Uint64("token", uint64(t.token)).
 		Int64("orders_after_ms", ordersFrom.Sub(o.cfg.BootClock()).Milliseconds()).Send()
 	go o.renewLeaseLoop(t)
--- a/pkg/zoneowner/lastowner.go
+++ b/pkg/zoneowner/lastowner.go
@@ -44,6 +44,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.vacancy.observeRecord(o.cfg.BootClock(), revision)
 	o.lastOwnerOutdated = lastOwner.outdated(revision.Era())
 	if o.lastOwnerOutdated {
 		return
@@ -100,9 +101,10 @@
 }
 
 // earliestOrder returns the time of BootClock at which an owner that acquired
-// the zone after lastOwner, in an era of the key-value service, may send its first
-// order, so that no two owners send orders within HandoverDelay.
-func (o *Owner) earliestOrder(lastOwner lastOwnerRecord, era kv.Era, acquired time.Time) time.Time {
+// the zone after lastOwner, whose record has the given revision, in an era of the
+// key-value service, may send its first order, so that no two owners send orders within
+// HandoverDelay.
+func (o *Owner) earliestOrder(lastOwner lastOwnerRecord, revision kv.Revision, era kv.Era, acquired time.Time) time.Time {
 	if lastOwner.outdated(era) {
 		return acquired.Add(o.maxHandoverDelay())
 	}
@@ -114,13 +116,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.peerLeaseOwnerAddr != lastOwner.Addr {
-		// This node granted no peer lease to the last owner, so it does not
-		// know when that owner's authority ends: if its lease was revoked, it
-		// may send orders until the lease would have expired.
-		return acquired.Add(o.maxHandoverDelay())
-	}
-	return acquired.Add(o.cfg.HandoverDelay + handoverMargin)
+	return o.authorityEnd(lastOwner, revision, acquired).Add(o.cfg.HandoverDelay + handoverMargin)
 }
 
 // lastOrderAge returns the time since the last order at the end of a term, so that the
--- a/pkg/zoneowner/owner.go
+++ b/pkg/zoneowner/owner.go
@@ -150,9 +150,11 @@
 	lastOwnerOutdated bool
 	// peerLeaseUntil is the time by BootClock before which this node must not
 	// acquire the zone, because it granted a peer lease to the owner at
-	// peerLeaseOwnerAddr.
+	// peerLeaseOwnerAddr at peerLeaseGrantedAt.
 	peerLeaseUntil     time.Time
+	peerLeaseGrantedAt time.Time
 	peerLeaseOwnerAddr string
+	vacancy            vacancy
 	unrecordedWait     unrecordedWait
 	// acquiring is true while this node registers as the owner.
 	acquiring       bool
--- a/pkg/zoneowner/peerlease.go
+++ b/pkg/zoneowner/peerlease.go
@@ -24,14 +24,15 @@
 		return response
 	}
 	response.Granted = true
-	o.peerLeaseUntil = o.cfg.BootClock().Add(PeerLeaseTTL)
+	o.peerLeaseGrantedAt = o.cfg.BootClock()
+	o.peerLeaseUntil = o.peerLeaseGrantedAt.Add(PeerLeaseTTL)
 	o.peerLeaseOwnerAddr = from.Addr
 	return response
 }
 
 // EndPeerLease ends the peer lease of the owner at addr, which has resigned.
-// peerLeaseOwnerAddr stays, because earliestOrder needs to know whether the last
-// owner had a peer lease of this node.
+// peerLeaseOwnerAddr and peerLeaseGrantedAt stay, because authorityEnd needs to know when
+// the last owner had a peer lease of this node.
 func (o *Owner) EndPeerLease(addr string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -176,8 +176,9 @@
 		"an unreadable record":                       {lastOwnerRecord{Addr: "unreadable"}, "", delay + defaultLeaseTTL},
 	} {
 		o := newSingleOwner(new(kvtest.Store))
-		o.peerLeaseOwnerAddr = c.peerLeaseOwner
-		assert.Equal(t, c.want, o.earliestOrder(c.lastOwner, kv.FirstEra, acquired).Sub(acquired), name)
+		o.peerLeaseOwnerAddr, o.peerLeaseGrantedAt = c.peerLeaseOwner, acquired.Add(-PeerLeaseTTL)
+		o.vacancy.since = acquired
+		assert.Equal(t, c.want, o.earliestOrder(c.lastOwner, 0, kv.FirstEra, acquired).Sub(acquired), name)
 	}
 }
 
@@ -333,7 +334,7 @@
 // delayAfter returns how long a node waits with its first order after a record.
 func delayAfter(record lastOwnerRecord) time.Duration {
 	acquired := time.Now()
-	return newSingleOwner(new(kvtest.Store)).earliestOrder(record, kv.FirstEra, acquired).Sub(acquired)
+	return newSingleOwner(new(kvtest.Store)).earliestOrder(record, 0, kv.FirstEra, acquired).Sub(acquired)
 }
 
 // scheduleTolerance is how much the times of tests without virtual time may differ.
--- /dev/null
+++ b/pkg/zoneowner/vacancy_test.go
@@ -0,0 +1,67 @@
+package zoneowner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"almondturn/pkg/kv"
+	"almondturn/pkg/kv/kvtest"
+)
+
+// Guards against a next owner that relies on a peer lease of long ago, or on a deleted key of
+// long ago: the last owner trusts a revoked lease until it would have expired. After a crash
+// of the last owner the delay must not grow.
+func TestHandoverDelayDependsOnWhenTheKeyWasDeleted(t *testing.T) {
+	const tick = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		granted, deleted time.Duration // before the node acquired the zone
+		otherRecord      bool          // the record was written since
+		want             time.Duration // beyond the handover delay
+	}{
+		"crash just after the last peer lease":           {granted: PeerLeaseTTL, deleted: 0},
+		"crash just before the next renewal":             {granted: PeerLeaseTTL + renewInterval, deleted: 0},
+		"renewed long before the last peer lease":        {granted: PeerLeaseTTL, deleted: renewInterval},
+		"cut off since, revoked now":                     {granted: 5 * time.Second, deleted: 0, want: defaultLeaseTTL},
+		"cut off since, revoked before":                  {granted: 5 * time.Second, deleted: tick, want: defaultLeaseTTL - tick},
+		"cut off since, revoked long before":             {granted: 5 * time.Second, deleted: defaultLeaseTTL},
+		"revoked when the peer lease was granted":        {granted: PeerLeaseTTL, deleted: PeerLeaseTTL},
+		"revoked after the peer lease was granted":       {granted: PeerLeaseTTL, deleted: PeerLeaseTTL - tick, want: tick},
+		"without the service for long":                   {granted: PeerLeaseTTL, deleted: time.Minute},
+		"registered again since the key was deleted":     {granted: PeerLeaseTTL, deleted: time.Minute, otherRecord: true, want: defaultLeaseTTL},
+		"registered again, revoked when it would expire": {granted: PeerLeaseTTL, deleted: 0, otherRecord: true, want: defaultLeaseTTL},
+	} {
+		acquired := time.Unix(1_700_000_000, 0)
+		o := newSingleOwner(new(kvtest.Store))
+		o.peerLeaseOwnerAddr, o.peerLeaseGrantedAt = otherAddr, acquired.Add(-c.granted)
+		o.vacancy = vacancy{acquired.Add(-c.deleted), inEra(1, 7)}
+		revision := inEra(1, 7)
+		if c.otherRecord {
+			revision = inEra(1, 8)
+		}
+		got := o.earliestOrder(lastOwnerRecord{Addr: otherAddr}, revision, kv.FirstEra, acquired)
+		assert.Equal(t, c.want, got.Sub(acquired.Add(testHandoverDelay+handoverMargin)), name)
+	}
+}
+
+// Guards against a vacancy that counts from before the last owner's last registration.
+func TestVacancyBeginsAgainWithTheKeyOrTheRecord(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d * time.Second) }
+	var v vacancy
+	v.observeRecord(at(0), 1)
+	v.observeKey(at(1), false)
+	v.observeKey(at(2), false)
+	assert.Equal(t, at(1), v.since)
+	v.observeRecord(at(3), 1)
+	assert.Equal(t, at(1), v.since)
+	v.observeRecord(at(4), 2)
+	assert.Equal(t, at(4), v.since, "an owner has written the record")
+	v.observeKey(at(5), true)
+	assert.Zero(t, v.since)
+	v.observeRecord(at(6), 3)
+	assert.Zero(t, v.since)
+	v.observeKey(at(7), false)
+	assert.Equal(t, at(7), v.since)
+}
--- a/spec/restore.pml
+++ b/spec/restore.pml
@@ -88,7 +88,7 @@
 byte delay[2];			/* ticks until the owner may send its first order */
 bit gap[2];			/* the owner had no authority at some time since its last confirmed lease */
 byte peerLease[2];		/* ticks for which the node must not acquire the zone */
-bit grantedBefore[2];		/* the last peer lease of the node was for the other one */
+bit grantedLately[2];		/* a peer lease of the node for the other one is valid, or ended in this tick */
 byte knownOwner[2];		/* the record of the last owner that the node knows */
 byte knownToken[2];
 byte readEra[2];		/* era in which the node that acquires the zone has read the record; 0 for none */
@@ -155,7 +155,7 @@
 		:: readOwner[self] == NOBODY || readOwner[self] == self && !readPending[self] -> delay[self] = 0
 		:: else ->
 			if
-			:: readOwner[self] == PEER(self) && grantedBefore[self] -> delay[self] = HANDOVER_DELAY
+			:: readOwner[self] == PEER(self) && grantedLately[self] -> delay[self] = HANDOVER_DELAY
 			:: else -> delay[self] = FULL_DELAY
 			fi
 		fi
@@ -216,7 +216,7 @@
 	/* is granted a peer lease */
 	:: atomic { isOwner[self] && !isOwner[PEER(self)] && knownOwner[PEER(self)] == self &&
 		!(peerLease[PEER(self)] == PEER_LEASE_TIME && trustedPeerLease[self] == PEER_LEASE_TIME - LEASE_MARGIN) ->
-		peerLease[PEER(self)] = PEER_LEASE_TIME; grantedBefore[PEER(self)] = 1;
+		peerLease[PEER(self)] = PEER_LEASE_TIME; grantedLately[PEER(self)] = 1;
 		trustedPeerLease[self] = PEER_LEASE_TIME - LEASE_MARGIN }
 	/* sends an order */
 	:: atomic { isOwner[self] && delay[self] == 0 && HAS_AUTHORITY(self) && !(lastOrderSender == self && ticksSinceOrder == 0 && lastOrderToken == token[self]) ->
@@ -234,7 +234,11 @@
 }
 
 inline tick(self) {
-	countDown(trustedLease[self]); countDown(trustedPeerLease[self]); countDown(delay[self]); countDown(peerLease[self]);
+	countDown(trustedLease[self]); countDown(trustedPeerLease[self]); countDown(delay[self]);
+	if
+	:: peerLease[self] == 0 -> grantedLately[self] = 0
+	:: else -> peerLease[self]--
+	fi;
 	if
 	:: isOwner[self] && !HAS_AUTHORITY(self) -> gap[self] = 1
 	:: else
@@ -243,7 +247,7 @@
 
 inline crash(self) {
 	endTerm(self); forgetRead(self);
-	peerLease[self] = 0; grantedBefore[self] = 0; knownOwner[self] = NOBODY; knownToken[self] = 0
+	peerLease[self] = 0; grantedLately[self] = 0; knownOwner[self] = NOBODY; knownToken[self] = 0
 }
 
 inline removeKey() {
--- a/spec/zones.pml
+++ b/spec/zones.pml
@@ -25,8 +25,8 @@
  *   IGNORE_MEMBERS      an owner sends orders without a lease or peer leases
  *   TRUST_LEASE_TO_END  an owner trusts its lease until LEASE_MARGIN after its
  *                       end, instead of LEASE_MARGIN before it
- *   NEWCOMER_SHORT      the handover delay is not extended for a node that
- *                       granted the last owner no peer lease
+ *   NEWCOMER_SHORT      the handover delay is not extended for a node whose last peer
+ *                       lease to the last owner ended before, or that granted it none
  *   RETAKE_BLINDLY      an owner whose key was removed registers again, even if
  *                       another node was the owner in between
  *   FORGET_PAUSE        an owner that restarts during its handover delay does
@@ -169,7 +169,7 @@
 		ordersFrom[self] = now + DELAY_BEFORE_ORDERS;
 #ifndef NEWCOMER_SHORT
 		if
-		:: peerLeaseOwner[self] != lastOwner -> ordersFrom[self] = ordersFrom[self] + LEASE_TIME
+		:: peerLeaseOwner[self] != lastOwner || now > peerLeaseUntil[self] -> ordersFrom[self] = ordersFrom[self] + LEASE_TIME
 		:: else
 		fi
 #endif
