zoneowner: test quota tokens beside a restored key-value service

Owners grant quota tokens from the end of the last owner's authority, which earliestOrder bounds. No test restored the key-value service while it granted tokens. The first test cuts an owner off whose lease and record a restore has lost, or whose lease is revoked; the second restores older copies at random times beside crashes, partitions and outages (20 seeds).

--- a/pkg/zoneowner/quotas_test.go
+++ b/pkg/zoneowner/quotas_test.go
@@ -90,6 +90,61 @@
 	}
 }
 
+// Guards against a next owner that grants tokens while the last one still trusts its lease: the
+// key-value service was restored from a copy that has neither the lease nor the record of the
+// last owner, or the lease was revoked long after the last peer lease.
+func TestNextOwnerGrantsNoTokensWhileTheLastOneTrustsItsLease(t *testing.T) {
+	for name, loseLease := range map[string]func(c *cluster, older *memStore){
+		"restored from a copy of an earlier owner": func(c *cluster, older *memStore) { c.store.restore(older, false) },
+		"the same, its lease is back":              func(c *cluster, older *memStore) { c.store.restore(older, true) },
+		"restored from a copy without an owner":    func(c *cluster, _ *memStore) { c.store.restore(newMemStore(), false) },
+		"revoked":                                  func(c *cluster, _ *memStore) { c.store.revokeAllLeases() },
+	} {
+		for wait := time.Duration(0); wait < renewInterval; wait += renewInterval / 5 {
+			runCluster(t, func(ctx context.Context, c *cluster) {
+				first := c.ownerIndex()
+				older := c.store.copy()
+				c.crash(first)
+				time.Sleep(6 * time.Second)
+				owner := c.ownerIndex()
+				c.start(ctx, first)
+				time.Sleep(5*time.Second + wait) // the bucket is full then
+				c.setCustomers(t, quotaLimit)
+				c.cutOff(owner, true)
+				c.setStorePartitions(func(int) bool { return false })
+				grants := c.lease(6 * time.Second)
+				require.NotEmpty(t, grants, "%s: the owner goes on under its lease", name)
+				c.setStorePartitions(func(i int) bool { return i == owner })
+				loseLease(c, older)
+				before := len(grants)
+				grants = append(grants, c.lease(10*time.Second)...)
+				assert.Greater(t, len(grants), before, "%s: the next owner grants tokens", name)
+				assert.LessOrEqual(t, mostGranted(grants), quota.DefaultRule.Allowed(quotaLimit), "%s, wait %v", name, wait)
+			})
+		}
+	}
+}
+
+// The same with random restores beside crashes, partitions and outages.
+func TestOwnersKeepToQuotasWhenTheServiceIsRestored(t *testing.T) {
+	for seed := range uint64(20) {
+		runCluster(t, func(ctx context.Context, c *cluster) {
+			rng := rand.New(rand.NewPCG(seed, 42))
+			copies := []*memStore{c.store.copy()}
+			var grants []grant
+			for range 25 {
+				c.injectRestoreFault(ctx, rng, &copies)
+				c.setCustomers(t, quotaLimit)
+				if rng.IntN(3) == 0 {
+					time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond) // the bucket fills
+				}
+				grants = append(grants, c.lease(time.Duration(rng.IntN(3000))*time.Millisecond)...)
+			}
+			assert.LessOrEqual(t, mostGranted(grants), quota.DefaultRule.Allowed(quotaLimit), "seed %d", seed)
+		})
+	}
+}
+
 // Guards against an owner that grants nothing after a change, and against a bucket that is
 // full at the beginning of a term.
 func TestNextOwnerGrantsFromAnEmptyBucket(t *testing.T) {
