zoneowner: a read of the owner key does not override a change observed since

Cause: refreshKey reads the key and passes the result on as the latest. If the watch reported a change between the read and its use, the older content replaced the newer one: the zone looked free until the next event, and the vacancy, from which the handover delay counts, began while the owner still renewed its lease.

Change: the result is ignored if the observed key has changed during the read.

Result: TestOlderReadOfTheKeyIsIgnored fails without the comparison and passes with it.

--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -59,6 +59,11 @@
 func (o *Owner) ObserveKey(record OwnerRecord, revision kv.Revision) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.observeKey(record, revision)
+}
+
+// observeKey is ObserveKey with o.mu held.
+func (o *Owner) observeKey(record OwnerRecord, revision kv.Revision) {
 	o.currentEntry = ownerEntry{record, revision}
 	o.entryObserved = true
 	o.vacancy.observeKey(o.cfg.BootClock(), record.Addr != "")
--- a/pkg/zoneowner/ownerkey.go
+++ b/pkg/zoneowner/ownerkey.go
@@ -116,16 +116,23 @@
 }
 
 // refreshKey reads the zone's owner key again after a failed attempt to acquire
-// the zone.
+// the zone. It ignores the result if the key was observed to change meanwhile: the result
+// may be older, and a vacancy must not begin before the key was last seen.
 func (o *Owner) refreshKey(ctx context.Context, key string) {
+	o.mu.Lock()
+	before := o.currentEntry
+	o.mu.Unlock()
 	e, err := o.cfg.Store.Get(ctx, key)
+	var r OwnerRecord
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
-		o.ObserveKey(OwnerRecord{}, 0)
-	case err == nil:
-		var r OwnerRecord
-		if json.Unmarshal(e.Value, &r) == nil {
-			o.ObserveKey(r, e.ModRevision)
-		}
+		e = kv.Entry{}
+	case err != nil || json.Unmarshal(e.Value, &r) != nil:
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.currentEntry == before {
+		o.observeKey(r, e.ModRevision)
 	}
 }
--- a/pkg/zoneowner/vacancy_test.go
+++ b/pkg/zoneowner/vacancy_test.go
@@ -1,6 +1,7 @@
 package zoneowner
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -65,3 +66,30 @@
 	v.observeKey(at(7), false)
 	assert.Equal(t, at(7), v.since)
 }
+
+// changingStore calls onGet after a read, before its result is returned.
+type changingStore struct {
+	*kvtest.Store
+	onGet func()
+}
+
+func (s changingStore) Get(ctx context.Context, key string) (kv.Entry, error) {
+	e, err := s.Store.Get(ctx, key)
+	s.onGet()
+	return e, err
+}
+
+// Guards against a read of the owner key whose result arrives after a later change of it: the
+// zone looked free from then on, also when the owner's lease was revoked much later.
+func TestOlderReadOfTheKeyIsIgnored(t *testing.T) {
+	o := newSingleOwner(new(kvtest.Store))
+	registered := OwnerRecord{Node: "n2", Addr: otherAddr, Incarnation: "i2"}
+	o.cfg.Store = changingStore{new(kvtest.Store), func() { o.ObserveKey(registered, inEra(1, 9)) }}
+	o.refreshKey(t.Context(), OwnerKey(singleOwnerZone))
+	assert.Equal(t, ownerEntry{registered, inEra(1, 9)}, o.currentEntry)
+	assert.Zero(t, o.vacancy.since)
+	o.cfg.Store = changingStore{new(kvtest.Store), func() {}}
+	o.refreshKey(t.Context(), OwnerKey(singleOwnerZone))
+	assert.Empty(t, o.currentEntry)
+	assert.NotZero(t, o.vacancy.since)
+}
