entry: a stream of a target that hangs is left for one that reads its prompt at the client's last chance

Cause: a target that accepts connections and answers nothing had the diagnosis "unknown", like one whose report does not tell of the run. With it a stream stays at its target and the next one is only raced: it is let go after maxOverlap (250 ms; two targets at work on one request for 400 ms count as a fault). A next target that reads its prompt for longer lost each race, each cost an attempt, and the stream ended unfinished at its deadline. Evidence: TestStreamOfAHungTargetIsContinuedByOneThatReadsItsPrompt failed in both cases (3 attempts: race at 1.2 s, race at the last chance, none left). Change: - A probe that was sent and got no answer within its time limit is the diagnosis "hung", if it is the second in succession without an event of the stream between them (confirmHang); the first one is "unknown" as before. - A hung target is left at the client's last chance (3/4 of its wait), as one whose connection is lost is: the next target has the request beside it for maxOverlap, then the attempt ends for it. Before the last chance, and for all other diagnoses, the decisions are those of before. The number of attempts and the retry budget are unchanged. - If the last chance is at most one probe away, and the stream would stay, the decision about a hung target waits for it. What it costs: chose the race to keep the way back to the first target. Where that one hangs for longer than 3/4 of the wait and goes on before its end, and the next one takes the request and never answers it, the stream is now cut. Tests changed: the cases of a probe without a report in time (TestDiagnosisOfASilentTarget, TestProbeEndsWithoutAnAnswer) expect "hung" for "unknown".

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -41,6 +41,9 @@
 	started bool
 	// eventCount is the number of events of the attempt that were written.
 	eventCount int
+	// unanswered is the number of probes in succession that the target did not answer in
+	// time since the last progress.
+	unanswered int
 	// writing is set while events are being written to the client.
 	writing bool
 	// cancelSearch ends the search in progress; nil if there is none.
@@ -132,12 +135,31 @@
 
 // progress records that the stream goes on, and ends a search. c.mu must be held.
 func (c *continuation) progress() {
-	c.progressAt = time.Now()
+	c.progressAt, c.unanswered = time.Now(), 0
 	if c.cancelSearch != nil {
 		c.cancelSearch()
 	}
 }
 
+// minUnansweredProbes is the number of probes in succession that must be unanswered before
+// a target is taken to hang: a single one may be late beside other load.
+const minUnansweredProbes = 2
+
+// confirmHang returns the diagnosis d of a probe, or targetUnknown if it is that of the first
+// probe in succession that was not answered.
+func (c *continuation) confirmHang(d diagnosis) diagnosis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d != targetHung {
+		c.unanswered = 0
+		return d
+	}
+	if c.unanswered++; c.unanswered < minUnansweredProbes {
+		return targetUnknown
+	}
+	return targetHung
+}
+
 // check starts a search if the stream is silent, and sets the timer for the next check.
 func (c *continuation) check() {
 	s := c.begin()
--- a/pkg/entry/diagnosis.go
+++ b/pkg/entry/diagnosis.go
@@ -16,8 +16,8 @@
 type diagnosis uint8
 
 const (
-	// targetUnknown: the target has the connection, but its report did not arrive in time
-	// or does not tell of the run.
+	// targetUnknown: the target has the connection, but its report did not arrive or does
+	// not tell of the run.
 	targetUnknown diagnosis = iota
 	// targetWorking: the target reports the run, and has made no event that did not arrive.
 	targetWorking
@@ -30,19 +30,26 @@
 	targetGone
 	// targetUnreachable: no connection to the target was made in time.
 	targetUnreachable
+	// targetHung: the target has the connection and did not answer in time. One such probe
+	// shows little, see continuation.confirmHang.
+	targetHung
 )
 
 // String returns the name of the diagnosis as it appears in the log.
 func (d diagnosis) String() string {
-	return [...]string{"unknown", "working", "connection_lost", "run_missing", "gone", "unreachable"}[d]
+	return [...]string{"unknown", "working", "connection_lost", "run_missing", "gone", "unreachable", "hung"}[d]
 }
 
 // failed reports whether the probe shows that the target or its connection has failed.
 func (d diagnosis) failed() bool { return d != targetUnknown && d != targetWorking }
 
-// nothingToArrive reports whether nothing more can arrive in the attempt. A target that
-// cannot be reached may still answer later.
-func (d diagnosis) nothingToArrive() bool { return d.failed() && d != targetUnreachable }
+// mayEndForNext reports whether an attempt that is left may end before the next target has
+// continued the stream. A target that cannot be reached may still answer first.
+func (d diagnosis) mayEndForNext() bool { return d.failed() && d != targetUnreachable }
+
+// mayRecover reports whether the stream may still go on at its target, so that it is left
+// only at the client's last chance.
+func (d diagnosis) mayRecover() bool { return d.connectionFailed() || d == targetHung }
 
 // connectionFailed reports whether the target serves new connections, so that the
 // connection of the stream may be all that failed.
@@ -104,19 +111,26 @@
 	switch {
 	case errors.Is(err, inventory.ErrOtherTarget):
 		return targetGone
-	case !errors.As(err, &sendErr) || sendErr.Sent:
+	case !errors.As(err, &sendErr):
 		return targetUnknown
-	case isConnectTimeout(err):
+	case sendErr.Sent && tookTooLong(err):
+		return targetHung
+	case !sendErr.Sent && isConnectTimeout(err):
 		return targetUnreachable
 	default:
 		return targetUnknown
 	}
 }
 
+// tookTooLong reports whether a probe has ended at its time limit.
+func tookTooLong(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // isConnectTimeout reports whether an attempt to connect took too long, or the network
 // reports that there is no path.
 func isConnectTimeout(err error) bool {
 	var netErr net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout() ||
+	return tookTooLong(err) || errors.As(err, &netErr) && netErr.Timeout() ||
 		errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
 }
--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -258,8 +258,8 @@
 	}
 }
 
-// Guards against two targets at work on one request where nothing can arrive from the first,
-// and against the end of an attempt of which something may.
+// Guards against two targets at work on one request where nothing can arrive from the first or
+// its target hangs, and against the end of an attempt of which something may.
 func TestAttemptEndsBeforeTheNextEventIfNothingCanArrive(t *testing.T) {
 	for _, c := range []struct {
 		diagnosis diagnosis
@@ -273,6 +273,8 @@
 		{connectionLost, leave, true},
 		{runMissing, leave, true},
 		{targetGone, leave, true},
+		{targetHung, race, false},
+		{targetHung, leave, true},
 	} {
 		s, attempt := newSearchBeside(t, startNextStream(t, ""), c.diagnosis)
 		s.response = c.response
@@ -355,7 +357,7 @@
 // A silent target was asked again over a new connection, although nothing showed that only
 // the one of the stream had failed.
 func TestSilentTargetIsAskedAgainOnlyIfItsConnectionFailed(t *testing.T) {
-	for d, again := range map[diagnosis]bool{targetUnknown: false, targetWorking: false, targetGone: false, targetUnreachable: false, connectionLost: true, runMissing: true} {
+	for d, again := range map[diagnosis]bool{targetUnknown: false, targetWorking: false, targetGone: false, targetUnreachable: false, targetHung: false, connectionLost: true, runMissing: true} {
 		s, _ := newSearchBeside(t, startNextStream(t, ""), d)
 		s.job.engine, s.response = false, leave // no owner is asked
 		s.c.node.targetSet.Store(inventory.NewTargetSet([]*inventory.Target{{ID: "silent", Slots: 1}}))
--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -60,17 +60,30 @@
 	return s.try()
 }
 
-// decide probes the target and sets what is done.
+// decide probes the target and sets what is done. About a target that hangs it decides at the
+// client's last chance if the next probe would end after it: few clients would still wait then.
 func (s *search) decide() {
 	target := s.c.current.assignment.target
-	s.diagnosis = s.c.node.probes.diagnose(s.ctx, attemptState{s.job.ID, target, s.job.resumeAfter, s.eventCount})
+	s.diagnosis = s.c.confirmHang(s.c.node.probes.diagnose(s.ctx, attemptState{s.job.ID, target, s.job.resumeAfter, s.eventCount}))
 	if s.diagnosis.connectionFailed() {
 		wait.Sleep(s.ctx, lossConfirmTime)
 	}
+	s.response = s.respond()
+	if untilLastChance := s.job.lastChance() - s.silence(); s.response == stay && s.diagnosis == targetHung && untilLastChance <= probeTimeout {
+		wait.Sleep(s.ctx, untilLastChance)
+		s.response = s.respond()
+	}
 	s.diagnosedAt = time.Now()
-	s.response = respondToSilence(s.diagnosis, s.attemptsLeft(), time.Since(s.waitSince()), s.job.lastChance())
 }
 
+// respond returns what is done after the last diagnosis.
+func (s *search) respond() silenceResponse {
+	return respondToSilence(s.diagnosis, s.attemptsLeft(), s.silence(), s.job.lastChance())
+}
+
+// silence returns for how long the client has waited.
+func (s *search) silence() time.Duration { return time.Since(s.waitSince()) }
+
 // waitSince returns the time from which job.lastChance counts: since when the client has
 // waited for the next event, which may be before the attempt. Comments are written like
 // events, but are none.
@@ -124,10 +137,10 @@
 }
 
 // try makes the next exchange that of the next attempt as soon as its target has continued
-// the stream, and returns nil then. If a probe has shown that nothing more can arrive in the
-// current attempt, the target need not have begun then. The current attempt ends
-// first if it has the same target, because a target may not expect a request twice at the
-// same time.
+// the stream, and returns nil then. If probes have shown that nothing more can arrive in the
+// current attempt, or that its target hangs, the next one need not have begun then: it may
+// read a prompt for longer than maxOverlap. The current attempt ends first if it has the same
+// target, because a target may not expect a request twice at the same time.
 func (s *search) try() error {
 	var overlapErr error
 	if !s.asksAgain() {
@@ -135,7 +148,7 @@
 		s.c.setTrying(s.next)
 		overlapErr = s.awaitNext()
 	}
-	mayEnd := overlapErr == nil || s.response == leave && s.diagnosis.nothingToArrive()
+	mayEnd := overlapErr == nil || s.response == leave && s.diagnosis.mayEndForNext()
 	if mayEnd && s.c.handOver(s.ctx, s.next) {
 		return nil
 	}
--- a/pkg/entry/silence.go
+++ b/pkg/entry/silence.go
@@ -24,13 +24,13 @@
 //
 // An attempt is not given up, nor is the last one spent, because of silence alone, which
 // does not tell a sound target from one that has failed. What a failed connection has not
-// delivered may still be on the way until lastChance. At lastChance a race can only gain: the
-// attempt goes on in it.
+// delivered may still be on the way until lastChance, and a target that hangs may go on. At
+// lastChance a race can only gain: the attempt goes on in it.
 func respondToSilence(d diagnosis, attemptsLeft int, silence, lastChance time.Duration) silenceResponse {
 	switch {
 	case attemptsLeft < 1:
 		return stay
-	case d.failed() && (!d.connectionFailed() || silence >= lastChance):
+	case d.failed() && (!d.mayRecover() || silence >= lastChance):
 		return leave
 	case attemptsLeft > 1 || silence >= lastChance:
 		return race
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -44,6 +44,10 @@
 		{connectionLost, 1, lastChance, leave},
 		{runMissing, 1, lastChance, leave},
 		{targetGone, 1, 0, leave},
+		{targetHung, 1, lastChance - 1, stay},
+		{targetHung, 2, lastChance - 1, race},
+		{targetHung, 1, lastChance, leave},
+		{targetHung, 0, lastChance, stay},
 		{targetUnreachable, 1, 0, leave},
 		{targetUnreachable, 2, lastChance, leave},
 		{targetGone, 0, lastChance, stay},
@@ -86,7 +90,7 @@
 		"no connection in time":            {inventory.Report{}, notSent(context.DeadlineExceeded), targetUnreachable},
 		"dial timeout":                     {inventory.Report{}, notSent(&net.OpError{Err: os.ErrDeadlineExceeded}), targetUnreachable},
 		"no path":                          {inventory.Report{}, notSent(&net.OpError{Err: os.NewSyscallError("connect", syscall.EHOSTUNREACH)}), targetUnreachable},
-		"no report in time":                {inventory.Report{}, &upstream.SendError{Sent: true, Err: context.DeadlineExceeded}, targetUnknown},
+		"no report in time":                {inventory.Report{}, &upstream.SendError{Sent: true, Err: context.DeadlineExceeded}, targetHung},
 		"reset once connected":             {inventory.Report{}, &upstream.SendError{Sent: true, Err: syscall.ECONNRESET}, targetUnknown},
 		"unreadable":                       {inventory.Report{}, errors.New("decode report"), targetUnknown},
 	} {
@@ -142,7 +146,7 @@
 // A target that accepts a connection and never answers must not hold up the search.
 func TestProbeEndsWithoutAnAnswer(t *testing.T) {
 	probes := &targetProbes{targets: &heldProber{}, ctx: t.Context()}
-	assert.Equal(t, targetUnknown, probes.diagnose(t.Context(), attemptState{target: &inventory.Target{ID: "t"}}))
+	assert.Equal(t, targetHung, probes.diagnose(t.Context(), attemptState{target: &inventory.Target{ID: "t"}}))
 }
 
 // workingTargets reports one run, r1, of which no event was made.
@@ -171,3 +175,64 @@
 		assert.Nil(t, silent.stop(own, sendResult{}))
 	}
 }
+
+// Guards against a stream that is given up because one probe was late.
+func TestTargetHangsIfProbesInSuccessionAreNotAnswered(t *testing.T) {
+	c, own, _ := newSilentAttempt(t)
+	for i, step := range []struct{ probe, want diagnosis }{
+		{targetHung, targetUnknown},
+		{targetHung, targetHung},
+		{targetHung, targetHung},
+		{targetWorking, targetWorking},
+		{targetHung, targetUnknown},
+		{targetUnknown, targetUnknown},
+		{targetHung, targetUnknown},
+		{targetHung, targetHung},
+	} {
+		assert.Equal(t, step.want, c.confirmHang(step.probe), "probe %d", i)
+	}
+	c.writeBegins()
+	c.writeEnded(own, 1, true)
+	assert.Equal(t, targetUnknown, c.confirmHang(targetHung), "the stream has gone on meanwhile")
+}
+
+// hungTargets do not answer probes.
+type hungTargets struct{}
+
+// Probe implements prober.
+func (hungTargets) Probe(context.Context, *inventory.Target) (inventory.Report, error) {
+	return inventory.Report{}, &upstream.SendError{Sent: true, Err: context.DeadlineExceeded}
+}
+
+// Guards against a stream of a target that hangs that is given up when the client has left,
+// because the last decision before was made just before the client's last chance.
+func TestTargetThatHangsIsLeftAtTheLastChance(t *testing.T) {
+	for _, c := range []struct {
+		untilLastChance time.Duration
+		answered        bool // the last probe
+		want            silenceResponse
+	}{
+		{probeTimeout / 2, false, leave},
+		{probeTimeout / 2, true, stay},
+		{10 * probeTimeout, false, stay},
+		{0, false, leave},
+		{0, true, race},
+	} {
+		silent, own, _ := newSilentAttempt(t)
+		silent.node.probes.targets, silent.node.probes.ctx = hungTargets{}, t.Context()
+		if c.answered {
+			silent.node.probes.targets = workingTargets{}
+		}
+		silent.unanswered = minUnansweredProbes - 1
+		silent.job.ID, silent.job.arrived = "r1", time.Now().Add(c.untilLastChance-silent.job.lastChance())
+		s := silent.begin()
+		require.NotNil(t, s)
+		s.decide()
+		assert.Equal(t, c.want, s.response, "%s before the last chance, answered: %t", c.untilLastChance, c.answered)
+		if s.response == leave {
+			assert.GreaterOrEqual(t, s.silence(), s.job.lastChance(), "not before it")
+		}
+		silent.endSearch(time.Hour)
+		assert.Nil(t, silent.stop(own, sendResult{}))
+	}
+}
