quota: names of leases, sums and previews say what they are

Cause: a newcomer has to look up lot (a lease), recent (a sum over the last term), share.late (what accrues in a term) and Position (a preview of the next request); Surplus reads like a query and removes tokens. Change: they are lease, slidingSum, termAccrual, Preview and TakeSurplus. The sum of unexpired tokens is computed in one place (balance.held). Prefetched has no parameter that it does not use. In pkg/entry the calls to the owners are a function of their own, and requestQuota is a method of the node.

--- a/pkg/entry/quota.go
+++ b/pkg/entry/quota.go
@@ -15,8 +15,8 @@
 	"almondturn/wire"
 )
 
-// newQuotaLeases returns the tokens of a node. The node asks its own zone first; which one it asks
-// second differs between nodes.
+// newQuotaLeases returns the leases of a node, which has none. The node asks its own zone first;
+// which one it asks second differs between nodes.
 func newQuotaLeases(s *Settings) *quota.Leases {
 	zones := slices.Clone(s.Zones)
 	weight := func(z fleet.Zone) uint64 {
@@ -35,7 +35,6 @@
 }
 
 // chargeQuota charges a request to the quota of its customer, and refuses it if that is used up.
-// It does not end with the request: what the owners have granted would be lost.
 func (n *Node) chargeQuota(j *job) *ErrorResponse {
 	c := j.Customer
 	if c == nil || !c.Quota.Limited() {
@@ -47,16 +46,7 @@
 	if m := n.quotas.Prefetch(boottime.Now()); m != nil {
 		go n.prefetchQuotas(m)
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, n.quotaTerm())
-	defer cancel()
-	for {
-		sent := boottime.Now()
-		zone, m := charge.Next(sent)
-		if m == nil {
-			break
-		}
-		charge.Answer(sent, boottime.Now(), n.links.requestQuota(ctx, zone, n.quotaTerm()/2, m))
-	}
+	n.askOwners(charge)
 	asked, reached := charge.Owners()
 	nodes := 0
 	if asked > 0 && reached == 0 {
@@ -75,10 +65,25 @@
 	return newErrorResponse(fault.QuotaExceeded, after, "the quota of the customer is used up")
 }
 
+// askOwners requests the tokens that a charge lacks from one owner after the other. It does not
+// end with the request: what the owners have granted would be lost.
+func (n *Node) askOwners(charge *quota.Charge) {
+	ctx, cancel := context.WithTimeout(n.ctx, n.quotaTerm())
+	defer cancel()
+	for {
+		sent := boottime.Now()
+		zone, m := charge.Next(sent)
+		if m == nil {
+			return
+		}
+		charge.Answer(sent, boottime.Now(), n.requestQuota(ctx, zone, m))
+	}
+}
+
 // quotaTerm returns how long a lease of tokens lasts.
 func (n *Node) quotaTerm() time.Duration { return n.settings.Quota.OrDefault().Term() }
 
-// refundQuota returns the tokens of a request that has ended and that no target can have run.
+// refundQuota returns the tokens of a request that has ended, if no target can have run it.
 func (n *Node) refundQuota(j *job) {
 	if j.charge == nil || j.possibleRuns > 0 {
 		return
@@ -90,13 +95,13 @@
 // prefetchQuotas requests tokens from the owner of this node's zone.
 func (n *Node) prefetchQuotas(m *wire.QuotaRequests) {
 	sent := boottime.Now()
-	n.quotas.Prefetched(sent, boottime.Now(), m, n.links.requestQuota(n.ctx, n.self.Zone, n.quotaTerm()/2, m))
+	n.quotas.Prefetched(sent, m, n.requestQuota(n.ctx, n.self.Zone, m))
 }
 
 // returnQuota returns the tokens that this node does not use to the owners. denied is true after a
 // request that was refused.
 func (n *Node) returnQuota(customer string, denied bool) {
-	for _, r := range n.quotas.Surplus(boottime.Now(), customer, denied) {
+	for _, r := range n.quotas.TakeSurplus(boottime.Now(), customer, denied) {
 		if r.Zone == n.self.Zone && n.owner.IsOwner() {
 			n.owner.LeaseQuota(r.Request)
 			continue
@@ -106,12 +111,12 @@
 }
 
 // requestQuota requests tokens from the owner of a zone, which may be this node. It returns nil if
-// the owner does not respond within timeout.
-func (l *links) requestQuota(ctx context.Context, zone fleet.Zone, timeout time.Duration, m *wire.QuotaRequests) *wire.QuotaResponses {
-	if zone == l.node.self.Zone && l.node.owner.IsOwner() {
-		return l.node.owner.LeaseQuota(m)
+// the owner does not respond within half the term of a lease.
+func (n *Node) requestQuota(ctx context.Context, zone fleet.Zone, m *wire.QuotaRequests) *wire.QuotaResponses {
+	if zone == n.self.Zone && n.owner.IsOwner() {
+		return n.owner.LeaseQuota(m)
 	}
-	link, _ := l.ownerLink(zone)
+	link, _ := n.links.ownerLink(zone)
 	if link == nil {
 		return nil
 	}
@@ -119,7 +124,7 @@
 	if c == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, n.quotaTerm()/2)
 	defer cancel()
 	resp, err := c.Call(ctx, m)
 	if err != nil {
--- a/pkg/entry/routeplan.go
+++ b/pkg/entry/routeplan.go
@@ -119,22 +119,22 @@
 	}
 	now := boottime.Now()
 	cost := c.Cost(j.InputTokens + j.MaxOutputTokens)
-	position := n.quotas.Peek(now, c.Name, cost)
+	preview := n.quotas.Peek(now, c.Name, cost)
 	out := p.Customer
-	out.Unit, out.PerSecond, out.Burst, out.Cost, out.Held, out.Missing = "requests", c.Quota.PerSecond, c.Quota.Burst, cost, position.Held, position.Missing
+	out.Unit, out.PerSecond, out.Burst, out.Cost, out.Held, out.Missing = "requests", c.Quota.PerSecond, c.Quota.Burst, cost, preview.Held, preview.Missing
 	if c.Quota.Tokens {
 		out.Unit = "tokens"
 	}
-	for _, z := range position.Zones {
+	for _, z := range preview.Zones {
 		out.AsksZones = append(out.AsksZones, string(z))
 	}
-	if !position.DeniedAt.IsZero() {
+	if !preview.DeniedAt.IsZero() {
 		out.LastDenial = &routeplan.Denial{
-			AgeMillis: now.Sub(position.DeniedAt).Milliseconds(), Missing: position.DeniedTokens,
-			RetryAfterMillis: max(position.RetryAt.Sub(now).Milliseconds(), 0), InForce: position.Denied,
+			AgeMillis: now.Sub(preview.DeniedAt).Milliseconds(), Missing: preview.DeniedTokens,
+			RetryAfterMillis: max(preview.RetryAt.Sub(now).Milliseconds(), 0), InForce: preview.Denied,
 		}
 	}
-	if position.Denied {
+	if preview.Denied {
 		p.Refusal = "the quota of the customer is used up (429)"
 	}
 }
--- a/pkg/quota/accounts.go
+++ b/pkg/quota/accounts.go
@@ -6,9 +6,9 @@
 	"almondturn/wire"
 )
 
-// Times of an owner's decisions.
 const (
-	// reserveTime is the demand of the own zone that is kept from other zones.
+	// reserveTime is the time for which the demand of the own zone is not granted to other
+	// zones.
 	reserveTime = 100 * time.Millisecond
 	// unknownRetryAfter is the time to wait for a customer that the owner does not know yet.
 	unknownRetryAfter = 200 * time.Millisecond
@@ -16,8 +16,8 @@
 
 // Parts of the depth of a bucket.
 const (
-	// full is the part from which a bucket counts as full.
-	full = 0.999
+	// fullLevel is the part from which a bucket counts as full.
+	fullLevel = 0.999
 	// prefetchLevel is the part from which a node gets more than it lacks for a request.
 	prefetchLevel = 0.5
 )
@@ -30,20 +30,19 @@
 	authority uint64
 	since     time.Time
 	byName    map[string]*account
-	// limited is true once there were customers.
+	// limited is true once limits were set.
 	limited bool
 }
 
 // account is the account of a customer.
 type account struct {
-	limit Limit
-	share share
-	// tokens begins empty.
-	tokens bucket
+	limit  Limit
+	share  share
+	tokens bucket // starts empty
 	// granted holds the tokens whose leases may not have expired, less the returned ones, and
 	// prefetched those of them that no request waited for.
-	granted, prefetched recent
-	// demand is that of the own zone, granted or not.
+	granted, prefetched slidingSum
+	// demand measures what the own zone requests, granted or not.
 	demand meter
 }
 
@@ -53,8 +52,9 @@
 	return &Accounts{rule: rule, zones: zones, authority: authority, since: since, byName: map[string]*account{}}
 }
 
-// SetLimits replaces the limits of all customers by name. Accounts that are new begin empty at the
-// beginning of the authority with the first limits, and now with later ones.
+// SetLimits replaces the limits of all customers by name. The bucket of a new account is empty: at
+// the start of the authority if these are the first limits, which an owner may learn late, and now
+// otherwise.
 func (a *Accounts) SetLimits(now time.Time, limits map[string]Limit) {
 	begin := now
 	if !a.limited {
@@ -103,19 +103,20 @@
 	return response
 }
 
-// advance adds what has accrued. age is that of the accounts. What a window can have before it
-// begins are the level and the leases that have not expired. Without returned tokens, both are
-// within the depth and what accrues in a term; with them, the level is cut to keep it so.
+// advance updates the account to now; age is that of the accounts. A window can have, beyond what
+// accrues in it, the level and the leases that have not expired at its start. Without returned
+// tokens, their sum is at most the depth plus what accrues in a term. The level is cut so that this
+// also holds with them.
 func (acc *account) advance(now time.Time, age, term time.Duration) {
 	acc.tokens.fill(now)
 	acc.granted.advance(age, term)
 	acc.prefetched.advance(age, term)
-	acc.tokens.level = min(acc.tokens.level, max(acc.share.depth+acc.share.late-acc.granted.sum, 0))
+	acc.tokens.level = min(acc.tokens.level, max(acc.share.depth+acc.share.termAccrual-acc.granted.sum, 0))
 }
 
-// acceptReturned moves returned tokens back from the leases to the bucket. They must be those of
-// these accounts, and their leases must not have expired: the leases that are left would be
-// counted as returned otherwise.
+// acceptReturned moves returned tokens from the leases back to the bucket. These accounts must have
+// granted them, and their leases must not have expired: otherwise other leases would count as
+// returned.
 func (acc *account) acceptReturned(tokens float64) {
 	room := max(acc.tokens.depth-acc.tokens.level, 0)
 	acc.tokens.level += min(acc.granted.remove(tokens), room)
@@ -125,7 +126,7 @@
 // bucket that is at least prefetchLevel full: at the limit, others would lack it.
 func (acc *account) grantable(now time.Time, m *wire.QuotaRequest) float64 {
 	level := acc.tokens.level
-	if level >= full*acc.share.depth && m.Minimum > level {
+	if level >= fullLevel*acc.share.depth && m.Minimum > level {
 		return min(m.Minimum, level+acc.share.overdraft)
 	}
 	if m.Foreign {
--- a/pkg/quota/charge.go
+++ b/pkg/quota/charge.go
@@ -13,22 +13,26 @@
 	name   string
 	limit  Limit
 	cost   float64
-	// held holds the tokens of the charge, sum those that were there when they were added.
-	held []lot
+	// held holds the tokens of the charge. sum is their number, some of which may have
+	// expired.
+	held []lease
 	sum  float64
 	// asked is the number of zones that were asked, reached the number of owners that
 	// responded.
 	asked, reached int
-	// retryAfter is the shortest time of the owners.
+	// retryAfter is the shortest time that an owner has given, or the rest of an earlier one
+	// if denied is true.
 	retryAfter time.Duration
-	denied     bool
+	// denied is true if an earlier denial of the owners holds, so that none is asked.
+	denied bool
 	// prefetches is true while a request of this charge also asks for prefetched tokens.
 	prefetches bool
 	// settled is true from Settle until Refund if the request may run.
 	settled bool
 }
 
-// roundingError is the part of a request's cost that sums of partial grants may lack.
+// roundingError is the largest rounding error of a sum of partial grants, as a share of the
+// request's cost.
 const roundingError = 1e-9
 
 // Begin begins the charge of a request of a customer with the tokens that the node holds.
@@ -49,7 +53,8 @@
 	return c
 }
 
-// denies reports whether a denial of the owners holds for a request that lacks tokens.
+// denies reports whether the last denial of the owners holds for a request that lacks so many
+// tokens.
 func (b *balance) denies(now time.Time, missing float64) bool {
 	return missing > 0 && now.Before(b.deniedUntil) && missing >= b.deniedTokens
 }
@@ -61,11 +66,7 @@
 	if wanted == 0 {
 		return
 	}
-	held := 0.0
-	for _, lot := range b.lots {
-		held += lot.tokens
-	}
-	if held < wanted/2 {
+	if b.held(now) < wanted/2 {
 		l.due[name] = true
 	}
 }
@@ -119,7 +120,7 @@
 		c.retryAfter = after
 	}
 	b.granted += response.Granted
-	granted := l.lot(0, c.asked-1, sent, response)
+	granted := l.newLease(0, c.asked-1, sent, response)
 	if response.Granted <= 0 || !now.Before(granted.expires) {
 		return
 	}
@@ -174,7 +175,7 @@
 	return 0, true
 }
 
-// Owners returns how many owners were asked, and how many of them have responded.
+// Owners returns the number of owners that were asked and of those that have responded.
 func (c *Charge) Owners() (asked, reached int) { return c.asked, c.reached }
 
 // Refund returns the tokens of a request that may run and did not, as far as their leases last.
--- a/pkg/quota/leases.go
+++ b/pkg/quota/leases.go
@@ -21,7 +21,7 @@
 	minPrefetched = 2
 )
 
-// Leases holds the tokens of a node. Its methods may be called concurrently.
+// Leases holds the tokens that owners have leased to a node. Its methods may be called concurrently.
 type Leases struct {
 	rule Rule
 	// zones holds the zones in the order in which they are asked, the node's own first.
@@ -35,10 +35,11 @@
 	prefetching bool
 }
 
-// balance is what a node holds of a customer.
+// balance is what a node holds for a customer.
 type balance struct {
-	lots []lot
-	// demand is that of the requests, and requests their number.
+	// leases are ordered by their ends.
+	leases []lease
+	// demand measures the tokens of the requests, requests their number.
 	demand, requests meter
 	// deniedAt is the time of the last denial, zero for none. deniedUntil is when the owners are
 	// asked again for deniedTokens or more; retryAt is when the tokens are there.
@@ -48,6 +49,7 @@
 	prefetching bool
 	// fallback is the node's share without owners; nil before it is needed.
 	fallback *bucket
+	// granted counts the tokens from owners, rejected the requests.
 	granted  float64
 	rejected int
 }
@@ -68,11 +70,17 @@
 	return b
 }
 
+// held removes the leases that have expired, and returns the tokens of the others.
+func (b *balance) held(now time.Time) (sum float64) {
+	b.leases, sum = unexpired(now, b.leases)
+	return sum
+}
+
 // take removes at most most tokens, those whose leases end first, and returns them with their sum.
-func (b *balance) take(now time.Time, most float64) (taken []lot, sum float64) {
-	b.lots, _ = unexpired(now, b.lots)
-	for len(b.lots) > 0 && sum < most {
-		first := &b.lots[0]
+func (b *balance) take(now time.Time, most float64) (taken []lease, sum float64) {
+	b.held(now)
+	for len(b.leases) > 0 && sum < most {
+		first := &b.leases[0]
 		if sum+first.tokens > most {
 			part := *first
 			part.tokens = most - sum
@@ -80,21 +88,21 @@
 			return append(taken, part), most
 		}
 		taken, sum = append(taken, *first), sum+first.tokens
-		b.lots = b.lots[1:]
+		b.leases = b.leases[1:]
 	}
 	return taken, sum
 }
 
-// put adds lots, in the order of the ends of their leases.
-func (b *balance) put(lots ...lot) {
-	for _, l := range lots {
-		i := len(b.lots)
-		for i > 0 && l.expires.Before(b.lots[i-1].expires) {
+// put adds leases, ordered by their ends.
+func (b *balance) put(leases ...lease) {
+	for _, l := range leases {
+		i := len(b.leases)
+		for i > 0 && l.expires.Before(b.leases[i-1].expires) {
 			i--
 		}
-		b.lots = append(b.lots, lot{})
-		copy(b.lots[i+1:], b.lots[i:])
-		b.lots[i] = l
+		b.leases = append(b.leases, lease{})
+		copy(b.leases[i+1:], b.leases[i:])
+		b.leases[i] = l
 	}
 }
 
@@ -118,9 +126,7 @@
 	m := new(wire.QuotaRequests)
 	for name := range l.due {
 		b := l.customers[name]
-		var held float64
-		b.lots, held = unexpired(now, b.lots)
-		if tokens := b.wanted(now, l.rule.Term()) - held; tokens > 0 {
+		if tokens := b.wanted(now, l.rule.Term()) - b.held(now); tokens > 0 {
 			m.Requests = append(m.Requests, wire.QuotaRequest{Customer: name, Tokens: tokens})
 		}
 	}
@@ -134,7 +140,7 @@
 
 // Prefetched records the response to a request of Prefetch that was sent at a time, nil if there
 // is none.
-func (l *Leases) Prefetched(sent, now time.Time, m *wire.QuotaRequests, r *wire.QuotaResponses) {
+func (l *Leases) Prefetched(sent time.Time, m *wire.QuotaRequests, r *wire.QuotaResponses) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prefetching = false
@@ -144,14 +150,15 @@
 	for i, response := range r.Responses {
 		b := l.balance(m.Requests[i].Customer)
 		b.granted += response.Granted
-		b.put(l.lot(response.Granted, 0, sent, response))
+		b.put(l.newLease(response.Granted, 0, sent, response))
 	}
 }
 
-// lot returns tokens of a response to a request that was sent to a zone at a time.
-func (l *Leases) lot(tokens float64, zone int, sent time.Time, r wire.QuotaResponse) lot {
+// newLease returns the lease of tokens of a response to a request that was sent to a zone at a
+// time.
+func (l *Leases) newLease(tokens float64, zone int, sent time.Time, r wire.QuotaResponse) lease {
 	expires := sent.Add(min(time.Duration(r.TermMillis)*time.Millisecond, l.rule.Term()))
-	return lot{tokens, zone, r.GrantedAtMillis, r.Authority, expires}
+	return lease{tokens, zone, r.GrantedAtMillis, r.Authority, expires}
 }
 
 // Return returns tokens to the owner of a zone.
@@ -160,31 +167,30 @@
 	Request *wire.QuotaRequests
 }
 
-// Surplus removes the tokens of a customer that its demand at this node does not use before their
-// leases end, and returns the requests that return them to the owners that have granted them.
-// After a denial, that is all: kept tokens would expire before enough are there.
-func (l *Leases) Surplus(now time.Time, name string, denied bool) []Return {
+// TakeSurplus removes the tokens of a customer that its demand at this node does not use before
+// their leases end, and returns the requests that return them to the owners that have granted
+// them. After a denial it removes all tokens: they would expire before there are enough.
+func (l *Leases) TakeSurplus(now time.Time, name string, denied bool) []Return {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.customers[name]
-	if b == nil || len(b.lots) == 0 {
+	if b == nil || len(b.leases) == 0 {
 		return nil
 	}
-	var held float64
-	b.lots, held = unexpired(now, b.lots)
+	held := b.held(now)
 	if !denied {
 		held -= b.wanted(now, l.rule.Term())
 	}
 	surplus, _ := b.take(now, held)
 	byZone := make([]wire.QuotaRequest, len(l.zones))
-	for _, lot := range surplus {
-		m := &byZone[lot.zone]
-		if lot.authority != m.ReturnedAuthority {
+	for _, unused := range surplus {
+		m := &byZone[unused.zone]
+		if unused.authority != m.ReturnedAuthority {
 			// An owner accepts only what it has granted itself.
-			*m = wire.QuotaRequest{ReturnedFromMillis: lot.granted, ReturnedAuthority: lot.authority}
+			*m = wire.QuotaRequest{ReturnedFromMillis: unused.grantedAtMillis, ReturnedAuthority: unused.authority}
 		}
-		m.ReturnedFromMillis = min(m.ReturnedFromMillis, lot.granted)
-		m.Returned += lot.tokens
+		m.ReturnedFromMillis = min(m.ReturnedFromMillis, unused.grantedAtMillis)
+		m.Returned += unused.tokens
 	}
 	var out []Return
 	for i, m := range byZone {
@@ -210,9 +216,7 @@
 	defer l.mu.Unlock()
 	out := make([]Stats, 0, len(l.customers))
 	for name, b := range l.customers {
-		var held float64
-		b.lots, held = unexpired(now, b.lots)
-		out = append(out, Stats{name, b.granted, held, b.rejected})
+		out = append(out, Stats{name, b.granted, b.held(now), b.rejected})
 	}
 	return out
 }
--- a/pkg/quota/position.go
+++ b/pkg/quota/preview.go
@@ -7,8 +7,8 @@
 	"almondturn/fleet"
 )
 
-// Position is what a request of a customer would find at a node.
-type Position struct {
+// Preview is what a request of a customer would find at a node.
+type Preview struct {
 	// Held is the number of unspent tokens, Missing how many the request lacks.
 	Held, Missing float64
 	// Denied is true if the request would be rejected without a question to an owner.
@@ -21,16 +21,16 @@
 	Zones []fleet.Zone
 }
 
-// Peek returns the position of a request of a customer with a cost. It changes nothing.
-func (l *Leases) Peek(now time.Time, name string, cost float64) Position {
+// Peek returns what a request of a customer with a cost would find. It changes nothing.
+func (l *Leases) Peek(now time.Time, name string, cost float64) Preview {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.customers[name]
 	if b == nil {
 		b = new(balance)
 	}
-	_, held := unexpired(now, slices.Clone(b.lots))
-	p := Position{Held: held, Missing: lacking(cost, held), DeniedAt: b.deniedAt, RetryAt: b.retryAt, DeniedTokens: b.deniedTokens}
+	_, held := unexpired(now, slices.Clone(b.leases))
+	p := Preview{Held: held, Missing: lacking(cost, held), DeniedAt: b.deniedAt, RetryAt: b.retryAt, DeniedTokens: b.deniedTokens}
 	p.Denied = b.denies(now, p.Missing)
 	if p.Missing > 0 && !p.Denied {
 		p.Zones = slices.Clone(l.zones)
--- a/pkg/quota/position_test.go
+++ b/pkg/quota/preview_test.go
@@ -33,7 +33,7 @@
 	} {
 		l := NewLeases(DefaultRule, []fleet.Zone{"a", "b"})
 		b := l.balance("north")
-		b.put(l.lot(c.granted, 0, start, wire.QuotaResponse{Granted: c.granted, TermMillis: DefaultRule.Term().Milliseconds()}))
+		b.put(l.newLease(c.granted, 0, start, wire.QuotaResponse{Granted: c.granted, TermMillis: DefaultRule.Term().Milliseconds()}))
 		b.deniedAt, b.deniedUntil, b.retryAt, b.deniedTokens = start, start.Add(maxDenialTime), start.Add(time.Second), 50
 		now := start.Add(c.after)
 		state := func() string { return fmt.Sprintf("%d %v %v %+v", len(l.customers), l.due, l.prefetching, *b) }
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -295,19 +295,19 @@
 	for name, late := range map[string]time.Duration{"before the end": -time.Millisecond, "after the end": 100 * time.Millisecond} {
 		a := NewAccounts(rule, 1, 7, simEpoch)
 		a.SetLimits(simEpoch, map[string]Limit{"c": limit})
-		now, spent, held := simEpoch, 0.0, []lot(nil)
+		now, spent, held := simEpoch, 0.0, []lease(nil)
 		step := func(keep bool) {
 			now = now.Add(5 * time.Millisecond)
 			m := wire.QuotaRequest{Customer: "c", Tokens: 1e6, Minimum: 1e6}
 			for keep && len(held) > 0 && !now.Before(held[0].expires.Add(late)) {
 				if m.Returned == 0 {
-					m.ReturnedFromMillis, m.ReturnedAuthority = held[0].granted, 7
+					m.ReturnedFromMillis, m.ReturnedAuthority = held[0].grantedAtMillis, 7
 				}
 				m.Returned += held[0].tokens
 				held = held[1:]
 			}
 			r := a.Lease(now, &m)
-			held = append(held, lot{tokens: r.Granted, granted: r.GrantedAtMillis, expires: now.Add(rule.Term())})
+			held = append(held, lease{tokens: r.Granted, grantedAtMillis: r.GrantedAtMillis, expires: now.Add(rule.Term())})
 		}
 		for now.Before(simEpoch.Add(20 * time.Second)) {
 			step(true)
--- a/pkg/quota/rule.go
+++ b/pkg/quota/rule.go
@@ -36,14 +36,14 @@
 // Parts of the overage and of the slack, which are the bound of a window beyond the limit itself.
 // The parts of each add up to 1.
 const (
-	lateOverage     = 3.0 / 8 // tokens that are spent up to a term after their grant
+	leaseOverage    = 3.0 / 8 // tokens that are spent up to a term after their grant
 	depthOverage    = 3.0 / 8 // depth of the buckets beyond the burst
 	fallbackOverage = 1.0 / 4 // nodes that reach no owner
 	depthSlack      = 1.0 / 2
 	overdraftSlack  = 1.0 / 4
 	fallbackSlack   = 1.0 / 4
 	// prefetchOverage bounds the prefetched tokens that have not expired. They are among
-	// those that lateOverage and the depth cover.
+	// those that leaseOverage and the depth cover.
 	prefetchOverage = 1.0 / 2
 )
 
@@ -56,7 +56,7 @@
 
 // Term returns how long after it was requested a lease lasts.
 func (r Rule) Term() time.Duration {
-	term := time.Duration(lateOverage * r.Overage * float64(r.Window))
+	term := time.Duration(leaseOverage * r.Overage * float64(r.Window))
 	return min(max(term, minTerm), maxTerm)
 }
 
@@ -70,23 +70,23 @@
 	return l.PerSecond*r.Window.Seconds() + l.Burst + r.overage(l) + r.Slack
 }
 
-// share is the part of a limit that the owner of a zone gives.
+// share is the part of a limit that the owner of a zone grants.
 type share struct {
 	rate, depth, overdraft float64
-	// late is what accrues within a term. prefetch bounds the prefetched tokens that have not
-	// expired.
-	late, prefetch float64
+	// termAccrual is what accrues in a term, prefetch the bound of the prefetched tokens that
+	// have not expired.
+	termAccrual, prefetch float64
 }
 
 // zoneShare returns the share of one of a number of zones.
 func (r Rule) zoneShare(l Limit, zones int) share {
 	z, overage := float64(max(zones, 1)), r.overage(l)
 	return share{
-		rate:      l.PerSecond / z,
-		depth:     (l.Burst + depthOverage*overage + depthSlack*r.Slack) / z,
-		overdraft: overdraftSlack * r.Slack / z,
-		late:      l.PerSecond / z * r.Term().Seconds(),
-		prefetch:  prefetchOverage * overage / z,
+		rate:        l.PerSecond / z,
+		depth:       (l.Burst + depthOverage*overage + depthSlack*r.Slack) / z,
+		overdraft:   overdraftSlack * r.Slack / z,
+		termAccrual: l.PerSecond / z * r.Term().Seconds(),
+		prefetch:    prefetchOverage * overage / z,
 	}
 }
 
@@ -101,7 +101,8 @@
 	return part / 2 / r.Window.Seconds(), part / 2
 }
 
-// meter measures a rate as an average whose weights decay with meterTime.
+// meter measures a rate as a moving average whose weights decay exponentially with the time
+// constant meterTime.
 type meter struct {
 	amount float64
 	at     time.Time
@@ -111,13 +112,12 @@
 // against the periods of demand.
 const meterTime = time.Second
 
-// add adds an amount.
 func (m *meter) add(now time.Time, amount float64) { m.amount, m.at = m.decayed(now)+amount, now }
 
 // perSecond returns the rate.
 func (m *meter) perSecond(now time.Time) float64 { return m.decayed(now) / meterTime.Seconds() }
 
-// decayed returns the amount with its decay until now.
+// decayed returns what is left of the amount now.
 func (m *meter) decayed(now time.Time) float64 {
 	if age := now.Sub(m.at); age > 0 {
 		return m.amount * math.Exp(-age.Seconds()/meterTime.Seconds())
@@ -146,20 +146,21 @@
 	b.level = min(b.level, depth)
 }
 
-// lot is a number of tokens from a zone with the end of their lease. granted and authority are the
-// GrantedAtMillis and the Authority of the response.
-type lot struct {
-	tokens    float64
-	zone      int
-	granted   int64
-	authority uint64
-	expires   time.Time
+// lease is a number of tokens that the owner of a zone has granted. zone is the index of the zone in
+// Leases.zones; grantedAtMillis and authority are GrantedAtMillis and Authority of the response.
+type lease struct {
+	tokens          float64
+	zone            int
+	grantedAtMillis int64
+	authority       uint64
+	expires         time.Time
 }
 
-// unexpired removes the lots that have expired, and returns the rest and its sum. It reuses lots.
-func unexpired(now time.Time, lots []lot) (rest []lot, sum float64) {
-	rest = lots[:0]
-	for _, l := range lots {
+// unexpired removes the leases that have expired, and returns the others and the sum of their
+// tokens. It reuses the array of leases.
+func unexpired(now time.Time, leases []lease) (rest []lease, sum float64) {
+	rest = leases[:0]
+	for _, l := range leases {
 		if now.Before(l.expires) {
 			rest = append(rest, l)
 			sum += l.tokens
@@ -168,42 +169,45 @@
 	return rest, sum
 }
 
-// recentSlots is the number of parts of a recent.
-const recentSlots = 16
+// slidingIntervals is the number of intervals of a slidingSum. One of them is being filled; the
+// others cover a term.
+const slidingIntervals = 16
 
-// recent counts amounts until they are as old as a term, and up to 1/15 of it longer.
-type recent struct {
-	slots [recentSlots]float64
-	sum   float64
-	// last is the number of the slot that is filled.
+// slidingSum is the sum of the amounts of the last term, counted by intervals: an amount counts for
+// a term, and for up to one interval longer.
+type slidingSum struct {
+	intervals [slidingIntervals]float64
+	sum       float64
+	// last is the number of the interval that is being filled.
 	last int64
 }
 
-// advance removes the amounts that are old enough. age is the time since the begin of all amounts.
-func (r *recent) advance(age, term time.Duration) {
-	current := int64(age / (term / (recentSlots - 1)))
-	for n := 0; r.last < current && n < recentSlots; n++ {
-		r.last++
-		r.sum -= r.slots[r.last%recentSlots]
-		r.slots[r.last%recentSlots] = 0
+// advance removes the amounts that are older than the term. age is the time since the start of
+// the first interval.
+func (s *slidingSum) advance(age, term time.Duration) {
+	current := int64(age / (term / (slidingIntervals - 1)))
+	for n := 0; s.last < current && n < slidingIntervals; n++ {
+		s.last++
+		s.sum -= s.intervals[s.last%slidingIntervals]
+		s.intervals[s.last%slidingIntervals] = 0
 	}
-	r.last = max(r.last, current)
+	s.last = max(s.last, current)
 }
 
 // add adds an amount.
-func (r *recent) add(amount float64) {
-	r.slots[r.last%recentSlots] += amount
-	r.sum += amount
+func (s *slidingSum) add(amount float64) {
+	s.intervals[s.last%slidingIntervals] += amount
+	s.sum += amount
 }
 
-// remove removes at most an amount, the oldest first, and returns what it has removed.
-func (r *recent) remove(amount float64) float64 {
+// remove removes up to amount, the oldest first, and returns how much it has removed.
+func (s *slidingSum) remove(amount float64) float64 {
 	left := amount
-	for n := int64(1); n <= recentSlots && left > 0; n++ {
-		slot := &r.slots[(r.last+n)%recentSlots]
-		part := min(*slot, left)
-		*slot -= part
-		r.sum -= part
+	for n := int64(1); n <= slidingIntervals && left > 0; n++ {
+		interval := &s.intervals[(s.last+n)%slidingIntervals]
+		part := min(*interval, left)
+		*interval -= part
+		s.sum -= part
 		left -= part
 	}
 	return amount - left
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -262,7 +262,7 @@
 
 // giveBack returns the tokens that a node does not use.
 func (s *sim) giveBack(node int, name string, denied bool) {
-	for _, r := range s.nodes[node].leases.Surplus(s.clock(), name, denied) {
+	for _, r := range s.nodes[node].leases.TakeSurplus(s.clock(), name, denied) {
 		s.call(node, r.Zone, r.Request, func(*wire.QuotaResponses) {})
 	}
 }
@@ -272,7 +272,7 @@
 	n := s.nodes[node]
 	leases, sent := n.leases, s.clock()
 	if m := leases.Prefetch(sent); m != nil {
-		s.call(node, s.zones[n.zone], m, func(r *wire.QuotaResponses) { leases.Prefetched(sent, s.clock(), m, r) })
+		s.call(node, s.zones[n.zone], m, func(r *wire.QuotaResponses) { leases.Prefetched(sent, m, r) })
 	}
 }
 
