quota: tests share their set-up

The event queue of the simulation is a sorted slice in place of a heap; events at one time run in the order in which they were added, as before. restart, setDemand, newTestAccounts and request replace set-up that was repeated in nine tests.

--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -41,9 +41,7 @@
 func TestAtTheLimitTheQuotaIsUsed(t *testing.T) {
 	for _, factor := range []float64{3.4, 7.5} {
 		s := newSim(t, 1)
-		for _, c := range s.customers {
-			c.factor = factor
-		}
+		s.setDemand(factor)
 		s.run(60 * time.Second)
 		least := 1.0
 		for i, c := range s.customers {
@@ -107,12 +105,7 @@
 		},
 		"all nodes killed": func(s *sim) {
 			for k := range 10 {
-				s.at(time.Duration(10+2*k)*time.Second, func() {
-					s.restartNodes()
-					for z := range s.owners {
-						s.begin(z, s.now)
-					}
-				})
+				s.at(time.Duration(10+2*k)*time.Second, s.restart)
 			}
 		},
 		"most requests do not run": func(s *sim) { s.notRun, s.notRunAfter = 0.7, 100*time.Millisecond },
@@ -129,12 +122,8 @@
 			for _, factor := range []float64{2, 7.5} {
 				s := newSim(t, 3)
 				s.customers = []*simCustomer{s.customers[0], s.customers[6], s.customers[13]}
-				for z := range s.owners {
-					s.begin(z, 0)
-				}
-				for _, c := range s.customers {
-					c.factor = factor
-				}
+				s.restart()
+				s.setDemand(factor)
 				fail(s)
 				s.run(60 * time.Second)
 				s.checkRule()
@@ -150,9 +139,7 @@
 // must not let tokens be spent twice.
 func TestRuleHoldsWhenRejectionsEndSuddenly(t *testing.T) {
 	s := newSim(t, 4)
-	for _, c := range s.customers {
-		c.factor = 7.5
-	}
+	s.setDemand(7.5)
 	s.notRun, s.notRunAfter = 0.95, 250*time.Millisecond
 	s.run(20 * time.Second)
 	s.notRun = 0
@@ -163,9 +150,7 @@
 // Guards against a lowered limit that is not binding a window after the owners know it.
 func TestLoweredLimitBinds(t *testing.T) {
 	s := newSim(t, 2)
-	for _, c := range s.customers {
-		c.factor = 7.5
-	}
+	s.setDemand(7.5)
 	s.run(20 * time.Second)
 	for _, c := range s.customers {
 		c.limit = Limit{c.limit.PerSecond / 4, c.limit.Burst / 4}
@@ -204,10 +189,7 @@
 	s.customers = s.customers[:1]
 	c := s.customers[0]
 	c.limit, c.costs, c.usual = Limit{400, 400}, []float64{200}, 20000
-	s.restartNodes()
-	for z := range s.owners {
-		s.begin(z, 0)
-	}
+	s.restart()
 	s.run(60 * time.Second)
 	assert.GreaterOrEqual(t, c.used(10*time.Second, 60*time.Second), 0.9*50*400)
 	s.checkRule()
@@ -277,9 +259,7 @@
 	}
 	c := s.customers[0]
 	c.limit, c.usual = Limit{2e6, 2e6}, 1.1e6 // some 230 requests per second and node
-	for z := range s.owners {
-		s.begin(z, 0)
-	}
+	s.restart()
 	s.run(20 * time.Second)
 	calls := float64(s.calls) / float64(c.requests)
 	assert.Less(t, calls, 0.3)
@@ -288,17 +268,29 @@
 	t.Logf("%.2f calls per request", calls)
 }
 
+// newTestAccounts returns the accounts of the owner of the only zone with authority 7, and with a
+// customer "c".
+func newTestAccounts(rule Rule, limit Limit) *Accounts {
+	a := NewAccounts(rule, 1, 7, simEpoch)
+	a.SetLimits(simEpoch, map[string]Limit{"c": limit})
+	return a
+}
+
+// request is a request for tokens that the node lacks.
+func request(tokens float64) wire.QuotaRequest {
+	return wire.QuotaRequest{Customer: "c", Tokens: tokens, Minimum: tokens}
+}
+
 // Guards against tokens that are kept by returning them before their leases end, over and over, or
 // that are returned after that: a queue that empties at once would spend them all.
 func TestReturnedTokensDoNotAccumulate(t *testing.T) {
 	rule, limit := Rule{8 * time.Second, 0.1, 100}, Limit{1000, 1000}
 	for name, late := range map[string]time.Duration{"before the end": -time.Millisecond, "after the end": 100 * time.Millisecond} {
-		a := NewAccounts(rule, 1, 7, simEpoch)
-		a.SetLimits(simEpoch, map[string]Limit{"c": limit})
+		a := newTestAccounts(rule, limit)
 		now, spent, held := simEpoch, 0.0, []lease(nil)
 		step := func(keep bool) {
 			now = now.Add(5 * time.Millisecond)
-			m := wire.QuotaRequest{Customer: "c", Tokens: 1e6, Minimum: 1e6}
+			m := request(1e6)
 			for keep && len(held) > 0 && !now.Before(held[0].expires.Add(late)) {
 				if m.Returned == 0 {
 					m.ReturnedFromMillis, m.ReturnedAuthority = held[0].grantedAtMillis, 7
@@ -325,26 +317,24 @@
 // Guards against an owner that accepts what the owner before has granted: over several changes of
 // the owner, tokens would be kept and not spent.
 func TestTokensOfAFormerOwnerAreNotReturned(t *testing.T) {
-	limits := map[string]Limit{"c": {1000, 1000}}
 	for authority, want := range map[uint64]float64{7: 300, 6: 0} {
-		a := NewAccounts(DefaultRule, 1, 7, simEpoch)
-		a.SetLimits(simEpoch, limits)
-		now := simEpoch.Add(time.Second)
-		granted := a.Lease(now, &wire.QuotaRequest{Customer: "c", Tokens: 1e6, Minimum: 1e6})
+		a := newTestAccounts(DefaultRule, Limit{1000, 1000})
+		now, m := simEpoch.Add(time.Second), request(1e6)
+		granted := a.Lease(now, &m)
 		assert.InDelta(t, 1000, granted.Granted, 0)
-		r := a.Lease(now, &wire.QuotaRequest{Customer: "c", Tokens: 1e6, Minimum: 1e6, Returned: 300, ReturnedFromMillis: granted.GrantedAtMillis, ReturnedAuthority: authority})
-		assert.InDelta(t, want, r.Granted, 0)
+		m.Returned, m.ReturnedFromMillis, m.ReturnedAuthority = 300, granted.GrantedAtMillis, authority
+		assert.InDelta(t, want, a.Lease(now, &m).Granted, 0)
 	}
 }
 
 // Guards against full buckets for customers that a configuration removed and a later one added again.
 func TestCustomersThatReturnBeginEmpty(t *testing.T) {
-	a := NewAccounts(DefaultRule, 1, 7, simEpoch)
-	limits := map[string]Limit{"c": {PerSecond: 1000, Burst: 10_000}}
+	limit := Limit{PerSecond: 1000, Burst: 10_000}
+	a := newTestAccounts(DefaultRule, limit)
 	now := simEpoch.Add(time.Minute)
-	a.SetLimits(now, limits)
 	a.SetLimits(now, nil)
 	now = now.Add(time.Second)
-	a.SetLimits(now, limits)
-	assert.Zero(t, a.Lease(now, &wire.QuotaRequest{Customer: "c", Tokens: 5000, Minimum: 5000}).Granted)
+	a.SetLimits(now, map[string]Limit{"c": limit})
+	m := request(5000)
+	assert.Zero(t, a.Lease(now, &m).Granted)
 }
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -1,11 +1,11 @@
 package quota
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -22,7 +22,6 @@
 	usual, factor float64
 	costs         []float64
 	spent         []spending
-	asked         float64 // tokens
 	requests      int
 	rejected      int
 }
@@ -54,7 +53,7 @@
 	rng       *rand.Rand
 	rule      Rule
 	now       time.Duration
-	events    eventQueue
+	events    []simEvent // in the order in which they run
 	zones     []fleet.Zone
 	owners    []*simOwner
 	nodes     []*simNode
@@ -71,27 +70,8 @@
 
 // simEvent is a function that runs at a time.
 type simEvent struct {
-	at  time.Duration
-	seq int
-	f   func()
-}
-
-type eventQueue struct {
-	list []simEvent
-	seq  int
-}
-
-func (q *eventQueue) Len() int { return len(q.list) }
-func (q *eventQueue) Less(i, k int) bool {
-	a, b := q.list[i], q.list[k]
-	return a.at < b.at || a.at == b.at && a.seq < b.seq
-}
-func (q *eventQueue) Swap(i, k int) { q.list[i], q.list[k] = q.list[k], q.list[i] }
-func (q *eventQueue) Push(x any)    { q.list = append(q.list, x.(simEvent)) }
-func (q *eventQueue) Pop() any {
-	last := q.list[len(q.list)-1]
-	q.list = q.list[:len(q.list)-1]
-	return last
+	at time.Duration
+	f  func()
 }
 
 const (
@@ -124,11 +104,23 @@
 		c.usual = rate / 1.8
 		s.customers = append(s.customers, c)
 	}
+	s.restart()
+	return s
+}
+
+// restart makes all nodes and owners lose their state.
+func (s *sim) restart() {
 	s.restartNodes()
 	for z := range s.owners {
-		s.begin(z, 0)
+		s.begin(z, s.now)
+	}
+}
+
+// setDemand sets the demand of all customers as a multiple of their usual one.
+func (s *sim) setDemand(factor float64) {
+	for _, c := range s.customers {
+		c.factor = factor
 	}
-	return s
 }
 
 // restartNodes makes all nodes lose their state.
@@ -144,7 +136,7 @@
 	}
 }
 
-// begin makes a new owner of a zone whose authority begins now.
+// begin makes a new owner of a zone whose authority begins at a time.
 func (s *sim) begin(z int, from time.Duration) {
 	s.authority++
 	o := &simOwner{accounts: NewAccounts(s.rule, simZones, s.authority, simEpoch.Add(from)), from: from, until: math.MaxInt64}
@@ -152,6 +144,7 @@
 	s.owners[z] = o
 }
 
+// limits returns the limits of the customers by name.
 func (s *sim) limits() map[string]Limit {
 	out := map[string]Limit{}
 	for i, c := range s.customers {
@@ -162,10 +155,10 @@
 
 func (s *sim) name(i int) string { return fmt.Sprint("c", i) }
 
-// at runs a function at a time.
+// at runs a function at a time, after those that were to run at the same time before.
 func (s *sim) at(at time.Duration, f func()) {
-	s.events.seq++
-	heap.Push(&s.events, simEvent{at, s.events.seq, f})
+	i := sort.Search(len(s.events), func(i int) bool { return s.events[i].at > at })
+	s.events = slices.Insert(s.events, i, simEvent{at, f})
 }
 
 // clock returns the time now.
@@ -182,8 +175,9 @@
 
 // step runs the events until a time.
 func (s *sim) step(until time.Duration) {
-	for len(s.events.list) > 0 && s.events.list[0].at <= until {
-		e := heap.Pop(&s.events).(simEvent)
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := s.events[0]
+		s.events = s.events[1:]
 		s.now = e.at
 		e.f()
 	}
@@ -198,7 +192,6 @@
 	node := s.pickNode()
 	cost := c.costs[s.rng.IntN(len(c.costs))]
 	c.requests++
-	c.asked += cost
 	s.charge(node, i, cost)
 	mean := 0.0
 	for _, x := range c.costs {
@@ -320,6 +313,7 @@
 
 // checkRule checks the rule for all customers.
 func (s *sim) checkRule() {
+	s.t.Helper()
 	for i, c := range s.customers {
 		assert.LessOrEqual(s.t, s.most(c, 0), s.rule.Allowed(c.limit), "customer %d", i)
 	}
