intake: the search for a connection to end is in one place; names and comments

Cause: Conns.add mixed the two bounds on connections with the pause between fruitless searches; Body.setHeld and Bodies.set did different things under one name; Ahead did not say what it is; the comment of ReadAll claimed that the rest of each refused body is discarded, that of Receive named a method that does not exist, and that of Limits that 0 bytes for backlogs are no bound. Change: chooseVictimOfAll holds the pause; reserve, count and ReadAhead; the comments say what the code does. Behaviour does not change.

--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -259,8 +259,8 @@
 
 // readAhead returns the reader of a response, which is also read, within the bounds of package
 // intake, while a write to the client waits.
-func (n *Node) readAhead(j *job, resp *upstream.Response, cr *clientResponse) *intake.Ahead {
-	return n.intake.NewAhead(resp, j.lastTarget,
+func (n *Node) readAhead(j *job, resp *upstream.Response, cr *clientResponse) *intake.ReadAhead {
+	return n.intake.NewReadAhead(resp, j.lastTarget,
 		func() { resp.SetReadDeadline(time.Now()) },
 		func() { _ = cr.rc.SetWriteDeadline(time.Now()) }) // an error leaves the response to its deadline
 }
@@ -268,7 +268,7 @@
 // pieceWriter writes to a client in pieces, each of which may wait for intake.MaxWriteStall.
 type pieceWriter struct {
 	cr   *clientResponse
-	body *intake.Ahead
+	body *intake.ReadAhead
 	// end is the write deadline of the response.
 	end time.Time
 }
@@ -298,7 +298,7 @@
 
 // write calls f, which writes a part of the response to the client. It returns
 // intake.ErrSlowReader if the client does not read for too long, or is the slowest of too many.
-func (n *Node) write(j *job, cr *clientResponse, body *intake.Ahead, f func(w io.Writer) error) error {
+func (n *Node) write(j *job, cr *clientResponse, body *intake.ReadAhead, f func(w io.Writer) error) error {
 	end := j.deadline.Add(writeGrace)
 	w := pieceWriter{cr, body, end}
 	w.begin()
--- a/pkg/intake/backlog.go
+++ b/pkg/intake/backlog.go
@@ -8,21 +8,21 @@
 )
 
 const (
-	// backlogShare is the share of the memory that responses may hold together that were
-	// read ahead of their clients.
+	// backlogShare is the share of the memory of the node for what is read of responses ahead of
+	// their clients.
 	backlogShare = 1.0 / 16
 	// targetBacklogShare is the share of it that the responses of one target may hold.
 	targetBacklogShare = 1.0 / 2
 	// maxClientBacklog bounds what is read ahead of one client; it is of the order of the
 	// socket buffers of a connection.
 	maxClientBacklog = 256 << 10
-	// aheadBytes is the size of one read ahead.
-	aheadBytes = 16 << 10
-	// aheadDelay is how long a write to the client waits before the response is read ahead.
+	// readAheadBytes is the size of one read ahead.
+	readAheadBytes = 16 << 10
+	// readAheadDelay is how long a write to the client waits before the response is read ahead.
 	// Most writes return at once and need no second goroutine.
-	aheadDelay = 100 * time.Millisecond
-	// aheadRetry is the delay before the next read ahead after a bound was reached.
-	aheadRetry = 500 * time.Millisecond
+	readAheadDelay = 100 * time.Millisecond
+	// readAheadRetry is the delay before the next read ahead after a bound was reached.
+	readAheadRetry = 500 * time.Millisecond
 )
 
 // MaxWriteStall is how long a write of WritePieceBytes to a client may wait.
@@ -40,19 +40,19 @@
 type Backlogs struct {
 	max, maxTarget, maxClient int64
 
-	mu   sync.Mutex // guards all below, and the fields of Ahead that say so
+	mu   sync.Mutex // guards all below, and the fields of ReadAhead that say so
 	held int64
 	// byTarget is the part of held of each target.
 	byTarget map[string]int64
 	// readers are the responses whose clients keep a write waiting.
-	readers map[*Ahead]struct{}
+	readers map[*ReadAhead]struct{}
 }
 
-// NewBacklogs returns Backlogs that may hold max bytes.
+// NewBacklogs returns Backlogs that may hold max bytes. With 0, nothing is read ahead.
 func NewBacklogs(max int64) *Backlogs {
 	return &Backlogs{
 		max: max, maxTarget: int64(targetBacklogShare * float64(max)), maxClient: min(maxClientBacklog, max/4),
-		byTarget: map[string]int64{}, readers: map[*Ahead]struct{}{},
+		byTarget: map[string]int64{}, readers: map[*ReadAhead]struct{}{},
 	}
 }
 
@@ -63,9 +63,10 @@
 	return l.held
 }
 
-// Ahead reads the body of a response, also while a write to the client waits. Its methods
-// are called by the goroutine of the request.
-type Ahead struct {
+// ReadAhead is the reader of the body of a response. While a write to the client waits, it reads the
+// body in the background, within the bounds of Backlogs. Its methods are called by the goroutine of
+// the request.
+type ReadAhead struct {
 	backlogs *Backlogs
 	source   io.Reader
 	target   string
@@ -89,14 +90,14 @@
 	ended, closed bool
 }
 
-// NewAhead returns the reader of a response of a target. end may be called by another
+// NewReadAhead returns the reader of a response of a target. end may be called by another
 // goroutine, to end a write to the client. interrupt must make a read of source return.
-func (l *Backlogs) NewAhead(source io.Reader, target string, interrupt, end func()) *Ahead {
-	return &Ahead{backlogs: l, source: source, target: target, interrupt: interrupt, end: end, changed: sync.NewCond(&l.mu)}
+func (l *Backlogs) NewReadAhead(source io.Reader, target string, interrupt, end func()) *ReadAhead {
+	return &ReadAhead{backlogs: l, source: source, target: target, interrupt: interrupt, end: end, changed: sync.NewCond(&l.mu)}
 }
 
 // Read implements io.Reader. It returns what was read ahead first.
-func (a *Ahead) Read(p []byte) (int, error) {
+func (a *ReadAhead) Read(p []byte) (int, error) {
 	l := a.backlogs
 	l.mu.Lock()
 	for a.reading && len(a.data) == 0 {
@@ -120,7 +121,7 @@
 }
 
 // WriteBegins records that a write to the client begins, or its next piece.
-func (a *Ahead) WriteBegins() {
+func (a *ReadAhead) WriteBegins() {
 	l := a.backlogs
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,14 +130,14 @@
 		l.readers[a] = struct{}{}
 	}
 	if a.timer == nil {
-		a.timer = time.AfterFunc(aheadDelay, a.readAhead)
+		a.timer = time.AfterFunc(readAheadDelay, a.readAhead)
 		return
 	}
-	a.timer.Reset(aheadDelay)
+	a.timer.Reset(readAheadDelay)
 }
 
 // WriteEnds records that the write has returned. It returns ErrSlowReader if it was ended.
-func (a *Ahead) WriteEnds() error {
+func (a *ReadAhead) WriteEnds() error {
 	a.timer.Stop()
 	l := a.backlogs
 	l.mu.Lock()
@@ -149,9 +150,9 @@
 	return nil
 }
 
-// Close ends reading ahead and gives up what was read. It returns when source is not read
-// any more.
-func (a *Ahead) Close() {
+// Close ends reading ahead and discards what was read and not returned. It returns when source is
+// not read any more.
+func (a *ReadAhead) Close() {
 	l := a.backlogs
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -169,7 +170,7 @@
 }
 
 // readAhead reads source until the write that waits has returned or a bound is reached.
-func (a *Ahead) readAhead() {
+func (a *ReadAhead) readAhead() {
 	l := a.backlogs
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -178,13 +179,13 @@
 	}
 	a.reading = true
 	l.readers[a] = struct{}{}
-	buf := make([]byte, aheadBytes)
+	buf := make([]byte, readAheadBytes)
 	for a.writing && !a.closed && a.err == nil && l.makeRoom(a) {
-		l.add(a.target, aheadBytes) // reserved during the read
+		l.add(a.target, readAheadBytes) // reserved during the read
 		l.mu.Unlock()
 		n, err := a.source.Read(buf)
 		l.mu.Lock()
-		l.add(a.target, int64(n)-aheadBytes)
+		l.add(a.target, int64(n)-readAheadBytes)
 		a.data = append(a.data, buf[:n]...)
 		a.err = err
 		a.changed.Broadcast()
@@ -192,22 +193,22 @@
 	a.reading = false
 	a.changed.Broadcast()
 	if a.writing && a.err == nil {
-		a.timer.Reset(aheadRetry) // there may be room then
+		a.timer.Reset(readAheadRetry) // there may be room then
 	}
 }
 
 // makeRoom reports whether a may read ahead once more. At the bound of the node or of the
 // target it ends the response whose client has kept a write waiting the longest, for
 // minEvictStall at least. mu must be held.
-func (l *Backlogs) makeRoom(a *Ahead) bool {
-	if int64(len(a.data)+aheadBytes) > l.maxClient {
+func (l *Backlogs) makeRoom(a *ReadAhead) bool {
+	if int64(len(a.data)+readAheadBytes) > l.maxClient {
 		return false
 	}
 	target := ""
 	switch {
-	case l.byTarget[a.target]+aheadBytes > l.maxTarget:
+	case l.byTarget[a.target]+readAheadBytes > l.maxTarget:
 		target = a.target
-	case l.held+aheadBytes <= l.max:
+	case l.held+readAheadBytes <= l.max:
 		return true
 	}
 	if slowest := l.slowest(target, time.Now()); slowest != nil {
@@ -219,8 +220,8 @@
 
 // slowest returns the response of a target, empty for all, whose client has kept a write
 // waiting the longest, nil if none has for minEvictStall. mu must be held.
-func (l *Backlogs) slowest(target string, now time.Time) *Ahead {
-	var slowest *Ahead
+func (l *Backlogs) slowest(target string, now time.Time) *ReadAhead {
+	var slowest *ReadAhead
 	longest := minEvictStall
 	for a := range l.readers {
 		if a.ended || len(a.data) == 0 || target != "" && a.target != target {
--- a/pkg/intake/backlog_test.go
+++ b/pkg/intake/backlog_test.go
@@ -39,9 +39,9 @@
 
 // newSlowReader returns the reader of a response without end of a target, whose client does
 // not read, and reports whether it was ended.
-func newSlowReader(l *Backlogs, target string) (a *Ahead, ended *bool) {
+func newSlowReader(l *Backlogs, target string) (a *ReadAhead, ended *bool) {
 	s, ended := &endlessSource{}, new(bool)
-	a = l.NewAhead(s, target, s.interrupt, func() { *ended = true })
+	a = l.NewReadAhead(s, target, s.interrupt, func() { *ended = true })
 	a.WriteBegins()
 	return a, ended
 }
@@ -50,7 +50,7 @@
 func TestResponseThatWasReadAheadIsWhole(t *testing.T) {
 	l := NewBacklogs(1 << 20)
 	want := bytes.Repeat([]byte("0123456789abcdefghijklmn"), 8<<10)
-	a := l.NewAhead(bytes.NewReader(want), "e1", func() {}, func() {})
+	a := l.NewReadAhead(bytes.NewReader(want), "e1", func() {}, func() {})
 	defer a.Close()
 	var got []byte
 	buf := make([]byte, 1000)
@@ -102,7 +102,7 @@
 	slowest.Close()
 	require.Eventually(t, held("e1"), 5*time.Second, time.Millisecond, "the third has its room")
 	assert.LessOrEqual(t, l.Held(), int64(max))
-	for _, a := range []*Ahead{other, second, third} {
+	for _, a := range []*ReadAhead{other, second, third} {
 		require.NoError(t, a.WriteEnds())
 		a.Close()
 	}
--- a/pkg/intake/bodies.go
+++ b/pkg/intake/bodies.go
@@ -9,14 +9,15 @@
 )
 
 const (
-	// smallBodyBytes is the size up to which a body may use the reserve.
+	// smallBodyBytes is the size up to which a body may use the part of the bound that larger
+	// bodies may not.
 	smallBodyBytes = 64 << 10
 	// largeShare is the share of the bound that larger bodies may hold together.
 	largeShare = 3.0 / 4
 	// firstBufferBytes is the largest size of the first buffer of a body, whose size doubles
 	// when it is full.
 	firstBufferBytes = 16 << 10
-	// maxEndingShare is the share of the bound that bodies may hold that are being ended.
+	// maxEndingShare is the share of the bound that bodies may hold while they are being ended.
 	maxEndingShare = 1.0 / 4
 )
 
@@ -35,8 +36,8 @@
 	max, maxLarge int64
 
 	mu sync.Mutex // guards all below
-	// held is what bodies hold, large the part of it of bodies over smallBodyBytes, ending what
-	// those hold besides that were ended and not released yet.
+	// held is what bodies and heads hold, large the part of it of bodies over smallBodyBytes.
+	// ending is what those hold in addition that were ended and not released yet.
 	held, large, ending int64
 	// receiving holds the bodies that are not complete.
 	receiving map[*Body]struct{}
@@ -48,13 +49,13 @@
 }
 
 // Largest returns the size of the largest body that can be received, 0 for no bound.
-func (b *Bodies) Largest() int64 { return b.maxLarge }
+func (l *Bodies) Largest() int64 { return l.maxLarge }
 
 // Held returns how many bytes bodies hold, those included that are being ended.
-func (b *Bodies) Held() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.held + b.ending
+func (l *Bodies) Held() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held + l.ending
 }
 
 // Head is what the parsed head of a request holds until the request has ended. Its fields hold more
@@ -66,8 +67,8 @@
 	ended bool
 }
 
-// HoldHead counts size bytes for a head. If too much is held, it ends the bodies that have stood still
-// the longest, with their heads. It returns nil if that does not suffice. now is the clock.
+// HoldHead counts size bytes for a head. If too much is held, it ends the bodies that have been
+// stalled the longest, with their heads. It returns nil if that does not suffice. now is the clock.
 func (l *Bodies) HoldHead(size int64, now func() time.Time) *Head {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -113,21 +114,21 @@
 	head *Head
 }
 
-// Receive returns the body that is read from source. Another goroutine may call interrupt,
-// until Complete or Release, to end a read that waits. head is that of the request, nil for none. now
-// is the clock.
-func (b *Bodies) Receive(head *Head, source io.Reader, interrupt func(), now func() time.Time) *Body {
-	body := &Body{bodies: b, head: head, source: source, interrupt: interrupt, begun: now(), now: now}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.receiving[body] = struct{}{}
-	return body
+// Receive returns the body that is read from source. Another goroutine may call interrupt to end a
+// read that waits, until ReadAll has returned the body or Release was called. head is that of the
+// request, nil for none. now is the clock.
+func (l *Bodies) Receive(head *Head, source io.Reader, interrupt func(), now func() time.Time) *Body {
+	b := &Body{bodies: l, head: head, source: source, interrupt: interrupt, begun: now(), now: now}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.receiving[b] = struct{}{}
+	return b
 }
 
 // ReadAll returns the whole body, which may have limit bytes. declared is the length that
-// the client has declared, negative if it has not. If the body may not be received, the rest of
-// it is discarded up to maxDiscarded bytes, so that the client gets to read the response, and the
-// error is ErrFull, ErrStalled or ErrTooLarge.
+// the client has declared, negative if it has not. If the body may not be received, the error is
+// ErrFull, ErrStalled or ErrTooLarge. After ErrFull, and if the declared length is too large, up to
+// maxDiscarded bytes of the rest are discarded, so that the client gets to read the response.
 func (b *Body) ReadAll(declared, limit, maxDiscarded int64) ([]byte, error) {
 	if declared > limit {
 		return nil, b.discard(maxDiscarded, ErrTooLarge)
@@ -136,7 +137,7 @@
 	switch {
 	case errors.Is(err, ErrFull):
 		buffer = nil
-		b.setHeld(0)
+		b.reserve(0)
 		return nil, b.discard(maxDiscarded, ErrFull)
 	case err != nil:
 		return nil, err
@@ -163,7 +164,7 @@
 		}
 		if len(buffer) == cap(buffer) {
 			size := min(max(2*int64(cap(buffer)), firstBufferBytes), most)
-			if err := b.setHeld(size); err != nil {
+			if err := b.reserve(size); err != nil {
 				return nil, err
 			}
 			buffer = append(make([]byte, 0, size), buffer...)
@@ -209,10 +210,10 @@
 	return err
 }
 
-// setHeld sets the size of the buffer. If bodies would hold too much, it ends those that have
-// stood still the longest. It returns ErrFull if that does not suffice, and the cause if this
-// body was ended.
-func (b *Body) setHeld(size int64) error {
+// reserve counts size bytes for the buffer, in place of those counted before. If bodies would hold
+// too much, it ends those that have been stalled the longest. It returns ErrFull if that does not
+// suffice, and the cause if this body was ended.
+func (b *Body) reserve(size int64) error {
 	l := b.bodies
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -224,7 +225,7 @@
 			return ErrFull
 		}
 	}
-	l.set(b, size)
+	l.count(b, size)
 	return nil
 }
 
@@ -236,7 +237,7 @@
 	return size <= smallBodyBytes || l.large-largePart(b.held)+size <= l.maxLarge
 }
 
-// largePart returns what a body counts as a large one.
+// largePart returns what a body of a size adds to Bodies.large.
 func largePart(size int64) int64 {
 	if size <= smallBodyBytes {
 		return 0
@@ -244,8 +245,8 @@
 	return size
 }
 
-// set counts size bytes for a body. mu must be held.
-func (l *Bodies) set(b *Body, size int64) {
+// count counts size bytes for a body, in place of those counted before. mu must be held.
+func (l *Bodies) count(b *Body, size int64) {
 	l.held += size - b.held
 	l.large += largePart(size) - largePart(b.held)
 	b.held = size
@@ -270,8 +271,8 @@
 	return b.held + b.head.size
 }
 
-// longestStalled returns the incomplete body that has stood still the longest among those
-// that hold bytes, nil if none has for minEvictStall. mu must be held.
+// longestStalled returns the incomplete body that has been stalled the longest among those that
+// hold bytes, nil if none has been for minEvictStall. mu must be held.
 func (l *Bodies) longestStalled(except *Body, now time.Time) *Body {
 	var longest *Body
 	longestStall := minEvictStall
@@ -296,7 +297,7 @@
 	b.cause = cause
 	b.ending = b.held
 	l.ending += b.held
-	l.set(b, 0)
+	l.count(b, 0)
 	if h := b.head; h != nil && !h.ended {
 		h.ended = true
 		l.held -= h.size
@@ -335,7 +336,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.receiving, b)
-	l.set(b, 0)
+	l.count(b, 0)
 	l.ending -= b.ending
 	b.ending = 0
 }
--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -72,11 +72,12 @@
 	headBytes, counted int64
 	// bodyIncomplete is true while the body of a request is being received.
 	bodyIncomplete bool
-	// endingSince is when ending was set.
-	endingSince time.Time
-	// ending is true if the connection was chosen to make room, evicted if it was closed for
-	// that, closed once Close was called.
-	ending, evicted, closed bool
+	// ending is true if the connection was chosen to make room, at endingSince; evicted if it was
+	// closed for that.
+	ending, evicted bool
+	endingSince     time.Time
+	// closed is true once Close was called.
+	closed bool
 }
 
 // Read implements net.Conn. It bounds the head of a request.
@@ -102,7 +103,7 @@
 	return n, err
 }
 
-// Arrived records n bytes that were read past Read.
+// Arrived records n bytes that were read without Read.
 func (c *Conn) Arrived(n int) {
 	if c != nil {
 		_ = c.arrived(n, c.conns.now()) // the few bytes are within any limit
@@ -217,8 +218,8 @@
 	c.headBytes, c.counted = 0, 0
 }
 
-// evict makes a connection end that was chosen for that: an idle one at its next read, so
-// that a request that arrives at this moment is still served, any other at once.
+// evict ends a connection that chooseVictim has returned: an idle one by the deadline of its read,
+// so that a request that arrives at this moment is still served, any other at once.
 func (c *Conn) evict() {
 	c.mu.Lock()
 	if !c.ending { // its request has gone on since it was chosen
--- a/pkg/intake/conns.go
+++ b/pkg/intake/conns.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// maxEndingConns is how many idle connections may be ending, which give up their
-	// descriptors a little later than new ones take theirs.
+	// maxEndingConns bounds the connections that are ending. An idle one gives up its descriptor
+	// only after the new connection has taken one.
 	maxEndingConns = 8
-	// fruitlessPause is how long no connection is looked for that can be ended after there
-	// was none.
-	fruitlessPause = 50 * time.Millisecond
+	// victimSearchPause is the time after a search that found no connection to end until the
+	// next one: each search visits all connections.
+	victimSearchPause = 50 * time.Millisecond
 )
 
 // HeadLimits bound the head of one request; 0 for no bound.
@@ -37,8 +37,8 @@
 	mu        sync.Mutex // guards all below; it is locked before that of a Conn
 	conns     map[*Conn]struct{}
 	byAddress map[string]int
-	// fruitless is when no connection was found last that could be ended.
-	fruitless time.Time
+	// noVictimAt is when a search among all connections last found none to end.
+	noVictimAt time.Time
 }
 
 // NewConns returns Conns without a connection.
@@ -102,35 +102,36 @@
 func (l *Conns) add(c *Conn) (victim *Conn, reason Reason, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sameAddress := l.limits.ConnsPerAddress > 0 && l.byAddress[c.address] >= l.limits.ConnsPerAddress
 	switch {
-	case sameAddress:
+	case l.limits.ConnsPerAddress > 0 && l.byAddress[c.address] >= l.limits.ConnsPerAddress:
 		reason = AddressConnections
+		victim = l.chooseVictim(c.address, l.now())
 	case l.limits.Conns > 0 && len(l.conns) >= l.limits.Conns:
 		reason = Connections
+		victim = l.chooseVictimOfAll(l.now())
 	}
-	if reason != "" {
-		now := l.now()
-		if !sameAddress && now.Sub(l.fruitless) < fruitlessPause {
-			return nil, reason, false
-		}
-		address := ""
-		if sameAddress {
-			address = c.address
-		}
-		if victim = l.chooseVictim(address, now); victim == nil {
-			if !sameAddress {
-				l.fruitless = now
-			}
-			return nil, reason, false
-		}
+	if reason != "" && victim == nil {
+		return nil, reason, false
 	}
 	l.conns[c] = struct{}{}
 	l.byAddress[c.address]++
 	return victim, reason, true
 }
 
-// chooseVictim returns the connection of an address, empty for all, that has stood still the
+// chooseVictimOfAll is chooseVictim among all connections. It returns nil within victimSearchPause
+// after a search that found none. mu must be held.
+func (l *Conns) chooseVictimOfAll(now time.Time) *Conn {
+	if now.Sub(l.noVictimAt) < victimSearchPause {
+		return nil
+	}
+	victim := l.chooseVictim("", now)
+	if victim == nil {
+		l.noVictimAt = now
+	}
+	return victim
+}
+
+// chooseVictim returns the connection of an address, empty for all, that has been stalled the
 // longest in the middle of a head or body, or else has been idle the longest, and marks it
 // as ending; nil if there is none. mu must be held.
 func (l *Conns) chooseVictim(address string, now time.Time) *Conn {
@@ -138,7 +139,7 @@
 	stalledFor, idleFor, ending := minEvictStall, minEvictStall, 0
 	for c := range l.conns {
 		c.mu.Lock()
-		still := now.Sub(c.since)
+		unchanged := now.Sub(c.since)
 		if c.ending && now.Sub(c.endingSince) >= minEvictStall {
 			c.ending = false // it went on, or has to be chosen again
 		}
@@ -146,10 +147,10 @@
 		case c.ending:
 			ending++
 		case address != "" && c.address != address:
-		case c.phase == waiting && still >= idleFor:
-			idle, idleFor = c, still
-		case (c.phase == inHead || c.phase == serving && c.bodyIncomplete) && still >= stalledFor:
-			stalled, stalledFor = c, still
+		case c.phase == waiting && unchanged >= idleFor:
+			idle, idleFor = c, unchanged
+		case (c.phase == inHead || c.phase == serving && c.bodyIncomplete) && unchanged >= stalledFor:
+			stalled, stalledFor = c, unchanged
 		}
 		c.mu.Unlock()
 	}
--- a/pkg/intake/limits.go
+++ b/pkg/intake/limits.go
@@ -18,12 +18,13 @@
 	clientShare = 0.45
 )
 
-// Limits are the bounds of one node. A bound of 0 is none.
+// Limits are the bounds of one node. A bound of 0 is none, except for BacklogBytes.
 type Limits struct {
 	// BodyBytes bounds what the bodies of requests hold together, HeadBytes what incomplete
 	// heads hold together.
 	BodyBytes, HeadBytes int64
-	// BacklogBytes bounds what is read of responses ahead of clients that read slowly.
+	// BacklogBytes bounds what is read of responses ahead of clients that read slowly; with 0,
+	// nothing is.
 	BacklogBytes int64
 	// Conns bounds the connections of clients, ConnsPerAddress those of one address.
 	Conns, ConnsPerAddress int
@@ -40,12 +41,12 @@
 	return l
 }
 
-// Times after which what a client has begun is ended.
+// Times after which the bodies and connections of clients are ended.
 const (
 	// maxStall is how long a body may make no progress, maxBodyTime how long it may take.
 	maxStall    = 10 * time.Second
 	maxBodyTime = time.Minute
-	// minEvictStall is how long a connection or a body must have stood still before it is
+	// minEvictStall is how long a connection or a body must have been stalled before it is
 	// ended to make room. Sound clients send a request without such pauses.
 	minEvictStall = time.Second
 )
