entry: a target's cost is computed by one function; steps of a plan are functions

Cause: cost and costParts differed by one call; planRoute and planCustomer did several things each. Change: cost returns the parts. newPlannedJob, planService and planQuota hold the steps of a plan. Behaviour does not change.

--- a/pkg/entry/routeplan.go
+++ b/pkg/entry/routeplan.go
@@ -41,32 +41,42 @@
 		p.Refusal = "no route for the host and path (404)"
 		return p
 	}
-	j := &job{table: table, Request: &Request{
-		RequestInfo: RequestInfo{ID: q.Request, Model: q.Model, Adapter: q.Adapter, InputTokens: q.InputTokens, MaxOutputTokens: q.OutputTokens, OutputTokens: q.OutputTokens},
-		Route:       r, Priority: r.Priority, Method: q.Method, Host: q.Host, URI: q.Path,
-	}}
+	j := newPlannedJob(table, r, q)
 	n.planCustomer(p, j)
 	p.Route = describeRoute(j)
-	j.service = r.ChooseService(serviceHash(j.streamID()))
-	if q.Request == "" && len(r.Backends) > 1 {
-		j.service = slices.MaxFunc(r.Backends, func(a, b route.Backend) int { return a.Weight - b.Weight }).Service
-		p.Notes = append(p.Notes, "the request identifier decides among the services; shown is the one with the largest weight")
-	}
-	j.engine = isEngineService(table, j.service)
-	j.arrived = time.Now()
-	j.deadline = j.arrived.Add(j.effectiveTimeout())
-	p.Service, p.Engine = j.service, j.engine
-	if p.Refusal != "" {
-		return p
-	}
-	if j.engine {
+	planService(p, j)
+	switch {
+	case p.Refusal != "":
+	case j.engine:
 		n.planEngine(p, j)
-	} else {
+	default:
 		n.planPlain(p, j)
 	}
 	return p
 }
 
+// newPlannedJob returns the job of the request that a query names.
+func newPlannedJob(table *route.Table, r *route.Route, q routeplan.Query) *job {
+	j := &job{table: table, arrived: time.Now(), Request: &Request{
+		RequestInfo: RequestInfo{ID: q.Request, Model: q.Model, Adapter: q.Adapter, InputTokens: q.InputTokens, MaxOutputTokens: q.OutputTokens, OutputTokens: q.OutputTokens},
+		Route:       r, Priority: r.Priority, Method: q.Method, Host: q.Host, URI: q.Path,
+	}}
+	j.deadline = j.arrived.Add(j.effectiveTimeout())
+	return j
+}
+
+// planService sets the service of a request.
+func planService(p *routeplan.Plan, j *job) {
+	backends := j.Route.Backends
+	j.service = j.Route.ChooseService(serviceHash(j.streamID()))
+	if j.ID == "" && len(backends) > 1 {
+		j.service = slices.MaxFunc(backends, func(a, b route.Backend) int { return a.Weight - b.Weight }).Service
+		p.Notes = append(p.Notes, "the request identifier decides among the services; shown is the one with the largest weight")
+	}
+	j.engine = isEngineService(j.table, j.service)
+	p.Service, p.Engine = j.service, j.engine
+}
+
 // findRoute returns the route of a query, nil for none.
 func findRoute(t *route.Table, q routeplan.Query) *route.Route {
 	if q.Route == "" {
@@ -114,17 +124,21 @@
 	if c.HasPriority {
 		p.Customer.Priority = &c.Priority
 	}
-	if !c.Quota.Limited() {
-		return
+	if c.Quota.Limited() {
+		n.planQuota(p, j)
 	}
-	now := boottime.Now()
-	cost := c.Cost(j.InputTokens + j.MaxOutputTokens)
-	preview := n.quotas.Peek(now, c.Name, cost)
-	out := p.Customer
-	out.Unit, out.PerSecond, out.Burst, out.Cost, out.Held, out.Missing = "requests", c.Quota.PerSecond, c.Quota.Burst, cost, preview.Held, preview.Missing
+}
+
+// planQuota sets what the quota of a request's customer does with it.
+func (n *Node) planQuota(p *routeplan.Plan, j *job) {
+	c, out, now := j.Customer, p.Customer, boottime.Now()
+	out.Unit, out.PerSecond, out.Burst = "requests", c.Quota.PerSecond, c.Quota.Burst
 	if c.Quota.Tokens {
 		out.Unit = "tokens"
 	}
+	out.Cost = c.Cost(j.InputTokens + j.MaxOutputTokens)
+	preview := n.quotas.Peek(now, c.Name, out.Cost)
+	out.Held, out.Missing = preview.Held, preview.Missing
 	for _, z := range preview.Zones {
 		out.AsksZones = append(out.AsksZones, string(z))
 	}
@@ -211,15 +225,15 @@
 		p.Targets = append(p.Targets, t)
 	}
 	for _, t := range list {
-		if reason, age := n.leftOutReason(j, t, candidates); reason != "" {
-			p.LeftOut = append(p.LeftOut, routeplan.LeftOut{Target: t.ID, Zone: string(t.Zone), Reason: reason, AgeMillis: age})
+		if reason, knownMillis := n.leftOutReason(j, t, candidates); reason != "" {
+			p.LeftOut = append(p.LeftOut, routeplan.LeftOut{Target: t.ID, Zone: string(t.Zone), Reason: reason, AgeMillis: knownMillis})
 		}
 	}
 }
 
-// leftOutReason returns why a target is not among the candidates that take requests, and for
-// how long that is known; an empty reason if it is among them.
-func (n *Node) leftOutReason(j *job, t *inventory.Target, candidates []*inventory.Target) (reason string, age int64) {
+// leftOutReason returns why a target gets no request, and for how many milliseconds that has been
+// known. The reason is empty if it is among the candidates that take requests.
+func (n *Node) leftOutReason(j *job, t *inventory.Target, candidates []*inventory.Target) (reason string, knownMillis int64) {
 	state := n.notices.State(noticeKey(t))
 	switch {
 	case state.Leaving:
@@ -301,7 +315,7 @@
 			usage = u.unused(t.ID)
 		}
 		factor, known := u.paces.Factor(now, t.ID)
-		out = append(out, usageView{t, usage.costParts(now, t, zone, factor, known), usage.inFlight, usage.reportedAt, factor, known, usage.tieBreak})
+		out = append(out, usageView{t, usage.cost(now, t, zone, factor, known), usage.inFlight, usage.reportedAt, factor, known, usage.tieBreak})
 	}
 	slices.SortStableFunc(out, func(a, b usageView) int {
 		switch {
--- a/pkg/entry/usage.go
+++ b/pkg/entry/usage.go
@@ -122,7 +122,7 @@
 		}
 		usage := u.get(t.ID)
 		factor, known := u.paces.Factor(now, t.ID)
-		cost := usage.cost(now, t, zone, factor, known)
+		cost := usage.cost(now, t, zone, factor, known).total()
 		if best == nil || precedes(cost, usage.tieBreak, lowest, rank) {
 			best, lowest, rank = t, cost, usage.tieBreak
 		}
@@ -143,7 +143,7 @@
 	return cost < otherCost || cost == otherCost && tieBreak > otherTieBreak
 }
 
-// targetCost is the cost of a target by its parts.
+// targetCost is the cost of a target in its parts.
 type targetCost struct {
 	slots int
 	// others is the number of requests of other nodes that counts.
@@ -158,12 +158,7 @@
 // cost returns the cost of a target for a node in zone: the time that a request is expected
 // to take there, as pace.Cost returns it for the share of its slots in use, plus penalties.
 // reportsPace is true if the target has reported the duration factor.
-func (u *targetUsage) cost(now time.Time, t *inventory.Target, zone fleet.Zone, factor float64, reportsPace bool) float64 {
-	return u.costParts(now, t, zone, factor, reportsPace).total()
-}
-
-// costParts returns the parts of cost.
-func (u *targetUsage) costParts(now time.Time, t *inventory.Target, zone fleet.Zone, factor float64, reportsPace bool) targetCost {
+func (u *targetUsage) cost(now time.Time, t *inventory.Target, zone fleet.Zone, factor float64, reportsPace bool) targetCost {
 	c := targetCost{slots: u.slots(t), failures: failureWeight * u.failureShare}
 	switch {
 	case now.Sub(u.reportedAt) < reportMaxAge:
--- a/pkg/entry/usagepace_test.go
+++ b/pkg/entry/usagepace_test.go
@@ -156,6 +156,6 @@
 		}
 		want := float64(running)/float64(slots) + 2.0*usage.failureShare
 		factor, known := u.paces.Factor(now, "a")
-		assert.Equal(t, want, usage.cost(now, target, "z", factor, known))
+		assert.Equal(t, want, usage.cost(now, target, "z", factor, known).total())
 	}
 }
