--- a/pkg/scheduler/fair.go
+++ b/pkg/scheduler/fair.go
@@ -14,6 +14,7 @@
 	priority int
 }
 
+// shareKey returns the key of the shares that the request counts for.
 func (r *Request) shareKey() shareKey { return shareKey{r.Service, r.Priority} }
 
 // SetCustomers sets the customers of the configuration, nil for none. Their quotas are their
@@ -69,19 +70,24 @@
 const fairOrderInterval = 10 * time.Millisecond
 
 // orderFairly sets the position of each waiting request among those of other customers, and
-// sorts the queues by it. Requests for one model compete for the same replicas. A request that came
-// since the last computation counts as within its customer's share until the next one.
+// sorts the queues by it. A request that came since the last computation counts as within its
+// customer's share until the next one.
 func (s *Scheduler) orderFairly(now time.Time) {
 	if len(s.shares) == 0 || now.Sub(s.fairlyOrderedAt) < fairOrderInterval {
 		return
 	}
 	s.fairlyOrderedAt = now
-	type rankKey struct {
-		shares *fairness.Shares
-		model  string
+	s.updateActiveCustomers(now)
+	s.setPositions()
+	for _, q := range s.queues {
+		slices.SortFunc(q.waiters, compareUrgency)
 	}
+}
+
+// updateActiveCustomers records the customers of the waiting requests, and removes those that are
+// no longer active.
+func (s *Scheduler) updateActiveCustomers(now time.Time) {
 	for _, w := range s.waiters {
-		w.position = fairness.Position{}
 		s.recordCustomer(now, &w.Request)
 	}
 	for k, shares := range s.shares {
@@ -89,10 +95,20 @@
 			delete(s.shares, k)
 		}
 	}
-	competing := map[rankKey][]*waiter{}
+}
+
+// setPositions sets the position of each waiting request. Requests for one model compete for the
+// same replicas.
+func (s *Scheduler) setPositions() {
+	type rankingKey struct {
+		shares *fairness.Shares
+		model  string
+	}
+	competing := map[rankingKey][]*waiter{}
 	for _, w := range s.waiters {
+		w.position = fairness.Position{}
 		if shares := s.shares[w.shareKey()]; shares != nil {
-			k := rankKey{shares, w.Model}
+			k := rankingKey{shares, w.Model}
 			competing[k] = append(competing[k], w)
 		}
 	}
@@ -103,7 +119,4 @@
 			w.position = k.shares.Next(w.Customer, w.tokens())
 		}
 	}
-	for _, q := range s.queues {
-		slices.SortFunc(q.waiters, compareUrgency)
-	}
 }
--- a/pkg/scheduler/pace.go
+++ b/pkg/scheduler/pace.go
@@ -45,8 +45,8 @@
 	return scaled(d, s.factor(now, t))
 }
 
-// sustainedTimeAt is timeAt for work over several seconds. The lasting factor counts while the target
-// is faster than that for a moment: it will not stay so.
+// sustainedTimeAt is timeAt for work over several seconds: a target that is temporarily faster than
+// its lasting factor counts with the lasting one.
 func (s *Scheduler) sustainedTimeAt(now time.Time, t *target, d time.Duration) time.Duration {
 	if !s.reportsPace {
 		return d
@@ -77,7 +77,7 @@
 func (s *Scheduler) usualTime(now time.Time, t *target, r *run) time.Duration {
 	factor := s.factor(now, t)
 	if r.factor > 0 {
-		factor = (factor + r.factor) / 2 // it may have changed meanwhile
+		factor = (factor + r.factor) / 2 // it may have changed since the grant
 	}
 	return scaled(now.Sub(r.grantedAt), 1/factor)
 }
--- a/pkg/scheduler/view.go
+++ b/pkg/scheduler/view.go
@@ -45,21 +45,9 @@
 	c := *s
 	c.demand, c.targetLimits = maps.Clone(s.demand), maps.Clone(s.targetLimits)
 	w := &waiter{Request: r, submittedAt: now, latencyObjective: r.LatencyObjective}
-	candidates := s.candidateTargets(now, k, w)
-	for _, original := range s.targetsByModel[k] {
-		t := *original
-		if l := c.limitOf(&t); l != nil {
-			limit, bucket := *l, *l.bucket
-			limit.bucket = &bucket
-			c.targetLimits[t.info.ID] = &limit
-		}
-		o := c.startObstacle(now, &t, w)
-		if o == noObstacle && !slices.Contains(candidates, original) {
-			o = withheldOrLimited
-		}
-		v.Candidates = append(v.Candidates, Candidate{
-			Target: t.info.ID, Cost: c.startCost(now, &t, w), Obstacle: o.String(), Runs: t.runs, Slots: c.slots(&t), PendingPrefillTokens: t.pendingPrefillTokens,
-		})
+	offered := s.candidateTargets(now, k, w)
+	for _, t := range s.targetsByModel[k] {
+		v.Candidates = append(v.Candidates, c.candidate(now, *t, w, slices.Contains(offered, t)))
 	}
 	slices.SortStableFunc(v.Candidates, func(a, b Candidate) int {
 		if (a.Obstacle == "") != (b.Obstacle == "") {
@@ -69,3 +57,20 @@
 	})
 	return v
 }
+
+// candidate returns a target as a request finds it. offered is true if candidateTargets returns the
+// target. s and t must be copies that may be changed.
+func (s *Scheduler) candidate(now time.Time, t target, w *waiter, offered bool) Candidate {
+	if l := s.limitOf(&t); l != nil {
+		limit, bucket := *l, *l.bucket
+		limit.bucket = &bucket
+		s.targetLimits[t.info.ID] = &limit
+	}
+	o := s.startObstacle(now, &t, w)
+	if o == noObstacle && !offered {
+		o = withheldOrLimited
+	}
+	return Candidate{
+		Target: t.info.ID, Cost: s.startCost(now, &t, w), Obstacle: o.String(), Runs: t.runs, Slots: s.slots(&t), PendingPrefillTokens: t.pendingPrefillTokens,
+	}
+}
