scheduler: one table for the loads on targets of different pace

Joined: TestOverloadIsNotUnderestimatedByPace is the case overload of TestFirstEventsAreInTimeByPace, with its bounds (under 0.8 by workload, over 0.85 by pace) and seeds. The two other cases have kept theirs. In TestWithoutCustomersDecisionsAreThoseOfTheObjectiveOrder the check after each step is written once. No check is lost.

--- a/pkg/scheduler/fair_test.go
+++ b/pkg/scheduler/fair_test.go
@@ -240,18 +240,18 @@
 // although there are no customers to compare.
 func TestWithoutCustomersDecisionsAreThoseOfTheObjectiveOrder(t *testing.T) {
 	for seed := range int64(3) {
-		inObjectiveOrder := func(z *testZone) {
+		l := fairLoad{perSecond: map[string]float64{"one": 75}, seed: seed}
+		l.afterStep = func(z *testZone) {
 			for _, q := range z.queues {
 				require.True(t, slices.IsSortedFunc(q.waiters, objectiveOrder))
 			}
+			if l.anonymous {
+				require.Empty(t, z.shares, "the fair order is not computed")
+			}
 		}
-		without := fairLoad{perSecond: map[string]float64{"one": 75}, anonymous: true, seed: seed, afterStep: func(z *testZone) {
-			inObjectiveOrder(z)
-			require.Empty(t, z.shares, "the fair order is not computed")
-		}}.run(t, 3)
-		with := fairLoad{perSecond: map[string]float64{"one": 75}, seed: seed, afterStep: func(z *testZone) {
-			inObjectiveOrder(z)
-		}}.run(t, 3)
+		with := l.run(t, 3)
+		l.anonymous = true
+		without := l.run(t, 3)
 		assert.Greater(t, len(without.log), 2000)
 		require.Equal(t, without.log, with.log)
 	}
--- a/pkg/scheduler/pace_test.go
+++ b/pkg/scheduler/pace_test.go
@@ -149,49 +149,43 @@
 	return float64(good) / float64(max(all, 1)), decisions
 }
 
-// Loads: 18 requests a second at targets of 0.7, 0.7 and 1.7, and 42 a second at two of each of these, all with
-// moments of 2.5; prompts of 826 tokens take 83 ms and runs 683 ms at the usual pace; the objective is 400 ms. Ordering
-// by workload alone misses 95 of 100.
+// Loads at targets of 0.7, 0.7 and 1.7, all with moments of 2.5; the objective is 400 ms. Ordering by
+// workload alone misses 95 of 100.
+//   - Within the capacity: prompts of 826 tokens take 83 ms and runs 683 ms at the usual pace.
+//   - Overload: slots start about 80 of 90 requests a second, so that some are refused. Guards against
+//     a start rate that takes the moments in which no target is slow for lasting: too few requests
+//     were refused, and all of the longer queue came late.
 func TestFirstEventsAreInTimeByPace(t *testing.T) {
-	for _, l := range []paceLoad{
-		{factors: []float64{0.7, 0.7, 1.7}, perSecond: 18},
-		{factors: []float64{0.7, 0.7, 1.7, 0.7, 0.7, 1.7}, perSecond: 42},
+	three, six := []float64{0.7, 0.7, 1.7}, []float64{0.7, 0.7, 1.7, 0.7, 0.7, 1.7}
+	for _, c := range []struct {
+		name                  string
+		factors               []float64
+		perSecond             float64
+		perToken, decode      time.Duration
+		seeds                 uint64
+		maxByCount, minByPace float64
+	}{
+		{"three targets", three, 18, 100 * time.Microsecond, 600 * time.Millisecond, 4, 0.95, 0.95},
+		{"six targets", six, 42, 100 * time.Microsecond, 600 * time.Millisecond, 4, 0.95, 0.95},
+		{"overload", six, 90, 50 * time.Microsecond, 1200 * time.Millisecond, 3, 0.8, 0.85},
 	} {
-		l.moment, l.objective, l.perToken, l.decode = 2.5, 400*time.Millisecond, 100*time.Microsecond, 600*time.Millisecond
-		byCount, byPace := 0.0, 0.0
-		const seeds = 4
-		for l.seed = range seeds {
-			l.report = noFigure
-			share, _ := l.run(t)
-			byCount += share / seeds
-			l.report = jitteringFigure
-			share, _ = l.run(t)
-			byPace += share / seeds
-		}
-		assert.Less(t, byCount, 0.95, "%d targets, by workload", len(l.factors))
-		assert.GreaterOrEqual(t, byPace, 0.95, "%d targets, by pace", len(l.factors))
-	}
-}
-
-// Load: 90 requests a second at six targets whose slots start about 80, so that some are refused. Guards against
-// a start rate that takes the moments in which no target is slow for lasting: too few requests
-// were refused, and all of the longer queue came late.
-func TestOverloadIsNotUnderestimatedByPace(t *testing.T) {
-	l := paceLoad{
-		factors: []float64{0.7, 0.7, 1.7, 0.7, 0.7, 1.7}, moment: 2.5, perSecond: 90,
-		objective: 400 * time.Millisecond, perToken: 50 * time.Microsecond, decode: 1200 * time.Millisecond,
-	}
-	byCount, byPace := 0.0, 0.0
-	for l.seed = range 3 {
-		l.report = noFigure
-		share, _ := l.run(t)
-		byCount += share / 3
-		l.report = jitteringFigure
-		share, _ = l.run(t)
-		byPace += share / 3
+		t.Run(c.name, func(t *testing.T) {
+			l := paceLoad{
+				factors: c.factors, moment: 2.5, perSecond: c.perSecond, objective: 400 * time.Millisecond,
+				perToken: c.perToken, decode: c.decode,
+			}
+			mean := func(report func(float64, *rand.Rand) int) (share float64) {
+				l.report = report
+				for l.seed = range c.seeds {
+					inTime, _ := l.run(t)
+					share += inTime / float64(c.seeds)
+				}
+				return share
+			}
+			assert.Less(t, mean(noFigure), c.maxByCount, "by workload")
+			assert.Greater(t, mean(jitteringFigure), c.minByPace, "by pace")
+		})
 	}
-	assert.Less(t, byCount, 0.8)
-	assert.Greater(t, byPace, 0.85)
 }
 
 // Targets that always report the usual pace are served like those that report none, whatever
