customers: priority is called priority; costs in one table

Cause: Customer.Priority was described as a rank, and RequestPriority returned one: two words for one thing. The assertions of TestCostIsInTheUnitOfTheQuota are four cases of a table; all remain. TestRankOfTheCustomerComesBeforeThatOfTheRoute has a new name.

--- a/pkg/customers/customers.go
+++ b/pkg/customers/customers.go
@@ -1,4 +1,4 @@
-// Package customers holds the customers of a configuration: their API keys, their rank and
+// Package customers holds the customers of a configuration: their API keys, their priority and
 // their quota. A Directory is immutable. It holds digests of the keys and not the keys.
 package customers
 
@@ -9,12 +9,12 @@
 
 // Quota bounds the requests of a customer over all nodes together.
 type Quota struct {
-	// PerSecond is the rate, and Burst what may be used beyond it at once, in requests or,
+	// PerSecond is the rate, and Burst what may be used at once in addition, in requests or,
 	// if Tokens is true, in tokens. A PerSecond of 0 is no limit.
 	PerSecond, Burst float64
-	// Tokens is true if a request counts its tokens.
+	// Tokens is true if a request counts as its tokens, false if it counts as 1.
 	Tokens bool
-	// PlainTokens is what a request that declares no number of tokens counts.
+	// PlainTokens is what a request counts that declares no tokens, if Tokens is true.
 	PlainTokens int
 }
 
@@ -24,15 +24,15 @@
 // Customer is one customer. It must not be changed.
 type Customer struct {
 	Name string
-	// Priority is the rank of the customer's requests if HasPriority is true; 0 is the most
-	// urgent.
+	// Priority is the priority of the customer's requests if HasPriority is true; 0 is the
+	// most urgent.
 	Priority    int
 	HasPriority bool
 	Quota       Quota
 }
 
-// Cost returns what a request counts. tokens is the number of its input and output tokens, 0
-// if it declares none.
+// Cost returns what a request counts against the quota. tokens is the number of its input and
+// output tokens, 0 if it declares none.
 func (c *Customer) Cost(tokens int) float64 {
 	switch {
 	case !c.Quota.Tokens:
@@ -44,27 +44,27 @@
 	}
 }
 
-// routePriorities is the number of ranks of routes within one rank of customers. Routes
-// beyond it share the last one.
+// routePriorities is the number of priorities of routes that are told apart among the requests of
+// customers of one priority. Higher values count as the last one.
 const routePriorities = 1 << 16
 
-// RequestPriority returns the rank of a request of a customer on a route with a priority. The rank
-// of the customer comes first, that of the route decides among customers of one rank. A
-// request without a customer, or of one without a rank, has the rank of its route in the
-// place of both. Ranks are comparable among requests of one configuration with customers.
+// RequestPriority returns the priority at queues of a request of c on a route with a priority. The
+// customer's priority decides; among requests of customers of the same priority, the route's does.
+// A request without a customer, or of one without a priority, has the route's in the place of the
+// customer's. The result is comparable among requests of one configuration with customers.
 func (c *Customer) RequestPriority(routePriority int) int {
-	first := routePriority
+	customerPriority := routePriority
 	if c != nil && c.HasPriority {
-		first = c.Priority
+		customerPriority = c.Priority
 	}
-	return first*routePriorities + min(routePriority, routePriorities-1)
+	return customerPriority*routePriorities + min(routePriority, routePriorities-1)
 }
 
 // keyDigest is the SHA-256 digest of an API key.
 type keyDigest [sha256.Size]byte
 
-// Directory finds customers by API key and name. Lookups depend on the digest of a key only,
-// so that their duration tells nothing about the keys that there are.
+// Directory finds customers by API key and name. A key is looked up by its digest, so that the
+// duration tells nothing about the keys that exist.
 type Directory struct {
 	byKey  map[keyDigest]*Customer
 	byName map[string]*Customer
--- a/pkg/customers/customers_test.go
+++ b/pkg/customers/customers_test.go
@@ -40,8 +40,9 @@
 	}
 }
 
-// Guards against an urgent route of a customer of low rank that passes a customer of high rank.
-func TestRankOfTheCustomerComesBeforeThatOfTheRoute(t *testing.T) {
+// Guards against an urgent route of a customer of low priority that precedes a customer of high
+// priority.
+func TestPriorityOfTheCustomerComesBeforeThatOfTheRoute(t *testing.T) {
 	first, second := &Customer{HasPriority: true}, &Customer{HasPriority: true, Priority: 1}
 	ordered := []int{
 		first.RequestPriority(0), first.RequestPriority(2), first.RequestPriority(1 << 30),
@@ -51,12 +52,20 @@
 	assert.IsIncreasing(t, ordered)
 }
 
+// Guards against a quota in requests that counts tokens, and against requests that count nothing
+// and therefore have no limit.
 func TestCostIsInTheUnitOfTheQuota(t *testing.T) {
-	tokens := Customer{Quota: Quota{Tokens: true, PlainTokens: 200}}
-	assert.InDelta(t, 1540, tokens.Cost(1540), 0)
-	assert.InDelta(t, 200, tokens.Cost(0), 0)
-	unset := Customer{Quota: Quota{Tokens: true}}
-	assert.InDelta(t, 1, unset.Cost(0), 0, "a request that counts nothing would have no limit")
-	requests := Customer{}
-	assert.InDelta(t, 1, requests.Cost(1540), 0)
+	for _, c := range []struct {
+		quota  Quota
+		tokens int
+		want   float64
+	}{
+		{Quota{Tokens: true, PlainTokens: 200}, 1540, 1540},
+		{Quota{Tokens: true, PlainTokens: 200}, 0, 200},
+		{Quota{Tokens: true}, 0, 1},
+		{Quota{}, 1540, 1},
+	} {
+		customer := Customer{Quota: c.quota}
+		assert.InDelta(t, c.want, customer.Cost(c.tokens), 0, "%+v", c)
+	}
 }
