fairness: the package comment defines start tags and slack; tests share charges

Cause: the text used lead, slack and tag without saying how they relate, and the field next needed its comment. The loops that charge customers are one function. In TestServiceInProportionToWeightsIsWithinTheShare both sets of shares are charged in one loop, and TestHugeDeclaredCostDoesNotRaiseTheAllowanceOfOthers counts with rank. No check is lost.

--- a/pkg/fairness/fairness.go
+++ b/pkg/fairness/fairness.go
@@ -1,11 +1,12 @@
 // Package fairness orders the requests of several customers by start-time fair queueing. It
 // reads no clock and does no I/O.
 //
-// Each customer has a virtual time, which advances with each grant by the cost of the
-// request: its tokens divided by the customer's weight. A common virtual time follows those of
-// the customers. What a customer is ahead of it is the customer's lead. Requests of customers
-// within their share keep the order that they have otherwise; those above it come behind, in
-// the order of their start tags.
+// Each customer has a virtual time, which advances with each grant by the cost of the request: its
+// tokens divided by the customer's weight. A common virtual time advances somewhat faster than the
+// mean of the active customers. The start tag of a request is the virtual time of its customer plus
+// the cost of the customer's requests before it. A request whose tag is at most the customer's
+// slack ahead of the common time is within the customer's share and keeps the order that it has
+// otherwise. Those above the share come behind, in the order of their tags.
 package fairness
 
 import (
@@ -21,19 +22,19 @@
 	// active customers. Without it, the leads of customers with equal demand would grow as a
 	// random walk does, and half of their requests would count as above the share.
 	headroom = 1.25
-	// burst is the number of its mean requests that a customer may be ahead and is still
-	// within its share.
+	// burst is the slack of a customer in requests of its mean cost.
 	burst = 6
-	// maxLead bounds the lead of a customer, as a multiple of its slack. Beyond it the
-	// common time advances with the customer.
+	// maxLead bounds how far a customer's virtual time is ahead of the common one, as a multiple
+	// of its slack. Beyond it the common time advances with the customer.
 	maxLead = 2
 	// forgetAfter is how long after its last request a customer counts as active.
 	forgetAfter = 5 * time.Second
 	// costSampleWeight is the weight of the last request in the mean cost.
 	costSampleWeight = 0.1
-	// maxCostRatio bounds what one customer's mean cost counts in the mean over all, as a
-	// multiple of the median, and that of a new customer, as a multiple of the mean. A request
-	// that declares a huge number of tokens would raise the slack of everyone.
+	// maxCostRatio bounds the weight of one customer's mean cost in the mean over all, as a
+	// multiple of the median, and the mean cost of a new customer, as a multiple of the mean.
+	// Without it, a request that declares a huge number of tokens would raise the slack of all
+	// customers.
 	maxCostRatio = 8
 )
 
@@ -97,9 +98,10 @@
 	// meanCost is a moving average of the cost of its requests.
 	meanCost float64
 	lastSeen time.Time
-	// next is the tag of the next request in the ranking with the number round.
-	next  float64
-	round uint64
+	// nextTag is the start tag of the customer's next request in the ranking with the number
+	// round.
+	nextTag float64
+	round   uint64
 }
 
 // Shares holds the active customers among requests that compete with each other.
@@ -108,8 +110,8 @@
 	accounts map[string]*account
 	// common is the common virtual time.
 	common float64
-	// meanCost is the mean of the accounts' meanCost, and weight the sum of their weights,
-	// as of the last update.
+	// meanCost is the mean of the accounts' meanCost, each bounded by maxCostRatio, and weight the
+	// sum of their weights, as of the last update.
 	meanCost, weight float64
 	// meanTokens is a moving average of the tokens of the granted requests that declare them. It
 	// is what a request counts that declares none.
@@ -132,7 +134,7 @@
 	return s.counted(tokens) / s.weights.of(customer)
 }
 
-// counted returns the number of tokens that a request counts.
+// counted returns the number of tokens for which a request counts.
 func (s *Shares) counted(tokens int) float64 {
 	if tokens > 0 {
 		return float64(tokens)
@@ -186,8 +188,8 @@
 	return costs[len(costs)/2]
 }
 
-// Forget removes the customers that are no longer active, and has to be called regularly. It
-// reports whether a customer with a name is left.
+// Forget removes the customers that are no longer active. It has to be called regularly, and reports
+// whether a customer with a name is left.
 func (s *Shares) Forget(now time.Time) bool {
 	named := false
 	for name, a := range s.accounts {
@@ -201,7 +203,7 @@
 	return named
 }
 
-// slack returns the lead up to which a customer is within its share.
+// slack returns how far ahead of the common time a request within the share may start.
 func (s *Shares) slack(a *account) float64 { return max(burst*a.meanCost, s.meanCost) }
 
 // Charge records the grant of a request.
@@ -245,10 +247,10 @@
 		return Position{}
 	}
 	if a.round != s.round {
-		a.round, a.next = s.round, max(a.virtual-s.common, 0)
+		a.round, a.nextTag = s.round, max(a.virtual-s.common, 0)
 	}
-	tag := a.next
-	a.next += s.cost(customer, tokens)
+	tag := a.nextTag
+	a.nextTag += s.cost(customer, tokens)
 	if tag <= s.slack(a) {
 		return Position{}
 	}
--- a/pkg/fairness/fairness_test.go
+++ b/pkg/fairness/fairness_test.go
@@ -28,6 +28,13 @@
 	return out
 }
 
+// charge charges a customer for n requests of 100 tokens.
+func charge(s *Shares, customer string, n int) {
+	for range n {
+		s.Charge(start, customer, 100)
+	}
+}
+
 // positions returns the positions of requests.
 func positions(s *Shares, requests []request) []Position {
 	out := make([]Position, len(requests))
@@ -38,8 +45,8 @@
 	return out
 }
 
-// rank touches and ranks requests, and returns the number of those above the share of each
-// customer.
+// rank touches and ranks requests, and returns the number of those of each customer that are above
+// its share.
 func rank(s *Shares, now time.Time, requests []request) map[string]int {
 	for _, r := range requests {
 		s.Touch(now, r.customer, r.tokens)
@@ -83,36 +90,27 @@
 func TestIdleCustomerHasNoCreditAndABusyOneNoLongDebt(t *testing.T) {
 	s := New(nil)
 	s.Touch(start, "idle", 100)
-	for range 1000 {
-		s.Charge(start, "busy", 100)
-	}
+	charge(s, "busy", 1000)
+	both := append(queue("idle", 100), queue("busy", 100)...)
 	assert.LessOrEqual(t, s.accounts["busy"].virtual-s.common, maxLead*burst*100.0)
-	assert.Equal(t, map[string]int{"idle": 100 - burst - 1, "busy": 100}, rank(s, start, append(queue("idle", 100), queue("busy", 100)...)))
-	for range 3 * maxLead * burst {
-		s.Charge(start, "idle", 100)
-	}
-	assert.Equal(t, 100-burst-1, rank(s, start, append(queue("idle", 100), queue("busy", 100)...))["busy"], "it has no lead any more")
+	assert.Equal(t, map[string]int{"idle": 100 - burst - 1, "busy": 100}, rank(s, start, both))
+	charge(s, "idle", 3*maxLead*burst)
+	assert.Equal(t, 100-burst-1, rank(s, start, both)["busy"], "it has no lead any more")
 }
 
 // Load: customers whose weights differ by 10 are served in proportion to them. Guards against
 // a large customer at its usual demand that counts as above its share.
 func TestServiceInProportionToWeightsIsWithinTheShare(t *testing.T) {
-	s := New(Weights{"large": 10, "small": 1})
+	weighted, equal := New(Weights{"large": 10, "small": 1}), New(nil)
+	both := append(queue("large", 3), queue("small", 3)...)
 	for range 200 {
-		for range 10 {
-			s.Charge(start, "large", 100)
+		for _, s := range []*Shares{weighted, equal} {
+			charge(s, "large", 10)
+			charge(s, "small", 1)
 		}
-		s.Charge(start, "small", 100)
-		assert.Empty(t, rank(s, start, append(queue("large", 3), queue("small", 3)...)))
+		assert.Empty(t, rank(weighted, start, both))
 	}
-	s = New(nil)
-	for range 200 {
-		for range 10 {
-			s.Charge(start, "large", 100)
-		}
-		s.Charge(start, "small", 100)
-	}
-	assert.Equal(t, map[string]int{"large": 3}, rank(s, start, append(queue("large", 3), queue("small", 3)...)))
+	assert.Equal(t, map[string]int{"large": 3}, rank(equal, start, both))
 }
 
 // Guards against requests that a target did not execute and that still count.
@@ -163,26 +161,15 @@
 // nobody counted as above its share.
 func TestHugeDeclaredCostDoesNotRaiseTheAllowanceOfOthers(t *testing.T) {
 	s := New(nil)
-	for range 50 {
-		s.Charge(start, "large", 100)
-	}
+	charge(s, "large", 50)
 	for range 5 {
-		s.Charge(start, "a", 100)
-		s.Charge(start, "b", 100)
-	}
-	above := func() int {
-		n := 0
-		for _, p := range positions(s, queue("large", 40)) {
-			if p.Above {
-				n++
-			}
-		}
-		return n
+		charge(s, "a", 1)
+		charge(s, "b", 1)
 	}
-	before := above()
+	before := rank(s, start, queue("large", 40))["large"]
 	require.Positive(t, before)
 	s.Touch(start, "huge", 1_000_000_000)
-	assert.InDelta(t, before, above(), 3)
+	assert.InDelta(t, before, rank(s, start, queue("large", 40))["large"], 3)
 }
 
 // Guards against a customer that declares no tokens and is therefore never above its share.
