--- a/pkg/pace/choice.go
+++ b/pkg/pace/choice.go
@@ -14,8 +14,9 @@
 	loadSampleWeight = 0.2
 )
 
-// Cost returns the cost of one more request at a target with a load, the share of its slots in
-// use: the time that the requests there and the new one are expected to take. For the factor 1 it is the load.
+// Cost returns the cost of one more request at a target of which a share load of the slots is in
+// use: the time that the requests there and the new one are expected to take. For the factor 1 it
+// is load.
 func Cost(load, factor float64) float64 {
 	if factor == 1 {
 		return load // the sum below would round
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -16,9 +16,9 @@
 // Parameters of the smoothing. Reported factors change many times a second, and a node may see
 // one of a target only once in several seconds.
 const (
-	// priorWeight is the weight of the factor 1 in the lasting part, in reported factors.
+	// priorWeight is the weight of the factor 1 in the lasting part, in reports.
 	priorWeight = 1
-	// lastingHalfLife is the time in which the weight of a report in the lasting part halves.
+	// lastingHalfLife is the half-life of the weight of a report in the lasting part.
 	lastingHalfLife = 15 * time.Second
 	// reportSpacing is the time between two reports from which each counts in full in the
 	// lasting part.
@@ -35,10 +35,10 @@
 	maxAge = 2 * time.Minute
 )
 
-// Estimate is the smoothed factor of one target: a part that lasts and a temporary deviation
+// Estimate is the smoothed factor of one target: the sum of a lasting part and a temporary deviation
 // from it. The zero value has no report.
 type Estimate struct {
-	// sum and weight are the weighted sums of the reported factors and of 1, as of at.
+	// sum is the weighted sum of the reported factors, weight that of their weights, as of at.
 	sum, weight float64
 	// deviation is the difference of the factor from the lasting part, as of at.
 	deviation float64
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// Guards against a factor that forgets permanent differences between rare reports.
+// Guards against a factor that loses a permanent difference between rare reports.
 func TestPermanentFactorIsKeptBetweenRareReports(t *testing.T) {
 	for _, want := range []float64{0.7, 1.7} {
 		var e Estimate
@@ -54,7 +54,7 @@
 	}
 }
 
-// A target of 0.7 is at 2.5 for one second. Guards against a factor that shows a moment too late, or
+// A target of 0.7 is at 2.5 for one second. Guards against a factor that shows the change too late, or
 // keeps it after its end.
 func TestTemporaryFactorIsFollowed(t *testing.T) {
 	var e Estimate
@@ -76,8 +76,8 @@
 	assert.Less(t, e.Factor(now), 0.9, "500 ms after the end")
 }
 
-// Guards against old values that are used for ever, and against one target that is avoided for
-// ever because it was slow once.
+// Guards against old values that are used without end, and against a target that is avoided without
+// end because it was slow once.
 func TestOldFactorDecaysToOne(t *testing.T) {
 	var e Estimate
 	now := start
@@ -148,7 +148,7 @@
 	assert.Less(t, Cost(0.5, 0.7), Cost(0.25, 1.7))
 }
 
-// Guards against a load that is forgotten between rare reports, or kept for ever.
+// Guards against a load that is lost between rare reports, or kept without end.
 func TestExpectedLoadDecays(t *testing.T) {
 	var l Load
 	assert.Zero(t, l.Expected(start))
