--- a/pkg/routeplan/plan.go
+++ b/pkg/routeplan/plan.go
@@ -146,7 +146,8 @@
 	ObjectiveMillis int64  `json:"objective_ms"`
 	MaxAttempts     int    `json:"max_attempts"`
 	Resumable       bool   `json:"resumable,omitempty"`
-	// Priority is that of the route, Rank the one at queues, which also has the customer's.
+	// Priority is that of the route. Rank is the priority at queues, to which that of the
+	// customer contributes.
 	Priority int       `json:"priority"`
 	Rank     int       `json:"rank"`
 	Services []Backend `json:"services"`
