--- a/pkg/entry/routeplan_test.go
+++ b/pkg/entry/routeplan_test.go
@@ -79,23 +79,22 @@
 
 // Guards against an explanation that orders targets unlike requests, or hides why one is left out.
 func TestPlanOfAPlainServiceAgreesWithTheNextRequest(t *testing.T) {
+	draining := map[string]string{"desk-old": "listed as draining"}
 	for _, c := range []struct {
 		name    string
 		prepare func(n *Node)
 		first   string
 		leftOut map[string]string
 	}{
-		{"own zone", func(*Node) {}, "desk-a", map[string]string{"desk-old": "listed as draining"}},
+		{"own zone", func(*Node) {}, "desk-a", draining},
 		{"load", func(n *Node) {
-			for range 3 {
-				n.usages.get("desk-a").inFlight++
-			}
+			n.usages.get("desk-a").inFlight += 3
 			n.usages.release(time.Now(), "desk-b", sendResult{kind: completed, info: ResponseInfo{Running: 3, Slots: 4}})
-		}, "desk-c", map[string]string{"desk-old": "listed as draining"}},
+		}, "desk-c", draining},
 		{"unreachable", func(n *Node) {
 			n.usages.release(time.Now(), "desk-a", sendResult{kind: unreachable})
 			n.usages.release(time.Now(), "desk-b", sendResult{kind: failedRun})
-		}, "desk-c", map[string]string{"desk-old": "listed as draining"}},
+		}, "desk-c", draining},
 		{"pace", func(n *Node) {
 			for _, id := range []string{"desk-a", "desk-b", "desk-c"} {
 				n.usages.get(id).inFlight += 2
@@ -104,7 +103,7 @@
 				n.usages.paces.Observe(time.Now(), "desk-a", 2.5)
 			}
 			n.usages.get("desk-b").inFlight++
-		}, "desk-c", map[string]string{"desk-old": "listed as draining"}},
+		}, "desk-c", draining},
 		{"pause and departure", func(n *Node) {
 			n.notices.Record(notices.Key{Target: "desk-a"}, notices.Notice{Pause: time.Minute})
 			n.notices.Record(notices.Key{Target: "desk-old"}, notices.Notice{Leaving: true})
--- a/pkg/scheduler/adapters_test.go
+++ b/pkg/scheduler/adapters_test.go
@@ -62,6 +62,7 @@
 	assert.Len(t, z.acceptedOrders(), 2)
 }
 
+// Guards against loads that wait for a target at the bound while another one is below it.
 func TestAdapterIsLoadedAtATargetBelowTheTransitBound(t *testing.T) {
 	z := newAdapterZone(t, "a", "b")
 	z.ReportReceived(z.now, "b", inventory.Report{Models: []inventory.LoadedModel{{Name: "m0", Adapters: []string{"y0", "y1", "y2", "y3", "y4"}}}})
--- a/pkg/scheduler/view_test.go
+++ b/pkg/scheduler/view_test.go
@@ -26,32 +26,28 @@
 // Guards against a view that names another target than the next request gets, and against one
 // that takes a slot, fills a bucket, forgets prompts or counts demand.
 func TestViewAgreesWithTheNextGrantAndChangesNothing(t *testing.T) {
+	grant := func(z *testZone, n int, eventInterval time.Duration) {
+		for range n {
+			r := z.request("m0")
+			r.MaxEventInterval = eventInterval
+			only[Grant](z.t, z.submitAndStep(r))
+		}
+	}
+	none := map[string]string{"a": "", "b": ""}
 	for _, c := range []struct {
 		name, model string
 		prepare     func(z *testZone)
 		obstacles   map[string]string
 	}{
-		{"idle", "m0", func(*testZone) {}, map[string]string{"a": "", "b": ""}},
-		{"load", "m0", func(z *testZone) { only[Grant](z.t, z.submitAndStep(z.request("m0"))) }, map[string]string{"a": "", "b": ""}},
-		{"no slot", "m0", func(z *testZone) {
-			for range 8 {
-				only[Grant](z.t, z.submitAndStep(z.request("m0")))
-			}
-		}, map[string]string{"a": "no free slot", "b": "no free slot"}},
+		{"idle", "m0", func(*testZone) {}, none},
+		{"load", "m0", func(z *testZone) { grant(z, 1, 0) }, none},
+		{"no slot", "m0", func(z *testZone) { grant(z, 8, 0) }, map[string]string{"a": "no free slot", "b": "no free slot"}},
 		{"limit", "m0", func(z *testZone) { z.SetTargetLimit(z.now, "a", 0, 2) }, map[string]string{"a": withheldOrLimited.String(), "b": ""}},
-		{"old prompts", "m0", func(z *testZone) {
-			r := z.request("m0")
-			r.MaxEventInterval = maxStepAge / 10
-			only[Grant](z.t, z.submitAndStep(r))
-			only[Grant](z.t, z.submitAndStep(r))
-		}, map[string]string{"a": "", "b": ""}},
+		{"old prompts", "m0", func(z *testZone) { grant(z, 2, maxStepAge/10) }, none},
 		{"no demand yet", "m0", func(z *testZone) {
-			r := z.request("m0")
-			r.MaxEventInterval = time.Second
-			only[Grant](z.t, z.submitAndStep(r))
-			only[Grant](z.t, z.submitAndStep(r))
+			grant(z, 2, time.Second)
 			clear(z.demand)
-		}, map[string]string{"a": "", "b": ""}},
+		}, none},
 		{"not loaded", "m5", func(*testZone) {}, map[string]string{}},
 	} {
 		z := newTestZone(t, newTestTarget("a", []string{"m0"}, nil), newTestTarget("b", []string{"m0"}, nil))
