scheduler: the simulated load on targets of different pace is a type with steps

Cause: paceLoad.run was a function of 90 lines with four closures over ten variables. Its steps are now methods of paceSimulation.

--- a/pkg/scheduler/pace_test.go
+++ b/pkg/scheduler/pace_test.go
@@ -16,8 +16,8 @@
 // paceLoad is a load on engine targets that all have one model, simulated in virtual time. A
 // target prefills one prompt after the other, and then sends events at its pace.
 type paceLoad struct {
-	// factors are the lasting duration factors of the targets; moment is the factor of each for one second in
-	// eight, 0 for none.
+	// factors are the lasting duration factors of the targets. moment is the factor of each target
+	// for one second in eight, 0 for none.
 	factors []float64
 	moment  float64
 	// perSecond is the rate of requests with prompts of promptTokens, objective the latest first event that is
@@ -54,10 +54,22 @@
 	prefill, decode time.Duration
 }
 
+// paceSimulation is the state of a paceLoad that is being run.
+type paceSimulation struct {
+	*testZone
+	load *paceLoad
+	rand *rand.Rand
+	// runs are those of each target, in the order of their grants.
+	runs                  [][]*simulatedRun
+	arrivals              map[Ticket]time.Time
+	nextArrival, nextStep time.Time
+	inTime, all           int
+	decisions             []string
+}
+
 // run returns the share of requests whose first event comes within the objective, and
 // all decisions in order.
 func (l *paceLoad) run(t *testing.T) (inTime float64, decisions []string) {
-	r := rand.New(rand.NewPCG(l.seed, 11))
 	var list []*inventory.Target
 	for i := range l.factors {
 		target := newTestTarget(fmt.Sprint("t", i), []string{"m0"}, nil)
@@ -66,87 +78,105 @@
 	}
 	z := newTestZone(t, list...)
 	z.services[testService].Engine.Slots, z.services[testService].Engine.CacheTokens = paceLoadSlots, 1_000_000
-	factorAt := func(i int) float64 {
-		const period, length = 8 * time.Second, time.Second
-		phase := time.Duration(i) * period / time.Duration(len(l.factors))
-		if l.moment > 0 && (z.now.Sub(testStart)+phase)%period < length {
-			return l.moment
-		}
-		return l.factors[i]
+	s := &paceSimulation{
+		testZone: z, load: l, rand: rand.New(rand.NewPCG(l.seed, 11)), runs: make([][]*simulatedRun, len(l.factors)),
+		arrivals: map[Ticket]time.Time{}, nextArrival: z.now, nextStep: z.now,
 	}
-	runs := make([][]*simulatedRun, len(l.factors)) // by target, in the order of their grants
-	arrivals := map[Ticket]time.Time{}
-	good, all := 0, 0
-	count := func(arrived time.Time, inTime bool) {
-		if arrived.Sub(testStart) < paceLoadLearning {
-			return
+	for ; z.now.Sub(testStart) < paceLoadDuration; z.now = z.now.Add(time.Millisecond) {
+		for i := range s.runs {
+			s.work(i)
 		}
-		all++
-		if inTime {
-			good++
+		for !s.nextArrival.After(z.now) {
+			s.nextArrival = s.nextArrival.Add(time.Duration(s.rand.ExpFloat64() / l.perSecond * float64(time.Second)))
+			s.arrive()
 		}
-	}
-	grant := func(g Grant) {
-		i := int(g.Target[1] - '0')
-		runs[i] = append(runs[i], &simulatedRun{g.Run, arrivals[g.Ticket], promptTokens * l.perToken, l.decode})
-		decisions = append(decisions, fmt.Sprint(z.now.Sub(testStart), g.Ticket, g.Target))
-	}
-	perform := func(actions []Action) {
-		for _, a := range actions {
-			switch a := a.(type) {
-			case Grant:
-				grant(a)
-			case Refusal:
-				count(arrivals[a.Ticket], false)
-				decisions = append(decisions, fmt.Sprint(z.now.Sub(testStart), a.Ticket, a.Reason, a.RetryAfter, a.Estimate.ExpectedWait))
-			default:
-				t.Fatalf("%#v", a)
-			}
+		if !s.nextStep.After(z.now) {
+			s.step()
 		}
 	}
-	next, nextStep := z.now, z.now
-	for ; z.now.Sub(testStart) < paceLoadDuration; z.now = z.now.Add(time.Millisecond) {
-		for i := range runs {
-			f := factorAt(i)
-			step, prefilling := time.Duration(float64(time.Millisecond)/f), false
-			for _, run := range runs[i] {
-				switch {
-				case run.prefill <= 0:
-					run.decode -= step
-				case !prefilling:
-					prefilling = true
-					if run.prefill -= step; run.prefill <= 0 {
-						count(run.arrived, z.now.Sub(run.arrived) <= l.objective)
-						z.ObservePace(z.now, run.id, l.report(f, r))
-						z.RunStarted(z.now, run.id)
-					}
-				}
-				if run.decode <= 0 {
-					z.RunEnded(z.now, run.id, Completed)
-					nextStep = z.now
-				}
+	return float64(s.inTime) / float64(max(s.all, 1)), s.decisions
+}
+
+// currentFactor returns the duration factor of a target now.
+func (s *paceSimulation) currentFactor(i int) float64 {
+	const period, length = 8 * time.Second, time.Second
+	phase := time.Duration(i) * period / time.Duration(len(s.load.factors))
+	if s.load.moment > 0 && (s.now.Sub(testStart)+phase)%period < length {
+		return s.load.moment
+	}
+	return s.load.factors[i]
+}
+
+// work advances the runs of a target by a millisecond.
+func (s *paceSimulation) work(i int) {
+	f := s.currentFactor(i)
+	step, prefilling := time.Duration(float64(time.Millisecond)/f), false
+	for _, run := range s.runs[i] {
+		switch {
+		case run.prefill <= 0:
+			run.decode -= step
+		case !prefilling:
+			prefilling = true
+			if run.prefill -= step; run.prefill <= 0 {
+				s.count(run.arrived, s.now.Sub(run.arrived) <= s.load.objective)
+				s.ObservePace(s.now, run.id, s.load.report(f, s.rand))
+				s.RunStarted(s.now, run.id)
 			}
-			runs[i] = slices.DeleteFunc(runs[i], func(run *simulatedRun) bool { return run.decode <= 0 })
 		}
-		for !next.After(z.now) {
-			next = next.Add(time.Duration(r.ExpFloat64() / l.perSecond * float64(time.Second)))
-			ticket := z.Submit(z.now, Request{
-				Service: testService, Model: "m0", InputTokens: promptTokens, OutputTokens: 288, LatencyObjective: l.objective,
-				ObjectiveAt: z.now.Add(l.objective), Deadline: z.now.Add(12 * time.Second), MaxEventInterval: testEventInterval, OtherZonesRefused: true,
-			})
-			arrivals[ticket] = z.now
-			if g, ok := z.TryGrant(z.now, ticket); ok {
-				grant(g)
-			} else {
-				nextStep = z.now
-			}
+		if run.decode <= 0 {
+			s.RunEnded(s.now, run.id, Completed)
+			s.nextStep = s.now
 		}
-		if !nextStep.After(z.now) {
-			perform(z.Step(z.now))
-			nextStep = z.NextStepAt(z.now)
+	}
+	s.runs[i] = slices.DeleteFunc(s.runs[i], func(run *simulatedRun) bool { return run.decode <= 0 })
+}
+
+// arrive submits a request.
+func (s *paceSimulation) arrive() {
+	ticket := s.Submit(s.now, Request{
+		Service: testService, Model: "m0", InputTokens: promptTokens, OutputTokens: 288, LatencyObjective: s.load.objective,
+		ObjectiveAt: s.now.Add(s.load.objective), Deadline: s.now.Add(12 * time.Second), MaxEventInterval: testEventInterval, OtherZonesRefused: true,
+	})
+	s.arrivals[ticket] = s.now
+	if g, ok := s.TryGrant(s.now, ticket); ok {
+		s.grant(g)
+	} else {
+		s.nextStep = s.now
+	}
+}
+
+// step runs a step of the scheduler.
+func (s *paceSimulation) step() {
+	for _, a := range s.Step(s.now) {
+		switch a := a.(type) {
+		case Grant:
+			s.grant(a)
+		case Refusal:
+			s.count(s.arrivals[a.Ticket], false)
+			s.decisions = append(s.decisions, fmt.Sprint(s.now.Sub(testStart), a.Ticket, a.Reason, a.RetryAfter, a.Estimate.ExpectedWait))
+		default:
+			s.t.Fatalf("%#v", a)
 		}
 	}
-	return float64(good) / float64(max(all, 1)), decisions
+	s.nextStep = s.NextStepAt(s.now)
+}
+
+// grant begins a run.
+func (s *paceSimulation) grant(g Grant) {
+	i := int(g.Target[1] - '0')
+	s.runs[i] = append(s.runs[i], &simulatedRun{g.Run, s.arrivals[g.Ticket], promptTokens * s.load.perToken, s.load.decode})
+	s.decisions = append(s.decisions, fmt.Sprint(s.now.Sub(testStart), g.Ticket, g.Target))
+}
+
+// count counts a request that is decided, unless it arrived while the paces were still being learned.
+func (s *paceSimulation) count(arrived time.Time, inTime bool) {
+	if arrived.Sub(testStart) < paceLoadLearning {
+		return
+	}
+	s.all++
+	if inTime {
+		s.inTime++
+	}
 }
 
 // Loads at targets of 0.7, 0.7 and 1.7, all with moments of 2.5; the objective is 400 ms. Ordering by
