--- a/pkg/scheduler/fair_test.go
+++ b/pkg/scheduler/fair_test.go
@@ -183,18 +183,18 @@
 			flooder := fmt.Sprintf("c%02d", flooding)
 			perSecond[flooder] *= 7.5
 			all := append(slices.Clone(others), flooder)
-			before := fairLoad{perSecond: perSecond, anonymous: true}.play(t)
-			after := fairLoad{perSecond: perSecond, quotas: quotas}.play(t)
-			t.Logf("others %.3f, before %.3f; flooding %.3f, before %.3f; all %.3f, before %.3f; in time %d, before %d", after.share(others...),
-				before.share(others...), after.share(flooder), before.share(flooder), after.share(all...), before.share(all...), after.inTime, before.inTime)
-			assert.GreaterOrEqual(t, after.share(others...), 0.8)
-			assert.GreaterOrEqual(t, after.share(others...), before.share(others...))
-			assert.GreaterOrEqual(t, after.share(all...), before.share(all...)-0.02, "no slot stays free")
+			byObjective := fairLoad{perSecond: perSecond, anonymous: true}.play(t)
+			fair := fairLoad{perSecond: perSecond, quotas: quotas}.play(t)
+			t.Logf("others %.3f, by objective %.3f; flooding %.3f, by objective %.3f; all %.3f, by objective %.3f; in time %d, by objective %d", fair.share(others...),
+				byObjective.share(others...), fair.share(flooder), byObjective.share(flooder), fair.share(all...), byObjective.share(all...), fair.inTime, byObjective.inTime)
+			assert.GreaterOrEqual(t, fair.share(others...), 0.8)
+			assert.GreaterOrEqual(t, fair.share(others...), byObjective.share(others...))
+			assert.GreaterOrEqual(t, fair.share(all...), byObjective.share(all...)-0.02, "no slot stays free")
 			for _, name := range all {
-				assert.GreaterOrEqual(t, after.share(name), after.share(all...)/4, name)
+				assert.GreaterOrEqual(t, fair.share(name), fair.share(all...)/4, name)
 			}
 			for _, name := range others {
-				assert.GreaterOrEqual(t, after.share(name), 0.6, "%s of %d", name, after.offered[name])
+				assert.GreaterOrEqual(t, fair.share(name), 0.6, "%s of %d", name, fair.offered[name])
 			}
 		})
 	}
@@ -208,10 +208,10 @@
 	quotas := quotasOf(perSecond)
 	perSecond["c00"] *= 7.5
 	l := fairLoad{perSecond: perSecond, quotas: quotas, group: map[string]int{"c15": 6}}
-	before := l
-	before.anonymous, before.quotas = true, nil
-	got, was := l.play(t), before.play(t)
-	t.Logf("small customer %.3f, before %.3f of %d", got.share("c15"), was.share("c15"), got.offered["c15"])
+	byObjective := l
+	byObjective.anonymous, byObjective.quotas = true, nil
+	got, was := l.play(t), byObjective.play(t)
+	t.Logf("small customer %.3f, by objective %.3f of %d", got.share("c15"), was.share("c15"), got.offered["c15"])
 	assert.GreaterOrEqual(t, got.share("c15"), 0.6)
 	assert.GreaterOrEqual(t, got.share("c15"), was.share("c15"))
 }
@@ -220,13 +220,13 @@
 // Guards against a fair order that costs objectives although nobody is above its share.
 func TestCustomersAtTheirUsualDemandKeepTheirObjectives(t *testing.T) {
 	perSecond, names := zipf(42, -1)
-	before := fairLoad{perSecond: perSecond, anonymous: true}.play(t)
-	after := fairLoad{perSecond: perSecond, quotas: quotasOf(perSecond)}.play(t)
-	t.Logf("in time %d, before %d; served %.3f, before %.3f", after.inTime, before.inTime, after.share(names...), before.share(names...))
-	assert.GreaterOrEqual(t, after.inTime, before.inTime*95/100)
+	byObjective := fairLoad{perSecond: perSecond, anonymous: true}.play(t)
+	fair := fairLoad{perSecond: perSecond, quotas: quotasOf(perSecond)}.play(t)
+	t.Logf("in time %d, by objective %d; served %.3f, by objective %.3f", fair.inTime, byObjective.inTime, fair.share(names...), byObjective.share(names...))
+	assert.GreaterOrEqual(t, fair.inTime, byObjective.inTime*95/100)
 	for _, name := range names {
-		t.Logf("%s %.3f, before %.3f", name, after.share(name), before.share(name))
-		assert.GreaterOrEqual(t, after.share(name), after.share(names...)/4, name)
+		t.Logf("%s %.3f, by objective %.3f", name, fair.share(name), byObjective.share(name))
+		assert.GreaterOrEqual(t, fair.share(name), fair.share(names...)/4, name)
 	}
 }
 
