--- a/pkg/intake/backlog_test.go
+++ b/pkg/intake/backlog_test.go
@@ -2,9 +2,8 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,35 +12,21 @@
 )
 
 // endlessSource returns bytes without end until it is interrupted.
-type endlessSource struct {
-	mu          sync.Mutex
-	read        int
-	interrupted bool
-}
+type endlessSource struct{ interrupted atomic.Bool }
 
 // Read implements io.Reader.
 func (s *endlessSource) Read(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.interrupted {
-		return 0, errors.New("interrupted")
+	if s.interrupted.Load() {
+		return 0, errInterrupted
 	}
-	s.read += len(p)
 	return len(p), nil
 }
 
-// interrupt makes reads fail.
-func (s *endlessSource) interrupt() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.interrupted = true
-}
-
 // newSlowReader returns the reader of a response without end of a target, whose client does
 // not read, and reports whether it was ended.
-func newSlowReader(l *Backlogs, target string) (a *Ahead, ended *bool) {
+func newSlowReader(l *Backlogs, target string) (a *ReadAhead, ended *bool) {
 	s, ended := &endlessSource{}, new(bool)
-	a = l.NewAhead(s, target, s.interrupt, func() { *ended = true })
+	a = l.NewReadAhead(s, target, func() { s.interrupted.Store(true) }, func() { *ended = true })
 	a.WriteBegins()
 	return a, ended
 }
@@ -50,7 +35,7 @@
 func TestResponseThatWasReadAheadIsWhole(t *testing.T) {
 	l := NewBacklogs(1 << 20)
 	want := bytes.Repeat([]byte("0123456789abcdefghijklmn"), 8<<10)
-	a := l.NewAhead(bytes.NewReader(want), "e1", func() {}, func() {})
+	a := l.NewReadAhead(bytes.NewReader(want), "e1", func() {}, func() {})
 	defer a.Close()
 	var got []byte
 	buf := make([]byte, 1000)
@@ -102,7 +87,7 @@
 	slowest.Close()
 	require.Eventually(t, held("e1"), 5*time.Second, time.Millisecond, "the third has its room")
 	assert.LessOrEqual(t, l.Held(), int64(max))
-	for _, a := range []*Ahead{other, second, third} {
+	for _, a := range []*ReadAhead{other, second, third} {
 		require.NoError(t, a.WriteEnds())
 		a.Close()
 	}
