zoneowner: the vacancy of a zone counts as it was before the node registered

Cause: since the handover delay depends on when the node saw that the owner key was gone. acquire read that after it had written its own key. In a deployment the watch usually reports that key first, which ends the vacancy, so that the delay was longer by the lease time after most crashes. The cluster of the tests polls every 60 ms and hid it.

Change: acquire takes the vacancy before it writes the key. If the last owner registers again after that, the write of its record makes that of this node fail.

The new test fails without the change (4.75 s, 3.25 s wanted) and passes with it.

--- a/pkg/zoneowner/election.go
+++ b/pkg/zoneowner/election.go
@@ -174,6 +174,10 @@
 	if err := o.checkRecorded(ctx, lastOwner, revision); err != nil {
 		return err
 	}
+	// The vacancy ends when this node sees its own key.
+	o.mu.Lock()
+	free := o.vacancy
+	o.mu.Unlock()
 	sent := o.cfg.BootClock()
 	lease, err := o.cfg.Store.GrantLease(ctx, o.leaseTTL)
 	if err != nil {
@@ -185,7 +189,7 @@
 		return fmt.Errorf("acquire the owner key: %w", err)
 	}
 	acquired := o.cfg.BootClock()
-	ordersFrom := o.earliestOrder(lastOwner, revision, token.Era(), acquired)
+	ordersFrom := o.earliestOrder(lastOwner, free.sinceRecord(revision), token.Era(), acquired)
 	peers := o.connectedPeers()
 	next := lastOwnerRecord{Addr: o.cfg.Self.Addr, Token: token, HandoverPending: ordersFrom.After(acquired), Peers: peers}
 	if err := o.writeLastOwner(ctx, next, revision); err != nil {
--- a/pkg/zoneowner/inflight_test.go
+++ b/pkg/zoneowner/inflight_test.go
@@ -72,7 +72,7 @@
 				record, _, err := o.readLastOwner(t.Context())
 				require.NoError(t, err)
 				assert.Equal(t, c.age, record.LastOrderAge)
-				assert.Equal(t, testHandoverDelay+handoverMargin-c.age, time.Until(newSingleOwner(s).earliestOrder(withOtherAddr(record), 0, kv.FirstEra, time.Now())))
+				assert.Equal(t, testHandoverDelay+handoverMargin-c.age, time.Until(newSingleOwner(s).earliestOrder(withOtherAddr(record), time.Time{}, kv.FirstEra, time.Now())))
 			})
 		})
 	}
--- a/pkg/zoneowner/lastowner.go
+++ b/pkg/zoneowner/lastowner.go
@@ -101,10 +101,10 @@
 }
 
 // earliestOrder returns the time of BootClock at which an owner that acquired
-// the zone after lastOwner, whose record has the given revision, in an era of the
-// key-value service, may send its first order, so that no two owners send orders within
-// HandoverDelay.
-func (o *Owner) earliestOrder(lastOwner lastOwnerRecord, revision kv.Revision, era kv.Era, acquired time.Time) time.Time {
+// the zone after lastOwner, in an era of the key-value service, may send its first
+// order, so that no two owners send orders within HandoverDelay. freeSince is when this node
+// saw that the owner key was gone, zero if that is not known.
+func (o *Owner) earliestOrder(lastOwner lastOwnerRecord, freeSince time.Time, era kv.Era, acquired time.Time) time.Time {
 	if lastOwner.outdated(era) {
 		return acquired.Add(o.maxHandoverDelay())
 	}
@@ -116,7 +116,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.authorityEnd(lastOwner, revision, acquired).Add(o.cfg.HandoverDelay + handoverMargin)
+	return o.authorityEnd(lastOwner, freeSince, acquired).Add(o.cfg.HandoverDelay + handoverMargin)
 }
 
 // lastOrderAge returns the time since the last order at the end of a term, so that the
--- a/pkg/zoneowner/rules_test.go
+++ b/pkg/zoneowner/rules_test.go
@@ -177,8 +177,7 @@
 	} {
 		o := newSingleOwner(new(kvtest.Store))
 		o.peerLeaseOwnerAddr, o.peerLeaseGrantedAt = c.peerLeaseOwner, acquired.Add(-PeerLeaseTTL)
-		o.vacancy.since = acquired
-		assert.Equal(t, c.want, o.earliestOrder(c.lastOwner, 0, kv.FirstEra, acquired).Sub(acquired), name)
+		assert.Equal(t, c.want, o.earliestOrder(c.lastOwner, acquired, kv.FirstEra, acquired).Sub(acquired), name)
 	}
 }
 
@@ -334,7 +333,7 @@
 // delayAfter returns how long a node waits with its first order after a record.
 func delayAfter(record lastOwnerRecord) time.Duration {
 	acquired := time.Now()
-	return newSingleOwner(new(kvtest.Store)).earliestOrder(record, 0, kv.FirstEra, acquired).Sub(acquired)
+	return newSingleOwner(new(kvtest.Store)).earliestOrder(record, time.Time{}, kv.FirstEra, acquired).Sub(acquired)
 }
 
 // scheduleTolerance is how much the times of tests without virtual time may differ.
--- a/pkg/zoneowner/vacancy.go
+++ b/pkg/zoneowner/vacancy.go
@@ -36,14 +36,24 @@
 	v.record = revision
 }
 
+// sinceRecord returns when the node saw that the owner key was gone, zero if that is not known
+// or the last-owner record has another revision than it had then: an owner that registers
+// again writes the record before it trusts its new lease.
+func (v *vacancy) sinceRecord(revision kv.Revision) time.Time {
+	if v.record != revision {
+		return time.Time{}
+	}
+	return v.since
+}
+
 // expiryTolerance is how far the end of a lease that expires after a crash of the owner may
 // be from the time that the last peer lease shows: up to renewInterval lies between the
 // last renewal and the last peer lease, the rest covers delays of messages and watches.
 const expiryTolerance = renewInterval + 250*time.Millisecond
 
-// authorityEnd returns the latest time of BootClock until which the last owner, whose record
-// has the given revision, may have had authority, and acquired if it had none when
-// this node acquired the zone.
+// authorityEnd returns the latest time of BootClock until which the last owner may have had
+// authority, and acquired if it had none when this node acquired the zone. freeSince is when
+// this node saw that the owner key was gone, zero if that is not known.
 //
 // Its peer leases ended before, because this node waits for the end of the one that it
 // granted. Its lease ended before, too, if it expired; if it was revoked, the owner trusts it
@@ -51,16 +61,13 @@
 // which of both happened. The lease counts as expired if the key was deleted when it would
 // have been after a crash of the owner shortly after the last peer lease of this node.
 // o.mu must be held.
-func (o *Owner) authorityEnd(lastOwner lastOwnerRecord, revision kv.Revision, acquired time.Time) time.Time {
-	unknown := acquired.Add(o.leaseTTL)
-	if o.peerLeaseOwnerAddr != lastOwner.Addr || o.vacancy.since.IsZero() || o.vacancy.record != revision {
-		// An owner that registers again writes the record before it trusts its new
-		// lease, so that the time of the vacancy counts only with the record of that time.
-		return unknown
+func (o *Owner) authorityEnd(lastOwner lastOwnerRecord, freeSince, acquired time.Time) time.Time {
+	if o.peerLeaseOwnerAddr != lastOwner.Addr || freeSince.IsZero() {
+		return acquired.Add(o.leaseTTL)
 	}
 	expiry := o.peerLeaseGrantedAt.Add(o.leaseTTL)
-	if o.vacancy.since.Sub(expiry).Abs() <= expiryTolerance {
+	if freeSince.Sub(expiry).Abs() <= expiryTolerance {
 		return acquired
 	}
-	return latest(acquired, o.vacancy.since.Add(o.leaseTTL))
+	return latest(acquired, freeSince.Add(o.leaseTTL))
 }
--- a/pkg/zoneowner/vacancy_test.go
+++ b/pkg/zoneowner/vacancy_test.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"almondturn/fleet"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/kv/kvtest"
+	"almondturn/pkg/route"
+	"almondturn/wire"
 )
 
 // Guards against a next owner that relies on a peer lease of long ago, or on a deleted key of
@@ -36,12 +41,12 @@
 		acquired := time.Unix(1_700_000_000, 0)
 		o := newSingleOwner(new(kvtest.Store))
 		o.peerLeaseOwnerAddr, o.peerLeaseGrantedAt = otherAddr, acquired.Add(-c.granted)
-		o.vacancy = vacancy{acquired.Add(-c.deleted), inEra(1, 7)}
+		free := vacancy{acquired.Add(-c.deleted), inEra(1, 7)}
 		revision := inEra(1, 7)
 		if c.otherRecord {
 			revision = inEra(1, 8)
 		}
-		got := o.earliestOrder(lastOwnerRecord{Addr: otherAddr}, revision, kv.FirstEra, acquired)
+		got := o.earliestOrder(lastOwnerRecord{Addr: otherAddr}, free.sinceRecord(revision), kv.FirstEra, acquired)
 		assert.Equal(t, c.want, got.Sub(acquired.Add(testHandoverDelay+handoverMargin)), name)
 	}
 }
@@ -93,3 +98,39 @@
 	assert.Empty(t, o.currentEntry)
 	assert.NotZero(t, o.vacancy.since)
 }
+
+// Guards against a handover delay that grows because the node sees its own key before it has
+// computed the delay.
+func TestHandoverAfterACrashIsNotLongerIfTheNodeSeesItsOwnKeyEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(kvtest.Store)
+		writeLastOwner(t, s, lastOwnerRecord{Addr: otherAddr, Token: 1})
+		o := newSingleOwner(s)
+		e, err := s.Get(t.Context(), LastOwnerKey(singleOwnerZone))
+		require.NoError(t, err)
+		o.ObserveLastOwner(e.Value, e.ModRevision)
+		o.services = map[string]*route.Service{}
+		require.True(t, o.GrantPeerLease(fleet.Node{Zone: singleOwnerZone, Addr: otherAddr}, &wire.PeerLeaseRequest{Zone: singleOwnerZone}).Granted)
+		time.Sleep(PeerLeaseTTL)
+		o.ObserveKey(OwnerRecord{}, 0)
+		o.cfg.Store = watchedStore{s, o}
+		require.NoError(t, o.acquire(t.Context(), ownerEntry{}))
+		assert.Equal(t, testHandoverDelay+handoverMargin, time.Until(o.term.ordersFrom))
+		o.Abort()
+		synctest.Wait()
+	})
+}
+
+// watchedStore reports each write of the owner key to a node before the write returns.
+type watchedStore struct {
+	*kvtest.Store
+	o *Owner
+}
+
+func (s watchedStore) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.LeaseID) (kv.Revision, error) {
+	revision, err := s.Store.CompareAndSwap(ctx, key, value, expect, lease)
+	if err == nil && key == OwnerKey(singleOwnerZone) {
+		s.o.refreshKey(ctx, key)
+	}
+	return revision, err
+}
