routeplan: texts that are "0" are part of a query

Cause: Query.Values left out each parameter with the value 0, also the names of a model, customer, route or request. Change: only numbers of 0 are left out. Result: TestQueryIsReadAsItWasWritten has the case; it fails without the change. Found in a review.

--- a/pkg/routeplan/plan.go
+++ b/pkg/routeplan/plan.go
@@ -46,10 +46,15 @@
 func (q *Query) Values() url.Values {
 	v := url.Values{}
 	set := func(name, value string) {
-		if value != "" && value != "0" {
+		if value != "" {
 			v.Set(name, value)
 		}
 	}
+	setNumber := func(name string, value int) {
+		if value != 0 {
+			v.Set(name, strconv.Itoa(value))
+		}
+	}
 	set(paramHost, q.Host)
 	set(paramPath, q.Path)
 	set(paramMethod, q.Method)
@@ -57,8 +62,8 @@
 	set(paramRequest, q.Request)
 	set(paramModel, q.Model)
 	set(paramAdapter, q.Adapter)
-	set(paramInputTokens, strconv.Itoa(q.InputTokens))
-	set(paramOutputTokens, strconv.Itoa(q.OutputTokens))
+	setNumber(paramInputTokens, q.InputTokens)
+	setNumber(paramOutputTokens, q.OutputTokens)
 	set(paramCustomer, q.Customer)
 	return v
 }
--- a/pkg/routeplan/plan_test.go
+++ b/pkg/routeplan/plan_test.go
@@ -17,6 +17,7 @@
 	for _, q := range []Query{
 		{Host: "app.example", Path: "/a?b=c&d", Method: "POST"},
 		{Route: "order", Request: "r 1", Model: "m1", Adapter: "a1", InputTokens: 826, OutputTokens: 36, Customer: "north & co"},
+		{Route: "0", Request: "0", Model: "0", Adapter: "0", Customer: "0"},
 	} {
 		got, err := ParseQuery(q.Values())
 		require.NoError(t, err)
