intake: a report names the client whose connection is closed

Change: a refused client is reported with its address, an ended connection with that of its client. Result: TestReportNamesTheClientWhoseConnectionIsClosed fails without the change. Found in a review.

--- a/pkg/intake/conns.go
+++ b/pkg/intake/conns.go
@@ -85,15 +85,14 @@
 	address, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	conn := &Conn{Conn: c, conns: l, address: address, withTLS: withTLS, since: l.now()}
 	victim, reason, ok := l.add(conn)
-	if reason != "" {
+	if !ok {
 		l.report(reason, address)
+		return nil
 	}
 	if victim != nil {
+		l.report(reason, victim.address)
 		victim.evict()
 	}
-	if !ok {
-		return nil
-	}
 	return conn
 }
 
--- a/pkg/intake/conns_test.go
+++ b/pkg/intake/conns_test.go
@@ -88,6 +88,22 @@
 	assert.Equal(t, []Reason{AddressConnections}, *reasons)
 }
 
+// Guards against a report that names the client that was admitted and not the one whose connection was
+// closed for it.
+func TestReportNamesTheClientWhoseConnectionIsClosed(t *testing.T) {
+	c := &clock{time.Now()}
+	var reported []string
+	l := NewConns(Limits{Conns: 1}, func() HeadLimits { return HeadLimits{} }, func(_ Reason, address string) { reported = append(reported, address) }, c.now)
+	conn, _ := connect(l, "10.0.0.1")
+	require.NotNil(t, conn)
+	refused, _ := connect(l, "10.0.0.2")
+	assert.Nil(t, refused)
+	c.Time = c.Add(2 * minEvictStall)
+	admitted, _ := connect(l, "10.0.0.3")
+	assert.NotNil(t, admitted)
+	assert.Equal(t, []string{"10.0.0.2", "10.0.0.1"}, reported)
+}
+
 // The time of a head began anew with each call of the HTTP server, and a further request had
 // none up to its fourth byte.
 func TestTimeOfAHeadCountsFromItsFirstByte(t *testing.T) {
