entry: attempts without an answer do not shorten the delay of hedges

Cause: the time of each first attempt was recorded, also of those that failed at once. If nine tenths of a route's attempts fail within a millisecond, its requests are hedged after 5 ms, the least delay. Change: only the times of answers, and of attempts that have not ended by the deadline, are recorded. Result: shown by reading in a review; no test of its own.

--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -34,7 +34,7 @@
 // hedge sends the request of x and, if its response is late, sends it to a second target, too. It
 // returns the exchange whose response is forwarded, and ends the other one. Without hedging in the
 // settings it returns x, of which nothing is sent yet.
-func (n *Node) hedge(ctx context.Context, j *job, x *exchange) *exchange {
+func (n *Node) hedge(ctx context.Context, j *job, x *exchange) (winner *exchange) {
 	ratio := n.bounds.Load().HedgeRatio
 	if ratio <= 0 || !j.mayHedge(x) {
 		return x
@@ -47,7 +47,12 @@
 		return x
 	}
 	begun := time.Now()
-	defer func() { n.hedger.RecordTime(j.Route.Name, time.Since(begun)) }()
+	// Attempts that fail at once would shorten the delay after which requests are hedged.
+	defer func() {
+		if !winner.hasEnded() || winner.answers() {
+			n.hedger.RecordTime(j.Route.Name, time.Since(begun))
+		}
+	}()
 	x.begin()
 	if x.endsWithin(ctx, delay) {
 		return x
