entry: the time of an owner's response is read after it

Cause: Go evaluates the arguments of Answer in order, so that the time of the response was that of the request. After a pause of the node for longer than a lease, the charge counted an expired grant and asked no other zone: the request was refused with a Retry-After of 1 ms. Change: the response is awaited first. No test of its own: the order of two calls in the node is not reached by the tests of pkg/quota.

--- a/pkg/entry/quota.go
+++ b/pkg/entry/quota.go
@@ -76,7 +76,8 @@
 		if m == nil {
 			return
 		}
-		charge.Answer(sent, boottime.Now(), n.requestQuota(ctx, zone, m))
+		response := n.requestQuota(ctx, zone, m)
+		charge.Answer(sent, boottime.Now(), response)
 	}
 }
 
