--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -17,6 +17,7 @@
 // cases holds the function of each case by name. dir is a temporary folder.
 var cases = map[string]func(rec *record, dir string) (code int){
 	"places": runPlaces,
+	"reborn": runReborn,
 }
 
 func main() {
--- a/review/driver2/node.go
+++ b/review/driver2/node.go
@@ -206,16 +206,12 @@
 	return nil
 }
 
-// keepAsking asks each node once a second whether it is ready, until stop is closed.
-func (c *cluster) keepAsking(stop chan struct{}) {
+// keepAsking asks each node once a second whether it is ready.
+func (c *cluster) keepAsking() {
 	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Second):
-			for _, n := range c.nodes {
-				go n.isReady()
-			}
+		time.Sleep(time.Second)
+		for _, n := range c.nodes {
+			go n.isReady()
 		}
 	}
 }
