scheduler: an unload of an adapter that may have been gone is not counted as accepted

Cause: the answer 200 to the unload of an adapter stands for two outcomes: unloaded and counted, or gone before and not counted. orderDone took each for the first. An adapter is gone without the owner's knowledge if an earlier unload without an answer was accepted while it was in use. The owner's sequence then runs ahead of the target's, and a delayed order with that number is not refused, but finds its number later.

Change: adapters whose earlier unload may have been accepted are marked: those in a report with orders that this owner has not seen accepted, those with an accepted unload, and those that were there before their load. A 200 for one of these leaves the order unconfirmed until a report shows the sequence; the adapter keeps its slot. All others are counted as before, so that an owner that loaded an adapter itself asks for no report.

Related paths read: 200 to orders for models and to loads of adapters is not counted (too low a number is refused); 202 counts at the target, too; reports older than the number; new owners. TestAdapterThatIsLoadingKeepsItsSlot expected a load directly after a 200 at a target with an order of another owner; it now passes a report in between and asserts, besides, that no order comes before it.

--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -67,11 +67,13 @@
 func (t *target) orderDone(now time.Time) {
 	o := t.order
 	switch {
+	case o.Adapter != "" && o.Operation == Unload:
+		t.adapterUnloadDone(now, o)
 	case o.Adapter != "":
-		if o.Operation == Unload {
-			t.sequence = o.Sequence + 1
-		}
 		t.finishAdapterOrder(now, o)
+		if r := t.replicas[o.Model]; r != nil {
+			r.adapters[o.Adapter].mayBeUnloading = true // it was there before this order
+		}
 	case o.Operation == Load:
 		t.replicas[o.Model] = &replica{adapters: map[string]*adapter{}, lastUsed: now}
 		t.phase, t.order, t.plan = noOrder, nil, nil
@@ -92,9 +94,32 @@
 		return
 	}
 	r.adapters[o.Adapter].unconfirmed = true
+	r.adapters[o.Adapter].mayBeUnloading = true
 	t.nextReportAt = now.Add(reportInterval)
 }
 
+// adapterUnloadDone handles the response that the target no longer has the adapter. If the
+// adapter may have been gone before, the response does not tell whether the target has counted
+// this order. A sequence above the target's would let a delayed order wait for its number, so
+// that the order is unconfirmed until a report shows the sequence, and the adapter keeps its
+// adapter slot.
+func (t *target) adapterUnloadDone(now time.Time, o *Order) {
+	r := t.replicas[o.Model]
+	if r == nil || r.adapters[o.Adapter] == nil {
+		t.markUnknown(now)
+		return
+	}
+	a := r.adapters[o.Adapter]
+	if !a.mayBeUnloading && !a.unconfirmed {
+		t.sequence = o.Sequence + 1
+		t.finishAdapterOrder(now, o)
+		return
+	}
+	a.unconfirmed = true
+	t.phase = orderUnconfirmed
+	t.nextReportAt = now.Add(reportLag)
+}
+
 // finishAdapterOrder updates the adapters after an order that needs no report.
 func (t *target) finishAdapterOrder(now time.Time, o *Order) {
 	t.phase, t.order = noOrder, nil
@@ -193,9 +218,16 @@
 // replaceState replaces the known state of the target by the report.
 func (t *target) replaceState(now time.Time, r inventory.Report) {
 	o := t.order
+	unseenOrders := r.Sequence != t.sequence
 	t.sequence = r.Sequence
 	t.phase, t.order = noOrder, nil
 	t.setModels(r.Models)
+	switch {
+	case r.Sequence == 0:
+		t.setMayBeUnloading(false) // it has accepted no order
+	case unseenOrders:
+		t.setMayBeUnloading(true)
+	}
 	t.addLoadingAdapters(now, r.AdaptersLoading)
 	info := *t.info
 	info.InMemory, info.OnDisk = r.InMemory, r.OnDisk
@@ -208,13 +240,22 @@
 	}
 }
 
+// setMayBeUnloading sets whether unloads of the adapters may have been accepted.
+func (t *target) setMayBeUnloading(may bool) {
+	for _, r := range t.replicas {
+		for _, a := range r.adapters {
+			a.mayBeUnloading = may
+		}
+	}
+}
+
 // addLoadingAdapters adds the adapters that a report lists as being loaded. They take
 // memory and adapter slots, and get no runs until a report lists them as loaded.
 func (t *target) addLoadingAdapters(now time.Time, names []string) {
 	for _, n := range names {
 		model, name, ok := inventory.SplitAdapter(n)
 		if r := t.replicas[model]; ok && r != nil && r.adapters[name] == nil {
-			r.adapters[name] = &adapter{unconfirmed: true, loading: true, lastUsed: now}
+			r.adapters[name] = &adapter{unconfirmed: true, loading: true, mayBeUnloading: true, lastUsed: now}
 			t.nextReportAt = now.Add(reportInterval)
 		}
 	}
--- a/pkg/scheduler/orders_test.go
+++ b/pkg/scheduler/orders_test.go
@@ -239,6 +239,8 @@
 	first := only[SendOrder](t, z.submitAndStep(r)).Order
 	assert.Equal(t, Order{Target: "a", Operation: Unload, Model: "m0", Adapter: "x", Sequence: 1}, first)
 	z.OrderResultReceived(z.now, first, OrderDone)
+	assertNone[SendOrder](t, z.Step(z.now))
+	z.ReportReceived(z.now, "a", inventory.Report{Models: []inventory.LoadedModel{{Name: "m0"}}, AdaptersLoading: []string{"m0/y@1"}, Sequence: 2})
 	assert.Equal(t, Load, only[SendOrder](t, z.Step(z.now)).Order.Operation, "into the slot of x")
 }
 
--- /dev/null
+++ b/pkg/scheduler/randomorders_test.go
@@ -0,0 +1,289 @@
+package scheduler
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"almondturn/pkg/inventory"
+	"almondturn/pkg/route"
+)
+
+// Flags for long runs by hand.
+var (
+	playedSeeds = flag.Int("play.seeds", 40, "number of random plays with delayed orders")
+	firstSeed   = flag.Uint64("play.first", 1, "seed of the first random play")
+)
+
+// Times of a random play.
+const (
+	playedTime       = 60 * time.Second
+	playedTick       = 10 * time.Millisecond
+	maxPlayedReports = 30 // reports are up to 300 ms old
+	// maxOrderDelay is the longest time after which an order without a response is carried out.
+	maxOrderDelay = 12 * time.Second
+	// listDelay is the time until the list of targets shows a restart.
+	listDelay = 400 * time.Millisecond
+)
+
+// playedModels are the models of a random play, all of which lie on each disk.
+var playedModels = []string{"m0", "m1", "m2", "m3"}
+
+// play drives a scheduler beside targets that leave orders without a response, carry them out
+// late, and crash.
+type play struct {
+	*Scheduler
+	rng     *rand.Rand
+	now     time.Time
+	targets []*playedTarget
+	// events are the functions to call at their times.
+	events []playedEvent
+	kind   playKind
+	// requestTicks and faultTicks are the mean numbers of ticks between two requests and
+	// between two times of faults.
+	requestTicks, faultTicks int
+	// delay bounds the time after which an order without a response is carried out.
+	delay time.Duration
+	// runTime bounds the time of a run.
+	runTime time.Duration
+	// faultsUntil is the end of the current faults of orders.
+	faultsUntil time.Time
+	lastRun     RunID
+}
+
+// playKind says what happens in a random play beside delayed orders.
+type playKind uint8
+
+const (
+	// sameIDCrashes: targets crash and start again under their identifiers.
+	sameIDCrashes playKind = iota
+	// newOwners: owners change, and targets crash and start again under others.
+	newOwners
+	// adaptersOnly: nothing else, and all orders are for adapters of one model.
+	adaptersOnly
+	playKinds
+)
+
+type playedEvent struct {
+	at time.Time
+	do func()
+}
+
+func newPlay(seed uint64) *play {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	p := &play{rng: rng, now: testStart, kind: playKind(seed % uint64(playKinds)), requestTicks: 4 + rng.IntN(36), faultTicks: 100 + rng.IntN(500)}
+	p.runTime = p.between(time.Second, 8*time.Second)
+	p.delay = p.between(2*time.Second, maxOrderDelay)
+	for i := range 1 + rng.IntN(2) {
+		p.targets = append(p.targets, newPlayedTarget(fmt.Sprint("t", i), rng))
+	}
+	p.newOwner()
+	return p
+}
+
+// newOwner replaces the scheduler by one that knows nothing.
+func (p *play) newOwner() {
+	e := &route.Engine{Slots: 4, CacheTokens: 10_000, WeightsMB: playedWeightsMB, AdapterSlots: playedAdapterSlots, LoadsPerSecond: 100, Models: map[string]*route.Model{}}
+	for _, name := range playedModels {
+		e.Models[name] = &route.Model{Name: name, WeightsMB: playedModelMB, AdapterMB: playedAdapterMB, WeightStoreLoadTime: playedLoadTime, DiskLoadTime: playedLoadTime, MemoryLoadTime: playedLoadTime}
+	}
+	p.Scheduler = New(p.lastRun + 1_000_000)
+	p.lastRun += 1_000_000
+	p.SetServices(map[string]*route.Service{testService: {Name: testService, Engine: e}})
+	p.SetOrderWindow(p.now.Add(time.Second), p.now.Add(time.Hour))
+	p.list()
+}
+
+// list passes the targets that are up to the scheduler.
+func (p *play) list() {
+	var list []*inventory.Target
+	for _, t := range p.targets {
+		if t.up {
+			list = append(list, t.entry())
+		}
+	}
+	p.SetTargets(p.now, list)
+}
+
+// after calls a function later.
+func (p *play) after(d time.Duration, do func()) {
+	p.events = append(p.events, playedEvent{p.now.Add(d), do})
+}
+
+// between returns a random time.
+func (p *play) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(p.rng.Int64N(int64(to-from)))
+}
+
+// run plays until an order exceeds the limits of a target, and returns which; empty for none.
+func (p *play) run() string {
+	for p.now.Before(testStart.Add(playedTime)) {
+		p.now = p.now.Add(playedTick)
+		due := p.events
+		p.events = nil
+		for _, e := range due {
+			if e.at.After(p.now) {
+				p.events = append(p.events, e)
+			} else {
+				e.do()
+			}
+		}
+		p.disturb()
+		if p.rng.IntN(p.requestTicks) == 0 {
+			p.submit()
+		}
+		for _, a := range p.Step(p.now) {
+			p.carryOut(a)
+		}
+		for _, t := range p.targets {
+			t.advance(p.now)
+			if t.overfull != "" {
+				return t.overfull
+			}
+		}
+	}
+	return ""
+}
+
+// disturb begins the faults.
+func (p *play) disturb() {
+	if p.rng.IntN(p.faultTicks) == 0 {
+		p.faultsUntil = p.now.Add(p.between(time.Second, 6*time.Second))
+	}
+	if p.kind != adaptersOnly && p.rng.IntN(900) == 0 {
+		p.crash(p.targets[p.rng.IntN(len(p.targets))])
+	}
+	if p.kind == newOwners && p.rng.IntN(800) == 0 {
+		p.newOwner()
+	}
+}
+
+// crash ends a target, which starts again after a while.
+func (p *play) crash(t *playedTarget) {
+	if !t.up {
+		return
+	}
+	t.up = false
+	p.after(listDelay, p.list)
+	p.after(p.between(100*time.Millisecond, 2*time.Second), func() {
+		if p.kind != sameIDCrashes {
+			t.id += "'"
+		}
+		t.start(t.incarnation + 1)
+		p.after(listDelay, p.list)
+	})
+}
+
+// submit submits a request for a model or an adapter.
+func (p *play) submit() {
+	r := Request{
+		Service: testService, Model: playedModels[p.rng.IntN(len(playedModels))], InputTokens: 10, OutputTokens: 10, LatencyObjective: time.Second,
+		ObjectiveAt: p.now.Add(time.Second), Deadline: p.now.Add(3 * time.Second), OtherZonesRefused: true,
+	}
+	if p.kind == adaptersOnly || p.rng.IntN(3) > 0 {
+		r.Model = playedModels[0]
+		r.Adapter = fmt.Sprint("a", p.rng.IntN(7))
+	}
+	p.Submit(p.now, r)
+}
+
+// find returns the target with an identifier, nil if there is none that is up.
+func (p *play) find(id string) *playedTarget {
+	for _, t := range p.targets {
+		if t.id == id && t.up {
+			return t
+		}
+	}
+	return nil
+}
+
+// carryOut carries out an action of the scheduler.
+func (p *play) carryOut(a Action) {
+	switch a := a.(type) {
+	case Grant:
+		p.begin(a)
+	case SendOrder:
+		p.send(a.Order)
+	case RequestReport:
+		p.report(a.Target)
+	}
+}
+
+// begin begins a run.
+func (p *play) begin(g Grant) {
+	owner, r, t := p.Scheduler, p.runs[g.Run], p.find(g.Target)
+	end, ok := func() {}, false
+	if t != nil {
+		end, ok = t.begin(r.model, r.adapter)
+	}
+	if !ok {
+		p.after(playedTick, func() { owner.RunEnded(p.now, g.Run, NotLoaded) })
+		return
+	}
+	p.after(30*time.Millisecond, func() { owner.RunStarted(p.now, g.Run) })
+	p.after(p.between(100*time.Millisecond, p.runTime), func() {
+		end()
+		owner.RunEnded(p.now, g.Run, Completed)
+	})
+}
+
+// send sends an order. During faults it may get no response, and be carried out at once, late
+// or never.
+func (p *play) send(o Order) {
+	owner := p.Scheduler
+	answer := func(d time.Duration, r OrderResult) {
+		p.after(d, func() { owner.OrderResultReceived(p.now, o, r) })
+	}
+	execute := func() OrderResult {
+		if t := p.find(o.Target); t != nil {
+			return t.execute(p.now, o)
+		}
+		return OrderRejected
+	}
+	if p.now.After(p.faultsUntil) || p.rng.IntN(3) == 0 {
+		if p.find(o.Target) == nil {
+			answer(playedTick, OrderNotSent)
+			return
+		}
+		answer(playedTick, execute())
+		return
+	}
+	answer(800*time.Millisecond, OrderUnknown)
+	switch p.rng.IntN(4) {
+	case 0:
+		execute()
+	case 1, 2:
+		p.after(p.between(time.Second, p.delay), func() { execute() })
+	}
+}
+
+// report delivers a report of some time before.
+func (p *play) report(id string) {
+	owner := p.Scheduler
+	p.after(playedTick, func() {
+		t := p.find(id)
+		if t == nil || len(t.reports) == 0 {
+			owner.ReportFailed(p.now, id)
+			return
+		}
+		owner.ReportReceived(p.now, id, t.reports[p.rng.IntN(len(t.reports))].report)
+	})
+}
+
+// Guards against orders that exceed the memory or the adapter slots of a target, whenever
+// orders without a response are carried out. Seeds that once failed come first.
+func TestDelayedOrdersNeverOverfillATarget(t *testing.T) {
+	seeds := []uint64{
+		380, // the sequence ran ahead of the target's after the unload of an adapter that was gone
+	}
+	for i := range uint64(*playedSeeds) {
+		seeds = append(seeds, *firstSeed+i)
+	}
+	for _, seed := range seeds {
+		assert.Empty(t, newPlay(seed).run(), "seed %d", seed)
+	}
+}
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -166,14 +166,17 @@
 // adapter is an adapter loaded at a target. readyAt is when runs may use it;
 // unconfirmed has the same meaning as in replica. openSince is when its load began, zero
 // once a run or a report has shown that it succeeded. loading is true if a report lists the
-// adapter as being loaded.
+// adapter as being loaded. mayBeUnloading is true if the target may have accepted an unload of
+// the adapter that waits for the end of runs: one that an earlier owner ordered, or one of
+// which this owner has not received the response.
 type adapter struct {
-	unconfirmed bool
-	loading     bool
-	runs        int
-	lastUsed    time.Time
-	readyAt     time.Time
-	openSince   time.Time
+	unconfirmed    bool
+	loading        bool
+	mayBeUnloading bool
+	runs           int
+	lastUsed       time.Time
+	readyAt        time.Time
+	openSince      time.Time
 }
 
 // loadPlan is a model to load as soon as the victims, in this order, are unloaded.
@@ -246,7 +249,7 @@
 		r.unconfirmed = false
 		for _, name := range m.Adapters {
 			if r.adapters[name] == nil {
-				r.adapters[name] = new(adapter)
+				r.adapters[name] = &adapter{mayBeUnloading: true}
 			}
 			r.adapters[name].unconfirmed, r.adapters[name].loading = false, false
 		}
