A node's own list no longer shows which software version is the only one

Cause: while a node knew of one version, a stream of unknown origin was taken for one of that version, without asking whether its list of targets was current.

Change: a take-up that is not in memory asks the owners of all zones after it has arrived; if one does not answer, one call reads the changes that the list lacks. Otherwise it is refused at once. A list that replaces another leaves the versions of the last life open until the record is read again; versions that come and go within one batch of changes count. A watch confirms its age after it has passed the changes on, not before.

The files about versions of streams leave pkg/entry for pkg/streamversions, which has its store, peers and list as interfaces; TestStoredStreamsAreDecoded went with them.

--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -81,7 +81,7 @@
 	current := n.table.Swap(t)
 	n.tableSetAfter.Store(int64(time.Since(n.started)))
 	n.owner.SetServices(t)
-	n.streams.configure(t, n.targetSet.Load())
+	n.streams.Configure(t, n.targetSet.Load())
 	if current == nil || !maps.Equal(current.Drained, t.Drained) {
 		n.republishTargets()
 	}
--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -32,6 +32,8 @@
 		n.receiveLimits(from.ID, m)
 	case *wire.PermitRequest:
 		return n.owner.ReservePermit(m)
+	case *wire.StreamOriginRequest:
+		return n.answerOrigin(m)
 	case *wire.QuotaRequests:
 		return n.owner.LeaseQuota(m)
 	case *wire.ZoneState:
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -22,6 +22,7 @@
 	"almondturn/pkg/notices"
 	"almondturn/pkg/quota"
 	"almondturn/pkg/route"
+	"almondturn/pkg/streamversions"
 	"almondturn/pkg/upstream"
 	"almondturn/pkg/wait"
 	"almondturn/pkg/zoneowner"
@@ -150,7 +151,7 @@
 	budgets        budgets
 	hedger         *hedging.Hedger
 	guard          *crashGuard
-	streams        *streamVersions
+	streams        *streamversions.Tracker
 	usages         targetUsages
 	notices        *notices.Ledger
 	shares         limitShares
@@ -272,7 +273,6 @@
 		n.handler = d.WrapHandler(n)
 	}
 	n.guard = newCrashGuard(n)
-	n.streams = newStreamVersions(n)
 	n.links = newLinks(n, d.Dial)
 	n.links.ctx = n.ctx
 	n.owner = zoneowner.New(zoneowner.Config{
@@ -288,6 +288,7 @@
 	targets.changeLog, targets.peerChanges, targets.freshness.maxAge = n.targetChanges, targetChangesRequest, n.maxTargetsAge
 	owners := n.newWatch(zoneowner.KeyPrefix, noFetchDelay, n.replaceOwners, n.applyOwnerChanges)
 	owners.changeLog, owners.peerChanges, owners.freshness.maxAge = n.ownerChanges, ownerChangesRequest, ownersAge
+	n.streams = newStreamVersions(n, targets)
 	n.watches = []*watch{n.configurationWatch, targets, owners}
 	return n, nil
 }
@@ -325,7 +326,7 @@
 	}
 	go n.owner.Run(n.ctx)
 	go n.sweep()
-	go n.streams.run(n.ctx)
+	go n.streams.Run(n.ctx)
 	event.EntryStarted.Log(n.log).Str("zone", string(n.self.Zone)).Str("incarnation", n.self.Incarnation).
 		Str("clients", n.settings.ClientsAddr).Str("inner", n.settings.InnerAddr).Send()
 	return nil
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -9,6 +9,7 @@
 
 	"almondturn/pkg/event"
 	"almondturn/pkg/kv"
+	"almondturn/pkg/streamversions"
 	"almondturn/wire"
 )
 
@@ -72,8 +73,8 @@
 // streams. The response
 // has Available false if no watch has the prefix or the entries were never read.
 func (n *Node) buildSnapshot(m *wire.SnapshotRequest) *wire.Snapshot {
-	if m.Prefix == streamKeyPrefix {
-		return snapshotOf(slices.Values(n.streams.snapshot()), true)
+	if m.Prefix == streamversions.KeyPrefix {
+		return snapshotOf(slices.Values(n.streams.Snapshot()), true)
 	}
 	for _, w := range n.watches {
 		if w.prefix != m.Prefix {
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -107,7 +107,7 @@
 func (n *Node) writeEvents(j *job, resp *upstream.Response, cr *clientResponse, w io.Writer, status int, events []byte) error {
 	now := time.Now()
 	if !j.version.known {
-		n.streams.begun(j, j.assignment.target)
+		n.streamBegun(j, j.assignment.target)
 	}
 	if !cr.started {
 		cr.streaming = true
--- a/pkg/entry/streamversions_test.go
+++ b/pkg/entry/streamversions_test.go
@@ -8,9 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondturn/pkg/inventory"
-	"almondturn/pkg/kv"
 	"almondturn/pkg/route"
-	"almondturn/pkg/streams"
 	"almondturn/wire"
 )
 
@@ -42,22 +40,6 @@
 	}
 }
 
-// Entries of other writers, or of another form, end no read.
-func TestStoredStreamsAreDecoded(t *testing.T) {
-	origins := map[string]streams.Origin{"r1": {Service: "s", Version: "v1"}, "r2": {Service: "s", Version: ""}, "r3": {Service: "t", Version: "v1"}}
-	versions := map[string][]string{"s": {"", "v1"}}
-	var invalid []string
-	out := decodeStreams([]kv.Entry{
-		{Key: streamKey("i", 1), Value: encodeStreams(origins)},
-		{Key: streamVersionKey, Value: encodeVersions(versions)},
-		{Key: streamKey("i", 2), Value: []byte("{")},
-		{Key: streamKey("i", 3), Value: []byte(`{"s":["v1"]}`)},
-		{Key: streamKey("i", 4)},
-	}, func(key string, _ error) { invalid = append(invalid, key) })
-	assert.Equal(t, storedStreams{origins, versions}, out)
-	assert.Equal(t, []string{streamKey("i", 2), streamKey("i", 3), streamKey("i", 4)}, invalid)
-}
-
 // A stream that was taken up went to another service of its route than the one that began it.
 func TestStreamThatIsTakenUpStaysAtItsService(t *testing.T) {
 	r := &route.Route{Kind: route.Stream, Resumable: true, Backends: []route.Backend{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
--- a/pkg/entry/targets.go
+++ b/pkg/entry/targets.go
@@ -17,6 +17,7 @@
 	}
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
+	n.streams.ListReplaced()
 	kept := n.directory.Replace(time.Now(), revision.Era(), list)
 	if kept != (inventory.RestoreSummary{}) {
 		event.TargetsKept.Log(n.log).Uint64("era", uint64(revision.Era())).Uint64("revision", revision.Counter()).
@@ -51,13 +52,19 @@
 func (n *Node) applyTargetChanges(events []kv.WatchEvent) {
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
+	var put []*inventory.Target
 	for _, e := range events {
 		if e.Deleted {
 			n.directory.Delete(time.Now(), e.Entry.Key)
 			continue
 		}
-		n.directory.Put(e.Entry.Key, n.registration(e.Entry))
+		r := n.registration(e.Entry)
+		n.directory.Put(e.Entry.Key, r)
+		if r.Target != nil {
+			put = append(put, r.Target)
+		}
 	}
+	n.streams.ObserveChanges(put)
 	n.publishTargets()
 }
 
@@ -104,7 +111,7 @@
 	}
 	before := n.targetSet.Load()
 	after := inventory.NewTargetSet(list)
-	n.streams.observe(after)
+	n.streams.Observe(after)
 	n.targetSet.Store(after)
 	n.owner.SetTargets(after)
 	n.logTargetChanges(before, after)
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"almondturn/pkg/event"
@@ -64,6 +65,9 @@
 	// readsFromOwner is true if the last changes were those of the owner of the zone.
 	readsFromOwner bool
 	freshness      freshness
+	// appliedRevision is the kv.Revision up to which changes have been passed on, 0 before the
+	// first list.
+	appliedRevision atomic.Uint64
 }
 
 // run watches the prefix until ctx ends.
@@ -97,13 +101,14 @@
 	if err != nil {
 		return err
 	}
-	w.freshness.confirm(asked)
 	if *unavailable {
 		*unavailable = false
 		event.StoreRegained.Log(w.node.log).Str("prefix", w.prefix).Send()
 	}
 	w.entryCopy.reset(entries)
 	w.onList(entries, revision)
+	w.appliedRevision.Store(uint64(revision))
+	w.freshness.confirm(asked)
 	if w.changeLog != nil {
 		w.changeLog.reset(revision, asked)
 	}
@@ -112,16 +117,19 @@
 		if err != nil {
 			return err
 		}
-		w.freshness.confirm(fetched.confirmedAt)
 		if w.changeLog != nil {
 			w.changeLog.add(fetched.events, fetched.next, fetched.confirmedAt)
 		}
 		if len(fetched.events) > 0 {
 			w.entryCopy.apply(fetched.events)
 			w.onChanges(fetched.events)
-			wait.Sleep(ctx, w.fetchDelay())
 		}
 		revision = max(revision, fetched.next)
+		w.appliedRevision.Store(uint64(revision))
+		w.freshness.confirm(fetched.confirmedAt)
+		if len(fetched.events) > 0 {
+			wait.Sleep(ctx, w.fetchDelay())
+		}
 	}
 }
 
--- a/pkg/streams/history.go
+++ b/pkg/streams/history.go
@@ -78,6 +78,35 @@
 	return slices.Compact(changed)
 }
 
+// Saw records versions that had targets a moment ago, by service. It returns the services whose
+// recent versions have changed by it, in order.
+func (h *History) Saw(now time.Time, versions map[string]map[string]bool) (changed []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, set := range versions {
+		v := h.service(name)
+		for version := range set {
+			if v.listed[version] {
+				continue
+			}
+			if _, recent := v.lastSeen[version]; !recent {
+				changed = append(changed, name)
+			}
+			v.lastSeen[version] = now
+		}
+	}
+	slices.Sort(changed)
+	return slices.Compact(changed)
+}
+
+// Missed records that versions may have come and gone without being observed. Those of the
+// last life are then known again after Include, or a life later.
+func (h *History) Missed(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.since, h.complete = now, false
+}
+
 // Include records versions that have served lately by what other nodes have written, by
 // service: all of the last life before this history began.
 func (h *History) Include(now time.Time, recorded map[string][]string) {
--- a/pkg/streams/streams_test.go
+++ b/pkg/streams/streams_test.go
@@ -66,6 +66,26 @@
 	assert.Equal(t, []string{"a", "b"}, h.Recent(gone.Add(testLife+1), "llm"))
 }
 
+// Guards against a version that is overlooked because its targets came and left between two lists.
+func TestVersionThatWasSeenInAChangeIsRecent(t *testing.T) {
+	h := NewHistory(testLife)
+	h.Observe(testStart, listed("a"))
+	h.Include(testStart, nil)
+	assert.Equal(t, []string{"llm"}, h.Saw(testStart, listed("a", "b")))
+	assert.Empty(t, h.Saw(testStart, listed("a", "b")), "no change")
+	h.Observe(testStart, listed("a"))
+	_, ok := h.Only(testStart.Add(testLife-1), "llm")
+	assert.False(t, ok)
+	version, ok := h.Only(testStart.Add(testLife), "llm")
+	assert.True(t, ok)
+	assert.Equal(t, "a", version)
+	h.Missed(testStart.Add(testLife))
+	_, ok = h.Only(testStart.Add(testLife), "llm")
+	assert.False(t, ok, "changes may have been missed")
+	_, ok = h.Only(testStart.Add(2*testLife), "llm")
+	assert.True(t, ok, "a life later")
+}
+
 // A service all of whose targets have gone, and one that nobody listed.
 func TestServiceWithoutTargetsHasNoOnlyVersion(t *testing.T) {
 	h := NewHistory(testLife)
--- a/pkg/entry/streamentry.go
+++ b/pkg/streamversions/entries.go
@@ -1,4 +1,4 @@
-package entry
+package streamversions
 
 import (
 	"encoding/json"
@@ -8,16 +8,17 @@
 	"almondturn/pkg/streams"
 )
 
-// Keys of the key-value service below streamKeyPrefix: the versions that have served lately,
-// and, for each process and some seconds, the streams that began at it.
+// Keys of the key-value service: the versions that have served lately, and, for each process
+// and some seconds, the streams that began at it.
 const (
-	streamKeyPrefix  = "almondturn/streams/"
-	streamVersionKey = streamKeyPrefix + "versions"
+	// KeyPrefix is the prefix of all keys of this package.
+	KeyPrefix  = "almondturn/streams/"
+	versionKey = KeyPrefix + "versions"
 )
 
 // streamKey returns the key of a process's streams. number is that of the entry.
 func streamKey(incarnation string, number int) string {
-	return fmt.Sprintf("%sbegun/%s/%d", streamKeyPrefix, incarnation, number)
+	return fmt.Sprintf("%sbegun/%s/%d", KeyPrefix, incarnation, number)
 }
 
 // encodeStreams returns the value of an entry of streams: their identifiers by service and
@@ -27,7 +28,7 @@
 	return value
 }
 
-// encodeVersions returns the value of streamVersionKey: the versions by service, as JSON.
+// encodeVersions returns the value of versionKey: the versions by service, as JSON.
 func encodeVersions(versions map[string][]string) []byte {
 	value, _ := json.Marshal(versions) // strings always encode
 	return value
@@ -39,12 +40,12 @@
 	versions map[string][]string
 }
 
-// decodeStreams decodes the entries below streamKeyPrefix. invalid is called for each that
+// decodeStreams decodes the entries below KeyPrefix. invalid is called for each that
 // can't be decoded.
 func decodeStreams(entries []kv.Entry, invalid func(key string, err error)) storedStreams {
 	out := storedStreams{origins: map[string]streams.Origin{}}
 	for _, e := range entries {
-		if e.Key == streamVersionKey {
+		if e.Key == versionKey {
 			if err := json.Unmarshal(e.Value, &out.versions); err != nil {
 				invalid(e.Key, err)
 			}
--- a/pkg/entry/streamjournal.go
+++ b/pkg/streamversions/journal.go
@@ -1,4 +1,4 @@
-package entry
+package streamversions
 
 import (
 	"context"
@@ -19,12 +19,12 @@
 	maxJournalEntry  = 256
 )
 
-// streamJournal writes the origins of streams that begin at this node into the key-value
+// journal writes the origins of streams that begin at this node into the key-value
 // service, so that other nodes, and this one after a restart, know them. It is used while a
 // service has, or had lately, several versions. Its exported methods may be called
 // concurrently.
-type streamJournal struct {
-	node *Node
+type journal struct {
+	cfg *Config
 
 	mu sync.Mutex // guards the fields up to failing
 	// recorded are the services whose streams are written.
@@ -48,7 +48,7 @@
 }
 
 // add records a stream that has begun at this node, if those of its service are written.
-func (j *streamJournal) add(id string, o streams.Origin) {
+func (j *journal) add(id string, o streams.Origin) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.recorded[o.Service] {
@@ -58,7 +58,7 @@
 
 // setRecorded sets whether the streams of a service are written. known returns those that
 // may still be taken up when the first ones are.
-func (j *streamJournal) setRecorded(service string, recorded bool, known func() map[string]streams.Origin) {
+func (j *journal) setRecorded(service string, recorded bool, known func() map[string]streams.Origin) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if recorded && !j.recorded[service] {
@@ -68,7 +68,7 @@
 }
 
 // take returns up to max pending streams.
-func (j *streamJournal) take(max int) map[string]streams.Origin {
+func (j *journal) take(max int) map[string]streams.Origin {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	out := make(map[string]streams.Origin, min(len(j.pending), max))
@@ -82,7 +82,7 @@
 }
 
 // written removes streams from the pending ones.
-func (j *streamJournal) written(origins map[string]streams.Origin) {
+func (j *journal) written(origins map[string]streams.Origin) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for id := range origins {
@@ -91,7 +91,7 @@
 }
 
 // recordAgain makes the next setRecorded write all streams again, which the service has lost.
-func (j *streamJournal) recordAgain() {
+func (j *journal) recordAgain() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	clear(j.recorded)
@@ -99,14 +99,14 @@
 
 // forgetOld removes pending streams that known says are no longer taken up: the service may not
 // respond for long.
-func (j *streamJournal) forgetOld(known func(id string) bool) {
+func (j *journal) forgetOld(known func(id string) bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	maps.DeleteFunc(j.pending, func(id string, _ streams.Origin) bool { return !known(id) })
 }
 
 // write writes the pending streams. life is how long they count.
-func (j *streamJournal) write(ctx context.Context, life time.Duration) {
+func (j *journal) write(ctx context.Context, life time.Duration) {
 	for {
 		batch := j.take(maxJournalEntry)
 		if len(batch) == 0 {
@@ -114,7 +114,7 @@
 		}
 		err := j.writeBatch(ctx, life, batch)
 		if err != nil && !j.failing {
-			event.StreamsNotStored.Log(j.node.log).Int("streams", len(batch)).Err(err).Send()
+			event.StreamsNotStored.Log(j.cfg.Log).Int("streams", len(batch)).Err(err).Send()
 		}
 		j.failing = err != nil
 		if err != nil || len(batch) < maxJournalEntry {
@@ -124,20 +124,20 @@
 }
 
 // writeBatch adds streams to the entry, or to a new one.
-func (j *streamJournal) writeBatch(ctx context.Context, life time.Duration, batch map[string]streams.Origin) error {
+func (j *journal) writeBatch(ctx context.Context, life time.Duration, batch map[string]streams.Origin) error {
 	now := time.Now()
 	if e := j.entry; e == nil || now.Sub(e.begun) >= journalEntryTime || len(e.origins)+len(batch) > maxJournalEntry {
-		lease, err := j.node.store.GrantLease(ctx, life+journalEntryTime)
+		lease, err := j.cfg.Store.GrantLease(ctx, life+journalEntryTime)
 		if err != nil {
 			return err
 		}
 		j.entries++
-		j.entry = &journalEntry{key: streamKey(j.node.self.Incarnation, j.entries), lease: lease, begun: now, origins: map[string]streams.Origin{}}
+		j.entry = &journalEntry{key: streamKey(j.cfg.Incarnation, j.entries), lease: lease, begun: now, origins: map[string]streams.Origin{}}
 	}
 	e := j.entry
 	all := maps.Clone(e.origins)
 	maps.Copy(all, batch)
-	_, err := j.node.store.Commit(ctx, kv.Transaction{Put: []kv.Entry{{Key: e.key, Value: encodeStreams(all), Lease: e.lease}}})
+	_, err := j.cfg.Store.Commit(ctx, kv.Transaction{Put: []kv.Entry{{Key: e.key, Value: encodeStreams(all), Lease: e.lease}}})
 	if err != nil {
 		if errors.Is(err, kv.ErrLeaseExpired) { // the service was restored from an older copy, or was away for long
 			j.entry = nil
--- a/pkg/entry/versionrecord.go
+++ b/pkg/streamversions/record.go
@@ -1,4 +1,4 @@
-package entry
+package streamversions
 
 import (
 	"context"
@@ -19,8 +19,11 @@
 // versionRecord is the entry with the versions that have served lately, as an owner of a zone
 // keeps it. It is used by one goroutine.
 type versionRecord struct {
-	node    *Node
+	cfg     *Config
 	history *streams.History
+	// checkTargets records the versions in changes of the list of targets that this node has
+	// not read yet.
+	checkTargets func(ctx context.Context) error
 	// read is true if versions and revision are those of the entry in an era of the
 	// key-value service.
 	read     bool
@@ -39,7 +42,7 @@
 	if now.Before(r.retryAt) {
 		return
 	}
-	if r.era != r.node.store.Era() {
+	if r.era != r.cfg.Store.Era() {
 		r.read = false // the service was restored from an older copy
 	}
 	if !r.read && !r.fetch(ctx, now) {
@@ -50,7 +53,15 @@
 	if maps.EqualFunc(recent, r.versions, slices.Equal[[]string]) {
 		return
 	}
-	revision, err := r.node.store.CompareAndSwap(ctx, streamVersionKey, encodeVersions(recent), r.revision, kv.LeaseID{})
+	if removesVersion(r.versions, recent) {
+		// A version may be back that this node has not seen for long.
+		if r.checkTargets(ctx) != nil {
+			r.retryAt = now.Add(versionRetryInterval)
+			return
+		}
+		recent = r.history.All(time.Now())
+	}
+	revision, err := r.cfg.Store.CompareAndSwap(ctx, versionKey, encodeVersions(recent), r.revision, kv.LeaseID{})
 	if err != nil {
 		r.read = false // another owner has changed it, or may have
 		if !errors.Is(err, kv.ErrConflict) {
@@ -59,21 +70,33 @@
 		return
 	}
 	r.versions, r.revision = recent, revision
-	event.VersionsStored.Log(r.node.log).Strs("versions", describeVersions(recent)).Send()
+	event.VersionsStored.Log(r.cfg.Log).Strs("versions", describeVersions(recent)).Send()
+}
+
+// removesVersion reports whether a version of before is not among those of after.
+func removesVersion(before, after map[string][]string) bool {
+	for service, versions := range before {
+		for _, v := range versions {
+			if !slices.Contains(after[service], v) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // fetch reads the entry. The versions in it count as served until now.
 func (r *versionRecord) fetch(ctx context.Context, now time.Time) bool {
-	e, err := r.node.store.Get(ctx, streamVersionKey)
+	e, err := r.cfg.Store.Get(ctx, versionKey)
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
 		e = kv.Entry{}
 	case err != nil:
 		return false
 	}
-	r.versions, r.revision, r.read, r.era = nil, e.ModRevision, true, r.node.store.Era()
+	r.versions, r.revision, r.read, r.era = nil, e.ModRevision, true, r.cfg.Store.Era()
 	if len(e.Value) > 0 {
-		r.versions = decodeStreams([]kv.Entry{e}, r.node.logInvalidEntry).versions
+		r.versions = decodeStreams([]kv.Entry{e}, r.cfg.InvalidEntry).versions
 	}
 	r.history.Include(now, r.versions)
 	return true
--- a/wire/types.go
+++ b/wire/types.go
@@ -33,4 +33,6 @@
 	TypeQuotaRequests:        func() Message { return new(QuotaRequests) },
 	TypeQuotaResponses:       func() Message { return new(QuotaResponses) },
 	TypeNodes:                func() Message { return new(Nodes) },
+	TypeStreamOriginRequest:  func() Message { return new(StreamOriginRequest) },
+	TypeStreamOriginResponse: func() Message { return new(StreamOriginResponse) },
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -32,6 +32,8 @@
 	TypePermitResponse
 	TypeQuotaRequests
 	TypeQuotaResponses
+	TypeStreamOriginRequest
+	TypeStreamOriginResponse
 )
 
 // SlotRequest asks the owner of a zone for a slot at a target that has the
