Owners of zones know at which software version streams began

Cause: nothing is written about streams while a service has one version. A node that stands still, or ends, as the second one appears never writes those that began at it; the others then know two versions, find no origin, and refuse.

Change: RunStarted tells the owner of the target's zone the stream and its version, also for a run that no owner granted; ActiveRuns tells a new owner those of the runs in progress. A take-up asks the owners before the key-value service. Nodes of older versions ignore the new fields, and answer the question with an error, which counts as no answer.

Nothing more is written to the key-value service.

--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -18,10 +18,14 @@
 		return n.owner.AcquireSlot(ctx, from.ID, m)
 	case *wire.RunStarted:
 		n.owner.RunStarted(m)
+		n.receiveOrigin(m.Origin)
 	case *wire.RunEnded:
 		n.owner.RunEnded(m)
 	case *wire.ActiveRuns:
 		n.owner.AdoptRuns(from, m)
+		for _, r := range m.Runs {
+			n.receiveOrigin(r.Origin)
+		}
 		n.guard.introduce(from.ID)
 		n.links.introduceNotices(from.ID)
 	case *wire.PartEvidence:
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -106,8 +106,9 @@
 // means that the client accepts no more bytes.
 func (n *Node) writeEvents(j *job, resp *upstream.Response, cr *clientResponse, w io.Writer, status int, events []byte) error {
 	now := time.Now()
+	var origin *wire.StreamOrigin
 	if !j.version.known {
-		n.streamBegun(j, j.assignment.target)
+		origin = n.streamBegun(j, j.assignment.target)
 	}
 	if !cr.started {
 		cr.streaming = true
@@ -117,16 +118,26 @@
 		j.longestInterval = max(j.longestInterval, now.Sub(j.lastEventAt))
 	}
 	j.lastEventAt, j.givenUp = now, false
-	if j.assignment.runID != 0 && !j.startReported {
-		j.startReported = true
-		n.links.runStarted(j.assignment.zone, &wire.RunStarted{Run: j.assignment.runID, PacePercent: n.targetProtocol.ParseResponse(resp.Header).PacePercent})
-	}
+	n.reportStart(j, resp, origin)
 	if _, err := w.Write(events); err != nil {
 		return err
 	}
 	return cr.rc.Flush()
 }
 
+// reportStart reports the start of the response of an attempt to the owner of its zone, unless
+// that was done. origin is that of its stream, nil if another attempt began it or if clients
+// can't take it up; an owner needs it also of an attempt that no owner granted.
+func (n *Node) reportStart(j *job, resp *upstream.Response, origin *wire.StreamOrigin) {
+	a := j.assignment
+	if j.startReported || a.runID == 0 && origin == nil {
+		return
+	}
+	j.startReported = true
+	pace := n.targetProtocol.ParseResponse(resp.Header).PacePercent
+	n.links.runStarted(a.target.Zone, &wire.RunStarted{Run: a.runID, PacePercent: pace, Origin: origin})
+}
+
 // endStream completes the response after the regular end of a target's body.
 // If the body ended within an event, or with its connection before the first event, it
 // returns incompleteResult instead.
--- a/pkg/entry/streamversions.go
+++ b/pkg/entry/streamversions.go
@@ -37,11 +37,34 @@
 	})
 }
 
-// streamBegun records the version of a stream whose first event is about to be sent.
-func (n *Node) streamBegun(j *job, t *inventory.Target) {
+// streamBegun records the version of a stream whose first event is about to be sent. It returns
+// the origin to report to the owner of the target's zone, nil if clients can't take the
+// stream up.
+func (n *Node) streamBegun(j *job, t *inventory.Target) *wire.StreamOrigin {
 	j.version = softwareVersion{known: true, name: t.SoftwareVersion}
-	if j.Route.Resumable {
-		n.streams.Begun(text(j.ID), streams.Origin{Service: j.service, Version: t.SoftwareVersion})
+	id := text(j.ID)
+	if !j.Route.Resumable || !n.streams.Begun(id, streams.Origin{Service: j.service, Version: t.SoftwareVersion}) {
+		return nil
+	}
+	origin := &wire.StreamOrigin{Stream: id, Service: j.service, Version: t.SoftwareVersion}
+	n.recordOrigin(j.assignment.runID, origin)
+	return origin
+}
+
+// recordOrigin adds the origin of a run's stream to the runs that a new owner is sent.
+func (n *Node) recordOrigin(run uint64, origin *wire.StreamOrigin) {
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	if r, ok := n.runs[run]; ok {
+		r.run.Origin = origin
+		n.runs[run] = r
+	}
+}
+
+// receiveOrigin records the origin of a stream that began at another node, nil for none.
+func (n *Node) receiveOrigin(o *wire.StreamOrigin) {
+	if o != nil {
+		n.streams.Reported(o.Stream, streams.Origin{Service: o.Service, Version: o.Version})
 	}
 }
 
--- a/wire/streams.go
+++ b/wire/streams.go
@@ -1,10 +1,18 @@
 package wire
 
+// StreamOrigin says at which software version of targets a stream began that a client may take
+// up.
+type StreamOrigin struct {
+	// Stream is the identifier of the request that brought the first event.
+	Stream  string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Version string `cbor:"3,keyasint,omitempty"`
+}
+
 // StreamOriginRequest asks the owner of a zone about a stream that a client takes up. The
 // response is StreamOriginResponse.
 type StreamOriginRequest struct {
-	// Stream is the identifier of the request that brought the first event, empty if the client
-	// has not named it.
+	// Stream is as in StreamOrigin; empty if the client has not named the stream.
 	Stream  string `cbor:"1,keyasint,omitempty"`
 	Service string `cbor:"2,keyasint"`
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -200,12 +200,15 @@
 	PacePercent int `cbor:"3,keyasint,omitempty"`
 }
 
-// RunStarted notifies an owner that the response of a granted run has begun.
+// RunStarted notifies an owner that the response of a granted run has begun. Run is 0 for one
+// that no owner granted.
 type RunStarted struct {
 	Run uint64 `cbor:"1,keyasint"`
 	// PacePercent is how long work took at the target when it responded, in percent of the
 	// usual; 0 if it did not report that.
 	PacePercent int `cbor:"2,keyasint,omitempty"`
+	// Origin is that of the run's stream, nil if clients can't take it up or another run began it.
+	Origin *StreamOrigin `cbor:"3,keyasint,omitempty"`
 }
 
 // Run is one request in progress at a target.
@@ -215,6 +218,8 @@
 	Model   string `cbor:"3,keyasint"`
 	Adapter string `cbor:"4,keyasint,omitempty"`
 	Tokens  int    `cbor:"5,keyasint,omitempty"`
+	// Origin is as in RunStarted.
+	Origin *StreamOrigin `cbor:"6,keyasint,omitempty"`
 }
 
 // ActiveRuns sends an owner all requests that the sender has in progress at
