Owners of all zones are told which streams have begun

Change: once in a write interval each node tells the owners of all zones the streams that began since, in one message; a new owner gets the last 256, instead of the origins of the runs in progress.

--- a/pkg/entry/handle.go
+++ b/pkg/entry/handle.go
@@ -23,9 +23,6 @@
 		n.owner.RunEnded(m)
 	case *wire.ActiveRuns:
 		n.owner.AdoptRuns(from, m)
-		for _, r := range m.Runs {
-			n.receiveOrigin(r.Origin)
-		}
 		n.guard.introduce(from.ID)
 		n.links.introduceNotices(from.ID)
 	case *wire.PartEvidence:
@@ -36,6 +33,10 @@
 		n.receiveLimits(from.ID, m)
 	case *wire.PermitRequest:
 		return n.owner.ReservePermit(m)
+	case *wire.StreamOrigins:
+		for i := range m.Origins {
+			n.receiveOrigin(&m.Origins[i])
+		}
 	case *wire.StreamOriginRequest:
 		return n.answerOrigin(m)
 	case *wire.QuotaRequests:
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -179,7 +179,7 @@
 // serveOwner runs an established connection to an owner until it ends. The
 // first messages are the runs at targets of the zone, the state of this node, the era
 // of the key-value service, the evidence about parts of prompts, the targets of the zone
-// that leave and the limits of targets.
+// that leave, the limits of targets, and the streams that have begun lately.
 func (l *links) serveOwner(ctx context.Context, link *ownerLink, c *wire.Conn) {
 	stop := context.AfterFunc(ctx, func() { c.Close(wire.ErrClosed) })
 	defer stop()
@@ -195,6 +195,9 @@
 	if limits := l.node.targetLimits(); limits != nil {
 		c.Send(limits)
 	}
+	if begun := l.node.streams.Recent(); len(begun) > 0 {
+		c.Send(originsMessage(begun))
+	}
 	link.conn.Store(c)
 	event.OwnerConnected.Log(l.node.log).Str("zone", string(link.zone)).Str("owner", string(link.owner.Node)).Send()
 	err := c.Run()
--- a/pkg/entry/streamversions.go
+++ b/pkg/entry/streamversions.go
@@ -46,19 +46,7 @@
 	if !j.Route.Resumable || !n.streams.Begun(id, streams.Origin{Service: j.service, Version: t.SoftwareVersion}) {
 		return nil
 	}
-	origin := &wire.StreamOrigin{Stream: id, Service: j.service, Version: t.SoftwareVersion}
-	n.recordOrigin(j.assignment.runID, origin)
-	return origin
-}
-
-// recordOrigin adds the origin of a run's stream to the runs that a new owner is sent.
-func (n *Node) recordOrigin(run uint64, origin *wire.StreamOrigin) {
-	n.runsMu.Lock()
-	defer n.runsMu.Unlock()
-	if r, ok := n.runs[run]; ok {
-		r.run.Origin = origin
-		n.runs[run] = r
-	}
+	return &wire.StreamOrigin{Stream: id, Service: j.service, Version: t.SoftwareVersion}
 }
 
 // receiveOrigin records the origin of a stream that began at another node, nil for none.
@@ -130,6 +118,20 @@
 	return ok
 }
 
+// TellOwners implements streamversions.Peers.
+func (p streamPeers) TellOwners(begun []streamversions.Begun) {
+	p.links.sendToOwners(originsMessage(begun))
+}
+
+// originsMessage returns streams that have begun as a message.
+func originsMessage(begun []streamversions.Begun) *wire.StreamOrigins {
+	m := &wire.StreamOrigins{Origins: make([]wire.StreamOrigin, len(begun))}
+	for i, b := range begun {
+		m.Origins[i] = wire.StreamOrigin{Stream: b.ID, Service: b.Origin.Service, Version: b.Origin.Version}
+	}
+	return m
+}
+
 // AskOwners implements streamversions.Peers.
 func (p streamPeers) AskOwners(ctx context.Context, id, service string) streamversions.OwnersAnswer {
 	ctx, cancel := context.WithCancel(ctx)
--- a/pkg/streamversions/find_test.go
+++ b/pkg/streamversions/find_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,6 +41,8 @@
 // fakePeers are owners that give one answer.
 type fakePeers struct{ answer OwnersAnswer }
 
+func (fakePeers) TellOwners([]Begun) {}
+
 func (fakePeers) SharingNodes() int                                        { return 1 }
 func (fakePeers) Snapshot(func([]kv.Entry) bool) bool                      { return false }
 func (p fakePeers) AskOwners(context.Context, string, string) OwnersAnswer { return p.answer }
@@ -239,3 +242,23 @@
 		assert.Equal(t, []string{"v1"}, store.versions["llm"])
 	})
 }
+
+// Guards against owners that are told of a stream twice, or of streams without bound.
+func TestOwnersAreToldOfEachStreamOnce(t *testing.T) {
+	var r recentStreams
+	assert.Empty(t, r.takeUntold())
+	r.add(Begun{ID: "a"})
+	r.add(Begun{ID: "b"})
+	assert.Equal(t, []Begun{{ID: "a"}, {ID: "b"}}, r.takeUntold())
+	assert.Empty(t, r.takeUntold())
+	r.add(Begun{ID: "c"})
+	assert.Equal(t, []Begun{{ID: "c"}}, r.takeUntold())
+	assert.Equal(t, []Begun{{ID: "a"}, {ID: "b"}, {ID: "c"}}, r.all())
+	for i := range 5 * maxRecentStreams {
+		r.add(Begun{ID: fmt.Sprint(i)})
+	}
+	for _, list := range [][]Begun{r.all(), r.takeUntold()} {
+		assert.Len(t, list, maxRecentStreams)
+		assert.Equal(t, fmt.Sprint(5*maxRecentStreams-1), list[maxRecentStreams-1].ID)
+	}
+}
--- a/pkg/streamversions/tracker.go
+++ b/pkg/streamversions/tracker.go
@@ -59,6 +59,8 @@
 	// Snapshot requests what other nodes know about streams, one node after the other until
 	// accept returns true. It returns false if no node answered so.
 	Snapshot(accept func([]kv.Entry) bool) bool
+	// TellOwners tells the owners of all zones which streams have begun at this node.
+	TellOwners(begun []Begun)
 	// AskOwners asks the owners of all zones, this node among them, about a stream until one
 	// knows its origin.
 	AskOwners(ctx context.Context, id, service string) OwnersAnswer
@@ -97,6 +99,7 @@
 	// service. reported holds those that other nodes have reported to this one as the owner of
 	// a zone; they are not written.
 	ledger, reported *streams.Ledger
+	recent           recentStreams
 	journal          journal
 	record           versionRecord
 	reads, checks    sharedCall
@@ -223,6 +226,9 @@
 			readAt = now
 			_ = t.read(ctx, func() bool { return t.history.Complete(now) }) // tried again; a stream that is taken up reads, too
 		}
+		if begun := t.recent.takeUntold(); len(begun) > 0 {
+			t.cfg.Peers.TellOwners(begun)
+		}
 		t.chooseRecorded(now)
 		t.journal.forgetOld(func(id string) bool { _, known := t.ledger.Get(now, id); return known })
 		t.journal.write(ctx, t.currentLife())
@@ -247,9 +253,13 @@
 	}
 	t.ledger.Put(time.Now(), id, o)
 	t.journal.add(id, o)
+	t.recent.add(Begun{id, o})
 	return true
 }
 
+// Recent returns the last streams that have begun at this node, for a new owner of a zone.
+func (t *Tracker) Recent() []Begun { return t.recent.all() }
+
 // Reported records that a stream began at another node, which has reported it to this one.
 func (t *Tracker) Reported(id string, o streams.Origin) {
 	if len(id) <= maxStreamIDBytes {
--- a/wire/streams.go
+++ b/wire/streams.go
@@ -9,6 +9,11 @@
 	Version string `cbor:"3,keyasint,omitempty"`
 }
 
+// StreamOrigins tells an owner which streams have begun at the sender lately.
+type StreamOrigins struct {
+	Origins []StreamOrigin `cbor:"1,keyasint"`
+}
+
 // StreamOriginRequest asks the owner of a zone about a stream that a client takes up. The
 // response is StreamOriginResponse.
 type StreamOriginRequest struct {
@@ -29,6 +34,9 @@
 	Versions []string `cbor:"4,keyasint,omitempty"`
 }
 
+// Type implements Message.
+func (*StreamOrigins) Type() Type { return TypeStreamOrigins }
+
 // Type implements Message.
 func (*StreamOriginRequest) Type() Type { return TypeStreamOriginRequest }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -34,5 +34,6 @@
 	TypeQuotaResponses:       func() Message { return new(QuotaResponses) },
 	TypeNodes:                func() Message { return new(Nodes) },
 	TypeStreamOriginRequest:  func() Message { return new(StreamOriginRequest) },
+	TypeStreamOrigins:        func() Message { return new(StreamOrigins) },
 	TypeStreamOriginResponse: func() Message { return new(StreamOriginResponse) },
 }
--- a/wire/zone.go
+++ b/wire/zone.go
@@ -34,6 +34,7 @@
 	TypeQuotaResponses
 	TypeStreamOriginRequest
 	TypeStreamOriginResponse
+	TypeStreamOrigins
 )
 
 // SlotRequest asks the owner of a zone for a slot at a target that has the
@@ -218,8 +219,6 @@
 	Model   string `cbor:"3,keyasint"`
 	Adapter string `cbor:"4,keyasint,omitempty"`
 	Tokens  int    `cbor:"5,keyasint,omitempty"`
-	// Origin is as in RunStarted.
-	Origin *StreamOrigin `cbor:"6,keyasint,omitempty"`
 }
 
 // ActiveRuns sends an owner all requests that the sender has in progress at
