scheduler: room is kept for late orders of a target's former incarnations

Cause: the owner forgot an order of unknown outcome with the incarnation that it was sent to, unless it expected no order before it. The next incarnation counts anew and reaches each number again.

Change: loads without a response stay known for a minute, also over restarts and while the target is not listed. Their room counts as used while their number lies ahead, one order for each number. An adapter is not unloaded for room that only a late load of a model lacks.

What remains, by reading: a new owner does not know the orders of the last one.

--- a/pkg/scheduler/adapters.go
+++ b/pkg/scheduler/adapters.go
@@ -81,11 +81,15 @@
 		return
 	}
 	// The memory that a plan frees for its model is not available to adapters.
-	fits := max(t.usedMB(e), t.plannedMB(e))+m.AdapterMB <= e.WeightsMB
-	if t.adapterCount() < e.AdapterSlots && fits {
+	late := t.roomForLateOrders(e)
+	used := max(t.usedMB(e), t.plannedMB(e)) + m.AdapterMB
+	if t.adapterCount()+late.adapters < e.AdapterSlots && used <= e.WeightsMB {
 		s.sendOrder(now, t, Order{Operation: Load, Model: k.model, Adapter: k.adapter}, adapterLoadTime)
 		return
 	}
+	if used > e.WeightsMB && used-late.mb <= e.WeightsMB {
+		return // no unload of an adapter frees the room for a model
+	}
 	if model, name, ok := t.leastRecentlyUsedAdapter(); ok {
 		s.sendOrder(now, t, Order{Operation: Unload, Model: model, Adapter: name}, 0)
 	}
--- a/pkg/scheduler/limits.go
+++ b/pkg/scheduler/limits.go
@@ -18,8 +18,9 @@
 // removedTarget is a target that left the list. info.Models are the models that
 // it may still have loaded; they count against the limits until expiresAt.
 type removedTarget struct {
-	info      *inventory.Target
-	expiresAt time.Time
+	info       *inventory.Target
+	lateOrders []lateOrder
+	expiresAt  time.Time
 }
 
 // SetZones sets the scheduler's own zone and the list of all zones, which share
@@ -216,7 +217,10 @@
 	if t.order != nil && t.order.Operation == Load && t.replicas[t.order.Model] == nil {
 		info.Models = append(info.Models, inventory.LoadedModel{Name: t.order.Model})
 	}
-	s.removedTargets = append(s.removedTargets, removedTarget{&info, now.Add(removedTargetHold)})
+	if t.phase == orderSent {
+		t.recordLateOrder(now, t.order)
+	}
+	s.removedTargets = append(s.removedTargets, removedTarget{&info, t.lateOrders, now.Add(removedTargetHold)})
 }
 
 // expireRemovedTargets discards the removed targets that are listed again and
--- a/pkg/scheduler/orders.go
+++ b/pkg/scheduler/orders.go
@@ -32,6 +32,7 @@
 	case OrderNotSent:
 		t.orderNotSent(now)
 	case OrderUnknown:
+		t.recordLateOrder(now, t.order)
 		t.phase = orderUnconfirmed
 		t.nextReportAt = now.Add(unconfirmedWait)
 	}
--- a/pkg/scheduler/randomorders_test.go
+++ b/pkg/scheduler/randomorders_test.go
@@ -278,6 +278,7 @@
 // orders without a response are carried out. Seeds that once failed come first.
 func TestDelayedOrdersNeverOverfillATarget(t *testing.T) {
 	seeds := []uint64{
+		138, 825, // a late order of a former incarnation found its number again
 		380, // the sequence ran ahead of the target's after the unload of an adapter that was gone
 	}
 	for i := range uint64(*playedSeeds) {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -170,6 +170,7 @@
 			s.recordLoadCrash(now, former)
 			t = newTarget(info)
 			t.inheritOrder(now, former)
+			s.inheritLateOrders(now, t, former)
 			s.removeRunsOf(info.ID)
 			s.targets[info.ID] = t
 		}
@@ -380,6 +381,7 @@
 	s.lastStepAt = now
 	s.indexTargets()
 	s.expireRemovedTargets(now)
+	s.expireLateOrders(now)
 	s.refuseExpired(now)
 	s.markRetiring(now)
 	s.updateWeightStoreBudget(now)
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -99,6 +99,9 @@
 	// orderSince is when it was sent or, in the phase modelLoading, accepted.
 	order      *Order
 	orderSince time.Time
+	// lateOrders are the loads that the target may carry out later, also those of its former
+	// incarnations.
+	lateOrders []lateOrder
 	// inherited is the order that inheritOrder took from the former incarnation, nil for none.
 	inherited *Order
 	// peakWeightStoreLoads is the largest number of concurrent loads from the weight
@@ -277,10 +280,10 @@
 	return !t.info.Draining && !now.Before(t.suspectUntil)
 }
 
-// usedMB returns the memory that the replicas take, or the target's whole memory
-// for weights if one of the models is not configured.
+// usedMB returns the memory that the replicas take and that late orders need, or the target's
+// whole memory for weights if one of the models is not configured.
 func (t *target) usedMB(e *route.Engine) float64 {
-	used := 0.0
+	used := t.roomForLateOrders(e).mb
 	for name, r := range t.replicas {
 		m := e.Models[name]
 		if m == nil {
