scheduler: runs, plans, victims, room, order results and reports have files of their own

target.go (506 lines), load.go (556) and scheduler.go (480) held several jobs each, and orders.go two.

--- a/pkg/scheduler/lateorders.go
+++ b/pkg/scheduler/lateorders.go
@@ -51,12 +51,6 @@
 	}
 }
 
-// room is memory and adapter slots of a target.
-type room struct {
-	mb       float64
-	adapters int
-}
-
 // roomForLateOrders returns the room that the late orders need whose number the target has not
 // passed. The order with the number that the target has reached needs none: either it or the
 // next order of this owner is accepted, and room was kept for it before. Of several with one
@@ -81,21 +75,6 @@
 	return sum
 }
 
-// roomForLoad returns the room that a load takes: the whole memory for a model that is not
-// configured, whose size is unknown.
-func roomForLoad(e *route.Engine, o Order) room {
-	m := e.Models[o.Model]
-	switch {
-	case m == nil && o.Adapter == "":
-		return room{mb: e.WeightsMB}
-	case m == nil:
-		return room{adapters: 1}
-	case o.Adapter != "":
-		return room{m.AdapterMB, 1}
-	}
-	return room{mb: m.WeightsMB}
-}
-
 // holds reports whether the target has loaded the model, and also the adapter unless it is
 // empty.
 func (t *target) holds(model, adapter string) bool {
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -225,19 +224,6 @@
 	}
 }
 
-// startPlan makes the candidate the plan of its target, closes the victims and
-// sends the first order if possible.
-func (s *Scheduler) startPlan(now time.Time, k modelKey, best candidate) {
-	s.targetsByModel[k] = append(s.targetsByModel[k], best.target)
-	s.targetsWithoutPlan = slices.DeleteFunc(s.targetsWithoutPlan, func(t *target) bool { return t == best.target })
-	clear(s.replicaValues)
-	best.target.plan = &loadPlan{model: k.model, source: best.source, victims: best.victims, since: now}
-	for _, v := range best.victims {
-		best.target.replicas[v].closing = true
-	}
-	s.continuePlan(now, best.target)
-}
-
 // targetsWithCopy returns the number of healthy targets with a local copy of the
 // model.
 func (s *Scheduler) targetsWithCopy(now time.Time, k modelKey) int {
@@ -291,21 +277,6 @@
 	clear(s.copyCounts)
 }
 
-// moveBlockedPlan moves a plan that waits for the end of runs to a target where
-// it does not have to wait.
-func (s *Scheduler) moveBlockedPlan(now time.Time, k modelKey, st modelState) {
-	svc := s.services[k.service]
-	if st.blockedTarget == nil || svc == nil || svc.Engine == nil || svc.Engine.Models[k.model] == nil {
-		return
-	}
-	best, ok := s.bestCandidate(now, k, svc.Engine.Models[k.model], svc.Engine, s.needsStore(now, k), false)
-	if !ok {
-		return
-	}
-	st.blockedTarget.cancelPlan()
-	s.startPlan(now, k, best)
-}
-
 // bestCandidate returns the candidate with the lowest score, or false if there is
 // none. Targets without a local copy are considered only if fromStore is true.
 func (s *Scheduler) bestCandidate(now time.Time, k modelKey, m *route.Model, e *route.Engine, fromStore, allowClosing bool) (candidate, bool) {
@@ -347,210 +318,7 @@
 	}
 }
 
-// victim is a replica that may be unloaded. Its value is the replicaValue of its
-// model, plus closingTimeEstimate in seconds if it has runs; one request per second
-// counts as much as one second. mb is the memory that it frees.
-type victim struct {
-	model    string
-	value    float64
-	lastUsed time.Time
-	mb       float64
-}
-
-// chooseVictims adds the replicas to unload to the candidate, the least valuable
-// first, and sets its score. It returns false if they don't free enough memory.
-// Replicas with runs are chosen only if allowClosing is true.
-func (s *Scheduler) chooseVictims(now time.Time, c *candidate, m *route.Model, e *route.Engine, allowClosing bool) bool {
-	c.score = c.loadTime.Seconds()
-	missingMB := m.WeightsMB - (e.WeightsMB - c.target.usedMB(e))
-	if missingMB <= 0 {
-		return true
-	}
-	if !allowClosing && c.target.idleReplicaMB(e) < missingMB {
-		return false
-	}
-	for _, v := range s.victims(now, c.target, m, e, allowClosing) {
-		c.victims = append(c.victims, v.model)
-		c.score += v.value
-		missingMB -= v.mb
-		if missingMB <= 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// idleReplicaMB returns an upper bound of the memory that unloading replicas
-// without runs can free.
-func (t *target) idleReplicaMB(e *route.Engine) float64 {
-	mb := 0.0
-	for name, r := range t.replicas {
-		if m := e.Models[name]; m != nil && r.runs == 0 && !r.closing {
-			mb += m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
-		}
-	}
-	return mb
-}
-
-// victims returns the replicas that may be unloaded for the model, the least
-// valuable first. Replicas with runs are among them only if allowClosing is true and
-// their value does not exceed the rate of requests for the model. Replicas that are
-// closing, not configured or of models with waiting requests are left out.
-func (s *Scheduler) victims(now time.Time, t *target, m *route.Model, e *route.Engine, allowClosing bool) []victim {
-	demandRate := s.demandOf(modelKey{t.info.Service, m.Name}).perSecond(now)
-	var out []victim
-	for name, r := range t.replicas {
-		if r.closing || r.runs > 0 && !allowClosing || e.Models[name] == nil || s.hasWaiters(t.info.Service, name) {
-			continue
-		}
-		k := modelKey{t.info.Service, name}
-		value := s.replicaValue(now, k, e)
-		if r.runs > 0 {
-			if value > demandRate {
-				continue // in more demand than the model to load
-			}
-			value += closingTimeEstimate.Seconds()
-		}
-		mb := float64(len(r.adapters))*e.Models[name].AdapterMB + e.Models[name].WeightsMB
-		out = append(out, victim{model: name, value: value, lastUsed: r.lastUsed, mb: mb})
-	}
-	slices.SortFunc(out, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.value, b.value), a.lastUsed.Compare(b.lastUsed), cmp.Compare(a.model, b.model))
-	})
-	return out
-}
-
 // hasWaiters reports whether requests wait for the model.
 func (s *Scheduler) hasWaiters(service, model string) bool {
 	return s.waitingByModel[modelKey{service, model}] > 0
 }
-
-// replicaValue returns the estimated number of requests per second that would have
-// to wait for a load if one replica of the model were unloaded.
-func (s *Scheduler) replicaValue(now time.Time, k modelKey, e *route.Engine) float64 {
-	if v, ok := s.replicaValues[k]; ok {
-		return v
-	}
-	v := s.computeReplicaValue(now, k, e)
-	s.replicaValues[k] = v
-	return v
-}
-
-// computeReplicaValue returns the rate of requests for the model, scaled down if
-// the zone has more replicas than it needs and the latency ratio is below
-// quickStartRatio.
-func (s *Scheduler) computeReplicaValue(now time.Time, k modelKey, e *route.Engine) float64 {
-	rate := s.demandOf(k).perSecond(now)
-	if s.modelState(now, k).ready > s.neededReplicas(now, k, e) && s.demandOf(k).latencyRatio < quickStartRatio {
-		return excessReplicaWeight * rate
-	}
-	return rate
-}
-
-// neededReplicas returns the number of replicas for the model's demand in the
-// zone. By Little's law, the number of concurrent runs is their rate times their
-// mean duration.
-func (s *Scheduler) neededReplicas(now time.Time, k modelKey, e *route.Engine) int {
-	d := s.demandOf(k)
-	running := d.perSecond(now) * s.timeAtReplicas(now, k, d.runDuration(), (*pace.Estimate).Lasting).Seconds()
-	return max(int(math.Ceil(running/(plannedUtilization*float64(max(e.Slots, 1))))), 1)
-}
-
-// continuePlans sends the next order of each plan.
-func (s *Scheduler) continuePlans(now time.Time) {
-	for _, t := range s.sortedTargets {
-		if t.plan != nil && t.phase == noOrder {
-			s.continuePlan(now, t)
-		}
-	}
-}
-
-// continuePlan unloads the plan's next victim, or loads its model once all
-// victims are unloaded. It cancels the plan if the target is draining, has the model
-// loaded already or its service has no engine, if loads of the model are held, and, once
-// the victims are unloaded, if the model is not configured, does not fit into the memory
-// or exceeds its quota.
-func (s *Scheduler) continuePlan(now time.Time, t *target) {
-	if now.Before(t.nextOrderAt) || t.phase != noOrder {
-		return
-	}
-	p := t.plan
-	e := s.services[t.info.Service].Engine
-	k := modelKey{t.info.Service, p.model}
-	if e == nil || t.info.Draining || t.replicas[p.model] != nil || s.loadHold(now, k.baseKey()) > 0 {
-		t.cancelPlan()
-		return
-	}
-	for _, v := range p.victims {
-		r := t.replicas[v]
-		if r == nil {
-			continue
-		}
-		if r.runs == 0 {
-			s.sendOrder(now, t, Order{Operation: Unload, Model: v}, 0)
-		}
-		return
-	}
-	m := e.Models[p.model]
-	if m == nil || t.usedMB(e)+m.WeightsMB > e.WeightsMB || s.overQuota(k) {
-		t.cancelPlan()
-		return
-	}
-	source, d := loadSource(t, m)
-	if source == FromWeightStore {
-		if !s.weightStore.mayStart(now, e, s.zoneCount) {
-			return
-		}
-		d = s.weightStore.expectedDuration(d)
-		s.weightStore.loadStarted(now)
-		t.peakWeightStoreLoads = s.weightStore.inProgress()
-	}
-	s.recordLoad(k, d)
-	s.sendOrder(now, t, Order{Operation: Load, Model: p.model, Source: source}, d)
-}
-
-// planBlocked reports whether the target's plan waits for the end of runs.
-func (t *target) planBlocked() bool {
-	if t.phase != noOrder || t.plan == nil {
-		return false
-	}
-	for _, v := range t.plan.victims {
-		if r := t.replicas[v]; r != nil {
-			return r.runs > 0
-		}
-	}
-	return false
-}
-
-// plannedMB returns the memory in use after the target's plan is carried out.
-func (t *target) plannedMB(e *route.Engine) float64 {
-	used := t.usedMB(e)
-	if t.plan == nil {
-		return used
-	}
-	for _, v := range t.plan.victims {
-		if r, m := t.replicas[v], e.Models[v]; r != nil && m != nil {
-			used -= m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
-		}
-	}
-	if m := e.Models[t.plan.model]; m != nil && t.replicas[t.plan.model] == nil {
-		used += m.WeightsMB
-	}
-	return used
-}
-
-// cancelPlan removes the plan and reopens its victims.
-func (t *target) cancelPlan() {
-	for _, r := range t.replicas {
-		r.closing = false
-	}
-	t.plan = nil
-}
-
-// sendOrder emits an order to the target and makes it the order in progress.
-func (s *Scheduler) sendOrder(now time.Time, t *target, o Order, expected time.Duration) {
-	o.Target, o.Sequence = t.info.ID, t.sequence
-	t.order, t.phase = &o, orderSent
-	t.orderSince, t.expectedDuration = now, expected
-	s.emit(SendOrder{Order: o})
-}
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -7,7 +7,6 @@
 
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/pace"
-	"almondturn/pkg/route"
 )
 
 // orderPhase says what the scheduler knows about a target's orders.
@@ -182,17 +181,6 @@
 	openSince      time.Time
 }
 
-// loadPlan is a model to load as soon as the victims, in this order, are unloaded.
-// since is when the plan was made, and source is where the weights were to be
-// loaded from at that time; continuePlan determines the source again. No decision reads since
-// and source.
-type loadPlan struct {
-	model   string
-	source  Source
-	victims []string
-	since   time.Time
-}
-
 // newTarget returns a target in an unknown state, with the models of its inventory
 // entry.
 func newTarget(info *inventory.Target) *target {
@@ -280,29 +268,6 @@
 	return !t.info.Draining && !now.Before(t.suspectUntil)
 }
 
-// usedMB returns the memory that the replicas take and that late orders need, or the target's
-// whole memory for weights if one of the models is not configured.
-func (t *target) usedMB(e *route.Engine) float64 {
-	used := t.roomForLateOrders(e).mb
-	for name, r := range t.replicas {
-		m := e.Models[name]
-		if m == nil {
-			return e.WeightsMB // the size of an unconfigured model is unknown
-		}
-		used += m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
-	}
-	return used
-}
-
-// adapterCount returns the number of adapters loaded at the target.
-func (t *target) adapterCount() int {
-	n := 0
-	for _, r := range t.replicas {
-		n += len(r.adapters)
-	}
-	return n
-}
-
 // canServe reports whether the target has a replica that accepts a run for the
 // model and adapter now. It does not check health, slots or cache.
 func (t *target) canServe(now time.Time, model, adapter string) bool {
@@ -317,185 +282,6 @@
 	return a != nil && !a.unconfirmed && !now.Before(a.readyAt)
 }
 
-// nextProbeAt returns the earliest time of the next probe. ok is false if no
-// load of a model is being carried out, a probe is running, or none is left.
-func (t *target) nextProbeAt() (at time.Time, ok bool) {
-	if t.phase != modelLoading || t.expectedDuration <= 0 || t.order.Adapter != "" || t.probing || t.probes >= maxProbes {
-		return time.Time{}, false
-	}
-	at = t.orderSince.Add(t.expectedDuration + probeMargin)
-	if t.probeAt.After(at) {
-		at = t.probeAt
-	}
-	return at, true
-}
-
-// canProbe reports whether a run may start as the probe of a load that no report
-// has confirmed yet.
-func (t *target) canProbe(now time.Time, model, adapter string) bool {
-	at, ok := t.nextProbeAt()
-	return ok && adapter == "" && t.order.Model == model && !now.Before(at)
-}
-
-// loadConfirmed ends the load that a probe has confirmed by its first event.
-func (t *target) loadConfirmed(now time.Time, r *run) {
-	t.probing = false
-	if t.phase != modelLoading || t.order.Model != r.model {
-		return
-	}
-	t.replicas[r.model] = &replica{adapters: map[string]*adapter{}, lastUsed: now, runs: 1}
-	t.phase, t.order, t.plan = noOrder, nil, nil
-}
-
-// addRun adds a run to the counts of the target, its replica and its adapter.
-func (t *target) addRun(now time.Time, r *run) {
-	t.runs++
-	t.tokens += r.tokens
-	if !r.started {
-		t.pendingPrefillTokens += r.inputTokens
-	}
-	rep := t.replicas[r.model]
-	if rep == nil {
-		return
-	}
-	rep.runs++
-	rep.lastUsed = now
-	if a := rep.adapters[r.adapter]; a != nil {
-		a.runs++
-		a.lastUsed = now
-	}
-}
-
-// removeRun reverses the counts of addRun and sets the replica's lastUsed to now. A
-// probe without a first event delays the next one.
-func (t *target) removeRun(now time.Time, r *run) {
-	t.runs = max(t.runs-1, 0)
-	t.tokens = max(t.tokens-r.tokens, 0)
-	if !r.started {
-		t.pendingPrefillTokens = max(t.pendingPrefillTokens-r.inputTokens, 0)
-	}
-	if r.probe && !r.started {
-		t.probing = false
-		t.probeAt = now.Add(probeRetryDelay)
-	}
-	rep := t.replicas[r.model]
-	if rep == nil {
-		return
-	}
-	rep.runs = max(rep.runs-1, 0)
-	rep.lastUsed = now
-	if a := rep.adapters[r.adapter]; a != nil {
-		a.runs = max(a.runs-1, 0)
-	}
-}
-
-// applyOutcome updates the health of the target, or its unconfirmed models and
-// adapters, by the outcome of a run.
-func (t *target) applyOutcome(now time.Time, r *run, o Outcome) {
-	switch o {
-	case Completed:
-		t.failures = 0
-	case Unreachable:
-		t.suspectUntil = now.Add(suspectTime)
-	case Failed:
-		t.failures++
-		if t.failures >= maxFailures {
-			t.failures = 0
-			t.suspectUntil = now.Add(suspectTime)
-		}
-	case Busy:
-		if !r.probe {
-			t.busyUntil = now.Add(min(busyTime<<min(t.refusals, 8), maxBusyTime))
-			t.refusals++
-		}
-	case NotLoaded:
-		if !r.probe {
-			t.markUnconfirmed(now, r)
-		}
-	case Unused, NotSent:
-	}
-}
-
-// markUnconfirmed marks the run's adapter as unconfirmed and requests a report. It
-// marks the whole replica if the adapter is not known or is already unconfirmed, or
-// if the run has none. The memory counts as used until a report shows that it is
-// free.
-func (t *target) markUnconfirmed(now time.Time, r *run) {
-	rep := t.replicas[r.model]
-	if rep == nil {
-		return
-	}
-	if a := rep.adapters[r.adapter]; a != nil && !a.unconfirmed {
-		a.unconfirmed = true
-	} else {
-		rep.unconfirmed = true
-	}
-	t.nextReportAt = now
-}
-
-// hasUnconfirmed reports whether a report is needed to show which models and
-// adapters the target has loaded.
-func (t *target) hasUnconfirmed() bool {
-	for _, r := range t.replicas {
-		if r.unconfirmed {
-			return true
-		}
-		for _, a := range r.adapters {
-			if a.unconfirmed {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// markUnknown discards the order and requests the target's state before the
-// next order.
-func (t *target) markUnknown(now time.Time) {
-	t.phase = stateUnknown
-	t.order = nil
-	t.nextReportAt = now
-	t.unknownSince = now
-	t.rejections = 0
-}
-
-// orderRejected handles an order that the target did not accept. The order is
-// sent again soon, because reports show the end of the previous order later than
-// the target accepts the next one.
-func (t *target) orderRejected(now time.Time) {
-	t.orderAfterUnloadRejected()
-	t.unsentOrders = 0
-	t.rejections++
-	if t.rejections > maxRejections {
-		t.markUnknown(now)
-		return
-	}
-	t.phase, t.order = noOrder, nil
-	t.nextOrderAt = now.Add(rejectedDelay << (t.rejections - 1))
-}
-
-// unsentOrderDelay is the time until the next order after one that was not sent.
-const unsentOrderDelay = 100 * time.Millisecond
-
-// orderNotSent handles an order for which no connection to the target was established. A single
-// one may be the owner's own fault; after a second one in a row the target is not healthy for a
-// while, as after a run with this outcome.
-func (t *target) orderNotSent(now time.Time) {
-	t.phase, t.order = noOrder, nil
-	t.nextOrderAt = now.Add(unsentOrderDelay)
-	if t.unsentOrders++; t.unsentOrders > 1 {
-		t.suspectUntil = now.Add(suspectTime)
-		t.nextOrderAt = t.suspectUntil
-	}
-}
-
-// unknownReportInterval returns the time until the next report of a target in an unknown
-// state. It grows with the time since the state became unknown, so that the end of an
-// unload is seen early and one that waits for a run causes few reports.
-func (t *target) unknownReportInterval(now time.Time) time.Duration {
-	return min(max(now.Sub(t.unknownSince)/2, minReportInterval), reportInterval)
-}
-
 // sortTargets rebuilds the list of targets, sorted by identifier.
 func (s *Scheduler) sortTargets() {
 	s.sortedTargets = s.sortedTargets[:0]
