--- a/pkg/entry/changelog.go
+++ b/pkg/entry/changelog.go
@@ -192,11 +192,7 @@
 // ago there were no others, at the time of the response. An error is a *changesError;
 // the changes have to be read from the key-value service then.
 func (l *links) requestChanges(ctx context.Context, request changesRequest, after kv.Revision, maxWait time.Duration) (fetched fetchedChanges, age time.Duration, err error) {
-	link, _ := l.ownerLink(l.node.self.Zone)
-	if link == nil {
-		return fetchedChanges{}, 0, &changesError{changesNoOwner}
-	}
-	c := link.conn.Load()
+	c := l.ownerConn(l.node.self.Zone)
 	if c == nil {
 		return fetchedChanges{}, 0, &changesError{changesNoOwner}
 	}
--- a/pkg/entry/invalidentries_test.go
+++ b/pkg/entry/invalidentries_test.go
@@ -13,6 +13,7 @@
 
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
+	"almondturn/pkg/loglimit"
 	"almondturn/pkg/zoneowner"
 )
 
@@ -45,7 +46,7 @@
 		}
 		assert.Equal(t, 1, strings.Count(out.String(), "target_entry_invalid"))
 		assert.Contains(t, out.String(), `t/odd`)
-		time.Sleep(invalidEntryRepeat)
+		time.Sleep(loglimit.KeyRepeat)
 		n.putTarget(kv.Entry{Key: "t/odd"})
 		assert.Equal(t, 2, strings.Count(out.String(), "target_entry_invalid"), "it is logged again while it stays")
 		assert.Contains(t, out.String(), `"suppressed":399`)
@@ -63,11 +64,11 @@
 				n.putTarget(kv.Entry{Key: fmt.Sprint("t/odd", i)})
 			}
 			n.putTarget(kv.Entry{Key: "t/sound", Value: []byte("sound")})
-			time.Sleep(invalidEntryWindow)
+			time.Sleep(loglimit.Window)
 		}
 		lines := strings.Count(out.String(), "target_entry_invalid")
-		assert.Equal(t, lists*maxInvalidEntryLines, lines)
-		assert.LessOrEqual(t, len(n.invalidEntries.loggedAt), maxInvalidEntryKeys)
+		assert.Equal(t, lists*loglimit.MaxLines, lines)
+		assert.LessOrEqual(t, n.invalidEntries.Keys(), loglimit.MaxKeys)
 		assert.Len(t, n.directory.Targets(), 1, "the sound entry holds")
 	})
 }
@@ -77,14 +78,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
 		n := newDecodingNode(&out)
-		for i := range 3 * maxInvalidEntryKeys {
+		for i := range 3 * loglimit.MaxKeys {
 			n.putTarget(kv.Entry{Key: fmt.Sprintf("t/odd-%d-", i)})
-			time.Sleep(invalidEntryWindow / maxInvalidEntryLines)
+			time.Sleep(loglimit.Window / loglimit.MaxLines)
 		}
-		for i := range 3 * maxInvalidEntryKeys {
+		for i := range 3 * loglimit.MaxKeys {
 			assert.Equal(t, 1, strings.Count(out.String(), fmt.Sprintf(`"key":"t/odd-%d-"`, i)))
 		}
-		assert.LessOrEqual(t, len(n.invalidEntries.loggedAt), maxInvalidEntryKeys)
+		assert.LessOrEqual(t, n.invalidEntries.Keys(), loglimit.MaxKeys)
 	})
 }
 
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -19,6 +19,7 @@
 	"almondturn/pkg/inventory"
 	"almondturn/pkg/kv"
 	"almondturn/pkg/limiter"
+	"almondturn/pkg/loglimit"
 	"almondturn/pkg/notices"
 	"almondturn/pkg/quota"
 	"almondturn/pkg/route"
@@ -185,12 +186,12 @@
 	directory *inventory.Directory
 	targetsMu sync.Mutex // guards directory
 	// invalidEntries bounds the log lines about entries that can't be decoded.
-	invalidEntries invalidEntryLog
+	invalidEntries loglimit.Keyed
 	// skipped bounds the log lines about skipped responses.
-	skipped skippedLog
+	skipped loglimit.Lines
 	// intake bounds what clients make the node hold, intakeLog the log lines about that.
 	intake    *intake.Intake
-	intakeLog skippedLog
+	intakeLog loglimit.Lines
 	// configurationEntries are the entries of the configuration as last read from the
 	// key-value service, and keptRevision the revision of an older configuration there
 	// that was last logged. Only the goroutine of configurationWatch uses them.
--- a/pkg/entry/quota.go
+++ b/pkg/entry/quota.go
@@ -117,21 +117,12 @@
 	if zone == n.self.Zone && n.owner.IsOwner() {
 		return n.owner.LeaseQuota(m)
 	}
-	link, _ := n.links.ownerLink(zone)
-	if link == nil {
-		return nil
-	}
-	c := link.conn.Load()
-	if c == nil {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, n.quotaTerm()/2)
 	defer cancel()
-	resp, err := c.Call(ctx, m)
+	r, err := callOwner[*wire.QuotaResponses](ctx, n.links, zone, m)
 	if err != nil {
 		return nil
 	}
-	r, _ := resp.(*wire.QuotaResponses)
 	return r
 }
 
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -280,7 +280,7 @@
 // a limit.
 func (n *Node) clientLimited(reason intake.Reason, address string) {
 	n.metrics.countLimitedClient(string(reason))
-	if suppressed, ok := n.intakeLog.admit(time.Now()); ok {
+	if suppressed, ok := n.intakeLog.Admit(time.Now()); ok {
 		event.ClientLimited.Log(n.log).Str("limit", string(reason)).Str("address", address).Int("suppressed", suppressed).Send()
 	}
 }
--- a/pkg/entry/skipped.go
+++ b/pkg/entry/skipped.go
@@ -2,46 +2,12 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
 	"almondturn/pkg/event"
 	"almondturn/pkg/inventory"
 )
 
-// Bounds of the log lines about skipped responses, which a faulty target may write often: at
-// most maxSkippedLines are written per skippedWindow.
-const (
-	skippedWindow   = time.Minute
-	maxSkippedLines = 20
-)
-
-// skippedLog bounds the log lines about skipped responses. Its zero value is ready for use,
-// and its methods may be called concurrently.
-type skippedLog struct {
-	mu          sync.Mutex // guards all below
-	windowBegan time.Time
-	lines       int // since windowBegan
-	suppressed  int // lines that were not written since the last one that was
-}
-
-// admit reports whether a line may be written, and returns the number of lines that were not
-// written before it.
-func (l *skippedLog) admit(now time.Time) (suppressed int, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.windowBegan) >= skippedWindow {
-		l.windowBegan, l.lines = now, 0
-	}
-	if l.lines >= maxSkippedLines {
-		l.suppressed++
-		return 0, false
-	}
-	l.lines++
-	suppressed, l.suppressed = l.suppressed, 0
-	return suppressed, true
-}
-
 // Kinds of connections as the log names them.
 const (
 	connectionNew  = "new"
@@ -53,7 +19,7 @@
 // is connection, which is one of the kinds of connections otherwise.
 func (n *Node) observeSkipped(t *inventory.Target, source, request, connection string, status int, h http.Header) {
 	n.metrics.countSkippedResponse(source, status)
-	suppressed, ok := n.skipped.admit(time.Now())
+	suppressed, ok := n.skipped.Admit(time.Now())
 	if !ok {
 		return
 	}
--- a/pkg/entry/streamversions.go
+++ b/pkg/entry/streamversions.go
@@ -166,18 +166,9 @@
 	if zone == l.node.self.Zone && l.node.owner.IsOwner() {
 		return l.node.answerOrigin(m)
 	}
-	link, _ := l.ownerLink(zone)
-	if link == nil {
-		return nil
-	}
-	c := link.conn.Load()
-	if c == nil {
-		return nil
-	}
-	resp, err := c.Call(ctx, m)
+	r, err := callOwner[*wire.StreamOriginResponse](ctx, l, zone, m)
 	if err != nil {
 		return nil
 	}
-	r, _ := resp.(*wire.StreamOriginResponse)
 	return r
 }
--- a/pkg/entry/targetlimits.go
+++ b/pkg/entry/targetlimits.go
@@ -125,20 +125,11 @@
 	if zone == l.node.self.Zone && l.node.owner.IsOwner() {
 		return l.node.owner.ReservePermit(m)
 	}
-	link, _ := l.ownerLink(zone)
-	if link == nil {
-		return nil
-	}
-	c := link.conn.Load()
-	if c == nil {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	resp, err := c.Call(ctx, m)
+	r, err := callOwner[*wire.PermitResponse](ctx, l, zone, m)
 	if err != nil {
 		return nil
 	}
-	r, _ := resp.(*wire.PermitResponse)
 	return r
 }
--- a/pkg/entry/targets.go
+++ b/pkg/entry/targets.go
@@ -79,6 +79,14 @@
 	return inventory.Registration{Revision: e.ModRevision, Target: t}
 }
 
+// logInvalidEntry logs an entry that can't be decoded, within the bounds of
+// package loglimit.
+func (n *Node) logInvalidEntry(key string, err error) {
+	if suppressed, ok := n.invalidEntries.Admit(time.Now(), key); ok {
+		event.TargetEntryInvalid.Log(n.log).Str("key", key).Int("suppressed", suppressed).Err(err).Send()
+	}
+}
+
 // republishTargets publishes the list of targets again, if there is one, after
 // operators have drained or undrained a target, or one has said that it leaves.
 func (n *Node) republishTargets() {
--- a/pkg/entry/skipped_test.go
+++ b/pkg/loglimit/loglimit_test.go
@@ -1,4 +1,4 @@
-package entry
+package loglimit
 
 import (
 	"testing"
@@ -9,17 +9,17 @@
 
 // A target that writes copies without end does not fill the log.
 func TestSkippedResponsesAreLoggedWithinBounds(t *testing.T) {
-	var l skippedLog
+	var l Lines
 	now := time.Unix(1000, 0)
-	for range maxSkippedLines {
-		_, ok := l.admit(now)
+	for range MaxLines {
+		_, ok := l.Admit(now)
 		assert.True(t, ok)
 	}
 	for range 3 {
-		_, ok := l.admit(now.Add(skippedWindow - 1))
+		_, ok := l.Admit(now.Add(Window - 1))
 		assert.False(t, ok)
 	}
-	suppressed, ok := l.admit(now.Add(skippedWindow))
+	suppressed, ok := l.Admit(now.Add(Window))
 	assert.True(t, ok)
 	assert.Equal(t, 3, suppressed)
 }
