streamversions: a new owner is told of the streams of the last 15 s

256 streams, however old, would be 12 KB from each node to a new owner: 2.4 MB at once from the 195 nodes of the large deployment, by calculation. A node that starts few streams now sends few.

--- a/pkg/streamversions/recent.go
+++ b/pkg/streamversions/recent.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"almondturn/pkg/streams"
 )
@@ -14,28 +15,34 @@
 	Origin streams.Origin
 }
 
-// maxRecentStreams is the number of streams of which a new owner of a zone is told, and the most
-// that the owners are told of at once.
-const maxRecentStreams = 256
+// Bounds of the streams of which owners are told.
+const (
+	// maxRecentStreams is the number of streams in one message.
+	maxRecentStreams = 256
+	// recentTime is the age of the streams of which a new owner is told.
+	recentTime = 15 * time.Second
+)
 
 // recentStreams holds the last streams that have begun at this node. Its methods may be called
 // concurrently.
 type recentStreams struct {
 	mu sync.Mutex // guards all below
-	// last are the last streams, the oldest first; untold is the number of them, at the end, of
-	// which the owners have not been told.
-	last   []Begun
-	untold int
+	// last are the last streams, the oldest first, and begunAt when each began. untold is the
+	// number of them, at the end, of which the owners have not been told.
+	last    []Begun
+	begunAt []time.Time
+	untold  int
 }
 
 // add adds a stream.
-func (r *recentStreams) add(b Begun) {
+func (r *recentStreams) add(now time.Time, b Begun) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.last) == 2*maxRecentStreams {
-		r.last = append(r.last[:0], r.last[maxRecentStreams:]...)
+		r.last = slices.Delete(r.last, 0, maxRecentStreams)
+		r.begunAt = slices.Delete(r.begunAt, 0, maxRecentStreams)
 	}
-	r.last = append(r.last, b)
+	r.last, r.begunAt = append(r.last, b), append(r.begunAt, now)
 	r.untold++
 }
 
@@ -53,9 +60,13 @@
 	return out
 }
 
-// all returns the last streams.
-func (r *recentStreams) all() []Begun {
+// recent returns the streams that have begun within recentTime.
+func (r *recentStreams) recent(now time.Time) []Begun {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.newest(maxRecentStreams)
+	young := slices.IndexFunc(r.begunAt, func(at time.Time) bool { return now.Sub(at) < recentTime })
+	if young < 0 {
+		return nil
+	}
+	return r.newest(len(r.last) - young)
 }
--- a/pkg/streamversions/tracker.go
+++ b/pkg/streamversions/tracker.go
@@ -251,14 +251,15 @@
 	if len(id) > maxStreamIDBytes {
 		return false
 	}
-	t.ledger.Put(time.Now(), id, o)
+	now := time.Now()
+	t.ledger.Put(now, id, o)
 	t.journal.add(id, o)
-	t.recent.add(Begun{id, o})
+	t.recent.add(now, Begun{id, o})
 	return true
 }
 
-// Recent returns the last streams that have begun at this node, for a new owner of a zone.
-func (t *Tracker) Recent() []Begun { return t.recent.all() }
+// Recent returns the streams that have begun at this node lately, for a new owner of a zone.
+func (t *Tracker) Recent() []Begun { return t.recent.recent(time.Now()) }
 
 // Reported records that a stream began at another node, which has reported it to this one.
 func (t *Tracker) Reported(id string, o streams.Origin) {
