streamversions: only owners read the versions again after a list was replaced

Cause: each node read the record of versions again after each list that replaced another, as all do after an outage.

Change: owners read, because nodes ask them; a node whose list was replaced reads when a stream is taken up that nobody knows. If the owners of all zones know of one version, that holds without this node's own record, unless its list has had another.

--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -101,6 +101,7 @@
 	if err != nil {
 		return err
 	}
+	w.freshness.confirm(asked)
 	if *unavailable {
 		*unavailable = false
 		event.StoreRegained.Log(w.node.log).Str("prefix", w.prefix).Send()
@@ -108,7 +109,6 @@
 	w.entryCopy.reset(entries)
 	w.onList(entries, revision)
 	w.appliedRevision.Store(uint64(revision))
-	w.freshness.confirm(asked)
 	if w.changeLog != nil {
 		w.changeLog.reset(revision, asked)
 	}
@@ -117,6 +117,7 @@
 		if err != nil {
 			return err
 		}
+		w.freshness.confirm(fetched.confirmedAt)
 		if w.changeLog != nil {
 			w.changeLog.add(fetched.events, fetched.next, fetched.confirmedAt)
 		}
@@ -126,7 +127,6 @@
 		}
 		revision = max(revision, fetched.next)
 		w.appliedRevision.Store(uint64(revision))
-		w.freshness.confirm(fetched.confirmedAt)
 		if len(fetched.events) > 0 {
 			wait.Sleep(ctx, w.fetchDelay())
 		}
--- a/pkg/streamversions/find.go
+++ b/pkg/streamversions/find.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"almondturn/pkg/kv"
@@ -136,12 +137,11 @@
 // know of no other, without which streams don't begin, or the key-value service has no changes
 // of the list with another one. Either was asked after the client took the stream up.
 func (t *Tracker) onlyVersion(ctx context.Context, s Stream, owners OwnersAnswer) (string, bool) {
-	v, ok := t.history.Only(time.Now(), s.Service)
-	if !ok {
-		return "", false
-	}
 	if owners.Complete {
-		return v, len(owners.Versions) == 1 && owners.Versions[v]
+		return owners.only(t.history.Recent(time.Now(), s.Service))
+	}
+	if _, ok := t.history.Only(time.Now(), s.Service); !ok {
+		return "", false
 	}
 	if t.checks.do(ctx, t.checkTargets) != nil {
 		return "", false
@@ -149,6 +149,18 @@
 	return t.history.Only(time.Now(), s.Service)
 }
 
+// only returns the only version that the owners know, if this node's list has had no other one.
+func (a OwnersAnswer) only(recent []string) (string, bool) {
+	all := maps.Clone(a.Versions)
+	for _, v := range recent {
+		all[v] = true
+	}
+	for v := range all {
+		return v, len(all) == 1
+	}
+	return "", false
+}
+
 // minimalWait is the time for which the key-value service waits for changes of which only those
 // that have been made matter.
 const minimalWait = time.Millisecond
--- a/pkg/streamversions/find_test.go
+++ b/pkg/streamversions/find_test.go
@@ -132,12 +132,34 @@
 	})
 }
 
+// The price of a list that is replaced, as all nodes do after an outage: one read of the versions
+// at each owner, none at the others.
+func TestOnlyOwnersReadTheVersionsAfterAReplacedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, owner := range []bool{false, true} {
+			store := new(fakeStore)
+			tracker := newTestTracker(t, store, OwnersAnswer{})
+			tracker.cfg.IsOwner = func() bool { return owner }
+			tracker.completeVersions(t.Context(), time.Now())
+			assert.Zero(t, store.calls)
+			tracker.ListReplaced()
+			for range 3 {
+				tracker.completeVersions(t.Context(), time.Now())
+				time.Sleep(versionRetryInterval)
+			}
+			assert.Equal(t, owner, store.calls == 1)
+			assert.Equal(t, owner, tracker.history.Complete(time.Now()))
+		}
+	})
+}
+
 // The price of a take-up: nothing for a stream in memory, or while the owners know the version.
 func TestStreamsThatTheOwnersKnowCostNoCallToTheStore(t *testing.T) {
 	store := new(fakeStore)
 	tracker := newTestTracker(t, store, OwnersAnswer{Versions: map[string]bool{"v1": true}, Complete: true})
 	tracker.Begun("own", streams.Origin{Service: "llm", Version: "v1"})
 	tracker.Reported("reported", streams.Origin{Service: "llm", Version: "v1"})
+	tracker.ListReplaced()
 	for id, source := range map[string]string{"own": FromMemory, "reported": FromMemory, "other": OnlyVersion, "": OnlyVersion} {
 		found, err := tracker.Find(t.Context(), Stream{ID: id, Service: "llm", Deadline: time.Now().Add(time.Second)})
 		require.NoError(t, err)
--- a/pkg/streamversions/tracker.go
+++ b/pkg/streamversions/tracker.go
@@ -104,6 +104,11 @@
 	record           versionRecord
 	reads, checks    sharedCall
 
+	// readAt is when completeVersions last read, hasCompleted true once the versions of the last
+	// life were known. Only Run uses them.
+	readAt       time.Time
+	hasCompleted bool
+
 	mu sync.Mutex // guards all below
 	// life is the longest time from the first event of a stream until it is taken up.
 	life time.Duration
@@ -219,13 +224,9 @@
 
 // Run reads which versions have served lately, and writes streams and versions, until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
-	var readAt time.Time
 	for wait.Sleep(ctx, t.writeInterval()) {
 		now := time.Now()
-		if t.cfg.Ready() && !t.history.Complete(now) && now.Sub(readAt) >= versionRetryInterval {
-			readAt = now
-			_ = t.read(ctx, func() bool { return t.history.Complete(now) }) // tried again; a stream that is taken up reads, too
-		}
+		t.completeVersions(ctx, now)
 		if begun := t.recent.takeUntold(); len(begun) > 0 {
 			t.cfg.Peers.TellOwners(begun)
 		}
@@ -240,6 +241,21 @@
 	}
 }
 
+// completeVersions reads the versions of the last life if they are not known: after the start of
+// the node and, as nodes ask owners, at an owner. Elsewhere the next stream that is taken up and
+// not known reads them.
+func (t *Tracker) completeVersions(ctx context.Context, now time.Time) {
+	if t.history.Complete(now) {
+		t.hasCompleted = true
+		return
+	}
+	if !t.cfg.Ready() || t.hasCompleted && !t.cfg.IsOwner() || now.Sub(t.readAt) < versionRetryInterval {
+		return
+	}
+	t.readAt = now
+	_ = t.read(ctx, func() bool { return t.history.Complete(now) }) // tried again; a stream that is taken up reads, too
+}
+
 // writeInterval returns the time between two writes.
 func (t *Tracker) writeInterval() time.Duration {
 	return max(minStreamWriteInterval, time.Duration(t.cfg.Peers.SharingNodes())*streamWriteIntervalPerNode)
