Add review case 13: a lower grace_s that a SIGHUP does not put in force

Cause: Reload leaves out the time of a stop. One run before that could not start because of a port in use; the driver takes ports that are free at all addresses now.

--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -26,7 +26,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	cases := map[string]func(*environment) (int, error){"orphan": orphan, "lateorder": lateOrder, "plainanswer": plainAnswer}
+	cases := map[string]func(*environment) (int, error){"orphan": orphan, "lateorder": lateOrder, "plainanswer": plainAnswer, "grace": grace}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: driver3 CASE FOLDER")
 		return failed
--- a/review/driver3/node.go
+++ b/review/driver3/node.go
@@ -49,8 +49,13 @@
 	root, dir, storeAddr string
 	zones, seeds         []string
 	log                  *record
+	// grace is grace_s, 0 for defaultGrace.
+	grace int
 }
 
+// defaultGrace is grace_s in the users' settings.
+const defaultGrace = 8
+
 // network is the part of the loopback network that a case uses: others play at the same time.
 var network = fmt.Sprintf("127.%d.%d.", 1+rand.N(250), rand.N(250))
 
@@ -64,10 +69,38 @@
 	return l.Addr().(*net.TCPAddr).Port, nil
 }
 
+// maxNodes is the largest number of nodes of a case.
+const maxNodes = 4
+
+// freePorts returns the ports of the nodes, which are the same on all machines and free at the
+// addresses of all.
+func freePorts() (ports [3]int, err error) {
+	for i := range ports {
+		first, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", network, firstNode))
+		if err != nil {
+			return ports, err
+		}
+		defer first.Close()
+		ports[i] = first.Addr().(*net.TCPAddr).Port
+		for n := 1; n < maxNodes; n++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", network, firstNode+n, ports[i]))
+			if err != nil {
+				return ports, err
+			}
+			defer l.Close()
+		}
+	}
+	return ports, nil
+}
+
 // newNode writes the settings of the node at the i-th address of the network.
 func (d *deployment) newNode(name, zone string, i int, ports [3]int) (*node, error) {
 	ip := fmt.Sprintf("%s%d", network, firstNode+i)
 	n := &node{name: name, dir: d.dir, log: d.log, settings: filepath.Join(d.dir, name+".conf")}
+	grace := d.grace
+	if grace == 0 {
+		grace = defaultGrace
+	}
 	n.front, n.ready = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
 	lines := []string{
 		"node_name=" + name, "role=entry", "machine_class=front", "serves=front,control", "ip=" + ip, "zone=" + zone, "region=r",
@@ -76,7 +109,7 @@
 		"limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284", "limits.max_fds=4100", "limits.link_mbps=1000.0", "limits.disk_mb=0",
 		"discovery=platform", "entry=vip", "heartbeat_ms=1200", "contracts=base,drain,config,cost,retry,recover,fleet,stream,engine,platform",
 		"fault_tolerance.machines=2", "fault_tolerance.zones=1", "fault_tolerance.regions=0",
-		"bounds.seed_lag_s=3", "bounds.addr_reuse_s=2", "bounds.contact_ms=3000", "bounds.ack_ms=4000", "bounds.sync_s=4", "bounds.drain_ms=2000", "bounds.grace_s=8",
+		"bounds.seed_lag_s=3", "bounds.addr_reuse_s=2", "bounds.contact_ms=3000", "bounds.ack_ms=4000", "bounds.sync_s=4", "bounds.drain_ms=2000", fmt.Sprintf("bounds.grace_s=%d", grace),
 		"bounds.loss_slack_ms=200", "bounds.config_apply_ms=2000", "bounds.rollback_slack_ms=250", "bounds.skew_max_ms=5000",
 		"bounds.retry_budget_ratio=0.2", "bounds.retry_window_s=10", "bounds.retry_slack=58", "bounds.recovery_s=12", "bounds.pass_ms=120", "bounds.again_s=0",
 		"bounds.require_fence=false", "bounds.lease_ms=3000", "bounds.unfreeze_ms=300", "bounds.origin_window_s=5", "bounds.origin_overage=1.1",
--- a/review/driver3/orphan.go
+++ b/review/driver3/orphan.go
@@ -111,16 +111,6 @@
 	return held, nil
 }
 
-// freePorts returns the ports of the nodes, which are the same on all machines.
-func freePorts() (ports [3]int, err error) {
-	for i := range ports {
-		if ports[i], err = freePort(); err != nil {
-			return ports, err
-		}
-	}
-	return ports, nil
-}
-
 func startAll(root string, nodes []*node) error {
 	for _, n := range nodes {
 		if err := n.start(root); err != nil {
--- a/review/driver3/worker.go
+++ b/review/driver3/worker.go
@@ -24,6 +24,7 @@
 const (
 	heartbeat   = 1200 * time.Millisecond
 	diskLoad    = 840 * time.Millisecond
+	storeLoad   = 6 * time.Second
 	unloadTime  = 20 * time.Millisecond
 	eventTime   = 20 * time.Millisecond
 	weightsMB   = 200_000
@@ -48,8 +49,9 @@
 	overflows int
 	// holdOrder returns for how long an order is held up and gets no answer, 0 for none.
 	holdOrder func(o order) time.Duration
-	runs      map[string]int
-	ran       map[string]bool
+	// cold is true if the weights have to be loaded from the weight store.
+	cold bool
+	ran  map[string]bool
 }
 
 // order is the body of an order.
@@ -63,7 +65,7 @@
 }
 
 func newWorker(id, service, zone, address string, specs []modelSpec, loaded []string, s *store, log *record) (*worker, error) {
-	w := &worker{id: id, service: service, zone: zone, address: address, specs: map[string]modelSpec{}, store: s, log: log, runs: map[string]int{}, ran: map[string]bool{}}
+	w := &worker{id: id, service: service, zone: zone, address: address, specs: map[string]modelSpec{}, store: s, log: log, ran: map[string]bool{}}
 	for _, m := range specs {
 		w.specs[m.name] = m
 	}
@@ -130,7 +132,10 @@
 	for _, m := range slices.Sorted(maps.Keys(w.models)) {
 		models = append(models, object{"name": m, "version": 1, "adapters": []string{}})
 	}
-	disk := slices.Sorted(maps.Keys(w.specs))
+	disk := []string{}
+	if !w.cold {
+		disk = slices.Sorted(maps.Keys(w.specs))
+	}
 	return object{"stage": "unified", "born": w.born, "models": models, "seq": w.seq, "at_hand": object{"in_memory": []string{}, "on_disk": disk}}
 }
 
@@ -196,6 +201,9 @@
 	born, duration := w.born, unloadTime
 	if o.Operation == "load" {
 		duration = diskLoad
+		if w.cold {
+			duration = storeLoad
+		}
 		used := w.specs[o.Model].mb
 		for m := range w.models {
 			used += w.specs[m].mb
@@ -233,7 +241,6 @@
 	w.mu.Lock()
 	loaded := w.models[model]
 	if loaded {
-		w.runs[id]++
 		w.ran[id] = true
 	}
 	w.mu.Unlock()
