--- a/review/driver3/lateorder.go
+++ b/review/driver3/lateorder.go
@@ -13,7 +13,7 @@
 	lateBy = 9 * time.Second
 	// patience and shortPatience are the time budgets of requests.
 	patience      = 12 * time.Second
-	shortPatience = 3 * time.Second
+	shortPatience = time.Second
 	// downTime is how long the worker and the node are down.
 	downTime = time.Second
 )
